--- a/src/wire/variant.h
+++ b/src/wire/variant.h
@@ -42,7 +42,8 @@
 
   template <typename... Ts>
   struct convert<std::variant<Ts...>> {
-    const msgpack::object& operator()(const msgpack::object& in, std::variant<Ts...>& variant) const {
+    const msgpack::object& operator()(const msgpack::object& in,
+                                      std::variant<Ts...>& variant) const {
       constexpr uint32_t kParts = 2;
       if (in.type != type::ARRAY || in.via.array.size != kParts) {
         throw type_error();
