Let the decision library name the table service's rows

The row keys stood in src/interfaces, which includes the decision library; the library needs them too. They move to src/wire/store_rows.h, which the interface includes, so no user changes.

--- a/src/interfaces/table_client.h
+++ b/src/interfaces/table_client.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/authority/authority.h"
+#include "wire/store_rows.h"
 
 namespace ladderstream {
 
@@ -24,11 +25,4 @@
 
 using TableClientPtr = std::shared_ptr<TableClient>;
 
-/// Keys of the rows that the project keeps in the table service. Values are msgpack bytes.
-inline constexpr char kConfigurationRow[] = "configuration";
-/// Followed by the operation id; holds a ChangeRecord.
-inline constexpr char kOperationRowPrefix[] = "operation/";
-/// Followed by the group id; holds the group's generation, founders and newest checkpoint.
-inline constexpr char kGroupRowPrefix[] = "group/";
-
 }  // namespace ladderstream
