Add the logging set-up: a prefix per part and a key=value tail

Every program logs short sentences through one typed call over Boost.Log, so that a line's form is the same everywhere. Hostile values are escaped, so that one event stays one line.

--- /dev/null
+++ b/src/logging/log.cc
@@ -0,0 +1,142 @@
+#include "logging/log.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/shared_ptr.hpp>
+#include <iostream>
+#include <mutex>
+
+namespace ladderstream {
+namespace {
+
+namespace log = boost::log;
+
+using Sink = log::sinks::synchronous_sink<log::sinks::text_ostream_backend>;
+using Logger = log::sources::severity_logger_mt<Severity>;
+
+std::atomic<Severity> lowest_severity{Severity::kInfo};
+
+constexpr std::array<std::string_view, 4> kSeverityNames = {"debug", "info", "warning", "error"};
+
+/// Adds the one sink, which writes each record as its message says.
+void AddSink() {
+  auto backend = boost::make_shared<log::sinks::text_ostream_backend>();
+  backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
+  backend->auto_flush(true);
+  auto sink = boost::make_shared<Sink>(backend);
+  sink->set_formatter(log::expressions::stream << log::expressions::smessage);
+  log::core::get()->add_sink(sink);
+}
+
+Logger& SharedLogger() {
+  static std::once_flag sink_added;
+  std::call_once(sink_added, AddSink);
+  // Never destroyed: threads may log while the process exits.
+  static Logger* const logger = new Logger;
+  return *logger;
+}
+
+bool NeedsQuotes(std::string_view value) {
+  const auto is_plain = [](unsigned char c) {
+    return c > ' ' && c != '"' && c != '=' && c != '\\' && c < 0x7f;
+  };
+  return value.empty() || !std::all_of(value.begin(), value.end(), is_plain);
+}
+
+void AppendField(const LogField& field, std::string* line) {
+  line->append(" ").append(field.key).append("=");
+  if (NeedsQuotes(field.value)) {
+    line->append("\"").append(absl::Utf8SafeCEscape(field.value)).append("\"");
+  } else {
+    line->append(field.value);
+  }
+}
+
+std::string TimeStamp() {
+  return absl::FormatTime("%Y-%m-%dT%H:%M:%E6SZ", absl::Now(), absl::UTCTimeZone());
+}
+
+}  // namespace
+
+std::string_view PrefixOf(Part part) {
+  switch (part) {
+    case Part::kMain:
+      return "main";
+    case Part::kPeer:
+      return "peer";
+    case Part::kControl:
+      return "control";
+    case Part::kLease:
+      return "lease";
+    case Part::kStore:
+      return "store";
+    case Part::kMachines:
+      return "machines";
+    case Part::kMetrics:
+      return "metrics";
+    case Part::kHttp:
+      return "http";
+    case Part::kData:
+      return "data";
+    case Part::kAdmission:
+      return "admission";
+    case Part::kOperator:
+      return "operator";
+    case Part::kSettings:
+      return "settings";
+    case Part::kBackend:
+      return "backend";
+    case Part::kStandin:
+      return "standin";
+    case Part::kTool:
+      return "tool";
+  }
+  return "unknown";
+}
+
+std::string FormatLogLine(Part part, Severity severity, std::string_view sentence,
+                          std::initializer_list<LogField> fields) {
+  std::string line(kSeverityNames.at(static_cast<size_t>(severity)));
+  line.append(" ").append(PrefixOf(part)).append(": ");
+  line.append(absl::Utf8SafeCEscape(std::string(sentence)));
+  for (const LogField& field : fields) {
+    AppendField(field, &line);
+  }
+  return line;
+}
+
+void Log(Part part, Severity severity, std::string_view sentence,
+         std::initializer_list<LogField> fields) {
+  if (severity < lowest_severity.load(std::memory_order_relaxed)) {
+    return;
+  }
+  const std::string line = FormatLogLine(part, severity, sentence, fields);
+  BOOST_LOG_SEV(SharedLogger(), severity) << TimeStamp() << " " << line;
+}
+
+void SetUpLogging(Severity lowest) {
+  lowest_severity.store(lowest, std::memory_order_relaxed);
+  SharedLogger();
+}
+
+bool ParseSeverity(std::string_view text, Severity* severity) {
+  const auto* const name = std::find(kSeverityNames.begin(), kSeverityNames.end(), text);
+  if (name == kSeverityNames.end()) {
+    return false;
+  }
+  *severity = static_cast<Severity>(name - kSeverityNames.begin());
+  return true;
+}
+
+}  // namespace ladderstream
