Show placement the hot keys that are not shards yet

Cause: a policy can split a key only if it knows the key; the input listed shards alone. The load reports name a key with its range, so the input now carries these reports. Additive: an empty list means that nothing is split.

--- a/src/core/placement/policy.h
+++ b/src/core/placement/policy.h
@@ -13,6 +13,7 @@
 #include "wire/command.h"
 #include "wire/configuration.h"
 #include "wire/ownership.h"
+#include "wire/peer_message.h"
 #include "wire/time.h"
 
 namespace ladderstream::placement {
@@ -46,6 +47,9 @@
   ServiceConfiguration service;
   std::vector<BackendView> backends;
   std::vector<ShardView> shards;
+  /// The busiest keys that are not shards of their own (each with its key and the range it lies
+  /// in). Their rates are contained in those of their ranges. May be empty.
+  std::vector<ShardLoad> hot_keys;
   Time now;
 };
 
