Let pulls name removed keys and drains name an incarnation

A router that asks what changed had no way to learn that a split key was given back to its range, and a back end's own wish to leave could not be told from an operator's wish that it stay drained over restarts. Both are additions: an empty list and a zero incarnation keep the earlier meaning.

--- a/src/wire/command.h
+++ b/src/wire/command.h
@@ -55,7 +55,10 @@
 struct SetDraining {
   BackendId backend;
   bool draining = true;
-  MSGPACK_DEFINE_ARRAY(backend, draining);
+  /// Zero: an operator's wish, which holds until it is called off. Otherwise this incarnation said
+  /// that it is leaving, and a later one is not meant.
+  BackendIncarnation incarnation = {};
+  MSGPACK_DEFINE_ARRAY(backend, draining, incarnation);
 };
 
 /// Gives free shards to owners; each grant's token is this entry's place in the log.
--- a/src/wire/peer_message.h
+++ b/src/wire/peer_message.h
@@ -119,9 +119,11 @@
   /// Set when `assignments` replaces all that the asker knew.
   bool ownership_is_full = false;
   std::vector<Assignment> assignments;
+  /// Split keys given back to their ranges.
+  std::vector<ShardId> removed;
   std::vector<BackendHome> homes;
   MSGPACK_DEFINE_ARRAY(revision, confirmed_age, configuration, ownership_version, ownership_is_full,
-                       assignments, homes);
+                       assignments, removed, homes);
 };
 
 /// A caller's request on its way to the home node of the chosen back end.
