--- a/src/wire/replication.h
+++ b/src/wire/replication.h
@@ -49,7 +49,9 @@
   uint64_t last_log_index = 0;
   /// Asks whether a vote would be given; changes nothing at the voter.
   bool pre_vote = false;
-  MSGPACK_DEFINE_ARRAY(term, last_log_term, last_log_index, pre_vote);
+  /// The leader itself asked the candidate to take over: voters answer though they hear it.
+  bool leadership_transfer = false;
+  MSGPACK_DEFINE_ARRAY(term, last_log_term, last_log_index, pre_vote, leadership_transfer);
 };
 
 struct VoteResponse {
@@ -70,15 +72,19 @@
   /// Counts the leader's rounds; echoed in the response, so that the leader knows when the request
   /// that a voter has answered was sent.
   uint64_t round = 0;
+  /// How much longer leases of leaders before the sender may last. The receiver remembers it, so
+  /// that it is not lost when voters are replaced.
+  absl::Duration earlier_lease_remaining = absl::ZeroDuration();
   std::vector<LogEntry> entries;
-  MSGPACK_DEFINE_ARRAY(term, previous_term, previous_index, commit_index, round, entries);
+  MSGPACK_DEFINE_ARRAY(term, previous_term, previous_index, commit_index, round,
+                       earlier_lease_remaining, entries);
 };
 
 struct AppendResponse {
   uint64_t term = 0;
   uint64_t round = 0;
   bool success = false;
-  /// On success the last index that matches; otherwise the index to try next.
+  /// On success the last index that matches; otherwise the index of the first entry to send next.
   uint64_t match_index = 0;
   MSGPACK_DEFINE_ARRAY(term, round, success, match_index);
 };
@@ -90,12 +96,21 @@
   uint64_t last_index = 0;
   GroupMembers members;
   std::string state;
-  MSGPACK_DEFINE_ARRAY(term, round, last_term, last_index, members, state);
+  /// As in AppendRequest.
+  absl::Duration earlier_lease_remaining = absl::ZeroDuration();
+  MSGPACK_DEFINE_ARRAY(term, round, last_term, last_index, members, state, earlier_lease_remaining);
 };
 
-/// Answered with AppendResponse.
-using ReplicationBody =
-    std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotRequest>;
+/// The leader asks a voter to stand for election at once.
+struct TransferRequest {
+  uint64_t term = 0;
+  MSGPACK_DEFINE_ARRAY(term);
+};
+
+/// AppendRequest and SnapshotRequest are answered with AppendResponse, VoteRequest with
+/// VoteResponse.
+using ReplicationBody = std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse,
+                                     SnapshotRequest, TransferRequest>;
 
 struct ReplicationMessage {
   GroupId group;
