--- a/src/rehearsal/caller_log.cc
+++ b/src/rehearsal/caller_log.cc
@@ -43,7 +43,8 @@
                         {"code", attempt.code},
                         {"answer_matches", attempt.answer_matches},
                         {"sent_us", absl::ToUnixMicros(attempt.sent)},
-                        {"latency_us", absl::ToInt64Microseconds(attempt.latency)}}
+                        {"due_us", absl::ToUnixMicros(attempt.due)},
+                        {"known_us", absl::ToUnixMicros(attempt.known)}}
       .dump();
 }
 
--- a/src/rehearsal/caller_log.h
+++ b/src/rehearsal/caller_log.h
@@ -30,9 +30,14 @@
   uint32_t code = 0;
   /// For an answer: whether it is whole and belongs to this very request.
   bool answer_matches = true;
+  /// When the call (not this attempt) was to be made; later than that when its caller was busy.
+  absl::Time due;
   absl::Time sent;
-  /// From the moment the attempt was due to the moment its outcome was known.
-  absl::Duration latency;
+  /// When the outcome was known.
+  absl::Time known;
+
+  /// How long the caller waited for this outcome, earlier attempts included.
+  absl::Duration Latency() const { return known - due; }
 };
 
 using CallerLog = std::vector<CallAttempt>;
--- a/src/rehearsal/judge.cc
+++ b/src/rehearsal/judge.cc
@@ -214,10 +214,9 @@
   absl::Duration longest = absl::ZeroDuration();
   absl::Time last_success = probes.front()->sent;
   for (const CallAttempt* probe : probes) {
-    const absl::Time known = probe->sent + probe->latency;
-    longest = std::max(longest, known - last_success);
+    longest = std::max(longest, probe->known - last_success);
     if (probe->outcome == Outcome::kAnswered) {
-      last_success = known;
+      last_success = probe->known;
     }
   }
   return longest;
@@ -263,8 +262,8 @@
   for (const CallAttempt& attempt : evidence.calls) {
     CountAttempt(attempt, verdict.services[attempt.service]);
     if (attempt.outcome == Outcome::kAnswered) {
-      latencies[attempt.service].push_back(attempt.latency);
-      all.push_back(attempt.latency);
+      latencies[attempt.service].push_back(attempt.Latency());
+      all.push_back(attempt.Latency());
     }
   }
   constexpr double kMedian = 0.5;
--- a/tests/unit/rehearsal/judge_test.cc
+++ b/tests/unit/rehearsal/judge_test.cc
@@ -16,8 +16,9 @@
   attempt.request = "book";
   attempt.repeatable = false;
   attempt.outcome = outcome;
+  attempt.due = At(0);
   attempt.sent = At(0);
-  attempt.latency = absl::Milliseconds(5);
+  attempt.known = At(5);
   return attempt;
 }
 
@@ -58,8 +59,9 @@
   attempt.service = "scripts";
   attempt.key = key;
   attempt.probe = true;
+  attempt.due = At(sent);
   attempt.sent = At(sent);
-  attempt.latency = absl::Milliseconds(latency);
+  attempt.known = At(sent + latency);
   return attempt;
 }
 
