Decide ownership: state machine, leases, founding, membership and homes

Cause: nothing yet decided who owns what. The running path needs a group that founds itself through the table service, admits back ends by their lease requests, assigns their shards and tells every node how to route.

Excluded for now: recovery after a lost majority is written but not yet tested, nor are moves, drains, restarts and stops; those tests follow.

Change: Authority on top of the replicated log, composed of the ownership state machine, the lease table, the leader's duties, membership, founding, and pulls; a simulated cluster for its tests.

--- a/src/core/authority/authority.h
+++ b/src/core/authority/authority.h
@@ -37,6 +37,9 @@
   Duration checkpoint_interval = absl::Seconds(10);
   /// How long founding waits, with the store up, so that more nodes are seen first.
   Duration founding_delay = absl::Milliseconds(500);
+  /// A group whose leader nobody heard, and whose row in the table service nobody wrote, for this
+  /// long has lost its majority: it is founded anew from its newest checkpoint.
+  Duration recovery_delay = absl::Seconds(25);
   /// A node whose newest confirmation is older than this serves no request.
   Duration confirmation_limit = absl::Seconds(5);
   uint64_t seed = 1;
--- /dev/null
+++ b/src/core/authority/authority_messages.cc
@@ -0,0 +1,290 @@
+// Messages from other nodes, and requests on their way to the leader.
+#include <algorithm>
+#include <utility>
+
+#include "core/authority/authority_impl.h"
+#include "wire/codec.h"
+
+namespace ladderstream::authority {
+namespace {
+
+/// How often a request is passed on at most while nodes disagree about who leads.
+constexpr uint32_t kMaxHops = 3;
+/// How long a request that was passed on waits for its answer.
+constexpr Duration kRelayTimeout = absl::Seconds(1);
+/// Peers asked at once by a node that knows no leader.
+constexpr size_t kDiscoveryPeers = 6;
+/// Of a node's shards, the busiest that one report names.
+constexpr size_t kReportedShards = 16;
+/// Load seen longer ago than this is not reported any more.
+constexpr Duration kLoadAge = absl::Seconds(3);
+/// Nodes not heard for this long are forgotten.
+constexpr Duration kForgetNodes = absl::Minutes(1);
+/// Pulls remembered while they are unanswered.
+constexpr size_t kMaxPendingPulls = 8;
+/// Known by nobody: asks for the confirmation alone.
+constexpr GrantToken kNewestToken{UINT64_MAX, UINT64_MAX, UINT64_MAX};
+
+}  // namespace
+
+void Authority::Impl::OnMessage(const MessageArrived& event, const ReplicationMessage& message) {
+  if (message.group != settings_.group || message.generation < lowest_generation_) {
+    return;
+  }
+  if (replica_ != nullptr && message.generation > replica_->generation()) {
+    AbandonReplica(message.generation);
+  }
+  if (replica_ == nullptr) {
+    const bool from_leader = std::holds_alternative<AppendRequest>(message.body) ||
+                             std::holds_alternative<SnapshotRequest>(message.body);
+    if (!from_leader) {
+      return;
+    }
+    replication::Start start;
+    start.group = settings_.group;
+    start.generation = message.generation;
+    start.self = settings_.self;
+    StartReplica(std::move(start));
+  }
+  replica_->Receive(event.from, message, now_);
+}
+
+void Authority::Impl::OnMessage(const MessageArrived& event, const NodeReport& message) {
+  nodes_.NoteReport(message, now_);
+  NodeReportAck ack;
+  ack.from_leader = IsReadyLeader();
+  ack.leader = ack.from_leader ? settings_.self : KnownLeader();
+  ack.may_stop = ack.from_leader && message.leaving && ReporterMayStop(message.node.id);
+  Reply(event, std::move(ack));
+}
+
+bool Authority::Impl::ReporterMayStop(NodeId reporter) const {
+  const auto is_reporter = [reporter](const NodeDescriptor& node) { return node.id == reporter; };
+  const GroupMembers& members = replica_->members();
+  const bool is_member = std::any_of(members.voters.begin(), members.voters.end(), is_reporter) ||
+                         std::any_of(members.learners.begin(), members.learners.end(), is_reporter);
+  const auto& backends = state_.backends();
+  const bool is_home = std::any_of(backends.begin(), backends.end(), [reporter](const auto& item) {
+    return item.second.home.id == reporter;
+  });
+  return !is_member && !is_home && !replica_->MembersChangeUnderWay();
+}
+
+void Authority::Impl::OnMessage(const MessageArrived& /*event*/, const NodeReportAck& message) {
+  if (message.leader.id == NodeId()) {
+    return;
+  }
+  founding_.NoteLeader(now_);
+  nodes_.NoteDescriptor(message.leader);
+  if (message.from_leader) {
+    reported_leader_ = message.leader;
+    leader_acknowledged_ = now_;
+  } else if (KnownLeader().id == NodeId() && message.leader.id != settings_.self.id) {
+    // Asked at once; it counts as known only when it answers itself.
+    Send(message.leader, MakeReport(), NextCorrelation());
+  }
+  if (message.may_stop && leaving_ && !may_stop_) {
+    may_stop_ = true;
+    actions_.emplace_back(MayStop{});
+  }
+}
+
+void Authority::Impl::OnMessage(const MessageArrived& event, const ForwardedLeaseRequest& message) {
+  HandleLease(message.request, message.hops, OriginOf(event));
+}
+
+void Authority::Impl::OnMessage(const MessageArrived& event, const LeaseResponse& message) {
+  const auto request = relay_.Take(event.correlation);
+  if (request && request->kind == RequestKind::kLease) {
+    AnswerLeaseTo(request->origin, message);
+  }
+}
+
+void Authority::Impl::OnMessage(const MessageArrived& /*event*/, const GrantsChanged& message) {
+  const Configuration& configuration =
+      UsesReplicatedState() ? state_.configuration() : observed_.configuration();
+  if (const BackendConfiguration* backend = FindBackend(configuration, message.backend)) {
+    actions_.emplace_back(PushGrants{*backend, message.grants});
+  }
+}
+
+void Authority::Impl::OnMessage(const MessageArrived& event, const Proposal& message) {
+  HandleProposal(message.command, message.hops, OriginOf(event));
+}
+
+void Authority::Impl::OnMessage(const MessageArrived& event, const ProposalResult& message) {
+  const auto request = relay_.Take(event.correlation);
+  if (request && request->kind == RequestKind::kProposal) {
+    AnswerProposalTo(request->origin, message);
+  }
+}
+
+void Authority::Impl::OnMessage(const MessageArrived& event, const StatePull& message) {
+  if (replica_ == nullptr) {
+    // An observer passes nothing on: it could vouch for the revision but not for ownership.
+    StatePullResponse nothing;
+    nothing.ownership_version = message.known_ownership;
+    Reply(event, std::move(nothing));
+    return;
+  }
+  Reply(event, AnswerPull(message, state_, confirmation_.Age(now_)));
+}
+
+void Authority::Impl::OnMessage(const MessageArrived& event, const StatePullResponse& message) {
+  const auto pull = pulls_.find(event.correlation);
+  if (pull == pulls_.end()) {
+    return;
+  }
+  const PendingPull pending = pull->second;
+  pulls_.erase(pull);
+  if (pending.wants_ownership) {
+    observed_.Apply(message);
+  }
+  if (message.confirmed_age < absl::InfiniteDuration() && CurrentRevision() >= message.revision) {
+    const double drift = 1 + settings_.replication.max_clock_drift;
+    confirmation_.Confirm(pending.sent - message.confirmed_age * drift);
+  }
+}
+
+void Authority::Impl::OnEvent(const LeaseRequested& event) {
+  HandleLease(event.request, 0, {event.correlation, std::nullopt});
+}
+
+void Authority::Impl::OnEvent(const CommandProposed& event) {
+  HandleProposal(event.command, 0, {event.correlation, std::nullopt});
+}
+
+void Authority::Impl::HandleLease(const LeaseRequest& request, uint32_t hops,
+                                  RequestOrigin origin) {
+  if (!IsReadyLeader()) {
+    if (!PassOn(ForwardedLeaseRequest{request, hops + 1}, hops, RequestKind::kLease, origin)) {
+      AnswerLeaseTo(origin, LeaseResponse());
+    }
+    return;
+  }
+  if (request.applied_version.generation > replica_->generation()) {
+    AbandonReplica(request.applied_version.generation);
+    AnswerLeaseTo(origin, LeaseResponse());
+    return;
+  }
+  AnswerLeaseTo(origin, leases_.Answer(request, state_, replica_->LeaseRemaining(now_), now_));
+}
+
+void Authority::Impl::HandleProposal(const Command& command, uint32_t hops, RequestOrigin origin) {
+  if (!IsReadyLeader()) {
+    if (!PassOn(Proposal{command, hops + 1}, hops, RequestKind::kProposal, origin)) {
+      AnswerProposalTo(origin, ProposalResult());
+    }
+    return;
+  }
+  const auto index = replica_->Propose(Encode(command), now_);
+  if (!index) {
+    AnswerProposalTo(origin, ProposalResult());
+    return;
+  }
+  waiters_[*index] = {replica_->term(), std::move(origin)};
+}
+
+bool Authority::Impl::PassOn(PeerBody body, uint32_t hops, RequestKind kind, RequestOrigin origin) {
+  const NodeDescriptor leader = KnownLeader();
+  if (hops >= kMaxHops || leader.id == NodeId() || leader.id == settings_.self.id) {
+    return false;
+  }
+  const uint64_t correlation = NextCorrelation();
+  relay_.Add(correlation, {kind, std::move(origin), now_ + kRelayTimeout});
+  Send(leader, std::move(body), correlation);
+  return true;
+}
+
+void Authority::Impl::ExpireRequests() {
+  for (const RelayedRequest& request : relay_.TakeExpired(now_)) {
+    if (request.kind == RequestKind::kLease) {
+      AnswerLeaseTo(request.origin, LeaseResponse());
+    } else {
+      AnswerProposalTo(request.origin, {ResultCode::kPeerTimeout, GrantToken()});
+    }
+  }
+}
+
+void Authority::Impl::AnswerLeaseTo(const RequestOrigin& origin, const LeaseResponse& response) {
+  if (origin.peer) {
+    actions_.emplace_back(SendMessage{*origin.peer, origin.correlation, true, response});
+  } else {
+    actions_.emplace_back(AnswerLease{origin.correlation, response});
+  }
+}
+
+void Authority::Impl::AnswerProposalTo(const RequestOrigin& origin, const ProposalResult& result) {
+  if (origin.peer) {
+    actions_.emplace_back(SendMessage{*origin.peer, origin.correlation, true, result});
+  } else {
+    actions_.emplace_back(AnswerCommand{origin.correlation, result});
+  }
+}
+
+RequestOrigin Authority::Impl::OriginOf(const MessageArrived& event) const {
+  return {event.correlation, Describe(event.from)};
+}
+
+void Authority::Impl::Reply(const MessageArrived& event, PeerBody body) {
+  actions_.emplace_back(
+      SendMessage{Describe(event.from), event.correlation, true, std::move(body)});
+}
+
+void Authority::Impl::Send(const NodeDescriptor& to, PeerBody body, uint64_t correlation) {
+  actions_.emplace_back(SendMessage{to, correlation, false, std::move(body)});
+}
+
+NodeReport Authority::Impl::MakeReport() const {
+  NodeReport report;
+  report.node = settings_.self;
+  report.revision_in_force = CurrentRevision();
+  report.leaving = leaving_;
+  if (now_ - load_observed_ <= kLoadAge) {
+    report.backends = load_.backends;
+    report.shards = load_.shards;
+    const auto busier = [](const ShardLoad& left, const ShardLoad& right) {
+      return left.rate > right.rate;
+    };
+    std::sort(report.shards.begin(), report.shards.end(), busier);
+    report.shards.resize(std::min(report.shards.size(), kReportedShards));
+  }
+  return report;
+}
+
+void Authority::Impl::SendReport() {
+  next_report_ = now_ + settings_.report_interval;
+  nodes_.SetSelfReport(MakeReport());
+  nodes_.ForgetBefore(now_ - kForgetNodes);
+  if (IsReadyLeader()) {
+    return;
+  }
+  const NodeDescriptor leader = KnownLeader();
+  if (leader.id != NodeId() && leader.id != settings_.self.id) {
+    Send(leader, MakeReport(), NextCorrelation());
+    return;
+  }
+  for (const NodeDescriptor& peer : nodes_.Sample(kDiscoveryPeers, random_)) {
+    Send(peer, MakeReport(), NextCorrelation());
+  }
+}
+
+void Authority::Impl::SendPull() {
+  next_pull_ = now_ + settings_.pull_interval;
+  const NodeDescriptor leader = KnownLeader();
+  if (IsReadyLeader() || leader.id == NodeId() || leader.id == settings_.self.id) {
+    return;
+  }
+  PendingPull pull{now_, !UsesReplicatedState()};
+  StatePull request;
+  request.known_revision = CurrentRevision();
+  request.known_ownership = pull.wants_ownership ? observed_.version() : kNewestToken;
+  if (pulls_.size() >= kMaxPendingPulls) {
+    pulls_.erase(pulls_.begin());
+  }
+  const uint64_t correlation = NextCorrelation();
+  pulls_.emplace(correlation, pull);
+  Send(leader, request, correlation);
+}
+
+}  // namespace ladderstream::authority
--- /dev/null
+++ b/src/core/authority/founding.cc
@@ -0,0 +1,119 @@
+#include "core/authority/founding.h"
+
+#include <algorithm>
+
+#include "core/authority/group_membership.h"
+#include "wire/codec.h"
+#include "wire/store_rows.h"
+
+namespace ladderstream::authority {
+
+std::string GroupRowKey(GroupId group) { return kGroupRowPrefix + std::to_string(group.value()); }
+
+Founding::Founding(const AuthoritySettings& settings, Time now)
+    : settings_(settings),
+      leader_heard_(now),
+      next_read_(now + settings.founding_delay),
+      row_unchanged_since_(now) {}
+
+void Founding::NoteLeader(Time now) {
+  leader_heard_ = now;
+  next_read_ = std::max(next_read_, now + settings_.founding_delay);
+}
+
+bool Founding::WantsRead(Time now) const { return now >= next_read_; }
+
+StoreTransaction Founding::ReadTransaction(Time now) {
+  next_read_ = now + settings_.store_poll_interval;
+  StoreTransaction transaction;
+  transaction.reads.push_back(GroupRowKey(settings_.group));
+  return transaction;
+}
+
+std::optional<StoreTransaction> Founding::Consider(const StoreRow& row, const FoundingView& view,
+                                                   Time now) {
+  if (row.version == 0) {
+    return ClaimFirst(row, view);
+  }
+  if (row.version != row_version_) {
+    row_version_ = row.version;
+    row_unchanged_since_ = now;
+  }
+  const auto group = Decode<GroupRow>(row.value);
+  const bool leaderless = now - leader_heard_ >= settings_.recovery_delay;
+  const bool row_idle = now - row_unchanged_since_ >= settings_.recovery_delay;
+  if (!leaderless || !row_idle || MajorityIsHeard(group, view)) {
+    return std::nullopt;
+  }
+  return ClaimNext(row, group, view);
+}
+
+bool Founding::MajorityIsHeard(const GroupRow& row, const FoundingView& view) const {
+  const auto& voters = row.members.voters;
+  const auto is_heard = [&](const NodeDescriptor& voter) {
+    return voter.id == settings_.self.id ||
+           std::any_of(view.heard.begin(), view.heard.end(),
+                       [&](const NodeDescriptor& node) { return node.id == voter.id; });
+  };
+  const auto heard = static_cast<size_t>(std::count_if(voters.begin(), voters.end(), is_heard));
+  return heard > voters.size() / 2;
+}
+
+std::optional<BeginGeneration> Founding::BeginIfFounder(const StoreRow& row,
+                                                        const FoundingView& view) const {
+  if (row.version == 0) {
+    return std::nullopt;
+  }
+  const auto group = Decode<GroupRow>(row.value);
+  const bool is_founder =
+      std::any_of(group.founders.begin(), group.founders.end(),
+                  [this](const NodeDescriptor& node) { return node.id == settings_.self.id; });
+  if (!is_founder || group.leader_writes > 0 || group.generation <= view.own_generation) {
+    return std::nullopt;
+  }
+  return BeginGeneration{group.generation, group.founders, group.checkpoint};
+}
+
+StoreTransaction Founding::ClaimFirst(const StoreRow& row, const FoundingView& view) const {
+  GroupRow group;
+  group.generation = 1;
+  group.founders = ChooseFounders(view);
+  return ClaimWith(row, group);
+}
+
+StoreTransaction Founding::ClaimNext(const StoreRow& stored, const GroupRow& row,
+                                     const FoundingView& view) const {
+  GroupRow group;
+  group.generation = std::max(row.generation, view.own_generation) + 1;
+  group.founders = ChooseFounders(view);
+  group.checkpoint_version = row.checkpoint_version;
+  group.checkpoint = row.checkpoint;
+  // What a surviving replica has applied was committed, and may be newer than the checkpoint.
+  if (view.own_generation > 0 && view.own_version > row.checkpoint_version) {
+    std::string own = view.take_own_snapshot();
+    if (own.size() <= kMaxCheckpointBytes) {
+      group.checkpoint_version = view.own_version;
+      group.checkpoint = std::move(own);
+    }
+  }
+  return ClaimWith(stored, group);
+}
+
+StoreTransaction Founding::ClaimWith(const StoreRow& stored, const GroupRow& row) const {
+  GroupRow claimed = row;
+  claimed.members.voters = claimed.founders;
+  StoreTransaction transaction;
+  const std::string key = GroupRowKey(settings_.group);
+  transaction.reads.push_back(key);
+  transaction.conditions.push_back({key, stored.version});
+  transaction.writes.push_back({key, Encode(claimed)});
+  return transaction;
+}
+
+std::vector<NodeDescriptor> Founding::ChooseFounders(const FoundingView& view) const {
+  std::vector<NodeDescriptor> all = {settings_.self};
+  all.insert(all.end(), view.heard.begin(), view.heard.end());
+  return SpreadOverZones(all, OddCount(all.size(), settings_.voter_count));
+}
+
+}  // namespace ladderstream::authority
--- /dev/null
+++ b/src/core/authority/founding.h
@@ -0,0 +1,72 @@
+// Decides when a node that hears of no leader founds its group, joins as a founder, or founds the
+// group anew after its majority was lost. Reads and claims the group's row in the table service.
+//
+// Not thread-safe. The caller runs the transactions and brings their answers.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/authority/authority.h"
+#include "core/authority/group_row.h"
+
+namespace ladderstream::authority {
+
+/// What the node knows besides the row.
+struct FoundingView {
+  /// The generation of the replica that runs on this node; zero for none.
+  uint64_t own_generation = 0;
+  /// State and version of that replica.
+  GrantToken own_version;
+  std::function<std::string()> take_own_snapshot;
+  /// Other nodes heard lately.
+  std::vector<NodeDescriptor> heard;
+};
+
+/// Starts the replica of a founder.
+struct BeginGeneration {
+  uint64_t generation = 0;
+  std::vector<NodeDescriptor> founders;
+  /// A checkpoint of an earlier generation; empty for none.
+  std::string initial_checkpoint;
+};
+
+class Founding {
+ public:
+  Founding(const AuthoritySettings& settings, Time now);
+
+  /// A leader is known to be at work.
+  void NoteLeader(Time now);
+
+  /// Whether the row should be read now.
+  bool WantsRead(Time now) const;
+  Time NextRead() const { return next_read_; }
+  StoreTransaction ReadTransaction(Time now);
+
+  /// Looks at the row as read: gives the transaction that claims the next generation, if it is
+  /// time.
+  std::optional<StoreTransaction> Consider(const StoreRow& row, const FoundingView& view, Time now);
+
+  /// Whether the row as read names this node as a founder of a generation that it has not begun.
+  std::optional<BeginGeneration> BeginIfFounder(const StoreRow& row,
+                                                const FoundingView& view) const;
+
+ private:
+  StoreTransaction ClaimFirst(const StoreRow& row, const FoundingView& view) const;
+  StoreTransaction ClaimNext(const StoreRow& stored, const GroupRow& row,
+                             const FoundingView& view) const;
+  StoreTransaction ClaimWith(const StoreRow& stored, const GroupRow& row) const;
+  std::vector<NodeDescriptor> ChooseFounders(const FoundingView& view) const;
+  bool MajorityIsHeard(const GroupRow& row, const FoundingView& view) const;
+
+  const AuthoritySettings settings_;
+  Time leader_heard_;
+  Time next_read_;
+  uint64_t row_version_ = 0;
+  Time row_unchanged_since_;
+};
+
+}  // namespace ladderstream::authority
