--- a/src/rehearsal/judge.cc
+++ b/src/rehearsal/judge.cc
@@ -178,6 +178,19 @@
   CheckTenures(evidence.record.tenures, verdict);
 }
 
+void CheckLeaving(const Evidence& evidence, Verdict& verdict) {
+  for (const Leaving& leaving : evidence.leaving) {
+    for (const Execution& execution : evidence.record.executions) {
+      if (execution.backend == leaving.backend && execution.started >= leaving.from &&
+          execution.started < leaving.until) {
+        verdict.after_drain.push_back(
+            {absl::StrCat(Describe(execution), " began ",
+                          absl::FormatDuration(execution.started - leaving.from), " too late")});
+      }
+    }
+  }
+}
+
 // --- Measures. ----------------------------------------------------------------------------------
 
 void MeasureImbalance(const Evidence& evidence, Verdict& verdict) {
@@ -304,6 +317,7 @@
   CheckAnswers(evidence, verdict);
   CheckDoubled(evidence, verdict);
   CheckOwnership(evidence, verdict);
+  CheckLeaving(evidence, verdict);
   MeasureImbalance(evidence, verdict);
   MeasureUnavailableTime(evidence, verdict);
   MeasureLatency(evidence, verdict);
--- a/src/rehearsal/judge.h
+++ b/src/rehearsal/judge.h
@@ -24,11 +24,20 @@
   absl::Time until;
 };
 
+/// A back end that was leaving: a few seconds later it must be given no new work.
+struct Leaving {
+  BackendId backend;
+  /// From here on no request may begin on it.
+  absl::Time from;
+  absl::Time until = absl::InfiniteFuture();
+};
+
 /// All that a rehearsal left behind.
 struct Evidence {
   CallerLog calls;
   BackendRecord record;
   std::vector<Presence> presence;
+  std::vector<Leaving> leaving;
   /// Services routed by key; only their keys have owners.
   std::vector<std::string> keyed_services;
 };
@@ -66,6 +75,8 @@
   std::vector<Violation> lost;
   /// Two back ends that owned one key or shard at once.
   std::vector<Violation> two_owners;
+  /// Work that began on a back end which had been leaving for too long.
+  std::vector<Violation> after_drain;
   absl::Duration p50;
   absl::Duration p99;
   /// The worst service's.
@@ -74,8 +85,10 @@
   absl::Duration unavailable;
   std::map<std::string, ServiceReport> services;
 
+  /// Whether nothing happened that must never happen.
   bool IsClean() const {
-    return wrong.empty() && doubled.empty() && lost.empty() && two_owners.empty();
+    return wrong.empty() && doubled.empty() && lost.empty() && two_owners.empty() &&
+           after_drain.empty();
   }
 };
 
--- a/tests/unit/rehearsal/judge_test.cc
+++ b/tests/unit/rehearsal/judge_test.cc
@@ -3,6 +3,8 @@
 #include <boost/test/unit_test.hpp>
 #include <sstream>
 
+#include "rehearsal/report.h"
+
 namespace ladderstream::rehearsal {
 namespace {
 
@@ -160,6 +162,15 @@
   BOOST_TEST(Judge(evidence).two_owners.size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(finds_work_that_began_on_a_back_end_long_leaving) {
+  Evidence evidence;
+  evidence.record.executions = {Read("a", {}, 5, 30), Read("a", {}, 100, 101)};
+  evidence.leaving = {{BackendId("a"), At(10), At(100)}};
+  BOOST_TEST(Judge(evidence).IsClean());
+  evidence.record.executions.push_back(Read("a", {}, 10, 30));
+  BOOST_TEST(Judge(evidence).after_drain.size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(counts_owner_changes_per_key) {
   const GrantToken first{1, 1, 1};
   const GrantToken second{1, 1, 2};
@@ -209,6 +220,26 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(report)
+
+BOOST_AUTO_TEST_CASE(states_the_result_in_one_line) {
+  Verdict verdict;
+  verdict.requests = 10;
+  verdict.answered = 9;
+  verdict.p99 = absl::Microseconds(4250);
+  verdict.imbalance = 1.5;
+  verdict.churn = 3;
+  verdict.unavailable = absl::Milliseconds(1234);
+  BOOST_TEST(ResultLine("DEMO", verdict) ==
+             "DEMO OK requests=10 answered=9 wrong=0 doubled=0 lost=0 p99_ms=4.2 imbalance=1.50 "
+             "churn=3 unavailable_ms=1234");
+  verdict.two_owners.push_back({"a and b"});
+  BOOST_TEST(ResultLine("DEMO", verdict).starts_with("DEMO FAILED requests=10"));
+  BOOST_TEST(VerdictTable(verdict).find("two owners: a and b") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(backend_record)
 
 constexpr char kEvents[] =
