--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -8,6 +8,7 @@
 
 #include "core/authority/authority.h"
 #include "settings/setting_fault.h"
+#include "settings/settings_source.h"
 #include "wire/identifiers.h"
 #include "wire/time.h"
 
@@ -61,14 +62,6 @@
   std::string log_level = "info";
 };
 
-/// One setting given on the command line; goes before the file.
-struct SettingOverride {
-  /// The setting's full name, such as "lease.backend_lease".
-  std::string key;
-  /// As it would stand in the file; quotes around strings may be left out.
-  std::string value;
-};
-
 /// Reads and checks the settings. An empty `path` reads no file. Throws SettingsError with every
 /// fault.
 DaemonSettings LoadDaemonSettings(const std::string& path,
