Carry the caller's request id to the home node

The protocol promises it to the back end (Ladderstream-Caller-Id), but the message between nodes had no place for it. Additive: a field at the end of ForwardRequest.

--- a/src/wire/peer_message.h
+++ b/src/wire/peer_message.h
@@ -141,8 +141,10 @@
   Priority priority = Priority::kNormal;
   /// Distinguishes one attempt at the back end, for cancellation.
   std::string request_id;
+  /// The caller's own id, passed on to the back end; may be empty.
+  std::string caller_id;
   MSGPACK_DEFINE_ARRAY(service, key, request, body, content_type, backend, token, remaining,
-                       priority, request_id);
+                       priority, request_id, caller_id);
 };
 
 /// What came of one attempt, in full.
