--- a/src/daemon/router/data_path_impl.h
+++ b/src/daemon/router/data_path_impl.h
@@ -24,8 +24,6 @@
   Duration routing_wait = absl::Milliseconds(250);
   /// Attempts that one request may make for stale routing alone.
   uint32_t max_routing_attempts = 6;
-  /// A caller that gives no more than this is refused at once.
-  Duration min_deadline = absl::Milliseconds(1);
   /// The longest deadline a caller may ask for.
   Duration max_deadline = absl::Seconds(60);
   /// To connect to a back end.
@@ -41,6 +39,8 @@
   uint32_t min_retry_tokens = 10;
   /// When more than this share of a service's back ends look bad, the signal itself is distrusted.
   double panic_threshold = 0.5;
+  /// Threads for requests that may be hedged; each takes one or two while it runs.
+  uint32_t max_hedge_threads = 128;
   uint64_t seed = 1;
 };
 
@@ -63,10 +63,6 @@
   authority::LoadObserved TakeLoad() override;
   void Drain(Duration timeout) override;
 
-  /// Tells that ControlPlane::Routing() gives something newer, so that requests waiting for it go
-  /// on at once. Without this call they notice within a few milliseconds.
-  void OnRoutingChanged();
-
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
