--- a/src/settings/daemon_command_line.cc
+++ b/src/settings/daemon_command_line.cc
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "settings/program_flags.h"
+
 DEFINE_string(settings, "",
               "settings file (TOML); examples/ladderstreamd.toml shows every setting");
 DEFINE_string(set, "",
@@ -20,8 +22,7 @@
 namespace {
 
 constexpr int kExitSound = 0;
-constexpr int kExitBadSettings = 2;
-constexpr char kVersion[] = "0.1.0";
+constexpr char kOwnFlagFiles[] = "settings/daemon_command_line";
 constexpr char kUsage[] =
     "One node of ladderstream.\n"
     "usage: ladderstreamd --settings=FILE [--set=\"name=value;...\"] [--check_settings]\n"
@@ -50,15 +51,13 @@
     std::cerr << "settings: " << FormatFault(fault) << "\n";
   }
   std::cerr << "settings: " << faults.size() << " faults, nothing started\n";
-  return {kExitBadSettings, {}};
+  return {kExitBadUsage, {}};
 }
 
 }  // namespace
 
 DaemonCommandLine ReadDaemonCommandLine(int* argc, char*** argv) {
-  gflags::SetUsageMessage(kUsage);
-  gflags::SetVersionString(kVersion);
-  gflags::ParseCommandLineFlags(argc, argv, true);
+  ParseProgramFlags(kUsage, kOwnFlagFiles, argc, argv);
   std::vector<SettingFault> faults;
   if (*argc > 1) {
     faults.push_back(
