--- /dev/null
+++ b/src/bench/experiment.cc
@@ -0,0 +1,13 @@
+#include "bench/experiment.h"
+
+namespace ladderstream::bench {
+
+std::vector<Experiment> AllExperiments() {
+  std::vector<Experiment> all;
+  for (const auto& group : {PlacementExperiments()}) {
+    all.insert(all.end(), group.begin(), group.end());
+  }
+  return all;
+}
+
+}  // namespace ladderstream::bench
--- /dev/null
+++ b/src/bench/experiment.h
@@ -0,0 +1,25 @@
+// An experiment of the bench: a name, what it shows, and how to run it.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "bench/report.h"
+
+namespace ladderstream::bench {
+
+struct Experiment {
+  std::string name;
+  std::string description;
+  /// Runs to its end. Deterministic for a seed, apart from processor times and memory.
+  std::function<Report(uint64_t seed)> run;
+};
+
+/// All experiments, in the order in which they are listed.
+std::vector<Experiment> AllExperiments();
+
+std::vector<Experiment> PlacementExperiments();
+
+}  // namespace ladderstream::bench
