Add the rehearsal program: cluster, scenarios demo, chaos and overhead

Cause: nothing ran a whole deployment yet, so nothing showed whether the parts fit together. Change: Cluster starts the stand-ins, nodes and back ends and declares the deployment through ladderctl; three scenarios drive it; scripts/demo builds and runs. Not run yet: the scenarios themselves, since the daemon has not landed.

--- /dev/null
+++ b/src/rehearsal/chaos_scenario.cc
@@ -0,0 +1,153 @@
+#include <absl/strings/str_cat.h>
+
+#include <csignal>
+
+#include "rehearsal/fault_schedule.h"
+#include "rehearsal/scenario.h"
+
+namespace ladderstream::rehearsal {
+namespace {
+
+class Chaos {
+ public:
+  explicit Chaos(Rehearsal* rehearsal) : rehearsal_(rehearsal), cluster_(rehearsal->cluster()) {}
+
+  void Begin(const Fault& fault) {
+    switch (fault.kind) {
+      case FaultKind::kKillBackend:
+      case FaultKind::kKillNode:
+        cluster_.NoteAbsent(fault.target);
+        cluster_.processes().Kill(fault.target);
+        break;
+      case FaultKind::kFreezeBackend:
+      case FaultKind::kFreezeNode:
+        cluster_.NoteAbsent(fault.target);
+        cluster_.processes().Signal(fault.target, SIGSTOP);
+        break;
+      case FaultKind::kStopBackend:
+      case FaultKind::kStopNode:
+        cluster_.NoteAbsent(fault.target);
+        cluster_.processes().Signal(fault.target, SIGTERM);
+        break;
+      case FaultKind::kDrainBackend:
+        cluster_.NoteAbsent(fault.target);
+        cluster_.operators().Drain(fault.target);
+        cluster_.NoteLeaving(fault.target);
+        break;
+      case FaultKind::kTableDown:
+        cluster_.ControlTable(R"({"down":true})");
+        break;
+      case FaultKind::kTableSlow:
+        cluster_.ControlTable(R"({"delay_ms":400})");
+        break;
+      case FaultKind::kLoseTableAnswers:
+        cluster_.ControlTable(R"({"lose_answers":3})");
+        break;
+      case FaultKind::kMoveKey:
+        MoveHotKey(fault.target);
+        break;
+      case FaultKind::kRotateHotKeys:
+        rehearsal_->load().RotateKeys();
+        break;
+    }
+  }
+
+  void End(const Fault& fault) {
+    switch (fault.kind) {
+      case FaultKind::kKillBackend:
+      case FaultKind::kKillNode:
+        cluster_.processes().Restart(fault.target);
+        NotePresentIfBackend(fault.target);
+        break;
+      case FaultKind::kFreezeBackend:
+      case FaultKind::kFreezeNode:
+        cluster_.processes().Signal(fault.target, SIGCONT);
+        NotePresentIfBackend(fault.target);
+        break;
+      case FaultKind::kStopBackend:
+      case FaultKind::kStopNode:
+        StartAfterStop(fault.target);
+        break;
+      case FaultKind::kDrainBackend:
+        cluster_.NoteStaying(fault.target);
+        cluster_.operators().Undrain(fault.target);
+        cluster_.NotePresent(fault.target);
+        break;
+      case FaultKind::kTableDown:
+        cluster_.ControlTable(R"({"down":false})");
+        break;
+      case FaultKind::kTableSlow:
+        cluster_.ControlTable(R"({"delay_ms":0})");
+        break;
+      case FaultKind::kLoseTableAnswers:
+        cluster_.ControlTable(R"({"lose_answers":0})");
+        break;
+      case FaultKind::kMoveKey:
+      case FaultKind::kRotateHotKeys:
+        break;
+    }
+  }
+
+ private:
+  void NotePresentIfBackend(const std::string& name) {
+    if (!name.starts_with("node-")) {
+      cluster_.NotePresent(name);
+    }
+  }
+
+  // A planned stop may take longer than the fault lasts.
+  void StartAfterStop(const std::string& name) {
+    constexpr absl::Duration kStopTimeout = absl::Seconds(25);
+    if (!cluster_.processes().WaitForExit(name, kStopTimeout)) {
+      rehearsal_->Say(absl::StrCat("          did not stop in time and is killed: ", name));
+      cluster_.processes().Kill(name);
+    }
+    cluster_.processes().Restart(name);
+    NotePresentIfBackend(name);
+  }
+
+  // Moves the hottest probed key of the target's service to the target.
+  void MoveHotKey(const std::string& target) {
+    for (const ProbeTarget& probe : rehearsal_->probes()) {
+      if (target.starts_with(probe.service)) {
+        cluster_.operators().MoveKey(probe.service, probe.key, target);
+        return;
+      }
+    }
+  }
+
+  Rehearsal* rehearsal_;
+  Cluster& cluster_;
+};
+
+ScheduleSettings MakeScheduleSettings(const RehearsalSettings& settings, const Cluster& cluster) {
+  ScheduleSettings schedule;
+  schedule.seed = settings.seed;
+  schedule.length = settings.length;
+  schedule.nodes = cluster.NodeNames();
+  schedule.keyed_backends = cluster.BackendNames(RoutingKind::kByKey);
+  schedule.other_backends = cluster.BackendNames(RoutingKind::kByLoad);
+  return schedule;
+}
+
+}  // namespace
+
+Verdict RunChaos(const RehearsalSettings& settings, std::ostream* out) {
+  Rehearsal rehearsal(settings, out);
+  rehearsal.Prepare();
+  Chaos chaos(&rehearsal);
+  std::vector<Step> steps;
+  for (const Fault& fault :
+       MakeFaultSchedule(MakeScheduleSettings(settings, rehearsal.cluster()))) {
+    const std::string name = absl::StrCat(NameOf(fault.kind), " ", fault.target);
+    steps.push_back({fault.from, name, [&chaos, fault] { chaos.Begin(fault); }});
+    if (fault.until > fault.from) {
+      steps.push_back(
+          {fault.until, absl::StrCat("end of: ", name), [&chaos, fault] { chaos.End(fault); }});
+    }
+  }
+  rehearsal.Run(std::move(steps));
+  return rehearsal.Finish();
+}
+
+}  // namespace ladderstream::rehearsal
--- a/src/rehearsal/http_caller.cc
+++ b/src/rehearsal/http_caller.cc
@@ -31,6 +31,11 @@
   return absl::SimpleAtoi(response.get_header_value(header), &number) ? number : 0;
 }
 
+std::string BackendOf(const std::string& body) {
+  const nlohmann::json answer = nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
+  return answer.is_object() ? answer.value("backend", "") : "";
+}
+
 bool IsConnectFailure(httplib::Error error) {
   return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout ||
          error == httplib::Error::BindIPAddress;
@@ -104,6 +109,7 @@
   result.retry_after = absl::Milliseconds(ReadNumber(response, "Ladderstream-Retry-After-Ms"));
   if (result.outcome == Outcome::kAnswered) {
     result.answer_matches = AnswerMatches(attempt, response.body);
+    result.backend = BackendOf(response.body);
   }
   if (result.code == static_cast<uint32_t>(ResultCode::kShuttingDown)) {
     UseNextNode();
--- a/src/rehearsal/http_caller.h
+++ b/src/rehearsal/http_caller.h
@@ -20,6 +20,8 @@
   uint32_t code = 0;
   bool answer_matches = true;
   absl::Duration retry_after = absl::ZeroDuration();
+  /// Who answered, by the answer itself.
+  std::string backend;
 };
 
 /// Not thread-safe.
--- /dev/null
+++ b/src/rehearsal/rehearsal.cc
@@ -0,0 +1,155 @@
+#include "rehearsal/rehearsal.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <fstream>
+
+#include "rehearsal/report.h"
+#include "standin/support/boot_time.h"
+#include "wire/result_code.h"
+
+namespace ladderstream::rehearsal {
+namespace {
+
+using standin::BootTimeNow;
+
+constexpr absl::Duration kServingTimeout = absl::Seconds(30);
+constexpr absl::Duration kReportInterval = absl::Seconds(1);
+constexpr absl::Duration kLongestSleep = absl::Milliseconds(100);
+
+std::atomic<bool> stop_requested = false;
+
+void RequestStop(int /*signal*/) { stop_requested = true; }
+
+std::vector<ProbeTarget> ChooseProbes(const RehearsalSettings& settings) {
+  std::vector<ProbeTarget> probes;
+  for (const ServiceSpec& service : settings.cluster.deployment.services) {
+    if (service.configuration.routing != RoutingKind::kByKey) {
+      continue;
+    }
+    const RequestKind& kind = service.kinds.front();
+    const KeyPicker picker(kind);
+    // Spread over the ranks: the hottest, and colder ones.
+    for (uint32_t i = 0; i < settings.probes_per_service; ++i) {
+      const uint32_t rank = i * kind.key_count / settings.probes_per_service;
+      probes.push_back({kind.service, kind.request, picker.KeyAt(rank, 0)});
+    }
+  }
+  return probes;
+}
+
+LoadSettings MakeLoadSettings(const RehearsalSettings& settings, const std::vector<Endpoint>& nodes,
+                              const std::vector<ProbeTarget>& probes) {
+  const DeploymentSpec& deployment = settings.cluster.deployment;
+  LoadSettings load;
+  load.nodes = nodes;
+  load.kinds = MixOf(deployment);
+  load.callers = deployment.callers;
+  load.rate = settings.rate > 0 ? settings.rate : deployment.rate;
+  load.probes = probes;
+  load.seed = settings.seed;
+  return load;
+}
+
+}  // namespace
+
+void CatchStopSignals() {
+  std::signal(SIGINT, RequestStop);
+  std::signal(SIGTERM, RequestStop);
+}
+
+Rehearsal::Rehearsal(const RehearsalSettings& settings, std::ostream* out)
+    : settings_(settings), out_(out), cluster_(settings.cluster), probes_(ChooseProbes(settings)) {
+  if (settings.keep_files) {
+    cluster_.processes().KeepDirectory();
+    Say(absl::StrCat("logs and records: ", cluster_.processes().directory().string()));
+  }
+}
+
+void Rehearsal::Say(const std::string& line) { *out_ << line << std::endl; }
+
+void Rehearsal::Prepare() {
+  const absl::Time begin = absl::Now();
+  const auto elapsed = [begin] {
+    return absl::StrFormat("%.1f s", absl::ToDoubleSeconds(absl::Now() - begin));
+  };
+  cluster_.Start();
+  Say(absl::StrCat("all processes are up after ", elapsed()));
+  cluster_.Declare();
+  Say(absl::StrCat("services and back ends are declared after ", elapsed()));
+  cluster_.WaitUntilServing(kServingTimeout);
+  Say(absl::StrCat("every service is served at every node after ", elapsed()));
+}
+
+void Rehearsal::Run(std::vector<Step> steps) {
+  std::stable_sort(steps.begin(), steps.end(),
+                   [](const Step& a, const Step& b) { return a.at < b.at; });
+  for (const RoutingKind routing : {RoutingKind::kByKey, RoutingKind::kByLoad}) {
+    for (const std::string& backend : cluster_.BackendNames(routing)) {
+      cluster_.NotePresent(backend);
+    }
+  }
+  load_ = std::make_unique<LoadGenerator>(
+      MakeLoadSettings(settings_, cluster_.CallerEndpoints(), probes_));
+  started_ = BootTimeNow();
+  reported_ = started_;
+  auto next = steps.begin();
+  const absl::Time end = started_ + settings_.length;
+  while (BootTimeNow() < end) {
+    if (stop_requested) {
+      throw Error(ResultCode::kCancelled, "stopped by a signal");
+    }
+    while (next != steps.end() && started_ + next->at <= BootTimeNow()) {
+      TakeStep(*next++);
+    }
+    if (BootTimeNow() >= reported_ + kReportInterval) {
+      Report();
+    }
+    absl::Time wake = std::min(end, reported_ + kReportInterval);
+    if (next != steps.end()) {
+      wake = std::min(wake, started_ + next->at);
+    }
+    absl::SleepFor(std::min(wake - BootTimeNow(), kLongestSleep));
+  }
+}
+
+void Rehearsal::TakeStep(const Step& step) {
+  if (!step.what.empty()) {
+    Say(absl::StrFormat("%6.1f s  -- %s", absl::ToDoubleSeconds(BootTimeNow() - started_),
+                        step.what));
+  }
+  try {
+    step.action();
+  } catch (const Error& error) {
+    Say(absl::StrCat("          not done: ", error.what()));
+  }
+}
+
+void Rehearsal::Report() {
+  const absl::Time now = BootTimeNow();
+  Say(ProgressLine(now - started_, now - reported_, load_->TakeProgress()));
+  reported_ = now;
+}
+
+Verdict Rehearsal::Finish() {
+  CallerLog calls = load_->Stop();
+  if (settings_.keep_files) {
+    std::ofstream file(cluster_.processes().directory() / "callers.jsonl");
+    for (const CallAttempt& attempt : calls) {
+      file << ToJsonLine(attempt) << "\n";
+    }
+  }
+  for (const std::string& name : cluster_.Stop()) {
+    Say(absl::StrCat("did not stop in time and was killed: ", name));
+  }
+  Verdict verdict = Judge(cluster_.CollectEvidence(std::move(calls)));
+  Say(VerdictTable(verdict));
+  return verdict;
+}
+
+}  // namespace ladderstream::rehearsal
