Write the fault proxy's connections without coroutines

Change: callbacks in their place; back ends can connect to nodes from an address of their own, so that a zone can be cut off; keys that are not UTF-8 can be recorded.

--- a/src/standin/backend/backend_server.cc
+++ b/src/standin/backend/backend_server.cc
@@ -138,7 +138,7 @@
                          {"backend", settings_.id.value()},
                          {"token", identity.token},
                          {"incarnation", std::to_string(settings_.lease.incarnation.value())}};
-  const size_t size = body.dump().size();
+  const size_t size = DumpJson(body).size();
   if (size < settings_.body_bytes) {
     body["padding"] = std::string(settings_.body_bytes - size, 'x');
   }
@@ -157,7 +157,7 @@
   }
   absl::SleepFor(late_by);
   if (truncate) {
-    AnswerTruncated(body.dump(), "application/json", response);
+    AnswerTruncated(DumpJson(body), "application/json", response);
   } else {
     AnswerJson(body, kOk, response);
   }
--- a/src/standin/backend/effect_record.cc
+++ b/src/standin/backend/effect_record.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "standin/support/http_server.h"
 #include "wire/result_code.h"
 
 namespace ladderstream::standin {
@@ -73,7 +74,7 @@
   event["backend"] = backend_;
   event["incarnation"] = incarnation_;
   if (file_ >= 0) {
-    const std::string line = absl::StrCat(event.dump(), "\n");
+    const std::string line = absl::StrCat(DumpJson(event), "\n");
     if (write(file_, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
       throw Error(ResultCode::kInternal, "the record file took no whole line");
     }
--- a/src/standin/backend/lease_client.cc
+++ b/src/standin/backend/lease_client.cc
@@ -27,6 +27,9 @@
     client->set_write_timeout(timeout);
     client->set_keep_alive(true);
     client->set_tcp_nodelay(true);
+    if (!settings.source_address.empty()) {
+      client->set_interface(settings.source_address);
+    }
     clients_.push_back(std::move(client));
   }
   runner_->OnApplied([this] { AskNow(); });
--- a/src/standin/backend/lease_client.h
+++ b/src/standin/backend/lease_client.h
@@ -21,6 +21,8 @@
   BackendId backend;
   BackendIncarnation incarnation;
   std::vector<Endpoint> nodes;
+  /// Where requests come from; empty for any address.
+  std::string source_address;
   /// How long one node may take before the next is asked.
   Duration timeout = absl::Milliseconds(200);
   /// Waited after every node has failed once.
--- a/src/standin/backend/main.cc
+++ b/src/standin/backend/main.cc
@@ -17,6 +17,7 @@
 DEFINE_string(zone, "", "its zone");
 DEFINE_string(listen, "127.0.0.1:0", "where it serves (port 0: any)");
 DEFINE_string(nodes, "", "HTTP addresses of the nodes to ask for the lease, separated by commas");
+DEFINE_string(source_address, "", "the IP number it connects to nodes from; empty: any");
 DEFINE_int32(lease_timeout_ms, 200, "how long one node may take to answer a lease request");
 DEFINE_uint32(range_count, 256, "the service's number of ranges, a power of two");
 DEFINE_uint32(slots, 2, "requests it runs at once");
@@ -107,6 +108,7 @@
   settings.lease.backend = settings.id;
   settings.lease.incarnation = BackendIncarnation(absl::Uniform<uint64_t>(absl::BitGen()));
   settings.lease.nodes = ReadNodes(checks);
+  settings.lease.source_address = FLAGS_source_address;
   settings.lease.timeout = absl::Milliseconds(FLAGS_lease_timeout_ms);
   settings.body_bytes = FLAGS_body_bytes;
   settings.probe_cost = absl::Milliseconds(FLAGS_probe_cost_ms);
--- a/src/standin/fault_proxy/proxy_session.cc
+++ b/src/standin/fault_proxy/proxy_session.cc
@@ -1,146 +1,153 @@
 #include "standin/fault_proxy/proxy_session.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <utility>
 
 namespace ladderstream::standin {
 namespace {
 
-using boost::asio::awaitable;
-using boost::asio::redirect_error;
-using boost::asio::use_awaitable;
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 using std::chrono::steady_clock;
 
-constexpr size_t kChunkBytes = 64 * 1024;
-constexpr size_t kMaxQueuedBytes = 4 * 1024 * 1024;
+constexpr size_t kChunkBytes = size_t{64} << 10;
+constexpr size_t kMaxQueuedBytes = size_t{4} << 20;
 constexpr auto kHoldPoll = std::chrono::milliseconds(2);
+constexpr uint64_t kMicrosecondsPerSecond = 1'000'000;
 
-// Bytes that arrived before the proxy closes are lost, as on a broken link: a reset, no goodbye.
+// Bytes on their way are lost, as on a broken link: a reset, no goodbye.
 void Reset(tcp::socket& socket) {
   error_code ignored;
   socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
   socket.close(ignored);
 }
 
-awaitable<void> Pause(steady_clock::duration duration) {
-  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, duration);
-  error_code ignored;
-  co_await timer.async_wait(redirect_error(use_awaitable, ignored));
-}
-
 }  // namespace
 
-ProxySession::ProxySession(tcp::socket client, tcp::endpoint target, FaultRules* rules)
+ProxySession::ProxySession(Socket client, tcp::endpoint target, FaultRules* rules)
     : client_(std::move(client)),
       server_(client_.get_executor()),
       target_(std::move(target)),
       rules_(rules),
-      forward_(Direction::kForward, client_.get_executor()),
-      backward_(Direction::kBackward, client_.get_executor()) {
+      forward_(Direction::kForward, &client_, &server_),
+      backward_(Direction::kBackward, &server_, &client_) {
   error_code ignored;
   source_ = client_.remote_endpoint(ignored).address().to_string();
+  client_.set_option(tcp::no_delay(true), ignored);
 }
 
-void ProxySession::Start() {
-  boost::asio::co_spawn(client_.get_executor(), Serve(shared_from_this()), boost::asio::detached);
-}
+void ProxySession::Start() { Connect(); }
 
-awaitable<void> ProxySession::Serve(std::shared_ptr<ProxySession> self) {
-  error_code failed;
-  client_.set_option(tcp::no_delay(true), failed);
-  while (faults().half_open && client_.is_open()) {
-    co_await Pause(kHoldPoll);
+void ProxySession::Connect() {
+  if (!client_.is_open()) {
+    return;
   }
-  co_await server_.async_connect(target_, redirect_error(use_awaitable, failed));
+  const auto self = shared_from_this();
+  if (faults().half_open) {
+    forward_.timer.expires_after(kHoldPoll);
+    forward_.timer.async_wait([self](const error_code&) { self->Connect(); });
+    return;
+  }
+  server_.async_connect(target_, [self](const error_code& failed) { self->OnConnected(failed); });
+}
+
+void ProxySession::OnConnected(const ErrorCode& failed) {
   if (failed || !client_.is_open() || faults().cut) {
     Close();
-    co_return;
+    return;
   }
-  server_.set_option(tcp::no_delay(true), failed);
-  const auto executor = client_.get_executor();
-  using boost::asio::detached;
-  boost::asio::co_spawn(executor, Fill(self, forward_, client_), detached);
-  boost::asio::co_spawn(executor, Fill(self, backward_, server_), detached);
-  boost::asio::co_spawn(executor, Empty(self, forward_, server_), detached);
-  boost::asio::co_spawn(executor, Empty(self, backward_, client_), detached);
+  error_code ignored;
+  server_.set_option(tcp::no_delay(true), ignored);
+  Read(forward_);
+  Read(backward_);
 }
 
-awaitable<void> ProxySession::Fill(std::shared_ptr<ProxySession> /*self*/, Pipe& pipe,
-                                   tcp::socket& from) {
-  std::string buffer(kChunkBytes, '\0');
-  while (from.is_open()) {
-    while (pipe.queued_bytes > kMaxQueuedBytes && from.is_open()) {
-      co_await Pause(kHoldPoll);
-    }
-    error_code failed;
-    const size_t length = co_await from.async_read_some(boost::asio::buffer(buffer),
-                                                        redirect_error(use_awaitable, failed));
-    if (failed == boost::asio::error::eof) {
-      break;
-    }
-    if (failed) {
-      Close();
-      break;
-    }
-    const auto delay = absl::ToChronoMicroseconds(faults().delay);
-    pipe.chunks.push_back(Chunk{steady_clock::now() + delay, buffer.substr(0, length)});
-    pipe.queued_bytes += length;
-    pipe.changed.cancel();
+void ProxySession::Read(Pipe& pipe) {
+  pipe.read_paused = pipe.queued_bytes > kMaxQueuedBytes;
+  if (pipe.read_paused || !pipe.from->is_open()) {
+    return;
   }
-  pipe.ended = true;
-  pipe.changed.cancel();
+  pipe.buffer.resize(kChunkBytes);
+  pipe.from->async_read_some(
+      boost::asio::buffer(pipe.buffer),
+      [self = shared_from_this(), &pipe](const error_code& failed, size_t length) {
+        self->OnRead(pipe, failed, length);
+      });
 }
 
-awaitable<void> ProxySession::Empty(std::shared_ptr<ProxySession> /*self*/, Pipe& pipe,
-                                    tcp::socket& to) {
-  error_code failed;
-  while (!failed && to.is_open()) {
-    if (pipe.chunks.empty()) {
-      if (pipe.ended) {
-        break;
-      }
-      pipe.changed.expires_at(steady_clock::time_point::max());
-      error_code woken;
-      co_await pipe.changed.async_wait(redirect_error(use_awaitable, woken));
-      continue;
-    }
-    Chunk chunk = std::move(pipe.chunks.front());
-    pipe.chunks.pop_front();
-    co_await WaitForRelease(pipe, chunk);
-    pipe.queued_bytes -= chunk.bytes.size();
-    const bool cuts = pipe.direction == Direction::kBackward && CutAnswer(chunk.bytes);
-    co_await boost::asio::async_write(to, boost::asio::buffer(chunk.bytes),
-                                      redirect_error(use_awaitable, failed));
-    if (cuts) {
-      Close();
-    }
+void ProxySession::OnRead(Pipe& pipe, const ErrorCode& failed, size_t length) {
+  if (failed && failed != boost::asio::error::eof) {
+    Close();
+    return;
   }
   if (failed) {
-    Close();
+    pipe.ended = true;
   } else {
+    const auto delay = absl::ToChronoMicroseconds(faults().delay);
+    pipe.chunks.push_back(Chunk{steady_clock::now() + delay, pipe.buffer.substr(0, length)});
+    pipe.queued_bytes += length;
+    Read(pipe);
+  }
+  if (!pipe.delivering) {
+    Deliver(pipe);
+  }
+}
+
+void ProxySession::Deliver(Pipe& pipe) {
+  pipe.delivering = !pipe.chunks.empty();
+  if (pipe.delivering) {
+    const uint64_t rate = faults().bytes_per_second;
+    Chunk& chunk = pipe.chunks.front();
+    if (rate > 0) {
+      const auto size = static_cast<uint64_t>(chunk.bytes.size());
+      chunk.due = std::max(chunk.due, steady_clock::now()) +
+                  std::chrono::microseconds(size * kMicrosecondsPerSecond / rate);
+    }
+    WaitForRelease(pipe);
+  } else if (pipe.ended) {
     // The other side is told that this direction has ended; what was sent still arrives.
-    to.shutdown(tcp::socket::shutdown_send, failed);
+    error_code ignored;
+    pipe.to->shutdown(tcp::socket::shutdown_send, ignored);
   }
 }
 
-awaitable<void> ProxySession::WaitForRelease(Pipe& pipe, const Chunk& chunk) {
+void ProxySession::WaitForRelease(Pipe& pipe) {
   const auto now = steady_clock::now();
-  if (chunk.due > now) {
-    co_await Pause(chunk.due - now);
+  const bool held = faults().Holds(pipe.direction);
+  if (!pipe.to->is_open()) {
+    return;
+  }
+  if (!held && pipe.chunks.front().due <= now) {
+    Write(pipe);
+    return;
   }
-  while (faults().Holds(pipe.direction) && client_.is_open()) {
-    co_await Pause(kHoldPoll);
+  pipe.timer.expires_at(held ? now + kHoldPoll : pipe.chunks.front().due);
+  pipe.timer.async_wait(
+      [self = shared_from_this(), &pipe](const error_code&) { self->WaitForRelease(pipe); });
+}
+
+void ProxySession::Write(Pipe& pipe) {
+  Chunk& chunk = pipe.chunks.front();
+  pipe.queued_bytes -= chunk.bytes.size();
+  const bool cuts = pipe.direction == Direction::kBackward && CutAnswer(chunk.bytes);
+  boost::asio::async_write(
+      *pipe.to, boost::asio::buffer(chunk.bytes),
+      [self = shared_from_this(), &pipe, cuts](const error_code& failed, size_t /*length*/) {
+        self->OnWritten(pipe, failed, cuts);
+      });
+}
+
+void ProxySession::OnWritten(Pipe& pipe, const ErrorCode& failed, bool cuts) {
+  if (failed || cuts) {
+    Close();
+    return;
   }
-  const uint64_t rate = faults().bytes_per_second;
-  if (rate > 0) {
-    co_await Pause(std::chrono::microseconds(chunk.bytes.size() * 1'000'000 / rate));
+  pipe.chunks.pop_front();
+  if (pipe.read_paused) {
+    Read(pipe);
   }
+  Deliver(pipe);
 }
 
 bool ProxySession::CutAnswer(std::string& bytes) {
@@ -167,8 +174,8 @@
 void ProxySession::Close() {
   Reset(client_);
   Reset(server_);
-  forward_.changed.cancel();
-  backward_.changed.cancel();
+  forward_.timer.cancel();
+  backward_.timer.cancel();
 }
 
 }  // namespace ladderstream::standin
--- a/src/standin/fault_proxy/proxy_session.h
+++ b/src/standin/fault_proxy/proxy_session.h
@@ -2,12 +2,6 @@
 // faults in force allow it.
 #pragma once
 
-// clang-format off
-// Boost 1.74's awaitable.hpp uses std::exchange without including its header.
-#include <utility>
-// clang-format on
-
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
@@ -26,42 +20,55 @@
   ProxySession(boost::asio::ip::tcp::socket client, boost::asio::ip::tcp::endpoint target,
                FaultRules* rules);
 
-  /// Serves until either side closes or a fault cuts.
+  /// Serves until both sides have ended or a fault cuts.
   void Start();
 
   /// Closes the session if a cut is in force; called after the rules have changed.
   void ApplyRules();
 
  private:
+  using Socket = boost::asio::ip::tcp::socket;
+  using ErrorCode = boost::system::error_code;
+
   struct Chunk {
     std::chrono::steady_clock::time_point due;
     std::string bytes;
   };
-  /// What has been read and not yet passed on.
+  /// One direction: what has been read and not yet passed on.
   struct Pipe {
-    Pipe(Direction way, const boost::asio::any_io_executor& executor)
-        : direction(way), changed(executor) {}
-    Direction direction;
+    Pipe(Direction way, Socket* source, Socket* sink)
+        : direction(way), from(source), to(sink), timer(source->get_executor()) {}
+    const Direction direction;
+    Socket* const from;
+    Socket* const to;
+    std::string buffer;
     std::deque<Chunk> chunks;
     size_t queued_bytes = 0;
+    /// A chunk is waiting for its time or being written.
+    bool delivering = false;
+    /// Too much is queued: reading goes on when some of it is gone.
+    bool read_paused = false;
     bool ended = false;
-    boost::asio::steady_timer changed;
+    boost::asio::steady_timer timer;
   };
 
-  boost::asio::awaitable<void> Serve(std::shared_ptr<ProxySession> self);
-  boost::asio::awaitable<void> Fill(std::shared_ptr<ProxySession> self, Pipe& pipe,
-                                    boost::asio::ip::tcp::socket& from);
-  boost::asio::awaitable<void> Empty(std::shared_ptr<ProxySession> self, Pipe& pipe,
-                                     boost::asio::ip::tcp::socket& to);
-  boost::asio::awaitable<void> WaitForRelease(Pipe& pipe, const Chunk& chunk);
+  void Connect();
+  void OnConnected(const ErrorCode& failed);
+  void Read(Pipe& pipe);
+  void OnRead(Pipe& pipe, const ErrorCode& failed, size_t length);
+  /// Passes the next chunk on, or the end of the stream.
+  void Deliver(Pipe& pipe);
+  void WaitForRelease(Pipe& pipe);
+  void Write(Pipe& pipe);
+  void OnWritten(Pipe& pipe, const ErrorCode& failed, bool cuts);
   /// Shortens `bytes` to what a cut in the middle of an answer lets through; gives whether it cuts.
   bool CutAnswer(std::string& bytes);
   LinkFaults& faults() { return rules_->Find(source_); }
   void Close();
 
-  boost::asio::ip::tcp::socket client_;
-  boost::asio::ip::tcp::socket server_;
-  boost::asio::ip::tcp::endpoint target_;
+  Socket client_;
+  Socket server_;
+  const boost::asio::ip::tcp::endpoint target_;
   FaultRules* const rules_;
   std::string source_;
   Pipe forward_;
--- a/src/standin/support/http_server.cc
+++ b/src/standin/support/http_server.cc
@@ -110,9 +110,14 @@
   }
 }
 
+std::string DumpJson(const nlohmann::json& body) {
+  constexpr int kCompact = -1;
+  return body.dump(kCompact, ' ', /*ensure_ascii=*/false, nlohmann::json::error_handler_t::replace);
+}
+
 void AnswerJson(const nlohmann::json& body, int status, httplib::Response& response) {
   response.status = status;
-  response.set_content(body.dump(), kJson);
+  response.set_content(DumpJson(body), kJson);
 }
 
 void AnswerTruncated(const std::string& body, const std::string& content_type,
--- a/src/standin/support/http_server.h
+++ b/src/standin/support/http_server.h
@@ -44,6 +44,9 @@
   std::thread thread_;
 };
 
+/// Writes JSON; bytes that are not UTF-8, as keys may hold, are replaced.
+std::string DumpJson(const nlohmann::json& body);
+
 /// Makes `response` a JSON answer.
 void AnswerJson(const nlohmann::json& body, int status, httplib::Response& response);
 
