Let a node listen for others behind a forwarder, and connect from its own address

Cause: a zone can only be cut off by a proxy in front of the nodes when the address that others are told differs from the one listened on, and when the proxy can tell who connects. A machine with several addresses needs both as well. Excluded: reading the sender out of the frames in the proxy, which would tie it to the protocol. Change: the optional setting node.peer_listen (default: node.peer); connections to other nodes come from the IP number that is listened on. Conclusion: the daemon's start must pass peer_listen to the transport.

--- a/src/daemon/peer/peer_link.cc
+++ b/src/daemon/peer/peer_link.cc
@@ -33,9 +33,10 @@
 
 }  // namespace
 
-PeerLink::PeerLink(boost::asio::io_context* io, Endpoint address, const LinkTiming& timing,
-                   Traffic* traffic, Connection::FrameHandler on_frame)
+PeerLink::PeerLink(boost::asio::io_context* io, std::string source, Endpoint address,
+                   const LinkTiming& timing, Traffic* traffic, Connection::FrameHandler on_frame)
     : io_(io),
+      source_(std::move(source)),
       address_(std::move(address)),
       timing_(timing),
       traffic_(traffic),
@@ -93,11 +94,14 @@
 void PeerLink::Connect() {
   state_ = State::kConnecting;
   const uint64_t attempt = ++attempt_;
+  connecting_ = std::make_unique<tcp::socket>(*io_);
   error_code invalid;
   const auto address = boost::asio::ip::make_address(address_.host, invalid);
+  if (!invalid) {
+    BindToSource(address, invalid);
+  }
   if (invalid) {
     // From the event loop, as every failure, so that nobody is called back from within Enqueue.
-    connecting_ = std::make_unique<tcp::socket>(*io_);
     boost::asio::post(*io_, [this, attempt, invalid] {
       if (attempt == attempt_) {
         OnConnected(invalid);
@@ -105,7 +109,6 @@
     });
     return;
   }
-  connecting_ = std::make_unique<tcp::socket>(*io_);
   connecting_->async_connect(tcp::endpoint(address, address_.port),
                              [this, attempt](const error_code& error) {
                                if (attempt == attempt_) {
@@ -120,6 +123,21 @@
   });
 }
 
+void PeerLink::BindToSource(const boost::asio::ip::address& target, error_code& failed) {
+  const auto source = boost::asio::ip::make_address(source_, failed);
+  const bool is_usable = !failed && !source.is_unspecified() && source.is_v4() == target.is_v4();
+  if (!is_usable) {
+    failed = {};
+    return;
+  }
+  constexpr uint16_t kAnyPort = 0;
+  const tcp::endpoint local(source, kAnyPort);
+  connecting_->open(local.protocol(), failed);
+  if (!failed) {
+    connecting_->bind(local, failed);
+  }
+}
+
 void PeerLink::OnConnected(const error_code& error) {
   if (state_ != State::kConnecting) {
     return;
--- a/src/daemon/peer/peer_link.h
+++ b/src/daemon/peer/peer_link.h
@@ -7,6 +7,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
@@ -40,9 +41,10 @@
 
 class PeerLink {
  public:
-  /// `on_frame` gets every frame that is no answer to a call of this link.
-  PeerLink(boost::asio::io_context* io, Endpoint address, const LinkTiming& timing,
-           Traffic* traffic, Connection::FrameHandler on_frame);
+  /// Connects from the IP number `source`, which may be the unspecified one ("0.0.0.0"). `on_frame`
+  /// gets every frame that is no answer to a call of this link.
+  PeerLink(boost::asio::io_context* io, std::string source, Endpoint address,
+           const LinkTiming& timing, Traffic* traffic, Connection::FrameHandler on_frame);
 
   /// Sends a message that wants no answer here; drops it while the address can't be reached.
   void Send(const OutgoingFramePtr& frame);
@@ -63,6 +65,8 @@
   /// Gives false when the frame can't be sent now.
   bool Enqueue(const OutgoingFramePtr& frame);
   void Connect();
+  /// Lets `connecting_` connect from `source_`, unless that is unspecified or of another family.
+  void BindToSource(const boost::asio::ip::address& target, boost::system::error_code& failed);
   void OnConnected(const boost::system::error_code& error);
   void OnConnectFailed(const std::string& reason);
   void OnFrame(PeerFrame frame);
@@ -72,6 +76,7 @@
   std::chrono::microseconds NextPause();
 
   boost::asio::io_context* const io_;
+  const std::string source_;
   const Endpoint address_;
   const LinkTiming timing_;
   Traffic* const traffic_;
--- a/src/daemon/peer/peer_transport.cc
+++ b/src/daemon/peer/peer_transport.cc
@@ -175,7 +175,7 @@
   std::unique_ptr<PeerLink>& link = links_[address];
   if (!link) {
     link = std::make_unique<PeerLink>(
-        &io_, address, settings_.timing, &traffic_,
+        &io_, settings_.listen.host, address, settings_.timing, &traffic_,
         [this](const ConnectionPtr& from, PeerFrame frame) { OnFrame(from, std::move(frame)); });
   }
   return link.get();
--- a/src/daemon/peer/peer_transport.h
+++ b/src/daemon/peer/peer_transport.h
@@ -19,7 +19,7 @@
 
 struct TransportSettings {
   NodeId self;
-  /// Port 0 takes any free one.
+  /// Port 0 takes any free one. Connections to other nodes come from the same IP number.
   Endpoint listen;
   LinkTiming timing;
   /// Connections accepted from other nodes; further ones are closed at once.
--- a/src/settings/daemon_settings.cc
+++ b/src/settings/daemon_settings.cc
@@ -28,6 +28,8 @@
   reader->ReadText("node.region", kRequired, &settings->region);
   reader->ReadText("node.zone", kRequired, &settings->zone);
   reader->ReadEndpoint("node.peer", kRequired, &settings->peer);
+  settings->peer_listen = settings->peer;
+  reader->ReadEndpoint("node.peer_listen", kOptional, &settings->peer_listen);
   reader->ReadEndpoint("node.http", kRequired, &settings->http);
   reader->ReadEndpoint("node.operators", kRequired, &settings->operators);
   reader->ReadEndpoint("node.metrics", kRequired, &settings->metrics);
@@ -96,8 +98,9 @@
 }
 
 void CheckOwnEndpoints(const DaemonSettings& settings, SettingsReader* reader) {
+  const bool listens_at_peer = settings.peer_listen == settings.peer;
   const std::vector<std::pair<std::string, Endpoint>> endpoints = {
-      {"node.peer", settings.peer},
+      {listens_at_peer ? "node.peer" : "node.peer_listen", settings.peer_listen},
       {"node.http", settings.http},
       {"node.operators", settings.operators},
       {"node.metrics", settings.metrics}};
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -41,6 +41,8 @@
   std::string zone;
   /// Where other nodes reach this one (internal protocol).
   Endpoint peer;
+  /// Where this node listens for them; differs from `peer` behind a forwarder.
+  Endpoint peer_listen;
   /// Where callers and back ends reach this one.
   Endpoint http;
   /// Where operators reach this one (gRPC).
--- a/tests/unit/daemon_peer/transport_test.cc
+++ b/tests/unit/daemon_peer/transport_test.cc
@@ -217,6 +217,17 @@
   BOOST_TEST((std::get<ForwardResponse>(body).result == ResultCode::kOk));
 }
 
+BOOST_AUTO_TEST_CASE(ConnectionsComeFromTheAddressThatTheNodeListensOn) {
+  TransportSettings settings = SettingsFor(kClientId);
+  settings.listen.host = "127.0.0.5";
+  PeerTransport client(settings);
+  client.Start(IgnoreAll());
+  RawServer server;
+  client.Send(DescriptorOf(kServerId, server.endpoint()), RequestWithId("x"));
+  const tcp::socket socket = server.AcceptAndReadHeader();
+  BOOST_TEST(socket.remote_endpoint().address().to_string() == "127.0.0.5");
+}
+
 BOOST_AUTO_TEST_CASE(ConnectionIsReopenedAfterThePeerCameBack) {
   PeerTransport client(SettingsFor(kClientId));
   client.Start(IgnoreAll());
--- a/tests/unit/settings/daemon_settings_test.cc
+++ b/tests/unit/settings/daemon_settings_test.cc
@@ -45,6 +45,16 @@
 
 BOOST_AUTO_TEST_SUITE(daemon_settings)
 
+BOOST_AUTO_TEST_CASE(node_listens_for_peers_at_its_peer_address_unless_told_otherwise) {
+  const SettingOverride peer{"node.peer", "10.0.0.1:7009"};
+  const DaemonSettings direct = LoadDaemonSettings(kExample, {peer});
+  BOOST_TEST(FormatEndpoint(direct.peer_listen) == "10.0.0.1:7009");
+  const DaemonSettings forwarded =
+      LoadDaemonSettings(kExample, {peer, {"node.peer_listen", "10.0.0.2:7010"}});
+  BOOST_TEST(FormatEndpoint(forwarded.authority.self.peer) == "10.0.0.1:7009");
+  BOOST_TEST(FormatEndpoint(forwarded.peer_listen) == "10.0.0.2:7010");
+}
+
 BOOST_AUTO_TEST_CASE(the_example_loads_and_shows_the_defaults) {
   const DaemonSettings loaded = LoadDaemonSettings(kExample, {});
   BOOST_TEST(loaded.name == "rennes-1");
