Keep an outcome unknown when a later attempt is refused

Cause: the result of the last attempt alone was given to the caller. After a repeatable request's first attempt was lost and its second refused, the caller was told that nothing ran. Excluded: a request that may not be repeated never has a second attempt after an unknown outcome, so bookings were not affected. Change: RetryHandle and HedgeHandle combine the attempts' results; a refusal no longer hides an earlier unknown outcome. Before: the new test failed with OVERLOADED; after: it gives CONNECTION_LOST, and the number of attempts is as before.

--- a/src/core/routing/retry_handle.cc
+++ b/src/core/routing/retry_handle.cc
@@ -30,12 +30,13 @@
   context.service->state->budget.Deposit();
   RoutingWaits waits;
   waits.left = settings_.routing_wait;
-  while (true) {
-    ForwardResponse response = next_->Route(context);
-    if (!MayTryAgain(context, response, waits)) {
-      return response;
-    }
+  ForwardResponse latest = next_->Route(context);
+  ForwardResponse combined = latest;
+  while (MayTryAgain(context, latest, waits)) {
+    latest = next_->Route(context);
+    combined = CombineAttempts(std::move(combined), latest);
   }
+  return combined;
 }
 
 bool RetryHandle::MayTryAgain(RouteContext& context, const ForwardResponse& response,
--- a/src/core/routing/route_handle.h
+++ b/src/core/routing/route_handle.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <memory>
+#include <utility>
 
 #include "core/routing/cancellation.h"
 #include "core/routing/route_table.h"
@@ -57,4 +58,13 @@
   return response;
 }
 
+/// What the caller is told after two attempts of one request, of which `later` ended last. A
+/// refusal proves only that its own attempt did not run: after an unknown outcome the whole stays
+/// unknown.
+inline ForwardResponse CombineAttempts(ForwardResponse earlier, ForwardResponse later) {
+  const bool hides_unknown = OutcomeOf(earlier.result) == Outcome::kUnknown &&
+                             OutcomeOf(later.result) == Outcome::kDidNotRun;
+  return hides_unknown ? std::move(earlier) : std::move(later);
+}
+
 }  // namespace ladderstream::routing
--- a/src/daemon/router/hedge_handle.cc
+++ b/src/daemon/router/hedge_handle.cc
@@ -12,8 +12,9 @@
   absl::Mutex mutex;
   uint32_t running ABSL_GUARDED_BY(mutex) = 0;
   std::optional<ForwardResponse> answer ABSL_GUARDED_BY(mutex);
-  /// What the attempt that ended last without an answer gave.
+  /// What the attempts that ended without an answer gave.
   ForwardResponse failure ABSL_GUARDED_BY(mutex);
+  bool any_failed ABSL_GUARDED_BY(mutex) = false;
   /// Cancels every attempt.
   const routing::CancellationPtr cancellation = std::make_shared<routing::Cancellation>();
 
@@ -27,7 +28,9 @@
     if (response.result == ResultCode::kOk && !answer.has_value()) {
       answer = std::move(response);
     } else if (response.result != ResultCode::kOk) {
-      failure = std::move(response);
+      failure = any_failed ? routing::CombineAttempts(std::move(failure), std::move(response))
+                           : std::move(response);
+      any_failed = true;
     }
   }
 };
--- a/tests/unit/routing/retry_test.cc
+++ b/tests/unit/routing/retry_test.cc
@@ -48,6 +48,13 @@
   BOOST_TEST(fixture.sender.sent.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(ARefusalAfterAnUnknownOutcomeDoesNotSayThatNothingRan) {
+  RetryFixture fixture;
+  fixture.sender.results = {ResultCode::kConnectionLost, ResultCode::kOverloaded};
+  BOOST_TEST((fixture.Run("read") == ResultCode::kConnectionLost));
+  BOOST_TEST(fixture.sender.sent.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(RetriesEndWithTheBudget) {
   RetryFixture fixture;
   fixture.sender.results.assign(1000, ResultCode::kConnectionLost);
