Keep keys served through takeovers: lease and election defaults, admission grace

Change: a newly admitted back end has a lease's time to ask; leases of 900 ms under a leader lease of 1 s and elections of 300 to 450 ms, with the inequality between them checked at start; only usable voters count as surplus.

--- a/src/core/authority/authority.h
+++ b/src/core/authority/authority.h
@@ -26,7 +26,7 @@
   /// Voters the group wants; odd.
   uint32_t voter_count = 3;
   /// The longest lease a back end gets. Never more than what is left of the leader's own lease.
-  Duration backend_lease = absl::Milliseconds(700);
+  Duration backend_lease = absl::Milliseconds(900);
   Duration report_interval = absl::Milliseconds(250);
   Duration pull_interval = absl::Milliseconds(500);
   /// A node unheard for this long loses its homes and its vote.
--- a/src/core/authority/authority_impl.cc
+++ b/src/core/authority/authority_impl.cc
@@ -137,9 +137,9 @@
   const ResultCode result = state_.Apply(token, command);
   must_plan_ = true;
   if (const auto* admitted = std::get_if<AdmitBackend>(&command)) {
-    leases_.ForgetIncarnation(admitted->backend);
+    leases_.NoteAdmitted(admitted->backend, now_);
   } else if (const auto* expired = std::get_if<ExpireBackend>(&command)) {
-    leases_.ForgetIncarnation(expired->backend);
+    leases_.NoteExpired(expired->backend);
   } else if (const auto* assigned = std::get_if<AssignShards>(&command)) {
     assignments_changed_ += assigned->items.size();
   }
@@ -247,6 +247,7 @@
   candidates[settings_.self.id].live = true;
   candidates[settings_.self.id].leaving = leaving_;
   std::vector<MemberCandidate> all;
+  all.reserve(candidates.size());
   for (auto& [id, candidate] : candidates) {
     all.push_back(std::move(candidate));
   }
@@ -368,7 +369,7 @@
 
 NodeDescriptor Authority::Impl::KnownLeader() const {
   if (replica_ != nullptr && replica_->leader()) {
-    const NodeDescriptor leader = Describe(*replica_->leader());
+    NodeDescriptor leader = Describe(*replica_->leader());
     if (leader.peer.port != 0) {
       return leader;
     }
--- a/src/core/authority/authority_impl.h
+++ b/src/core/authority/authority_impl.h
@@ -96,7 +96,7 @@
     static_cast<void>(event);
     static_cast<void>(message);
   }
-  void HandleLease(const LeaseRequest& request, uint32_t hops, RequestOrigin origin);
+  void HandleLease(const LeaseRequest& request, uint32_t hops, const RequestOrigin& origin);
   void HandleProposal(const Command& command, uint32_t hops, RequestOrigin origin);
   void AnswerLeaseTo(const RequestOrigin& origin, const LeaseResponse& response);
   void AnswerProposalTo(const RequestOrigin& origin, const ProposalResult& result);
--- a/src/core/authority/authority_messages.cc
+++ b/src/core/authority/authority_messages.cc
@@ -155,7 +155,7 @@
 }
 
 void Authority::Impl::HandleLease(const LeaseRequest& request, uint32_t hops,
-                                  RequestOrigin origin) {
+                                  const RequestOrigin& origin) {
   if (!IsReadyLeader()) {
     if (!PassOn(ForwardedLeaseRequest{request, hops + 1}, hops, RequestKind::kLease, origin)) {
       AnswerLeaseTo(origin, LeaseResponse());
--- a/src/core/authority/group_membership.cc
+++ b/src/core/authority/group_membership.cc
@@ -60,8 +60,9 @@
 
   size_t UsableVoters() const {
     const auto& voters = input_.members.voters;
-    return static_cast<size_t>(std::count_if(
-        voters.begin(), voters.end(), [this](const auto& voter) { return IsUsable(voter.id); }));
+    return static_cast<size_t>(
+        std::count_if(voters.begin(), voters.end(),
+                      [this](const NodeDescriptor& voter) { return IsUsable(voter.id); }));
   }
 
   size_t VotersIn(const std::string& zone) const {
@@ -103,13 +104,13 @@
   /// More voters than wanted: the most crowded zone gives one up, the leader last.
   std::optional<GroupMembers> RemoveSurplusVoter() const {
     const auto& voters = input_.members.voters;
-    if (voters.size() <= target_) {
+    if (UsableVoters() <= target_) {
       return std::nullopt;
     }
     const NodeDescriptor* chosen = nullptr;
     for (const NodeDescriptor& voter : voters) {
       const bool better = chosen == nullptr || VotersIn(voter.zone) > VotersIn(chosen->zone);
-      if (voter.id != input_.leader && better) {
+      if (voter.id != input_.leader && IsUsable(voter.id) && better) {
         chosen = &voter;
       }
     }
--- a/src/core/authority/lease_table.cc
+++ b/src/core/authority/lease_table.cc
@@ -16,9 +16,7 @@
   earliest_lease_ = earliest_lease;
   for (auto& [backend, record] : records_) {
     // Leases that this node gave as an earlier term's leader still count.
-    const Time ends = record.ends;
-    record = LeaseRecord();
-    record.ends = ends;
+    Reset(record);
   }
   dirty_ = true;
 }
@@ -99,14 +97,23 @@
 }
 
 Time LeaseTable::ExpiresAt(const BackendId& backend) const {
-  const Time found_leader_by = std::max(term_began_, earliest_lease_) + backend_lease_;
-  return std::max(LeasesEnd(backend), found_leader_by + expiry_margin_);
+  const LeaseRecord* const record = Find(backend);
+  const Time admitted_at = record == nullptr ? absl::InfinitePast() : record->admitted_at;
+  const Time may_ask_since = std::max({term_began_, earliest_lease_, admitted_at});
+  return std::max(LeasesEnd(backend), may_ask_since + backend_lease_ + expiry_margin_);
 }
 
 void LeaseTable::MarkExpiring(const BackendId& backend) { records_[backend].expiring = true; }
 
-void LeaseTable::ForgetIncarnation(const BackendId& backend) {
+void LeaseTable::NoteAdmitted(const BackendId& backend, Time now) {
   LeaseRecord& record = records_[backend];
+  Reset(record);
+  record.admitted_at = now;
+}
+
+void LeaseTable::NoteExpired(const BackendId& backend) { Reset(records_[backend]); }
+
+void LeaseTable::Reset(LeaseRecord& record) {
   const Time ends = record.ends;
   record = LeaseRecord();
   record.ends = ends;
--- a/src/core/authority/lease_table.h
+++ b/src/core/authority/lease_table.h
@@ -26,6 +26,8 @@
   bool expiring = false;
   /// The admitted incarnation said that it is leaving.
   bool leaving = false;
+  /// When this node, as leader, saw the incarnation admitted.
+  Time admitted_at = absl::InfinitePast();
   /// Since when the admitted incarnation has been known to this leader.
   Time known_since = absl::InfiniteFuture();
 };
@@ -53,14 +55,18 @@
   Time ExpiresAt(const BackendId& backend) const;
 
   void MarkExpiring(const BackendId& backend);
-  /// The state admitted another incarnation, or none any more.
-  void ForgetIncarnation(const BackendId& backend);
+  /// The state admitted an incarnation; it has the time of a lease to ask for its first.
+  void NoteAdmitted(const BackendId& backend, Time now);
+  /// The state has no admitted incarnation any more.
+  void NoteExpired(const BackendId& backend);
 
   /// Whether something came that the leader has to act upon, since the last call.
   bool TakeDirty();
 
  private:
   Duration GiveLease(LeaseRecord& record, Duration leader_lease, Time now);
+  /// Forgets all but the end of the leases given.
+  void Reset(LeaseRecord& record);
   void NoteCandidate(LeaseRecord& record, const LeaseRequest& request);
 
   const Duration backend_lease_;
--- a/src/core/authority/node_table.cc
+++ b/src/core/authority/node_table.cc
@@ -71,6 +71,7 @@
     known.insert_or_assign(record.descriptor.peer, record.descriptor);
   }
   std::vector<NodeDescriptor> all;
+  all.reserve(known.size());
   for (const auto& [endpoint, node] : known) {
     all.push_back(node);
   }
--- a/src/core/authority/settings.cc
+++ b/src/core/authority/settings.cc
@@ -61,6 +61,13 @@
                               "leave a lost owner's keys unserved for ",
                               Text(owner_lost), "; at most ",
                               Text(kRecoveryTarget - kRecoverySlack), " is allowed"));
+  // A back end asks each third of its lease, so two thirds are left at least when a leader dies.
+  faults.Require(
+      settings.backend_lease * 2 / 3 >= timing.election_timeout_max + timing.heartbeat_interval,
+      absl::StrCat("two thirds of backend_lease (", Text(settings.backend_lease),
+                   ") must outlast an election (election_timeout_max ",
+                   Text(timing.election_timeout_max),
+                   " plus heartbeat_interval), or a lost leader costs keys their owners"));
   const Duration home_lost = settings.node_timeout + settings.pull_interval;
   faults.Require(home_lost + kRecoverySlack <= kRecoveryTarget,
                  absl::StrCat("node_timeout plus pull_interval (", Text(home_lost),
--- a/src/core/replication/replica.h
+++ b/src/core/replication/replica.h
@@ -26,9 +26,9 @@
   Duration heartbeat_interval = absl::Milliseconds(100);
   /// A follower that hears nothing for a random time in [min, max] asks for votes.
   Duration election_timeout_min = absl::Milliseconds(300);
-  Duration election_timeout_max = absl::Milliseconds(600);
+  Duration election_timeout_max = absl::Milliseconds(450);
   /// How long one acknowledged round keeps the leader's lease, from the moment it was sent.
-  Duration leader_lease = absl::Milliseconds(800);
+  Duration leader_lease = absl::Milliseconds(1000);
   /// Bound on how much faster or slower one clock may run than another, as a share.
   double max_clock_drift = 0.01;
   /// The log is cut behind a snapshot when it holds more entries than this.
--- a/tests/unit/authority/cluster.cc
+++ b/tests/unit/authority/cluster.cc
@@ -1,5 +1,7 @@
 #include "cluster.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -10,7 +12,6 @@
 namespace {
 
 constexpr Duration kStep = absl::Milliseconds(1);
-constexpr Duration kAskInterval = absl::Milliseconds(230);
 constexpr Duration kAnswerTimeout = absl::Milliseconds(150);
 constexpr uint16_t kFirstPort = 9000;
 
@@ -101,6 +102,8 @@
   nodes[node].authority.reset();
 }
 
+void Cluster::Stop(size_t node) { Deliver(node, StopRequested{}); }
+
 size_t Cluster::AddBackend(const std::string& service, const std::string& zone) {
   SimulatedBackend backend;
   backend.configuration.id = BackendId(service + "-" + std::to_string(backends.size()));
@@ -182,7 +185,7 @@
   }
 }
 
-void Cluster::Take(size_t node, std::vector<Action> actions) {
+void Cluster::Take(size_t node, const std::vector<Action>& actions) {
   for (const Action& action : actions) {
     if (const auto* send = std::get_if<SendMessage>(&action)) {
       TakeSend(node, *send);
@@ -203,6 +206,9 @@
           }
         }
       });
+    } else if (const auto* notice = std::get_if<Notice>(&action)) {
+      notices.push_back(absl::StrCat(absl::FormatTime(now_, absl::UTCTimeZone()), " node ", node,
+                                     " ", notice->text));
     } else if (std::holds_alternative<MayStop>(action)) {
       nodes[node].may_stop = true;
     }
@@ -271,7 +277,7 @@
     return;
   }
   backend.waits_until = absl::InfinitePast();
-  backend.next_request = now_ + kAskInterval;
+  backend.next_request = now_ + settings.backend_lease / 3;
   if (response.result == ResultCode::kNoLeader) {
     ++backend.node;
     backend.next_request = now_ + absl::Milliseconds(20);
@@ -340,6 +346,28 @@
   return wanted > 0;
 }
 
+RunningCluster::RunningCluster(uint64_t seed) : Cluster(seed) {
+  constexpr uint32_t kRanges = 16;
+  for (const char* zone : {"rennes", "brest", "vannes"}) {
+    StartNode(zone);
+    AddBackend("scripts", zone);
+  }
+  AddBackend("scripts", "rennes");
+  Configure({KeyedService("scripts", kRanges)});
+  RunUntil([this] { return AllServed(); }, absl::Seconds(5));
+  Run(absl::Seconds(2));
+}
+
+size_t RunningCluster::Follower() const {
+  const auto leader = Leader();
+  for (size_t i = 0; i < nodes.size(); ++i) {
+    if (nodes[i].alive && leader != i) {
+      return i;
+    }
+  }
+  return 0;
+}
+
 const Assignment* Cluster::FindAssignment(size_t node, const ShardId& shard) {
   routing_ = nodes[node].authority->routing_state(now_);
   const auto found =
--- a/tests/unit/authority/cluster.h
+++ b/tests/unit/authority/cluster.h
@@ -64,6 +64,8 @@
   size_t StartNode(const std::string& zone);
   /// Ends the node; one that starts again is another node.
   void KillNode(size_t node);
+  /// Asks the node to stop; it goes on until it says that it may.
+  void Stop(size_t node);
   size_t AddBackend(const std::string& service, const std::string& zone);
   /// Writes the configuration row: the services and all back ends added so far.
   void Configure(const std::vector<ServiceConfiguration>& services);
@@ -92,6 +94,7 @@
   /// Messages may be dropped by this.
   std::function<bool(size_t from, size_t to)> drops;
   int two_owners = 0;
+  std::vector<std::string> notices;
   /// Bytes sent by node index.
   std::map<size_t, uint64_t> bytes_sent;
 
@@ -100,7 +103,7 @@
   void At(Duration delay, std::function<void()> action);
   void TickNode(size_t node);
   void Deliver(size_t node, const Event& event);
-  void Take(size_t node, std::vector<Action> actions);
+  void Take(size_t node, const std::vector<Action>& actions);
   void TakeSend(size_t node, const SendMessage& send);
   void StepBackend(size_t backend);
   void OnLease(size_t backend, Time sent, const LeaseResponse& response);
@@ -117,6 +120,15 @@
   RoutingState routing_;
 };
 
+/// Three nodes in three zones, four back ends of the service "scripts" with 16 ranges, all served.
+class RunningCluster : public Cluster {
+ public:
+  explicit RunningCluster(uint64_t seed = 1);
+
+  /// A living node that does not lead.
+  size_t Follower() const;
+};
+
 ServiceConfiguration KeyedService(const std::string& name, uint32_t ranges);
 
 }  // namespace ladderstream::authority
