Give the confirmation's end without the whole routing state

It moves on every confirmation, without a change of routes; copying every assignment to learn it would cost the control thread more than the rest.

--- a/src/core/authority/authority.cc
+++ b/src/core/authority/authority.cc
@@ -19,6 +19,8 @@
 
 RoutingState Authority::routing_state(Time /*now*/) const { return impl_->routing_state(); }
 
+Time Authority::confirmed_until() const { return impl_->confirmed_until(); }
+
 AuthorityStatus Authority::status(Time now) const { return impl_->status(now); }
 
 }  // namespace ladderstream::authority
--- a/src/core/authority/authority.h
+++ b/src/core/authority/authority.h
@@ -213,6 +213,8 @@
   Time NextTick() const;
 
   RoutingState routing_state(Time now) const;
+  /// The `confirmed_until` of the routing state, without the rest. It moves without RoutingChanged.
+  Time confirmed_until() const;
   AuthorityStatus status(Time now) const;
 
  private:
--- a/src/core/authority/authority_impl.h
+++ b/src/core/authority/authority_impl.h
@@ -31,6 +31,7 @@
   std::vector<Action> Tick(Time now);
   Time NextTick() const;
   RoutingState routing_state() const;
+  Time confirmed_until() const { return confirmation_.Until(); }
   AuthorityStatus status(Time now) const;
 
  private:
