Let answers under way leave before the transport closes

Stopping closed connections at once, which could cut an answer already given to the socket. Now it stops accepting, waits (half a second at most) until every frame is written, ends its sending side and waits for the peers to close. Logs leave apostrophes as they are.

--- a/src/daemon/peer/connection.cc
+++ b/src/daemon/peer/connection.cc
@@ -74,6 +74,11 @@
   queued_bytes_ = 0;
 }
 
+void Connection::FinishSending() {
+  error_code ignored;
+  socket_.shutdown(Socket::shutdown_send, ignored);
+}
+
 void Connection::ReadMore() {
   socket_.async_read_some(boost::asio::buffer(read_buffer_),
                           [self = shared_from_this()](const error_code& error, size_t count) {
--- a/src/daemon/peer/connection.h
+++ b/src/daemon/peer/connection.h
@@ -68,7 +68,12 @@
   /// Closes without calling the closed handler.
   void Close();
 
+  /// Sends no more, but goes on reading until the peer closes too.
+  void FinishSending();
+
   bool is_open() const { return open_; }
+  /// Whether every frame has been handed to the operating system.
+  bool is_idle() const { return writing_.empty() && queue_.empty(); }
 
  private:
   static constexpr size_t kReadBytes = size_t{64} << 10;
--- a/src/daemon/peer/forward_dispatcher.cc
+++ b/src/daemon/peer/forward_dispatcher.cc
@@ -55,6 +55,11 @@
     respond(Refusal(ResultCode::kOverloaded));
     return;
   }
+  if (stopping_) {
+    running_.fetch_sub(1);
+    respond(Refusal(ResultCode::kShuttingDown));
+    return;
+  }
   boost::asio::post(attempts_, [this, request = std::move(request), respond = std::move(respond)] {
     Run(request, respond);
     running_.fetch_sub(1);
@@ -84,6 +89,7 @@
 }
 
 void ForwardDispatcher::Stop() {
+  stopping_ = true;
   attempts_.join();
   cancellations_.join();
 }
--- a/src/daemon/peer/forward_dispatcher.h
+++ b/src/daemon/peer/forward_dispatcher.h
@@ -28,7 +28,7 @@
   void Dispatch(ForwardRequest request, Respond respond);
   void Cancel(ForwardCancel cancel);
 
-  /// Waits for the attempts that run.
+  /// From now on refuses with kShuttingDown; waits for the attempts that run.
   void Stop();
 
   uint32_t running() const { return running_.load(); }
@@ -41,6 +41,7 @@
   const DataPathPtr data_path_;
   const uint32_t threads_;
   std::atomic<uint32_t> running_{0};
+  std::atomic<bool> stopping_{false};
   boost::asio::thread_pool attempts_;
   /// Apart from the attempts, so that a cancellation never waits for one.
   boost::asio::thread_pool cancellations_;
--- a/src/daemon/peer/peer_transport.cc
+++ b/src/daemon/peer/peer_transport.cc
@@ -4,10 +4,12 @@
 #include <absl/container/flat_hash_set.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
+#include <chrono>
 #include <map>
 #include <thread>
 #include <utility>
@@ -28,6 +30,10 @@
 /// How long accepting pauses after it failed (out of descriptors, for instance).
 constexpr std::chrono::milliseconds kAcceptPause(100);
 
+/// How long stopping waits for answers to leave and for peers to close, and how often it looks.
+constexpr std::chrono::milliseconds kCloseTimeout(500);
+constexpr std::chrono::milliseconds kCloseCheckInterval(2);
+
 }  // namespace
 
 class PeerTransport::Impl {
@@ -56,7 +62,13 @@
     if (!thread_.joinable()) {
       return;
     }
-    boost::asio::post(io_, [this] { CloseAll(); });
+    boost::asio::post(io_, [this] {
+      error_code ignored;
+      acceptor_.close(ignored);
+      accept_timer_.cancel();
+      close_deadline_ = std::chrono::steady_clock::now() + kCloseTimeout;
+      FlushThenClose();
+    });
     thread_.join();
   }
 
@@ -67,7 +79,13 @@
   void Listen();
   void Accept();
   void OnAccepted(tcp::socket socket);
+  /// Closes inbound connections so that answers under way still arrive, then everything.
+  void FlushThenClose();
+  void AwaitInboundClosed();
   void CloseAll();
+  bool CloseTimedOut() const { return std::chrono::steady_clock::now() >= close_deadline_; }
+  /// Calls `check` again after a short while.
+  void CheckAgain(void (Impl::*check)());
   PeerLink* LinkTo(const Endpoint& address);
   OutgoingFramePtr MakeFrame(uint64_t correlation, bool is_response, const PeerBody& body) const;
   /// Gives the open connection that the node last used towards this one, or null.
@@ -90,6 +108,7 @@
   std::atomic<uint64_t> next_call_{1};
 
   // Touched on the event thread alone.
+  std::chrono::steady_clock::time_point close_deadline_;
   std::map<Endpoint, std::unique_ptr<PeerLink>> links_;
   absl::flat_hash_set<ConnectionPtr> inbound_;
   absl::flat_hash_map<NodeId, std::weak_ptr<Connection>> inbound_by_node_;
@@ -157,10 +176,34 @@
       {{"cause", NameOfCause(cause)}, {"error", reason}});
 }
 
+void PeerTransport::Impl::CheckAgain(void (Impl::*check)()) {
+  accept_timer_.expires_after(kCloseCheckInterval);
+  accept_timer_.async_wait([this, check](const error_code& /*cancelled*/) { (this->*check)(); });
+}
+
+void PeerTransport::Impl::FlushThenClose() {
+  const bool idle =
+      std::all_of(inbound_.begin(), inbound_.end(),
+                  [](const ConnectionPtr& connection) { return connection->is_idle(); });
+  if (!idle && !CloseTimedOut()) {
+    CheckAgain(&Impl::FlushThenClose);
+    return;
+  }
+  for (const ConnectionPtr& connection : inbound_) {
+    connection->FinishSending();
+  }
+  AwaitInboundClosed();
+}
+
+void PeerTransport::Impl::AwaitInboundClosed() {
+  if (!inbound_.empty() && !CloseTimedOut()) {
+    CheckAgain(&Impl::AwaitInboundClosed);
+    return;
+  }
+  CloseAll();
+}
+
 void PeerTransport::Impl::CloseAll() {
-  error_code ignored;
-  acceptor_.close(ignored);
-  accept_timer_.cancel();
   for (const ConnectionPtr& connection : inbound_) {
     connection->Close();
   }
@@ -220,7 +263,8 @@
     return;
   }
   boost::asio::post(io_, [this, id = to.id, address = to.peer, is_response, frame] {
-    const ConnectionPtr inbound = is_response ? InboundFrom(id) : nullptr;
+    const bool prefers_inbound = is_response || address.port == 0;
+    const ConnectionPtr inbound = prefers_inbound ? InboundFrom(id) : nullptr;
     if (inbound) {
       inbound->Write(frame);
     } else if (address.port != 0) {
--- a/src/logging/log.cc
+++ b/src/logging/log.cc
@@ -1,6 +1,7 @@
 #include "logging/log.h"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/str_replace.h>
 #include <absl/time/clock.h>
 #include <absl/time/time.h>
 
@@ -54,10 +55,15 @@
   return value.empty() || !std::all_of(value.begin(), value.end(), is_plain);
 }
 
+/// Escapes what would break a line or a quoted value, and leaves apostrophes readable.
+std::string Escape(const std::string& text) {
+  return absl::StrReplaceAll(absl::Utf8SafeCEscape(text), {{"\\'", "'"}});
+}
+
 void AppendField(const LogField& field, std::string* line) {
   line->append(" ").append(field.key).append("=");
   if (NeedsQuotes(field.value)) {
-    line->append("\"").append(absl::Utf8SafeCEscape(field.value)).append("\"");
+    line->append("\"").append(Escape(field.value)).append("\"");
   } else {
     line->append(field.value);
   }
@@ -109,7 +115,7 @@
                           std::initializer_list<LogField> fields) {
   std::string line(kSeverityNames.at(static_cast<size_t>(severity)));
   line.append(" ").append(PrefixOf(part)).append(": ");
-  line.append(absl::Utf8SafeCEscape(std::string(sentence)));
+  line.append(Escape(std::string(sentence)));
   for (const LogField& field : fields) {
     AppendField(field, &line);
   }
--- a/tests/unit/daemon_peer/log_test.cc
+++ b/tests/unit/daemon_peer/log_test.cc
@@ -16,8 +16,8 @@
 
 BOOST_AUTO_TEST_CASE(HostileValueStaysOnOneLine) {
   const std::string line =
-      FormatLogLine(Part::kHttp, Severity::kInfo, "Refused.", {{"key", "a\nb=\"c\""}});
-  BOOST_TEST(line == "info http: Refused. key=\"a\\nb=\\\"c\\\"\"");
+      FormatLogLine(Part::kHttp, Severity::kInfo, "It's refused.", {{"key", "a\nb=\"c\""}});
+  BOOST_TEST(line == "info http: It's refused. key=\"a\\nb=\\\"c\\\"\"");
 }
 
 BOOST_AUTO_TEST_CASE(SeverityIsParsedByItsExactName) {
