--- /dev/null
+++ b/src/daemon/metrics/ownership_measures.cc
@@ -0,0 +1,72 @@
+#include "daemon/metrics/ownership_measures.h"
+
+#include <algorithm>
+
+namespace ladderstream::metrics {
+
+OwnershipChanges OwnershipMeasures::Observe(const authority::RoutingState& routing, Time now) {
+  OwnershipChanges changes;
+  ++observations_;
+  for (const Assignment& assignment : routing.assignments) {
+    ObserveOne(assignment, now, &changes);
+  }
+  absl::erase_if(shards_, [this](const auto& entry) { return entry.second.seen != observations_; });
+  return changes;
+}
+
+void OwnershipMeasures::ObserveOne(const Assignment& assignment, Time now,
+                                   OwnershipChanges* changes) {
+  const ServiceName& service = assignment.shard.service;
+  Shard& shard = shards_[assignment.shard];
+  shard.seen = observations_;
+  uint64_t& without_owner = changes->without_owner[service];
+  if (assignment.state != AssignmentState::kOwned) {
+    ++without_owner;
+    if (!shard.owner.value().empty() && !shard.lost_at) {
+      shard.lost_at = now;
+      shard.planned = assignment.state == AssignmentState::kRevoking;
+    }
+    return;
+  }
+  if (shard.lost_at) {
+    changes->outages.push_back({service, now - *shard.lost_at, shard.planned});
+    shard.lost_at.reset();
+  }
+  if (!shard.owner.value().empty() && shard.owner != assignment.owner) {
+    ++changes->owner_changes[service];
+  }
+  shard.owner = assignment.owner;
+}
+
+std::map<ServiceName, double> LoadImbalance(const Configuration& configuration,
+                                            const std::vector<NodeReport>& reports) {
+  std::map<BackendId, double> rates;
+  for (const NodeReport& report : reports) {
+    for (const BackendLoad& load : report.backends) {
+      rates[load.backend] += load.rate;
+    }
+  }
+  struct Load {
+    double sum = 0;
+    double peak = 0;
+    double backends = 0;
+  };
+  std::map<ServiceName, Load> loads;
+  for (const BackendConfiguration& backend : configuration.backends) {
+    Load& load = loads[backend.service];
+    const auto rate = rates.find(backend.id);
+    const double value = rate == rates.end() ? 0 : rate->second;
+    load.sum += value;
+    load.peak = std::max(load.peak, value);
+    load.backends += 1;
+  }
+  std::map<ServiceName, double> imbalance;
+  for (const auto& [service, load] : loads) {
+    if (load.sum > 0) {
+      imbalance[service] = load.peak * load.backends / load.sum;
+    }
+  }
+  return imbalance;
+}
+
+}  // namespace ladderstream::metrics
--- /dev/null
+++ b/src/daemon/metrics/ownership_measures.h
@@ -0,0 +1,59 @@
+// Two of the brief's three measures, churn and unavailable time, from the routing states that a
+// node sees one after another. (Imbalance is worked out from the load reports.)
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/authority/authority.h"
+#include "wire/time.h"
+
+namespace ladderstream::metrics {
+
+/// A shard that had no owner and has one again.
+struct Outage {
+  ServiceName service;
+  Duration length;
+  /// Whether the owner was told to stop, rather than lost.
+  bool planned = false;
+};
+
+/// What changed from one routing state to the next.
+struct OwnershipChanges {
+  /// Shards whose owner is another than the one before, by service.
+  std::map<ServiceName, uint64_t> owner_changes;
+  std::vector<Outage> outages;
+  /// Shards without an owner now, by service; services with none are in it too.
+  std::map<ServiceName, uint64_t> without_owner;
+};
+
+/// Not thread-safe.
+class OwnershipMeasures {
+ public:
+  OwnershipChanges Observe(const authority::RoutingState& routing, Time now);
+
+ private:
+  struct Shard {
+    /// The last one known; empty before the first.
+    BackendId owner;
+    std::optional<Time> lost_at;
+    bool planned = false;
+    uint64_t seen = 0;
+  };
+
+  void ObserveOne(const Assignment& assignment, Time now, OwnershipChanges* changes);
+
+  absl::flat_hash_map<ShardId, Shard> shards_;
+  uint64_t observations_ = 0;
+};
+
+/// Load imbalance of each service: the busiest back end's rate over the mean of its back ends. Left
+/// out where there is no load.
+std::map<ServiceName, double> LoadImbalance(const Configuration& configuration,
+                                            const std::vector<NodeReport>& reports);
+
+}  // namespace ladderstream::metrics
