Let back ends gather before a service's first assignment

Excluded: lease requests (each back end held one) and the policy (given all back ends at once it spreads the ranges evenly). Change: while nothing of a service is owned, the leader waits until its live and declared back ends have been the same for 400 ms, at most 3 s. A service whose only owner is lost now waits 400 ms more than its lease.

--- a/src/core/authority/leader_duties.cc
+++ b/src/core/authority/leader_duties.cc
@@ -12,8 +12,11 @@
 constexpr Duration kPlacementInterval = absl::Seconds(1);
 /// How often placement is asked again about free shards that it could not place.
 constexpr Duration kFreeShardInterval = absl::Milliseconds(50);
-/// The longest that shards never owned before wait for all back ends of their service.
-constexpr Duration kSettlingTime = absl::Milliseconds(500);
+/// A service of which nothing is owned gets its first owners when its back ends have been the same
+/// for this long, so that those declared one after another all get their share at once ...
+constexpr Duration kSettlingTime = absl::Milliseconds(400);
+/// ... but no later than this after the first of them is live.
+constexpr Duration kLongestSettling = absl::Seconds(3);
 /// At most one home moves for balance in this time.
 constexpr Duration kHomeMoveInterval = absl::Seconds(2);
 /// Reports older than this say nothing about load.
@@ -31,7 +34,7 @@
   placed_version_ = GrantToken();
   load_ = LoadView();
   policies_.clear();
-  first_live_.clear();
+  settling_.clear();
 }
 
 std::vector<Command> LeaderDuties::Plan(const OwnershipState& state, LeaseTable& leases,
@@ -219,15 +222,24 @@
 bool LeaderDuties::IsSettling(const placement::PlacementInput& input, Time now) {
   const bool owned = std::any_of(input.shards.begin(), input.shards.end(),
                                  [](const auto& shard) { return shard.owner != BackendId(); });
-  const auto is_live = [](const placement::BackendView& backend) { return backend.live; };
-  if (owned || std::all_of(input.backends.begin(), input.backends.end(), is_live)) {
+  if (owned) {
+    settling_.erase(input.service.name);
     return false;
   }
-  if (std::none_of(input.backends.begin(), input.backends.end(), is_live)) {
+  const size_t live =
+      std::count_if(input.backends.begin(), input.backends.end(),
+                    [](const placement::BackendView& backend) { return backend.live; });
+  if (live == 0) {
     return true;
   }
-  const Time since = first_live_.try_emplace(input.service.name, now).first->second;
-  return now < since + kSettlingTime;
+  Settling& settling =
+      settling_.try_emplace(input.service.name, Settling{now, now, 0, 0}).first->second;
+  if (settling.live != live || settling.declared != input.backends.size()) {
+    settling.changed = now;
+    settling.live = live;
+    settling.declared = input.backends.size();
+  }
+  return now < settling.changed + kSettlingTime && now < settling.began + kLongestSettling;
 }
 
 }  // namespace ladderstream::authority
--- a/src/core/authority/leader_duties.h
+++ b/src/core/authority/leader_duties.h
@@ -33,6 +33,14 @@
  private:
   using Commands = std::vector<Command>;
 
+  /// A service of which nothing is owned, while its back ends gather.
+  struct Settling {
+    Time began;
+    Time changed;
+    size_t live = 0;
+    size_t declared = 0;
+  };
+
   void PlanNodes(const OwnershipState& state, const NodeTable& nodes, Time now, Commands& commands);
   void PlanBackends(const OwnershipState& state, LeaseTable& leases, Time now, Commands& commands);
   void PlanConfirmations(const OwnershipState& state, const LeaseTable& leases, Commands& commands);
@@ -44,8 +52,8 @@
   placement::PlacementInput InputFor(const ServiceConfiguration& service,
                                      const OwnershipState& state, const LeaseTable& leases,
                                      Time now) const;
-  /// Shards never owned before wait a moment for all back ends, so that the first to come is not
-  /// given everything.
+  /// A service of which nothing is owned waits a moment for its back ends, so that the first to
+  /// come is not given everything.
   bool IsSettling(const placement::PlacementInput& input, Time now);
 
   const AuthoritySettings settings_;
@@ -56,7 +64,7 @@
   GrantToken placed_version_;
   LoadView load_;
   std::map<ServiceName, placement::PlacementPolicyPtr> policies_;
-  std::map<ServiceName, Time> first_live_;
+  std::map<ServiceName, Settling> settling_;
 };
 
 }  // namespace ladderstream::authority
--- a/tests/unit/authority/operation_test.cc
+++ b/tests/unit/authority/operation_test.cc
@@ -101,6 +101,24 @@
   BOOST_TEST((cluster.ServedBy(0) == before));
 }
 
+BOOST_AUTO_TEST_CASE(back_ends_declared_one_after_another_share_the_first_assignment) {
+  RunningCluster cluster;
+  const size_t first = cluster.backends.size();
+  constexpr size_t kBoards = 4;
+  for (size_t i = 0; i < kBoards; ++i) {
+    cluster.AddBackend("boards", "brest");
+    cluster.Configure({KeyedService("scripts", 16), KeyedService("boards", 16)});
+    const auto result = cluster.Propose(
+        *cluster.Leader(), AdoptConfiguration{cluster.configuration}, absl::Seconds(1));
+    BOOST_TEST((result == ResultCode::kOk));
+    cluster.Run(absl::Milliseconds(150));
+  }
+  BOOST_TEST(cluster.RunUntil([&] { return cluster.AllServed(); }, absl::Seconds(3)));
+  for (size_t i = first; i < first + kBoards; ++i) {
+    BOOST_TEST(cluster.ServedBy(i).size() == 4U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(leader_that_stops_hands_over_and_may_stop) {
   RunningCluster cluster;
   cluster.StartNode("rennes");
