--- a/src/rehearsal/chaos_scenario.cc
+++ b/src/rehearsal/chaos_scenario.cc
@@ -44,7 +44,7 @@
         cluster_.ControlTable(R"({"lose_answers":3})");
         break;
       case FaultKind::kMoveKey:
-        MoveHotKey(fault.target);
+        MoveHotKey(fault);
         break;
       case FaultKind::kRotateHotKeys:
         rehearsal_->load().RotateKeys();
@@ -106,11 +106,11 @@
     NotePresentIfBackend(name);
   }
 
-  // Moves the hottest probed key of the target's service to the target.
-  void MoveHotKey(const std::string& target) {
+  void MoveHotKey(const Fault& fault) {
     for (const ProbeTarget& probe : rehearsal_->probes()) {
-      if (target.starts_with(probe.service)) {
-        cluster_.operators().MoveKey(probe.service, probe.key, target);
+      if (fault.target.starts_with(probe.service)) {
+        const std::string& key = fault.key.empty() ? probe.key : fault.key;
+        cluster_.operators().MoveKey(probe.service, key, fault.target);
         return;
       }
     }
--- a/src/rehearsal/fault_schedule.h
+++ b/src/rehearsal/fault_schedule.h
@@ -37,6 +37,8 @@
   FaultKind kind = FaultKind::kRotateHotKeys;
   /// The process; for kMoveKey the back end that shall have the key; otherwise empty.
   std::string target;
+  /// For kMoveKey: the key; empty for the hottest probed key of the target's service.
+  std::string key = {};
   /// Since the start of the load.
   absl::Duration from;
   absl::Duration until;
--- a/src/rehearsal/load_generator.cc
+++ b/src/rehearsal/load_generator.cc
@@ -54,8 +54,16 @@
   return KeyAt(ranks_(random), rotation);
 }
 
+uint32_t KeyPicker::PickNumber(std::mt19937_64& random, uint32_t rotation) {
+  return NumberAt(ranks_(random), rotation);
+}
+
+uint32_t KeyPicker::NumberAt(uint32_t rank, uint32_t rotation) const {
+  return (rank + rotation * kRotationStride) % key_count_;
+}
+
 std::string KeyPicker::KeyAt(uint32_t rank, uint32_t rotation) const {
-  return absl::StrCat(prefix_, (rank + rotation * kRotationStride) % key_count_);
+  return absl::StrCat(prefix_, NumberAt(rank, rotation));
 }
 
 LoadGenerator::LoadGenerator(const LoadSettings& settings) : settings_(settings) {
--- a/src/rehearsal/load_generator.h
+++ b/src/rehearsal/load_generator.h
@@ -73,10 +73,14 @@
 
   /// A changed `rotation` makes other keys the hot ones.
   std::string Pick(std::mt19937_64& random, uint32_t rotation);
+  /// The number that Pick would put behind the prefix.
+  uint32_t PickNumber(std::mt19937_64& random, uint32_t rotation);
   /// The key of that rank, 0 being the hottest.
   std::string KeyAt(uint32_t rank, uint32_t rotation) const;
 
  private:
+  uint32_t NumberAt(uint32_t rank, uint32_t rotation) const;
+
   std::string prefix_;
   uint32_t key_count_;
   std::discrete_distribution<uint32_t> ranks_;
--- a/src/rehearsal/overhead_scenario.cc
+++ b/src/rehearsal/overhead_scenario.cc
@@ -124,7 +124,7 @@
     rehearsal.Say(absl::StrCat("round ", round + 1, ": ", direct.size(), " direct and ",
                                routed.size(), " routed so far"));
   }
-  cluster.Stop();
+  cluster.End();
   std::sort(direct.begin(), direct.end());
   std::sort(routed.begin(), routed.end());
   constexpr double kMedian = 0.5;
