Count a lost owner's unavailable time from its last lease request

Cause: the leader counted from when it freed the shards, so a back end killed under load showed 1 ms per shard while callers were refused for 0.75 s. Change: the loss counts from when the owner last asked for its lease, which is the longest that it can have been gone; a restarted incarnation's requests are told apart.

--- a/src/daemon/control/control_loop.cc
+++ b/src/daemon/control/control_loop.cc
@@ -172,7 +172,9 @@
 
 void ControlLoop::ProcessEvent(const authority::Event& event) {
   try {
-    CarryOut(core_->Handle(event, time_.Now()));
+    const Time now = time_.Now();
+    NoteLeaseRequest(event, now);
+    CarryOut(core_->Handle(event, now));
   } catch (const std::exception& error) {
     events_failed_.fetch_add(1);
     Log(Part::kControl, Severity::kError, "An event could not be handled.",
@@ -180,6 +182,19 @@
   }
 }
 
+void ControlLoop::NoteLeaseRequest(const authority::Event& event, Time now) {
+  if (!ports_.on_lease_request) {
+    return;
+  }
+  if (const auto* const local = std::get_if<authority::LeaseRequested>(&event)) {
+    ports_.on_lease_request(local->request, now);
+  } else if (const auto* const message = std::get_if<authority::MessageArrived>(&event)) {
+    if (const auto* const forwarded = std::get_if<ForwardedLeaseRequest>(&message->body)) {
+      ports_.on_lease_request(forwarded->request, now);
+    }
+  }
+}
+
 void ControlLoop::TickIfDue() {
   const Time now = time_.Now();
   if (now < core_->NextTick()) {
--- a/src/daemon/control/control_loop.h
+++ b/src/daemon/control/control_loop.h
@@ -33,6 +33,8 @@
   std::function<void(const authority::PushGrants& push)> push_grants;
   /// Optional: the data path's observations, taken once per load interval.
   std::function<authority::LoadObserved()> take_load;
+  /// Optional: a back end's lease request has come to this node, straight or through another.
+  std::function<void(const LeaseRequest& request, Time now)> on_lease_request;
   /// Optional: routes have changed. `leads`: this node leads its group.
   std::function<void(const authority::RoutingState& routing, bool leads)> on_routing_changed;
 };
@@ -79,6 +81,7 @@
   std::deque<Item> TakeItems(Time deadline);
   void Process(const Item& item);
   void ProcessEvent(const authority::Event& event);
+  void NoteLeaseRequest(const authority::Event& event, Time now);
   void TickIfDue();
   void TakeLoadIfDue();
   void CarryOut(const std::vector<authority::Action>& actions);
--- a/src/daemon/main/daemon.cc
+++ b/src/daemon/main/daemon.cc
@@ -164,6 +164,9 @@
   };
   ports.push_grants = [this](const authority::PushGrants& push) { pusher_.Push(push); };
   ports.take_load = [this] { return data_path_->TakeLoad(); };
+  ports.on_lease_request = [this](const LeaseRequest& request, Time now) {
+    ownership_metrics_.NoteLeaseRequest(request, now);
+  };
   ports.on_routing_changed = [this](const authority::RoutingState& routing, bool leads) {
     ownership_metrics_.Observe(routing, clock_.Now(), leads);
   };
--- a/src/daemon/metrics/node_metrics.cc
+++ b/src/daemon/metrics/node_metrics.cc
@@ -164,14 +164,18 @@
                          .Register(*registry)),
       outages_(prometheus::BuildHistogram()
                    .Name("ladderstream_shard_unavailable_seconds")
-                   .Help("Time from a shard's loss of its owner to its next one, as the leader "
-                         "sees it.")
+                   .Help("Time without an owner, as the leader sees it: from the order to stop, "
+                         "or from when a lost owner last asked for its lease, to the next grant.")
                    .Register(*registry)),
       without_owner_(prometheus::BuildGauge()
                          .Name("ladderstream_shards_without_owner")
                          .Help("Shards that nobody owns, as this node sees it.")
                          .Register(*registry)) {}
 
+void OwnershipMetrics::NoteLeaseRequest(const LeaseRequest& request, Time now) {
+  measures_.NoteLeaseRequest(request.backend, request.incarnation, now);
+}
+
 void OwnershipMetrics::Observe(const authority::RoutingState& routing, Time now, bool leads) {
   const OwnershipChanges changes = measures_.Observe(routing, now);
   for (const auto& [service, count] : changes.without_owner) {
--- a/src/daemon/metrics/node_metrics.h
+++ b/src/daemon/metrics/node_metrics.h
@@ -45,12 +45,15 @@
   const Sources sources_;
 };
 
-/// Churn and unavailable time, counted by the node that leads while they happen.
+/// Churn and unavailable time, counted by the node that leads while they happen. Both methods are
+/// called from one thread.
 class OwnershipMetrics {
  public:
   explicit OwnershipMetrics(prometheus::Registry* registry);
 
-  /// Called with each new routing state, from one thread.
+  void NoteLeaseRequest(const LeaseRequest& request, Time now);
+
+  /// Called with each new routing state.
   void Observe(const authority::RoutingState& routing, Time now, bool leads);
 
  private:
--- a/src/daemon/metrics/ownership_measures.cc
+++ b/src/daemon/metrics/ownership_measures.cc
@@ -4,6 +4,29 @@
 
 namespace ladderstream::metrics {
 
+void OwnershipMeasures::NoteLeaseRequest(const BackendId& backend, BackendIncarnation incarnation,
+                                         Time now) {
+  LeaseRequests& requests = lease_requests_[backend];
+  if (requests.incarnation != incarnation) {
+    requests.incarnation = incarnation;
+    requests.last_of_earlier = requests.last;
+    requests.first = now;
+  }
+  requests.last = now;
+}
+
+Time OwnershipMeasures::LastSignOfOwner(const Shard& shard, Time now) const {
+  const auto found = lease_requests_.find(shard.owner);
+  if (found == lease_requests_.end()) {
+    return now;
+  }
+  const LeaseRequests& requests = found->second;
+  const bool owner_was_earlier = requests.first > shard.owned_since;
+  const Time last = owner_was_earlier ? requests.last_of_earlier : requests.last;
+  // Nothing was heard of it under this node's lead when it is older than the ownership.
+  return last >= shard.owned_since ? last : now;
+}
+
 OwnershipChanges OwnershipMeasures::Observe(const authority::RoutingState& routing, Time now) {
   OwnershipChanges changes;
   ++observations_;
@@ -23,8 +46,8 @@
   if (assignment.state != AssignmentState::kOwned) {
     ++without_owner;
     if (!shard.owner.value().empty() && !shard.lost_at) {
-      shard.lost_at = now;
       shard.planned = assignment.state == AssignmentState::kRevoking;
+      shard.lost_at = shard.planned ? now : LastSignOfOwner(shard, now);
     }
     return;
   }
@@ -35,6 +58,9 @@
   if (!shard.owner.value().empty() && shard.owner != assignment.owner) {
     ++changes->owner_changes[service];
   }
+  if (shard.owner != assignment.owner) {
+    shard.owned_since = now;
+  }
   shard.owner = assignment.owner;
 }
 
--- a/src/daemon/metrics/ownership_measures.h
+++ b/src/daemon/metrics/ownership_measures.h
@@ -34,20 +34,36 @@
 /// Not thread-safe.
 class OwnershipMeasures {
  public:
+  /// A back end asked for its lease. The shards of one that is lost count as unavailable since it
+  /// last asked: the longest that its owner can have been gone.
+  void NoteLeaseRequest(const BackendId& backend, BackendIncarnation incarnation, Time now);
+
   OwnershipChanges Observe(const authority::RoutingState& routing, Time now);
 
  private:
+  /// When a back end asked for its lease, as the incarnation that asked last and as earlier ones.
+  struct LeaseRequests {
+    BackendIncarnation incarnation;
+    Time first = absl::InfinitePast();
+    Time last = absl::InfinitePast();
+    Time last_of_earlier = absl::InfinitePast();
+  };
+
   struct Shard {
     /// The last one known; empty before the first.
     BackendId owner;
+    Time owned_since;
     std::optional<Time> lost_at;
     bool planned = false;
     uint64_t seen = 0;
   };
 
   void ObserveOne(const Assignment& assignment, Time now, OwnershipChanges* changes);
+  /// When the owner of `shard`, found lost at `now`, last asked for its lease.
+  Time LastSignOfOwner(const Shard& shard, Time now) const;
 
   absl::flat_hash_map<ShardId, Shard> shards_;
+  absl::flat_hash_map<BackendId, LeaseRequests> lease_requests_;
   uint64_t observations_ = 0;
 };
 
--- a/tests/unit/daemon_control/measures_test.cc
+++ b/tests/unit/daemon_control/measures_test.cc
@@ -45,6 +45,22 @@
   BOOST_TEST(changes.without_owner[kService] == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(LostOwnerIsGoneSinceItLastAskedForItsLease) {
+  const BackendIncarnation first(1);
+  const BackendIncarnation restarted(2);
+  OwnershipMeasures measures;
+  measures.NoteLeaseRequest(BackendId("a"), first, At(0));
+  measures.Observe(OneShard(AssignmentState::kOwned, "a"), At(10));
+  measures.NoteLeaseRequest(BackendId("a"), first, At(400));
+  // The restarted one asks before the loss of the earlier one is found.
+  measures.NoteLeaseRequest(BackendId("a"), restarted, At(900));
+  measures.Observe(OneShard(AssignmentState::kFree, ""), At(1000));
+  const OwnershipChanges changes =
+      measures.Observe(OneShard(AssignmentState::kOwned, "b"), At(1100));
+  BOOST_REQUIRE(changes.outages.size() == 1U);
+  BOOST_TEST((changes.outages.front().length == absl::Milliseconds(700)));
+}
+
 BOOST_AUTO_TEST_CASE(SameOwnerAgainIsAnOutageWithoutChurn) {
   OwnershipMeasures measures;
   measures.Observe(OneShard(AssignmentState::kOwned, "a"), At(0));
