Add hollow nodes: the control plane at 1,200 nodes in one process

Cause: bytes, processor time and memory of the control plane at the size to design for can't be seen with a few processes. Change: many authorities (the daemon's own class) over an in-process transport on simulated time; every message goes through the real codec and is counted with 40 bytes of TCP/IP headers. Nodes lie in 6 regions and 23 zones and form replica groups inside a region. Back ends ask for leases; the table service has a rate limit. Experiments hollow-steady, -faults, -slopes and -frugal. Excluded: real processes (too many for one machine) and dissemination between groups, which isn't built: each group reads a configuration row of its own. Tests: hollow_test, 7 cases, among them a lost owner, a lost zone, and regions cut from the store.

--- a/src/bench/experiment.h
+++ b/src/bench/experiment.h
@@ -21,5 +21,6 @@
 std::vector<Experiment> AllExperiments();
 
 std::vector<Experiment> PlacementExperiments();
+std::vector<Experiment> HollowExperiments();
 
 }  // namespace ladderstream::bench
