Compare the admission queue with a plain one under overload

Cause: what admission does at three times capacity was to be measured, not argued. Change: a model of back ends with few slots, request by request, in front of which the daemon's admission queue or a plain bounded queue stands; callers leave at their deadline or before, and come again when told to, within a budget. Experiment 'overload'. The event queue of the hollow nodes moves to the emulator, which both use.

--- a/src/bench/experiment.cc
+++ b/src/bench/experiment.cc
@@ -4,7 +4,7 @@
 
 std::vector<Experiment> AllExperiments() {
   std::vector<Experiment> all;
-  for (const auto& group : {PlacementExperiments(), HollowExperiments()}) {
+  for (const auto& group : {PlacementExperiments(), HollowExperiments(), OverloadExperiments()}) {
     all.insert(all.end(), group.begin(), group.end());
   }
   return all;
--- a/src/bench/experiment.h
+++ b/src/bench/experiment.h
@@ -22,5 +22,6 @@
 
 std::vector<Experiment> PlacementExperiments();
 std::vector<Experiment> HollowExperiments();
+std::vector<Experiment> OverloadExperiments();
 
 }  // namespace ladderstream::bench
--- a/src/hollow/event_queue.h
+++ b/src/emulator/event_queue.h
@@ -1,6 +1,7 @@
 // Simulated time: actions run in order of their moment. Not thread-safe.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <queue>
@@ -9,7 +10,7 @@
 
 #include "wire/time.h"
 
-namespace ladderstream::hollow {
+namespace ladderstream::emulator {
 
 class EventQueue {
  public:
@@ -53,4 +54,4 @@
   std::priority_queue<Event> events_;
 };
 
-}  // namespace ladderstream::hollow
+}  // namespace ladderstream::emulator
--- a/src/hollow/hollow_fleet.h
+++ b/src/hollow/hollow_fleet.h
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "core/authority/authority.h"
-#include "hollow/event_queue.h"
+#include "emulator/event_queue.h"
 #include "hollow/hollow_backend.h"
 #include "hollow/hollow_store.h"
 #include "hollow/topology.h"
@@ -116,7 +116,7 @@
   void AskNextNode(size_t backend);
 
   FleetOptions options_;
-  EventQueue queue_;
+  emulator::EventQueue queue_;
   std::mt19937_64 random_;
   Topology topology_;
   HollowStore store_;
