Log requests whose outcome is unknown

Cause: a demo counted three unknown outcomes around a planned move, and nothing told which code, back end or wait they had.

--- a/src/daemon/router/data_path_impl.cc
+++ b/src/daemon/router/data_path_impl.cc
@@ -5,6 +5,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include <atomic>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -19,11 +20,14 @@
 #include "daemon/router/data_path_metrics.h"
 #include "daemon/router/hedge_handle.h"
 #include "daemon/router/load_recorder.h"
+#include "daemon/router/log_limiter.h"
 #include "daemon/router/request_validation.h"
+#include "logging/log.h"
 
 namespace ladderstream {
 namespace {
 
+constexpr uint32_t kUnknownOutcomeLinesPerSecond = 10;
 constexpr Duration kShuttingDownRetryAfter = absl::Milliseconds(50);
 
 /// Counts each attempt's result on its way back.
@@ -207,7 +211,27 @@
     if (context.service->configuration->routing == RoutingKind::kByKey) {
       loads_.Record(*context.service, request.key);
     }
-    return ToAnswer(handles_->Route(context));
+    ForwardResponse response = handles_->Route(context);
+    if (OutcomeOf(response.result) == Outcome::kUnknown) {
+      LogUnknownOutcome(context, response.result, started);
+    }
+    return ToAnswer(std::move(response));
+  }
+
+  void LogUnknownOutcome(const routing::RouteContext& context, ResultCode result, Time started) {
+    const Time now = time_.Now();
+    const std::optional<uint64_t> held_back = unknown_outcomes_.Admit(now);
+    if (!held_back.has_value()) {
+      return;
+    }
+    Log(Part::kData, Severity::kWarning, "A request's outcome is unknown.",
+        {{"result", NameOf(result)},
+         {"service", context.message.service.value()},
+         {"request", context.message.request},
+         {"backend", context.message.backend.value()},
+         {"after_ms", absl::ToInt64Milliseconds(now - started)},
+         {"deadline_ms", absl::ToInt64Milliseconds(context.deadline - started)},
+         {"held_back", *held_back}});
   }
 
   static void FillContext(const CallerRequest& request,
@@ -232,6 +256,7 @@
   const DataPathSettings settings_;
   const TimeSource& time_;
   std::atomic<bool> draining_{false};
+  LogLimiter unknown_outcomes_{kUnknownOutcomeLinesPerSecond};
   InFlight in_flight_;
   DataPathMetrics metrics_;
   ControlPlaneWatch watch_;
