Answer what is on its way when a planned stop begins

Cause: a planned stop closed idle callers' connections at once; a request sent over one at that moment was cut, and its caller could not tell whether it ran. Excluded: leaving them open until the end, where the same would happen. Change: while draining, each answer closes its connection as before, and only connections idle for a second since then are closed. The new test was not run against the earlier code.

--- a/src/daemon/http/caller_server.h
+++ b/src/daemon/http/caller_server.h
@@ -53,7 +53,8 @@
 
   void Start();
 
-  /// From now on each answer closes its connection, and idle connections are closed. New
+  /// From now on each answer closes its connection, and connections idle for a second are closed,
+  /// so that a request already on its way over one is still answered. New
   /// connections are still served, so that nothing is cut while callers turn away.
   void BeginDrain();
 
--- a/src/daemon/http/connection_poller.cc
+++ b/src/daemon/http/connection_poller.cc
@@ -28,6 +28,8 @@
 /// next one then needs no hand-over between threads.
 constexpr int kStayMs = 1;
 constexpr auto kLingerTime = std::chrono::milliseconds(500);
+/// While idle connections are closed, one must have been idle for this long.
+constexpr auto kClosingIdleTime = std::chrono::milliseconds(1000);
 /// Connections over the limit that get a refusal instead of a reset.
 constexpr size_t kRefusedConnections = 64;
 /// Descriptors left to everything else in the process.
@@ -100,7 +102,10 @@
 }
 
 void ConnectionPoller::CloseIdle() {
-  closing_idle_ = true;
+  if (!closing_idle_) {
+    closing_since_ = steady_clock::now();
+    closing_idle_ = true;
+  }
   const uint64_t one = 1;
   [[maybe_unused]] const ssize_t written = ::write(wake_, &one, sizeof(one));
 }
@@ -367,7 +372,10 @@
     }
     return;
   }
-  if (closing_idle_ || age > absl::ToChronoNanoseconds(limits_.idle_timeout)) {
+  // A request may be on its way over a connection that looks idle; the next answer closes it.
+  const bool idle_while_closing =
+      closing_idle_ && std::min(age, now - closing_since_.load()) > kClosingIdleTime;
+  if (idle_while_closing || age > absl::ToChronoNanoseconds(limits_.idle_timeout)) {
     Close(*connection);
   }
 }
--- a/src/daemon/http/connection_poller.h
+++ b/src/daemon/http/connection_poller.h
@@ -36,7 +36,8 @@
   /// Takes over an accepted socket.
   void Add(int socket);
 
-  /// Closes connections without a request, now and as the others become free.
+  /// From now on closes connections that have no request for a second, and the others after their
+  /// next answers.
   void CloseIdle();
   /// Whether CloseIdle was called: answers then close their connections.
   bool closing_idle() const { return closing_idle_.load(); }
@@ -74,6 +75,8 @@
   const int wake_;
   std::atomic<bool> stopping_{false};
   std::atomic<bool> closing_idle_{false};
+  /// Set before `closing_idle_`.
+  std::atomic<SteadyTime> closing_since_{SteadyTime()};
   std::atomic<int64_t> buffered_bytes_{0};
   absl::Mutex mutex_;
   uint64_t next_id_ ABSL_GUARDED_BY(mutex_) = 0;
--- a/tests/unit/daemon_http/caller_server_test.cc
+++ b/tests/unit/daemon_http/caller_server_test.cc
@@ -134,6 +134,29 @@
   BOOST_TEST(answer.find("Connection: close") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(DrainingAnswersARequestOnItsWayOverAnIdleConnection) {
+  ServerFixture fixture;
+  fixture.handler.script = [](const CallerRequest&, const auto&) {
+    CallerAnswer answer;
+    answer.result = ResultCode::kOk;
+    answer.status = 200;
+    answer.body = "whole";
+    return answer;
+  };
+  fixture.server.Start();
+  httplib::Client caller("127.0.0.1", fixture.server.endpoint().port);
+  caller.set_keep_alive(true);
+  BOOST_REQUIRE(caller.Get("/v1/services/s/requests/r?key=k"));
+  RawCaller idle(fixture.server.endpoint());
+  fixture.server.BeginDrain();
+  // By the end of a request that began after the drain, the idle connection would be closed.
+  BOOST_REQUIRE(caller.Get("/v1/services/s/requests/r?key=k"));
+  idle.Send("GET /v1/services/s/requests/r?key=k HTTP/1.1\r\nHost: a\r\n\r\n");
+  const std::string answer = idle.ReceiveAll();
+  BOOST_TEST(answer.find("whole") != std::string::npos);
+  BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(ServesTheRoutesOfOthers) {
   ServerFixture fixture;
   fixture.server.routes().Post(R"(/v1/backends/([^/]+)/lease)",
