--- a/src/core/authority/authority_messages.cc
+++ b/src/core/authority/authority_messages.cc
@@ -275,9 +275,12 @@
   if (IsReadyLeader() || leader.id == NodeId() || leader.id == settings_.self.id) {
     return;
   }
-  PendingPull pull{now_, !UsesReplicatedState()};
+  // A replica that hears no leader may have been removed from the group: it asks like any other
+  // node.
+  PendingPull pull{now_, !UsesReplicatedState() || !replica_->leader()};
   StatePull request;
-  request.known_revision = CurrentRevision();
+  request.known_revision =
+      pull.wants_ownership ? observed_.configuration().revision : CurrentRevision();
   request.known_ownership = pull.wants_ownership ? observed_.version() : kNewestToken;
   if (pulls_.size() >= kMaxPendingPulls) {
     pulls_.erase(pulls_.begin());
--- a/src/core/replication/replica.cc
+++ b/src/core/replication/replica.cc
@@ -52,8 +52,8 @@
 void Replica::Impl::Tick(Time now) {
   if (role_ == Role::kLeader) {
     TickAsLeader(now);
-  } else if (IsSelfVoter() && now >= election_deadline_) {
-    StartPreVote(now);
+  } else if (now >= election_deadline_) {
+    NoteSilence(now);
   }
   CompactIfLong();
 }
@@ -62,7 +62,15 @@
   if (role_ == Role::kLeader) {
     return next_heartbeat_;
   }
-  return IsSelfVoter() ? election_deadline_ : absl::InfiniteFuture();
+  return IsSelfVoter() || leader_ ? election_deadline_ : absl::InfiniteFuture();
+}
+
+void Replica::Impl::NoteSilence(Time now) {
+  if (IsSelfVoter()) {
+    StartPreVote(now);
+  } else {
+    leader_.reset();  // So that the caller does not take this state for a current one.
+  }
 }
 
 Output Replica::Impl::TakeOutput() {
--- a/src/core/replication/replica.h
+++ b/src/core/replication/replica.h
@@ -95,7 +95,8 @@
   /// The latest members in the log, committed or not.
   const GroupMembers& members() const;
   bool MembersChangeUnderWay() const;
-  /// The leader's id as last heard, if any.
+  /// The leader, as long as it is heard. Without one the state here may be out of date: this node
+  /// may have been removed from the group.
   std::optional<NodeId> leader() const;
   /// Whether an entry of the leader's own term has committed: its state is then complete.
   bool LeaderIsReady() const;
--- a/src/core/replication/replica_impl.h
+++ b/src/core/replication/replica_impl.h
@@ -60,6 +60,7 @@
   void BecomeFollower(uint64_t term, std::optional<NodeId> leader, Time now);
   Role RoleWithoutLeading() const;
   void ResetElectionDeadline(Time now);
+  void NoteSilence(Time now);
   void CompactIfLong();
   std::string SnapshotState() const;
 
--- a/src/simulation/fault_plan.cc
+++ b/src/simulation/fault_plan.cc
@@ -17,18 +17,18 @@
 constexpr double kShareAtLeader = 0.5;
 
 constexpr std::array<const char*, kFaultKinds> kNames = {"pause node",
-                                                              "pause node after decision",
-                                                              "crash node",
-                                                              "pause back end",
-                                                              "pause back end after decision",
-                                                              "crash back end",
-                                                              "cut node",
-                                                              "cut node one way",
-                                                              "partition nodes",
-                                                              "cut back end",
-                                                              "store down",
-                                                              "store answers lost",
-                                                              "store rate limited"};
+                                                         "pause node after decision",
+                                                         "crash node",
+                                                         "pause back end",
+                                                         "pause back end after decision",
+                                                         "crash back end",
+                                                         "cut node",
+                                                         "cut node one way",
+                                                         "partition nodes",
+                                                         "cut back end",
+                                                         "store down",
+                                                         "store answers lost",
+                                                         "store rate limited"};
 
 bool IsStoreFault(FaultKind kind) { return kind >= FaultKind::kStoreDown; }
 
--- a/src/simulation/schedule_run.cc
+++ b/src/simulation/schedule_run.cc
@@ -28,9 +28,25 @@
   }
 }
 
+/// What each node believes, for a run that did not come to rest.
+std::string DescribeNodes(Cluster& cluster) {
+  std::string text;
+  for (size_t i = 0; i < cluster.node_count(); ++i) {
+    const authority::AuthorityStatus status = cluster.Node(i)->Status();
+    absl::StrAppend(&text, "\n  node ", i, " id ", cluster.Node(i)->id().value(), " role ",
+                    static_cast<int>(status.role), " generation ", status.generation, " term ",
+                    status.term, " commit ", status.commit_index, " leader ",
+                    status.leader.id.value(), " voters");
+    for (const NodeDescriptor& voter : status.members.voters) {
+      absl::StrAppend(&text, " ", voter.id.value());
+    }
+  }
+  return text;
+}
+
 void CheckEnd(Cluster& cluster) {
   if (!cluster.AllServed()) {
-    throw InvariantViolation("a shard is not served after a quiet time");
+    throw InvariantViolation("a shard is not served after a quiet time" + DescribeNodes(cluster));
   }
   const auto leader = cluster.Leader();
   if (!leader) {
