--- a/src/daemon/operator/change_runner.h
+++ b/src/daemon/operator/change_runner.h
@@ -7,6 +7,7 @@
 #include "interfaces/control_plane.h"
 #include "interfaces/table_client.h"
 #include "wire/command.h"
+#include "wire/time.h"
 
 namespace ladderstream::daemon {
 
@@ -23,6 +24,9 @@
   ResultCode RunCommands(const std::vector<Command>& commands, Duration deadline) const;
 
  private:
+  /// Proposes until committed, refused or `end`.
+  ResultCode RunCommand(const Command& command, Time end) const;
+
   TableClientPtr table_;
   ControlPlanePtr control_plane_;
 };
--- a/src/daemon/operator/operator_service.cc
+++ b/src/daemon/operator/operator_service.cc
@@ -13,6 +13,7 @@
 
 #include "core/configuration/configuration_fault.h"
 #include "core/configuration/validation.h"
+#include "daemon/operator/boot_time.h"
 #include "daemon/operator/call_result.h"
 #include "daemon/operator/proto_conversion.h"
 #include "wire/codec.h"
@@ -272,6 +273,7 @@
                                         const proto::GetStatusRequest* /*request*/,
                                         proto::GetStatusResponse* response) {
   *response = ToProto(control_plane_->Status());
+  response->set_confirmed(control_plane_->Routing()->confirmed_until > BootTimeNow());
   return grpc::Status::OK;
 }
 
--- a/src/wire/result_code.cc
+++ b/src/wire/result_code.cc
@@ -72,6 +72,13 @@
 
 }  // namespace
 
+std::vector<ResultCode> AllResultCodes() {
+  std::vector<ResultCode> codes(kRows.size());
+  std::transform(kRows.begin(), kRows.end(), codes.begin(),
+                 [](const CodeRow& row) { return row.code; });
+  return codes;
+}
+
 Outcome OutcomeOf(ResultCode code) {
   if (code == ResultCode::kOk) {
     return Outcome::kAnswered;
--- a/src/wire/result_code.h
+++ b/src/wire/result_code.h
@@ -7,6 +7,7 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace ladderstream {
 
@@ -74,6 +75,9 @@
 /// What the caller may conclude from a code.
 enum class Outcome { kAnswered, kDidNotRun, kUnknown };
 
+/// Gives every code of the table, in order of their numbers.
+std::vector<ResultCode> AllResultCodes();
+
 /// Gives the conclusion that `code` allows.
 Outcome OutcomeOf(ResultCode code);
 
