--- a/src/core/configuration/validation.cc
+++ b/src/core/configuration/validation.cc
@@ -159,8 +159,11 @@
     at.Field("zone").AddInvalid(backend.zone, absl::StrCat("1 to ", kMaxNameLength, " characters"));
   }
   if (!IsIpNumber(backend.endpoint.host) || backend.endpoint.port == 0) {
+    // Port zero stands for an address that could not be read; the host is then its whole text.
+    const bool was_read = backend.endpoint.port != 0;
     at.Field("endpoint")
-        .AddInvalid(FormatEndpoint(backend.endpoint), "an IP number and a port from 1 to 65535");
+        .AddInvalid(was_read ? FormatEndpoint(backend.endpoint) : backend.endpoint.host,
+                    "an IP number and a port from 1 to 65535");
   }
   at.Field("slots").RequireInRange(backend.slots, 1, kMaxSlots);
   at.Field("max_connections")
--- a/src/daemon/operator/operator_service.cc
+++ b/src/daemon/operator/operator_service.cc
@@ -99,7 +99,8 @@
     }
     const configuration::SubmissionOutcome outcome = runner_.RunChange(
         {OperationId(header.operation_id()), expected, change, in_force}, ChangeDeadline(context));
-    proto::Result result = MakeResult(outcome.code, outcome.message, outcome.revision);
+    const Revision revision = outcome.revision == Revision() ? in_force : outcome.revision;
+    proto::Result result = MakeResult(outcome.code, outcome.message, revision);
     AddFaults(outcome.faults, &result);
     return Answer(header, std::move(result), response);
   } catch (const Error& error) {
--- a/src/operator_cli/commands.cc
+++ b/src/operator_cli/commands.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -42,7 +43,7 @@
     {"apply", "FILE", "create and update what a TOML or JSON file declares", nullptr,
      &Commands::Apply},
     {"get-configuration", "", "the configuration in force", &Commands::GetConfiguration, nullptr},
-    {"list-services", "", "", &Commands::ListServices, nullptr},
+    {"list-services", "", "the services in force", &Commands::ListServices, nullptr},
     {"list-backends", "", "[--service]", &Commands::ListBackends, nullptr},
     {"list-assignments", "", "[--service] [--backend]: who owns what", &Commands::ListAssignments,
      nullptr},
@@ -54,6 +55,8 @@
 
 namespace {
 
+constexpr Duration kStatusTimeout = absl::Seconds(2);
+
 const CommandTable::Row* FindCommand(const std::string& word) {
   for (const CommandTable::Row& row : CommandTable::kRows) {
     if (word == row.word) {
@@ -180,14 +183,16 @@
 }
 
 std::vector<NodeAnswer> Commands::AskAllNodes() {
+  // A node that hangs shall not hold up the others' answers.
+  NodeClient client(options_.nodes, std::min(options_.timeout, kStatusTimeout));
   std::vector<NodeAnswer> answers;
-  answers.reserve(client_.nodes().size());
-  for (const std::string& node : client_.nodes()) {
+  answers.reserve(client.nodes().size());
+  for (const std::string& node : client.nodes()) {
     NodeAnswer answer;
     answer.address = node;
     try {
-      answer.status = client_.CallNode(node, &proto::OperatorService::Stub::GetStatus,
-                                       proto::GetStatusRequest());
+      answer.status = client.CallNode(node, &proto::OperatorService::Stub::GetStatus,
+                                      proto::GetStatusRequest());
     } catch (const NodesUnreachable& error) {
       answer.failure = error.what();
     }
--- a/src/operator_cli/node_client.cc
+++ b/src/operator_cli/node_client.cc
@@ -1,9 +1,10 @@
 #include "operator_cli/node_client.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
 #include <absl/time/time.h>
 
-#include <chrono>
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -20,6 +21,9 @@
   return result;
 }
 
+/// A node gets at least this long, if that much is left, before the next is tried.
+constexpr Duration kShortestAttempt = absl::Seconds(2);
+
 /// Whether another node may well do better.
 bool IsWorthAnotherNode(const proto::Result& result) {
   const auto code = static_cast<ResultCode>(result.code());
@@ -41,13 +45,21 @@
   return *stub;
 }
 
+Duration NodeClient::AttemptTimeout(absl::Time end, size_t nodes_left) const {
+  const Duration left = end - absl::Now();
+  const Duration share = left / static_cast<int64_t>(nodes_left);
+  return std::max(share, std::min(left, kShortestAttempt));
+}
+
 void NodeClient::TryNodes(const std::vector<std::string>& nodes, const Attempt& attempt) {
+  const absl::Time end = absl::Now() + timeout_;
+  size_t nodes_left = nodes.size();
   std::optional<proto::Result> refusal;
   std::string failures;
   bool may_have_arrived = false;
   for (const std::string& node : nodes) {
     grpc::ClientContext context;
-    context.set_deadline(std::chrono::system_clock::now() + absl::ToChronoMilliseconds(timeout_));
+    context.set_deadline(absl::ToChronoTime(absl::Now() + AttemptTimeout(end, nodes_left--)));
     const grpc::Status status = attempt(StubOf(node), context);
     if (status.ok()) {
       return;
--- a/src/operator_cli/node_client.h
+++ b/src/operator_cli/node_client.h
@@ -46,6 +46,7 @@
 /// harmless to repeat. Not thread-safe.
 class NodeClient {
  public:
+  /// `timeout` is for one call, over all the nodes that it tries.
   NodeClient(std::vector<std::string> nodes, Duration timeout);
 
   /// One of the schema's calls.
@@ -80,6 +81,8 @@
   using Attempt =
       std::function<grpc::Status(proto::OperatorService::Stub& stub, grpc::ClientContext& context)>;
 
+  /// A node's share of the time left, so that one which hangs leaves some to the others.
+  Duration AttemptTimeout(absl::Time end, size_t nodes_left) const;
   void TryNodes(const std::vector<std::string>& nodes, const Attempt& attempt);
   proto::OperatorService::Stub& StubOf(const std::string& node);
 
--- a/src/settings/settings_reader.cc
+++ b/src/settings/settings_reader.cc
@@ -36,6 +36,23 @@
   return std::nullopt;
 }
 
+/// "node.name" is of the section "node".
+std::string SectionOf(const std::string& key) { return key.substr(0, key.find('.')); }
+
+/// The settings of the key's section, or the sections when it is in none of them.
+std::string AllowedNear(const std::string& key, const std::set<std::string>& known) {
+  std::set<std::string> near;
+  std::set<std::string> sections;
+  for (const std::string& candidate : known) {
+    sections.insert(SectionOf(candidate));
+    if (SectionOf(candidate) == SectionOf(key)) {
+      near.insert(candidate);
+    }
+  }
+  return near.empty() ? absl::StrCat("settings of the sections ", absl::StrJoin(sections, ", "))
+                      : absl::StrCat("one of ", absl::StrJoin(near, ", "));
+}
+
 }  // namespace
 
 SettingsReader::SettingsReader(const std::string& path,
@@ -210,8 +227,8 @@
 void SettingsReader::Finish() {
   for (const auto& [key, entry] : entries_) {
     if (!read_.contains(key)) {
-      faults_.push_back({ResultCode::kUnknownSetting, entry.place, key, TextOf(entry),
-                         absl::StrCat("one of ", absl::StrJoin(read_, ", "))});
+      faults_.push_back(
+          {ResultCode::kUnknownSetting, entry.place, key, TextOf(entry), AllowedNear(key, read_)});
     }
   }
   if (!faults_.empty()) {
--- a/tests/unit/configuration/validation_test.cc
+++ b/tests/unit/configuration/validation_test.cc
@@ -117,6 +117,12 @@
   BOOST_TEST(faults[1].value == "cd");
 }
 
+BOOST_AUTO_TEST_CASE(an_address_that_could_not_be_read_is_shown_as_it_was_written) {
+  Configuration configuration = SampleConfiguration();
+  configuration.backends[0].endpoint = {"nowhere", 0};
+  BOOST_TEST(Validate(configuration).at(0).value == "nowhere");
+}
+
 BOOST_AUTO_TEST_CASE(operation_ids_are_plain) {
   BOOST_TEST(IsOperationId("deploy-2026.12_a"));
   BOOST_TEST(!IsOperationId(""));
--- a/tests/unit/settings/daemon_settings_test.cc
+++ b/tests/unit/settings/daemon_settings_test.cc
@@ -129,6 +129,17 @@
   BOOST_TEST(faults.size() == kSpoiledSettings);
 }
 
+BOOST_AUTO_TEST_CASE(an_unknown_setting_is_shown_its_neighbours) {
+  const auto faults = FaultsOf(kExample, {{"node.zones", "rennes"}, {"colour", "blue"}});
+  BOOST_TEST_REQUIRE(faults.size() == 2U);
+  BOOST_TEST(faults[0].key == "colour");
+  BOOST_TEST(faults[0].allowed ==
+             "settings of the sections group, limits, node, platform, replication");
+  BOOST_TEST(faults[1].key == "node.zones");
+  BOOST_TEST(faults[1].allowed.find("node.zone") != std::string::npos);
+  BOOST_TEST(faults[1].allowed.find("group.") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(durations_are_checked_against_each_other) {
   const auto faults = FaultsOf(kExample, {{"replication.leader_lease", "400ms"}});
   BOOST_TEST_REQUIRE(faults.size() == 1U);
