--- a/src/simulation/cluster.cc
+++ b/src/simulation/cluster.cc
@@ -24,6 +24,9 @@
 }
 
 Configuration MakeConfiguration(const ClusterSettings& settings) {
+  if (!settings.configuration.services.empty()) {
+    return settings.configuration;
+  }
   Configuration configuration;
   configuration.revision = Revision(1);
   configuration.services = {MakeService("scripts", settings.ranges),
--- a/src/simulation/cluster.h
+++ b/src/simulation/cluster.h
@@ -20,6 +20,9 @@
   /// Divided among the two services.
   size_t backends = 6;
   uint32_t ranges = 4;
+  /// What the table service holds at first, with as many back ends as `backends`; a small
+  /// deployment of two services when this one has none.
+  Configuration configuration;
   authority::AuthoritySettings authority;
   NetworkSettings network;
 };
--- a/src/simulation/node_process.h
+++ b/src/simulation/node_process.h
@@ -31,6 +31,8 @@
   void Start(const std::vector<NodeDescriptor>& seeds);
   void Receive(const PeerFrame& frame);
   void RequestLease(const LeaseRequest& request, std::function<void(const LeaseResponse&)> answer);
+  /// Takes what the node's data path saw since the last call.
+  void ObserveLoad(const authority::LoadObserved& load) { Handle(load); }
   void Propose(const Command& command, std::function<void(const ProposalResult&)> answer);
   void RunTransaction(const authority::StoreTransaction& transaction,
                       std::function<void(const StoreResult&)> answer);
