Replace a lost group only when its majority surely ended; keep leases alive by resending

Cause: a node that heard no leader and saw the group's row unwritten claimed the next generation; a majority cut off together with the store would have gone on beside it, and keys would have had two owners. A new leader gave itself every home before others had reported. Lease requests on their way to a lost leader were not sent again. The leader's acknowledgements repeated its descriptor.

Excluded: claiming after silence alone, which serves keys sooner after a silent loss of the majority but breaks the rule of one owner in a partition.

Change: a claim needs evidence that too few voters for a majority can be alive (another process at their address, or dropped from the machine list); when all were replaced, 3 s suffice. Homes wait for the first reports. Leases in flight are sent to the next leader. Only operators' commands are taken from others. Loads are reported once a second.

--- a/src/core/authority/authority.h
+++ b/src/core/authority/authority.h
@@ -38,7 +38,8 @@
   /// How long founding waits, with the store up, so that more nodes are seen first.
   Duration founding_delay = absl::Milliseconds(500);
   /// A group whose leader nobody heard, and whose row in the table service nobody wrote, for this
-  /// long has lost its majority: it is founded anew from its newest checkpoint.
+  /// long, and of whose voters a majority is known to have ended, is founded anew from its newest
+  /// checkpoint.
   Duration recovery_delay = absl::Seconds(25);
   /// A node whose newest confirmation is older than this serves no request.
   Duration confirmation_limit = absl::Seconds(5);
@@ -110,7 +111,9 @@
   std::vector<StoreRow> rows;
 };
 
-/// The lagging machine list, or the seeds of the settings file. Only a hint.
+/// The lagging machine list (nodes with ids), with the seeds of the settings file (ids zero) or
+/// without. Each event replaces the earlier list. Only a hint, but one that counts when the
+/// majority of a group is silent: a voter that the list names may be alive (docs/design/002).
 struct PeersDiscovered {
   std::vector<NodeDescriptor> peers;
 };
--- a/src/core/authority/authority_impl.h
+++ b/src/core/authority/authority_impl.h
@@ -44,7 +44,7 @@
     bool wants_ownership = false;
   };
 
-  // authority_impl.cc: events, replica, leadership.
+  // authority_impl.cc: events and the replica. authority_leader.cc: what is named after leading.
   void OnEvent(const MessageArrived& event);
   void OnEvent(const LeaseRequested& event);
   void OnEvent(const CommandProposed& event);
@@ -80,7 +80,7 @@
   void AddNotice(std::string text);
   uint64_t NextCorrelation() { return ++last_correlation_; }
 
-  // authority_messages.cc: other nodes' messages and requests.
+  // authority_messages.cc: other nodes' messages. authority_requests.cc: leases and proposals.
   void OnMessage(const MessageArrived& event, const ReplicationMessage& message);
   void OnMessage(const MessageArrived& event, const NodeReport& message);
   void OnMessage(const MessageArrived& event, const NodeReportAck& message);
@@ -101,13 +101,16 @@
   void HandleProposal(const Command& command, uint32_t hops, RequestOrigin origin);
   void AnswerLeaseTo(const RequestOrigin& origin, const LeaseResponse& response);
   void AnswerProposalTo(const RequestOrigin& origin, const ProposalResult& result);
-  /// Passes a request on to the leader; false when there is none to pass it to.
-  bool PassOn(PeerBody body, uint32_t hops, RequestKind kind, RequestOrigin origin);
+  void PassLeaseOn(RelayedRequest request);
+  /// Another leader is known: what waits for an answer or for a leader is sent to it.
+  void ResendLeases();
+  /// False when there is no leader to pass it to.
+  bool PassProposalOn(const Command& command, uint32_t hops, const RequestOrigin& origin);
   RequestOrigin OriginOf(const MessageArrived& event) const;
   void Reply(const MessageArrived& event, PeerBody body);
   void Send(const NodeDescriptor& to, PeerBody body, uint64_t correlation = 0);
   void SendReport();
-  NodeReport MakeReport() const;
+  NodeReport MakeReport(bool with_load) const;
   bool ReporterMayStop(NodeId reporter) const;
   void SendPull();
   void ExpireRequests();
@@ -159,6 +162,8 @@
   // The leader as others named it, for a node whose replica does not know.
   NodeDescriptor reported_leader_;
   Time leader_acknowledged_ = absl::InfinitePast();
+  Time leader_changed_ = absl::InfinitePast();
+  NodeId leases_sent_to_;
 
   LoadObserved load_;
   Time load_observed_ = absl::InfinitePast();
@@ -177,6 +182,7 @@
   Time next_poll_;
   Time next_checkpoint_;
   Time next_transfer_;
+  Time next_load_report_ = absl::InfinitePast();
 };
 
 }  // namespace ladderstream::authority
--- a/src/core/authority/authority_messages.cc
+++ b/src/core/authority/authority_messages.cc
@@ -1,4 +1,4 @@
-// Messages from other nodes, and requests on their way to the leader.
+// Messages from other nodes, this node's reports and pulls.
 #include <algorithm>
 #include <utility>
 
@@ -8,14 +8,18 @@
 namespace ladderstream::authority {
 namespace {
 
-/// How often a request is passed on at most while nodes disagree about who leads.
-constexpr uint32_t kMaxHops = 3;
-/// How long a request that was passed on waits for its answer.
-constexpr Duration kRelayTimeout = absl::Seconds(1);
 /// Peers asked at once by a node that knows no leader.
 constexpr size_t kDiscoveryPeers = 6;
 /// Of a node's shards, the busiest that one report names.
 constexpr size_t kReportedShards = 16;
+/// A leader that has not acknowledged for so many report intervals may be lost: others are asked.
+constexpr double kSuspicion = 2.2;
+/// How often, and for how long, a node pulls after it learned of another leader: ownership is then
+/// likely to change.
+constexpr Duration kQuickPullInterval = absl::Milliseconds(100);
+constexpr Duration kQuickPullPeriod = absl::Seconds(3);
+/// Loads change slowly and take room: they go along with a report this often.
+constexpr Duration kLoadReportInterval = absl::Seconds(1);
 /// Load seen longer ago than this is not reported any more.
 constexpr Duration kLoadAge = absl::Seconds(3);
 /// Nodes not heard for this long are forgotten.
@@ -50,10 +54,18 @@
 }
 
 void Authority::Impl::OnMessage(const MessageArrived& event, const NodeReport& message) {
+  const bool newcomer = !nodes_.HeardSince(message.node.id, now_ - settings_.node_timeout);
   nodes_.NoteReport(message, now_);
   NodeReportAck ack;
   ack.from_leader = IsReadyLeader();
-  ack.leader = ack.from_leader ? settings_.self : KnownLeader();
+  if (!ack.from_leader) {
+    ack.leader = KnownLeader();
+  } else if (newcomer) {
+    ack.leader = settings_.self;
+  } else {
+    // Who reports regularly knows the rest.
+    ack.leader.id = settings_.self.id;
+  }
   ack.may_stop = ack.from_leader && message.leaving && ReporterMayStop(message.node.id);
   Reply(event, std::move(ack));
 }
@@ -70,18 +82,27 @@
   return !is_member && !is_home && !replica_->MembersChangeUnderWay();
 }
 
-void Authority::Impl::OnMessage(const MessageArrived& /*event*/, const NodeReportAck& message) {
+void Authority::Impl::OnMessage(const MessageArrived& event, const NodeReportAck& message) {
   if (message.leader.id == NodeId()) {
     return;
   }
   founding_.NoteLeader(now_);
-  nodes_.NoteDescriptor(message.leader);
+  if (message.leader.peer.port != 0) {
+    nodes_.NoteDescriptor(message.leader);
+  }
   if (message.from_leader) {
-    reported_leader_ = message.leader;
-    leader_acknowledged_ = now_;
+    const NodeDescriptor leader = Describe(event.from);
+    if (leader.peer.port != 0) {
+      if (leader.id != reported_leader_.id) {
+        leader_changed_ = now_;
+        next_pull_ = now_;
+      }
+      reported_leader_ = leader;
+      leader_acknowledged_ = now_;
+    }
   } else if (KnownLeader().id == NodeId() && message.leader.id != settings_.self.id) {
     // Asked at once; it counts as known only when it answers itself.
-    Send(message.leader, MakeReport(), NextCorrelation());
+    Send(message.leader, MakeReport(false), NextCorrelation());
   }
   if (message.may_stop && leaving_ && !may_stop_) {
     may_stop_ = true;
@@ -154,78 +175,6 @@
   HandleProposal(event.command, 0, {event.correlation, std::nullopt});
 }
 
-void Authority::Impl::HandleLease(const LeaseRequest& request, uint32_t hops,
-                                  const RequestOrigin& origin) {
-  if (!IsReadyLeader()) {
-    if (!PassOn(ForwardedLeaseRequest{request, hops + 1}, hops, RequestKind::kLease, origin)) {
-      AnswerLeaseTo(origin, LeaseResponse());
-    }
-    return;
-  }
-  if (request.applied_version.generation > replica_->generation()) {
-    AbandonReplica(request.applied_version.generation);
-    AnswerLeaseTo(origin, LeaseResponse());
-    return;
-  }
-  AnswerLeaseTo(origin, leases_.Answer(request, state_, replica_->LeaseRemaining(now_), now_));
-}
-
-void Authority::Impl::HandleProposal(const Command& command, uint32_t hops, RequestOrigin origin) {
-  if (!IsReadyLeader()) {
-    if (!PassOn(Proposal{command, hops + 1}, hops, RequestKind::kProposal, origin)) {
-      AnswerProposalTo(origin, ProposalResult());
-    }
-    return;
-  }
-  const auto index = replica_->Propose(Encode(command), now_);
-  if (!index) {
-    AnswerProposalTo(origin, ProposalResult());
-    return;
-  }
-  waiters_[*index] = {replica_->term(), std::move(origin)};
-}
-
-bool Authority::Impl::PassOn(PeerBody body, uint32_t hops, RequestKind kind, RequestOrigin origin) {
-  const NodeDescriptor leader = KnownLeader();
-  if (hops >= kMaxHops || leader.id == NodeId() || leader.id == settings_.self.id) {
-    return false;
-  }
-  const uint64_t correlation = NextCorrelation();
-  relay_.Add(correlation, {kind, std::move(origin), now_ + kRelayTimeout});
-  Send(leader, std::move(body), correlation);
-  return true;
-}
-
-void Authority::Impl::ExpireRequests() {
-  for (const RelayedRequest& request : relay_.TakeExpired(now_)) {
-    if (request.kind == RequestKind::kLease) {
-      AnswerLeaseTo(request.origin, LeaseResponse());
-    } else {
-      AnswerProposalTo(request.origin, {ResultCode::kPeerTimeout, GrantToken()});
-    }
-  }
-}
-
-void Authority::Impl::AnswerLeaseTo(const RequestOrigin& origin, const LeaseResponse& response) {
-  if (origin.peer) {
-    actions_.emplace_back(SendMessage{*origin.peer, origin.correlation, true, response});
-  } else {
-    actions_.emplace_back(AnswerLease{origin.correlation, response});
-  }
-}
-
-void Authority::Impl::AnswerProposalTo(const RequestOrigin& origin, const ProposalResult& result) {
-  if (origin.peer) {
-    actions_.emplace_back(SendMessage{*origin.peer, origin.correlation, true, result});
-  } else {
-    actions_.emplace_back(AnswerCommand{origin.correlation, result});
-  }
-}
-
-RequestOrigin Authority::Impl::OriginOf(const MessageArrived& event) const {
-  return {event.correlation, Describe(event.from)};
-}
-
 void Authority::Impl::Reply(const MessageArrived& event, PeerBody body) {
   actions_.emplace_back(
       SendMessage{Describe(event.from), event.correlation, true, std::move(body)});
@@ -235,12 +184,12 @@
   actions_.emplace_back(SendMessage{to, correlation, false, std::move(body)});
 }
 
-NodeReport Authority::Impl::MakeReport() const {
+NodeReport Authority::Impl::MakeReport(bool with_load) const {
   NodeReport report;
   report.node = settings_.self;
   report.revision_in_force = CurrentRevision();
   report.leaving = leaving_;
-  if (now_ - load_observed_ <= kLoadAge) {
+  if (with_load && now_ - load_observed_ <= kLoadAge) {
     report.backends = load_.backends;
     report.shards = load_.shards;
     const auto busier = [](const ShardLoad& left, const ShardLoad& right) {
@@ -254,23 +203,31 @@
 
 void Authority::Impl::SendReport() {
   next_report_ = now_ + settings_.report_interval;
-  nodes_.SetSelfReport(MakeReport());
+  nodes_.SetSelfReport(MakeReport(true));
   nodes_.ForgetBefore(now_ - kForgetNodes);
   if (IsReadyLeader()) {
     return;
   }
   const NodeDescriptor leader = KnownLeader();
   if (leader.id != NodeId() && leader.id != settings_.self.id) {
-    Send(leader, MakeReport(), NextCorrelation());
-    return;
+    const bool with_load = now_ >= next_load_report_;
+    if (with_load) {
+      next_load_report_ = now_ + kLoadReportInterval;
+    }
+    Send(leader, MakeReport(with_load), NextCorrelation());
+    const bool suspected = leader_acknowledged_ < now_ - kSuspicion * settings_.report_interval;
+    if (!suspected) {
+      return;
+    }
   }
   for (const NodeDescriptor& peer : nodes_.Sample(kDiscoveryPeers, random_)) {
-    Send(peer, MakeReport(), NextCorrelation());
+    Send(peer, MakeReport(false), NextCorrelation());
   }
 }
 
 void Authority::Impl::SendPull() {
-  next_pull_ = now_ + settings_.pull_interval;
+  const bool quick = !UsesReplicatedState() && now_ - leader_changed_ < kQuickPullPeriod;
+  next_pull_ = now_ + (quick ? kQuickPullInterval : settings_.pull_interval);
   const NodeDescriptor leader = KnownLeader();
   if (IsReadyLeader() || leader.id == NodeId() || leader.id == settings_.self.id) {
     return;
--- a/src/core/authority/authority_store.cc
+++ b/src/core/authority/authority_store.cc
@@ -13,7 +13,9 @@
 
 /// After this long without an answer a transaction counts as lost: its outcome is unknown.
 constexpr Duration kStoreTimeout = absl::Seconds(10);
-/// Nodes heard within this time may be founders, and are no lost voters.
+/// A machine list older than this proves nothing.
+constexpr Duration kListingAge = absl::Minutes(1);
+/// Nodes heard within this time may be founders.
 constexpr Duration kHeardLately = absl::Seconds(2);
 
 const StoreRow* FindRow(const StoreAnswered& answer, const std::string& key) {
@@ -63,6 +65,10 @@
     view.own_members = replica_->members();
   }
   view.take_own_snapshot = [this] { return state_.TakeSnapshot(); };
+  view.is_replaced = [this](const NodeDescriptor& node) { return nodes_.IsReplaced(node); };
+  view.is_unlisted = [this](const NodeDescriptor& node) {
+    return nodes_.IsUnlisted(node, now_ - kListingAge);
+  };
   for (const NodeRecord* node : nodes_.ReportedSince(now_ - kHeardLately)) {
     view.heard.push_back(node->descriptor);
   }
--- a/src/core/authority/founding.cc
+++ b/src/core/authority/founding.cc
@@ -7,6 +7,13 @@
 #include "wire/store_rows.h"
 
 namespace ladderstream::authority {
+namespace {
+
+/// Every voter was seen to be replaced by another process: no leader can be alive, and what is
+/// waited for is only that the new processes have heard of each other.
+constexpr Duration kRestartRecoveryDelay = absl::Seconds(3);
+
+}  // namespace
 
 std::string GroupRowKey(GroupId group) { return kGroupRowPrefix + std::to_string(group.value()); }
 
@@ -40,27 +47,33 @@
     row_unchanged_since_ = now;
   }
   const auto group = Decode<GroupRow>(row.value);
-  const bool leaderless = now - leader_heard_ >= settings_.recovery_delay;
-  const bool row_idle = now - row_unchanged_since_ >= settings_.recovery_delay;
   // The row is as old as the last write of a leader; a surviving replica may know better.
   const bool own_is_newer =
       view.own_generation == group.generation && view.own_version > group.checkpoint_version;
   const GroupMembers& members = own_is_newer ? view.own_members : group.members;
-  if (!leaderless || !row_idle || MajorityIsHeard(members, view)) {
+  const Duration silence = now - std::max(leader_heard_, row_unchanged_since_);
+  if (silence < DelayBeforeRecovery(members, view)) {
     return std::nullopt;
   }
   return ClaimNext(row, group, view);
 }
 
-bool Founding::MajorityIsHeard(const GroupMembers& members, const FoundingView& view) const {
-  const auto& voters = members.voters;
-  const auto is_heard = [&](const NodeDescriptor& voter) {
-    return voter.id == settings_.self.id ||
-           std::any_of(view.heard.begin(), view.heard.end(),
-                       [&](const NodeDescriptor& node) { return node.id == voter.id; });
-  };
-  const auto heard = static_cast<size_t>(std::count_if(voters.begin(), voters.end(), is_heard));
-  return heard > voters.size() / 2;
+Duration Founding::DelayBeforeRecovery(const GroupMembers& members,
+                                       const FoundingView& view) const {
+  size_t possibly_alive = 0;
+  bool all_replaced = true;
+  for (const NodeDescriptor& voter : members.voters) {
+    const bool replaced = view.is_replaced(voter);
+    all_replaced = all_replaced && replaced;
+    // This node's own vote does not count: it leaves the old generation with the claim.
+    const bool surely_gone = voter.id == settings_.self.id || replaced || view.is_unlisted(voter);
+    possibly_alive += surely_gone ? 0 : 1;
+  }
+  if (possibly_alive > members.voters.size() / 2) {
+    return absl::InfiniteDuration();
+  }
+  return all_replaced ? std::min(kRestartRecoveryDelay, settings_.recovery_delay)
+                      : settings_.recovery_delay;
 }
 
 std::optional<BeginGeneration> Founding::BeginIfFounder(const StoreRow& row,
--- a/src/core/authority/founding.h
+++ b/src/core/authority/founding.h
@@ -26,6 +26,10 @@
   std::function<std::string()> take_own_snapshot;
   /// Other nodes heard lately.
   std::vector<NodeDescriptor> heard;
+  /// Whether the node has ended: another process answers at its address, or the platform's machine
+  /// list does not name it any more. Silence alone proves nothing.
+  std::function<bool(const NodeDescriptor&)> is_replaced;
+  std::function<bool(const NodeDescriptor&)> is_unlisted;
 };
 
 /// Starts the replica of a founder.
@@ -62,7 +66,9 @@
                              const FoundingView& view) const;
   StoreTransaction ClaimWith(const StoreRow& stored, const GroupRow& row) const;
   std::vector<NodeDescriptor> ChooseFounders(const FoundingView& view) const;
-  bool MajorityIsHeard(const GroupMembers& members, const FoundingView& view) const;
+  /// How long leader and row must have been silent before the group counts as lost; infinite while
+  /// a majority of its voters may be alive.
+  Duration DelayBeforeRecovery(const GroupMembers& members, const FoundingView& view) const;
 
   const AuthoritySettings settings_;
   Time leader_heard_;
--- a/src/core/authority/group_row.h
+++ b/src/core/authority/group_row.h
@@ -16,7 +16,7 @@
 namespace ladderstream::authority {
 
 /// The largest checkpoint that is put into the row, in bytes; a table service bounds its rows. A
-/// larger one is left out: the row then keeps the earlier one.
+/// larger one is left out: a recovery then begins with the configuration row and free shards.
 inline constexpr size_t kMaxCheckpointBytes = 380 * 1024;
 
 struct GroupRow {
--- a/src/core/authority/leader_duties.cc
+++ b/src/core/authority/leader_duties.cc
@@ -42,7 +42,7 @@
   Commands commands;
   PlanNodes(state, nodes, now, commands);
   const bool may_rebalance = now - last_home_move_ >= kHomeMoveInterval;
-  const auto homes = PlanHomes(state, UsableNodes(nodes, self_leaving, now), may_rebalance);
+  const auto homes = PlanHomes(state, UsableNodes(state, nodes, self_leaving, now), may_rebalance);
   if (!homes.empty()) {
     last_home_move_ = now;
   }
@@ -55,18 +55,33 @@
   return commands;
 }
 
-std::vector<NodeDescriptor> LeaderDuties::UsableNodes(const NodeTable& nodes, bool self_leaving,
+bool LeaderDuties::AwaitsReports(Time now) const {
+  return now < term_began_ + settings_.node_timeout + settings_.report_interval;
+}
+
+std::vector<NodeDescriptor> LeaderDuties::UsableNodes(const OwnershipState& state,
+                                                      const NodeTable& nodes, bool self_leaving,
                                                       Time now) const {
-  std::vector<NodeDescriptor> usable;
-  if (!self_leaving) {
-    usable.push_back(settings_.self);
+  std::map<NodeId, NodeDescriptor> usable;
+  if (AwaitsReports(now)) {
+    usable = state.nodes();
   }
   for (const NodeRecord* node : nodes.ReportedSince(now - settings_.node_timeout)) {
-    if (!node->report->leaving) {
-      usable.push_back(node->descriptor);
+    usable[node->descriptor.id] = node->descriptor;
+    if (node->report->leaving) {
+      usable.erase(node->descriptor.id);
     }
   }
-  return usable;
+  usable[settings_.self.id] = settings_.self;
+  if (self_leaving) {
+    usable.erase(settings_.self.id);
+  }
+  std::vector<NodeDescriptor> all;
+  all.reserve(usable.size());
+  for (auto& [id, node] : usable) {
+    all.push_back(std::move(node));
+  }
+  return all;
 }
 
 void LeaderDuties::PlanNodes(const OwnershipState& state, const NodeTable& nodes, Time now,
@@ -79,8 +94,7 @@
       commands.emplace_back(AdmitNode{node->descriptor});
     }
   }
-  // A new leader has heard nobody yet; it gives every node the time to report.
-  if (now < term_began_ + settings_.node_timeout + settings_.report_interval) {
+  if (AwaitsReports(now)) {
     return;
   }
   for (const auto& [id, node] : state.nodes()) {
--- a/src/core/authority/leader_duties.h
+++ b/src/core/authority/leader_duties.h
@@ -26,10 +26,6 @@
   std::vector<Command> Plan(const OwnershipState& state, LeaseTable& leases, const NodeTable& nodes,
                             bool self_leaving, Time now);
 
-  /// Nodes that report, this one included unless `self_leaving`; those that are leaving excluded.
-  std::vector<NodeDescriptor> UsableNodes(const NodeTable& nodes, bool self_leaving,
-                                          Time now) const;
-
  private:
   using Commands = std::vector<Command>;
 
@@ -41,6 +37,13 @@
     size_t declared = 0;
   };
 
+  /// Nodes that may be homes: those that report and are not leaving, this one unless
+  /// `self_leaving`, and for a moment after the term began those that had reported to the earlier
+  /// leader.
+  std::vector<NodeDescriptor> UsableNodes(const OwnershipState& state, const NodeTable& nodes,
+                                          bool self_leaving, Time now) const;
+  /// Whether nodes that have not yet reported to this leader still count as alive.
+  bool AwaitsReports(Time now) const;
   void PlanNodes(const OwnershipState& state, const NodeTable& nodes, Time now, Commands& commands);
   void PlanBackends(const OwnershipState& state, LeaseTable& leases, Time now, Commands& commands);
   void PlanConfirmations(const OwnershipState& state, const LeaseTable& leases, Commands& commands);
--- a/src/core/authority/load_view.h
+++ b/src/core/authority/load_view.h
@@ -1,5 +1,5 @@
-// The load of shards and back ends as the leader adds it up from the nodes' reports, smoothed.
-// Not thread-safe.
+// The load of shards and back ends as the leader adds it up from the nodes' reports, smoothed. Not
+// thread-safe.
 #pragma once
 
 #include <map>
--- a/src/core/authority/node_table.cc
+++ b/src/core/authority/node_table.cc
@@ -5,6 +5,12 @@
 #include <utility>
 
 namespace ladderstream::authority {
+namespace {
+
+/// Loads reported longer ago than this say nothing any more.
+constexpr Duration kLoadAge = absl::Seconds(3);
+
+}  // namespace
 
 NodeTable::NodeTable(NodeDescriptor self) : self_(std::move(self)) {}
 
@@ -16,6 +22,40 @@
   }
 }
 
+void NodeTable::NoteListing(const std::vector<NodeDescriptor>& peers, Time now) {
+  AddHints(peers);
+  std::set<NodeId> listed;
+  for (const NodeDescriptor& peer : peers) {
+    if (peer.id != NodeId()) {
+      listed.insert(peer.id);
+    }
+  }
+  // An empty list says that the list is broken, not that no machine lives.
+  if (!listed.empty()) {
+    listed_ = std::move(listed);
+    listed_at_ = now;
+  }
+}
+
+bool NodeTable::IsReplaced(const NodeDescriptor& node) const {
+  if (node.peer == self_.peer) {
+    return node.id != self_.id;
+  }
+  const auto takes_its_place = [&node](const auto& item) {
+    const NodeRecord& record = item.second;
+    return record.report.has_value() && record.descriptor.peer == node.peer &&
+           record.descriptor.id != node.id;
+  };
+  const NodeRecord* const record = Find(node.id);
+  const Time last = record == nullptr ? absl::InfinitePast() : record->last_heard;
+  const auto later = std::find_if(nodes_.begin(), nodes_.end(), takes_its_place);
+  return later != nodes_.end() && later->second.last_heard > last;
+}
+
+bool NodeTable::IsUnlisted(const NodeDescriptor& node, Time since) const {
+  return listed_at_ >= since && !listed_.contains(node.id);
+}
+
 void NodeTable::NoteHeard(NodeId node, Time now) {
   const auto found = nodes_.find(node);
   if (found != nodes_.end()) {
@@ -26,7 +66,15 @@
 void NodeTable::NoteReport(const NodeReport& report, Time now) {
   NoteDescriptor(report.node);
   NodeRecord& record = nodes_[report.node.id];
-  record.report = report;
+  const bool has_load = !report.shards.empty() || !report.backends.empty();
+  NodeReport kept = report;
+  if (has_load) {
+    record.last_load = now;
+  } else if (record.report && now - record.last_load <= kLoadAge) {
+    kept.shards = record.report->shards;
+    kept.backends = record.report->backends;
+  }
+  record.report = std::move(kept);
   record.last_report = now;
   record.last_heard = now;
 }
--- a/src/core/authority/node_table.h
+++ b/src/core/authority/node_table.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -15,9 +16,11 @@
 struct NodeRecord {
   NodeDescriptor descriptor;
   Time last_heard = absl::InfinitePast();
-  /// The newest report, if the node sent one here.
+  /// The newest report, if the node sent one here. Keeps the loads of the last one that had any:
+  /// nodes do not send them every time.
   std::optional<NodeReport> report;
   Time last_report = absl::InfinitePast();
+  Time last_load = absl::InfinitePast();
 };
 
 class NodeTable {
@@ -26,6 +29,8 @@
 
   /// Endpoints worth asking; ids may be zero when not known.
   void AddHints(const std::vector<NodeDescriptor>& peers);
+  /// What the platform's machine list (nodes with ids) and the settings file (without) name now.
+  void NoteListing(const std::vector<NodeDescriptor>& peers, Time now);
   /// A message came from `node`.
   void NoteHeard(NodeId node, Time now);
   void NoteReport(const NodeReport& report, Time now);
@@ -37,6 +42,10 @@
 
   const NodeRecord* Find(NodeId node) const;
   bool HeardSince(NodeId node, Time since) const;
+  /// Whether another process answers at the node's address: the node has surely ended.
+  bool IsReplaced(const NodeDescriptor& node) const;
+  /// Whether the platform's machine list, read at `since` or later, does not name the node.
+  bool IsUnlisted(const NodeDescriptor& node, Time since) const;
   /// Nodes, this one excluded, whose report came at `since` or later.
   std::vector<const NodeRecord*> ReportedSince(Time since) const;
   /// The reports of those, and this node's own.
@@ -51,6 +60,8 @@
   NodeReport self_report_;
   std::map<NodeId, NodeRecord> nodes_;
   std::map<Endpoint, NodeDescriptor> hints_;
+  std::set<NodeId> listed_;
+  Time listed_at_ = absl::InfinitePast();
 };
 
 }  // namespace ladderstream::authority
--- a/src/core/authority/request_relay.cc
+++ b/src/core/authority/request_relay.cc
@@ -20,16 +20,25 @@
 }
 
 std::vector<RelayedRequest> RequestRelay::TakeExpired(Time now) {
-  std::vector<RelayedRequest> expired;
+  return TakeIf([now](const RelayedRequest& request) { return request.deadline <= now; });
+}
+
+std::vector<RelayedRequest> RequestRelay::TakeLeases() {
+  return TakeIf([](const RelayedRequest& request) { return request.kind == RequestKind::kLease; });
+}
+
+std::vector<RelayedRequest> RequestRelay::TakeIf(
+    const std::function<bool(const RelayedRequest&)>& wanted) {
+  std::vector<RelayedRequest> taken;
   for (auto request = requests_.begin(); request != requests_.end();) {
-    if (request->second.deadline <= now) {
-      expired.push_back(std::move(request->second));
+    if (wanted(request->second)) {
+      taken.push_back(std::move(request->second));
       request = requests_.erase(request);
     } else {
       ++request;
     }
   }
-  return expired;
+  return taken;
 }
 
 Time RequestRelay::NextDeadline() const {
--- a/src/core/authority/request_relay.h
+++ b/src/core/authority/request_relay.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
 
 #include "wire/identifiers.h"
+#include "wire/ownership.h"
 #include "wire/time.h"
 
 namespace ladderstream::authority {
@@ -26,19 +28,26 @@
   RequestKind kind = RequestKind::kLease;
   RequestOrigin origin;
   Time deadline;
+  /// Of a lease request, so that it can be sent again when another leader is known: asking twice
+  /// does no harm.
+  LeaseRequest lease;
+  uint32_t hops = 0;
 };
 
-/// Requests passed on, by the number under which they were.
+/// Requests passed on, or waiting for a leader to be known, by the number under which they are.
 class RequestRelay {
  public:
   void Add(uint64_t correlation, RelayedRequest request);
   std::optional<RelayedRequest> Take(uint64_t correlation);
+  std::vector<RelayedRequest> TakeLeases();
   /// Those whose answer did not come in time.
   std::vector<RelayedRequest> TakeExpired(Time now);
   /// InfiniteFuture when empty.
   Time NextDeadline() const;
 
  private:
+  std::vector<RelayedRequest> TakeIf(const std::function<bool(const RelayedRequest&)>& wanted);
+
   std::map<uint64_t, RelayedRequest> requests_;
 };
 
--- a/src/core/authority/settings.cc
+++ b/src/core/authority/settings.cc
@@ -67,7 +67,8 @@
       absl::StrCat("two thirds of backend_lease (", Text(settings.backend_lease),
                    ") must outlast an election (election_timeout_max ",
                    Text(timing.election_timeout_max),
-                   " plus heartbeat_interval), or a lost leader costs keys their owners"));
+                   " plus heartbeat_interval), or a lost leader costs keys "
+                   "their owners"));
   const Duration home_lost = settings.node_timeout + settings.pull_interval;
   faults.Require(home_lost + kRecoverySlack <= kRecoveryTarget,
                  absl::StrCat("node_timeout plus pull_interval (", Text(home_lost),
--- a/tests/unit/authority/cluster.h
+++ b/tests/unit/authority/cluster.h
@@ -51,6 +51,8 @@
   bool alive = true;
   /// Messages to and from it are lost, but back ends and the store reach it.
   bool cut = false;
+  /// The store refuses everything it asks.
+  bool store_cut = false;
   bool may_stop = false;
 };
 
@@ -64,6 +66,10 @@
   size_t StartNode(const std::string& zone);
   /// Ends the node; one that starts again is another node.
   void KillNode(size_t node);
+  /// Starts another node at the address of a killed one. Gives its index.
+  size_t RestartNode(size_t node);
+  /// Tells every living node the machine list, which names just the living.
+  void AnnounceMachines();
   /// Asks the node to stop; it goes on until it says that it may.
   void Stop(size_t node);
   size_t AddBackend(const std::string& service, const std::string& zone);
@@ -87,6 +93,7 @@
   const Assignment* FindAssignment(size_t node, const ShardId& shard);
   Time now() const { return now_; }
 
+  /// Index counts up over restarts.
   std::vector<SimulatedNode> nodes;
   std::vector<SimulatedBackend> backends;
   SimulatedStore store;
@@ -101,6 +108,7 @@
  private:
   void Step();
   void At(Duration delay, std::function<void()> action);
+  size_t StartAt(const std::string& zone, uint16_t port);
   void TickNode(size_t node);
   void Deliver(size_t node, const Event& event);
   void Take(size_t node, const std::vector<Action>& actions);
--- a/tests/unit/authority/confirmation_test.cc
+++ b/tests/unit/authority/confirmation_test.cc
@@ -1,4 +1,5 @@
 // A node serves only by a configuration that it can still confirm, and never goes back.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "cluster.h"
@@ -94,6 +95,32 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(observers_learn_the_new_owners_when_owner_and_leader_are_lost) {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    RunningCluster cluster(seed);
+    for (int i = 0; i < 3; ++i) {
+      cluster.StartNode("brest");
+    }
+    cluster.Run(absl::Seconds(3));
+    const BackendId lost = cluster.backends[0].configuration.id;
+    cluster.backends[0].alive = false;
+    cluster.KillNode(*cluster.Leader());
+    const auto knows = [&](const SimulatedNode& node) {
+      if (!node.alive) {
+        return true;
+      }
+      const RoutingState routing = node.authority->routing_state(cluster.now());
+      return std::none_of(routing.assignments.begin(), routing.assignments.end(),
+                          [&](const Assignment& item) {
+                            return item.owner == lost || item.state != AssignmentState::kOwned;
+                          });
+    };
+    BOOST_TEST(cluster.RunUntil(
+        [&] { return std::all_of(cluster.nodes.begin(), cluster.nodes.end(), knows); },
+        absl::Seconds(2)));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(observers_follow_ownership_by_pulls) {
   RunningCluster cluster;
   for (int i = 0; i < 3; ++i) {
--- a/tests/unit/authority/operation_test.cc
+++ b/tests/unit/authority/operation_test.cc
@@ -38,6 +38,15 @@
   BOOST_TEST(cluster.two_owners == 0);
 }
 
+BOOST_AUTO_TEST_CASE(what_only_the_leader_knows_is_not_taken_from_others) {
+  RunningCluster cluster;
+  const SimulatedBackend& backend = cluster.backends[0];
+  const ExpireBackend expire{backend.configuration.id, backend.incarnation};
+  BOOST_TEST(
+      (cluster.Propose(cluster.Follower(), expire, absl::Seconds(1)) == ResultCode::kMoveRefused));
+  BOOST_TEST(!cluster.ServedBy(0).empty());
+}
+
 BOOST_AUTO_TEST_CASE(move_to_a_lost_owner_falls_back_to_placement) {
   RunningCluster cluster;
   const size_t owner = ServerOf(cluster, Range(5));
--- a/tests/unit/authority/takeover_test.cc
+++ b/tests/unit/authority/takeover_test.cc
@@ -121,6 +121,22 @@
   BOOST_TEST((assignment != nullptr && assignment->token.generation == 1));
 }
 
+BOOST_AUTO_TEST_CASE(new_leader_leaves_the_homes_of_living_nodes_alone) {
+  RunningCluster cluster;
+  const size_t lost = *cluster.Leader();
+  const NodeId gone = cluster.nodes[lost].descriptor.id;
+  const size_t watcher = cluster.Follower();
+  const auto before = cluster.nodes[watcher].authority->routing_state(cluster.now()).homes;
+  cluster.KillNode(lost);
+  cluster.Run(kRecovery);
+  const auto after = cluster.nodes[watcher].authority->routing_state(cluster.now()).homes;
+  BOOST_REQUIRE(after.size() == before.size());
+  for (size_t i = 0; i < before.size(); ++i) {
+    const bool must_move = before[i].home.id == gone;
+    BOOST_TEST((after[i].home.id == before[i].home.id) == !must_move);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(home_of_a_lost_node_moves) {
   RunningCluster cluster;
   const size_t lost = cluster.Follower();
