Let back ends gather only before a service's very first assignment

Cause: waiting for back ends to gather whenever nothing of a service is owned made a service that lost all its owners wait up to 3 s more.

Change: the wait holds only while no shard of the service was ever owned; a free shard of a recovered checkpoint keeps its (empty) token, so that it counts as never owned.

--- a/src/core/authority/leader_duties.cc
+++ b/src/core/authority/leader_duties.cc
@@ -12,8 +12,8 @@
 constexpr Duration kPlacementInterval = absl::Seconds(1);
 /// How often placement is asked again about free shards that it could not place.
 constexpr Duration kFreeShardInterval = absl::Milliseconds(50);
-/// A service of which nothing is owned gets its first owners when its back ends have been the same
-/// for this long, so that those declared one after another all get their share at once ...
+/// A service of which nothing was ever owned gets its first owners when its back ends have been the
+/// same for this long, so that those declared one after another all get their share at once ...
 constexpr Duration kSettlingTime = absl::Milliseconds(400);
 /// ... but no later than this after the first of them is live.
 constexpr Duration kLongestSettling = absl::Seconds(3);
@@ -165,7 +165,7 @@
 void LeaderDuties::PlanService(const ServiceConfiguration& service, const OwnershipState& state,
                                const LeaseTable& leases, Time now, Commands& commands) {
   placement::PlacementInput input = InputFor(service, state, leases, now);
-  if (IsSettling(input, now)) {
+  if (!WasEverOwned(service.name, state) && IsSettling(input, now)) {
     return;
   }
   placement::PlacementPolicyPtr& policy = policies_[service.name];
@@ -233,13 +233,18 @@
   return input;
 }
 
-bool LeaderDuties::IsSettling(const placement::PlacementInput& input, Time now) {
-  const bool owned = std::any_of(input.shards.begin(), input.shards.end(),
-                                 [](const auto& shard) { return shard.owner != BackendId(); });
-  if (owned) {
-    settling_.erase(input.service.name);
-    return false;
+bool LeaderDuties::WasEverOwned(const ServiceName& service, const OwnershipState& state) const {
+  const auto& assignments = state.assignments();
+  auto item = assignments.lower_bound(ShardId{service, RangeIndex(0), ""});
+  for (; item != assignments.end() && item->first.service == service; ++item) {
+    if (item->second.token != GrantToken()) {
+      return true;
+    }
   }
+  return false;
+}
+
+bool LeaderDuties::IsSettling(const placement::PlacementInput& input, Time now) {
   const size_t live =
       std::count_if(input.backends.begin(), input.backends.end(),
                     [](const placement::BackendView& backend) { return backend.live; });
--- a/src/core/authority/leader_duties.h
+++ b/src/core/authority/leader_duties.h
@@ -29,7 +29,7 @@
  private:
   using Commands = std::vector<Command>;
 
-  /// A service of which nothing is owned, while its back ends gather.
+  /// A service of which nothing was ever owned, while its back ends gather.
   struct Settling {
     Time began;
     Time changed;
@@ -55,8 +55,9 @@
   placement::PlacementInput InputFor(const ServiceConfiguration& service,
                                      const OwnershipState& state, const LeaseTable& leases,
                                      Time now) const;
-  /// A service of which nothing is owned waits a moment for its back ends, so that the first to
-  /// come is not given everything.
+  bool WasEverOwned(const ServiceName& service, const OwnershipState& state) const;
+  /// A service of which nothing was ever owned waits a moment for its back ends, so that the first
+  /// to come is not given everything.
   bool IsSettling(const placement::PlacementInput& input, Time now);
 
   const AuthoritySettings settings_;
--- a/src/core/authority/ownership_queries.cc
+++ b/src/core/authority/ownership_queries.cc
@@ -75,7 +75,9 @@
     all.push_back(assignment);
   }
   for (Assignment& assignment : all) {
-    assignment.token = version_;
+    if (assignment.state != AssignmentState::kFree) {
+      assignment.token = version_;
+    }
     Put(std::move(assignment));
   }
   for (auto& [id, record] : backends_) {
--- a/tests/unit/authority/takeover_test.cc
+++ b/tests/unit/authority/takeover_test.cc
@@ -121,6 +121,17 @@
   BOOST_TEST((assignment != nullptr && assignment->token.generation == 1));
 }
 
+BOOST_AUTO_TEST_CASE(lost_owners_of_a_whole_service_are_replaced_at_once) {
+  RunningCluster cluster;
+  for (SimulatedBackend& backend : cluster.backends) {
+    backend.alive = false;
+  }
+  cluster.Run(absl::Seconds(3));
+  cluster.RestartBackend(0);
+  // One back end asks, is admitted, asks again: no waiting for others to gather.
+  BOOST_TEST(cluster.RunUntil([&] { return cluster.AllServed(); }, absl::Milliseconds(400)));
+}
+
 BOOST_AUTO_TEST_CASE(new_leader_leaves_the_homes_of_living_nodes_alone) {
   RunningCluster cluster;
   const size_t lost = *cluster.Leader();
