Replay recorded traces against stated outcomes

Cause: chaos runs differ from one to the next; regressions of ownership, placement and routing need the same verdict every time.

--- a/src/rehearsal/program/main.cc
+++ b/src/rehearsal/program/main.cc
@@ -18,6 +18,7 @@
 DEFINE_uint32(nodes_per_zone, 1, "nodes in each of the three zones");
 DEFINE_bool(caller_delays, true, "delay what callers send and get, as the deployment has it");
 DEFINE_bool(keep_files, false, "leave settings, logs and records in place");
+DEFINE_string(record_trace, "", "write the run as a trace to this file, for ladderstream_replay");
 DEFINE_string(binaries, "", "where the programs are; empty: beside this one");
 
 namespace ladderstream::rehearsal {
@@ -48,6 +49,8 @@
   settings.seed = FLAGS_seed;
   settings.rate = FLAGS_rate;
   settings.keep_files = FLAGS_keep_files;
+  settings.trace_file = FLAGS_record_trace;
+  settings.scenario = FLAGS_scenario;
   return settings;
 }
 
--- a/src/rehearsal/rehearsal.cc
+++ b/src/rehearsal/rehearsal.cc
@@ -1,5 +1,6 @@
 #include "rehearsal/rehearsal.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 #include <absl/time/clock.h>
@@ -10,6 +11,7 @@
 #include <fstream>
 
 #include "rehearsal/report.h"
+#include "rehearsal/trace.h"
 #include "standin/support/boot_time.h"
 #include "wire/result_code.h"
 
@@ -138,6 +140,36 @@
   reported_ = now;
 }
 
+void Rehearsal::NoteFault(Fault fault, absl::Duration length) {
+  fault.from = BootTimeNow() - started_;
+  fault.until = fault.from + length;
+  faults_.push_back(std::move(fault));
+}
+
+void Rehearsal::WriteTraceOf(const CallerLog& calls) const {
+  const DeploymentSpec& deployment = settings_.cluster.deployment;
+  Trace trace;
+  trace.header = {.deployment = deployment.name,
+                  .nodes = static_cast<uint32_t>(cluster_.NodeNames().size()),
+                  .length = settings_.length,
+                  .origin = absl::StrCat("recorded from processes, scenario ", settings_.scenario,
+                                         ", seed ", settings_.seed),
+                  .seed = settings_.seed};
+  BatchCollector batches;
+  for (const CallAttempt& attempt : calls) {
+    uint32_t key = 0;
+    const std::string number = attempt.key.substr(attempt.key.rfind('-') + 1);
+    const bool first = attempt.attempt == 1 && !attempt.probe && attempt.due >= started_;
+    if (first && absl::SimpleAtoi(number, &key)) {
+      batches.Add(attempt.due - started_, attempt.service, attempt.request, key);
+    }
+  }
+  trace.batches = batches.Take();
+  trace.faults = faults_;
+  std::ofstream file(settings_.trace_file);
+  WriteTrace(trace, file);
+}
+
 Verdict Rehearsal::Finish() {
   CallerLog calls = load_->Stop();
   if (settings_.keep_files) {
@@ -146,6 +178,9 @@
       file << ToJsonLine(attempt) << "\n";
     }
   }
+  if (!settings_.trace_file.empty()) {
+    WriteTraceOf(calls);
+  }
   cluster_.End();
   Verdict verdict = Judge(cluster_.CollectEvidence(std::move(calls)));
   Say(VerdictTable(verdict));
--- a/src/rehearsal/rehearsal.h
+++ b/src/rehearsal/rehearsal.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "rehearsal/cluster.h"
+#include "rehearsal/fault_schedule.h"
 #include "rehearsal/judge.h"
 #include "rehearsal/load_generator.h"
 
@@ -36,6 +37,10 @@
   uint32_t probes_per_service = 4;
   /// Leaves logs and records in place.
   bool keep_files = false;
+  /// Where the run is written as a trace, to be replayed on simulated time; nowhere when empty.
+  std::string trace_file;
+  /// Named in the trace.
+  std::string scenario;
 };
 
 /// Used on one thread.
@@ -61,8 +66,12 @@
 
   void Say(const std::string& line);
 
+  /// Records for the trace that a fault begins now and lasts for `length`.
+  void NoteFault(Fault fault, absl::Duration length);
+
  private:
   void TakeStep(const Step& step);
+  void WriteTraceOf(const CallerLog& calls) const;
   void Report();
 
   const RehearsalSettings settings_;
@@ -72,6 +81,7 @@
   std::unique_ptr<LoadGenerator> load_;
   absl::Time started_;
   absl::Time reported_;
+  std::vector<Fault> faults_;
 };
 
 /// Lets SIGINT and SIGTERM end a run in good order. Call once, at the start of the program.
