Keep a rehearsal's ports from other rehearsals, and move the fault found in a request

Cause of the first: one of four integration runs failed because a back end never answered on its port; the run's logs were not kept, so that two runs chose one port is the likely cause, not a proven one. Other test programs ran beside it. A port was checked and then released until its server listened. Change: the allocator holds the UDP side of each port it gave.

--- a/src/daemon/router/request_validation.cc
+++ b/src/daemon/router/request_validation.cc
@@ -49,7 +49,7 @@
         ResultCode::kRequestNotDeclared,
         absl::StrCat("the service declares no request \"", request.request, "\"")};
   }
-  if (const auto fault = FindKeyFault(*service, request.key)) {
+  if (auto fault = FindKeyFault(*service, request.key)) {
     return fault;
   }
   if (request.body.size() > configuration.limits.max_body_bytes) {
--- a/src/rehearsal/ports.cc
+++ b/src/rehearsal/ports.cc
@@ -23,27 +23,45 @@
 constexpr uint16_t kHighestPort = 32000;
 constexpr int kMaxTries = 10000;
 
-bool CanBind(uint16_t port) {
-  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+/// Binds a socket of the type to the loopback port; negative when that is not possible.
+int BindLoopback(int type, uint16_t port) {
+  const int descriptor = socket(AF_INET, type | SOCK_CLOEXEC, 0);
   if (descriptor < 0) {
-    return false;
+    return descriptor;
   }
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
   inet_pton(AF_INET, kLoopback, &address.sin_addr);
-  const int result = bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+    close(descriptor);
+    return -1;
+  }
+  return descriptor;
+}
+
+/// Whether a server could listen on the port now.
+bool CanListen(uint16_t port) {
+  const int descriptor = BindLoopback(SOCK_STREAM, port);
+  if (descriptor < 0) {
+    return false;
+  }
   close(descriptor);
-  return result == 0;
+  return true;
 }
 
+/// Keeps the port from other rehearsals on this machine for as long as this process lives: between
+/// the choice of a port and the moment its server listens, another might choose it as well. UDP
+/// ports are apart from the TCP ports that the servers use.
+bool Reserve(uint16_t port) { return BindLoopback(SOCK_DGRAM, port) >= 0; }
+
 class PortAllocator {
  public:
   uint16_t Take() {
     const absl::MutexLock lock(&mutex_);
     for (int i = 0; i < kMaxTries; ++i) {
       const uint16_t port = distribution_(random_);
-      if (!taken_.contains(port) && CanBind(port)) {
+      if (!taken_.contains(port) && CanListen(port) && Reserve(port)) {
         taken_.insert(port);
         return port;
       }
--- a/tests/unit/rehearsal/process_group_test.cc
+++ b/tests/unit/rehearsal/process_group_test.cc
@@ -1,5 +1,9 @@
 #include "rehearsal/process_group.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <filesystem>
@@ -95,6 +99,18 @@
   BOOST_TEST(ports.size() == kCount);
 }
 
+BOOST_AUTO_TEST_CASE(keeps_a_port_from_other_processes_that_look_for_one) {
+  const uint16_t port = FreePort();
+  // Another process takes a port only if it can bind its UDP side.
+  const int descriptor = socket(AF_INET, SOCK_DGRAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  BOOST_TEST(bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0);
+  close(descriptor);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
