--- a/src/core/authority/ownership_state.cc
+++ b/src/core/authority/ownership_state.cc
@@ -271,8 +271,8 @@
   if (!together) {
     return ResultCode::kMoveRefused;
   }
-  // The range's grant now covers the key again. Under its old token it would be older than the key's
-  // last grant, and the order of tokens would no longer be the order of owners.
+  // The range's grant now covers the key again. Under its old token it would be older than the
+  // key's last grant, and the order of tokens would no longer be the order of owners.
   Assignment merged = *range;
   merged.token = version_;
   MarkGrantsChanged(merged.owner);
