--- a/tests/unit/daemon_router/data_path_test.cc
+++ b/tests/unit/daemon_router/data_path_test.cc
@@ -192,6 +192,7 @@
   fixture.AddBackend("b-1", "scripts", backend.endpoint(), fixture.self);
   std::atomic<int> answered{0};
   std::vector<std::thread> callers;
+  callers.reserve(20);
   for (int i = 0; i < 20; ++i) {
     callers.emplace_back([&] {
       for (int j = 0; j < 5; ++j) {
--- a/tests/unit/daemon_router/upstream_test.cc
+++ b/tests/unit/daemon_router/upstream_test.cc
@@ -38,7 +38,7 @@
 ForwardResponse AnswerTo(const RawBackend::Reply& reply) {
   UpstreamFixture fixture;
   RawBackend backend([reply](const std::string&) { return reply; });
-  const ForwardResponse response = fixture.Exchange(backend.endpoint());
+  ForwardResponse response = fixture.Exchange(backend.endpoint());
   // Whatever came back, the request was sent just once.
   BOOST_TEST(backend.requests().size() == 1U);
   return response;
--- a/tests/unit/health/health_test.cc
+++ b/tests/unit/health/health_test.cc
@@ -63,6 +63,7 @@
 
 std::vector<const BackendHealth*> Pointers(const std::vector<BackendHealth>& group) {
   std::vector<const BackendHealth*> pointers;
+  pointers.reserve(group.size());
   for (const BackendHealth& member : group) {
     pointers.push_back(&member);
   }
