--- /dev/null
+++ b/src/core/forwarding/dispatcher.h
@@ -0,0 +1,183 @@
+// Decides what happens to each request: which back end gets it, when it is sent again, and how it
+// is answered when no back end's answer can be passed on.
+//
+// Pure: events and time in, decisions out; no I/O, no thread, no clock. The data path owns one
+// Dispatcher for the node and tells it everything that happens to each attempt.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "core/catalog/catalog.h"
+#include "core/ownership/ownership_map.h"
+#include "core/partition/partitioner.h"
+#include "wire/result_code.h"
+#include "wire/time.h"
+
+namespace ladderstream::forwarding {
+
+/// Names one request on this node, from Start to its final decision.
+using RequestHandle = uint64_t;
+/// Names one attempt of a request at one back end.
+using AttemptHandle = uint64_t;
+
+struct DispatcherSettings {
+  std::string zone;
+  /// The nodes among whom the retry budget is shared; kept current by SetNodeCount.
+  uint32_t node_count = 1;
+  /// All nodes' attempts beyond the first of each request, within `budget_window`, stay below
+  /// this share of the requests plus `budget_slack`.
+  double budget_ratio = 0.2;
+  double budget_slack = 60;
+  Duration budget_window = absl::Seconds(10);
+  /// After a registration disappears or says "draining", no new work goes there after this.
+  Duration drain_grace = absl::ZeroDuration();
+  /// A registration that disappears while the store is troubled is believed only after this.
+  Duration lapse_grace = absl::Milliseconds(1500);
+  /// How long a request may wait for a moving key or a free slot, as a share of its target latency.
+  double patience_share = 0.25;
+  /// What a caller's deadline is cut by, to leave time for the answer's way back.
+  Duration answer_margin = absl::Milliseconds(5);
+};
+
+struct IncomingRequest {
+  std::string_view request_id;
+  std::string_view host;
+  /// Path and query.
+  std::string_view target;
+  /// Sharded services only.
+  std::optional<ownership::Key> key;
+  Time arrival;
+  /// When the caller stops waiting; infinite when it did not say.
+  Time deadline;
+};
+
+/// Send to this back end. `attempt` comes back in every event about it.
+struct SendDecision {
+  AttemptHandle attempt = 0;
+  std::string backend;
+  Endpoint address;
+  /// Give the connection up if it is not established by then; the request has not left.
+  Time connect_by;
+  /// What to announce to the back end as time left, and when to give up waiting for the answer.
+  Time answer_by;
+};
+/// Drop this attempt: close its connection, and expect no event about it.
+struct CancelDecision {
+  AttemptHandle attempt = 0;
+};
+/// Pass the answer of this attempt on, unchanged. Final.
+struct RelayDecision {
+  AttemptHandle attempt = 0;
+};
+/// Answer from here. Final.
+struct AnswerDecision {
+  int status = 503;
+  ResultCode code = ResultCode::kOk;
+  /// When the caller should come back; zero when it should not.
+  Duration retry_after;
+  /// For the log: what decided it.
+  std::string reason;
+};
+using Decision = std::variant<SendDecision, CancelDecision, RelayDecision, AnswerDecision>;
+
+struct RequestDecision {
+  RequestHandle request = 0;
+  Decision decision;
+};
+
+/// Why an attempt ended without an answer that can be passed on.
+enum class AttemptFailure {
+  /// The connection was refused; nothing left.
+  kConnectRefused,
+  /// No connection was made in time; nothing left.
+  kConnectTimeout,
+  /// A reused connection was found closed before a byte of the request was written.
+  kNotSent,
+  /// The request may have left; then the connection was reset or closed, or the bytes were no
+  /// answer, belonged to another request, or were cut short.
+  kLost,
+  /// No answer by `answer_by`.
+  kTimedOut,
+};
+
+/// A back end's answer, as far as it matters for decisions.
+struct AttemptAnswer {
+  int status = 0;
+  /// The back end says that it did not run the request.
+  bool not_executed = false;
+  /// Told load; slots 0 when it told none.
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  uint32_t slots = 0;
+  /// It will take no more requests on this connection.
+  bool closing = false;
+};
+
+/// What the dispatcher saw since the last TakeLoad, for the coordinator.
+struct ServiceLoad {
+  std::string service;
+  std::vector<partition::KeyCount> keys;
+  std::vector<partition::ServiceTimeSample> samples;
+  /// A key whose owner said that it does not own it.
+  std::optional<ownership::Key> denied_key;
+};
+
+/// A change of what the dispatcher believes of a back end, for the log.
+struct BackendBelief {
+  std::string backend;
+  std::string event;
+  std::string detail;
+};
+
+class Dispatcher {
+ public:
+  explicit Dispatcher(const DispatcherSettings& settings);
+  ~Dispatcher();
+
+  void SetConfiguration(std::shared_ptr<const catalog::Configuration> configuration, Time now);
+  /// All registered back ends, whenever one changes. `store_troubled`: the store was not well
+  /// lately, so a missing registration may have lapsed by mistake.
+  void SetBackends(const std::vector<catalog::Backend>& backends, bool store_troubled, Time now);
+  /// Null or stale (see SetMapConfirmed) maps make keyed requests fail with kNoOwner.
+  void SetOwnership(std::shared_ptr<const ownership::OwnershipMap> map, Time now);
+  /// The map in force is known to be the newest as of `now`; it may be used until `until`.
+  void SetMapConfirmed(Time until);
+  void SetNodeCount(uint32_t node_count);
+  /// New requests are still served; answers tell callers to go elsewhere (see caller I/O).
+  void SetStopping();
+
+  /// The route of a request; null when there is none, or when no configuration is known.
+  const catalog::Route* FindRoute(std::string_view host, std::string_view target) const;
+
+  /// A whole request was read. Decisions about it, also final ones, come from TakeDecisions.
+  RequestHandle Start(const IncomingRequest& request, Time now);
+  /// The caller has gone: cancels what may be cancelled, forgets the rest.
+  void OnCallerGone(RequestHandle request, Time now);
+
+  /// The request was written to the connection, whole or in part.
+  void OnSent(AttemptHandle attempt, Time now);
+  void OnAttemptAnswer(AttemptHandle attempt, const AttemptAnswer& answer, Time now);
+  void OnAttemptFailure(AttemptHandle attempt, AttemptFailure failure, Time now);
+  /// To be called at or soon after NextWake().
+  void OnTick(Time now);
+
+  std::vector<RequestDecision> TakeDecisions();
+  Time NextWake() const;
+
+  std::vector<ServiceLoad> TakeLoad();
+  std::vector<BackendBelief> TakeBeliefs();
+  /// Whether every service that has a route has a back end or an owner to send to.
+  bool CanServe(Time now) const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/membership/messages.h
@@ -0,0 +1,103 @@
+// Messages between nodes, as msgpack. docs/design/014 describes the exchange.
+//
+// A node reports to the coordinator at an interval; the coordinator answers each report with a
+// heartbeat and pushes a heartbeat whenever the map changes. A node that the metadata store turns
+// away asks any other node for what it missed.
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/ownership/coordinator.h"
+#include "core/ownership/ownership_map.h"
+#include "wire/identifiers.h"
+#include "wire/variant.h"
+
+namespace ladderstream::membership {
+
+struct PeerIdentity {
+  uint64_t incarnation = 0;
+  std::string name;
+  std::string zone;
+  Endpoint address;
+  bool operator==(const PeerIdentity&) const = default;
+  MSGPACK_DEFINE_ARRAY(incarnation, name, zone, address);
+};
+
+/// One service's load since the sender's last report.
+struct LoadReport {
+  std::string service;
+  std::vector<uint32_t> keys;
+  std::vector<float> counts;
+  std::vector<std::string> backends;
+  std::vector<uint32_t> answers;
+  /// Sum of service times, in microseconds, by back end.
+  std::vector<uint64_t> busy_us;
+  std::vector<uint32_t> denied_keys;
+  MSGPACK_DEFINE_ARRAY(service, keys, counts, backends, answers, busy_us, denied_keys);
+};
+
+/// From a node to the coordinator.
+struct Report {
+  PeerIdentity sender;
+  ownership::MapVersion map_version;
+  std::vector<LoadReport> loads;
+  /// Back ends whose connections were refused to this node lately.
+  std::vector<std::string> refused_backends;
+  MSGPACK_DEFINE_ARRAY(sender, map_version, loads, refused_backends);
+};
+
+/// From the coordinator to a node.
+struct Heartbeat {
+  ownership::LeaseView lease;
+  /// How long the sender's lease still runs, in milliseconds, when this was sent.
+  uint32_t lease_left_ms = 0;
+  ownership::MapVersion map_version;
+  /// Only when the receiver's version is older; else empty.
+  std::vector<ownership::OwnershipMap> map;
+  /// All nodes that reported lately, the sender included.
+  std::vector<PeerIdentity> members;
+  /// Grows when `members` changes; members are only sent when the receiver has not seen it.
+  uint64_t members_version = 0;
+  MSGPACK_DEFINE_ARRAY(lease, lease_left_ms, map_version, map, members, members_version);
+};
+
+/// The sender gives up the lease it holds.
+struct Resignation {
+  uint64_t incarnation = 0;
+  MSGPACK_DEFINE_ARRAY(incarnation);
+};
+
+/// A row as the store holds it; `version` is the store's.
+struct SharedRow {
+  std::string key;
+  std::string value;
+  uint64_t version = 0;
+  MSGPACK_DEFINE_ARRAY(key, value, version);
+};
+
+/// From a node that cannot reach the metadata store: what have you that is newer?
+struct SnapshotRequest {
+  uint64_t configuration_version = 0;
+  uint64_t backends_version = 0;
+  MSGPACK_DEFINE_ARRAY(configuration_version, backends_version);
+};
+
+/// The answer: rows as the sender last read them from the store.
+struct Snapshot {
+  /// Store version that these rows are as of; the request's version when nothing is newer.
+  uint64_t configuration_version = 0;
+  std::vector<SharedRow> configuration;
+  uint64_t backends_version = 0;
+  std::vector<SharedRow> backends;
+  /// How long ago the sender was last sure that these are the newest, in milliseconds.
+  uint32_t age_ms = 0;
+  MSGPACK_DEFINE_ARRAY(configuration_version, configuration, backends_version, backends, age_ms);
+};
+
+using Message = std::variant<Report, Heartbeat, Resignation, SnapshotRequest, Snapshot>;
+
+}  // namespace ladderstream::membership
--- /dev/null
+++ b/src/interfaces/platform_adapter.h
@@ -0,0 +1,78 @@
+// How a platform names, formats and calls what the product needs. Implemented in platform/.
+//
+// An adapter translates and decides nothing. It holds no state and does no I/O, so it may be used
+// from any thread.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/catalog/catalog.h"
+#include "core/ownership/coordinator.h"
+#include "core/store/store_types.h"
+#include "interfaces/http_exchange.h"
+
+namespace ladderstream::interfaces {
+
+/// The headers between callers, nodes and back ends.
+struct HeaderNames {
+  std::string request_id;
+  /// Milliseconds that the sender will wait.
+  std::string deadline_ms;
+  /// In answers of back ends: which one made it.
+  std::string server_stamp;
+  /// In requests to back ends: the incarnation that alone may run it.
+  std::string expected_instance;
+  /// In answers of back ends: the incarnation that answered.
+  std::string instance_id;
+  /// In answers of back ends: the request has not run and never will.
+  std::string not_executed;
+  /// In answers of back ends: running, waiting, slots.
+  std::string server_load;
+  /// In requests to sharded services: the key.
+  std::string shard_key;
+};
+
+/// What a back end said of its load.
+struct ToldLoad {
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  uint32_t slots = 0;
+};
+
+enum class StoreCall { kTransaction, kRead, kWatch };
+
+class PlatformAdapter {
+ public:
+  virtual ~PlatformAdapter() = default;
+
+  virtual const HeaderNames& headers() const = 0;
+  /// The path of the readiness question.
+  virtual std::string_view ready_path() const = 0;
+  /// False when `text` is not a told load.
+  virtual bool ParseToldLoad(std::string_view text, ToldLoad* load) const = 0;
+
+  virtual HttpRequest EncodeTransaction(const store::Transaction& transaction) const = 0;
+  virtual HttpRequest EncodeRead(const store::ReadQuery& query) const = 0;
+  virtual HttpRequest EncodeWatch(const store::WatchQuery& query) const = 0;
+  /// Never throws: an answer that cannot be read is kUnknown with a detail.
+  virtual store::StoreReply DecodeStoreReply(StoreCall call, const HttpResponse& response) const = 0;
+
+  virtual HttpRequest EncodeGrant(const ownership::GrantAction& grant) const = 0;
+  virtual HttpRequest EncodeRelease(const ownership::ReleaseAction& release) const = 0;
+  virtual ownership::OrderReply DecodeOrderReply(const HttpResponse& response) const = 0;
+
+  /// Where the operator's configuration and the back ends' registrations are kept.
+  virtual std::string_view configuration_table() const = 0;
+  virtual std::string_view configuration_key() const = 0;
+  virtual std::string_view backend_table() const = 0;
+  /// Throws Error(kInvalidConfiguration) naming the place.
+  virtual catalog::Configuration DecodeConfiguration(std::string_view value) const = 0;
+  /// Throws Error(kMalformedMessage) naming the place. `id` is the row's key.
+  virtual catalog::Backend DecodeBackend(std::string_view id, std::string_view value) const = 0;
+};
+
+using PlatformAdapterPtr = std::shared_ptr<const PlatformAdapter>;
+
+}  // namespace ladderstream::interfaces
