--- a/src/bench/experiment.cc
+++ b/src/bench/experiment.cc
@@ -4,7 +4,8 @@
 
 std::vector<Experiment> AllExperiments() {
   std::vector<Experiment> all;
-  for (const auto& group : {PlacementExperiments(), HollowExperiments(), OverloadExperiments()}) {
+  for (const auto& group : {PlacementExperiments(), HollowExperiments(), OverloadExperiments(),
+                            PartitionExperiments()}) {
     all.insert(all.end(), group.begin(), group.end());
   }
   return all;
--- a/src/bench/experiment.h
+++ b/src/bench/experiment.h
@@ -23,5 +23,6 @@
 std::vector<Experiment> PlacementExperiments();
 std::vector<Experiment> HollowExperiments();
 std::vector<Experiment> OverloadExperiments();
+std::vector<Experiment> PartitionExperiments();
 
 }  // namespace ladderstream::bench
--- /dev/null
+++ b/src/core/forwarding/attempt_events.cc
@@ -0,0 +1,278 @@
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "core/forwarding/dispatcher_impl.h"
+
+namespace ladderstream::forwarding {
+namespace {
+
+constexpr int kFirstCallerError = 400;
+constexpr int kFirstServerError = 500;
+constexpr int kGatewayTimeout = 504;
+constexpr int kMisdirected = 421;
+/// Giving an answer up says something about the back end only after so many service times.
+constexpr int kTimeoutPatience = 2;
+/// What ends within this share of the service time has not been worked on.
+constexpr double kQuickShare = 0.5;
+
+ToldLoad ToldOf(const AttemptAnswer& answer) {
+  return {answer.running, answer.waiting, answer.slots};
+}
+
+/// Whether the answer shows a fault of the back end itself.
+bool ShowsFault(const AttemptAnswer& answer) {
+  return answer.status >= kFirstServerError && answer.status != kGatewayTimeout &&
+         !answer.not_executed;
+}
+
+/// Whether the attempt ended too early to have been worked on, or to have waited for long.
+bool EndedAtOnce(const Attempt& attempt, Time now) {
+  return now - attempt.started < attempt.backend->load.ServiceTime(now) * kQuickShare;
+}
+
+/// The attempt's bytes surely never left.
+bool NeverLeft(const Attempt& attempt, AttemptFailure failure) {
+  switch (failure) {
+    case AttemptFailure::kConnectRefused:
+    case AttemptFailure::kConnectTimeout:
+    case AttemptFailure::kNotSent:
+      return true;
+    case AttemptFailure::kTimedOut:
+      return !attempt.sent;
+    case AttemptFailure::kLost:
+      return false;
+  }
+  return false;
+}
+
+}  // namespace
+
+Request* Dispatcher::Impl::FindRequest(RequestHandle handle) {
+  const auto request = requests_.find(handle);
+  return request == requests_.end() ? nullptr : request->second.get();
+}
+
+Attempt Dispatcher::Impl::EndAttempt(AttemptHandle handle) {
+  auto node = attempts_.extract(handle);
+  Attempt attempt = std::move(node.mapped());
+  attempt.backend->load.OnEnd(attempt.started);
+  Request* request = FindRequest(attempt.request);
+  if (request != nullptr) {
+    std::erase(request->in_flight, handle);
+  }
+  return attempt;
+}
+
+void Dispatcher::Impl::OnSent(AttemptHandle handle, Time now) {
+  const auto found = attempts_.find(handle);
+  if (found == attempts_.end()) {
+    return;
+  }
+  Attempt& attempt = found->second;
+  attempt.sent = true;
+  attempt.backend->outlier.OnConnected();
+  Request* request = FindRequest(attempt.request);
+  if (request != nullptr) {
+    ArmHedge(*request, attempt, now);
+  }
+}
+
+void Dispatcher::Impl::OnAttemptAnswer(AttemptHandle handle, const AttemptAnswer& answer,
+                                       Time now) {
+  if (!attempts_.contains(handle)) {
+    return;
+  }
+  const Attempt attempt = EndAttempt(handle);
+  LearnFromAnswer(attempt, answer, now);
+  Request* request = FindRequest(attempt.request);
+  if (request != nullptr) {
+    switch (MeaningOf(answer)) {
+      case AnswerMeaning::kFinal:
+        Finish(*request, RelayDecision{handle});
+        break;
+      case AnswerMeaning::kRefused:
+        OnRefused(*request, attempt, answer, now);
+        break;
+      case AnswerMeaning::kUnclear:
+        OnUnclear(*request, attempt, answer, now);
+        break;
+    }
+  }
+  DispatchWaiting(*attempt.service, now);
+}
+
+void Dispatcher::Impl::LearnFromAnswer(const Attempt& attempt, const AttemptAnswer& answer,
+                                       Time now) {
+  BackendState& backend = *attempt.backend;
+  const Duration elapsed = now - attempt.started;
+  if (answer.status == kMisdirected) {
+    return;
+  }
+  if (MeaningOf(answer) == AnswerMeaning::kRefused) {
+    LearnFromRefusal(attempt, answer, now);
+    return;
+  }
+  if (ShowsFault(answer)) {
+    NoteEjection(backend, absl::StrCat("answered ", answer.status), backend.outlier.OnFailure(now));
+    return;
+  }
+  if (answer.not_executed || answer.status >= kFirstServerError) {
+    return;
+  }
+  backend.outlier.OnSuccess();
+  if (answer.status >= kFirstCallerError) {
+    return;
+  }
+  backend.load.OnServed(elapsed, ToldOf(answer), now);
+  if (answer.slots > 0 && answer.waiting == 0 && answer.running <= answer.slots) {
+    attempt.service->load.AddServiceTime(backend.registration.id, elapsed);
+  }
+}
+
+void Dispatcher::Impl::LearnFromRefusal(const Attempt& attempt, const AttemptAnswer& answer,
+                                        Time now) {
+  BackendState& backend = *attempt.backend;
+  if (EndedAtOnce(attempt, now)) {
+    backend.load.OnShed(ToldOf(answer), now);
+  } else {
+    backend.load.OnTold(ToldOf(answer), now);
+  }
+  if (answer.slots > 0 && answer.running + answer.waiting < answer.slots) {
+    NoteEjection(backend, "refuses though it has free slots", backend.outlier.OnFailure(now));
+  }
+}
+
+void Dispatcher::Impl::OnRefused(Request& request, const Attempt& attempt,
+                                 const AttemptAnswer& answer, Time now) {
+  request.setback = {SetbackKind::kRefused, attempt.backend, answer.status, ToldOf(answer)};
+  if (answer.status != kMisdirected) {
+    Continue(request, SendCause::kAfterRefusal, now);
+    return;
+  }
+  if (request.sharded) {
+    request.setback.kind = SetbackKind::kDenied;
+    request.denied = DeniedAssignment{attempt.backend->registration.id, attempt.fence};
+    request.service->load.SetDenied(*request.key);
+    services_.AddBelief(*attempt.backend, "denied",
+                        absl::StrCat("key ", *request.key, ", fence ", attempt.fence));
+  } else {
+    request.failed.push_back(attempt.backend);
+    NoteEjection(*attempt.backend, "another instance answers at its address",
+                 attempt.backend->outlier.OnWrongInstance(now));
+  }
+  Continue(request, SendCause::kAfterRefusal, now);
+}
+
+void Dispatcher::Impl::OnUnclear(Request& request, const Attempt& attempt,
+                                 const AttemptAnswer& answer, Time now) {
+  OnLost(request, attempt, SetbackKind::kUnclear, answer.status, now);
+}
+
+void Dispatcher::Impl::OnAttemptFailure(AttemptHandle handle, AttemptFailure failure, Time now) {
+  if (!attempts_.contains(handle)) {
+    return;
+  }
+  const Attempt attempt = EndAttempt(handle);
+  LearnFromFailure(attempt, failure, now);
+  Request* request = FindRequest(attempt.request);
+  if (request != nullptr) {
+    if (NeverLeft(attempt, failure)) {
+      OnNeverLeft(*request, attempt, failure, now);
+    } else if (failure == AttemptFailure::kTimedOut) {
+      request->may_have_run = true;
+      request->setback = {SetbackKind::kLost, attempt.backend, 0, {}};
+      FinishTimeOver(*request, now);
+    } else {
+      OnLost(*request, attempt, SetbackKind::kLost, 0, now);
+    }
+  }
+  DispatchWaiting(*attempt.service, now);
+}
+
+void Dispatcher::Impl::LearnFromFailure(const Attempt& attempt, AttemptFailure failure, Time now) {
+  BackendState& backend = *attempt.backend;
+  switch (failure) {
+    case AttemptFailure::kConnectRefused:
+      NoteEjection(backend, "refused a connection", backend.outlier.OnConnectRefused(now));
+      break;
+    case AttemptFailure::kConnectTimeout:
+      NoteEjection(backend, "gave no connection in time", backend.outlier.OnConnectTimeout(now));
+      break;
+    case AttemptFailure::kNotSent:
+      break;
+    case AttemptFailure::kLost:
+      // A full back end may reset connections instead of answering; it does so at once.
+      if (EndedAtOnce(attempt, now)) {
+        backend.load.OnShed({}, now);
+      }
+      NoteEjection(backend, "lost a request", backend.outlier.OnFailure(now));
+      break;
+    case AttemptFailure::kTimedOut:
+      if (attempt.sent &&
+          now - attempt.started > kTimeoutPatience * attempt.service->averages.ServiceTime()) {
+        NoteEjection(backend, "gave no answer in time", backend.outlier.OnFailure(now));
+      }
+      break;
+  }
+}
+
+void Dispatcher::Impl::NoteEjection(const BackendState& backend, const std::string& cause,
+                                    Duration time) {
+  if (time > absl::ZeroDuration()) {
+    services_.AddBelief(backend, "ejected",
+                        absl::StrCat(cause, ", for ", absl::FormatDuration(time)));
+  }
+}
+
+void Dispatcher::Impl::OnNeverLeft(Request& request, const Attempt& attempt, AttemptFailure failure,
+                                   Time now) {
+  --request.departures;
+  if (attempt.charged) {
+    request.service->budget.Refund(attempt.started);
+  }
+  const bool not_sent = failure == AttemptFailure::kNotSent;
+  request.setback = {
+      not_sent ? SetbackKind::kNotSent : SetbackKind::kUnreachable, attempt.backend, 0, {}};
+  if (!not_sent && !request.sharded) {
+    request.failed.push_back(attempt.backend);
+  }
+  Continue(request, SendCause::kAfterConnectFailure, now);
+}
+
+void Dispatcher::Impl::OnLost(Request& request, const Attempt& attempt, SetbackKind kind,
+                              int status, Time now) {
+  request.may_have_run = true;
+  request.setback = {kind, attempt.backend, status, {}};
+  if (!request.sharded) {
+    request.failed.push_back(attempt.backend);
+  }
+  if (!request.repeatable()) {
+    Finish(request, AnswerUnserved(request, Choice(), StopCause::kNotRepeatable, ownership_.map(),
+                                   random_, now));
+    return;
+  }
+  Continue(request, SendCause::kAfterLoss, now);
+}
+
+void Dispatcher::Impl::Continue(Request& request, SendCause cause, Time now) {
+  if (!request.in_flight.empty()) {
+    return;
+  }
+  request.next_cause = cause;
+  request.hedge_at = absl::InfiniteFuture();
+  Dispatch(request, now);
+}
+
+void Dispatcher::Impl::OnCallerGone(RequestHandle handle, Time now) {
+  Request* request = FindRequest(handle);
+  if (request != nullptr) {
+    ServiceState& service = *request->service;
+    AbandonAttempts(*request);
+    Forget(*request);
+    DispatchWaiting(service, now);
+  }
+}
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/forwarding/backend_choice.cc
@@ -0,0 +1,132 @@
+#include "core/forwarding/backend_choice.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ladderstream::forwarding {
+namespace {
+
+/// Back ends whose cost exceeds the least by no more than this share of it are about as good.
+constexpr double kTieShare = 0.1;
+
+bool Contains(const std::vector<BackendStatePtr>& backends, const BackendStatePtr& backend) {
+  return std::find(backends.begin(), backends.end(), backend) != backends.end();
+}
+
+}  // namespace
+
+/// What one look at all back ends found besides candidates.
+struct LeastWaitChoice::Scan {
+  size_t usable = 0;
+  size_t failed = 0;
+  std::vector<const BackendStatePtr*> suspects;
+  /// The one that is unreachable for the shortest time, and the one that is full for the shortest.
+  const BackendStatePtr* unreachable = nullptr;
+  const BackendStatePtr* full = nullptr;
+};
+
+Choice LeastWaitChoice::Choose(const ChoiceContext& context) {
+  candidates_.clear();
+  Scan scan;
+  for (const BackendStatePtr& backend : context.service.backends) {
+    Examine(backend, context, scan);
+  }
+  // Failures of most back ends say more about the way there, or about the requests.
+  if (scan.suspects.size() * 2 > scan.usable) {
+    for (const BackendStatePtr* suspect : scan.suspects) {
+      AddCandidate(*suspect, context.now);
+    }
+  }
+  if (candidates_.empty() && scan.full == nullptr) {
+    for (const BackendStatePtr* suspect : scan.suspects) {
+      AddCandidate(*suspect, context.now);
+    }
+    if (candidates_.empty() && scan.unreachable != nullptr) {
+      AddCandidate(*scan.unreachable, context.now);
+    }
+  }
+  if (candidates_.empty()) {
+    return Explain(scan);
+  }
+  Choice choice;
+  choice.backend = Draw();
+  choice.expected_wait = choice.backend->load.ExpectedWait(context.now);
+  return choice;
+}
+
+void LeastWaitChoice::Examine(const BackendStatePtr& backend, const ChoiceContext& context,
+                              Scan& scan) {
+  if (!backend->UsableForAny(context.now)) {
+    return;
+  }
+  ++scan.usable;
+  if (Contains(context.failed, backend)) {
+    ++scan.failed;
+    return;
+  }
+  if (backend->outlier.Unreachable(context.now)) {
+    if (scan.unreachable == nullptr ||
+        backend->outlier.unreachable_until() < (*scan.unreachable)->outlier.unreachable_until()) {
+      scan.unreachable = &backend;
+    }
+    return;
+  }
+  if (backend->load.Full(context.now)) {
+    if (scan.full == nullptr || backend->load.full_until() < (*scan.full)->load.full_until()) {
+      scan.full = &backend;
+    }
+    return;
+  }
+  if (backend->outlier.Suspect(context.now)) {
+    scan.suspects.push_back(&backend);
+    return;
+  }
+  AddCandidate(backend, context.now);
+}
+
+void LeastWaitChoice::AddCandidate(const BackendStatePtr& backend, Time now) {
+  const Duration service_time = backend->load.ServiceTime(now);
+  Duration cost = service_time + backend->load.ExpectedWait(now);
+  if (backend->registration.zone != settings_.zone) {
+    cost += settings_.remote_zone_cost * service_time;
+  }
+  candidates_.push_back({cost, &backend});
+}
+
+const BackendStatePtr& LeastWaitChoice::Draw() {
+  const auto by_cost = [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; };
+  const Duration least = std::min_element(candidates_.begin(), candidates_.end(), by_cost)->cost;
+  const Duration tie = least * (1 + kTieShare);
+  const auto others =
+      std::partition(candidates_.begin(), candidates_.end(),
+                     [tie](const Candidate& candidate) { return candidate.cost <= tie; });
+  const auto good = static_cast<uint64_t>(std::distance(candidates_.begin(), others));
+  return *candidates_[random_() % good].backend;
+}
+
+Choice LeastWaitChoice::Explain(const Scan& scan) const {
+  Choice choice;
+  if (scan.full != nullptr) {
+    choice.obstacle = Obstacle::kAllFull;
+    choice.about = *scan.full;
+    choice.try_again = choice.about->load.full_until();
+    choice.may_pass = true;
+    return choice;
+  }
+  choice.obstacle = scan.failed > 0 ? Obstacle::kAllTried : Obstacle::kNoBackend;
+  choice.may_pass = scan.failed == 0;
+  return choice;
+}
+
+Choice OverloadGuard::Choose(const ChoiceContext& context) {
+  Choice choice = inner_.Choose(context);
+  if (choice.backend == nullptr || !choice.backend->load.KnownBusy(context.now) ||
+      choice.expected_wait < context.start_by - context.now) {
+    return choice;
+  }
+  choice.obstacle = Obstacle::kOverloaded;
+  choice.about = std::exchange(choice.backend, nullptr);
+  return choice;
+}
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/forwarding/backend_state.h
@@ -0,0 +1,36 @@
+// One back end as this node sees it: its registration, its load and its faults.
+#pragma once
+
+#include <memory>
+
+#include "core/catalog/catalog.h"
+#include "core/forwarding/load_estimate.h"
+#include "core/forwarding/outlier_detector.h"
+#include "wire/time.h"
+
+namespace ladderstream::forwarding {
+
+struct BackendState {
+  BackendState(const catalog::Backend& backend, ServiceAverages& averages)
+      : registration(backend), load(backend.slots, averages) {}
+
+  bool UsableForAny(Time now) const { return now < usable_until; }
+  bool UsableAsOwner(Time now) const { return now < owner_usable_until; }
+
+  /// The newest one; the last one after it disappeared.
+  catalog::Backend registration;
+  /// The registration exists.
+  bool registered = true;
+  /// When the registration disappeared.
+  Time gone_at = absl::InfiniteFuture();
+  /// Requests that any back end of the service may run go here only before this.
+  Time usable_until = absl::InfiniteFuture();
+  /// Requests for keys that it owns go here only before this.
+  Time owner_usable_until = absl::InfiniteFuture();
+  LoadEstimate load;
+  OutlierDetector outlier;
+};
+
+using BackendStatePtr = std::shared_ptr<BackendState>;
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/forwarding/deadlines.cc
@@ -0,0 +1,102 @@
+#include <algorithm>
+
+#include "core/forwarding/dispatcher_impl.h"
+
+namespace ladderstream::forwarding {
+namespace {
+
+/// An answer is overdue after this many service times, or this share of the target latency,
+/// whichever is later.
+constexpr int kHedgeServiceTimes = 3;
+constexpr double kHedgeTargetShare = 0.5;
+/// Hedges use no more than this share of the retry budget: the rest is for requests that failed.
+constexpr double kHedgeBudgetShare = 0.5;
+/// How soon a hedge that was not sensible is considered again.
+constexpr Duration kHedgePause = absl::Milliseconds(20);
+
+}  // namespace
+
+void Dispatcher::Impl::FinishTimeOver(Request& request, Time now) {
+  const bool in_progress =
+      std::any_of(request.in_flight.begin(), request.in_flight.end(),
+                  [this](AttemptHandle handle) { return attempts_.at(handle).sent; });
+  Finish(request, AnswerTimeOver(request, request.may_have_run || in_progress, now));
+}
+
+void Dispatcher::Impl::Arm(Request& request) {
+  const Time due = std::min({request.answer_by, request.wait_until, request.hedge_at});
+  if (due == request.timer) {
+    return;
+  }
+  Disarm(request);
+  request.timer = due;
+  if (due != absl::InfiniteFuture()) {
+    timers_.emplace(due, request.handle);
+  }
+}
+
+void Dispatcher::Impl::Disarm(Request& request) {
+  timers_.erase({request.timer, request.handle});
+  request.timer = absl::InfiniteFuture();
+}
+
+Time Dispatcher::Impl::NextWake() const {
+  return timers_.empty() ? absl::InfiniteFuture() : timers_.begin()->first;
+}
+
+void Dispatcher::Impl::OnTick(Time now) {
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    Request& request = *requests_.at(timers_.begin()->second);
+    if (now >= request.answer_by) {
+      FinishTimeOver(request, now);
+    } else if (request.waiting) {
+      Dispatch(request, now);
+    } else {
+      TryHedge(request, now);
+    }
+  }
+}
+
+bool Dispatcher::Impl::MayHedge(const Request& request) const {
+  return settings_.hedge && request.repeatable() && !request.sharded &&
+         request.in_flight.size() == 1 && request.departures < request.route->max_attempts;
+}
+
+void Dispatcher::Impl::ArmHedge(Request& request, const Attempt& attempt, Time now) {
+  if (!MayHedge(request)) {
+    return;
+  }
+  const Duration usual = kHedgeServiceTimes * attempt.service->averages.ServiceTime();
+  const Duration target = request.route->target_latency;
+  const Duration overdue =
+      target == absl::InfiniteDuration() ? usual : std::max(usual, target * kHedgeTargetShare);
+  request.hedge_at = now + overdue;
+  Arm(request);
+}
+
+void Dispatcher::Impl::TryHedge(Request& request, Time now) {
+  request.hedge_at = absl::InfiniteFuture();
+  if (MayHedge(request)) {
+    request.hedge_at = now + kHedgePause;
+    const Attempt& slow = attempts_.at(request.in_flight.front());
+    std::vector<BackendStatePtr> others = request.failed;
+    others.push_back(slow.backend);
+    const ChoiceContext context{*request.service, request.key,      others,
+                                request.denied,   request.start_by, now};
+    const Choice choice = guarded_least_wait_.Choose(context);
+    if (choice.backend != nullptr) {
+      const LoadEstimate& load = choice.backend->load;
+      const bool free = load.Occupancy(now) + 1 <= load.slots();
+      const bool in_time = choice.expected_wait + load.ServiceTime(now) < request.answer_by - now;
+      if (free && in_time &&
+          request.service->budget.Allows(retry_limits_, kHedgeBudgetShare, now)) {
+        request.hedge_at = absl::InfiniteFuture();
+        request.next_cause = SendCause::kHedge;
+        Send(request, choice, now);
+      }
+    }
+  }
+  Arm(request);
+}
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/forwarding/dispatch.cc
@@ -0,0 +1,159 @@
+#include <algorithm>
+#include <utility>
+
+#include "core/forwarding/dispatcher_impl.h"
+
+namespace ladderstream::forwarding {
+namespace {
+
+/// Sends of one request, counting those that never left.
+constexpr uint32_t kMaxSends = 8;
+/// Requests of one service that may wait at a time.
+constexpr size_t kMaxWaiting = 64;
+/// A waiting request is not looked at more often than this without cause.
+constexpr Duration kLeastWait = absl::Milliseconds(5);
+
+}  // namespace
+
+void Dispatcher::Impl::Dispatch(Request& request, Time now) {
+  if (now >= request.answer_by) {
+    FinishTimeOver(request, now);
+    return;
+  }
+  const bool again = request.departures > 0;
+  if (again && request.departures >= std::max(request.route->max_attempts, 1U)) {
+    FinishUnserved(request, Choice(), StopCause::kAttemptsSpent, now);
+    return;
+  }
+  if (again && !request.service->budget.Allows(retry_limits_, 1, now)) {
+    FinishUnserved(request, Choice(), StopCause::kBudgetSpent, now);
+    return;
+  }
+  if (request.sends >= kMaxSends) {
+    FinishUnserved(request, Choice(), StopCause::kAttemptsSpent, now);
+    return;
+  }
+  const Choice choice = Choose(request, now);
+  if (choice.backend != nullptr) {
+    Send(request, choice, now);
+  } else if (!MayWait(request, choice, now)) {
+    FinishUnserved(request, choice, StopCause::kObstacle, now);
+  } else if (!request.waiting && request.service->waiting.size() >= kMaxWaiting) {
+    FinishUnserved(request, choice, StopCause::kTooManyWaiting, now);
+  } else {
+    Wait(request, choice, now);
+  }
+}
+
+Choice Dispatcher::Impl::Choose(const Request& request, Time now) {
+  const ChoiceContext context{*request.service, request.key,      request.failed,
+                              request.denied,   request.start_by, now};
+  return request.sharded ? guarded_owner_.Choose(context) : guarded_least_wait_.Choose(context);
+}
+
+bool Dispatcher::Impl::MayWait(const Request& request, const Choice& choice, Time now) const {
+  const Duration needed = request.service->averages.ServiceTime();
+  return choice.may_pass && now < request.patience_until && request.answer_by - now > needed;
+}
+
+void Dispatcher::Impl::Wait(Request& request, const Choice& choice, Time now) {
+  request.wait_until =
+      std::min(std::max(choice.try_again, now + kLeastWait), request.patience_until);
+  if (!request.waiting) {
+    request.waiting = true;
+    request.service->waiting.Add(request.QueueEntry());
+  }
+  Arm(request);
+}
+
+void Dispatcher::Impl::StopWaiting(Request& request) {
+  if (request.waiting) {
+    request.waiting = false;
+    request.wait_until = absl::InfiniteFuture();
+    request.service->waiting.Remove(request.QueueEntry());
+  }
+}
+
+void Dispatcher::Impl::Send(Request& request, const Choice& choice, Time now) {
+  StopWaiting(request);
+  Attempt attempt;
+  attempt.request = request.handle;
+  attempt.backend = choice.backend;
+  attempt.service = request.service;
+  attempt.fence = choice.fence;
+  attempt.started = now;
+  attempt.charged = request.departures > 0;
+  if (attempt.charged) {
+    request.service->budget.Charge(now);
+  }
+  BackendState& backend = *choice.backend;
+  backend.load.OnSend(now);
+  const Time usable_until = request.sharded ? backend.owner_usable_until : backend.usable_until;
+  SendDecision send;
+  send.attempt = ++last_attempt_;
+  send.backend = backend.registration.id;
+  send.address = backend.registration.address;
+  send.connect_by = std::min({now + settings_.connect_timeout, request.answer_by, usable_until});
+  send.answer_by = request.answer_by;
+  send.cause = request.next_cause;
+  send.expected_wait = choice.expected_wait;
+  ++request.departures;
+  ++request.sends;
+  request.in_flight.push_back(send.attempt);
+  attempts_.emplace(send.attempt, std::move(attempt));
+  Emit(request, std::move(send));
+  Arm(request);
+}
+
+void Dispatcher::Impl::FinishUnserved(Request& request, const Choice& choice, StopCause cause,
+                                      Time now) {
+  Finish(request, AnswerUnserved(request, choice, cause, ownership_.map(), random_, now));
+}
+
+void Dispatcher::Impl::Finish(Request& request, Decision decision) {
+  AbandonAttempts(request);
+  Emit(request, std::move(decision));
+  Forget(request);
+}
+
+void Dispatcher::Impl::AbandonAttempts(Request& request) {
+  ServiceState* service = request.service;
+  for (const AttemptHandle handle : std::exchange(request.in_flight, {})) {
+    Attempt& attempt = attempts_.at(handle);
+    if (attempt.sent && !request.repeatable()) {
+      // It runs to its end unheard: breaking it off would leave the work half done.
+      attempt.request = 0;
+      continue;
+    }
+    attempt.backend->load.OnEnd(attempt.started);
+    if (attempt.charged && !attempt.sent) {
+      service->budget.Refund(attempt.started);
+    }
+    attempts_.erase(handle);
+    Emit(request, CancelDecision{handle});
+  }
+}
+
+void Dispatcher::Impl::Forget(Request& request) {
+  StopWaiting(request);
+  Disarm(request);
+  requests_.erase(request.handle);
+}
+
+void Dispatcher::Impl::DispatchWaiting(ServiceState& service, Time now) {
+  if (service.waiting.empty()) {
+    return;
+  }
+  for (const uint64_t handle : service.waiting.Requests()) {
+    Request* request = FindRequest(handle);
+    if (request != nullptr && request->waiting) {
+      Dispatch(*request, now);
+    }
+  }
+}
+
+void Dispatcher::Impl::Emit(const Request& request, Decision decision) {
+  decisions_.push_back({request.handle, std::move(decision)});
+}
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/forwarding/dispatcher.cc
@@ -0,0 +1,228 @@
+#include "core/forwarding/dispatcher.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "core/forwarding/dispatcher_impl.h"
+
+namespace ladderstream::forwarding {
+namespace {
+
+/// What a node may use of the shared retry budget, as several nodes' counts never agree fully.
+constexpr double kRatioInUse = 0.85;
+constexpr double kSlackInUse = 0.8;
+/// How long a request without a target latency waits for a slot or an owner.
+constexpr Duration kDefaultPatience = absl::Milliseconds(100);
+/// Without anything learned, an answer is expected after this share of the target latency.
+constexpr double kPriorServiceShare = 1.0 / 3;
+constexpr Duration kNoConfigurationRetryAfter = absl::Milliseconds(250);
+
+Duration PatienceOf(const catalog::Route& route, const DispatcherSettings& settings) {
+  if (route.target_latency == absl::InfiniteDuration()) {
+    return kDefaultPatience;
+  }
+  return std::max(route.target_latency * settings.patience_share - settings.answer_margin,
+                  absl::ZeroDuration());
+}
+
+}  // namespace
+
+Dispatcher::Impl::Impl(const DispatcherSettings& settings)
+    : settings_(settings),
+      random_(settings.seed),
+      splits_(random_),
+      services_(settings_),
+      least_wait_(settings_, random_),
+      owner_(ownership_, services_),
+      guarded_least_wait_(least_wait_),
+      guarded_owner_(owner_) {
+  retry_limits_.ratio = settings.budget_ratio * kRatioInUse;
+  retry_limits_.window = settings.budget_window;
+  SetNodeCount(settings.node_count);
+}
+
+void Dispatcher::Impl::SetConfiguration(std::shared_ptr<const catalog::Configuration> configuration,
+                                        Time now) {
+  const auto& current = routes_.configuration();
+  if (configuration == nullptr || configuration->version == 0 ||
+      (current != nullptr && configuration->version <= current->version)) {
+    return;
+  }
+  retry_limits_.started = std::min(retry_limits_.started, now);
+  routes_ = RouteIndex(std::move(configuration));
+  splits_.SetRoutes(routes_.configuration()->routes);
+}
+
+void Dispatcher::Impl::SetBackends(const std::vector<catalog::Backend>& backends,
+                                   bool store_troubled, Time now) {
+  services_.SetBackends(backends, store_troubled, now);
+  for (ServiceState* service : services_.Services()) {
+    DispatchWaiting(*service, now);
+  }
+}
+
+void Dispatcher::Impl::SetOwnership(std::shared_ptr<const ownership::OwnershipMap> map, Time now) {
+  ownership_.SetMap(std::move(map));
+  for (ServiceState* service : services_.Services()) {
+    DispatchWaiting(*service, now);
+  }
+}
+
+void Dispatcher::Impl::SetNodeCount(uint32_t node_count) {
+  retry_limits_.slack = settings_.budget_slack * kSlackInUse / std::max(node_count, 1U);
+}
+
+const catalog::Route* Dispatcher::Impl::FindRoute(std::string_view host,
+                                                  std::string_view target) const {
+  return routes_.Find(host, target);
+}
+
+RequestHandle Dispatcher::Impl::Start(const IncomingRequest& incoming, Time now) {
+  const RequestHandle handle = ++last_request_;
+  const auto refuse = [this, handle](ResultCode code, Duration retry_after, std::string reason) {
+    decisions_.push_back({handle, MakeAnswer(code, retry_after, std::move(reason))});
+    return handle;
+  };
+  if (routes_.configuration() == nullptr) {
+    return refuse(ResultCode::kConfigurationUnconfirmed, kNoConfigurationRetryAfter,
+                  "no configuration is known yet");
+  }
+  const catalog::Route* route = routes_.Find(incoming.host, incoming.target);
+  if (route == nullptr) {
+    return refuse(
+        ResultCode::kUnknownService, absl::ZeroDuration(),
+        absl::StrCat("configuration ", routes_.configuration()->version, " has no route for ",
+                     std::string(incoming.host), " ", std::string(incoming.target)));
+  }
+  auto made = MakeRequest(incoming, *route, now);
+  Request& request = *made;
+  request.handle = handle;
+  request.service->budget.AddRequest(now);
+  if (request.sharded) {
+    if (!request.key || *request.key > ownership::kLastKey) {
+      return refuse(ResultCode::kMalformedRequest, absl::ZeroDuration(),
+                    absl::StrCat(request.service->name, ": the key is missing or no valid key"));
+    }
+    request.service->load.AddKey(*request.key);
+  }
+  requests_.emplace(handle, std::move(made));
+  Dispatch(request, now);
+  return handle;
+}
+
+std::unique_ptr<Request> Dispatcher::Impl::MakeRequest(const IncomingRequest& incoming,
+                                                       const catalog::Route& route, Time now) {
+  auto request = std::make_unique<Request>();
+  request->configuration = routes_.configuration();
+  request->route = &route;
+  request->service = &services_.Service(splits_.Next(route));
+  const auto& declared = request->configuration->services;
+  const auto service = declared.find(request->service->name);
+  request->sharded = service != declared.end() && service->second.sharded;
+  request->key = incoming.key;
+  request->arrival = incoming.arrival;
+  request->answer_by =
+      std::min(incoming.arrival + route.timeout, incoming.deadline) - settings_.answer_margin;
+  request->start_by = std::min(request->answer_by,
+                               incoming.arrival + route.target_latency * settings_.overload_share);
+  request->patience_until = incoming.arrival + PatienceOf(route, settings_);
+  if (route.target_latency != absl::InfiniteDuration()) {
+    request->service->averages.SetPrior(route.target_latency * kPriorServiceShare);
+  }
+  retry_limits_.started = std::min(retry_limits_.started, now);
+  return request;
+}
+
+std::vector<ServiceLoad> Dispatcher::Impl::TakeLoad() {
+  std::vector<ServiceLoad> loads;
+  for (ServiceState* service : services_.Services()) {
+    if (!service->load.empty()) {
+      loads.push_back(service->load.Take(service->name));
+    }
+  }
+  return loads;
+}
+
+bool Dispatcher::Impl::CanServe(Time now) const {
+  const auto& configuration = routes_.configuration();
+  if (configuration == nullptr || stopping_) {
+    return false;
+  }
+  absl::flat_hash_map<std::string_view, bool> seen;
+  for (const catalog::Route& route : configuration->routes) {
+    for (const catalog::RouteTarget& target : route.targets) {
+      if (seen.emplace(target.service, true).second && !ServiceCanServe(target.service, now)) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+bool Dispatcher::Impl::ServiceCanServe(const std::string& name, Time now) const {
+  const auto declared = routes_.configuration()->services.find(name);
+  if (declared != routes_.configuration()->services.end() && declared->second.sharded) {
+    return HasUsableOwner(name, now);
+  }
+  const ServiceState* service = services_.FindService(name);
+  return service != nullptr &&
+         std::any_of(service->backends.begin(), service->backends.end(),
+                     [now](const BackendStatePtr& backend) { return backend->UsableForAny(now); });
+}
+
+bool Dispatcher::Impl::HasUsableOwner(const std::string& service, Time now) const {
+  const ownership::ServiceOwnership* ownership = ownership_.Find(service);
+  if (ownership == nullptr || !ownership_.Confirmed(now)) {
+    return false;
+  }
+  return std::any_of(ownership->assignments.begin(), ownership->assignments.end(),
+                     [this, now](const ownership::Assignment& assignment) {
+                       const BackendStatePtr owner = services_.FindBackend(assignment.owner);
+                       return owner != nullptr && owner->UsableAsOwner(now);
+                     });
+}
+
+Dispatcher::Dispatcher(const DispatcherSettings& settings)
+    : impl_(std::make_unique<Impl>(settings)) {}
+Dispatcher::~Dispatcher() = default;
+
+void Dispatcher::SetConfiguration(std::shared_ptr<const catalog::Configuration> configuration,
+                                  Time now) {
+  impl_->SetConfiguration(std::move(configuration), now);
+}
+void Dispatcher::SetBackends(const std::vector<catalog::Backend>& backends, bool store_troubled,
+                             Time now) {
+  impl_->SetBackends(backends, store_troubled, now);
+}
+void Dispatcher::SetOwnership(std::shared_ptr<const ownership::OwnershipMap> map, Time now) {
+  impl_->SetOwnership(std::move(map), now);
+}
+void Dispatcher::SetMapConfirmed(Time until) { impl_->SetMapConfirmed(until); }
+void Dispatcher::SetNodeCount(uint32_t node_count) { impl_->SetNodeCount(node_count); }
+void Dispatcher::SetStopping() { impl_->SetStopping(); }
+const catalog::Route* Dispatcher::FindRoute(std::string_view host, std::string_view target) const {
+  return impl_->FindRoute(host, target);
+}
+RequestHandle Dispatcher::Start(const IncomingRequest& request, Time now) {
+  return impl_->Start(request, now);
+}
+void Dispatcher::OnCallerGone(RequestHandle request, Time now) {
+  impl_->OnCallerGone(request, now);
+}
+void Dispatcher::OnSent(AttemptHandle attempt, Time now) { impl_->OnSent(attempt, now); }
+void Dispatcher::OnAttemptAnswer(AttemptHandle attempt, const AttemptAnswer& answer, Time now) {
+  impl_->OnAttemptAnswer(attempt, answer, now);
+}
+void Dispatcher::OnAttemptFailure(AttemptHandle attempt, AttemptFailure failure, Time now) {
+  impl_->OnAttemptFailure(attempt, failure, now);
+}
+void Dispatcher::OnTick(Time now) { impl_->OnTick(now); }
+std::vector<RequestDecision> Dispatcher::TakeDecisions() { return impl_->TakeDecisions(); }
+Time Dispatcher::NextWake() const { return impl_->NextWake(); }
+std::vector<ServiceLoad> Dispatcher::TakeLoad() { return impl_->TakeLoad(); }
+std::vector<BackendBelief> Dispatcher::TakeBeliefs() { return impl_->TakeBeliefs(); }
+bool Dispatcher::CanServe(Time now) const { return impl_->CanServe(now); }
+
+}  // namespace ladderstream::forwarding
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -28,6 +28,8 @@
 
 struct DispatcherSettings {
   std::string zone;
+  /// In another zone, a request is taken to last longer by this share of its service time.
+  double remote_zone_cost = 0.3;
   /// The nodes among whom the retry budget is shared; kept current by SetNodeCount.
   uint32_t node_count = 1;
   /// All nodes' attempts beyond the first of each request, within `budget_window`, stay below
@@ -37,12 +39,24 @@
   Duration budget_window = absl::Seconds(10);
   /// After a registration disappears or says "draining", no new work goes there after this.
   Duration drain_grace = absl::ZeroDuration();
+  /// A back end that drains or whose registration disappears still gets the requests for keys that
+  /// it owns by the map, for this long: moving them takes a while.
+  Duration drain_serving = absl::Milliseconds(1200);
   /// A registration that disappears while the store is troubled is believed only after this.
   Duration lapse_grace = absl::Milliseconds(1500);
   /// How long a request may wait for a moving key or a free slot, as a share of its target latency.
   double patience_share = 0.25;
+  /// A request is refused at once when the queue that it would join lasts longer than this share of
+  /// its target latency; longer than its deadline allows, in any case.
+  double overload_share = 1000;
   /// What a caller's deadline is cut by, to leave time for the answer's way back.
   Duration answer_margin = absl::Milliseconds(5);
+  /// How long a connection to a back end may take to come up.
+  Duration connect_timeout = absl::Milliseconds(150);
+  /// Whether a repeatable request whose back end is slow may be sent to a second one meanwhile.
+  bool hedge = true;
+  /// For choices among equals; to differ from node to node.
+  uint64_t seed = 0;
 };
 
 struct IncomingRequest {
@@ -57,6 +71,19 @@
   Time deadline;
 };
 
+/// Why an attempt is made.
+enum class SendCause {
+  kFirst,
+  /// The attempt before surely did not leave.
+  kAfterConnectFailure,
+  /// The back end before said that it did not run the request.
+  kAfterRefusal,
+  /// The request may run twice, and the attempt before failed.
+  kAfterLoss,
+  /// The attempt before is slow, and goes on.
+  kHedge,
+};
+
 /// Send to this back end. `attempt` comes back in every event about it.
 struct SendDecision {
   AttemptHandle attempt = 0;
@@ -66,6 +93,10 @@
   Time connect_by;
   /// What to announce to the back end as time left, and when to give up waiting for the answer.
   Time answer_by;
+  /// For the log.
+  SendCause cause = SendCause::kFirst;
+  /// How long it is expected to wait for a slot there.
+  Duration expected_wait;
 };
 /// Drop this attempt: close its connection, and expect no event about it.
 struct CancelDecision {
@@ -160,7 +191,8 @@
   /// The caller has gone: cancels what may be cancelled, forgets the rest.
   void OnCallerGone(RequestHandle request, Time now);
 
-  /// The request was written to the connection, whole or in part.
+  /// The connection is up and the request is about to be written to it. To be called before the
+  /// first byte is handed over: until then the attempt counts as one that never left.
   void OnSent(AttemptHandle attempt, Time now);
   void OnAttemptAnswer(AttemptHandle attempt, const AttemptAnswer& answer, Time now);
   void OnAttemptFailure(AttemptHandle attempt, AttemptFailure failure, Time now);
--- /dev/null
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -0,0 +1,121 @@
+// The state behind Dispatcher, and the steps of a request through it.
+//
+// dispatcher.cc takes in what the outside tells, dispatch.cc sends and finishes requests,
+// attempt_events.cc follows attempts, and deadlines.cc keeps the timers.
+#pragma once
+
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/forwarding/backend_choice.h"
+#include "core/forwarding/dispatcher.h"
+#include "core/forwarding/final_answer.h"
+#include "core/forwarding/owner_choice.h"
+#include "core/forwarding/request_state.h"
+#include "core/forwarding/retry_budget.h"
+#include "core/forwarding/route_index.h"
+#include "core/forwarding/service_table.h"
+#include "core/forwarding/traffic_split.h"
+
+namespace ladderstream::forwarding {
+
+class Dispatcher::Impl {
+ public:
+  explicit Impl(const DispatcherSettings& settings);
+
+  void SetConfiguration(std::shared_ptr<const catalog::Configuration> configuration, Time now);
+  void SetBackends(const std::vector<catalog::Backend>& backends, bool store_troubled, Time now);
+  void SetOwnership(std::shared_ptr<const ownership::OwnershipMap> map, Time now);
+  void SetMapConfirmed(Time until) { ownership_.SetConfirmed(until); }
+  void SetNodeCount(uint32_t node_count);
+  void SetStopping() { stopping_ = true; }
+  const catalog::Route* FindRoute(std::string_view host, std::string_view target) const;
+
+  RequestHandle Start(const IncomingRequest& incoming, Time now);
+  void OnCallerGone(RequestHandle handle, Time now);
+  void OnSent(AttemptHandle handle, Time now);
+  void OnAttemptAnswer(AttemptHandle handle, const AttemptAnswer& answer, Time now);
+  void OnAttemptFailure(AttemptHandle handle, AttemptFailure failure, Time now);
+  void OnTick(Time now);
+
+  std::vector<RequestDecision> TakeDecisions() { return std::exchange(decisions_, {}); }
+  Time NextWake() const;
+  std::vector<ServiceLoad> TakeLoad();
+  std::vector<BackendBelief> TakeBeliefs() { return services_.TakeBeliefs(); }
+  bool CanServe(Time now) const;
+
+ private:
+  // dispatcher.cc
+  std::unique_ptr<Request> MakeRequest(const IncomingRequest& incoming, const catalog::Route& route,
+                                       Time now);
+  bool ServiceCanServe(const std::string& name, Time now) const;
+  bool HasUsableOwner(const std::string& service, Time now) const;
+
+  // dispatch.cc: a request that has no attempt in flight is sent, waits, or is answered.
+  void Dispatch(Request& request, Time now);
+  Choice Choose(const Request& request, Time now);
+  bool MayWait(const Request& request, const Choice& choice, Time now) const;
+  void Wait(Request& request, const Choice& choice, Time now);
+  void StopWaiting(Request& request);
+  void Send(Request& request, const Choice& choice, Time now);
+  void FinishUnserved(Request& request, const Choice& choice, StopCause cause, Time now);
+  /// Emits the final decision and forgets the request. `request` is gone afterwards.
+  void Finish(Request& request, Decision decision);
+  /// Cancels what may be cancelled of the attempts in flight, and forgets the rest.
+  void AbandonAttempts(Request& request);
+  void Forget(Request& request);
+  /// Gives everybody who waits for `service` another look.
+  void DispatchWaiting(ServiceState& service, Time now);
+  void Emit(const Request& request, Decision decision);
+
+  // attempt_events.cc
+  /// Takes the attempt out of the books of its back end and its request.
+  Attempt EndAttempt(AttemptHandle handle);
+  Request* FindRequest(RequestHandle handle);
+  void LearnFromAnswer(const Attempt& attempt, const AttemptAnswer& answer, Time now);
+  void LearnFromRefusal(const Attempt& attempt, const AttemptAnswer& answer, Time now);
+  void LearnFromFailure(const Attempt& attempt, AttemptFailure failure, Time now);
+  void NoteEjection(const BackendState& backend, const std::string& cause, Duration time);
+  void OnRefused(Request& request, const Attempt& attempt, const AttemptAnswer& answer, Time now);
+  void OnUnclear(Request& request, const Attempt& attempt, const AttemptAnswer& answer, Time now);
+  void OnNeverLeft(Request& request, const Attempt& attempt, AttemptFailure failure, Time now);
+  void OnLost(Request& request, const Attempt& attempt, SetbackKind kind, int status, Time now);
+  /// The attempt failed: sends the request again, or leaves it to another attempt in flight.
+  void Continue(Request& request, SendCause cause, Time now);
+
+  // deadlines.cc
+  void FinishTimeOver(Request& request, Time now);
+  void Arm(Request& request);
+  void Disarm(Request& request);
+  void ArmHedge(Request& request, const Attempt& attempt, Time now);
+  bool MayHedge(const Request& request) const;
+  void TryHedge(Request& request, Time now);
+
+  const DispatcherSettings settings_;
+  std::mt19937_64 random_;
+  RetryLimits retry_limits_;
+  RouteIndex routes_;
+  TrafficSplit splits_;
+  ServiceTable services_;
+  OwnershipView ownership_;
+  LeastWaitChoice least_wait_;
+  OwnerChoice owner_;
+  OverloadGuard guarded_least_wait_;
+  OverloadGuard guarded_owner_;
+  bool stopping_ = false;
+
+  RequestHandle last_request_ = 0;
+  AttemptHandle last_attempt_ = 0;
+  absl::flat_hash_map<RequestHandle, std::unique_ptr<Request>> requests_;
+  absl::flat_hash_map<AttemptHandle, Attempt> attempts_;
+  absl::btree_set<std::pair<Time, RequestHandle>> timers_;
+  std::vector<RequestDecision> decisions_;
+};
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/forwarding/final_answer.cc
@@ -0,0 +1,226 @@
+#include "core/forwarding/final_answer.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ladderstream::forwarding {
+namespace {
+
+constexpr Duration kLeastRetryAfter = absl::Milliseconds(20);
+constexpr Duration kMostRetryAfter = absl::Milliseconds(400);
+/// Moving keys to another owner takes about this long.
+constexpr Duration kOwnerRetryAfter = absl::Milliseconds(150);
+constexpr Duration kNoMapRetryAfter = absl::Milliseconds(250);
+/// Callers that were refused together come back spread over this share of the time.
+constexpr double kRetryJitter = 0.25;
+
+const char* NameOfObstacle(Obstacle obstacle) {
+  switch (obstacle) {
+    case Obstacle::kNone:
+      return "none";
+    case Obstacle::kNoBackend:
+      return "no back end takes new work";
+    case Obstacle::kAllTried:
+      return "every back end failed it";
+    case Obstacle::kAllFull:
+      return "all back ends are full";
+    case Obstacle::kOverloaded:
+      return "the queue is longer than the time left";
+    case Obstacle::kNoMap:
+      return "no ownership map is confirmed";
+    case Obstacle::kNoOwner:
+      return "the key has no known owner";
+    case Obstacle::kOwnerLeaving:
+      return "the owner is draining or gone";
+    case Obstacle::kMoving:
+      return "the key is moving";
+    case Obstacle::kOwnerDenied:
+      return "the owner disowned the key";
+    case Obstacle::kOwnerUnreachable:
+      return "the owner is unreachable";
+    case Obstacle::kOwnerFull:
+      return "the owner is full";
+  }
+  return "unknown";
+}
+
+const char* NameOfSetback(SetbackKind kind) {
+  switch (kind) {
+    case SetbackKind::kNone:
+      return "none";
+    case SetbackKind::kRefused:
+      return "refused";
+    case SetbackKind::kDenied:
+      return "disowned the key";
+    case SetbackKind::kUnreachable:
+      return "unreachable";
+    case SetbackKind::kNotSent:
+      return "connection closed before sending";
+    case SetbackKind::kLost:
+      return "lost after sending";
+    case SetbackKind::kUnclear:
+      return "refused without saying that it did not run";
+  }
+  return "unknown";
+}
+
+ResultCode CodeOfObstacle(Obstacle obstacle) {
+  switch (obstacle) {
+    case Obstacle::kNoMap:
+    case Obstacle::kNoOwner:
+    case Obstacle::kOwnerLeaving:
+      return ResultCode::kNoOwner;
+    case Obstacle::kMoving:
+    case Obstacle::kOwnerDenied:
+      return ResultCode::kOwnerChanged;
+    case Obstacle::kAllFull:
+    case Obstacle::kOverloaded:
+    case Obstacle::kOwnerFull:
+      return ResultCode::kOverloaded;
+    default:
+      return ResultCode::kBackendUnreachable;
+  }
+}
+
+ResultCode CodeOfSetback(SetbackKind kind) {
+  switch (kind) {
+    case SetbackKind::kRefused:
+      return ResultCode::kBackendShed;
+    case SetbackKind::kDenied:
+      return ResultCode::kOwnerChanged;
+    default:
+      return ResultCode::kBackendUnreachable;
+  }
+}
+
+/// The shortest time until a slot is expected to be free at any back end of the service.
+Duration LeastWait(const ServiceState& service, Time now) {
+  Duration least = absl::InfiniteDuration();
+  for (const BackendStatePtr& backend : service.backends) {
+    if (backend->UsableForAny(now)) {
+      const Duration wait =
+          std::max(backend->load.ExpectedWait(now), backend->load.full_until() - now);
+      least = std::min(least, wait);
+    }
+  }
+  return least;
+}
+
+Duration RetryAfter(const Request& request, ResultCode code, const BackendStatePtr& about,
+                    std::mt19937_64& random, Time now) {
+  Duration time = kOwnerRetryAfter;
+  if (code == ResultCode::kOverloaded || code == ResultCode::kBackendShed) {
+    time = request.sharded && about != nullptr ? about->load.ExpectedWait(now)
+                                               : LeastWait(*request.service, now);
+  }
+  constexpr uint64_t kSteps = 1024;
+  const double jitter = kRetryJitter * static_cast<double>(random() % kSteps) / kSteps;
+  return std::clamp(time, kLeastRetryAfter, kMostRetryAfter) * (1 + jitter);
+}
+
+std::string DescribeLoad(const BackendState& backend, Time now) {
+  const LoadEstimate& load = backend.load;
+  if (load.ToldAge(now) == absl::InfiniteDuration()) {
+    return absl::StrCat(backend.registration.id, ", load untold, ", load.in_flight(), " from here");
+  }
+  return absl::StrFormat("%s, told running %u waiting %u %.0f ms ago, %u from here",
+                         backend.registration.id, load.told().running, load.told().waiting,
+                         absl::ToDoubleMilliseconds(load.ToldAge(now)), load.in_flight());
+}
+
+std::string DescribeSetback(const Request& request) {
+  const Setback& setback = request.setback;
+  std::string text =
+      absl::StrCat("; last: ", setback.backend->registration.id, " ", NameOfSetback(setback.kind));
+  if (setback.status != 0) {
+    absl::StrAppend(&text, " with ", setback.status);
+  }
+  if (setback.told.slots > 0) {
+    absl::StrAppend(&text, ", running ", setback.told.running, " waiting ", setback.told.waiting,
+                    " slots ", setback.told.slots);
+  }
+  return text;
+}
+
+std::string DescribeCause(const Request& request, const Choice& choice, StopCause cause) {
+  switch (cause) {
+    case StopCause::kObstacle:
+      return std::string(NameOfObstacle(choice.obstacle));
+    case StopCause::kNotRepeatable:
+      return "it must not run twice";
+    case StopCause::kAttemptsSpent:
+      return absl::StrCat("all ", request.route->max_attempts, " attempts are spent");
+    case StopCause::kBudgetSpent:
+      return "the retry budget is spent";
+    case StopCause::kTooManyWaiting:
+      return absl::StrCat(NameOfObstacle(choice.obstacle), ", and too many wait already");
+  }
+  return "unknown";
+}
+
+std::string Describe(const Request& request, const Choice& choice, StopCause cause,
+                     const ownership::OwnershipMap* map, Time now) {
+  std::string text =
+      absl::StrCat(request.service->name, ": ", DescribeCause(request, choice, cause));
+  if (choice.about != nullptr) {
+    absl::StrAppend(&text, " (", DescribeLoad(*choice.about, now), ")");
+  }
+  if (request.sharded) {
+    absl::StrAppend(
+        &text, "; key ", request.key.value_or(0), ", map ",
+        map == nullptr ? "unknown" : absl::StrCat(map->version.epoch, ".", map->version.sequence));
+  }
+  if (request.setback.backend != nullptr) {
+    text += DescribeSetback(request);
+  }
+  absl::StrAppend(&text, "; after ", request.sends, " sends and ",
+                  absl::FormatDuration(absl::Trunc(now - request.arrival, absl::Milliseconds(1))));
+  return text;
+}
+
+}  // namespace
+
+AnswerDecision MakeAnswer(ResultCode code, Duration retry_after, std::string reason) {
+  AnswerDecision answer;
+  answer.status = HttpStatusOf(code);
+  answer.code = code;
+  answer.retry_after = retry_after;
+  answer.reason = std::move(reason);
+  return answer;
+}
+
+AnswerDecision AnswerUnserved(const Request& request, const Choice& choice, StopCause cause,
+                              const ownership::OwnershipMap* map, std::mt19937_64& random,
+                              Time now) {
+  std::string reason = Describe(request, choice, cause, map, now);
+  if (request.may_have_run) {
+    return MakeAnswer(ResultCode::kConnectionLost, absl::ZeroDuration(), std::move(reason));
+  }
+  const bool by_setback = request.setback.kind != SetbackKind::kNone &&
+                          (cause != StopCause::kObstacle || choice.obstacle == Obstacle::kAllTried);
+  const ResultCode code =
+      by_setback ? CodeOfSetback(request.setback.kind) : CodeOfObstacle(choice.obstacle);
+  const Duration retry_after =
+      choice.obstacle == Obstacle::kNoMap
+          ? kNoMapRetryAfter
+          : RetryAfter(request, code, by_setback ? request.setback.backend : choice.about, random,
+                       now);
+  return MakeAnswer(code, retry_after, std::move(reason));
+}
+
+AnswerDecision AnswerTimeOver(const Request& request, bool may_have_run, Time now) {
+  const ResultCode code = may_have_run ? ResultCode::kTimedOut : ResultCode::kDeadlineUnreachable;
+  std::string reason =
+      absl::StrCat(request.service->name, ": the time is over after ",
+                   absl::FormatDuration(absl::Trunc(now - request.arrival, absl::Milliseconds(1))),
+                   " and ", request.sends, " sends");
+  if (request.setback.backend != nullptr) {
+    reason += DescribeSetback(request);
+  }
+  return MakeAnswer(code, absl::ZeroDuration(), std::move(reason));
+}
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/forwarding/load_counter.cc
@@ -0,0 +1,31 @@
+#include "core/forwarding/load_counter.h"
+
+#include <utility>
+
+namespace ladderstream::forwarding {
+
+void LoadCounter::AddServiceTime(const std::string& backend, Duration elapsed) {
+  partition::ServiceTimeSample& sample = samples_[backend];
+  ++sample.answers;
+  sample.total += elapsed;
+}
+
+ServiceLoad LoadCounter::Take(const std::string& service) {
+  ServiceLoad load;
+  load.service = service;
+  load.keys.reserve(keys_.size());
+  for (const auto& [key, count] : keys_) {
+    load.keys.push_back({key, static_cast<double>(count)});
+  }
+  load.samples.reserve(samples_.size());
+  for (auto& [backend, sample] : samples_) {
+    sample.backend = backend;
+    load.samples.push_back(std::move(sample));
+  }
+  load.denied_key = std::exchange(denied_, std::nullopt);
+  keys_.clear();
+  samples_.clear();
+  return load;
+}
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/forwarding/load_counter.h
@@ -0,0 +1,30 @@
+// Counts, for the coordinator, what the requests of one sharded service asked for and met.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <optional>
+#include <string>
+
+#include "core/forwarding/dispatcher.h"
+
+namespace ladderstream::forwarding {
+
+class LoadCounter {
+ public:
+  void AddKey(ownership::Key key) { ++keys_[key]; }
+  /// `elapsed` of an answer that had not waited in the back end's queue.
+  void AddServiceTime(const std::string& backend, Duration elapsed);
+  void SetDenied(ownership::Key key) { denied_ = key; }
+
+  bool empty() const { return keys_.empty() && samples_.empty() && !denied_; }
+  /// What was counted since the last Take.
+  ServiceLoad Take(const std::string& service);
+
+ private:
+  absl::flat_hash_map<ownership::Key, uint32_t> keys_;
+  absl::flat_hash_map<std::string, partition::ServiceTimeSample> samples_;
+  std::optional<ownership::Key> denied_;
+};
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/forwarding/load_estimate.cc
@@ -0,0 +1,157 @@
+#include "core/forwarding/load_estimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ladderstream::forwarding {
+namespace {
+
+/// Weights of the newest sample in the moving averages.
+constexpr double kServiceTimeGain = 0.3;
+constexpr double kForeignGain = 0.3;
+constexpr double kAverageGain = 0.1;
+/// A learned service time fades into the service's average with this time constant.
+constexpr Duration kServiceTimeMemory = absl::Seconds(5);
+/// Told load fades with this many service times, but not quicker than kLeastToldMemory.
+constexpr double kToldMemory = 1.0;
+constexpr Duration kLeastToldMemory = absl::Milliseconds(20);
+/// While cold, a back end takes this many times as long.
+constexpr double kColdFactor = 2;
+/// An attempt in flight this old, in its own age, shows that the service time is no shorter.
+constexpr double kAgeWeight = 0.5;
+/// After it turned a request away, its queue is taken as short again after so many slot intervals.
+constexpr int kLimitMemory = 4;
+constexpr Duration kLeastFull = absl::Milliseconds(5);
+
+void MoveTowards(double sample, double gain, double* average) {
+  *average += gain * (sample - *average);
+}
+
+double Fade(Duration age, Duration memory) { return std::exp(-absl::FDivDuration(age, memory)); }
+
+/// How many requests too many `occupancy` plus one is for `slots`; smooth around zero, as the
+/// occupancy is only known on average.
+double SmoothExcess(double occupancy, uint32_t slots) {
+  const double excess = occupancy + 1 - slots;
+  return (excess + std::sqrt(excess * excess + 1)) / 2;
+}
+
+}  // namespace
+
+void ServiceAverages::AddServiceTime(Duration service_time) {
+  service_time_ =
+      known_ ? service_time_ + kAverageGain * (service_time - service_time_) : service_time;
+  known_ = true;
+}
+
+void ServiceAverages::AddForeign(double foreign, uint32_t slots) {
+  MoveTowards(foreign / slots, kAverageGain, &foreign_per_slot_);
+}
+
+void ServiceAverages::NoteTold(const ToldLoad& told) {
+  if (told.slots > 0 && told.running == 0) {
+    told_counts_itself_ = false;
+  }
+}
+
+LoadEstimate::LoadEstimate(uint32_t slots, ServiceAverages& averages)
+    : averages_(averages), slots_(slots > 0 ? slots : 1), usual_foreign_(AverageForeign()) {}
+
+void LoadEstimate::OnEnd(Time started) {
+  const auto place = std::lower_bound(in_flight_.begin(), in_flight_.end(), started);
+  if (place != in_flight_.end() && *place == started) {
+    in_flight_.erase(place);
+  }
+}
+
+void LoadEstimate::OnTold(const ToldLoad& told, Time now) {
+  if (told.slots == 0) {
+    return;
+  }
+  told_ = told;
+  told_at_ = now;
+  const double others =
+      static_cast<double>(told.running) + told.waiting - static_cast<double>(in_flight_.size());
+  told_foreign_ = std::max(0.0, others);
+  MoveTowards(told_foreign_, kForeignGain, &usual_foreign_);
+  averages_.AddForeign(told_foreign_, slots_);
+}
+
+void LoadEstimate::OnServed(Duration elapsed, const ToldLoad& told, Time now) {
+  averages_.NoteTold(told);
+  ToldLoad others = told;
+  if (averages_.told_counts_itself() && others.running > 0) {
+    --others.running;
+  }
+  OnTold(others, now);
+  if (told.slots > 0 && told.running + told.waiting < limit_) {
+    full_until_ = absl::InfinitePast();
+  }
+  const Duration warm = now < cold_until_ ? elapsed / kColdFactor : elapsed;
+  const Duration learned = LearnedServiceTime(now);
+  // With a queue the elapsed time is only an upper bound.
+  if (told.waiting > 0 && warm > learned) {
+    return;
+  }
+  service_time_ = service_time_at_ == absl::InfinitePast()
+                      ? warm
+                      : learned + kServiceTimeGain * (warm - learned);
+  service_time_at_ = now;
+  averages_.AddServiceTime(warm);
+}
+
+void LoadEstimate::OnShed(const ToldLoad& told, Time now) {
+  OnTold(told, now);
+  const Duration interval = LearnedServiceTime(now) / slots_;
+  full_until_ = now + std::max(interval, kLeastFull);
+  if (told.slots > 0) {
+    limit_ = std::max<double>(static_cast<double>(told.running) + told.waiting, slots_ + 1.0);
+    limit_until_ = now + kLimitMemory * interval;
+  }
+}
+
+bool LoadEstimate::Full(Time now) const {
+  return now < full_until_ || (now < limit_until_ && Occupancy(now) >= limit_);
+}
+
+double LoadEstimate::AverageForeign() const { return averages_.foreign_per_slot() * slots_; }
+
+double LoadEstimate::Occupancy(Time now) const {
+  const double usual = (usual_foreign_ + AverageForeign()) / 2;
+  const Duration queue = told_.waiting * LearnedServiceTime(now) / slots_;
+  const Duration memory = std::max(kToldMemory * LearnedServiceTime(now) + queue, kLeastToldMemory);
+  const double foreign = usual + (told_foreign_ - usual) * Fade(ToldAge(now), memory);
+  return foreign + static_cast<double>(in_flight_.size());
+}
+
+Duration LoadEstimate::LearnedServiceTime(Time now) const {
+  const Duration average = averages_.ServiceTime();
+  if (service_time_at_ == absl::InfinitePast()) {
+    return average;
+  }
+  return average + (service_time_ - average) * Fade(now - service_time_at_, kServiceTimeMemory);
+}
+
+Duration LoadEstimate::ServiceTime(Time now) const {
+  Duration time = LearnedServiceTime(now);
+  if (now < cold_until_) {
+    time *= kColdFactor;
+  }
+  if (!in_flight_.empty()) {
+    time = std::max(time, kAgeWeight * (now - in_flight_.front()));
+  }
+  return time;
+}
+
+Duration LoadEstimate::ExpectedWait(Time now) const {
+  const Duration warm = LearnedServiceTime(now);
+  return (now < cold_until_ ? warm * kColdFactor : warm) / slots_ *
+         SmoothExcess(Occupancy(now), slots_);
+}
+
+bool LoadEstimate::KnownBusy(Time now) const {
+  const bool fresh = ToldAge(now) < kLimitMemory * LearnedServiceTime(now);
+  return in_flight_.size() >= slots_ || (fresh && Occupancy(now) >= slots_);
+}
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/forwarding/outlier_detector.cc
@@ -0,0 +1,67 @@
+#include "core/forwarding/outlier_detector.h"
+
+#include <algorithm>
+
+namespace ladderstream::forwarding {
+namespace {
+
+constexpr Duration kFirstUnreachable = absl::Milliseconds(100);
+constexpr Duration kLongestUnreachable = absl::Seconds(2);
+constexpr Duration kLongestUnreachableOwner = absl::Milliseconds(400);
+constexpr uint32_t kFailuresToEject = 3;
+constexpr Duration kFirstSuspect = absl::Seconds(1);
+constexpr Duration kLongestSuspect = absl::Seconds(5);
+constexpr uint32_t kMaxDoublings = 8;
+
+/// `first`, doubled `times`, at most `longest`.
+Duration Doubled(Duration first, uint32_t times, Duration longest) {
+  return std::min(first * (int64_t{1} << std::min(times, kMaxDoublings)), longest);
+}
+
+}  // namespace
+
+Duration OutlierDetector::EjectUnreachable(Time now) {
+  const Duration time = Doubled(kFirstUnreachable, connect_failures_ - 1, kLongestUnreachable);
+  connect_failed_at_ = now;
+  unreachable_until_ = now + time;
+  return time;
+}
+
+Duration OutlierDetector::OnConnectRefused(Time now) {
+  ++connect_failures_;
+  return EjectUnreachable(now);
+}
+
+Duration OutlierDetector::OnConnectTimeout(Time now) {
+  ++connect_failures_;
+  return connect_failures_ == 1 ? absl::ZeroDuration() : EjectUnreachable(now);
+}
+
+Duration OutlierDetector::OnFailure(Time now) {
+  ++failures_;
+  if (failures_ < kFailuresToEject || Suspect(now)) {
+    return absl::ZeroDuration();
+  }
+  const Duration time = Doubled(kFirstSuspect, ejections_, kLongestSuspect);
+  ++ejections_;
+  suspect_until_ = now + time;
+  return time;
+}
+
+Duration OutlierDetector::OnWrongInstance(Time now) {
+  unreachable_until_ = now + kLongestUnreachable;
+  return kLongestUnreachable;
+}
+
+Time OutlierDetector::owner_unreachable_until() const {
+  return std::min(unreachable_until_, connect_failed_at_ + kLongestUnreachableOwner);
+}
+
+void OutlierDetector::OnConnected() {
+  connect_failures_ = 0;
+  unreachable_until_ = absl::InfinitePast();
+}
+
+void OutlierDetector::OnSuccess() { Reset(); }
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/forwarding/owner_choice.cc
@@ -0,0 +1,91 @@
+#include "core/forwarding/owner_choice.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ladderstream::forwarding {
+namespace {
+
+Choice Blocked(Obstacle obstacle, BackendStatePtr about = nullptr,
+               Time try_again = absl::InfiniteFuture()) {
+  Choice choice;
+  choice.obstacle = obstacle;
+  choice.about = std::move(about);
+  choice.try_again = try_again;
+  choice.may_pass = obstacle != Obstacle::kNoMap;
+  return choice;
+}
+
+bool IsMoving(const ownership::ServiceOwnership& service, ownership::Key key) {
+  return std::any_of(service.moving.begin(), service.moving.end(),
+                     [key](const ownership::KeyRange& range) { return range.Contains(key); });
+}
+
+bool IsDenied(const std::optional<DeniedAssignment>& denied,
+              const ownership::Assignment& assignment) {
+  return denied && denied->owner == assignment.owner && denied->fence == assignment.fence;
+}
+
+}  // namespace
+
+void OwnershipView::SetMap(std::shared_ptr<const ownership::OwnershipMap> map) {
+  if (map != nullptr && map_ != nullptr && map->version < map_->version) {
+    return;
+  }
+  map_ = std::move(map);
+}
+
+const ownership::ServiceOwnership* OwnershipView::Find(const std::string& service) const {
+  if (map_ == nullptr) {
+    return nullptr;
+  }
+  const auto found = map_->services.find(service);
+  return found == map_->services.end() ? nullptr : &found->second;
+}
+
+Choice OwnerChoice::Choose(const ChoiceContext& context) {
+  if (!ownership_.Confirmed(context.now)) {
+    return Blocked(Obstacle::kNoMap);
+  }
+  const ownership::ServiceOwnership* service = ownership_.Find(context.service.name);
+  if (service == nullptr) {
+    return Blocked(Obstacle::kNoOwner);
+  }
+  const ownership::Key key = context.key.value_or(0);
+  if (IsMoving(*service, key)) {
+    return Blocked(Obstacle::kMoving);
+  }
+  const ownership::Assignment* assignment = ownership::FindAssignment(service->assignments, key);
+  if (assignment == nullptr || assignment->owner.empty()) {
+    return Blocked(Obstacle::kNoOwner);
+  }
+  return ChooseOwner(*assignment, context);
+}
+
+Choice OwnerChoice::ChooseOwner(const ownership::Assignment& assignment,
+                                const ChoiceContext& context) const {
+  const BackendStatePtr owner = services_.FindBackend(assignment.owner);
+  if (owner == nullptr || owner->registration.service != context.service.name) {
+    return Blocked(Obstacle::kNoOwner);
+  }
+  if (!owner->UsableAsOwner(context.now)) {
+    return Blocked(Obstacle::kOwnerLeaving, owner);
+  }
+  if (IsDenied(context.denied, assignment)) {
+    return Blocked(Obstacle::kOwnerDenied, owner);
+  }
+  const Time unreachable_until = owner->outlier.owner_unreachable_until();
+  if (context.now < unreachable_until) {
+    return Blocked(Obstacle::kOwnerUnreachable, owner, unreachable_until);
+  }
+  if (owner->load.Full(context.now)) {
+    return Blocked(Obstacle::kOwnerFull, owner, owner->load.full_until());
+  }
+  Choice choice;
+  choice.backend = owner;
+  choice.fence = assignment.fence;
+  choice.expected_wait = owner->load.ExpectedWait(context.now);
+  return choice;
+}
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/forwarding/owner_choice.h
@@ -0,0 +1,46 @@
+// Choosing the back end of a request of a sharded service: the owner of its key.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "core/forwarding/backend_choice.h"
+#include "core/ownership/ownership_map.h"
+
+namespace ladderstream::forwarding {
+
+/// The newest ownership map, and until when it may be used.
+class OwnershipView {
+ public:
+  /// Older maps than the one in force are ignored. Null: none is known any more.
+  void SetMap(std::shared_ptr<const ownership::OwnershipMap> map);
+  void SetConfirmed(Time until) { confirmed_until_ = until; }
+
+  bool Confirmed(Time now) const { return map_ != nullptr && now < confirmed_until_; }
+  /// Null when the map does not hold the service, or there is no map.
+  const ownership::ServiceOwnership* Find(const std::string& service) const;
+  /// Null when there is no map.
+  const ownership::OwnershipMap* map() const { return map_.get(); }
+
+ private:
+  std::shared_ptr<const ownership::OwnershipMap> map_;
+  Time confirmed_until_ = absl::InfinitePast();
+};
+
+/// The owner by the map in force. There is no second choice: a key has one owner.
+class OwnerChoice : public BackendChoice {
+ public:
+  /// Both must outlive the choice.
+  OwnerChoice(const OwnershipView& ownership, const ServiceTable& services)
+      : ownership_(ownership), services_(services) {}
+
+  Choice Choose(const ChoiceContext& context) override;
+
+ private:
+  Choice ChooseOwner(const ownership::Assignment& assignment, const ChoiceContext& context) const;
+
+  const OwnershipView& ownership_;
+  const ServiceTable& services_;
+};
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/forwarding/service_table.cc
@@ -0,0 +1,154 @@
+#include "core/forwarding/service_table.h"
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ladderstream::forwarding {
+namespace {
+
+/// A back end that disappeared is forgotten after this.
+constexpr Duration kForgetAfter = absl::Seconds(30);
+/// More beliefs than this are not kept until the next TakeBeliefs.
+constexpr size_t kMaxBeliefs = 1000;
+
+}  // namespace
+
+void ServiceTable::SetBackends(const std::vector<catalog::Backend>& backends, bool store_troubled,
+                               Time now) {
+  absl::flat_hash_set<std::string> registered;
+  for (const catalog::Backend& backend : backends) {
+    registered.insert(backend.id);
+    const auto known = backends_.find(backend.id);
+    if (known == backends_.end()) {
+      Register(backend, now);
+    } else {
+      Update(backend, *known->second, now);
+    }
+  }
+  for (auto& [id, state] : backends_) {
+    if (state->registered && !registered.contains(id)) {
+      MarkGone(*state, store_troubled, now);
+    }
+  }
+  Rebuild(now);
+}
+
+void ServiceTable::Register(const catalog::Backend& backend, Time now) {
+  auto state = std::make_shared<BackendState>(backend, Service(backend.service).averages);
+  state->load.SetColdUntil(now + backend.cold_left);
+  if (backend.draining) {
+    // It may have been draining for long.
+    state->usable_until = absl::InfinitePast();
+    state->owner_usable_until = absl::InfinitePast();
+  }
+  AddBelief(*state, "registered",
+            absl::StrCat(backend.service, " at ", FormatEndpoint(backend.address), ", ",
+                         backend.draining ? "draining" : "ready"));
+  backends_.emplace(backend.id, std::move(state));
+}
+
+void ServiceTable::Update(const catalog::Backend& backend, BackendState& state, Time now) {
+  catalog::Backend previous = std::exchange(state.registration, backend);
+  if (backend.cold_left != previous.cold_left) {
+    state.load.SetColdUntil(now + backend.cold_left);
+    previous.cold_left = backend.cold_left;
+  }
+  if (state.registered && previous == backend) {
+    return;
+  }
+  const bool was_serving = state.registered && !previous.draining;
+  state.registered = true;
+  state.gone_at = absl::InfiniteFuture();
+  state.load.SetSlots(backend.slots);
+  state.outlier.Reset();
+  if (!backend.draining) {
+    state.usable_until = absl::InfiniteFuture();
+    state.owner_usable_until = absl::InfiniteFuture();
+    AddBelief(state, was_serving ? "changed" : "returned", FormatEndpoint(backend.address));
+    return;
+  }
+  StopNewWork(settings_.drain_grace, settings_.drain_serving, state, now);
+  AddBelief(state, "draining", "its registration says so");
+}
+
+void ServiceTable::MarkGone(BackendState& state, bool store_troubled, Time now) {
+  state.registered = false;
+  state.gone_at = now;
+  if (store_troubled) {
+    StopNewWork(settings_.lapse_grace, std::max(settings_.drain_serving, settings_.lapse_grace),
+                state, now);
+  } else {
+    StopNewWork(settings_.drain_grace, settings_.drain_serving, state, now);
+  }
+  AddBelief(state, "gone",
+            store_troubled ? "its registration disappeared while the store was troubled"
+                           : "its registration disappeared");
+}
+
+void ServiceTable::StopNewWork(Duration grace, Duration owner_grace, BackendState& state,
+                               Time now) const {
+  state.usable_until = std::min(state.usable_until, now + grace);
+  state.owner_usable_until = std::min(state.owner_usable_until, now + owner_grace);
+}
+
+void ServiceTable::Rebuild(Time now) {
+  for (auto& [name, service] : services_) {
+    service->backends.clear();
+  }
+  for (auto entry = backends_.begin(); entry != backends_.end();) {
+    const BackendStatePtr& state = entry->second;
+    if (now - state->gone_at > kForgetAfter) {
+      backends_.erase(entry++);
+      continue;
+    }
+    Service(state->registration.service).backends.push_back(state);
+    ++entry;
+  }
+  for (auto& [name, service] : services_) {
+    std::sort(service->backends.begin(), service->backends.end(),
+              [](const BackendStatePtr& a, const BackendStatePtr& b) {
+                return a->registration.id < b->registration.id;
+              });
+  }
+}
+
+ServiceState& ServiceTable::Service(const std::string& name) {
+  std::unique_ptr<ServiceState>& service = services_[name];
+  if (service == nullptr) {
+    service = std::make_unique<ServiceState>();
+    service->name = name;
+  }
+  return *service;
+}
+
+const ServiceState* ServiceTable::FindService(const std::string& name) const {
+  const auto service = services_.find(name);
+  return service == services_.end() ? nullptr : service->second.get();
+}
+
+BackendStatePtr ServiceTable::FindBackend(const std::string& id) const {
+  const auto backend = backends_.find(id);
+  return backend == backends_.end() ? nullptr : backend->second;
+}
+
+std::vector<ServiceState*> ServiceTable::Services() {
+  std::vector<ServiceState*> services;
+  services.reserve(services_.size());
+  for (const auto& [name, service] : services_) {
+    services.push_back(service.get());
+  }
+  return services;
+}
+
+std::vector<BackendBelief> ServiceTable::TakeBeliefs() { return std::exchange(beliefs_, {}); }
+
+void ServiceTable::AddBelief(const BackendState& backend, std::string event, std::string detail) {
+  if (beliefs_.size() < kMaxBeliefs) {
+    beliefs_.push_back({backend.registration.id, std::move(event), std::move(detail)});
+  }
+}
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/forwarding/service_table.h
@@ -0,0 +1,61 @@
+// All services and back ends that this node knows, kept in step with the registrations.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/forwarding/backend_state.h"
+#include "core/forwarding/dispatcher.h"
+#include "core/forwarding/load_counter.h"
+#include "core/forwarding/retry_budget.h"
+#include "core/forwarding/wait_queue.h"
+
+namespace ladderstream::forwarding {
+
+/// What one service's requests share. Outlives its registrations.
+struct ServiceState {
+  std::string name;
+  ServiceAverages averages;
+  RetryBudget budget;
+  LoadCounter load;
+  WaitQueue waiting;
+  std::vector<BackendStatePtr> backends;
+};
+
+class ServiceTable {
+ public:
+  /// `settings` must outlive the table.
+  explicit ServiceTable(const DispatcherSettings& settings) : settings_(settings) {}
+
+  /// Takes over all registrations of now; see Dispatcher::SetBackends.
+  void SetBackends(const std::vector<catalog::Backend>& backends, bool store_troubled, Time now);
+
+  /// The state of a service, made when it is not known yet. Stays where it is.
+  ServiceState& Service(const std::string& name);
+  /// Null when no such service is known.
+  const ServiceState* FindService(const std::string& name) const;
+  /// Null when no such back end is known; also finds those that disappeared a short time ago.
+  BackendStatePtr FindBackend(const std::string& id) const;
+
+  std::vector<ServiceState*> Services();
+  std::vector<BackendBelief> TakeBeliefs();
+  void AddBelief(const BackendState& backend, std::string event, std::string detail);
+
+ private:
+  void Register(const catalog::Backend& backend, Time now);
+  void Update(const catalog::Backend& backend, BackendState& state, Time now);
+  void MarkGone(BackendState& state, bool store_troubled, Time now);
+  void StopNewWork(Duration grace, Duration owner_grace, BackendState& state, Time now) const;
+  /// Drops back ends that disappeared long ago, and lists the others by service.
+  void Rebuild(Time now);
+
+  const DispatcherSettings& settings_;
+  absl::flat_hash_map<std::string, std::unique_ptr<ServiceState>> services_;
+  absl::flat_hash_map<std::string, BackendStatePtr> backends_;
+  std::vector<BackendBelief> beliefs_;
+};
+
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/src/core/membership/membership.cc
@@ -0,0 +1,411 @@
+#include "core/membership/membership.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace ladderstream::membership {
+namespace {
+
+/// Reports that may be without an answer at a time; older ones are no longer waited for.
+constexpr size_t kMostSentReports = 16;
+
+/// How often the coordinator looks for silent members.
+constexpr Duration kRefreshInterval = absl::Milliseconds(500);
+
+/// At least so long after a report before a lost connection brings the next one.
+constexpr Duration kLossReportPause = absl::Milliseconds(50);
+
+/// Reports of many nodes must not fall into step: their interval varies by this share, downwards.
+constexpr double kReportJitter = 0.1;
+constexpr uint64_t kJitterSteps = 1024;
+
+/// Where nodes report more rarely than this many shortest intervals, the coordinator shows them in
+/// between that it is alive.
+constexpr double kLongestHeartbeatGap = 1.5;
+
+}  // namespace
+
+Membership::Membership(MembershipSettings settings, PeerIdentity self,
+                       store::TableFollower* configuration, store::TableFollower* backends)
+    : settings_(std::move(settings)),
+      self_(std::move(self)),
+      members_(self_, settings_.member_lifetime, settings_.members_interval_per_member),
+      snapshots_(settings_.snapshot, configuration, backends, settings_.seed),
+      random_(settings_.seed),
+      seek_turn_(random_()) {}
+
+void Membership::OnMessage(uint64_t connection, Message message, Time now) {
+  const Destination from{{}, connection};
+  std::visit([&](auto& body) { Handle(from, std::move(body), now); }, message);
+}
+
+void Membership::Handle(const Destination& from, Report report, Time now) {
+  members_.OnReport(report.sender, from.connection, now);
+  Heartbeat answer = NewHeartbeat(now);
+  answer.answered_report = report.sequence;
+  if (IsCoordinator(now) && map_ != nullptr && report.map_version < map_->version) {
+    answer.map.push_back(*map_);
+  }
+  if (report.members_version < members_.version()) {
+    answer.members = members_.members();
+  }
+  Send({from}, std::move(answer));
+  snapshots_.OnVersionsHeard({report.sender.address, from.connection},
+                             {report.configuration_version, report.backends_version}, now);
+  if (!report.loads.empty() || !report.refused_backends.empty()) {
+    actions_.emplace_back(ReportReceivedAction{std::move(report.sender), std::move(report.loads),
+                                               std::move(report.refused_backends)});
+  }
+}
+
+void Membership::Handle(const Destination& from, Heartbeat heartbeat, Time now) {
+  const std::optional<SentReport> report = TakeSentReport(heartbeat.answered_report);
+  snapshots_.OnVersionsHeard(from, {heartbeat.configuration_version, heartbeat.backends_version},
+                             now);
+  if (report.has_value() && report->holder != 0 && report->holder != heartbeat.sender) {
+    // Another process answers at the coordinator's address: the coordinator's has ended.
+    actions_.emplace_back(CoordinatorEndedAction{report->holder});
+  }
+  const bool own_lease = heartbeat.lease.incarnation == self_.incarnation;
+  if (heartbeat.lease.epoch == 0 || own_lease || !LearnHolder(heartbeat.lease, now)) {
+    return;
+  }
+  if (members_.Adopt(heartbeat.members, heartbeat.members_version, now)) {
+    actions_.emplace_back(MembersChangedAction{static_cast<uint32_t>(members().size())});
+  }
+  if (heartbeat.sender != heartbeat.lease.incarnation || heartbeat.lease_left_ms == 0) {
+    return;
+  }
+  last_heard_ = now;
+  actions_.emplace_back(HeartbeatHeardAction{heartbeat.lease});
+  if (!heartbeat.map.empty()) {
+    TakeMap(std::make_shared<ownership::OwnershipMap>(std::move(heartbeat.map.front())));
+  }
+  ConfirmBy(heartbeat, report, now);
+}
+
+void Membership::Handle(const Destination& /*from*/, const Resignation& resignation, Time /*now*/) {
+  if (holder_.has_value() && holder_->incarnation == resignation.incarnation) {
+    actions_.emplace_back(CoordinatorEndedAction{resignation.incarnation});
+  }
+}
+
+void Membership::Handle(const Destination& from, const SnapshotRequest& request, Time now) {
+  Send({from}, snapshots_.Answer(request, now));
+}
+
+void Membership::Handle(const Destination& /*from*/, const Snapshot& snapshot, Time now) {
+  if (snapshots_.OnSnapshot(snapshot, now)) {
+    actions_.emplace_back(TablesMergedAction{});
+  }
+}
+
+void Membership::OnConnectFailed(const Endpoint& address, bool refused, Time /*now*/) {
+  const bool of_holder = holder_.has_value() && holder_->peer_address == address &&
+                         holder_->incarnation != self_.incarnation;
+  if (refused && of_holder) {
+    actions_.emplace_back(CoordinatorEndedAction{holder_->incarnation});
+  }
+}
+
+void Membership::OnConnectionLost(const Endpoint& address, Time now) {
+  const bool of_holder = holder_.has_value() && holder_->peer_address == address;
+  if (of_holder) {
+    // A report at once shows whether anybody still listens there.
+    next_report_ = std::min(next_report_, std::max(now, last_report_sent_ + kLossReportPause));
+  }
+}
+
+void Membership::OnHolderKnown(const ownership::LeaseView& lease, Time now) {
+  LearnHolder(lease, now);
+}
+
+bool Membership::LearnHolder(const ownership::LeaseView& lease, Time now) {
+  if (holder_.has_value() && lease.epoch < holder_->epoch) {
+    return false;
+  }
+  if (!holder_.has_value() || lease.epoch > holder_->epoch) {
+    holder_ = lease;
+    // All nodes learn it at much the same time; their first reports are spread a little.
+    next_report_ = now + SharedReportInterval() * RandomShare();
+    if (lease.incarnation != self_.incarnation) {
+      lease_until_ = absl::InfinitePast();
+    }
+    return true;
+  }
+  if (holder_->incarnation != lease.incarnation) {
+    return false;
+  }
+  holder_->row_version = std::max(holder_->row_version, lease.row_version);
+  return true;
+}
+
+void Membership::OnLeaseHeld(const ownership::LeaseView& lease, Time until, Time now) {
+  const bool took_over = !IsCoordinator(now);
+  if (!LearnHolder(lease, now)) {
+    return;
+  }
+  lease_until_ = until;
+  SetConfirmed(std::min(until, now + settings_.confirmation));
+  if (took_over) {
+    members_.TakeOver(lease.epoch, now);
+    next_refresh_ = now + kRefreshInterval;
+    next_sign_of_life_ = now + LongestHeartbeatGap();
+    PushHeartbeat(now);
+  }
+}
+
+void Membership::OnLeaseLost(Time now) {
+  lease_until_ = absl::InfinitePast();
+  push_wanted_ = false;
+  next_report_ = now;
+}
+
+void Membership::OnResigned(Time now) {
+  OnLeaseLost(now);
+  Send(members_.Others(), Resignation{self_.incarnation});
+}
+
+void Membership::OnMap(const ownership::OwnershipMap& map, Time now) {
+  if (map_ != nullptr && map.version <= map_->version) {
+    return;
+  }
+  TakeMap(std::make_shared<ownership::OwnershipMap>(map));
+  if (!IsCoordinator(now)) {
+    return;
+  }
+  push_wanted_ = true;
+  if (now >= next_push_) {
+    PushHeartbeat(now);
+  }
+}
+
+void Membership::TakeMap(std::shared_ptr<const ownership::OwnershipMap> map) {
+  if (map_ != nullptr && map->version <= map_->version) {
+    return;
+  }
+  map_ = std::move(map);
+  actions_.emplace_back(MapChangedAction{map_});
+}
+
+void Membership::ConfirmBy(const Heartbeat& heartbeat, const std::optional<SentReport>& report,
+                           Time now) {
+  if (map_version() < heartbeat.map_version) {
+    // A newer map exists that did not come along: the held one is surely old.
+    SetConfirmed(now);
+    next_report_ = now;
+    return;
+  }
+  if (map_version() != heartbeat.map_version) {
+    return;
+  }
+  const bool pushed = heartbeat.answered_report == 0;
+  if (!pushed && !report.has_value()) {
+    return;
+  }
+  // An answer was made after its report was sent, however long it was on the way.
+  const Time made = pushed ? now : report->sent;
+  const Duration longest = pushed ? settings_.pushed_confirmation : settings_.confirmation;
+  const Duration span = std::min(absl::Milliseconds(heartbeat.lease_left_ms), longest);
+  const Time until = made + span - settings_.confirmation_margin;
+  if (until > confirmed_until_) {
+    SetConfirmed(until);
+  }
+}
+
+void Membership::SetConfirmed(Time until) {
+  if (until == confirmed_until_) {
+    return;
+  }
+  confirmed_until_ = until;
+  actions_.emplace_back(MapConfirmedAction{until});
+}
+
+std::optional<Membership::SentReport> Membership::TakeSentReport(uint64_t sequence) {
+  const auto found =
+      std::find_if(sent_reports_.begin(), sent_reports_.end(),
+                   [sequence](const SentReport& sent) { return sent.sequence == sequence; });
+  if (found == sent_reports_.end()) {
+    return std::nullopt;
+  }
+  const SentReport sent = *found;
+  sent_reports_.erase(found);
+  return sent;
+}
+
+Report Membership::NewReport(uint64_t holder, Time now) {
+  Report report;
+  report.sender = self_;
+  report.sequence = ++last_report_;
+  report.map_version = map_version();
+  report.members_version = members_.version();
+  const HeldVersions held = snapshots_.Held();
+  report.configuration_version = held.configuration;
+  report.backends_version = held.backends;
+  if (sent_reports_.size() >= kMostSentReports) {
+    sent_reports_.pop_front();
+  }
+  sent_reports_.push_back({report.sequence, now, holder});
+  last_report_sent_ = now;
+  return report;
+}
+
+void Membership::SendReport(std::vector<LoadReport> loads,
+                            std::vector<std::string> refused_backends, Time now) {
+  if (!holder_.has_value() || holder_->incarnation == self_.incarnation) {
+    return;
+  }
+  Report report = NewReport(holder_->incarnation, now);
+  report.loads = std::move(loads);
+  report.refused_backends = std::move(refused_backends);
+  Send({Destination{holder_->peer_address, 0}}, std::move(report));
+}
+
+void Membership::SeekCoordinator(Time now) {
+  std::vector<Destination> others = OthersAndSeeds();
+  if (holder_.has_value()) {
+    std::erase_if(others, [this](const Destination& other) {
+      return other.address == holder_->peer_address;
+    });
+  }
+  if (others.empty()) {
+    return;
+  }
+  Send({others[seek_turn_++ % others.size()]}, NewReport(0, now));
+}
+
+Heartbeat Membership::NewHeartbeat(Time now) const {
+  Heartbeat heartbeat;
+  heartbeat.sender = self_.incarnation;
+  heartbeat.lease = holder_.value_or(ownership::LeaseView{});
+  if (IsCoordinator(now)) {
+    constexpr int64_t kLongestLeaseMs = 60'000;
+    const int64_t left = absl::ToInt64Milliseconds(lease_until_ - now);
+    heartbeat.lease_left_ms = static_cast<uint32_t>(std::min(left, kLongestLeaseMs));
+  }
+  heartbeat.map_version = map_version();
+  heartbeat.members_version = members_.version();
+  const HeldVersions held = snapshots_.Held();
+  heartbeat.configuration_version = held.configuration;
+  heartbeat.backends_version = held.backends;
+  return heartbeat;
+}
+
+void Membership::PushHeartbeat(Time now) {
+  push_wanted_ = false;
+  std::vector<Destination> others = members_.Others();
+  next_push_ = now + settings_.push_interval_per_member * (others.size() + 1);
+  if (others.empty()) {
+    return;
+  }
+  Heartbeat heartbeat = NewHeartbeat(now);
+  if (map_ != nullptr) {
+    heartbeat.map.push_back(*map_);
+  }
+  heartbeat.members = members_.members();
+  Send(std::move(others), std::move(heartbeat));
+}
+
+void Membership::OnTick(Time now) {
+  AskForSnapshot(now);
+  if (lease_until_ != absl::InfinitePast() && !IsCoordinator(now)) {
+    OnLeaseLost(now);
+  }
+  if (IsCoordinator(now)) {
+    if (push_wanted_ && now >= next_push_) {
+      PushHeartbeat(now);
+    }
+    if (now >= next_sign_of_life_) {
+      ShowAlive(now);
+    }
+    if (now >= next_refresh_) {
+      next_refresh_ = now + kRefreshInterval;
+      if (members_.Refresh(now, ReportInterval())) {
+        actions_.emplace_back(MembersChangedAction{static_cast<uint32_t>(members().size())});
+      }
+    }
+    return;
+  }
+  if (now < next_report_) {
+    return;
+  }
+  next_report_ = now + ReportInterval() * (1 - kReportJitter * RandomShare());
+  const bool other_holds = holder_.has_value() && holder_->incarnation != self_.incarnation;
+  if (other_holds) {
+    actions_.emplace_back(ReportDueAction{});
+  }
+  if (!other_holds || now - last_heard_ > settings_.silence) {
+    SeekCoordinator(now);
+  }
+}
+
+Time Membership::NextWake() const {
+  if (lease_until_ == absl::InfinitePast()) {
+    return std::min(next_report_, snapshots_.NextWake());
+  }
+  const Time next_push = push_wanted_ ? next_push_ : absl::InfiniteFuture();
+  return std::min(
+      {lease_until_, next_push, next_sign_of_life_, next_refresh_, snapshots_.NextWake()});
+}
+
+void Membership::ShowAlive(Time now) {
+  next_sign_of_life_ = now + LongestHeartbeatGap();
+  if (ReportInterval() > LongestHeartbeatGap()) {
+    Send(members_.Others(), NewHeartbeat(now));
+  }
+}
+
+void Membership::AskForSnapshot(Time now) {
+  if (now < snapshots_.NextWake()) {
+    return;
+  }
+  const auto question = snapshots_.Poll(OthersAndSeeds(), now);
+  if (question.has_value()) {
+    Send({question->to}, question->request);
+  }
+}
+
+std::vector<Destination> Membership::OthersAndSeeds() const {
+  std::vector<Destination> others = members_.Others();
+  for (const Endpoint& seed : settings_.seeds) {
+    const bool known = std::any_of(others.begin(), others.end(), [&seed](const Destination& other) {
+      return other.address == seed;
+    });
+    if (!known && seed != self_.address) {
+      others.push_back({seed, 0});
+    }
+  }
+  return others;
+}
+
+Duration Membership::SharedReportInterval() const {
+  return absl::Seconds(static_cast<double>(members().size()) / settings_.reports_per_second);
+}
+
+Duration Membership::ReportInterval() const {
+  return std::clamp(SharedReportInterval(), settings_.shortest_report_interval,
+                    settings_.longest_report_interval);
+}
+
+Duration Membership::LongestHeartbeatGap() const {
+  return settings_.shortest_report_interval * kLongestHeartbeatGap;
+}
+
+double Membership::RandomShare() {
+  return static_cast<double>(random_() % kJitterSteps) / static_cast<double>(kJitterSteps);
+}
+
+ownership::MapVersion Membership::map_version() const {
+  return map_ == nullptr ? ownership::MapVersion{} : map_->version;
+}
+
+void Membership::Send(std::vector<Destination> to, Message message) {
+  if (!to.empty()) {
+    actions_.emplace_back(SendAction{std::move(to), std::move(message)});
+  }
+}
+
+std::vector<MembershipAction> Membership::TakeActions() { return std::exchange(actions_, {}); }
+
+}  // namespace ladderstream::membership
--- /dev/null
+++ b/src/core/membership/membership.h
@@ -0,0 +1,198 @@
+// Which nodes take part, who coordinates them, and the exchange between the coordinator and the
+// others: reports and heartbeats, the ownership map and how long it may be used.
+//
+// Pure: events and time in, actions out; no I/O, no thread, no clock. docs/design/014 describes the
+// exchange. A map or row that is older than the one held is never taken.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <random>
+#include <variant>
+#include <vector>
+
+#include "core/membership/member_table.h"
+#include "core/membership/messages.h"
+#include "core/membership/snapshot_exchange.h"
+#include "core/store/table_follower.h"
+#include "wire/time.h"
+
+namespace ladderstream::membership {
+
+struct MembershipSettings {
+  /// Addresses known from the start; they may be stale.
+  std::vector<Endpoint> seeds;
+  Duration shortest_report_interval = absl::Milliseconds(300);
+  /// All nodes together report at most so often, as long as the longest interval allows.
+  double reports_per_second = 200;
+  /// Below what one report confirms a map for, so that the next one comes in time.
+  Duration longest_report_interval = absl::Milliseconds(1500);
+  /// A coordinator that was silent for so long may have a successor: other nodes are asked.
+  Duration silence = absl::Seconds(1);
+  Duration member_lifetime = absl::Seconds(3);
+  /// A changed list of members, and a changed map, go to all nodes at most once in this time for
+  /// each member; the first change after a pause goes at once.
+  Duration members_interval_per_member = absl::Milliseconds(10);
+  Duration push_interval_per_member = absl::Milliseconds(2);
+  /// An answered report confirms the map for at most this, counted from its send.
+  Duration confirmation = absl::Milliseconds(2500);
+  /// A pushed heartbeat was sent at an unknown time: it confirms the map for at most this.
+  Duration pushed_confirmation = absl::Milliseconds(600);
+  /// Taken off every confirmation.
+  Duration confirmation_margin = absl::Milliseconds(100);
+  SnapshotSettings snapshot = {};
+  /// Of jitter and of whom to ask first.
+  uint64_t seed = 0;
+};
+
+/// Send `message` to each of `to`. Reports may be dropped when too much waits.
+struct SendAction {
+  std::vector<Destination> to;
+  Message message;
+};
+/// A report to the coordinator is due: call SendReport with the loads since the last one.
+struct ReportDueAction {};
+/// The coordinator is alive: for Coordinator::OnHeartbeat.
+struct HeartbeatHeardAction {
+  ownership::LeaseView lease;
+};
+/// The coordinator gave up or its process has ended: for Coordinator::OnCoordinatorEnded.
+struct CoordinatorEndedAction {
+  uint64_t incarnation = 0;
+};
+/// A newer map than the one held.
+struct MapChangedAction {
+  std::shared_ptr<const ownership::OwnershipMap> map;
+};
+/// The map held may be used until then; a time in the past forbids its use.
+struct MapConfirmedAction {
+  Time until;
+};
+struct MembersChangedAction {
+  /// This node included.
+  uint32_t count = 0;
+};
+/// At the coordinator: what another node saw.
+struct ReportReceivedAction {
+  PeerIdentity sender;
+  std::vector<LoadReport> loads;
+  std::vector<std::string> refused_backends;
+};
+/// Rows of another node went into a follower.
+struct TablesMergedAction {};
+using MembershipAction =
+    std::variant<SendAction, ReportDueAction, HeartbeatHeardAction, CoordinatorEndedAction,
+                 MapChangedAction, MapConfirmedAction, MembersChangedAction, ReportReceivedAction,
+                 TablesMergedAction>;
+
+class Membership {
+ public:
+  /// The followers outlive this.
+  Membership(MembershipSettings settings, PeerIdentity self, store::TableFollower* configuration,
+             store::TableFollower* backends);
+
+  /// A message arrived on this connection of the transport.
+  void OnMessage(uint64_t connection, Message message, Time now);
+  /// A connection to `address` could not be made. `refused`: nobody listens there.
+  void OnConnectFailed(const Endpoint& address, bool refused, Time now);
+
+  /// A connection that this node had opened to `address` has ended.
+  void OnConnectionLost(const Endpoint& address, Time now);
+
+  /// The holder of the lease as this node's coordinator part knows it, from the lease row too.
+  void OnHolderKnown(const ownership::LeaseView& lease, Time now);
+  /// This node holds the lease until `until`; to be told at each renewal.
+  void OnLeaseHeld(const ownership::LeaseView& lease, Time until, Time now);
+  /// This node no longer holds the lease.
+  void OnLeaseLost(Time now);
+  /// This node gave its lease up for good.
+  void OnResigned(Time now);
+  /// This node committed or read a map; the coordinator sends it to all.
+  void OnMap(const ownership::OwnershipMap& map, Time now);
+
+  /// Answers ReportDueAction.
+  void SendReport(std::vector<LoadReport> loads, std::vector<std::string> refused_backends,
+                  Time now);
+  /// To be called at or soon after NextWake().
+  void OnTick(Time now);
+  Time NextWake() const;
+
+  /// Actions since the last call, in order.
+  std::vector<MembershipAction> TakeActions();
+
+  /// The holder of the lease with the highest epoch heard of.
+  const std::optional<ownership::LeaseView>& holder() const { return holder_; }
+  bool IsCoordinator(Time now) const { return now < lease_until_; }
+  /// Null before any is known.
+  const std::shared_ptr<const ownership::OwnershipMap>& map() const { return map_; }
+  Time map_confirmed_until() const { return confirmed_until_; }
+  const std::vector<PeerIdentity>& members() const { return members_.members(); }
+
+ private:
+  /// A report that may still be answered.
+  struct SentReport {
+    uint64_t sequence = 0;
+    Time sent;
+    /// The coordinator it went to; 0 when it went to any other node.
+    uint64_t holder = 0;
+  };
+
+  void Handle(const Destination& from, Report report, Time now);
+  void Handle(const Destination& from, Heartbeat heartbeat, Time now);
+  void Handle(const Destination& from, const Resignation& resignation, Time now);
+  void Handle(const Destination& from, const SnapshotRequest& request, Time now);
+  void Handle(const Destination& from, const Snapshot& snapshot, Time now);
+
+  /// False when a holder of a later epoch is known.
+  bool LearnHolder(const ownership::LeaseView& lease, Time now);
+  void TakeMap(std::shared_ptr<const ownership::OwnershipMap> map);
+  void ConfirmBy(const Heartbeat& heartbeat, const std::optional<SentReport>& report, Time now);
+  void SetConfirmed(Time until);
+  std::optional<SentReport> TakeSentReport(uint64_t sequence);
+  Report NewReport(uint64_t holder, Time now);
+  /// Asks some other node who the coordinator is.
+  void SeekCoordinator(Time now);
+  Heartbeat NewHeartbeat(Time now) const;
+  void PushHeartbeat(Time now);
+  /// Keeps many nodes, which report rarely, from taking the coordinator for dead.
+  void ShowAlive(Time now);
+  void AskForSnapshot(Time now);
+  std::vector<Destination> OthersAndSeeds() const;
+  /// At which all nodes together keep to `reports_per_second`.
+  Duration SharedReportInterval() const;
+  Duration ReportInterval() const;
+  Duration LongestHeartbeatGap() const;
+  /// In [0, 1).
+  double RandomShare();
+  ownership::MapVersion map_version() const;
+  void Send(std::vector<Destination> to, Message message);
+
+  MembershipSettings settings_;
+  PeerIdentity self_;
+  MemberTable members_;
+  SnapshotExchange snapshots_;
+  std::mt19937_64 random_;
+  std::vector<MembershipAction> actions_;
+
+  std::optional<ownership::LeaseView> holder_;
+  Time last_heard_ = absl::InfinitePast();
+  std::shared_ptr<const ownership::OwnershipMap> map_;
+  Time confirmed_until_ = absl::InfinitePast();
+
+  uint64_t last_report_ = 0;
+  std::deque<SentReport> sent_reports_;
+  Time next_report_ = absl::InfinitePast();
+  Time last_report_sent_ = absl::InfinitePast();
+  uint64_t seek_turn_;
+
+  /// This node's own lease.
+  Time lease_until_ = absl::InfinitePast();
+  bool push_wanted_ = false;
+  Time next_push_ = absl::InfinitePast();
+  Time next_sign_of_life_ = absl::InfinitePast();
+  Time next_refresh_ = absl::InfinitePast();
+};
+
+}  // namespace ladderstream::membership
--- /dev/null
+++ b/src/core/membership/message_codec.cc
@@ -0,0 +1,144 @@
+#include "core/membership/message_codec.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <cmath>
+#include <variant>
+
+#include "wire/codec.h"
+#include "wire/result_code.h"
+
+namespace ladderstream::membership {
+namespace {
+
+/// No list of a sound message is longer: one entry for each key.
+constexpr size_t kMostElements = ownership::kLastKey + 1;
+constexpr size_t kMostTextBytes = size_t{1} << 20;
+constexpr size_t kMostDepth = 16;
+/// Values in one message, in all its lists together; each takes some 24 bytes once parsed.
+constexpr size_t kMostValues = 500'000;
+
+/// Counts the values of a message without keeping any, and stops when there are too many.
+class ValueCounter : public msgpack::null_visitor {
+ public:
+  bool start_array(uint32_t count) { return Add(count); }
+  bool start_map(uint32_t count) { return Add(size_t{2} * count); }
+  void parse_error(size_t /*parsed*/, size_t /*error*/) { broken_ = true; }
+  void insufficient_bytes(size_t /*parsed*/, size_t /*error*/) { broken_ = true; }
+
+  bool sound() const { return !broken_ && values_ <= kMostValues; }
+
+ private:
+  bool Add(size_t count) {
+    values_ += count;
+    return values_ <= kMostValues;
+  }
+
+  size_t values_ = 0;
+  bool broken_ = false;
+};
+
+void Require(bool condition, std::string_view what) {
+  if (!condition) {
+    throw Error(ResultCode::kMalformedMessage, std::string(what));
+  }
+}
+
+void Check(const LoadReport& load) {
+  Require(load.keys.size() == load.counts.size(), "loads: keys and counts differ in number");
+  Require(
+      load.backends.size() == load.answers.size() && load.backends.size() == load.busy_us.size(),
+      "loads: back ends and their figures differ in number");
+  for (const uint32_t key : load.keys) {
+    Require(key <= ownership::kLastKey, "loads: a key beyond the last one");
+  }
+  for (const uint32_t key : load.denied_keys) {
+    Require(key <= ownership::kLastKey, "loads: a denied key beyond the last one");
+  }
+  for (const float count : load.counts) {
+    Require(std::isfinite(count) && count >= 0, "loads: a count that is no number of requests");
+  }
+}
+
+void Check(const ownership::KeyRange& range) {
+  Require(range.first <= range.last && range.last <= ownership::kLastKey,
+          "map: a range outside of the key space");
+}
+
+void Check(const ownership::ServiceOwnership& service) {
+  ownership::Key next = 0;
+  for (const ownership::Assignment& assignment : service.assignments) {
+    Check(assignment.range);
+    Require(assignment.range.first == next, "map: a gap or an overlap between assignments");
+    next = assignment.range.last + 1;
+  }
+  Require(service.assignments.empty() || next == ownership::kLastKey + 1,
+          "map: assignments that end before the last key");
+  for (const ownership::KeyRange& range : service.moving) {
+    Check(range);
+  }
+}
+
+void Check(const Report& report) {
+  Require(report.sender.incarnation != 0, "report: no sender");
+  for (const LoadReport& load : report.loads) {
+    Check(load);
+  }
+}
+
+void Check(const Heartbeat& heartbeat) {
+  Require(heartbeat.map.size() <= 1, "heartbeat: more than one map");
+  for (const ownership::OwnershipMap& map : heartbeat.map) {
+    Require(map.version == heartbeat.map_version, "heartbeat: a map of another version");
+    for (const auto& [name, service] : map.services) {
+      Check(service);
+    }
+  }
+}
+
+void Check(const Resignation& resignation) {
+  Require(resignation.incarnation != 0, "resignation: no sender");
+}
+
+void Check(const SnapshotRequest& /*request*/) {}
+
+void Check(const Snapshot& snapshot) {
+  for (const SharedRow& row : snapshot.configuration) {
+    Require(row.version != 0, "snapshot: a row without version");
+  }
+  for (const SharedRow& row : snapshot.backends) {
+    Require(row.version != 0, "snapshot: a row without version");
+  }
+}
+
+Message Parse(std::string_view bytes) {
+  ValueCounter counter;
+  size_t offset = 0;
+  const bool whole = msgpack::parse(bytes.data(), bytes.size(), offset, counter);
+  Require(whole && counter.sound(), "message: not whole, or too many values");
+  Require(offset == bytes.size(), "message: bytes behind its end");
+  const msgpack::unpack_limit limit(kMostElements, kMostElements, kMostTextBytes, kMostTextBytes, 0,
+                                    kMostDepth);
+  const msgpack::object_handle handle =
+      msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
+  return handle.get().as<Message>();
+}
+
+}  // namespace
+
+std::string EncodeMessage(const Message& message) { return Encode(message); }
+
+Message DecodeMessage(std::string_view bytes) {
+  try {
+    Message message = Parse(bytes);
+    std::visit([](const auto& body) { Check(body); }, message);
+    return message;
+  } catch (const Error&) {
+    throw;
+  } catch (const std::exception& error) {
+    throw Error(ResultCode::kMalformedMessage,
+                absl::StrCat("message of ", bytes.size(), " bytes: ", error.what()));
+  }
+}
+
+}  // namespace ladderstream::membership
--- a/src/core/membership/messages.h
+++ b/src/core/membership/messages.h
@@ -40,20 +40,36 @@
   MSGPACK_DEFINE_ARRAY(service, keys, counts, backends, answers, busy_us, denied_keys);
 };
 
-/// From a node to the coordinator.
+/// From a node to the coordinator. A node that does not know the coordinator sends it, without
+/// loads, to any other node.
 struct Report {
   PeerIdentity sender;
+  /// Counts the sender's reports from 1; the answer names it.
+  uint64_t sequence = 0;
   ownership::MapVersion map_version;
+  /// The newest list of members that the sender has seen.
+  uint64_t members_version = 0;
+  /// The store versions of the last changes that the sender's copies hold.
+  uint64_t configuration_version = 0;
+  uint64_t backends_version = 0;
   std::vector<LoadReport> loads;
   /// Back ends whose connections were refused to this node lately.
   std::vector<std::string> refused_backends;
-  MSGPACK_DEFINE_ARRAY(sender, map_version, loads, refused_backends);
+  MSGPACK_DEFINE_ARRAY(sender, sequence, map_version, members_version, configuration_version,
+                       backends_version, loads, refused_backends);
 };
 
-/// From the coordinator to a node.
+/// From the coordinator to a node; or from a node that is not the coordinator, which says in it
+/// whom it believes to be.
 struct Heartbeat {
+  /// The sender's incarnation.
+  uint64_t sender = 0;
+  /// The sequence of the report that this answers; 0 for one that was pushed.
+  uint64_t answered_report = 0;
+  /// Epoch 0: the sender knows no coordinator.
   ownership::LeaseView lease;
-  /// How long the sender's lease still runs, in milliseconds, when this was sent.
+  /// How long the sender's lease still runs, in milliseconds, when this was sent. 0 when the sender
+  /// is not the coordinator.
   uint32_t lease_left_ms = 0;
   ownership::MapVersion map_version;
   /// Only when the receiver's version is older; else empty.
@@ -62,7 +78,11 @@
   std::vector<PeerIdentity> members;
   /// Grows when `members` changes; members are only sent when the receiver has not seen it.
   uint64_t members_version = 0;
-  MSGPACK_DEFINE_ARRAY(lease, lease_left_ms, map_version, map, members, members_version);
+  /// As in a Report.
+  uint64_t configuration_version = 0;
+  uint64_t backends_version = 0;
+  MSGPACK_DEFINE_ARRAY(sender, answered_report, lease, lease_left_ms, map_version, map, members,
+                       members_version, configuration_version, backends_version);
 };
 
 /// The sender gives up the lease it holds.
@@ -79,7 +99,8 @@
   MSGPACK_DEFINE_ARRAY(key, value, version);
 };
 
-/// From a node that cannot reach the metadata store: what have you that is newer?
+/// From a node that cannot reach the metadata store, or missed a change: what have you that is
+/// newer? The versions say up to where the sender's copies are whole.
 struct SnapshotRequest {
   uint64_t configuration_version = 0;
   uint64_t backends_version = 0;
@@ -88,7 +109,8 @@
 
 /// The answer: rows as the sender last read them from the store.
 struct Snapshot {
-  /// Store version that these rows are as of; the request's version when nothing is newer.
+  /// The store version of the last change these rows hold, which are the whole table; the
+  /// request's version, and no rows, when the sender has nothing newer.
   uint64_t configuration_version = 0;
   std::vector<SharedRow> configuration;
   uint64_t backends_version = 0;
--- /dev/null
+++ b/src/core/ownership/backend_directory.cc
@@ -0,0 +1,215 @@
+#include "core/ownership/backend_directory.h"
+
+#include <algorithm>
+
+namespace ladderstream::ownership {
+namespace {
+
+/// Fewer failures in a row than this may be chance, or a pause of this process.
+constexpr uint32_t kSilentFailures = 3;
+
+/// How long a silent back end gets no keys; doubled each time that it turns silent again without an
+/// answer between.
+constexpr Duration kFirstDistrust = absl::Seconds(3);
+constexpr Duration kLastDistrust = absl::Seconds(30);
+
+/// With more back ends, also the proof that one has ended is forgotten.
+constexpr size_t kMostRemembered = 512;
+
+/// With fewer back ends, nothing is concluded from most of them being silent.
+constexpr size_t kFewestForMajority = 3;
+
+}  // namespace
+
+BackendDirectory::BackendDirectory(const CoordinatorSettings& settings) : settings_(settings) {}
+
+std::vector<std::string> BackendDirectory::Update(const std::vector<catalog::Backend>& backends,
+                                                  Time now) {
+  std::map<Endpoint, std::string> newcomers;
+  for (const catalog::Backend& backend : backends) {
+    const auto known = backends_.find(backend.id);
+    if (known == backends_.end()) {
+      newcomers[backend.address] = backend.id;
+    }
+  }
+  std::vector<std::string> ended;
+  for (auto& [id, known] : backends_) {
+    known.registered = false;
+    const auto newcomer = newcomers.find(known.address);
+    if (!known.ended && newcomer != newcomers.end()) {
+      known.ended = true;
+      ended.push_back(id);
+    }
+  }
+  for (const catalog::Backend& backend : backends) {
+    const auto [place, is_new] = backends_.try_emplace(backend.id);
+    KnownBackend& known = place->second;
+    known.service = backend.service;
+    known.address = backend.address;
+    known.zone = backend.zone;
+    known.slots = backend.slots;
+    known.registered = true;
+    known.draining = backend.draining;
+    if (is_new) {
+      known.cold_until = now + backend.cold_left;
+    }
+  }
+  return ended;
+}
+
+void BackendDirectory::Remember(const std::string& id, const std::string& service,
+                                const Endpoint& address) {
+  const auto [place, is_new] = backends_.try_emplace(id);
+  if (is_new || place->second.service.empty()) {
+    place->second.service = service;
+    place->second.address = address;
+  }
+}
+
+void BackendDirectory::ForgetUnneeded(const std::set<std::string>& needed) {
+  const bool forget_ended = backends_.size() > kMostRemembered;
+  std::erase_if(backends_, [&](const auto& entry) {
+    const auto& [id, known] = entry;
+    return !known.registered && !needed.contains(id) && (!known.ended || forget_ended);
+  });
+}
+
+void BackendDirectory::MarkEnded(const std::string& id) { backends_[id].ended = true; }
+
+bool BackendDirectory::RecordAnswer(const std::string& id) {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) {
+    return false;
+  }
+  KnownBackend& known = found->second;
+  const bool was_silent = known.silent;
+  known.failures = 0;
+  known.only_refused = true;
+  known.failing_since = absl::InfiniteFuture();
+  known.silent = false;
+  known.distrust = absl::ZeroDuration();
+  return was_silent;
+}
+
+void BackendDirectory::RecordFailure(const std::string& id, bool refused, Time sent, Time now) {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) {
+    return;
+  }
+  KnownBackend& known = found->second;
+  ++known.failures;
+  known.only_refused = known.only_refused && refused;
+  // A pause of this process is no silence of the back end.
+  const Time noticed = std::max(sent, now - settings_.order_timeout);
+  known.failing_since = std::min(known.failing_since, noticed);
+}
+
+void BackendDirectory::RecordUnansweredRelease(const std::string& id, Time now) {
+  const auto found = backends_.find(id);
+  if (found != backends_.end() && found->second.silent) {
+    found->second.distrusted_until =
+        std::max(found->second.distrusted_until, now + found->second.distrust);
+  }
+}
+
+std::vector<std::string> BackendDirectory::TakeSilent(Time now) {
+  std::vector<std::string> turned_silent;
+  for (auto& [id, known] : backends_) {
+    if (known.silent && now >= known.distrusted_until) {
+      known.silent = false;
+      known.failures = 0;
+      known.only_refused = true;
+      known.failing_since = absl::InfiniteFuture();
+    }
+    const Duration patience =
+        known.only_refused ? settings_.refusal_patience : settings_.silence_patience;
+    if (known.silent || known.failures < kSilentFailures || now - known.failing_since < patience) {
+      continue;
+    }
+    known.silent = true;
+    known.distrust = std::clamp(known.distrust * 2, kFirstDistrust, kLastDistrust);
+    known.distrusted_until = now + known.distrust;
+    turned_silent.push_back(id);
+  }
+  return turned_silent;
+}
+
+Time BackendDirectory::NextSilence() const {
+  Time next = absl::InfiniteFuture();
+  for (const auto& [id, known] : backends_) {
+    if (known.silent) {
+      next = std::min(next, known.distrusted_until);
+    } else if (known.failures >= kSilentFailures) {
+      next =
+          std::min(next, known.failing_since + (known.only_refused ? settings_.refusal_patience
+                                                                   : settings_.silence_patience));
+    }
+  }
+  return next;
+}
+
+const KnownBackend* BackendDirectory::Find(const std::string& id) const {
+  const auto found = backends_.find(id);
+  return found == backends_.end() ? nullptr : &found->second;
+}
+
+bool BackendDirectory::IsRegistered(const std::string& id) const {
+  const KnownBackend* known = Find(id);
+  return known != nullptr && known->registered;
+}
+
+bool BackendDirectory::HasEnded(const std::string& id) const {
+  const KnownBackend* known = Find(id);
+  return known != nullptr && known->ended;
+}
+
+bool BackendDirectory::Accepts(const std::string& id) const {
+  const KnownBackend* known = Find(id);
+  return known != nullptr && known->registered && !known->draining && !known->ended &&
+         !known->silent;
+}
+
+bool BackendDirectory::Keeps(const std::string& id) const {
+  const KnownBackend* known = Find(id);
+  return known != nullptr && known->registered && !known->draining && !known->ended &&
+         !(known->silent && !MostAreSilent(known->service));
+}
+
+bool BackendDirectory::AnyAccepts(const std::string& service) const {
+  return std::any_of(backends_.begin(), backends_.end(), [&](const auto& entry) {
+    return entry.second.service == service && Accepts(entry.first);
+  });
+}
+
+bool BackendDirectory::MostAreSilent(const std::string& service) const {
+  size_t registered = 0;
+  size_t silent = 0;
+  for (const auto& [id, known] : backends_) {
+    if (known.service == service && known.registered && !known.ended) {
+      ++registered;
+      silent += known.silent ? 1 : 0;
+    }
+  }
+  return registered >= kFewestForMajority && silent * 2 > registered;
+}
+
+std::vector<partition::PartitionBackend> BackendDirectory::ForPartitioner(
+    const std::string& service, const std::set<std::string>& owners, Time now) const {
+  std::vector<partition::PartitionBackend> backends;
+  for (const auto& [id, known] : backends_) {
+    if (known.service != service || (!known.registered && !owners.contains(id))) {
+      continue;
+    }
+    partition::PartitionBackend backend;
+    backend.id = id;
+    backend.zone = known.zone;
+    backend.slots = known.slots;
+    backend.accepts = Accepts(id);
+    backend.keeps = Keeps(id);
+    backend.cold_left = std::max(known.cold_until - now, absl::ZeroDuration());
+    backends.push_back(std::move(backend));
+  }
+  return backends;
+}
+
+}  // namespace ladderstream::ownership
--- /dev/null
+++ b/src/core/ownership/backend_directory.h
@@ -0,0 +1,88 @@
+// What the coordinator knows of each back end: where it is, whether it is registered, draining,
+// silent or proven to have ended.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/catalog/catalog.h"
+#include "core/ownership/coordinator.h"
+#include "core/partition/partitioner.h"
+#include "wire/identifiers.h"
+#include "wire/time.h"
+
+namespace ladderstream::ownership {
+
+struct KnownBackend {
+  std::string service;
+  Endpoint address;
+  std::string zone;
+  uint32_t slots = 1;
+  bool registered = false;
+  bool draining = false;
+  /// Proven; never taken back.
+  bool ended = false;
+  /// Slow from its start until then.
+  Time cold_until = absl::InfinitePast();
+
+  /// Grants in a row that were not confirmed.
+  uint32_t failures = 0;
+  /// Every one of them was a refused connection.
+  bool only_refused = true;
+  Time failing_since = absl::InfiniteFuture();
+  bool silent = false;
+  /// A silent back end may be tried with keys again from then on.
+  Time distrusted_until = absl::InfinitePast();
+  Duration distrust = absl::ZeroDuration();
+};
+
+class BackendDirectory {
+ public:
+  explicit BackendDirectory(const CoordinatorSettings& settings);
+
+  /// The registered back ends. Gives those that are thereby proven to have ended: another
+  /// incarnation registered newly at the address of a known one.
+  std::vector<std::string> Update(const std::vector<catalog::Backend>& backends, Time now);
+  /// An owner that a row of the store names, and its address.
+  void Remember(const std::string& id, const std::string& service, const Endpoint& address);
+  /// Forgets back ends that are neither registered nor in `needed`.
+  void ForgetUnneeded(const std::set<std::string>& needed);
+
+  void MarkEnded(const std::string& id);
+  /// It answered an order. Gives whether it was silent until now.
+  bool RecordAnswer(const std::string& id);
+  /// A grant was not confirmed; `refused`: nothing listened at its address.
+  void RecordFailure(const std::string& id, bool refused, Time sent, Time now);
+  /// It left a release unanswered: if it is silent, it stays so for a while longer.
+  void RecordUnansweredRelease(const std::string& id, Time now);
+  /// Gives those that turned silent since the last call.
+  std::vector<std::string> TakeSilent(Time now);
+  /// When TakeSilent() may give something next.
+  Time NextSilence() const;
+
+  /// Null when nothing is known of it.
+  const KnownBackend* Find(const std::string& id) const;
+  bool IsRegistered(const std::string& id) const;
+  bool HasEnded(const std::string& id) const;
+  /// Whether it may be given keys.
+  bool Accepts(const std::string& id) const;
+  /// Whether it may keep the keys that it has.
+  bool Keeps(const std::string& id) const;
+  bool AnyAccepts(const std::string& service) const;
+
+  /// The registered back ends of `service`, and its other `owners`.
+  std::vector<partition::PartitionBackend> ForPartitioner(const std::string& service,
+                                                          const std::set<std::string>& owners,
+                                                          Time now) const;
+
+ private:
+  /// Most of a service's back ends are silent: more likely this node is cut off.
+  bool MostAreSilent(const std::string& service) const;
+
+  const CoordinatorSettings settings_;
+  std::map<std::string, KnownBackend> backends_;
+};
+
+}  // namespace ladderstream::ownership
--- /dev/null
+++ b/src/core/ownership/coordinator.cc
@@ -0,0 +1,336 @@
+#include "core/ownership/coordinator.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "core/ownership/belief_events.h"
+#include "core/ownership/coordinator_impl.h"
+
+namespace ladderstream::ownership {
+namespace {
+
+/// A planned stop waits at most this long for what is half done.
+constexpr Duration kResignPatience = absl::Milliseconds(1500);
+
+}  // namespace
+
+Coordinator::Impl::Impl(const CoordinatorSettings& settings, const NodeIdentity& self)
+    : settings_(settings),
+      self_(self),
+      directory_(settings),
+      watch_(settings, self),
+      chain_(settings, self),
+      orders_(settings.order_timeout) {}
+
+void Coordinator::Impl::Believe(std::string_view event, std::string detail) {
+  actions_.emplace_back(BeliefAction{std::string(event), std::move(detail)});
+}
+
+std::vector<Action> Coordinator::Impl::TakeActions() { return std::exchange(actions_, {}); }
+
+void Coordinator::Impl::OnCatalog(const std::vector<catalog::Service>& sharded_services,
+                                  const std::vector<catalog::Backend>& backends, Time now) {
+  std::set<std::string> listed;
+  for (const catalog::Service& service : sharded_services) {
+    listed.insert(service.name);
+  }
+  map_changed_ = map_changed_ || listed != listed_;
+  listed_ = std::move(listed);
+  for (const std::string& ended : directory_.Update(backends, now)) {
+    Believe(belief::kBackendEnded, absl::StrCat(ended, " by a newer one at its address"));
+  }
+  std::set<std::string> needed;
+  for (const auto& [name, service] : services_) {
+    needed.merge(OwnersOf(service));
+    for (const LingeringRelease& release : service.lingering) {
+      needed.insert(release.backend);
+    }
+  }
+  directory_.ForgetUnneeded(needed);
+  backends_changed_at_ = now;
+  if (!has_catalog_) {
+    has_catalog_ = true;
+    watch_.Begin(now);
+  }
+  AskAllSoon(now);
+  Advance(now);
+}
+
+void Coordinator::Impl::OnHeartbeat(const LeaseView& view, Time now) {
+  if (role_ == Role::kResigned || (role_ == Role::kHolder && view.epoch <= epoch_)) {
+    return;
+  }
+  if (role_ == Role::kHolder) {
+    StepDown(belief::kLeaseLost, absl::StrCat("heartbeat of epoch ", view.epoch), now);
+  }
+  switch (watch_.OnHeartbeat(view, now)) {
+    case HolderWatch::Heartbeat::kIgnored:
+      return;
+    case HolderWatch::Heartbeat::kOfNewHolder:
+      Believe(belief::kHolderChanged,
+              absl::StrCat("epoch ", view.epoch, " at ", FormatEndpoint(view.peer_address)));
+      break;
+    case HolderWatch::Heartbeat::kOfKnownHolder:
+      break;
+  }
+  challenging_ = false;
+  read_call_.reset();
+  next_wake_ = ComputeWake(now);
+}
+
+void Coordinator::Impl::OnCoordinatorEnded(uint64_t incarnation, Time now) {
+  watch_.OnEnded(incarnation, now);
+  Advance(now);
+}
+
+void Coordinator::Impl::OnLoad(const std::string& service,
+                               const std::vector<partition::KeyCount>& counts,
+                               const std::vector<partition::ServiceTimeSample>& samples, Time now) {
+  ServiceState* state = FindService(service);
+  if (state == nullptr) {
+    return;
+  }
+  state->partitioner->AddLoad(counts, now);
+  state->partitioner->AddServiceTimes(samples, now);
+}
+
+void Coordinator::Impl::OnOwnerDenied(const std::string& service, Key key, Time now) {
+  ServiceState* found = FindService(service);
+  if (found == nullptr || key > kLastKey) {
+    return;
+  }
+  RangeState& state = found->table.At(key);
+  if (state.phase != RangePhase::kOwned || now - state.denied_at < settings_.order_timeout) {
+    return;
+  }
+  state.denied_at = now;
+  state.order_due = now;
+  Believe(belief::kOwnerDenied,
+          absl::StrCat(service, " key ", key, " owner ", state.owner, " fence ", state.fence));
+  Advance(now);
+}
+
+void Coordinator::Impl::OnBackendEnded(const std::string& backend, Time now) {
+  BackendEnded(backend, now);
+  Advance(now);
+}
+
+void Coordinator::Impl::OnStoreReply(CallId call, const store::StoreReply& reply, Time now) {
+  if (read_call_ == call) {
+    OnRead(reply, now);
+  } else {
+    OnChainOutcome(chain_.OnReply(call, reply), reply, now);
+  }
+  Advance(now);
+}
+
+void Coordinator::Impl::OnOrderReply(CallId call, const OrderReply& reply, Time now) {
+  const std::optional<Order> order = orders_.Take(call);
+  if (!order || (order->given_up && reply.status == OrderStatus::kNoAnswer)) {
+    return;
+  }
+  if (reply.status == OrderStatus::kOtherInstance) {
+    BackendEnded(order->backend, now);
+  } else if (order->kind == Order::Kind::kGrant) {
+    OnGrantReply(*order, reply, now);
+  } else {
+    OnReleaseReply(*order, reply, now);
+  }
+  Advance(now);
+}
+
+void Coordinator::Impl::Resign(Time now) {
+  if (role_ == Role::kResigned || resign_by_) {
+    return;
+  }
+  resign_by_ = now + kResignPatience;
+  if (role_ == Role::kStandby) {
+    challenging_ = false;
+    read_call_.reset();
+    role_ = Role::kResigned;
+  }
+  Advance(now);
+}
+
+LeaseView Coordinator::Impl::View() const {
+  return {epoch_, self_.incarnation, self_.peer_address, chain_.lease_version()};
+}
+
+void Coordinator::Impl::Advance(Time now) {
+  if (role_ == Role::kStandby) {
+    StandbyStep(now);
+  } else if (role_ == Role::kHolder) {
+    HolderStep(now);
+  }
+  next_wake_ = ComputeWake(now);
+}
+
+void Coordinator::Impl::HolderStep(Time now) {
+  NoteLapse(now);
+  NoteTrouble(now);
+  GiveUpOrders(now);
+  if (ResignIfDone(now)) {
+    return;
+  }
+  if (Holds(now)) {
+    HoldAndMove(now);
+  }
+  WriteStep(now);
+}
+
+void Coordinator::Impl::HoldAndMove(Time now) {
+  EnsureServices(now);
+  NoteSilence(now);
+  for (auto& [name, service] : services_) {
+    if (!IsListed(name)) {
+      continue;
+    }
+    FinishReleases(service, now);
+    AskPartitioner(service, now);
+    MergeFencesIfCalm(service, now);
+    service.table.MergeNeighbours();
+  }
+  SendOrders(now);
+  PublishIfChanged();
+}
+
+void Coordinator::Impl::PublishIfChanged() {
+  if (!map_changed_ && map_.version.epoch == epoch_) {
+    return;
+  }
+  map_changed_ = false;
+  std::map<std::string, ServiceOwnership> current;
+  for (const auto& [name, service] : services_) {
+    if (IsListed(name)) {
+      current[name] = service.table.Ownership();
+    }
+  }
+  if (map_.version.epoch == epoch_ && current == map_.services) {
+    return;
+  }
+  map_.version = {epoch_, ++sequence_};
+  map_.services = std::move(current);
+  actions_.emplace_back(PublishAction{map_});
+}
+
+Time Coordinator::Impl::ComputeWake(Time now) const {
+  switch (role_) {
+    case Role::kStandby:
+      return StandbyWake();
+    case Role::kHolder:
+      return HolderWake(now);
+    case Role::kResigned:
+      return absl::InfiniteFuture();
+  }
+  return absl::InfiniteFuture();
+}
+
+Time Coordinator::Impl::HolderWake(Time now) const {
+  Time wake = std::min(chain_.NextGiveUp(), orders_.NextGiveUp());
+  if (!chain_.InFlight()) {
+    const bool at_once = !chain_.attempts().empty() || HasReadyChanges(now);
+    const Time due =
+        at_once ? write_not_before_ : chain_.confirmed_sent() + settings_.lease_renewal;
+    wake = std::min(wake, std::max(due, write_not_before_));
+  }
+  if (resign_by_) {
+    wake = std::min(wake, *resign_by_);
+  }
+  if (!Holds(now)) {
+    return wake;
+  }
+  wake = std::min(wake, chain_.confirmed_sent() + settings_.lease);
+  if (!trouble_noted_) {
+    wake = std::min(wake, chain_.confirmed_sent() + 2 * settings_.lease_renewal);
+  }
+  wake = std::min(wake, directory_.NextSilence());
+  for (const auto& [name, service] : services_) {
+    if (IsListed(name)) {
+      wake = std::min(wake, ServiceWake(service, now));
+    }
+  }
+  return wake;
+}
+
+Time Coordinator::Impl::ServiceWake(const ServiceState& service, Time now) const {
+  Time wake = absl::InfiniteFuture();
+  // What is overdue waits for an event: an answer, the catalog, a time-out of its own.
+  const auto consider = [&wake, now](Time due) {
+    if (due > now) {
+      wake = std::min(wake, due);
+    }
+  };
+  for (const RangeState& state : service.table.ranges()) {
+    if (state.phase == RangePhase::kOwned) {
+      consider(state.order_due);
+      consider(state.next_fence == 0 ? absl::InfinitePast() : state.refence_due);
+    } else if (state.phase == RangePhase::kReleasing) {
+      consider(state.order_due);
+      consider(WaitOutEnd(state));
+    }
+  }
+  for (const LingeringRelease& release : service.lingering) {
+    consider(release.due);
+  }
+  consider(service.partition_due);
+  return wake;
+}
+
+Coordinator::Coordinator(const CoordinatorSettings& settings, const NodeIdentity& self)
+    : impl_(std::make_unique<Impl>(settings, self)) {}
+
+Coordinator::~Coordinator() = default;
+
+void Coordinator::OnCatalog(const std::vector<catalog::Service>& sharded_services,
+                            const std::vector<catalog::Backend>& backends, Time now) {
+  impl_->OnCatalog(sharded_services, backends, now);
+}
+
+void Coordinator::OnHeartbeat(const LeaseView& view, Time now) { impl_->OnHeartbeat(view, now); }
+
+void Coordinator::OnCoordinatorEnded(uint64_t incarnation, Time now) {
+  impl_->OnCoordinatorEnded(incarnation, now);
+}
+
+void Coordinator::OnLoad(const std::string& service, const std::vector<partition::KeyCount>& counts,
+                         const std::vector<partition::ServiceTimeSample>& samples, Time now) {
+  impl_->OnLoad(service, counts, samples, now);
+}
+
+void Coordinator::OnOwnerDenied(const std::string& service, Key key, Time now) {
+  impl_->OnOwnerDenied(service, key, now);
+}
+
+void Coordinator::OnBackendEnded(const std::string& backend, Time now) {
+  impl_->OnBackendEnded(backend, now);
+}
+
+void Coordinator::OnStoreReply(CallId call, const store::StoreReply& reply, Time now) {
+  impl_->OnStoreReply(call, reply, now);
+}
+
+void Coordinator::OnOrderReply(CallId call, const OrderReply& reply, Time now) {
+  impl_->OnOrderReply(call, reply, now);
+}
+
+void Coordinator::OnTick(Time now) { impl_->OnTick(now); }
+
+void Coordinator::Resign(Time now) { impl_->Resign(now); }
+
+std::vector<Action> Coordinator::TakeActions() { return impl_->TakeActions(); }
+
+Time Coordinator::NextWake() const { return impl_->NextWake(); }
+
+bool Coordinator::Holds(Time now) const { return impl_->Holds(now); }
+
+Time Coordinator::LeaseUntil() const { return impl_->LeaseUntil(); }
+
+LeaseView Coordinator::View() const { return impl_->View(); }
+
+const std::optional<LeaseView>& Coordinator::KnownHolder() const { return impl_->KnownHolder(); }
+
+const OwnershipMap& Coordinator::Map() const { return impl_->Map(); }
+
+}  // namespace ladderstream::ownership
--- a/src/core/ownership/coordinator.h
+++ b/src/core/ownership/coordinator.h
@@ -38,6 +38,17 @@
   Duration slack = absl::Milliseconds(300);
   /// A peer's heartbeat older than this makes a node challenge the lease.
   Duration heartbeat_timeout = absl::Milliseconds(1000);
+  /// For this long a node may go on using a map after its last confirmation. Keys of an owner that
+  /// did not answer its release move no sooner than this after they were published as moving.
+  Duration map_confirmation = absl::Seconds(3);
+  /// A back end that confirmed no grant for this long is silent: it loses its keys.
+  Duration silence_patience = absl::Milliseconds(1200);
+  /// The same when it was because nothing listened at its address.
+  Duration refusal_patience = absl::Milliseconds(600);
+  /// A service gets its first partition when its back ends have not changed for this long.
+  Duration registration_settle = absl::Milliseconds(500);
+  /// How many orders one back end is sent at once.
+  uint32_t max_orders_per_backend = 2;
   /// An order to a back end or a store write without an answer is given up after this.
   Duration order_timeout = absl::Milliseconds(400);
   Duration store_timeout = absl::Milliseconds(600);
@@ -97,13 +108,13 @@
 struct PublishAction {
   OwnershipMap map;
 };
-/// A belief changed; for the log. `event` is one of a fixed list (see coordinator.cc).
+/// A belief changed; for the log. `event` is one of those in belief_events.h.
 struct BeliefAction {
   std::string event;
   std::string detail;
 };
-using Action = std::variant<CommitAction, ReadAction, GrantAction, ReleaseAction, PublishAction,
-                            BeliefAction>;
+using Action =
+    std::variant<CommitAction, ReadAction, GrantAction, ReleaseAction, PublishAction, BeliefAction>;
 
 enum class OrderStatus {
   kDone,
@@ -159,6 +170,8 @@
 
   /// Whether this node holds a valid lease now.
   bool Holds(Time now) const;
+  /// Until when the lease is valid; in the infinite past while this node is not its holder.
+  Time LeaseUntil() const;
   /// For heartbeats; only meaningful while Holds().
   LeaseView View() const;
   /// The holder as far as this node knows.
--- /dev/null
+++ b/src/core/ownership/coordinator_impl.h
@@ -0,0 +1,236 @@
+// The parts of a Coordinator and how they work together. Used only by the coordinator's own files:
+//   coordinator.cc          events in, actions out, when to wake
+//   coordinator_lease.cc    the lease: challenge, take over, renew, step down
+//   coordinator_commits.cc  changes of owners and fences, from proposal to store
+//   coordinator_moves.cc    what should move, releases, waiting silent owners out
+//   coordinator_orders.cc   grants and releases, and their answers
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/ownership/backend_directory.h"
+#include "core/ownership/coordinator.h"
+#include "core/ownership/holder_watch.h"
+#include "core/ownership/lease_chain.h"
+#include "core/ownership/order_book.h"
+#include "core/ownership/ownership_rows.h"
+#include "core/ownership/range_table.h"
+#include "core/partition/partitioner.h"
+
+namespace ladderstream::ownership {
+
+class Coordinator::Impl {
+ public:
+  Impl(const CoordinatorSettings& settings, const NodeIdentity& self);
+
+  void OnCatalog(const std::vector<catalog::Service>& sharded_services,
+                 const std::vector<catalog::Backend>& backends, Time now);
+  void OnHeartbeat(const LeaseView& view, Time now);
+  void OnCoordinatorEnded(uint64_t incarnation, Time now);
+  void OnLoad(const std::string& service, const std::vector<partition::KeyCount>& counts,
+              const std::vector<partition::ServiceTimeSample>& samples, Time now);
+  void OnOwnerDenied(const std::string& service, Key key, Time now);
+  void OnBackendEnded(const std::string& backend, Time now);
+  void OnStoreReply(CallId call, const store::StoreReply& reply, Time now);
+  void OnOrderReply(CallId call, const OrderReply& reply, Time now);
+  void OnTick(Time now) { Advance(now); }
+  void Resign(Time now);
+
+  std::vector<Action> TakeActions();
+  Time NextWake() const { return next_wake_; }
+  bool Holds(Time now) const { return role_ == Role::kHolder && chain_.Valid(now); }
+  Time LeaseUntil() const {
+    return role_ == Role::kHolder ? chain_.confirmed_sent() + settings_.lease
+                                  : absl::InfinitePast();
+  }
+  LeaseView View() const;
+  const std::optional<LeaseView>& KnownHolder() const { return watch_.holder(); }
+  const OwnershipMap& Map() const { return map_; }
+
+ private:
+  enum class Role {
+    kStandby,
+    /// The newest confirmed write of the lease row is this node's. The lease may have lapsed.
+    kHolder,
+    /// Has given the lease up, and never takes it again.
+    kResigned,
+  };
+
+  /// An earlier owner whose hold was waited out. A grant that it never answered may still reach it;
+  /// the release is repeated so that it refuses one.
+  struct LingeringRelease {
+    std::string backend;
+    KeyRange range;
+    Fence fence = 0;
+    Time due;
+    Time until;
+  };
+
+  struct ServiceState {
+    std::string name;
+    RangeTable table;
+    /// As in the store; empty when the service has no row yet.
+    Assignments committed;
+    /// No row and no proposal yet.
+    bool unpartitioned = false;
+    Time unpartitioned_since = absl::InfinitePast();
+    std::unique_ptr<partition::Partitioner> partitioner;
+    Time partition_due = absl::InfinitePast();
+    /// Not asked sooner than this, also when something is urgent.
+    Time partition_not_before = absl::InfinitePast();
+    Time merge_due = absl::InfinitePast();
+    std::vector<LingeringRelease> lingering;
+  };
+
+  struct OrderCandidate {
+    int urgency = 0;
+    Time due;
+    ServiceState* service = nullptr;
+    /// Null for a lingering release, which then is `lingering`.
+    RangeState* state = nullptr;
+    LingeringRelease* lingering = nullptr;
+  };
+
+  // coordinator.cc
+
+  /// Does everything that is due; called after each event.
+  void Advance(Time now);
+  void HolderStep(Time now);
+  void HoldAndMove(Time now);
+  void PublishIfChanged();
+  Time ComputeWake(Time now) const;
+  Time HolderWake(Time now) const;
+  Time ServiceWake(const ServiceState& service, Time now) const;
+  void Believe(std::string_view event, std::string detail);
+  CallId NextCall() { return ++last_call_; }
+  bool IsListed(const std::string& service) const { return listed_.contains(service); }
+
+  // coordinator_lease.cc
+
+  void StandbyStep(Time now);
+  void StartRead(const std::string& from_key, Time now);
+  void OnRead(const store::StoreReply& reply, Time now);
+  void OnRowsRead(Time now);
+  void ReadFailed(Time now);
+  /// Reads the lease row among the rows read; empty when there is none. False: unreadable.
+  bool FindLeaseRow(std::optional<LeaseRow>* lease, store::RowVersion* version);
+  void ShowReadMap(const std::optional<LeaseRow>& lease);
+  void Challenge(const std::optional<LeaseRow>& lease, store::RowVersion version, Time now);
+  void OnChainOutcome(const ChainOutcome& outcome, const store::StoreReply& reply, Time now);
+  void OnWriteFailed(const std::string& detail, Time now);
+  void TakeOver(const LeaseAttempt& attempt, Time now);
+  void AdoptService(const std::string& name, const store::Row& row, Time now);
+  void StepDown(std::string_view event, std::string detail, Time now);
+  /// Sends the next write of the chain if one is due and none is in flight.
+  void WriteStep(Time now);
+  bool WriteDue(Time now) const;
+  void NoteLapse(Time now);
+  void NoteTrouble(Time now);
+  /// Gives whether the lease was given up.
+  bool ResignIfDone(Time now);
+  Time StandbyWake() const;
+
+  // coordinator_commits.cc
+
+  Fence NextFence();
+  /// Changes that are ready; `rows` gets the service rows that they make.
+  std::vector<OwnershipChange> CollectChanges(Time now, std::map<std::string, std::string>* rows);
+  void CollectChanges(ServiceState& service, Time now, std::vector<OwnershipChange>* changes);
+  bool HasReadyChanges(Time now) const;
+  bool IsReady(const ServiceState& service, const RangeState& state, Time now) const;
+  std::string EncodeRow(const ServiceState& service, const Assignments& assignments) const;
+  void ApplyCommitted(const std::vector<OwnershipChange>& changes, Time now);
+  void ApplyChange(ServiceState& service, const OwnershipChange& change, Time now);
+  void MergeFencesIfCalm(ServiceState& service, Time now);
+  bool IsCalm(const ServiceState& service, Time now) const;
+
+  // coordinator_moves.cc
+
+  void EnsureServices(Time now);
+  void NoteSilence(Time now);
+  void BackendEnded(const std::string& backend, Time now);
+  void FinishReleases(ServiceState& service, Time now);
+  Time WaitOutEnd(const RangeState& state) const;
+  /// No back end holds the range any more.
+  void Released(ServiceState& service, RangeState& state, Time now);
+  void AskPartitioner(ServiceState& service, Time now);
+  void ApplyProposal(ServiceState& service, const partition::ProposedMove& move, Time now);
+  void StartMove(ServiceState& service, RangeState& state, const std::string& to, Time now);
+  void MarkMoving(RangeState& state, Time now);
+  bool IsBusy(const RangeState& state) const;
+  size_t CountMoves(const ServiceState& service) const;
+  void ListMoves(const ServiceState& service, Assignments* view, std::vector<KeyRange>* busy) const;
+  std::set<std::string> OwnersOf(const ServiceState& service) const;
+  void AskSoon(ServiceState& service, Time now);
+  void AskAllSoon(Time now);
+
+  // coordinator_orders.cc
+
+  void SendOrders(Time now);
+  void CollectOrders(ServiceState& service, Time now, std::vector<OrderCandidate>* candidates);
+  bool MayGrant(const RangeState& state) const;
+  void SendOrder(const OrderCandidate& candidate, Time now);
+  void SendGrant(ServiceState& service, RangeState& state, const Endpoint& address, Time now);
+  void SendRelease(ServiceState& service, const std::string& backend, const Endpoint& address,
+                   const KeyRange& range, Fence fence, Time now);
+  Duration RenewalInterval(Time now) const;
+  bool StoreTroubled(Time now) const;
+  void GiveUpOrders(Time now);
+  void OnGrantReply(const Order& order, const OrderReply& reply, Time now);
+  void OnGrantDone(ServiceState& service, const Order& order, Time now);
+  void OnGrantFenced(ServiceState& service, const Order& order, Time now);
+  void OnGrantFailed(ServiceState& service, const Order& order, OrderStatus status, Time now);
+  void OnReleaseReply(const Order& order, const OrderReply& reply, Time now);
+  void NoteAnswer(const std::string& backend, Time now);
+  ServiceState* FindService(const std::string& name);
+  void RenewAll(Time now);
+
+  const CoordinatorSettings settings_;
+  const NodeIdentity self_;
+  Role role_ = Role::kStandby;
+  std::vector<Action> actions_;
+  CallId last_call_ = 0;
+  Time next_wake_ = absl::InfiniteFuture();
+
+  // What is known from others.
+  bool has_catalog_ = false;
+  std::set<std::string> listed_;
+  BackendDirectory directory_;
+  Time backends_changed_at_ = absl::InfinitePast();
+  OwnershipMap map_;
+  /// What was published last is not what holds now.
+  bool map_changed_ = false;
+
+  // The lease.
+  HolderWatch watch_;
+  LeaseChain chain_;
+  /// The read in flight.
+  std::optional<CallId> read_call_;
+  Time read_sent_;
+  std::vector<store::Row> read_rows_;
+  /// This node challenges, and its write is not settled.
+  bool challenging_ = false;
+  uint64_t challenge_epoch_ = 0;
+  /// After a failure the next write waits until then.
+  Time write_not_before_ = absl::InfinitePast();
+  Duration write_backoff_ = absl::ZeroDuration();
+  bool lapse_noted_ = false;
+  bool trouble_noted_ = false;
+  bool write_failure_noted_ = false;
+  std::optional<Time> resign_by_;
+
+  // While holding.
+  uint64_t epoch_ = 0;
+  uint64_t fences_drawn_ = 0;
+  uint64_t sequence_ = 0;
+  std::map<std::string, ServiceState> services_;
+  OrderBook orders_;
+};
+
+}  // namespace ladderstream::ownership
--- /dev/null
+++ b/src/core/ownership/coordinator_moves.cc
@@ -0,0 +1,271 @@
+// What should move, releases, and waiting silent owners out.
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "core/ownership/assignments.h"
+#include "core/ownership/belief_events.h"
+#include "core/ownership/coordinator_impl.h"
+
+namespace ladderstream::ownership {
+namespace {
+
+/// The least time between two questions to a partitioner, however urgent.
+constexpr Duration kPartitionGap = absl::Milliseconds(50);
+
+/// A service gets its first partition after this many settling times, even if its back ends still
+/// change.
+constexpr int kMostSettlingTimes = 4;
+
+/// For this long after an owner was waited out, it may still take a grant that was sent to it.
+constexpr Duration kLingering = absl::Seconds(15);
+
+std::string Describe(const RangeState& state) {
+  return absl::StrCat(state.range.first, "-", state.range.last, " of ", state.owner);
+}
+
+}  // namespace
+
+void Coordinator::Impl::EnsureServices(Time now) {
+  for (const std::string& name : listed_) {
+    if (services_.contains(name)) {
+      continue;
+    }
+    ServiceState& service = services_[name];
+    service.name = name;
+    service.unpartitioned = true;
+    service.unpartitioned_since = now;
+    service.partitioner = std::make_unique<partition::Partitioner>(settings_.partition_weights);
+    map_changed_ = true;
+  }
+}
+
+void Coordinator::Impl::NoteSilence(Time now) {
+  for (const std::string& backend : directory_.TakeSilent(now)) {
+    Believe(belief::kOwnerSilent, backend);
+    AskAllSoon(now);
+  }
+}
+
+void Coordinator::Impl::BackendEnded(const std::string& backend, Time now) {
+  if (directory_.HasEnded(backend)) {
+    return;
+  }
+  directory_.MarkEnded(backend);
+  Believe(belief::kBackendEnded, backend);
+  for (auto& [name, service] : services_) {
+    std::erase_if(service.lingering, [&backend](const LingeringRelease& release) {
+      return release.backend == backend;
+    });
+  }
+  AskAllSoon(now);
+}
+
+Time Coordinator::Impl::WaitOutEnd(const RangeState& state) const {
+  const Time granted =
+      std::max(state.last_grant, orders_.LatestOpenGrant(state.owner, state.range));
+  if (granted == absl::InfinitePast()) {
+    return granted;
+  }
+  const double drift = 1 + settings_.clock_drift;
+  const Time hold_end = granted + settings_.hold * drift + settings_.slack;
+  return std::max(hold_end, state.moving_since + settings_.map_confirmation * drift);
+}
+
+void Coordinator::Impl::FinishReleases(ServiceState& service, Time now) {
+  for (RangeState& state : service.table.ranges()) {
+    if (state.phase == RangePhase::kCommitting && !directory_.Accepts(state.next_owner) &&
+        !chain_.Commits(service.name, state.next_fence)) {
+      Released(service, state, now);
+    }
+    if (state.phase != RangePhase::kReleasing) {
+      continue;
+    }
+    if (directory_.HasEnded(state.owner)) {
+      Released(service, state, now);
+    } else if (now >= WaitOutEnd(state)) {
+      Believe(belief::kOwnerWaitedOut, absl::StrCat(service.name, " ", Describe(state)));
+      if (!state.owner.empty()) {
+        service.lingering.push_back(
+            {state.owner, state.range, state.next_fence, now, now + kLingering});
+      }
+      Released(service, state, now);
+    }
+  }
+  std::erase_if(service.lingering,
+                [now](const LingeringRelease& release) { return now >= release.until; });
+}
+
+void Coordinator::Impl::Released(ServiceState& service, RangeState& state, Time now) {
+  if (!directory_.Accepts(state.next_owner)) {
+    state.phase = RangePhase::kReleased;
+    state.next_owner.clear();
+    AskSoon(service, now);
+    return;
+  }
+  state.phase = RangePhase::kCommitting;
+  if (state.next_owner == state.owner) {
+    // A repeated release may still be under way to it.
+    state.next_fence = NextFence();
+  }
+}
+
+void Coordinator::Impl::MarkMoving(RangeState& state, Time now) {
+  if (!state.moving) {
+    state.moving = true;
+    state.moving_since = now;
+    map_changed_ = true;
+  }
+}
+
+void Coordinator::Impl::StartMove(ServiceState& service, RangeState& state, const std::string& to,
+                                  Time now) {
+  Believe(belief::kMoveStarted, absl::StrCat(service.name, " ", Describe(state), " to ", to));
+  MarkMoving(state, now);
+  state.next_owner = to;
+  state.next_fence = NextFence();
+  state.confirmed = false;
+  state.fenced = false;
+  const bool never_granted = WaitOutEnd(state) == absl::InfinitePast();
+  if (!never_granted) {
+    // What the owner before this one handed over is outdated.
+    state.handover.clear();
+  }
+  if (never_granted || directory_.HasEnded(state.owner)) {
+    Released(service, state, now);
+    return;
+  }
+  state.phase = RangePhase::kReleasing;
+  state.order_due = now;
+}
+
+bool Coordinator::Impl::IsBusy(const RangeState& state) const {
+  switch (state.phase) {
+    case RangePhase::kReleasing:
+    case RangePhase::kCommitting:
+      return true;
+    case RangePhase::kReleased:
+      return false;
+    case RangePhase::kOwned:
+      return state.next_fence != 0 || (state.moving && directory_.Keeps(state.owner));
+  }
+  return true;
+}
+
+size_t Coordinator::Impl::CountMoves(const ServiceState& service) const {
+  const std::vector<RangeState>& ranges = service.table.ranges();
+  return static_cast<size_t>(std::count_if(ranges.begin(), ranges.end(),
+                                           [](const RangeState& state) { return state.moving; }));
+}
+
+void Coordinator::Impl::ListMoves(const ServiceState& service, Assignments* view,
+                                  std::vector<KeyRange>* busy) const {
+  for (const RangeState& state : service.table.ranges()) {
+    switch (state.phase) {
+      case RangePhase::kOwned:
+      case RangePhase::kReleasing:
+        AppendCoalesced({state.range, state.owner, state.fence}, view);
+        break;
+      case RangePhase::kReleased:
+        AppendCoalesced({state.range, "", 0}, view);
+        break;
+      case RangePhase::kCommitting:
+        AppendCoalesced({state.range, state.next_owner, state.next_fence}, view);
+        break;
+    }
+    if (IsBusy(state)) {
+      busy->push_back(state.range);
+    }
+  }
+}
+
+void Coordinator::Impl::AskPartitioner(ServiceState& service, Time now) {
+  if (now < service.partition_due || resign_by_) {
+    return;
+  }
+  service.partition_due = now + settings_.partition_interval;
+  service.partition_not_before = now + kPartitionGap;
+  if (!directory_.AnyAccepts(service.name)) {
+    return;
+  }
+  const std::vector<partition::PartitionBackend> backends =
+      directory_.ForPartitioner(service.name, OwnersOf(service), now);
+  std::vector<partition::ProposedMove> moves;
+  if (service.unpartitioned) {
+    const Duration settle = settings_.registration_settle;
+    const Time due = std::min(backends_changed_at_ + settle,
+                              service.unpartitioned_since + settle * kMostSettlingTimes);
+    if (now < due) {
+      service.partition_due = due;
+      return;
+    }
+    moves = service.partitioner->Initial(backends);
+    service.unpartitioned = moves.empty();
+    service.table.ranges().front().next_fence = NextFence();
+    Believe(belief::kServicePartitioned, absl::StrCat(service.name, " in ", moves.size()));
+  } else {
+    Assignments view;
+    std::vector<KeyRange> busy;
+    ListMoves(service, &view, &busy);
+    moves = service.partitioner->Propose(view, busy, backends, now);
+  }
+  for (const partition::ProposedMove& move : moves) {
+    ApplyProposal(service, move, now);
+  }
+}
+
+void Coordinator::Impl::ApplyProposal(ServiceState& service, const partition::ProposedMove& move,
+                                      Time now) {
+  if (move.range.last < move.range.first || move.range.last > kLastKey ||
+      !directory_.Accepts(move.to)) {
+    return;
+  }
+  service.table.SplitAt(move.range.first);
+  service.table.SplitAt(move.range.last + 1);
+  size_t under_way = CountMoves(service);
+  for (RangeState& state : service.table.ranges()) {
+    if (!Covers(move.range, state.range) || IsBusy(state)) {
+      continue;
+    }
+    if (state.phase == RangePhase::kReleased) {
+      state.next_owner = move.to;
+      if (state.next_fence == 0 || move.to == state.owner) {
+        state.next_fence = NextFence();
+      }
+      state.phase = RangePhase::kCommitting;
+      continue;
+    }
+    const bool must = !directory_.Keeps(state.owner);
+    if (state.owner == move.to || (!must && under_way >= settings_.partition_weights.max_moves)) {
+      continue;
+    }
+    StartMove(service, state, move.to, now);
+    ++under_way;
+  }
+}
+
+std::set<std::string> Coordinator::Impl::OwnersOf(const ServiceState& service) const {
+  std::set<std::string> owners;
+  for (const RangeState& state : service.table.ranges()) {
+    for (const std::string& owner : {state.owner, state.next_owner}) {
+      if (!owner.empty()) {
+        owners.insert(owner);
+      }
+    }
+  }
+  return owners;
+}
+
+void Coordinator::Impl::AskSoon(ServiceState& service, Time now) {
+  service.partition_due =
+      std::min(service.partition_due, std::max(now, service.partition_not_before));
+}
+
+void Coordinator::Impl::AskAllSoon(Time now) {
+  for (auto& [name, service] : services_) {
+    AskSoon(service, now);
+  }
+}
+
+}  // namespace ladderstream::ownership
--- /dev/null
+++ b/src/core/ownership/coordinator_orders.cc
@@ -0,0 +1,277 @@
+// Grants and releases, and their answers.
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <tuple>
+
+#include "core/ownership/belief_events.h"
+#include "core/ownership/coordinator_impl.h"
+
+namespace ladderstream::ownership {
+namespace {
+
+/// How often the release of an owner that was waited out is repeated.
+constexpr Duration kLingeringInterval = absl::Seconds(1);
+
+/// While the store is troubled, holds are renewed this many times as often.
+constexpr int kTroubledRenewals = 4;
+
+// Which orders a back end gets first.
+enum Urgency : int {
+  /// The hold may be near its end.
+  kRenewLate = 0,
+  /// Callers wait for these keys.
+  kMove = 1,
+  kRenew = 2,
+  kLingeringRelease = 3,
+};
+
+}  // namespace
+
+bool Coordinator::Impl::StoreTroubled(Time now) const {
+  return now - chain_.confirmed_sent() >= 2 * settings_.lease_renewal;
+}
+
+Duration Coordinator::Impl::RenewalInterval(Time now) const {
+  return StoreTroubled(now) ? settings_.hold_renewal / kTroubledRenewals : settings_.hold_renewal;
+}
+
+void Coordinator::Impl::RenewAll(Time now) {
+  for (auto& [name, service] : services_) {
+    for (RangeState& state : service.table.ranges()) {
+      if (state.phase == RangePhase::kOwned) {
+        state.order_due = std::min(state.order_due, now);
+      }
+    }
+  }
+}
+
+Coordinator::Impl::ServiceState* Coordinator::Impl::FindService(const std::string& name) {
+  const auto found = services_.find(name);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+bool Coordinator::Impl::MayGrant(const RangeState& state) const {
+  const KnownBackend* owner = directory_.Find(state.owner);
+  if (state.fenced || owner == nullptr || owner->ended) {
+    return false;
+  }
+  // One that is no longer registered may live and serve: it keeps its keys while nobody else can
+  // take them.
+  const bool was_granted = state.last_grant != absl::InfinitePast();
+  return owner->registered || (was_granted && !directory_.AnyAccepts(owner->service));
+}
+
+void Coordinator::Impl::CollectOrders(ServiceState& service, Time now,
+                                      std::vector<OrderCandidate>* candidates) {
+  for (RangeState& state : service.table.ranges()) {
+    if (state.order_due > now) {
+      continue;
+    }
+    if (state.phase == RangePhase::kReleasing) {
+      candidates->push_back({kMove, state.order_due, &service, &state, nullptr});
+    } else if (state.phase == RangePhase::kOwned && MayGrant(state)) {
+      int urgency = kRenew;
+      if (state.moving) {
+        urgency = kMove;
+      } else if (!state.confirmed || now - state.last_grant > settings_.hold / 2) {
+        urgency = kRenewLate;
+      }
+      candidates->push_back({urgency, state.order_due, &service, &state, nullptr});
+    }
+  }
+  for (LingeringRelease& release : service.lingering) {
+    if (release.due <= now) {
+      candidates->push_back({kLingeringRelease, release.due, &service, nullptr, &release});
+    }
+  }
+}
+
+void Coordinator::Impl::SendOrders(Time now) {
+  std::vector<OrderCandidate> candidates;
+  for (auto& [name, service] : services_) {
+    if (IsListed(name)) {
+      CollectOrders(service, now, &candidates);
+    }
+  }
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const OrderCandidate& one, const OrderCandidate& other) {
+                     return std::tie(one.urgency, one.due) < std::tie(other.urgency, other.due);
+                   });
+  for (const OrderCandidate& candidate : candidates) {
+    SendOrder(candidate, now);
+  }
+}
+
+void Coordinator::Impl::SendOrder(const OrderCandidate& candidate, Time now) {
+  const bool lingers = candidate.lingering != nullptr;
+  const std::string& backend = lingers ? candidate.lingering->backend : candidate.state->owner;
+  const KeyRange& range = lingers ? candidate.lingering->range : candidate.state->range;
+  const KnownBackend* known = directory_.Find(backend);
+  if (known == nullptr || orders_.CountOpen(backend) >= settings_.max_orders_per_backend ||
+      orders_.HasOpen(backend, range)) {
+    return;
+  }
+  ServiceState& service = *candidate.service;
+  if (lingers) {
+    candidate.lingering->due = now + kLingeringInterval;
+    SendRelease(service, backend, known->address, range, candidate.lingering->fence, now);
+  } else if (candidate.state->phase == RangePhase::kReleasing) {
+    candidate.state->order_due = now + settings_.order_timeout;
+    SendRelease(service, backend, known->address, range, candidate.state->next_fence, now);
+  } else {
+    SendGrant(service, *candidate.state, known->address, now);
+  }
+}
+
+void Coordinator::Impl::SendGrant(ServiceState& service, RangeState& state, const Endpoint& address,
+                                  Time now) {
+  const CallId call = NextCall();
+  state.order_due = now + RenewalInterval(now);
+  orders_.Add(
+      {call, Order::Kind::kGrant, service.name, state.owner, state.range, state.fence, now, false});
+  actions_.emplace_back(GrantAction{call, state.owner, address, state.range, state.fence,
+                                    settings_.hold, state.handover});
+}
+
+void Coordinator::Impl::SendRelease(ServiceState& service, const std::string& backend,
+                                    const Endpoint& address, const KeyRange& range, Fence fence,
+                                    Time now) {
+  const CallId call = NextCall();
+  orders_.Add({call, Order::Kind::kRelease, service.name, backend, range, fence, now, false});
+  actions_.emplace_back(ReleaseAction{call, backend, address, range, fence});
+}
+
+void Coordinator::Impl::GiveUpOrders(Time now) {
+  for (const Order& order : orders_.GiveUp(now)) {
+    OrderReply none;
+    none.status = OrderStatus::kNoAnswer;
+    if (order.kind == Order::Kind::kGrant) {
+      OnGrantReply(order, none, now);
+    } else {
+      OnReleaseReply(order, none, now);
+    }
+  }
+}
+
+void Coordinator::Impl::NoteAnswer(const std::string& backend, Time now) {
+  if (directory_.RecordAnswer(backend)) {
+    Believe(belief::kOwnerAnswers, backend);
+    AskAllSoon(now);
+  }
+}
+
+void Coordinator::Impl::OnGrantReply(const Order& order, const OrderReply& reply, Time now) {
+  ServiceState* service = FindService(order.service);
+  if (service == nullptr) {
+    return;
+  }
+  switch (reply.status) {
+    case OrderStatus::kDone:
+      NoteAnswer(order.backend, now);
+      OnGrantDone(*service, order, now);
+      return;
+    case OrderStatus::kFenced:
+      NoteAnswer(order.backend, now);
+      OnGrantFenced(*service, order, now);
+      return;
+    default:
+      OnGrantFailed(*service, order, reply.status, now);
+  }
+}
+
+void Coordinator::Impl::OnGrantDone(ServiceState& service, const Order& order, Time now) {
+  for (RangeState& state : service.table.ranges()) {
+    if (state.owner != order.backend || !Overlap(state.range, order.range)) {
+      continue;
+    }
+    // Taken at some time between its send and now.
+    state.last_grant = std::max(state.last_grant, now);
+    if (state.phase != RangePhase::kOwned || state.fence != order.fence || state.fenced ||
+        !Covers(order.range, state.range)) {
+      continue;
+    }
+    state.confirmed = true;
+    if (state.moving) {
+      state.moving = false;
+      state.moving_since = absl::InfinitePast();
+      state.handover.clear();
+      map_changed_ = true;
+      Believe(belief::kMoveFinished,
+              absl::StrCat(service.name, " ", state.range.first, "-", state.range.last, " to ",
+                           state.owner, " fence ", state.fence));
+    }
+  }
+  for (LingeringRelease& release : service.lingering) {
+    if (release.backend == order.backend && Overlap(release.range, order.range)) {
+      release.due = now;
+    }
+  }
+}
+
+void Coordinator::Impl::OnGrantFenced(ServiceState& service, const Order& order, Time now) {
+  for (RangeState& state : service.table.ranges()) {
+    if (state.phase != RangePhase::kOwned || state.owner != order.backend ||
+        state.fence != order.fence || !Overlap(state.range, order.range)) {
+      continue;
+    }
+    if (Covers(order.range, state.range) && state.range != order.range) {
+      // The higher fence may be that of another part.
+      state.order_due = now;
+      continue;
+    }
+    state.fenced = true;
+    state.confirmed = false;
+    MarkMoving(state, now);
+    if (state.next_fence == 0) {
+      state.next_fence = NextFence();
+      state.refence_due = std::max(now, state.refence_due);
+    }
+    Believe(belief::kOwnerFenced,
+            absl::StrCat(service.name, " ", state.range.first, "-", state.range.last, " of ",
+                         state.owner, " fence ", state.fence, ", next ", state.next_fence));
+  }
+}
+
+void Coordinator::Impl::OnGrantFailed(ServiceState& service, const Order& order, OrderStatus status,
+                                      Time now) {
+  const bool refused = status == OrderStatus::kUnreachable;
+  directory_.RecordFailure(order.backend, refused, order.sent, now);
+  const Duration pause = refused ? settings_.order_timeout / 2 : settings_.order_timeout;
+  for (RangeState& state : service.table.ranges()) {
+    if (state.owner != order.backend || !Overlap(state.range, order.range)) {
+      continue;
+    }
+    if (status == OrderStatus::kNoAnswer) {
+      state.last_grant = std::max(state.last_grant, order.sent);
+    }
+    if (state.phase == RangePhase::kOwned) {
+      state.order_due = std::min(state.order_due, std::max(now, order.sent + pause));
+    }
+  }
+}
+
+void Coordinator::Impl::OnReleaseReply(const Order& order, const OrderReply& reply, Time now) {
+  ServiceState* service = FindService(order.service);
+  if (service == nullptr) {
+    return;
+  }
+  if (reply.status != OrderStatus::kDone) {
+    directory_.RecordUnansweredRelease(order.backend, now);
+    return;
+  }
+  NoteAnswer(order.backend, now);
+  for (RangeState& state : service->table.ranges()) {
+    if (state.phase == RangePhase::kReleasing && state.owner == order.backend &&
+        state.next_fence == order.fence && Covers(order.range, state.range)) {
+      state.handover = reply.handover;
+      Released(*service, state, now);
+    }
+  }
+  std::erase_if(service->lingering, [&order](const LingeringRelease& release) {
+    return release.backend == order.backend && release.fence == order.fence &&
+           Covers(order.range, release.range);
+  });
+}
+
+}  // namespace ladderstream::ownership
--- /dev/null
+++ b/src/core/ownership/holder_watch.cc
@@ -0,0 +1,143 @@
+#include "core/ownership/holder_watch.h"
+
+#include <algorithm>
+
+namespace ladderstream::ownership {
+namespace {
+
+/// How many ended incarnations are remembered.
+constexpr size_t kEndedRemembered = 32;
+
+/// A holder that renews its lease but is not heard of here is challenged after this many heartbeat
+/// timeouts: it may be heard by nobody.
+constexpr int kUnheardTimeouts = 5;
+
+/// Parts of the heartbeat timeout over which challengers are spread.
+constexpr double kMissingSpread = 0.25;
+constexpr double kEndedSpread = 0.1;
+
+constexpr Duration kFirstRetry = absl::Milliseconds(100);
+constexpr Duration kLastRetry = absl::Milliseconds(1600);
+
+constexpr uint64_t kJitterSteps = 1024;
+
+/// Spreads nearby numbers (the finalizer of splitmix64).
+uint64_t Mix(uint64_t value) {
+  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
+  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
+  return value ^ (value >> 31U);
+}
+
+LeaseView ViewOf(const LeaseRow& row, store::RowVersion version) {
+  return {row.epoch, row.incarnation, row.peer_address, version};
+}
+
+}  // namespace
+
+HolderWatch::HolderWatch(const CoordinatorSettings& settings, const NodeIdentity& self)
+    : settings_(settings), self_(self) {}
+
+Duration HolderWatch::Jitter(Duration span) const {
+  const uint64_t step = Mix(self_.incarnation) % kJitterSteps;
+  return span * static_cast<double>(step) / static_cast<double>(kJitterSteps);
+}
+
+bool HolderWatch::HasEnded(uint64_t incarnation) const {
+  return std::any_of(ended_.begin(), ended_.end(), [incarnation](const Ended& ended) {
+    return ended.incarnation == incarnation;
+  });
+}
+
+bool HolderWatch::DisprovesEnd(const LeaseView& view, Time now) const {
+  return std::any_of(ended_.begin(), ended_.end(), [&](const Ended& ended) {
+    return ended.incarnation == view.incarnation &&
+           (view.epoch > ended.epoch || now - ended.told_at >= settings_.heartbeat_timeout);
+  });
+}
+
+void HolderWatch::Observe(store::RowVersion version, Time now) {
+  if (version != observed_version_) {
+    observed_version_ = version;
+    observed_at_ = now;
+  }
+}
+
+HolderWatch::Heartbeat HolderWatch::OnHeartbeat(const LeaseView& view, Time now) {
+  if (DisprovesEnd(view, now)) {
+    std::erase_if(ended_,
+                  [&view](const Ended& ended) { return ended.incarnation == view.incarnation; });
+  }
+  if (view.incarnation == self_.incarnation || HasEnded(view.incarnation) ||
+      (holder_ && view.epoch < holder_->epoch)) {
+    return Heartbeat::kIgnored;
+  }
+  const bool changed = !holder_ || holder_->incarnation != view.incarnation;
+  holder_ = view;
+  if (view.row_version != 0) {
+    Observe(view.row_version, now);
+  }
+  missing_since_ = now;
+  retry_delay_ = absl::ZeroDuration();
+  const Duration patience = settings_.heartbeat_timeout;
+  read_due_ = now + patience + Jitter(patience * kMissingSpread);
+  return changed ? Heartbeat::kOfNewHolder : Heartbeat::kOfKnownHolder;
+}
+
+void HolderWatch::OnEnded(uint64_t incarnation, Time now) {
+  if (HasEnded(incarnation) || incarnation == self_.incarnation) {
+    return;
+  }
+  ended_.push_back({incarnation, holder_ ? holder_->epoch : 0, now});
+  if (ended_.size() > kEndedRemembered) {
+    ended_.pop_front();
+  }
+  if (!holder_ || holder_->incarnation == incarnation) {
+    const Time due = now + Jitter(settings_.heartbeat_timeout * kEndedSpread);
+    read_due_ = std::min(read_due_, due);
+  }
+}
+
+bool HolderWatch::OnRow(const std::optional<LeaseRow>& row, store::RowVersion version, Time now) {
+  if (!row || row->incarnation == self_.incarnation || row->peer_address == self_.peer_address ||
+      HasEnded(row->incarnation)) {
+    return true;
+  }
+  const Duration patience = settings_.heartbeat_timeout;
+  if (version == observed_version_ && now - observed_at_ >= patience) {
+    return true;
+  }
+  if (!holder_ || holder_->incarnation != row->incarnation) {
+    missing_since_ = now;
+  }
+  holder_ = ViewOf(*row, version);
+  if (now - missing_since_ >= patience * kUnheardTimeouts) {
+    return true;
+  }
+  Observe(version, now);
+  read_due_ = observed_at_ + patience + Jitter(patience * kMissingSpread);
+  return false;
+}
+
+void HolderWatch::OnOvertaken(const std::optional<LeaseRow>& row, store::RowVersion version,
+                              Time now) {
+  holder_.reset();
+  missing_since_ = now;
+  retry_delay_ = absl::ZeroDuration();
+  if (row && row->incarnation != self_.incarnation) {
+    holder_ = ViewOf(*row, version);
+    Observe(version, now);
+  }
+  const Duration patience = settings_.heartbeat_timeout;
+  read_due_ = now + patience + Jitter(patience * kMissingSpread);
+}
+
+void HolderWatch::Begin(Time now) {
+  read_due_ = std::min(read_due_, now + Jitter(settings_.heartbeat_timeout * kEndedSpread));
+}
+
+void HolderWatch::OnFailure(Time now) {
+  retry_delay_ = std::clamp(retry_delay_ * 2, kFirstRetry, kLastRetry);
+  read_due_ = now + retry_delay_ + Jitter(retry_delay_);
+}
+
+}  // namespace ladderstream::ownership
--- /dev/null
+++ b/src/core/partition/capacity.cc
@@ -0,0 +1,61 @@
+#include "core/partition/capacity.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ladderstream::partition {
+namespace {
+
+constexpr double kComfortableLateShare = 0.1;
+/// Fits the late shares of queues with two or three servers between 40% and 100% utilisation.
+constexpr double kLateExponent = 5;
+/// Where the power above reaches 1, and how steeply overload is charged beyond it.
+constexpr double kOverloadPressure = 1.585;
+constexpr double kOverloadSlope = 2;
+/// The squared coefficient of variation of service times.
+constexpr double kServiceVariation = 0.25;
+/// Even the slowest back end bears this utilisation.
+constexpr double kLowestUtilisation = 0.05;
+constexpr uint32_t kMostSlots = 64;
+constexpr int kBisections = 24;
+
+/// The probability that a request waits at all (Erlang C).
+double WaitProbability(uint32_t slots, double utilisation) {
+  const double offered = utilisation * slots;
+  double blocked = 1;
+  for (uint32_t i = 1; i <= slots; ++i) {
+    blocked = offered * blocked / (i + offered * blocked);
+  }
+  return blocked / (1 - utilisation * (1 - blocked));
+}
+
+/// The probability that a request waits longer than `wait` service times.
+double WaitsLonger(uint32_t slots, double utilisation, double wait) {
+  const double decay = 2 * slots * (1 - utilisation) / (1 + kServiceVariation);
+  return WaitProbability(slots, utilisation) * std::exp(-decay * wait);
+}
+
+}  // namespace
+
+double ComfortableLoad(uint32_t slots, double service_time, double late_after) {
+  constexpr double kOwnWork = 1.2;
+  constexpr double kLeastWait = 0.1;
+  const uint32_t servers = std::clamp<uint32_t>(slots, 1, kMostSlots);
+  const double wait = std::max(late_after / service_time - kOwnWork, kLeastWait);
+  double low = kLowestUtilisation;
+  double high = 1;
+  for (int i = 0; i < kBisections; ++i) {
+    const double middle = (low + high) / 2;
+    (WaitsLonger(servers, middle, wait) < kComfortableLateShare ? low : high) = middle;
+  }
+  return low * std::max<uint32_t>(slots, 1) / service_time;
+}
+
+double LateShare(double pressure) {
+  if (pressure >= kOverloadPressure) {
+    return 1 + kOverloadSlope * (pressure - kOverloadPressure);
+  }
+  return kComfortableLateShare * std::pow(std::max(pressure, 0.0), kLateExponent);
+}
+
+}  // namespace ladderstream::partition
--- /dev/null
+++ b/src/core/store/table_follower.cc
@@ -0,0 +1,287 @@
+#include "core/store/table_follower.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ladderstream::store {
+namespace {
+
+/// Pages of one reading that are kept before it is given up as endless.
+constexpr size_t kMostRowsRead = 100'000;
+
+const char* NameOfStatus(StoreStatus status) {
+  switch (status) {
+    case StoreStatus::kDone:
+      return "done";
+    case StoreStatus::kConflict:
+      return "conflict";
+    case StoreStatus::kRefused:
+      return "refused";
+    case StoreStatus::kHistoryGone:
+      return "history gone";
+    case StoreStatus::kInvalid:
+      return "invalid";
+    case StoreStatus::kUnknown:
+      return "no answer";
+  }
+  return "unknown status";
+}
+
+}  // namespace
+
+TableFollower::TableFollower(FollowerSettings settings)
+    : settings_(std::move(settings)),
+      back_off_(settings_.shortest_back_off, settings_.longest_back_off, settings_.seed) {}
+
+std::optional<FollowerCall> TableFollower::Poll(Time now) {
+  if (outstanding_.has_value() && now >= outstanding_->answer_by) {
+    outstanding_.reset();
+    Fail("no answer in time", now);
+  }
+  if (outstanding_.has_value() || now < next_call_) {
+    return std::nullopt;
+  }
+  first_call_ = std::min(first_call_, now);
+  return reading_ ? IssueRead(now) : IssueWatch(now);
+}
+
+Time TableFollower::NextWake() const {
+  return outstanding_.has_value() ? outstanding_->answer_by : next_call_;
+}
+
+FollowerCall TableFollower::IssueRead(Time now) {
+  if (next_page_key_.empty()) {
+    merged_while_reading_ = false;
+  }
+  const FollowerCall call{
+      ++last_call_,
+      ReadQuery{settings_.table, settings_.partition, next_page_key_},
+      settings_.read_timeout,
+  };
+  outstanding_ = Outstanding{call.call, false, 0, now, now + call.timeout};
+  return call;
+}
+
+FollowerCall TableFollower::IssueWatch(Time now) {
+  const FollowerCall call{
+      ++last_call_,
+      WatchQuery{settings_.table, as_of_, settings_.watch_wait},
+      settings_.watch_wait + settings_.watch_grace,
+  };
+  outstanding_ = Outstanding{call.call, true, as_of_, now, now + call.timeout};
+  return call;
+}
+
+void TableFollower::OnReply(uint64_t call, const StoreReply& reply, Time now) {
+  if (!outstanding_.has_value() || outstanding_->call != call) {
+    return;
+  }
+  const Outstanding asked = *outstanding_;
+  outstanding_.reset();
+  if (reply.status == StoreStatus::kDone) {
+    if (asked.is_watch) {
+      OnWatchDone(asked, reply, now);
+    } else {
+      OnReadDone(asked, reply, now);
+    }
+    return;
+  }
+  if (reply.status == StoreStatus::kHistoryGone && asked.is_watch) {
+    OnHistoryGone(reply.detail, now);
+    return;
+  }
+  Fail(absl::StrCat(NameOfStatus(reply.status), " ", reply.detail), now);
+}
+
+void TableFollower::OnReadDone(const Outstanding& asked, const StoreReply& reply, Time now) {
+  if (reply.version < std::max(as_of_, reading_version_)) {
+    const bool overtaken_by_merge = merged_while_reading_;
+    StartReading();
+    if (overtaken_by_merge) {
+      // The copy is newer than what was being read, and whole: go on from it.
+      reading_ = false;
+      Succeed(last_confirmed_);
+      return;
+    }
+    Fail("an answer older than the copy", now);
+    return;
+  }
+  if (reply.more && (reply.rows.empty() || pages_.size() > kMostRowsRead)) {
+    StartReading();
+    Fail("pages without end", now);
+    return;
+  }
+  if (next_page_key_.empty()) {
+    reading_version_ = reply.version;
+  }
+  pages_.insert(pages_.end(), reply.rows.begin(), reply.rows.end());
+  if (reply.more) {
+    next_page_key_ = reply.rows.back().key.key + '\0';
+    Succeed(last_confirmed_);
+    next_call_ = now;
+    return;
+  }
+  const std::vector<Row> rows = std::move(pages_);
+  const RowVersion version = reading_version_;
+  StartReading();
+  reading_ = false;
+  // Pages are as of different moments; only the first one's version is certain for all of them.
+  if (version >= as_of_) {
+    Install(rows, version);
+  }
+  Succeed(asked.sent);
+  next_call_ = now;
+}
+
+void TableFollower::OnWatchDone(const Outstanding& asked, const StoreReply& reply, Time now) {
+  if (reply.version < asked.after) {
+    Fail("an answer older than the copy", now);
+    return;
+  }
+  history_losses_ = 0;
+  if (asked.after < as_of_) {
+    // A merge has overtaken this watch: its rows may be older than rows that are gone since.
+    Succeed(last_confirmed_);
+    next_call_ = now;
+    return;
+  }
+  for (const Row& row : reply.rows) {
+    if (row.key.partition != settings_.partition) {
+      continue;
+    }
+    if (row.removed) {
+      Remove(row);
+    } else {
+      Put(row);
+    }
+  }
+  as_of_ = std::max(as_of_, reply.version);
+  const Time wait_end = asked.sent + settings_.watch_wait;
+  const bool waited = reply.rows.empty() && now >= wait_end;
+  Succeed(waited ? wait_end : asked.sent);
+  next_call_ = waited ? now : now + settings_.batch_pause;
+}
+
+void TableFollower::OnHistoryGone(const std::string& detail, Time now) {
+  StartReading();
+  ++history_losses_;
+  next_call_ = now;
+  if (history_losses_ > 1) {
+    // Reading anew did not help: do not turn in a circle at full speed.
+    Fail(absl::StrCat("history gone again ", detail), now);
+  }
+}
+
+void TableFollower::StartReading() {
+  reading_ = true;
+  pages_.clear();
+  next_page_key_.clear();
+  reading_version_ = 0;
+}
+
+void TableFollower::Fail(const std::string& detail, Time now) {
+  last_failure_ = now;
+  last_failure_detail_ = detail;
+  if (!failing_since_.has_value()) {
+    failing_since_ = now;
+  }
+  next_call_ = now + back_off_.Next();
+}
+
+void TableFollower::Succeed(Time confirmed) {
+  failing_since_.reset();
+  back_off_.Reset();
+  last_confirmed_ = std::max(last_confirmed_, confirmed);
+}
+
+bool TableFollower::Merge(const std::vector<Row>& rows, RowVersion version, Time confirmed,
+                          Time now) {
+  if (version <= as_of_) {
+    return false;
+  }
+  ExpectVersion(version, now);
+  Install(rows, version);
+  newest_change_ = std::max(newest_change_, version);
+  last_confirmed_ = std::max(last_confirmed_, confirmed);
+  if (!reading_) {
+    return true;
+  }
+  merged_while_reading_ = true;
+  if (!outstanding_.has_value()) {
+    StartReading();
+    reading_ = false;
+  }
+  return true;
+}
+
+void TableFollower::ExpectVersion(RowVersion version, Time now) {
+  if (outstanding_.has_value() && outstanding_->is_watch && outstanding_->after < version) {
+    outstanding_->answer_by = std::min(outstanding_->answer_by, now + settings_.watch_grace);
+  }
+}
+
+void TableFollower::Install(const std::vector<Row>& rows, RowVersion version) {
+  std::set<std::string> present;
+  for (const Row& row : rows) {
+    if (row.key.partition != settings_.partition || row.removed) {
+      continue;
+    }
+    present.insert(row.key.key);
+    Put(row);
+  }
+  for (auto held = rows_.begin(); held != rows_.end();) {
+    if (held->second.version > version || present.contains(held->first)) {
+      ++held;
+      continue;
+    }
+    changed_keys_.insert(held->first);
+    // When it went is not known, only that it was by now.
+    newest_change_ = std::max(newest_change_, version);
+    held = rows_.erase(held);
+  }
+  as_of_ = std::max(as_of_, version);
+  known_ = true;
+}
+
+void TableFollower::Put(const Row& row) {
+  newest_change_ = std::max(newest_change_, row.version);
+  const auto held = rows_.find(row.key.key);
+  if (held != rows_.end() && row.version <= held->second.version) {
+    return;
+  }
+  rows_.insert_or_assign(row.key.key, VersionedValue{row.value, row.version});
+  changed_keys_.insert(row.key.key);
+}
+
+void TableFollower::Remove(const Row& row) {
+  newest_change_ = std::max(newest_change_, row.version);
+  const auto held = rows_.find(row.key.key);
+  if (held == rows_.end() || row.version < held->second.version) {
+    return;
+  }
+  rows_.erase(held);
+  changed_keys_.insert(row.key.key);
+}
+
+RowVersion TableFollower::content_version() const { return std::min(newest_change_, as_of_); }
+
+bool TableFollower::Troubled(Time now) const {
+  return now - last_failure_ <= settings_.trouble_window;
+}
+
+std::optional<Time> TableFollower::UnansweredSince() const {
+  if (!known_ && first_call_ != absl::InfiniteFuture()) {
+    return first_call_;
+  }
+  return failing_since_;
+}
+
+std::vector<std::string> TableFollower::TakeChangedKeys() {
+  std::vector<std::string> keys(changed_keys_.begin(), changed_keys_.end());
+  changed_keys_.clear();
+  return keys;
+}
+
+}  // namespace ladderstream::store
--- /dev/null
+++ b/src/core/store/table_follower.h
@@ -0,0 +1,148 @@
+// Keeps a copy of one table of the metadata store current: reads it once, then watches it.
+//
+// Pure: calls out, replies and time in; no I/O, no thread, no clock. At most one call is
+// outstanding. The copy never goes back: no row is replaced by an older one, and no answer as of an
+// older moment undoes what a newer one said. docs/design/014 describes what it is used for.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/store/back_off.h"
+#include "core/store/store_types.h"
+#include "wire/time.h"
+
+namespace ladderstream::store {
+
+struct FollowerSettings {
+  std::string table;
+  std::string partition;
+  /// How long the store holds a watch when nothing changes.
+  Duration watch_wait = absl::Seconds(20);
+  /// A watch without an answer this long after `watch_wait` counts as lost; so does one that stays
+  /// silent this long after a change is known that it should have told.
+  Duration watch_grace = absl::Seconds(1);
+  Duration read_timeout = absl::Seconds(1);
+  /// Pause between an answer that came at once and the next watch, so that changes in quick
+  /// succession cost one call.
+  Duration batch_pause = absl::Milliseconds(50);
+  Duration shortest_back_off = absl::Milliseconds(100);
+  Duration longest_back_off = absl::Seconds(1);
+  /// A failure counts as trouble for this long.
+  Duration trouble_window = absl::Seconds(3);
+  /// Of the jitter in back-offs.
+  uint64_t seed = 0;
+};
+
+/// A call to make. `call` comes back with its reply.
+struct FollowerCall {
+  uint64_t call = 0;
+  std::variant<ReadQuery, WatchQuery> query;
+  /// The follower stops waiting after this; the connection should then be dropped.
+  Duration timeout;
+};
+
+struct VersionedValue {
+  std::string value;
+  RowVersion version = 0;
+};
+
+/// Rows by key.
+using TableRows = std::map<std::string, VersionedValue>;
+
+class TableFollower {
+ public:
+  explicit TableFollower(FollowerSettings settings);
+
+  /// The call to make now, if one is due. An outstanding call that is overdue counts as failed; its
+  /// late reply is ignored.
+  std::optional<FollowerCall> Poll(Time now);
+  /// When Poll is due next, if no reply comes before.
+  Time NextWake() const;
+  void OnReply(uint64_t call, const StoreReply& reply, Time now);
+
+  /// Takes over another node's copy, which held exactly `rows` as of `version` and was confirmed
+  /// at `confirmed`. Gives false, and changes nothing, when this copy is as new or newer.
+  bool Merge(const std::vector<Row>& rows, RowVersion version, Time confirmed, Time now);
+  /// Another node knows of a change as of `version`: a watch that misses it is lost.
+  void ExpectVersion(RowVersion version, Time now);
+
+  const FollowerSettings& settings() const { return settings_; }
+  const TableRows& rows() const { return rows_; }
+  /// Whether the table was ever read or merged.
+  bool known() const { return known_; }
+  /// The copy holds every change up to this version of the store, and may hold newer ones.
+  RowVersion as_of() const { return as_of_; }
+  /// The last change of this table that the copy holds, not above as_of().
+  RowVersion content_version() const;
+  /// When the copy was last known to be the newest: the send of the last answered call, or the end
+  /// of a watch in which nothing changed. In the infinite past when it never was.
+  Time last_confirmed() const { return last_confirmed_; }
+  /// Whether a call failed within the trouble window.
+  bool Troubled(Time now) const;
+  /// Since when the store has not answered: the first of the failures in a row, or the first call
+  /// while the table is unknown. Empty while it answers.
+  std::optional<Time> UnansweredSince() const;
+  /// Why the last failed call failed; for logs.
+  const std::string& last_failure() const { return last_failure_detail_; }
+
+  /// The keys whose rows changed, appeared or went since the last call.
+  std::vector<std::string> TakeChangedKeys();
+
+ private:
+  struct Outstanding {
+    uint64_t call = 0;
+    bool is_watch = false;
+    RowVersion after = 0;
+    Time sent;
+    Time answer_by;
+  };
+
+  FollowerCall IssueRead(Time now);
+  FollowerCall IssueWatch(Time now);
+  void OnReadDone(const Outstanding& asked, const StoreReply& reply, Time now);
+  void OnWatchDone(const Outstanding& asked, const StoreReply& reply, Time now);
+  void OnHistoryGone(const std::string& detail, Time now);
+  void Fail(const std::string& detail, Time now);
+  void Succeed(Time confirmed);
+  /// Makes the copy that of a whole reading: newer rows replace, and missing ones go unless they
+  /// are newer than `version`.
+  void Install(const std::vector<Row>& rows, RowVersion version);
+  void Put(const Row& row);
+  void Remove(const Row& row);
+  void StartReading();
+
+  FollowerSettings settings_;
+  BackOff back_off_;
+  TableRows rows_;
+  std::set<std::string> changed_keys_;
+  bool known_ = false;
+  RowVersion as_of_ = 0;
+  RowVersion newest_change_ = 0;
+  Time last_confirmed_ = absl::InfinitePast();
+
+  std::optional<Outstanding> outstanding_;
+  uint64_t last_call_ = 0;
+  Time next_call_ = absl::InfinitePast();
+  Time first_call_ = absl::InfiniteFuture();
+
+  /// Reading the table anew; the pages so far and the version of the first one.
+  bool reading_ = true;
+  bool merged_while_reading_ = false;
+  std::vector<Row> pages_;
+  std::string next_page_key_;
+  RowVersion reading_version_ = 0;
+  /// Times that history was gone since a watch last succeeded.
+  uint32_t history_losses_ = 0;
+
+  std::optional<Time> failing_since_;
+  Time last_failure_ = absl::InfinitePast();
+  std::string last_failure_detail_;
+};
+
+}  // namespace ladderstream::store
--- /dev/null
+++ b/src/gateway/http/answer_reader.cc
@@ -0,0 +1,224 @@
+#include "gateway/http/answer_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <limits>
+#include <utility>
+
+#include "gateway/http/header_rules.h"
+
+namespace ladderstream::gateway {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned kHttp11 = 11;
+constexpr size_t kMaxHeadBytes = 65536;
+constexpr size_t kMaxChunkOverheadBytes = 8192;
+constexpr int kMaxInterimAnswers = 16;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kMisdirected = 421;
+constexpr int kLowestStatus = 100;
+constexpr int kHighestStatus = 599;
+
+bool IsInterim(int status) { return status / 100 == 1; }
+bool IsSuccess(int status) { return status / 100 == 2; }
+
+}  // namespace
+
+AnswerReader::AnswerReader(const interfaces::PlatformAdapter& adapter, size_t max_body,
+                           ByteBudget* budget)
+    : adapter_(adapter), max_body_(max_body), budget_(budget) {}
+
+void AnswerReader::Begin(const ExpectedAnswer& expected) {
+  expected_ = expected;
+  DropMessage();
+  skipped_late_ = false;
+  interim_answers_ = 0;
+  fault_.clear();
+}
+
+void AnswerReader::DropMessage() {
+  scanner_.Reset();
+  parser_.reset();
+  answer_ = BackendAnswer();
+  answer_.reservation = ByteReservation(budget_);
+  late_ = false;
+}
+
+ReadStatus AnswerReader::Read(std::string_view bytes, size_t* consumed) {
+  *consumed = 0;
+  for (;;) {
+    if (!parser_.has_value()) {
+      const ReadStatus status = ReadHead(bytes, consumed);
+      if (status != ReadStatus::kComplete) {
+        return status;
+      }
+      if (IsInterim(answer_.status)) {
+        DropMessage();
+        continue;
+      }
+    }
+    const ReadStatus status = ReadBody(bytes, consumed);
+    if (status != ReadStatus::kComplete || !late_) {
+      return status;
+    }
+    DropMessage();
+    skipped_late_ = true;
+  }
+}
+
+ReadStatus AnswerReader::ReadHead(std::string_view bytes, size_t* consumed) {
+  const std::string_view rest = bytes.substr(*consumed);
+  size_t size = rest.size();
+  const HeadScanner::Result scan = scanner_.Scan(rest, &size);
+  if (scan == HeadScanner::Result::kMalformed || size > kMaxHeadBytes) {
+    return Fail("malformed head");
+  }
+  if (scan == HeadScanner::Result::kNeedMore) {
+    return ReadStatus::kNeedMore;
+  }
+  parser_.emplace();
+  parser_->header_limit(std::numeric_limits<uint32_t>::max());
+  parser_->body_limit(max_body_);
+  parser_->skip(expected_.is_head_method);
+  boost::system::error_code error;
+  parser_->put(boost::asio::buffer(rest.data(), size), error);
+  if (error) {
+    return Fail(error.message());
+  }
+  *consumed += size;
+  return parser_->is_header_done() ? CheckHead() : Fail("head without an end");
+}
+
+ReadStatus AnswerReader::CheckHead() {
+  const auto& message = parser_->get();
+  answer_.status = static_cast<int>(message.result_int());
+  if (answer_.status < kLowestStatus || answer_.status > kHighestStatus ||
+      answer_.status == kSwitchingProtocols) {
+    return Fail("unusable status");
+  }
+  if (IsInterim(answer_.status)) {
+    return ++interim_answers_ > kMaxInterimAnswers ? Fail("too many interim answers")
+                                                   : ReadStatus::kComplete;
+  }
+  const bool modern = message.version() >= kHttp11;
+  if (!HasSoundFraming(message) || (!modern && parser_->chunked())) {
+    return Fail("contradictory framing");
+  }
+  if (CheckOwner() == ReadStatus::kFault) {
+    return ReadStatus::kFault;
+  }
+  answer_.keeps_open = modern && parser_->keep_alive() && !skipped_late_;
+  if (!late_) {
+    BuildHead();
+  }
+  return ReadStatus::kComplete;
+}
+
+ReadStatus AnswerReader::CheckOwner() {
+  const auto& message = parser_->get();
+  const interfaces::HeaderNames& names = adapter_.headers();
+  if (message.count(names.request_id) != 1) {
+    return Fail("no request id");
+  }
+  if (ToView(message[names.request_id]) != expected_.request_id) {
+    if (skipped_late_) {
+      return Fail("answers to other requests");
+    }
+    late_ = true;
+    return ReadStatus::kComplete;
+  }
+  if (message.count(HeaderField::content_encoding) != 0 && !expected_.accepts_encoding) {
+    return Fail("encoded body");
+  }
+  if (IsSuccess(answer_.status) && !names.server_stamp.empty() &&
+      message.count(names.server_stamp) == 0) {
+    return Fail("success without a stamp");
+  }
+  return ReadStatus::kComplete;
+}
+
+void AnswerReader::BuildHead() {
+  const auto& message = parser_->get();
+  answer_.not_executed = answer_.status == kMisdirected;
+  Append(&answer_.head, "HTTP/1.1 ", std::to_string(answer_.status), " ", ToView(message.reason()),
+         kLineEnd);
+  const ConnectionOptions options(message);
+  for (const auto& field : message) {
+    const std::string_view name = ToView(field.name_string());
+    const std::string_view value = ToView(field.value());
+    TakeField(field.name(), name, value);
+    const bool is_body_length =
+        field.name() == HeaderField::content_length && !expected_.is_head_method;
+    if (!is_body_length && !IsHopByHop(field.name(), name, options)) {
+      AppendField(&answer_.head, name, value);
+    }
+  }
+}
+
+void AnswerReader::TakeField(HeaderField field, std::string_view name, std::string_view value) {
+  const interfaces::HeaderNames& names = adapter_.headers();
+  if (field == HeaderField::keep_alive) {
+    answer_.keep_alive = ParseKeepAliveTimeout(value);
+  } else if (field != HeaderField::unknown) {
+    return;
+  } else if (EqualsIgnoreCase(name, names.not_executed)) {
+    answer_.not_executed = true;
+  } else if (EqualsIgnoreCase(name, names.server_load)) {
+    interfaces::ToldLoad load;
+    if (adapter_.ParseToldLoad(value, &load)) {
+      answer_.load = load;
+    }
+  }
+}
+
+ReadStatus AnswerReader::ReadBody(std::string_view bytes, size_t* consumed) {
+  while (!parser_->is_done()) {
+    const std::string_view rest = bytes.substr(*consumed);
+    if (rest.empty()) {
+      return ReadStatus::kNeedMore;
+    }
+    boost::system::error_code error;
+    const size_t taken = parser_->put(boost::asio::buffer(rest.data(), rest.size()), error);
+    *consumed += taken;
+    if (error == http::error::need_more) {
+      if (taken > 0) {
+        continue;
+      }
+      return rest.size() > kMaxChunkOverheadBytes ? Fail("chunk size line or trailer too long")
+                                                  : ReadStatus::kNeedMore;
+    }
+    if (error) {
+      return Fail(error.message());
+    }
+    if (!answer_.reservation.Resize(parser_->get().body().size())) {
+      return Fail("too many bytes of bodies are held");
+    }
+  }
+  return ReadStatus::kComplete;
+}
+
+ReadStatus AnswerReader::ReadEnd() {
+  if (!parser_.has_value() || late_) {
+    return Fail("closed without an answer");
+  }
+  boost::system::error_code error;
+  parser_->put_eof(error);
+  return error || !parser_->is_done() ? Fail("answer cut short") : ReadStatus::kComplete;
+}
+
+ReadStatus AnswerReader::Fail(std::string detail) {
+  fault_ = std::move(detail);
+  return ReadStatus::kFault;
+}
+
+BackendAnswer AnswerReader::Take() {
+  answer_.body = std::move(parser_->get().body());
+  parser_.reset();
+  scanner_.Reset();
+  return std::move(answer_);
+}
+
+}  // namespace ladderstream::gateway
--- /dev/null
+++ b/src/gateway/http/backend_connection.h
@@ -0,0 +1,115 @@
+// One connection to a back end: carries one request at a time.
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/forwarding/dispatcher.h"
+#include "gateway/http/answer_reader.h"
+#include "gateway/http/data_path_settings.h"
+#include "gateway/http/event_loop.h"
+#include "gateway/http/request_reader.h"
+#include "wire/time.h"
+
+namespace ladderstream::gateway {
+
+using CallerRequestPtr = std::shared_ptr<const CallerRequest>;
+
+/// One attempt of a request at one back end.
+struct Exchange {
+  forwarding::AttemptHandle attempt = 0;
+  CallerRequestPtr request;
+  /// What is announced as time left ends here.
+  Time answer_by;
+};
+
+/// Hears how exchanges go. After OnAnswer or OnFailure an exchange is over.
+class ExchangeListener {
+ public:
+  virtual ~ExchangeListener() = default;
+
+  /// The first byte is about to be written.
+  virtual void OnSent(forwarding::AttemptHandle attempt) = 0;
+  virtual void OnAnswer(forwarding::AttemptHandle attempt, BackendAnswer answer) = 0;
+  virtual void OnFailure(forwarding::AttemptHandle attempt, forwarding::AttemptFailure failure,
+                         std::string_view cause) = 0;
+};
+
+class BackendConnection;
+using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
+
+/// Keeps the connections of a back end.
+class BackendConnectionOwner {
+ public:
+  virtual ~BackendConnectionOwner() = default;
+
+  virtual void OnConnected(const BackendConnection& connection) = 0;
+  /// The connection may carry another request, until `usable_until`.
+  virtual void OnReusable(const BackendConnectionPtr& connection) = 0;
+  virtual void OnClosed(BackendConnection& connection, std::string_view cause) = 0;
+};
+
+class BackendConnection : public std::enable_shared_from_this<BackendConnection> {
+ public:
+  /// All references must outlive the connection's open state.
+  BackendConnection(LoopResources& resources, const interfaces::PlatformAdapter& adapter,
+                    const BackendPoolSettings& settings, BackendConnectionOwner& owner,
+                    ExchangeListener& listener, std::string backend);
+
+  /// Connects and then sends. The exchange may be over when this returns.
+  void Connect(const Tcp::endpoint& address, Exchange exchange);
+  /// Whether an idle connection is still as it was left: open, and without a stray byte.
+  bool IsSound();
+  /// Sends on an idle connection. The exchange may be over when this returns.
+  void Send(Exchange exchange);
+  /// Closes without telling the listener.
+  void Close(std::string_view cause);
+
+  const std::string& backend() const { return backend_; }
+  bool is_connecting() const { return state_ == State::kConnecting; }
+  bool is_open() const { return state_ != State::kClosed; }
+  /// An idle connection is not used after this.
+  Time usable_until() const { return usable_until_; }
+
+ private:
+  enum class State { kNew, kConnecting, kIdle, kBusy, kClosed };
+
+  void OnConnect(const ErrorCode& error);
+  void StartExchange();
+  void BuildHead(Duration left);
+  void Write();
+  void WriteRest();
+  void OnWriteError();
+  void ArmRead();
+  void OnRead(const ErrorCode& error, size_t size);
+  void ReadMore();
+  void OnBytes(std::string_view bytes);
+  void OnEnd(const ErrorCode& error);
+  void FinishExchange(bool surplus);
+  void Fail(forwarding::AttemptFailure failure, std::string_view cause);
+  size_t message_size() const { return head_.size() + exchange_.request->body.size(); }
+  std::array<boost::asio::const_buffer, 2> Unwritten() const;
+
+  LoopResources& resources_;
+  const BackendPoolSettings& settings_;
+  const interfaces::HeaderNames& names_;
+  BackendConnectionOwner& owner_;
+  ExchangeListener& listener_;
+  const std::string backend_;
+  Socket socket_;
+  State state_ = State::kNew;
+  bool read_armed_ = false;
+  AnswerReader reader_;
+  Exchange exchange_;
+  /// Written before the body of the request.
+  std::string head_;
+  size_t written_ = 0;
+  /// Bytes read and not yet taken.
+  std::string pending_;
+  Time usable_until_;
+  ReadBuffer buffer_;
+};
+
+}  // namespace ladderstream::gateway
