--- /dev/null
+++ b/src/gateway/http/backend_pool.cc
@@ -0,0 +1,136 @@
+#include "gateway/http/backend_pool.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <utility>
+
+namespace ladderstream::gateway {
+
+BackendPool::BackendPool(LoopResources& resources, const interfaces::PlatformAdapter& adapter,
+                         const BackendPoolSettings& settings, ExchangeListener& listener,
+                         DataPathObserver* observer)
+    : resources_(resources),
+      adapter_(adapter),
+      settings_(settings),
+      listener_(listener),
+      observer_(observer) {}
+
+BackendPool::~BackendPool() {
+  observer_ = nullptr;
+  std::vector<BackendConnectionPtr> all;
+  for (const auto& [key, connection] : connections_) {
+    all.push_back(connection);
+  }
+  CloseAll(all, "stopped");
+}
+
+void BackendPool::CloseAll(const std::vector<BackendConnectionPtr>& connections,
+                           std::string_view cause) {
+  for (const BackendConnectionPtr& connection : connections) {
+    connection->Close(cause);
+  }
+}
+
+void BackendPool::SetConnectionLimits(std::unordered_map<std::string, uint32_t> limits) {
+  limits_ = std::move(limits);
+  std::vector<BackendConnectionPtr> unlisted;
+  for (const auto& [backend, entry] : entries_) {
+    if (!limits_.contains(backend)) {
+      unlisted.insert(unlisted.end(), entry.idle.begin(), entry.idle.end());
+    }
+  }
+  CloseAll(unlisted, "the back end is gone");
+}
+
+uint32_t BackendPool::MaxOpen(const std::string& backend) const {
+  const auto limit = limits_.find(backend);
+  if (limit == limits_.end() || limit->second == 0) {
+    return std::numeric_limits<uint32_t>::max();
+  }
+  const double share = limit->second * settings_.connection_share / std::max(node_count_, 1U);
+  return std::max(settings_.min_connections, static_cast<uint32_t>(share));
+}
+
+BackendConnectionPtr BackendPool::Start(const std::string& backend, const Endpoint& address,
+                                        Exchange exchange) {
+  const Tcp::endpoint endpoint = ToTcpEndpoint(address);
+  Entry& entry = entries_[backend];
+  if (entry.address != address) {
+    CloseAll(std::vector<BackendConnectionPtr>(entry.idle), "the back end moved");
+    entry.address = address;
+  }
+  if (BackendConnectionPtr idle = TakeIdle(entry)) {
+    idle->Send(std::move(exchange));
+    return idle;
+  }
+  if (entry.open >= MaxOpen(backend)) {
+    return nullptr;
+  }
+  ++entry.open;
+  auto connection = std::make_shared<BackendConnection>(resources_, adapter_, settings_,
+                                                        static_cast<BackendConnectionOwner&>(*this),
+                                                        listener_, backend);
+  connections_.emplace(connection.get(), connection);
+  connection->Connect(endpoint, std::move(exchange));
+  return connection;
+}
+
+BackendConnectionPtr BackendPool::TakeIdle(Entry& entry) {
+  const Time now = resources_.clock.Now();
+  while (!entry.idle.empty()) {
+    BackendConnectionPtr connection = entry.idle.back();
+    if (now < connection->usable_until() && connection->IsSound()) {
+      entry.idle.pop_back();
+      return connection;
+    }
+    connection->Close("too old, or closed by the back end while idle");
+  }
+  return nullptr;
+}
+
+void BackendPool::OnConnected(const BackendConnection& connection) {
+  if (observer_ != nullptr) {
+    observer_->OnBackendConnected(connection.backend());
+  }
+}
+
+void BackendPool::OnReusable(const BackendConnectionPtr& connection) {
+  Entry& entry = entries_[connection->backend()];
+  const bool listed = limits_.empty() || limits_.contains(connection->backend());
+  if (!listed || entry.idle.size() >= settings_.max_idle_connections) {
+    connection->Close(listed ? "enough idle connections" : "the back end is gone");
+    return;
+  }
+  entry.idle.push_back(connection);
+}
+
+void BackendPool::OnClosed(BackendConnection& connection, std::string_view cause) {
+  const auto found = connections_.find(&connection);
+  if (found == connections_.end()) {
+    return;
+  }
+  const BackendConnectionPtr self = found->second;
+  connections_.erase(found);
+  Entry& entry = entries_[connection.backend()];
+  --entry.open;
+  std::erase(entry.idle, self);
+  if (observer_ != nullptr) {
+    observer_->OnConnectionRetired(connection.backend(), cause);
+  }
+}
+
+void BackendPool::Sweep(Time now) {
+  std::vector<BackendConnectionPtr> old;
+  for (auto position = entries_.begin(); position != entries_.end();) {
+    const Entry& entry = position->second;
+    std::copy_if(entry.idle.begin(), entry.idle.end(), std::back_inserter(old),
+                 [now](const BackendConnectionPtr& connection) {
+                   return now >= connection->usable_until();
+                 });
+    position = entry.open == 0 ? entries_.erase(position) : std::next(position);
+  }
+  CloseAll(old, "idle for long");
+}
+
+}  // namespace ladderstream::gateway
--- /dev/null
+++ b/src/gateway/http/data_path.cc
@@ -0,0 +1,393 @@
+#include "gateway/http/data_path.h"
+
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "gateway/http/refusal.h"
+
+namespace ladderstream::gateway {
+
+using forwarding::AttemptFailure;
+using forwarding::AttemptHandle;
+using forwarding::RequestHandle;
+
+namespace {
+
+/// The timer is never set shorter, so that the loop cannot spin on a time-out that stays due.
+constexpr Duration kShortestTimer = absl::Milliseconds(1);
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+bool HasNoBody(int status) { return status == kNoContent || status == kNotModified; }
+
+}  // namespace
+
+DataPath::DataPath(EventLoop& loop, const TimeSource& clock,
+                   const interfaces::PlatformAdapter& adapter, forwarding::Dispatcher& dispatcher,
+                   const DataPathSettings& settings, DataPathObserver* observer)
+    : resources_{loop, clock, ByteBudget(settings.max_held_bytes), {}},
+      adapter_(adapter),
+      dispatcher_(dispatcher),
+      settings_(settings),
+      observer_(observer != nullptr ? observer : &no_observer_),
+      timer_(loop.get_executor()),
+      next_sweep_(clock.Now() + settings.sweep_interval),
+      backends_(resources_, adapter, settings.backends, *this, observer),
+      callers_(resources_, adapter.headers(), settings.callers, *this) {
+  Arm();
+}
+
+DataPath::~DataPath() = default;
+
+void DataPath::SetConfiguration(std::shared_ptr<const catalog::Configuration> configuration) {
+  configuration_ = std::move(configuration);
+  callers_.SetLimits(configuration_->limits);
+  ApplyConnectionLimits();
+  dispatcher_.SetConfiguration(configuration_, resources_.clock.Now());
+  Pump();
+}
+
+void DataPath::SetBackends(const std::vector<catalog::Backend>& backends, bool store_troubled) {
+  services_.clear();
+  for (const catalog::Backend& backend : backends) {
+    services_[backend.id] = backend.service;
+  }
+  ApplyConnectionLimits();
+  dispatcher_.SetBackends(backends, store_troubled, resources_.clock.Now());
+  Pump();
+}
+
+void DataPath::SetNodeCount(uint32_t node_count) {
+  backends_.SetNodeCount(node_count);
+  dispatcher_.SetNodeCount(node_count);
+}
+
+void DataPath::ApplyConnectionLimits() {
+  std::unordered_map<std::string, uint32_t> limits;
+  for (const auto& [backend, service] : services_) {
+    uint32_t& limit = limits[backend];
+    if (configuration_ != nullptr) {
+      const auto declared = configuration_->services.find(service);
+      limit = declared == configuration_->services.end() ? 0 : declared->second.max_connections;
+    }
+  }
+  backends_.SetConnectionLimits(std::move(limits));
+}
+
+void DataPath::BeginDrain(std::function<void()> drained) {
+  drained_ = std::move(drained);
+  dispatcher_.SetStopping();
+  callers_.BeginDrain();
+}
+
+void DataPath::OnQuiet() {
+  if (!drained_ || std::exchange(quiet_posted_, true)) {
+    return;
+  }
+  boost::asio::post(resources_.loop, [this, alive = std::weak_ptr<char>(alive_)] {
+    if (alive.expired()) {
+      return;
+    }
+    quiet_posted_ = false;
+    if (callers_.IsQuiet() && requests_.empty()) {
+      drained_();
+    }
+  });
+}
+
+void DataPath::Pump() {
+  if (std::exchange(pumping_, true)) {
+    return;
+  }
+  for (;;) {
+    const std::vector<forwarding::RequestDecision> decisions = dispatcher_.TakeDecisions();
+    if (decisions.empty()) {
+      break;
+    }
+    for (const forwarding::RequestDecision& decided : decisions) {
+      std::visit([this, &decided](const auto& decision) { Carry(decided.request, decision); },
+                 decided.decision);
+    }
+  }
+  pumping_ = false;
+  Arm();
+}
+
+void DataPath::OnRequest(const CallerConnectionPtr& connection, CallerRequest incoming) {
+  const Time now = resources_.clock.Now();
+  const auto message = std::make_shared<const CallerRequest>(std::move(incoming));
+  const Time deadline = message->time_left.has_value() ? message->arrival + *message->time_left
+                                                       : absl::InfiniteFuture();
+  Request request;
+  request.caller = connection;
+  request.message = message;
+  const catalog::Route* route = dispatcher_.FindRoute(message->host, message->target);
+  if (route != nullptr) {
+    request.route = route->name;
+  }
+  observer_->OnRequestStarted(message->request_id, request.route);
+  if (deadline <= now) {
+    Refuse(request,
+           {HttpStatusOf(ResultCode::kDeadlineUnreachable), ResultCode::kDeadlineUnreachable,
+            absl::ZeroDuration(), "the deadline has passed"});
+    return;
+  }
+  forwarding::IncomingRequest described;
+  described.request_id = message->request_id;
+  described.host = message->host;
+  described.target = message->target;
+  described.key = message->key;
+  described.arrival = message->arrival;
+  described.deadline = deadline;
+  const RequestHandle handle = dispatcher_.Start(described, now);
+  connection->set_request_handle(handle);
+  requests_.emplace(handle, std::move(request));
+  Pump();
+}
+
+void DataPath::OnCallerGone(CallerConnection& connection) {
+  const RequestHandle handle = connection.request_handle();
+  const auto found = requests_.find(handle);
+  if (found == requests_.end()) {
+    return;
+  }
+  const Time now = resources_.clock.Now();
+  observer_->OnCallerGone(found->second.message->request_id, now - found->second.message->arrival);
+  dispatcher_.OnCallerGone(handle, now);
+  Pump();
+  Forget(handle);
+}
+
+void DataPath::OnRefused(const ReadFault& fault) {
+  observer_->OnMalformed(fault.code, fault.detail);
+}
+
+void DataPath::OnSent(AttemptHandle handle) {
+  const auto found = attempts_.find(handle);
+  if (found == attempts_.end()) {
+    return;
+  }
+  Attempt& attempt = found->second;
+  attempt.sent = resources_.clock.Now();
+  dispatcher_.OnSent(handle, attempt.sent);
+  observer_->OnAttemptSent(attempt.message->request_id, attempt.backend);
+}
+
+void DataPath::OnAnswer(AttemptHandle handle, BackendAnswer answer) {
+  const auto found = attempts_.find(handle);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const Time now = resources_.clock.Now();
+  Attempt& attempt = found->second;
+  forwarding::AttemptAnswer told;
+  told.status = answer.status;
+  told.not_executed = answer.not_executed;
+  told.running = answer.load.running;
+  told.waiting = answer.load.waiting;
+  told.slots = answer.load.slots;
+  told.closing = !answer.keeps_open;
+  attempt.connection = nullptr;
+  attempt.duration = now - attempt.sent;
+  observer_->OnAttemptAnswered(attempt.message->request_id, attempt.backend, answer.status,
+                               answer.not_executed, attempt.duration);
+  if (requests_.contains(attempt.request)) {
+    attempt.answer = std::move(answer);
+  } else {
+    attempts_.erase(found);
+  }
+  dispatcher_.OnAttemptAnswer(handle, told, now);
+  Pump();
+}
+
+void DataPath::OnFailure(AttemptHandle handle, AttemptFailure failure, std::string_view cause) {
+  const auto found = attempts_.find(handle);
+  if (found == attempts_.end()) {
+    return;
+  }
+  observer_->OnAttemptFailed(found->second.message->request_id, found->second.backend, failure,
+                             cause);
+  attempts_.erase(found);
+  dispatcher_.OnAttemptFailure(handle, failure, resources_.clock.Now());
+  Pump();
+}
+
+void DataPath::Carry(RequestHandle handle, const forwarding::SendDecision& send) {
+  const auto found = requests_.find(handle);
+  if (found == requests_.end()) {
+    return;
+  }
+  Request& request = found->second;
+  ++request.sends;
+  request.attempts.push_back(send.attempt);
+  const CallerRequestPtr message = request.message;
+  Attempt attempt;
+  attempt.request = handle;
+  attempt.message = message;
+  attempt.backend = send.backend;
+  attempt.connect_by = send.connect_by;
+  attempt.answer_by = send.answer_by;
+  attempts_.emplace(send.attempt, std::move(attempt));
+  BackendConnectionPtr connection;
+  try {
+    connection =
+        backends_.Start(send.backend, send.address, {send.attempt, message, send.answer_by});
+  } catch (const Error& error) {
+    OnFailure(send.attempt, AttemptFailure::kConnectRefused, error.what());
+    return;
+  }
+  if (connection == nullptr) {
+    OnFailure(send.attempt, AttemptFailure::kNotSent, "enough connections to this back end");
+    return;
+  }
+  const auto started = attempts_.find(send.attempt);
+  if (started != attempts_.end()) {
+    const Time due =
+        connection->is_connecting() ? std::min(send.connect_by, send.answer_by) : send.answer_by;
+    timeouts_.push({due, send.attempt});
+    started->second.connection = std::move(connection);
+  }
+}
+
+void DataPath::Carry(RequestHandle /*handle*/, const forwarding::CancelDecision& cancel) {
+  const auto found = attempts_.find(cancel.attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const BackendConnectionPtr connection = std::move(found->second.connection);
+  attempts_.erase(found);
+  if (connection != nullptr) {
+    connection->Close("the attempt was cancelled");
+  }
+}
+
+void DataPath::Carry(RequestHandle handle, const forwarding::RelayDecision& relay) {
+  const auto source = attempts_.find(relay.attempt);
+  if (!requests_.contains(handle) || source == attempts_.end() ||
+      !source->second.answer.has_value()) {
+    return;
+  }
+  Attempt attempt = std::move(source->second);
+  attempts_.erase(source);
+  const Request request = Forget(handle);
+  BackendAnswer& relayed = *attempt.answer;
+  CallerAnswer answer;
+  answer.head = std::move(relayed.head);
+  answer.body = std::move(relayed.body);
+  answer.reservation = std::move(relayed.reservation);
+  answer.tells_length = !request.message->is_head_method && !HasNoBody(relayed.status);
+  AnsweredRequest answered;
+  answered.status = relayed.status;
+  answered.backend = attempt.backend;
+  answered.at_backend = attempt.duration;
+  const auto service = services_.find(attempt.backend);
+  if (service != services_.end()) {
+    answered.service = service->second;
+  }
+  Tell(request, answered);
+  request.caller->Answer(std::move(answer));
+}
+
+void DataPath::Carry(RequestHandle handle, const forwarding::AnswerDecision& answer) {
+  if (requests_.contains(handle)) {
+    Refuse(Forget(handle), answer);
+  }
+}
+
+void DataPath::Refuse(const Request& request, const forwarding::AnswerDecision& decision) {
+  AnsweredRequest answered;
+  answered.status = decision.status;
+  answered.code = decision.code;
+  answered.reason = decision.reason;
+  Tell(request, answered);
+  CallerAnswer answer =
+      MakeRefusal(decision.status, decision.code, decision.reason, decision.retry_after);
+  answer.omits_body = request.message->is_head_method;
+  request.caller->Answer(std::move(answer));
+}
+
+void DataPath::Tell(const Request& request, AnsweredRequest answered) {
+  answered.request_id = request.message->request_id;
+  answered.route = request.route;
+  answered.total = resources_.clock.Now() - request.message->arrival;
+  answered.attempts = request.sends;
+  observer_->OnAnswered(answered);
+}
+
+DataPath::Request DataPath::Forget(RequestHandle handle) {
+  Request request = std::move(requests_.extract(handle).mapped());
+  for (const AttemptHandle attempt : request.attempts) {
+    const auto ended = attempts_.find(attempt);
+    if (ended != attempts_.end() && ended->second.connection == nullptr) {
+      attempts_.erase(ended);
+    }
+  }
+  return request;
+}
+
+void DataPath::Arm() {
+  while (!timeouts_.empty() && !IsRunning(timeouts_.top().attempt)) {
+    timeouts_.pop();
+  }
+  Time next = std::min(dispatcher_.NextWake(), next_sweep_);
+  if (!timeouts_.empty()) {
+    next = std::min(next, timeouts_.top().due);
+  }
+  if (next >= armed_for_) {
+    return;
+  }
+  armed_for_ = next;
+  const Duration wait = std::max(next - resources_.clock.Now(), kShortestTimer);
+  timer_.expires_after(absl::ToChronoNanoseconds(wait));
+  timer_.async_wait([this, alive = std::weak_ptr<char>(alive_)](const ErrorCode& error) {
+    if (!error && !alive.expired()) {
+      OnTimer();
+    }
+  });
+}
+
+bool DataPath::IsRunning(AttemptHandle handle) const {
+  const auto found = attempts_.find(handle);
+  return found != attempts_.end() && found->second.connection != nullptr;
+}
+
+void DataPath::OnTimer() {
+  armed_for_ = absl::InfiniteFuture();
+  const Time now = resources_.clock.Now();
+  if (dispatcher_.NextWake() <= now) {
+    dispatcher_.OnTick(now);
+    Pump();
+  }
+  EndLateAttempts(now);
+  if (now >= next_sweep_) {
+    next_sweep_ = now + settings_.sweep_interval;
+    callers_.Sweep(now);
+    backends_.Sweep(now);
+  }
+  Arm();
+}
+
+void DataPath::EndLateAttempts(Time now) {
+  while (!timeouts_.empty() && timeouts_.top().due <= now) {
+    const AttemptHandle handle = timeouts_.top().attempt;
+    timeouts_.pop();
+    if (!IsRunning(handle)) {
+      continue;
+    }
+    const Attempt& attempt = attempts_.at(handle);
+    const bool connecting = attempt.connection->is_connecting();
+    if (now < attempt.answer_by && !(connecting && now >= attempt.connect_by)) {
+      timeouts_.push({attempt.answer_by, handle});
+      continue;
+    }
+    const BackendConnectionPtr connection = attempt.connection;
+    connection->Close("no answer in time");
+    OnFailure(handle, connecting ? AttemptFailure::kConnectTimeout : AttemptFailure::kTimedOut,
+              "time-out");
+  }
+}
+
+}  // namespace ladderstream::gateway
--- /dev/null
+++ b/src/gateway/http/data_path.h
@@ -0,0 +1,132 @@
+// Carries requests between callers and back ends as a Dispatcher decides. One thread: everything
+// happens in the event loop.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/forwarding/dispatcher.h"
+#include "gateway/http/backend_pool.h"
+#include "gateway/http/caller_server.h"
+#include "gateway/http/data_path_observer.h"
+#include "gateway/http/data_path_settings.h"
+#include "gateway/http/event_loop.h"
+#include "interfaces/platform_adapter.h"
+
+namespace ladderstream::gateway {
+
+class DataPath : private RequestHandler, private ExchangeListener {
+ public:
+  /// Listens at once; throws Error(kInvalidSetting) when it cannot. All must outlive the data path;
+  /// `observer` may be null. The event loop may run on after it is gone.
+  DataPath(EventLoop& loop, const TimeSource& clock, const interfaces::PlatformAdapter& adapter,
+           forwarding::Dispatcher& dispatcher, const DataPathSettings& settings,
+           DataPathObserver* observer);
+  ~DataPath() override;
+
+  /// These also tell the dispatcher.
+  void SetConfiguration(std::shared_ptr<const catalog::Configuration> configuration);
+  void SetBackends(const std::vector<catalog::Backend>& backends, bool store_troubled);
+  void SetNodeCount(uint32_t node_count);
+
+  /// Carries out what the dispatcher has decided. To be called after anybody else has told the
+  /// dispatcher something.
+  void Pump();
+
+  /// Takes no new connections.
+  void StopAccepting() { callers_.StopAccepting(); }
+  /// Serves on, but sends callers elsewhere: closes idle connections, and every other one after the
+  /// answers it waits for. `drained` is called, from the event loop, whenever no request is left.
+  void BeginDrain(std::function<void()> drained);
+
+  Tcp::endpoint local_endpoint() const { return callers_.local_endpoint(); }
+  size_t caller_connection_count() const { return callers_.connection_count(); }
+  size_t backend_connection_count() const { return backends_.connection_count(); }
+  size_t requests_in_flight() const { return requests_.size(); }
+  size_t held_bytes() const { return resources_.budget.used(); }
+
+ private:
+  struct Request {
+    CallerConnectionPtr caller;
+    CallerRequestPtr message;
+    std::string route;
+    std::vector<forwarding::AttemptHandle> attempts;
+    uint32_t sends = 0;
+  };
+  struct Attempt {
+    forwarding::RequestHandle request = 0;
+    CallerRequestPtr message;
+    std::string backend;
+    /// Null once it has ended.
+    BackendConnectionPtr connection;
+    Time connect_by;
+    Time answer_by;
+    Time sent;
+    std::optional<BackendAnswer> answer;
+    Duration duration;
+  };
+  struct AttemptTimeout {
+    Time due;
+    forwarding::AttemptHandle attempt = 0;
+    bool operator>(const AttemptTimeout& other) const { return due > other.due; }
+  };
+
+  // RequestHandler
+  void OnRequest(const CallerConnectionPtr& connection, CallerRequest request) override;
+  void OnCallerGone(CallerConnection& connection) override;
+  void OnRefused(const ReadFault& fault) override;
+  void OnQuiet() override;
+
+  // ExchangeListener
+  void OnSent(forwarding::AttemptHandle attempt) override;
+  void OnAnswer(forwarding::AttemptHandle attempt, BackendAnswer answer) override;
+  void OnFailure(forwarding::AttemptHandle attempt, forwarding::AttemptFailure failure,
+                 std::string_view cause) override;
+
+  void Carry(forwarding::RequestHandle handle, const forwarding::SendDecision& send);
+  void Carry(forwarding::RequestHandle handle, const forwarding::CancelDecision& cancel);
+  void Carry(forwarding::RequestHandle handle, const forwarding::RelayDecision& relay);
+  void Carry(forwarding::RequestHandle handle, const forwarding::AnswerDecision& answer);
+  /// Answers from here, without the dispatcher or after its last word.
+  void Refuse(const Request& request, const forwarding::AnswerDecision& decision);
+  /// Forgets a request that is answered or whose caller is gone. Attempts that the dispatcher did
+  /// not cancel go on unheard.
+  Request Forget(forwarding::RequestHandle handle);
+  void Tell(const Request& request, AnsweredRequest answered);
+  void ApplyConnectionLimits();
+  /// Whether the attempt has not ended.
+  bool IsRunning(forwarding::AttemptHandle handle) const;
+  void Arm();
+  void OnTimer();
+  void EndLateAttempts(Time now);
+
+  LoopResources resources_;
+  const interfaces::PlatformAdapter& adapter_;
+  forwarding::Dispatcher& dispatcher_;
+  const DataPathSettings settings_;
+  DataPathObserver no_observer_;
+  DataPathObserver* observer_;
+  /// Of each registered back end.
+  std::unordered_map<std::string, std::string> services_;
+  std::shared_ptr<const catalog::Configuration> configuration_;
+  std::unordered_map<forwarding::RequestHandle, Request> requests_;
+  std::unordered_map<forwarding::AttemptHandle, Attempt> attempts_;
+  std::priority_queue<AttemptTimeout, std::vector<AttemptTimeout>, std::greater<>> timeouts_;
+  bool pumping_ = false;
+  Timer timer_;
+  /// When the timer goes off; infinite when it is not set.
+  Time armed_for_ = absl::InfiniteFuture();
+  Time next_sweep_;
+  std::function<void()> drained_;
+  bool quiet_posted_ = false;
+  std::shared_ptr<char> alive_ = std::make_shared<char>();
+  BackendPool backends_;
+  CallerServer callers_;
+};
+
+}  // namespace ladderstream::gateway
--- /dev/null
+++ b/src/gateway/http/event_loop.h
@@ -0,0 +1,63 @@
+// The socket and timer types of the event loop, bound to its executor so that no call goes through
+// a type-erased one, and what the connections of one loop share.
+#pragma once
+
+#include <array>
+#include <boost/asio/basic_socket_acceptor.hpp>
+#include <boost/asio/basic_stream_socket.hpp>
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <memory>
+
+#include "gateway/http/byte_budget.h"
+#include "wire/identifiers.h"
+#include "wire/time.h"
+
+namespace ladderstream::gateway {
+
+using EventLoop = boost::asio::io_context;
+using Tcp = boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+using Socket = boost::asio::basic_stream_socket<Tcp, EventLoop::executor_type>;
+using Acceptor = boost::asio::basic_socket_acceptor<Tcp, EventLoop::executor_type>;
+using Timer = boost::asio::basic_waitable_timer<std::chrono::steady_clock,
+                                                boost::asio::wait_traits<std::chrono::steady_clock>,
+                                                EventLoop::executor_type>;
+
+/// Bytes that a connection reads with one pending operation. Heads and short bodies fit.
+constexpr size_t kReadBufferBytes = 4096;
+/// Bytes read at once when more than that has arrived.
+constexpr size_t kSharedBufferBytes = 65536;
+/// How often one connection reads before the others get their turn.
+constexpr int kMaxReadsPerWake = 8;
+
+using ReadBuffer = std::array<char, kReadBufferBytes>;
+
+/// What all connections of one loop use in turn.
+struct LoopResources {
+  EventLoop& loop;
+  const TimeSource& clock;
+  ByteBudget budget;
+  /// Valid only until the next read of any connection.
+  std::array<char, kSharedBufferBytes> shared_buffer;
+};
+
+/// Throws Error(kInvalidSetting) when `endpoint.host` is no IP address.
+Tcp::endpoint ToTcpEndpoint(const Endpoint& endpoint);
+
+/// Sends small writes at once and makes every call return at once.
+void PrepareSocket(Socket& socket, ErrorCode& error);
+
+/// Gives a connection up when bytes stay unacknowledged for `timeout`, also while connecting.
+void SetUserTimeout(Socket& socket, Duration timeout, ErrorCode& error);
+
+/// A listening socket; throws Error(kInvalidSetting) when the address cannot be had.
+Acceptor Listen(EventLoop& loop, const Endpoint& endpoint);
+
+inline bool WouldBlock(const ErrorCode& error) {
+  return error == boost::asio::error::would_block || error == boost::asio::error::try_again;
+}
+
+}  // namespace ladderstream::gateway
--- /dev/null
+++ b/src/gateway/http/header_rules.h
@@ -0,0 +1,56 @@
+// What a forwarder has to know of header fields: which concern one connection only, and what those
+// it reads itself say.
+#pragma once
+
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/ownership/ownership_map.h"
+#include "gateway/http/text.h"
+#include "wire/time.h"
+
+namespace ladderstream::gateway {
+
+using HeaderField = boost::beast::http::field;
+using HeaderFields = boost::beast::http::fields;
+
+/// The fields that the Connection headers of one message name.
+class ConnectionOptions {
+ public:
+  explicit ConnectionOptions(const HeaderFields& fields);
+
+  bool Names(std::string_view option) const;
+
+ private:
+  std::vector<std::string_view> options_;
+};
+
+/// Whether a field concerns one connection only and must not be passed on.
+bool IsHopByHop(HeaderField field, std::string_view name, const ConnectionOptions& options);
+
+/// Whether the framing that the fields announce has exactly one reading: at most one length, in
+/// digits only, or exactly the encoding "chunked", never both.
+bool HasSoundFraming(const HeaderFields& fields);
+
+/// How long a sender waits, from a number of milliseconds; nothing when `text` is no such number.
+std::optional<Duration> ParseTimeLeft(std::string_view text);
+
+/// Nothing when `text` is no key.
+std::optional<ownership::Key> ParseKey(std::string_view text);
+
+/// The time that a Keep-Alive header promises; nothing when it promises none.
+std::optional<Duration> ParseKeepAliveTimeout(std::string_view text);
+
+/// Host and path by which a request is routed: the authority of an absolute target counts before
+/// the Host header; ports are left out.
+struct RoutingTarget {
+  std::string_view host;
+  std::string_view target;
+};
+RoutingTarget FindRoutingTarget(std::string_view host, std::string_view target);
+
+}  // namespace ladderstream::gateway
--- /dev/null
+++ b/src/gateway/http/http_client.h
@@ -0,0 +1,83 @@
+// Calls that the node itself makes: to the metadata store and to the back ends' own interface.
+// Keep-alive, any number of calls at a time, one call at a time on a connection.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "gateway/http/event_loop.h"
+#include "interfaces/http_exchange.h"
+#include "wire/identifiers.h"
+#include "wire/time.h"
+
+namespace ladderstream::gateway {
+
+struct HttpClientSettings {
+  Duration connect_timeout = absl::Milliseconds(400);
+  /// An idle connection is closed at this age when the other side told none.
+  Duration idle_timeout = absl::Seconds(4);
+  Duration idle_margin = absl::Milliseconds(300);
+  Duration user_timeout = absl::Seconds(2);
+  /// The longest body of an answer, in bytes.
+  size_t max_answer_bytes = 16U << 20U;
+};
+
+enum class CallOutcome {
+  kAnswered,
+  /// Nobody listens there; nothing was sent.
+  kRefused,
+  /// No connection came up; nothing was sent.
+  kNotConnected,
+  /// The call may have been done, or may be done later.
+  kNoAnswer,
+};
+
+struct CallResult {
+  CallOutcome outcome = CallOutcome::kNoAnswer;
+  /// When answered.
+  interfaces::HttpResponse response;
+  /// When not: a short reason for logs.
+  std::string detail;
+};
+
+using CallCallback = std::function<void(CallResult)>;
+using HttpCallId = uint64_t;
+
+class HttpClientConnection;
+
+class HttpClient {
+ public:
+  /// Both must outlive the client.
+  HttpClient(EventLoop& loop, const TimeSource& clock, const HttpClientSettings& settings);
+  /// Ends all calls without calling back.
+  ~HttpClient();
+
+  /// `callback` is called once from the event loop, never from in here. `answer_timeout` counts
+  /// from the moment the connection is up. A connection on which an answer is late is closed.
+  HttpCallId Call(const Endpoint& to, const interfaces::HttpRequest& request,
+                  Duration answer_timeout, CallCallback callback);
+  /// Ends the call without calling back; it may have been done all the same.
+  void Cancel(HttpCallId call);
+
+ private:
+  friend class HttpClientConnection;
+  using ConnectionPtr = std::shared_ptr<HttpClientConnection>;
+
+  ConnectionPtr TakeIdle(const Endpoint& to);
+  void OnIdle(const ConnectionPtr& connection);
+  void OnClosed(const ConnectionPtr& connection);
+
+  EventLoop& loop_;
+  const TimeSource& clock_;
+  const HttpClientSettings settings_;
+  HttpCallId last_call_ = 0;
+  std::unordered_map<HttpCallId, ConnectionPtr> calls_;
+  std::map<Endpoint, std::vector<ConnectionPtr>> idle_;
+};
+
+}  // namespace ladderstream::gateway
--- /dev/null
+++ b/src/gateway/http/http_client_connection.cc
@@ -0,0 +1,262 @@
+#include "gateway/http/http_client_connection.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <limits>
+#include <utility>
+
+#include "gateway/http/header_rules.h"
+#include "gateway/http/text.h"
+
+namespace ladderstream::gateway {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr size_t kBufferBytes = 16384;
+constexpr uint32_t kMaxHeadBytes = 65536;
+constexpr int kSwitchingProtocols = 101;
+
+}  // namespace
+
+HttpClientConnection::HttpClientConnection(HttpClient& client, const Endpoint& peer)
+    : client_(client),
+      peer_(peer),
+      socket_(client.loop_.get_executor()),
+      timer_(client.loop_.get_executor()),
+      buffer_(kBufferBytes) {}
+
+bool HttpClientConnection::IsSound() {
+  char byte = 0;
+  ErrorCode error;
+  socket_.receive(boost::asio::buffer(&byte, 1), Socket::message_peek, error);
+  return state_ == State::kIdle && WouldBlock(error);
+}
+
+void HttpClientConnection::Start(HttpCallId call, std::string message, bool is_head_method,
+                                 Duration answer_timeout, CallCallback callback) {
+  call_ = call;
+  message_ = std::move(message);
+  is_head_method_ = is_head_method;
+  answer_timeout_ = answer_timeout;
+  callback_ = std::move(callback);
+  if (state_ == State::kIdle) {
+    Send();
+  } else {
+    Connect();
+  }
+}
+
+void HttpClientConnection::SetTimer(Duration timeout) {
+  timer_.expires_after(absl::ToChronoNanoseconds(timeout));
+  timer_.async_wait([self = shared_from_this(), call = call_](const ErrorCode& error) {
+    if (error || self->call_ != call) {
+      return;
+    }
+    if (self->state_ == State::kConnecting) {
+      self->Fail(CallOutcome::kNotConnected, "no connection in time");
+    } else if (self->state_ == State::kBusy) {
+      self->Fail(CallOutcome::kNoAnswer, "no answer in time");
+    }
+  });
+}
+
+void HttpClientConnection::Connect() {
+  state_ = State::kConnecting;
+  ErrorCode error;
+  const Tcp::endpoint address = ToTcpEndpoint(peer_);
+  socket_.open(address.protocol(), error);
+  if (!error) {
+    PrepareSocket(socket_, error);
+  }
+  if (!error) {
+    SetUserTimeout(socket_, client_.settings_.user_timeout, error);
+  }
+  if (error) {
+    // Not from within the caller's own call.
+    boost::asio::post(client_.loop_, [self = shared_from_this(), call = call_] {
+      if (self->state_ == State::kConnecting && self->call_ == call) {
+        self->Fail(CallOutcome::kNotConnected, "no socket");
+      }
+    });
+    return;
+  }
+  SetTimer(client_.settings_.connect_timeout);
+  socket_.async_connect(address, [self = shared_from_this()](const ErrorCode& connect_error) {
+    self->OnConnect(connect_error);
+  });
+}
+
+void HttpClientConnection::OnConnect(const ErrorCode& error) {
+  if (state_ != State::kConnecting) {
+    return;
+  }
+  if (error == boost::asio::error::connection_refused) {
+    Fail(CallOutcome::kRefused, "connection refused");
+  } else if (error) {
+    Fail(CallOutcome::kNotConnected, error.message());
+  } else {
+    Send();
+  }
+}
+
+void HttpClientConnection::Send() {
+  state_ = State::kBusy;
+  BeginAnswer();
+  SetTimer(answer_timeout_);
+  boost::asio::async_write(
+      socket_, boost::asio::buffer(message_),
+      [self = shared_from_this(), call = call_](const ErrorCode& error, size_t /*size*/) {
+        if (self->state_ == State::kBusy && self->call_ == call) {
+          self->OnWritten(error);
+        }
+      });
+  ArmRead();
+}
+
+void HttpClientConnection::OnWritten(const ErrorCode& error) {
+  if (error) {
+    Fail(CallOutcome::kNoAnswer, "broken while the call was written");
+  }
+}
+
+void HttpClientConnection::ArmRead() {
+  if (read_armed_ || (state_ != State::kBusy && state_ != State::kIdle)) {
+    return;
+  }
+  read_armed_ = true;
+  socket_.async_read_some(boost::asio::buffer(buffer_),
+                          [self = shared_from_this()](const ErrorCode& error, size_t size) {
+                            self->OnRead(error, size);
+                          });
+}
+
+void HttpClientConnection::OnRead(const ErrorCode& error, size_t size) {
+  read_armed_ = false;
+  if (state_ == State::kClosed) {
+    return;
+  }
+  if (error) {
+    OnEnd(error);
+  } else if (state_ != State::kBusy) {
+    Close();
+  } else {
+    pending_.append(buffer_.data(), size);
+    Parse();
+  }
+  ArmRead();
+}
+
+void HttpClientConnection::BeginAnswer() {
+  parser_.emplace();
+  parser_->header_limit(kMaxHeadBytes);
+  parser_->body_limit(client_.settings_.max_answer_bytes);
+  parser_->eager(true);
+  parser_->skip(is_head_method_);
+}
+
+void HttpClientConnection::Parse() {
+  while (!pending_.empty() && !parser_->is_done()) {
+    ErrorCode error;
+    const size_t taken = parser_->put(boost::asio::buffer(pending_), error);
+    pending_.erase(0, taken);
+    if (error == http::error::need_more) {
+      return;
+    }
+    if (error) {
+      Fail(CallOutcome::kNoAnswer, error.message());
+      return;
+    }
+    const int status =
+        parser_->is_header_done() ? static_cast<int>(parser_->get().result_int()) : 0;
+    if (parser_->is_done() && status / 100 == 1 && status != kSwitchingProtocols) {
+      BeginAnswer();
+    }
+  }
+  if (parser_->is_done()) {
+    Finish();
+  }
+}
+
+void HttpClientConnection::OnEnd(const ErrorCode& error) {
+  if (state_ == State::kIdle) {
+    Close();
+    return;
+  }
+  ErrorCode parse_error;
+  const bool begun = parser_->got_some();
+  if (error == boost::asio::error::eof && begun && pending_.empty()) {
+    parser_->put_eof(parse_error);
+    if (!parse_error && parser_->is_done()) {
+      Finish();
+      return;
+    }
+  }
+  Fail(CallOutcome::kNoAnswer, begun ? "answer cut short" : "closed without an answer");
+}
+
+interfaces::HttpResponse HttpClientConnection::TakeResponse() {
+  interfaces::HttpResponse response;
+  auto message = parser_->release();
+  response.status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    response.headers.emplace_back(ToView(field.name_string()), ToView(field.value()));
+  }
+  response.body = std::move(message.body());
+  return response;
+}
+
+void HttpClientConnection::Finish() {
+  const auto self = shared_from_this();
+  const bool reusable = parser_->keep_alive() && pending_.empty() && socket_.is_open();
+  CallResult result;
+  result.outcome = CallOutcome::kAnswered;
+  result.response = TakeResponse();
+  timer_.cancel();
+  const CallCallback callback = std::exchange(callback_, nullptr);
+  const HttpCallId call = std::exchange(call_, 0);
+  if (reusable) {
+    state_ = State::kIdle;
+    const auto told = ParseKeepAliveTimeout(result.response.Header("Keep-Alive"));
+    const Duration usable =
+        told.has_value() ? *told - client_.settings_.idle_margin : client_.settings_.idle_timeout;
+    usable_until_ = client_.clock_.Now() + usable;
+    client_.OnIdle(self);
+  } else {
+    Close();
+  }
+  client_.calls_.erase(call);
+  callback(std::move(result));
+}
+
+void HttpClientConnection::Fail(CallOutcome outcome, std::string detail) {
+  const auto self = shared_from_this();
+  const CallCallback callback = std::exchange(callback_, nullptr);
+  const HttpCallId call = std::exchange(call_, 0);
+  Close();
+  client_.calls_.erase(call);
+  CallResult result;
+  result.outcome = outcome;
+  result.detail = std::move(detail);
+  callback(std::move(result));
+}
+
+void HttpClientConnection::Close() {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  const bool was_idle = state_ == State::kIdle;
+  state_ = State::kClosed;
+  ErrorCode ignored;
+  socket_.close(ignored);
+  timer_.cancel();
+  callback_ = nullptr;
+  if (was_idle) {
+    client_.OnClosed(shared_from_this());
+  }
+}
+
+}  // namespace ladderstream::gateway
--- /dev/null
+++ b/src/gateway/http/http_client_connection.h
@@ -0,0 +1,69 @@
+// One connection of an HttpClient.
+#pragma once
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/http/http_client.h"
+
+namespace ladderstream::gateway {
+
+class HttpClientConnection : public std::enable_shared_from_this<HttpClientConnection> {
+ public:
+  /// `client` must outlive the connection's open state.
+  HttpClientConnection(HttpClient& client, const Endpoint& peer);
+
+  const Endpoint& peer() const { return peer_; }
+  HttpCallId call() const { return call_; }
+  /// An idle connection is not used after this.
+  Time usable_until() const { return usable_until_; }
+  /// Whether an idle connection is still as it was left.
+  bool IsSound();
+
+  /// Makes one call, on a connection that is new or idle.
+  void Start(HttpCallId call, std::string message, bool is_head_method, Duration answer_timeout,
+             CallCallback callback);
+  /// Closes without calling back.
+  void Close();
+
+ private:
+  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+  enum class State { kNew, kConnecting, kBusy, kIdle, kClosed };
+
+  void Connect();
+  void OnConnect(const ErrorCode& error);
+  void Send();
+  void OnWritten(const ErrorCode& error);
+  void ArmRead();
+  void OnRead(const ErrorCode& error, size_t size);
+  void Parse();
+  void OnEnd(const ErrorCode& error);
+  void BeginAnswer();
+  void Finish();
+  void Fail(CallOutcome outcome, std::string detail);
+  void SetTimer(Duration timeout);
+  interfaces::HttpResponse TakeResponse();
+
+  HttpClient& client_;
+  const Endpoint peer_;
+  Socket socket_;
+  Timer timer_;
+  State state_ = State::kNew;
+  bool read_armed_ = false;
+  HttpCallId call_ = 0;
+  std::string message_;
+  bool is_head_method_ = false;
+  Duration answer_timeout_;
+  CallCallback callback_;
+  std::optional<Parser> parser_;
+  /// Bytes read and not yet taken.
+  std::string pending_;
+  Time usable_until_;
+  std::vector<char> buffer_;
+};
+
+}  // namespace ladderstream::gateway
--- /dev/null
+++ b/src/gateway/peer/peer_settings.h
@@ -0,0 +1,46 @@
+// Settings and counts of the connections between nodes.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "wire/identifiers.h"
+#include "wire/time.h"
+
+namespace ladderstream::gateway {
+
+struct PeerSettings {
+  Endpoint listen;
+  /// The longest message that is sent or accepted. Bytes.
+  size_t max_frame_bytes = size_t{8} << 20U;
+  /// What may wait on one connection; a single longer frame may wait alone. Beyond it the oldest
+  /// reports are dropped, then the oldest frames.
+  size_t max_queued_bytes = size_t{1} << 20U;
+  size_t max_queued_frames = 64;
+  /// A connection is given up when bytes stay unacknowledged this long.
+  Duration user_timeout = absl::Milliseconds(1500);
+  Duration connect_timeout = absl::Milliseconds(300);
+  /// After a failed connection nothing is sent to that address for this long.
+  Duration shortest_back_off = absl::Milliseconds(50);
+  Duration longest_back_off = absl::Milliseconds(500);
+  /// Connections in either direction; an older outgoing one gives way to a new one.
+  size_t max_connections = 1400;
+  /// Of the jitter in back-offs.
+  uint64_t seed = 0;
+};
+
+/// Counts since the start.
+struct PeerTraffic {
+  uint64_t frames_sent = 0;
+  uint64_t bytes_sent = 0;
+  uint64_t frames_received = 0;
+  uint64_t bytes_received = 0;
+  /// Not sent: a full queue, a failed or closed connection, or an address in back-off.
+  uint64_t frames_dropped = 0;
+  /// Each closed its connection.
+  uint64_t malformed_frames = 0;
+  uint64_t connections_opened = 0;
+  uint64_t connect_failures = 0;
+};
+
+}  // namespace ladderstream::gateway
--- /dev/null
+++ b/src/gateway/settings/node_settings.cc
@@ -0,0 +1,156 @@
+#include "gateway/settings/node_settings.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "gateway/settings/settings_checks.h"
+#include "settings/settings_reader.h"
+
+namespace ladderstream::gateway {
+namespace {
+
+using settings::DurationRange;
+using settings::IntegerRange;
+using settings::NumberRange;
+using settings::Presence;
+using settings::SettingsReader;
+
+constexpr Presence kRequired = Presence::kRequired;
+constexpr Presence kOptional = Presence::kOptional;
+
+constexpr DurationRange kShort{absl::Milliseconds(1), absl::Minutes(1)};
+constexpr DurationRange kLong{absl::ZeroDuration(), absl::Hours(1)};
+constexpr DurationRange kInterval{absl::Milliseconds(1), absl::Hours(1)};
+constexpr IntegerRange kCount{1, std::numeric_limits<int32_t>::max()};
+constexpr NumberRange kShare{0, 1};
+constexpr NumberRange kCores{0.01, 1024};
+constexpr NumberRange kRate{0.1, 1e6};
+constexpr NumberRange kDrift{0, 0.1};
+constexpr NumberRange kWeight{0, 1e6};
+
+void ReadNode(SettingsReader* reader, NodeSettings* settings) {
+  reader->ReadText("node.name", kRequired, &settings->name);
+  reader->ReadText("node.zone", kRequired, &settings->zone);
+  reader->ReadText("node.region", kOptional, &settings->region);
+  reader->ReadBoolean("node.first_start", kOptional, &settings->first_start);
+  reader->ReadChoice("node.log_level", kOptional, {"debug", "info", "warning", "error"},
+                     &settings->log_level);
+  reader->ReadEndpoint("listen.callers", kRequired, &settings->listen.callers);
+  reader->ReadEndpoint("listen.readiness", kRequired, &settings->listen.readiness);
+  reader->ReadEndpoint("listen.peers", kRequired, &settings->listen.peers);
+  reader->ReadEndpoint("listen.metrics", &settings->listen.metrics);
+}
+
+void ReadMachineLimits(SettingsReader* reader, MachineLimits* limits) {
+  reader->ReadNumber("limits.cpu_share", kOptional, kCores, &limits->cpu_share);
+  reader->ReadInteger("limits.memory_mb", kOptional, kCount, &limits->memory_mb);
+  reader->ReadInteger("limits.descriptors", kOptional, kCount, &limits->descriptors);
+}
+
+void ReadStore(SettingsReader* reader, StoreSettings* store) {
+  reader->ReadEndpoint("store.address", kRequired, &store->address);
+  reader->ReadNumber("store.writes_per_second", kOptional, kRate, &store->writes_per_second);
+  reader->ReadNumber("store.reads_per_second", kOptional, kRate, &store->reads_per_second);
+  reader->ReadNumber("store.partition_writes_per_second", kOptional, kRate,
+                     &store->partition_writes_per_second);
+  reader->ReadDuration("store.transaction_time", kOptional, kLong, &store->transaction_time);
+  reader->ReadInteger("store.row_bytes", kOptional, kCount, &store->row_bytes);
+  reader->ReadDuration("store.history", kOptional, kLong, &store->history);
+}
+
+void ReadBounds(SettingsReader* reader, PlatformBounds* bounds) {
+  reader->ReadDuration("bounds.drain_time", kOptional, kLong, &bounds->drain_time);
+  reader->ReadDuration("bounds.stop_grace", kOptional, kLong, &bounds->stop_grace);
+  reader->ReadDuration("bounds.configuration_apply_time", kOptional, kLong,
+                       &bounds->configuration_apply_time);
+  reader->ReadDuration("bounds.recovery_time", kOptional, kLong, &bounds->recovery_time);
+  reader->ReadDuration("bounds.maximum_hold", kOptional, kInterval, &bounds->maximum_hold);
+  reader->ReadDuration("bounds.registration_interval", kOptional, kInterval,
+                       &bounds->registration_interval);
+  reader->ReadDuration("bounds.address_reuse_time", kOptional, kLong, &bounds->address_reuse_time);
+  reader->ReadNumber("bounds.retry_budget_ratio", kOptional, kWeight, &bounds->retry_budget_ratio);
+  reader->ReadNumber("bounds.retry_budget_slack", kOptional, kWeight, &bounds->retry_budget_slack);
+  reader->ReadDuration("bounds.retry_budget_window", kOptional, kInterval,
+                       &bounds->retry_budget_window);
+}
+
+void ReadMembership(SettingsReader* reader, membership::MembershipSettings* membership) {
+  reader->ReadEndpoints("membership.seeds", kOptional, &membership->seeds);
+  reader->ReadDuration("membership.shortest_report_interval", kOptional, kShort,
+                       &membership->shortest_report_interval);
+  reader->ReadDuration("membership.longest_report_interval", kOptional, kShort,
+                       &membership->longest_report_interval);
+  reader->ReadNumber("membership.reports_per_second", kOptional, kRate,
+                     &membership->reports_per_second);
+  reader->ReadDuration("membership.silence", kOptional, kShort, &membership->silence);
+  reader->ReadDuration("membership.member_lifetime", kOptional, kShort,
+                       &membership->member_lifetime);
+  reader->ReadDuration("membership.confirmation", kOptional, kShort, &membership->confirmation);
+}
+
+/// Where back ends accept only short holds, everything that has to fit into a hold shrinks alike.
+void FitDefaultsInto(Duration maximum_hold, NodeSettings* settings) {
+  ownership::CoordinatorSettings* const ownership = &settings->ownership;
+  const double share = std::min(1.0, absl::FDivDuration(maximum_hold, ownership->hold));
+  ownership->hold *= share;
+  ownership->hold_renewal *= share;
+  ownership->lease *= share;
+  ownership->lease_renewal *= share;
+  ownership->heartbeat_timeout *= share;
+  ownership->store_timeout *= share;
+  ownership->order_timeout *= share;
+  settings->membership.shortest_report_interval *= share;
+  settings->membership.silence *= share;
+}
+
+void ReadOwnership(SettingsReader* reader, ownership::CoordinatorSettings* ownership) {
+  reader->ReadDuration("ownership.lease", kOptional, kShort, &ownership->lease);
+  reader->ReadDuration("ownership.lease_renewal", kOptional, kShort, &ownership->lease_renewal);
+  reader->ReadDuration("ownership.hold", kOptional, kShort, &ownership->hold);
+  reader->ReadDuration("ownership.hold_renewal", kOptional, kShort, &ownership->hold_renewal);
+  reader->ReadNumber("ownership.clock_drift", kOptional, kDrift, &ownership->clock_drift);
+  reader->ReadDuration("ownership.slack", kOptional, kLong, &ownership->slack);
+  reader->ReadDuration("ownership.heartbeat_timeout", kOptional, kShort,
+                       &ownership->heartbeat_timeout);
+  reader->ReadDuration("ownership.order_timeout", kOptional, kShort, &ownership->order_timeout);
+  reader->ReadDuration("ownership.store_timeout", kOptional, kShort, &ownership->store_timeout);
+  reader->ReadDuration("ownership.partition_interval", kOptional, kShort,
+                       &ownership->partition_interval);
+  reader->ReadNumber("ownership.churn_weight", kOptional, kWeight,
+                     &ownership->partition_weights.churn_weight);
+  reader->ReadInteger("ownership.max_moves", kOptional, kCount,
+                      &ownership->partition_weights.max_moves);
+}
+
+void ReadForwarding(SettingsReader* reader, const NodeSettings& settings,
+                    forwarding::DispatcherSettings* forwarding) {
+  forwarding->zone = settings.zone;
+  forwarding->budget_ratio = settings.bounds.retry_budget_ratio;
+  forwarding->budget_slack = settings.bounds.retry_budget_slack;
+  forwarding->budget_window = settings.bounds.retry_budget_window;
+  reader->ReadDuration("forwarding.drain_grace", kOptional, kLong, &forwarding->drain_grace);
+  reader->ReadDuration("forwarding.lapse_grace", kOptional, kLong, &forwarding->lapse_grace);
+  reader->ReadNumber("forwarding.patience_share", kOptional, kShare, &forwarding->patience_share);
+  reader->ReadDuration("forwarding.answer_margin", kOptional, kLong, &forwarding->answer_margin);
+}
+
+}  // namespace
+
+NodeSettings LoadNodeSettings(const std::string& path,
+                              const std::vector<settings::SettingOverride>& overrides) {
+  SettingsReader reader(path, overrides);
+  NodeSettings settings;
+  ReadNode(&reader, &settings);
+  ReadMachineLimits(&reader, &settings.limits);
+  ReadStore(&reader, &settings.store);
+  ReadBounds(&reader, &settings.bounds);
+  FitDefaultsInto(settings.bounds.maximum_hold, &settings);
+  ReadMembership(&reader, &settings.membership);
+  ReadOwnership(&reader, &settings.ownership);
+  ReadForwarding(&reader, settings, &settings.forwarding);
+  CheckNodeSettings(settings, &reader);
+  reader.Finish();
+  return settings;
+}
+
+}  // namespace ladderstream::gateway
--- /dev/null
+++ b/src/gateway/settings/node_settings.h
@@ -0,0 +1,105 @@
+// The settings of ladderstream_node, read from a checked TOML file and from overrides.
+//
+// examples/ladderstream_node.toml shows every setting with its default; docs/DEPLOYING.md explains
+// them. A setting that is not known is a fault, and all faults are told at once.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/forwarding/dispatcher.h"
+#include "core/membership/membership.h"
+#include "core/ownership/coordinator.h"
+#include "settings/setting_fault.h"
+#include "settings/settings_source.h"
+#include "wire/identifiers.h"
+#include "wire/time.h"
+
+namespace ladderstream::gateway {
+
+/// Where a node listens. All addresses differ.
+struct ListenAddresses {
+  Endpoint callers;
+  Endpoint readiness;
+  /// Other nodes; also what this node tells them as its own address.
+  Endpoint peers;
+  /// Not offered when empty.
+  std::optional<Endpoint> metrics;
+};
+
+/// What the machine leaves to the process.
+struct MachineLimits {
+  /// Share of one core.
+  double cpu_share = 1;
+  uint32_t memory_mb = 256;
+  /// Open files, sockets included.
+  uint32_t descriptors = 1024;
+};
+
+/// The metadata store and what it takes. Rates are of all nodes together.
+struct StoreSettings {
+  Endpoint address;
+  double writes_per_second = 100;
+  double reads_per_second = 500;
+  /// Transactions of one partition.
+  double partition_writes_per_second = 100;
+  /// How long one transaction takes there.
+  Duration transaction_time = absl::Milliseconds(5);
+  /// The longest value of a row.
+  uint32_t row_bytes = 65536;
+  /// How far back a watch may start.
+  Duration history = absl::Seconds(20);
+};
+
+/// What the platform asks of a node, and what a node may count on.
+struct PlatformBounds {
+  /// No new work goes to a draining back end later than this.
+  Duration drain_time = absl::Seconds(2);
+  /// The process is killed this long after it was asked to stop.
+  Duration stop_grace = absl::Seconds(6);
+  /// A configuration is in force everywhere this long after it was accepted.
+  Duration configuration_apply_time = absl::Seconds(2);
+  /// After a stop of the whole system, requests are served again within this.
+  Duration recovery_time = absl::Seconds(15);
+  /// The longest hold that a back end accepts.
+  Duration maximum_hold = absl::Seconds(10);
+  /// A back end writes its registration about this often; the registration goes after three
+  /// intervals without a write.
+  Duration registration_interval = absl::Seconds(1);
+  /// The address of a back end that has ended may belong to another after this.
+  Duration address_reuse_time = absl::Seconds(2);
+  /// Attempts beyond the first of each request, of all nodes within the window: at most this
+  /// share of the requests, plus the slack.
+  double retry_budget_ratio = 0.2;
+  double retry_budget_slack = 60;
+  Duration retry_budget_window = absl::Seconds(10);
+};
+
+struct NodeSettings {
+  std::string name;
+  std::string zone;
+  std::string region;
+  /// Nothing of the system has run before: there is nothing to recover.
+  bool first_start = false;
+  /// "debug", "info", "warning" or "error".
+  std::string log_level = "info";
+  ListenAddresses listen;
+  MachineLimits limits;
+  StoreSettings store;
+  PlatformBounds bounds;
+  /// `seed`, of jitter, is left at 0.
+  membership::MembershipSettings membership;
+  /// Unless set, times that have to fit into a hold shrink with `bounds.maximum_hold`.
+  ownership::CoordinatorSettings ownership;
+  /// `zone` and the budget are those of the settings above; `node_count` is left at 1.
+  forwarding::DispatcherSettings forwarding;
+};
+
+/// Reads and checks the settings. An empty `path` reads no file. Throws settings::SettingsError
+/// with every fault.
+NodeSettings LoadNodeSettings(const std::string& path,
+                              const std::vector<settings::SettingOverride>& overrides);
+
+}  // namespace ladderstream::gateway
--- a/src/logging/log.cc
+++ b/src/logging/log.cc
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -17,32 +18,51 @@
 #include <boost/shared_ptr.hpp>
 #include <iostream>
 #include <mutex>
+#include <utility>
 
 namespace ladderstream {
 namespace {
 
 namespace log = boost::log;
 
-using Sink = log::sinks::synchronous_sink<log::sinks::text_ostream_backend>;
+using StreamSink = log::sinks::synchronous_sink<log::sinks::text_ostream_backend>;
 using Logger = log::sources::severity_logger_mt<Severity>;
 
 std::atomic<Severity> lowest_severity{Severity::kInfo};
 
 constexpr std::array<std::string_view, 4> kSeverityNames = {"debug", "info", "warning", "error"};
 
-/// Adds the one sink, which writes each record as its message says.
-void AddSink() {
+/// Hands each formatted record to a function.
+class FunctionBackend : public log::sinks::basic_formatted_sink_backend<char> {
+ public:
+  explicit FunctionBackend(LogDestination destination) : destination_(std::move(destination)) {}
+
+  void consume(const log::record_view& /*record*/, const string_type& line) { destination_(line); }
+
+ private:
+  const LogDestination destination_;
+};
+
+using FunctionSink = log::sinks::synchronous_sink<FunctionBackend>;
+
+/// Makes `sink` the only one; it writes each record as its message says.
+template <typename Sink>
+void UseSink(const boost::shared_ptr<Sink>& sink) {
+  sink->set_formatter(log::expressions::stream << log::expressions::smessage);
+  log::core::get()->remove_all_sinks();
+  log::core::get()->add_sink(sink);
+}
+
+void UseStandardError() {
   auto backend = boost::make_shared<log::sinks::text_ostream_backend>();
   backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
   backend->auto_flush(true);
-  auto sink = boost::make_shared<Sink>(backend);
-  sink->set_formatter(log::expressions::stream << log::expressions::smessage);
-  log::core::get()->add_sink(sink);
+  UseSink(boost::make_shared<StreamSink>(backend));
 }
 
 Logger& SharedLogger() {
   static std::once_flag sink_added;
-  std::call_once(sink_added, AddSink);
+  std::call_once(sink_added, UseStandardError);
   // Never destroyed: threads may log while the process exits.
   static Logger* const logger = new Logger;
   return *logger;
@@ -113,7 +133,7 @@
 
 std::string FormatLogLine(Part part, Severity severity, std::string_view sentence,
                           std::initializer_list<LogField> fields) {
-  std::string line(kSeverityNames.at(static_cast<size_t>(severity)));
+  std::string line(NameOf(severity));
   line.append(" ").append(PrefixOf(part)).append(": ");
   line.append(Escape(std::string(sentence)));
   for (const LogField& field : fields) {
@@ -131,6 +151,37 @@
   BOOST_LOG_SEV(SharedLogger(), severity) << TimeStamp() << " " << line;
 }
 
+std::string_view NameOf(Severity severity) {
+  return kSeverityNames.at(static_cast<size_t>(severity));
+}
+
+void AppendLogField(std::string_view key, std::string_view value, std::string* line) {
+  line->append(" ").append(key).append("=");
+  if (!NeedsQuotes(value)) {
+    line->append(value);
+    return;
+  }
+  line->append("\"");
+  line->append(absl::StrReplaceAll(absl::CEscape({value.data(), value.size()}), {{"\\'", "'"}}));
+  line->append("\"");
+}
+
+void SetLogDestination(LogDestination destination) {
+  SharedLogger();
+  if (destination) {
+    UseSink(boost::make_shared<FunctionSink>(
+        boost::make_shared<FunctionBackend>(std::move(destination))));
+  } else {
+    UseStandardError();
+  }
+}
+
+void WriteLogLine(Severity severity, std::string_view line) {
+  if (severity >= lowest_severity.load(std::memory_order_relaxed)) {
+    BOOST_LOG_SEV(SharedLogger(), severity) << line;
+  }
+}
+
 void SetUpLogging(Severity lowest) {
   lowest_severity.store(lowest, std::memory_order_relaxed);
   SharedLogger();
--- a/src/logging/log.h
+++ b/src/logging/log.h
@@ -7,6 +7,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <cstddef>
+#include <functional>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -63,6 +65,26 @@
 /// lines of kInfo and above go to standard error.
 void SetUpLogging(Severity lowest);
 
+/// Gives "debug", "info", "warning" or "error".
+std::string_view NameOf(Severity severity);
+
+/// Events are logged with values cut to this length, in bytes.
+constexpr size_t kLongestLogValue = 320;
+
+/// Appends ` key=value` to `line`. A value is quoted if it has anything but plain ASCII, and what
+/// could end the quotes or the line is escaped as in C, so that no value can pass for a field.
+void AppendLogField(std::string_view key, std::string_view value, std::string* line);
+
+/// Takes whole lines, each without its line end.
+using LogDestination = std::function<void(std::string_view line)>;
+
+/// Sends every line from now on to `destination` in place of standard error; null goes back to
+/// standard error. The destination is called by whichever thread logs, one call at a time.
+void SetLogDestination(LogDestination destination);
+
+/// Writes a line that is formatted already, its time included.
+void WriteLogLine(Severity severity, std::string_view line);
+
 /// Reads "debug", "info", "warning" or "error"; false for anything else.
 bool ParseSeverity(std::string_view text, Severity* severity);
 
--- /dev/null
+++ b/src/node/control_plane.cc
@@ -0,0 +1,394 @@
+#include "node/control_plane.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+#include <variant>
+
+#include "node/load_exchange.h"
+#include "wire/result_code.h"
+
+namespace ladderstream::node {
+namespace {
+
+/// How often the coordinator takes what its own data path counted.
+constexpr Duration kOwnLoadInterval = absl::Milliseconds(300);
+
+/// A release is answered when the work on its keys has ended.
+constexpr Duration kReleaseTimeout = absl::Seconds(3);
+
+/// More turns than any chain of events needs; ends a loop that would never settle.
+constexpr int kMostTurns = 64;
+
+/// Mixed into the seeds of jitters, so that each differs.
+enum SeedPurpose : uint64_t { kConfigurationSeed = 1, kBackendSeed, kMembershipSeed, kPeerSeed };
+
+store::FollowerSettings FollowerSettingsOf(std::string_view table, uint64_t seed) {
+  store::FollowerSettings settings;
+  settings.table = std::string(table);
+  settings.seed = seed;
+  return settings;
+}
+
+gateway::StoreClientSettings StoreSettingsOf(const gateway::NodeSettings& settings) {
+  gateway::StoreClientSettings store;
+  store.address = settings.store.address;
+  store.writes_per_second = settings.store.writes_per_second;
+  store.reads_per_second = settings.store.reads_per_second;
+  return store;
+}
+
+gateway::PeerSettings PeerSettingsOf(const gateway::NodeSettings& settings, uint64_t seed) {
+  gateway::PeerSettings peers;
+  peers.listen = settings.listen.peers;
+  peers.seed = seed;
+  return peers;
+}
+
+membership::MembershipSettings MembershipSettingsOf(const gateway::NodeSettings& settings,
+                                                    uint64_t seed) {
+  membership::MembershipSettings membership = settings.membership;
+  membership.seed = seed;
+  return membership;
+}
+
+membership::PeerIdentity IdentityOf(const gateway::NodeSettings& settings, uint64_t incarnation) {
+  return {incarnation, settings.name, settings.zone, settings.listen.peers};
+}
+
+ownership::NodeIdentity CoordinatorIdentityOf(const gateway::NodeSettings& settings,
+                                              uint64_t incarnation) {
+  return {incarnation, settings.name, settings.listen.peers};
+}
+
+}  // namespace
+
+ControlPlane::ControlPlane(gateway::LoopResources* resources, const gateway::NodeSettings& settings,
+                           uint64_t incarnation, interfaces::PlatformAdapterPtr adapter,
+                           observability::BeliefLog* beliefs, observability::NodeMetrics* metrics,
+                           ControlPlaneListener* listener)
+    : resources_(resources),
+      settings_(settings),
+      adapter_(std::move(adapter)),
+      beliefs_(beliefs),
+      metrics_(metrics),
+      listener_(listener),
+      client_(resources->loop, resources->clock, {}),
+      exchanger_(&client_),
+      store_(resources, &exchanger_, adapter_, StoreSettingsOf(settings)),
+      orders_(&client_, adapter_.get(), settings.ownership.order_timeout, kReleaseTimeout,
+              [this](ownership::CallId call, const ownership::OrderReply& reply) {
+                OnOrderReply(call, reply);
+              }),
+      peers_(resources, PeerSettingsOf(settings, incarnation + kPeerSeed),
+             {[this](uint64_t connection, membership::Message message) {
+                membership_.OnMessage(connection, std::move(message), Now());
+                PumpSoon();
+              },
+              [this](const Endpoint& address, bool refused) {
+                membership_.OnConnectFailed(address, refused, Now());
+                PumpSoon();
+              },
+              [](const Endpoint&, const std::string&) {}}),
+      configuration_follower_(
+          FollowerSettingsOf(adapter_->configuration_table(), incarnation + kConfigurationSeed)),
+      backend_follower_(
+          FollowerSettingsOf(adapter_->backend_table(), incarnation + kBackendSeed)),
+      coordinator_(settings.ownership, CoordinatorIdentityOf(settings, incarnation)),
+      membership_(MembershipSettingsOf(settings, incarnation + kMembershipSeed),
+                  IdentityOf(settings, incarnation), &configuration_follower_, &backend_follower_),
+      timer_(resources->loop) {}
+
+ControlPlane::~ControlPlane() { peers_.Stop(); }
+
+void ControlPlane::Start() {
+  peers_.Start();
+  PumpSoon();
+}
+
+void ControlPlane::Resign() {
+  resigned_ = true;
+  coordinator_.Resign(Now());
+  PumpSoon();
+}
+
+bool ControlPlane::HasResigned() const { return resigned_ && !coordinator_.Holds(Now()); }
+
+void ControlPlane::Describe(observability::NodeState* state) const {
+  const Time now = Now();
+  state->configuration_version = configuration_ ? configuration_->version : 0;
+  state->configuration_age = now - configuration_follower_.last_confirmed();
+  if (const auto& map = membership_.map()) {
+    state->map_epoch = map->version.epoch;
+    state->map_sequence = map->version.sequence;
+  }
+  state->map_age = now - membership_.map_confirmed_until();
+  state->holds_lease = coordinator_.Holds(now);
+  state->store_troubled = configuration_follower_.Troubled(now);
+  state->peers = membership_.members().size();
+  for (const catalog::Backend& backend : backends_) {
+    ++state->backends[backend.draining ? "draining" : "ready"];
+  }
+}
+
+// Events.
+
+void ControlPlane::OnStoreReply(ownership::CallId call, const store::StoreReply& reply) {
+  coordinator_.OnStoreReply(call, reply, Now());
+  PumpSoon();
+}
+
+void ControlPlane::OnOrderReply(ownership::CallId call, const ownership::OrderReply& reply) {
+  coordinator_.OnOrderReply(call, reply, Now());
+  PumpSoon();
+}
+
+void ControlPlane::OnFollowerReply(store::TableFollower* follower, uint64_t call,
+                                   const store::StoreReply& reply) {
+  follower->OnReply(call, reply, Now());
+  const bool reached = reply.status != store::StoreStatus::kUnknown &&
+                       reply.status != store::StoreStatus::kRefused;
+  if (reached) {
+    beliefs_->OnStoreReached(reply.version, Now());
+  } else {
+    beliefs_->OnStoreMissed(reply.detail, Now());
+  }
+  PumpSoon();
+}
+
+// Actions of the coordinator.
+
+void ControlPlane::Carry(const ownership::CommitAction& commit) {
+  store_.Execute(
+      commit.transaction, settings_.ownership.store_timeout,
+      [this, call = commit.call](const store::StoreReply& reply) { OnStoreReply(call, reply); });
+}
+
+void ControlPlane::Carry(const ownership::ReadAction& read) {
+  store_.Read(
+      read.query, settings_.ownership.store_timeout,
+      [this, call = read.call](const store::StoreReply& reply) { OnStoreReply(call, reply); });
+}
+
+void ControlPlane::Carry(const ownership::PublishAction& publish) {
+  membership_.OnMap(publish.map, Now());
+}
+
+// Actions of the membership.
+
+void ControlPlane::Carry(const membership::SendAction& send) { peers_.Send(send.to, send.message); }
+
+void ControlPlane::Carry(const membership::ReportDueAction&) {
+  membership_.SendReport(ToReports(listener_->TakeLoad()), {}, Now());
+}
+
+void ControlPlane::Carry(const membership::HeartbeatHeardAction& heard) {
+  coordinator_.OnHeartbeat(heard.lease, Now());
+}
+
+void ControlPlane::Carry(const membership::CoordinatorEndedAction& ended) {
+  coordinator_.OnCoordinatorEnded(ended.incarnation, Now());
+}
+
+void ControlPlane::Carry(const membership::MapChangedAction& changed) {
+  beliefs_->OnMap(*changed.map, absl::ZeroDuration(), holds_lease_ ? "own" : "coordinator");
+  listener_->OnOwnership(changed.map);
+}
+
+void ControlPlane::Carry(const membership::MapConfirmedAction& confirmed) {
+  beliefs_->OnMapConfirmed(Now());
+  listener_->OnMapConfirmed(confirmed.until);
+}
+
+void ControlPlane::Carry(const membership::MembersChangedAction& changed) {
+  store_.SetShare(std::max(changed.count, 1U), holds_lease_);
+  listener_->OnNodeCount(std::max(changed.count, 1U));
+}
+
+void ControlPlane::Carry(const membership::ReportReceivedAction& report) {
+  TellCoordinator(report.loads, Now(), &coordinator_);
+}
+
+void ControlPlane::Carry(const membership::TablesMergedAction&) {}
+
+// The loop.
+
+void ControlPlane::PumpSoon() {
+  if (pump_posted_) {
+    return;
+  }
+  pump_posted_ = true;
+  boost::asio::post(resources_->loop, [this, alive = std::weak_ptr<char>(alive_)] {
+    if (!alive.expired()) {
+      pump_posted_ = false;
+      Pump();
+    }
+  });
+}
+
+void ControlPlane::Pump() {
+  const Time now = Now();
+  coordinator_.OnTick(now);
+  membership_.OnTick(now);
+  PollFollower(&configuration_follower_);
+  PollFollower(&backend_follower_);
+  TakeConfiguration();
+  TakeBackends();
+  TellOwnLoad();
+  for (int turn = 0; turn < kMostTurns && CarryActions(); ++turn) {
+  }
+  Arm();
+}
+
+bool ControlPlane::CarryActions() {
+  bool any = false;
+  for (const ownership::Action& action : coordinator_.TakeActions()) {
+    std::visit([this](const auto& one) { Carry(one); }, action);
+    any = true;
+  }
+  ShareLease();
+  for (const membership::MembershipAction& action : membership_.TakeActions()) {
+    std::visit([this](const auto& one) { Carry(one); }, action);
+    any = true;
+  }
+  return any;
+}
+
+void ControlPlane::PollFollower(store::TableFollower* follower) {
+  if (const auto call = follower->Poll(Now())) {
+    store_.Run(*call, [this, follower, id = call->call](const store::StoreReply& reply) {
+      OnFollowerReply(follower, id, reply);
+    });
+  }
+}
+
+void ControlPlane::TakeConfiguration() {
+  if (configuration_follower_.TakeChangedKeys().empty()) {
+    return;
+  }
+  const auto row =
+      configuration_follower_.rows().find(std::string(adapter_->configuration_key()));
+  if (row == configuration_follower_.rows().end()) {
+    return;
+  }
+  try {
+    auto configuration = std::make_shared<const catalog::Configuration>(
+        adapter_->DecodeConfiguration(row->second.value));
+    if (configuration_ && configuration->version <= configuration_->version) {
+      return;
+    }
+    configuration_ = std::move(configuration);
+  } catch (const Error& error) {
+    beliefs_->OnConfigurationRejected(absl::StrCat(row->second.version), error.what());
+    return;
+  }
+  beliefs_->OnConfiguration(*configuration_, absl::ZeroDuration(), "store");
+  listener_->OnConfiguration(configuration_);
+  TellCatalog();
+}
+
+void ControlPlane::TakeBackends() {
+  if (backend_follower_.TakeChangedKeys().empty()) {
+    return;
+  }
+  backends_.clear();
+  for (const auto& [id, row] : backend_follower_.rows()) {
+    try {
+      backends_.push_back(adapter_->DecodeBackend(id, row.value));
+    } catch (const Error& error) {
+      beliefs_->OnConfigurationRejected(id, error.what());
+    }
+  }
+  const Time now = Now();
+  beliefs_->OnBackends(backends_, backend_follower_.as_of(), absl::ZeroDuration(), "store");
+  listener_->OnBackends(backends_, backend_follower_.Troubled(now));
+  TellCatalog();
+}
+
+void ControlPlane::TellCatalog() {
+  if (!configuration_ || !backend_follower_.known()) {
+    return;
+  }
+  std::vector<catalog::Service> sharded;
+  for (const auto& [name, service] : configuration_->services) {
+    if (service.sharded) {
+      sharded.push_back(service);
+    }
+  }
+  std::vector<catalog::Backend> owners;
+  for (const catalog::Backend& backend : backends_) {
+    const auto service = configuration_->services.find(backend.service);
+    if (service != configuration_->services.end() && service->second.sharded) {
+      owners.push_back(backend);
+    }
+  }
+  coordinator_.OnCatalog(sharded, owners, Now());
+}
+
+void ControlPlane::TellOwnLoad() {
+  const Time now = Now();
+  if (!coordinator_.Holds(now)) {
+    next_own_load_ = absl::InfinitePast();
+    return;
+  }
+  if (now >= next_own_load_) {
+    next_own_load_ = now + kOwnLoadInterval;
+    TellCoordinator(ToReports(listener_->TakeLoad()), now, &coordinator_);
+  }
+}
+
+void ControlPlane::ShareLease() {
+  const Time now = Now();
+  const bool holds = coordinator_.Holds(now);
+  if (holds && shared_lease_until_ != coordinator_.LeaseUntil()) {
+    shared_lease_until_ = coordinator_.LeaseUntil();
+    membership_.OnLeaseHeld(coordinator_.View(), shared_lease_until_, now);
+  }
+  if (holds && !holds_lease_) {
+    membership_.OnMap(coordinator_.Map(), now);
+  }
+  if (!holds && holds_lease_) {
+    shared_lease_until_ = absl::InfinitePast();
+    if (resigned_) {
+      membership_.OnResigned(now);
+    } else {
+      membership_.OnLeaseLost(now);
+    }
+  }
+  if (holds != holds_lease_) {
+    holds_lease_ = holds;
+    store_.SetShare(std::max<uint32_t>(1, membership_.members().size()), holds);
+  }
+  const auto& holder = coordinator_.KnownHolder();
+  if (holder && holder->incarnation != known_holder_) {
+    known_holder_ = holder->incarnation;
+    membership_.OnHolderKnown(*holder, now);
+  }
+}
+
+void ControlPlane::Arm() {
+  Time wake = std::min(coordinator_.NextWake(), membership_.NextWake());
+  wake = std::min(wake, configuration_follower_.NextWake());
+  wake = std::min(wake, backend_follower_.NextWake());
+  wake = std::min(wake, coordinator_.Holds(Now()) ? next_own_load_ : absl::InfiniteFuture());
+  if (wake == armed_for_ && timer_.expiry() > std::chrono::steady_clock::now()) {
+    return;
+  }
+  armed_for_ = wake;
+  if (wake == absl::InfiniteFuture()) {
+    timer_.cancel();
+    return;
+  }
+  const Duration wait = std::max(wake - Now(), absl::ZeroDuration());
+  timer_.expires_after(absl::ToChronoNanoseconds(wait));
+  timer_.async_wait([this, alive = std::weak_ptr<char>(alive_)](const gateway::ErrorCode& error) {
+    if (!error && !alive.expired()) {
+      armed_for_ = absl::InfiniteFuture();
+      Pump();
+    }
+  });
+}
+
+}  // namespace ladderstream::node
--- /dev/null
+++ b/src/node/control_plane.h
@@ -0,0 +1,136 @@
+// Drives the decisions about configuration, membership and ownership: carries their actions out and
+// tells them what came of it. One thread, in the event loop.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/catalog/catalog.h"
+#include "core/forwarding/dispatcher.h"
+#include "core/membership/membership.h"
+#include "core/ownership/coordinator.h"
+#include "core/store/table_follower.h"
+#include "gateway/http/event_loop.h"
+#include "gateway/http/http_client.h"
+#include "gateway/peer/peer_transport.h"
+#include "gateway/settings/node_settings.h"
+#include "gateway/store/store_client.h"
+#include "interfaces/platform_adapter.h"
+#include "node/http_client_exchanger.h"
+#include "node/order_sender.h"
+#include "observability/belief_log.h"
+#include "observability/node_metrics.h"
+
+namespace ladderstream::node {
+
+/// What the control plane tells the data path.
+class ControlPlaneListener {
+ public:
+  virtual ~ControlPlaneListener() = default;
+
+  virtual void OnConfiguration(std::shared_ptr<const catalog::Configuration> configuration) = 0;
+  virtual void OnBackends(const std::vector<catalog::Backend>& backends, bool store_troubled) = 0;
+  virtual void OnOwnership(std::shared_ptr<const ownership::OwnershipMap> map) = 0;
+  virtual void OnMapConfirmed(Time until) = 0;
+  virtual void OnNodeCount(uint32_t count) = 0;
+  /// What the data path counted since the last call.
+  virtual std::vector<forwarding::ServiceLoad> TakeLoad() = 0;
+};
+
+class ControlPlane {
+ public:
+  /// Everything handed in outlives the control plane.
+  ControlPlane(gateway::LoopResources* resources, const gateway::NodeSettings& settings,
+               uint64_t incarnation, interfaces::PlatformAdapterPtr adapter,
+               observability::BeliefLog* beliefs, observability::NodeMetrics* metrics,
+               ControlPlaneListener* listener);
+  ~ControlPlane();
+
+  /// Begins to listen for other nodes and to read the store.
+  void Start();
+  /// A planned stop: gives the lease up, if this node holds it.
+  void Resign();
+  /// Whether the lease, if this node held it, has been given up.
+  bool HasResigned() const;
+
+  bool HasConfiguration() const { return configuration_ != nullptr; }
+  /// Adds what the metrics show of the control plane.
+  void Describe(observability::NodeState* state) const;
+
+ private:
+  // Events.
+  void OnStoreReply(ownership::CallId call, const store::StoreReply& reply);
+  void OnOrderReply(ownership::CallId call, const ownership::OrderReply& reply);
+  void OnFollowerReply(store::TableFollower* follower, uint64_t call,
+                       const store::StoreReply& reply);
+
+  // Actions of the coordinator.
+  void Carry(const ownership::CommitAction& commit);
+  void Carry(const ownership::ReadAction& read);
+  void Carry(const ownership::GrantAction& grant) { orders_.Send(grant); }
+  void Carry(const ownership::ReleaseAction& release) { orders_.Send(release); }
+  void Carry(const ownership::PublishAction& publish);
+  void Carry(const ownership::BeliefAction& belief) { beliefs_->OnCoordinatorBelief(belief); }
+
+  // Actions of the membership.
+  void Carry(const membership::SendAction& send);
+  void Carry(const membership::ReportDueAction& due);
+  void Carry(const membership::HeartbeatHeardAction& heard);
+  void Carry(const membership::CoordinatorEndedAction& ended);
+  void Carry(const membership::MapChangedAction& changed);
+  void Carry(const membership::MapConfirmedAction& confirmed);
+  void Carry(const membership::MembersChangedAction& changed);
+  void Carry(const membership::ReportReceivedAction& report);
+  void Carry(const membership::TablesMergedAction& merged);
+
+  /// Runs everything that is due until nothing is left to do, then sets the timer.
+  void Pump();
+  /// Pumps after the present event, once however often it is asked for.
+  void PumpSoon();
+  void PollFollower(store::TableFollower* follower);
+  void TakeConfiguration();
+  void TakeBackends();
+  void TellCatalog();
+  void TellOwnLoad();
+  void ShareLease();
+  bool CarryActions();
+  void Arm();
+  Time Now() const { return resources_->clock.Now(); }
+
+  gateway::LoopResources* const resources_;
+  const gateway::NodeSettings settings_;
+  const interfaces::PlatformAdapterPtr adapter_;
+  observability::BeliefLog* const beliefs_;
+  observability::NodeMetrics* const metrics_;
+  ControlPlaneListener* const listener_;
+
+  gateway::HttpClient client_;
+  HttpClientExchanger exchanger_;
+  gateway::StoreClient store_;
+  OrderSender orders_;
+  gateway::PeerTransport peers_;
+
+  store::TableFollower configuration_follower_;
+  store::TableFollower backend_follower_;
+  ownership::Coordinator coordinator_;
+  membership::Membership membership_;
+
+  std::shared_ptr<const catalog::Configuration> configuration_;
+  std::vector<catalog::Backend> backends_;
+  /// What membership was last told of this node's lease.
+  ownership::LeaseView shared_lease_;
+  Time shared_lease_until_ = absl::InfinitePast();
+  bool holds_lease_ = false;
+  uint64_t known_holder_ = 0;
+  Time next_own_load_ = absl::InfinitePast();
+
+  gateway::Timer timer_;
+  Time armed_for_ = absl::InfiniteFuture();
+  bool pump_posted_ = false;
+  bool resigned_ = false;
+  std::shared_ptr<char> alive_ = std::make_shared<char>();
+};
+
+}  // namespace ladderstream::node
--- /dev/null
+++ b/src/node/load_exchange.cc
@@ -0,0 +1,66 @@
+#include "node/load_exchange.h"
+
+#include <algorithm>
+
+namespace ladderstream::node {
+namespace {
+
+membership::LoadReport ToReport(const forwarding::ServiceLoad& load) {
+  membership::LoadReport report;
+  report.service = load.service;
+  for (const partition::KeyCount& count : load.keys) {
+    report.keys.push_back(count.key);
+    report.counts.push_back(static_cast<float>(count.count));
+  }
+  for (const partition::ServiceTimeSample& sample : load.samples) {
+    report.backends.push_back(sample.backend);
+    report.answers.push_back(sample.answers);
+    report.busy_us.push_back(static_cast<uint64_t>(absl::ToInt64Microseconds(sample.total)));
+  }
+  if (load.denied_key) {
+    report.denied_keys.push_back(*load.denied_key);
+  }
+  return report;
+}
+
+std::vector<partition::KeyCount> CountsOf(const membership::LoadReport& report) {
+  std::vector<partition::KeyCount> counts;
+  const size_t size = std::min(report.keys.size(), report.counts.size());
+  for (size_t i = 0; i < size; ++i) {
+    counts.push_back({report.keys[i], report.counts[i]});
+  }
+  return counts;
+}
+
+std::vector<partition::ServiceTimeSample> SamplesOf(const membership::LoadReport& report) {
+  std::vector<partition::ServiceTimeSample> samples;
+  const size_t size =
+      std::min({report.backends.size(), report.answers.size(), report.busy_us.size()});
+  for (size_t i = 0; i < size; ++i) {
+    const Duration total = absl::Microseconds(static_cast<int64_t>(report.busy_us[i]));
+    samples.push_back({report.backends[i], report.answers[i], total});
+  }
+  return samples;
+}
+
+}  // namespace
+
+std::vector<membership::LoadReport> ToReports(const std::vector<forwarding::ServiceLoad>& loads) {
+  std::vector<membership::LoadReport> reports;
+  for (const forwarding::ServiceLoad& load : loads) {
+    reports.push_back(ToReport(load));
+  }
+  return reports;
+}
+
+void TellCoordinator(const std::vector<membership::LoadReport>& reports, Time now,
+                     ownership::Coordinator* coordinator) {
+  for (const membership::LoadReport& report : reports) {
+    coordinator->OnLoad(report.service, CountsOf(report), SamplesOf(report), now);
+    for (const uint32_t key : report.denied_keys) {
+      coordinator->OnOwnerDenied(report.service, key, now);
+    }
+  }
+}
+
+}  // namespace ladderstream::node
--- /dev/null
+++ b/src/node/load_exchange.h
@@ -0,0 +1,21 @@
+// Turns what this node's dispatcher counted into the message for the coordinator, and a message
+// back into what the coordinator takes.
+#pragma once
+
+#include <vector>
+
+#include "core/forwarding/dispatcher.h"
+#include "core/membership/messages.h"
+#include "core/ownership/coordinator.h"
+#include "wire/time.h"
+
+namespace ladderstream::node {
+
+/// The message form of `loads`.
+std::vector<membership::LoadReport> ToReports(const std::vector<forwarding::ServiceLoad>& loads);
+
+/// Tells `coordinator` what a node counted. Entries of unequal length are cut to the shortest.
+void TellCoordinator(const std::vector<membership::LoadReport>& reports, Time now,
+                     ownership::Coordinator* coordinator);
+
+}  // namespace ladderstream::node
--- /dev/null
+++ b/src/node/main.cc
@@ -0,0 +1,67 @@
+// ladderstream_node: the program that every machine of a deployment runs.
+//
+// Exit codes: 0 after a planned stop or a check without faults; 1 when the node cannot start; 2 for
+// faults in the settings; 3 when a planned stop ran out of time.
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "gateway/settings/node_settings.h"
+#include "node/node.h"
+#include "platform/adapter.h"
+#include "settings/setting_fault.h"
+
+DEFINE_string(settings, "", "path of the settings file (TOML)");
+DEFINE_string(settings_from, "", "name of the environment variable that holds that path");
+DEFINE_bool(check_settings, false, "only check the settings");
+
+namespace ladderstream::node {
+namespace {
+
+enum ExitCode : int { kStopped = 0, kCannotStart = 1, kSettingsAtFault = 2, kStopTimedOut = 3 };
+
+std::string SettingsPath() {
+  if (!FLAGS_settings_from.empty()) {
+    const char* path = std::getenv(FLAGS_settings_from.c_str());
+    return path == nullptr ? "" : path;
+  }
+  return FLAGS_settings;
+}
+
+gateway::NodeSettings LoadSettings() { return gateway::LoadNodeSettings(SettingsPath(), {}); }
+
+int Run() {
+  const gateway::NodeSettings settings = LoadSettings();
+  if (FLAGS_check_settings) {
+    std::cout << "settings: no faults\n";
+    return kStopped;
+  }
+  Node node(settings, platform::MakeAdapter(), LoadSettings);
+  return node.Run() ? kStopped : kStopTimedOut;
+}
+
+int Main(int argc, char** argv) {
+  gflags::SetUsageMessage("ladderstream_node --settings=FILE | --settings_from=VARIABLE");
+  gflags::SetVersionString("0.2.0");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    return Run();
+  } catch (const settings::SettingsError& error) {
+    std::cerr << error.what() << '\n';
+    return kSettingsAtFault;
+  } catch (const std::exception& error) {
+    std::cerr << "ladderstream_node: " << error.what() << '\n';
+    return kCannotStart;
+  }
+}
+
+}  // namespace
+}  // namespace ladderstream::node
+
+int main(int argc, char** argv) { return ladderstream::node::Main(argc, argv); }
--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,241 @@
+#include "node/node.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <csignal>
+#include <random>
+#include <utility>
+
+#include "settings/setting_fault.h"
+
+namespace ladderstream::node {
+namespace {
+
+/// How long a stopping node goes on taking connections at least: the platform needs two unanswered
+/// readiness questions, a second apart, to send callers elsewhere.
+constexpr Duration kCallersLeave = absl::Milliseconds(2600);
+
+/// Left of the grace time for the last lines of the log and the end of the process.
+constexpr Duration kStopMargin = absl::Milliseconds(400);
+
+constexpr Duration kHousekeepingInterval = absl::Seconds(1);
+constexpr Duration kLastFlush = absl::Milliseconds(50);
+
+/// The share of the machine's memory that bodies may take.
+constexpr double kBodyMemoryShare = 0.3;
+/// Descriptors left for files, listening sockets, other nodes and back ends.
+constexpr uint32_t kReservedDescriptors = 900;
+
+constexpr char kProgramVersion[] = "0.2.0";
+
+uint64_t DrawIncarnation() {
+  std::random_device device;
+  // Zero means "none" on the wire.
+  return (uint64_t{device()} << 32U | device()) | 1U;
+}
+
+gateway::DataPathSettings DataPathSettingsOf(const gateway::NodeSettings& settings) {
+  gateway::DataPathSettings data_path;
+  data_path.callers.listen = settings.listen.callers;
+  const uint32_t descriptors = settings.limits.descriptors;
+  data_path.callers.max_connections =
+      descriptors > 2 * kReservedDescriptors ? descriptors - kReservedDescriptors : descriptors / 2;
+  data_path.max_held_bytes = static_cast<size_t>(
+      kBodyMemoryShare * static_cast<double>(size_t{settings.limits.memory_mb} << 20U));
+  return data_path;
+}
+
+forwarding::DispatcherSettings DispatcherSettingsOf(const gateway::NodeSettings& settings,
+                                                    uint64_t incarnation) {
+  forwarding::DispatcherSettings dispatcher = settings.forwarding;
+  dispatcher.seed = incarnation;
+  return dispatcher;
+}
+
+}  // namespace
+
+Node::Node(const gateway::NodeSettings& settings, interfaces::PlatformAdapterPtr adapter,
+           SettingsReloader reload)
+    : settings_(settings),
+      adapter_(std::move(adapter)),
+      reload_(std::move(reload)),
+      incarnation_(DrawIncarnation()),
+      log_({settings.name, absl::StrCat(absl::Hex(incarnation_))}, &clock_),
+      log_output_(&loop_, &log_, 1),
+      beliefs_(&log_, &metrics_),
+      request_observer_(&log_, &metrics_, &beliefs_.in_force()),
+      resources_(new gateway::LoopResources{loop_, clock_, gateway::ByteBudget(size_t{64} << 20U),
+                                            {}}),
+      dispatcher_(DispatcherSettingsOf(settings, incarnation_)),
+      data_path_(loop_, clock_, *adapter_, dispatcher_, DataPathSettingsOf(settings),
+                 &request_observer_),
+      control_plane_(resources_.get(), settings, incarnation_, adapter_, &beliefs_, &metrics_,
+                     this),
+      signals_(loop_, SIGTERM, SIGINT, SIGHUP),
+      housekeeping_(loop_),
+      stop_timer_(loop_) {
+  readiness_ = std::make_unique<gateway::ReadinessServer>(
+      loop_, settings.listen.readiness, adapter_->ready_path(), [this] { return IsReady(); });
+  if (settings.listen.metrics) {
+    metrics_server_ = std::make_unique<gateway::ReadinessServer>(
+        loop_, *settings.listen.metrics, "/ready", [this] { return IsReady(); });
+    metrics_server_->AddPage("/metrics", [this] {
+      return gateway::PageAnswer{200, std::string(observability::NodeMetrics::kContentType),
+                                 MetricsText()};
+    });
+  }
+}
+
+Node::~Node() = default;
+
+bool Node::Run() {
+  beliefs_.OnStarted(kProgramVersion, settings_.listen.callers, settings_.zone);
+  WaitForSignal();
+  control_plane_.Start();
+  OnHousekeeping();
+  loop_.run();
+  log_output_.FlushWithin(kLastFlush);
+  return !stop_timed_out_;
+}
+
+void Node::OnConfiguration(std::shared_ptr<const catalog::Configuration> configuration) {
+  data_path_.SetConfiguration(std::move(configuration));
+  LogBeliefs();
+}
+
+void Node::OnBackends(const std::vector<catalog::Backend>& backends, bool store_troubled) {
+  data_path_.SetBackends(backends, store_troubled);
+  LogBeliefs();
+}
+
+void Node::OnOwnership(std::shared_ptr<const ownership::OwnershipMap> map) {
+  dispatcher_.SetOwnership(std::move(map), Now());
+  data_path_.Pump();
+  LogBeliefs();
+}
+
+void Node::OnMapConfirmed(Time until) { dispatcher_.SetMapConfirmed(until); }
+
+void Node::OnNodeCount(uint32_t count) { data_path_.SetNodeCount(count); }
+
+std::vector<forwarding::ServiceLoad> Node::TakeLoad() {
+  LogBeliefs();
+  return dispatcher_.TakeLoad();
+}
+
+void Node::LogBeliefs() {
+  for (const forwarding::BackendBelief& belief : dispatcher_.TakeBeliefs()) {
+    beliefs_.OnBackendBelief(belief);
+  }
+}
+
+bool Node::IsReady() {
+  const bool serves = control_plane_.HasConfiguration() && dispatcher_.CanServe(Now());
+  const bool ready = !stopping_ && serves;
+  std::string_view reason = "serving";
+  if (stopping_) {
+    reason = "stopping";
+  } else if (!control_plane_.HasConfiguration()) {
+    reason = "no configuration";
+  } else if (!serves) {
+    reason = "nothing to send to";
+  }
+  beliefs_.OnReady(ready, reason);
+  return ready;
+}
+
+std::string Node::MetricsText() {
+  observability::NodeState state;
+  state.ready = IsReady();
+  state.requests_in_flight = data_path_.requests_in_flight();
+  state.caller_connections = data_path_.caller_connection_count();
+  state.backend_connections = data_path_.backend_connection_count();
+  control_plane_.Describe(&state);
+  return metrics_.Text(state, log_.budget());
+}
+
+void Node::OnHousekeeping() {
+  LogBeliefs();
+  log_.OnTick(Now());
+  housekeeping_.expires_after(absl::ToChronoNanoseconds(kHousekeepingInterval));
+  housekeeping_.async_wait([this](const gateway::ErrorCode& error) {
+    if (!error) {
+      OnHousekeeping();
+    }
+  });
+}
+
+void Node::WaitForSignal() {
+  signals_.async_wait([this](const gateway::ErrorCode& error, int signal) {
+    if (error) {
+      return;
+    }
+    WaitForSignal();
+    OnSignal(signal);
+  });
+}
+
+void Node::OnSignal(int signal) {
+  if (signal == SIGHUP) {
+    Reload("SIGHUP");
+    return;
+  }
+  BeginStop(signal == SIGTERM ? "SIGTERM" : "SIGINT");
+}
+
+void Node::Reload(std::string_view cause) {
+  try {
+    const gateway::NodeSettings fresh = reload_();
+    beliefs_.OnSettingsReloaded(cause, fresh.log_level);
+  } catch (const settings::SettingsError& error) {
+    beliefs_.OnSettingsRejected(cause, error.what());
+  }
+}
+
+void Node::BeginStop(std::string_view cause) {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stop_began_ = Now();
+  stop_cause_ = std::string(cause);
+  beliefs_.OnStopping(cause, data_path_.requests_in_flight());
+  IsReady();
+  control_plane_.Resign();
+  dispatcher_.SetStopping();
+  data_path_.BeginDrain([this] {
+    drained_ = true;
+    TryStop();
+  });
+  TryStop();
+}
+
+void Node::TryStop() {
+  const Time now = Now();
+  const Time give_up = stop_began_ + settings_.bounds.stop_grace - kStopMargin;
+  if (now >= give_up) {
+    EndStop(data_path_.requests_in_flight() > 0);
+    return;
+  }
+  const Time callers_left = std::min(stop_began_ + kCallersLeave, give_up);
+  if (now >= callers_left && data_path_.requests_in_flight() == 0) {
+    EndStop(false);
+    return;
+  }
+  const Time next = now < callers_left ? callers_left : std::min(now + absl::Milliseconds(50), give_up);
+  stop_timer_.expires_after(absl::ToChronoNanoseconds(next - now));
+  stop_timer_.async_wait([this](const gateway::ErrorCode& error) {
+    if (!error) {
+      TryStop();
+    }
+  });
+}
+
+void Node::EndStop(bool timed_out) {
+  stop_timed_out_ = timed_out;
+  beliefs_.OnStopped(stop_cause_, data_path_.requests_in_flight(), Now() - stop_began_);
+  loop_.stop();
+}
+
+}  // namespace ladderstream::node
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,93 @@
+// One node: its parts, put together, started and stopped in order. One thread.
+#pragma once
+
+#include <boost/asio/signal_set.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/forwarding/dispatcher.h"
+#include "gateway/http/data_path.h"
+#include "gateway/http/event_loop.h"
+#include "gateway/http/readiness_server.h"
+#include "gateway/settings/node_settings.h"
+#include "gateway/steady_clock.h"
+#include "interfaces/platform_adapter.h"
+#include "node/control_plane.h"
+#include "observability/belief_log.h"
+#include "observability/event_log.h"
+#include "observability/log_output.h"
+#include "observability/node_metrics.h"
+#include "observability/request_observer.h"
+
+namespace ladderstream::node {
+
+class Node : private ControlPlaneListener {
+ public:
+  /// Reads the settings again when the process is told that they changed; throws SettingsError.
+  using SettingsReloader = std::function<gateway::NodeSettings()>;
+
+  /// Listens at once; throws Error(kInvalidSetting) when an address cannot be had.
+  Node(const gateway::NodeSettings& settings, interfaces::PlatformAdapterPtr adapter,
+       SettingsReloader reload);
+  ~Node() override;
+
+  /// Serves until a stop signal has been obeyed. False when requests were left when the time to
+  /// stop was up.
+  bool Run();
+
+ private:
+  // ControlPlaneListener
+  void OnConfiguration(std::shared_ptr<const catalog::Configuration> configuration) override;
+  void OnBackends(const std::vector<catalog::Backend>& backends, bool store_troubled) override;
+  void OnOwnership(std::shared_ptr<const ownership::OwnershipMap> map) override;
+  void OnMapConfirmed(Time until) override;
+  void OnNodeCount(uint32_t count) override;
+  std::vector<forwarding::ServiceLoad> TakeLoad() override;
+
+  void WaitForSignal();
+  void OnSignal(int signal);
+  void Reload(std::string_view cause);
+  void BeginStop(std::string_view cause);
+  /// Ends the event loop once callers have gone elsewhere and nothing is left to answer.
+  void TryStop();
+  void EndStop(bool timed_out);
+  bool IsReady();
+  /// Once a second: what changed without an event.
+  void OnHousekeeping();
+  void LogBeliefs();
+  std::string MetricsText();
+  Time Now() const { return clock_.Now(); }
+
+  gateway::SteadyClock clock_;
+  gateway::EventLoop loop_{1};
+  const gateway::NodeSettings settings_;
+  const interfaces::PlatformAdapterPtr adapter_;
+  const SettingsReloader reload_;
+  const uint64_t incarnation_;
+
+  observability::EventLog log_;
+  observability::LogOutput log_output_;
+  observability::NodeMetrics metrics_;
+  observability::BeliefLog beliefs_;
+  observability::RequestObserver request_observer_;
+
+  std::unique_ptr<gateway::LoopResources> resources_;
+  forwarding::Dispatcher dispatcher_;
+  gateway::DataPath data_path_;
+  ControlPlane control_plane_;
+  std::unique_ptr<gateway::ReadinessServer> readiness_;
+  std::unique_ptr<gateway::ReadinessServer> metrics_server_;
+
+  boost::asio::signal_set signals_;
+  gateway::Timer housekeeping_;
+  gateway::Timer stop_timer_;
+  bool stopping_ = false;
+  bool stop_timed_out_ = false;
+  bool drained_ = false;
+  Time stop_began_;
+  std::string stop_cause_;
+};
+
+}  // namespace ladderstream::node
--- /dev/null
+++ b/src/observability/belief_log.cc
@@ -0,0 +1,185 @@
+#include "observability/belief_log.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace ladderstream::observability {
+namespace {
+
+struct MapSize {
+  size_t ranges = 0;
+  size_t moving = 0;
+};
+
+MapSize SizeOf(const ownership::OwnershipMap& map) {
+  MapSize size;
+  for (const auto& [service, ownership] : map.services) {
+    size.ranges += ownership.assignments.size();
+    size.moving += ownership.moving.size();
+  }
+  return size;
+}
+
+/// The services that a route may go to, joined by commas.
+std::string ServicesOf(const catalog::Route& route) {
+  std::string services;
+  for (const catalog::RouteTarget& target : route.targets) {
+    absl::StrAppend(&services, services.empty() ? "" : ",", target.service);
+  }
+  return services;
+}
+
+/// Since `past`; infinite if it never was.
+Duration Since(Time past, Time now) { return now - past; }
+
+}  // namespace
+
+void BeliefLog::OnConfiguration(const catalog::Configuration& configuration, Duration age,
+                                std::string_view source) {
+  in_force_.configuration_version = configuration.version;
+  std::vector<std::string> names;
+  RouteServices services;
+  for (const catalog::Route& route : configuration.routes) {
+    names.push_back(route.name);
+    services[route.name] = ServicesOf(route);
+  }
+  metrics_->SetRoutes(names);
+  in_force_.routes = std::make_shared<const RouteServices>(std::move(services));
+  log_->Write(EventName::kConfigurationApplied,
+              {EventField(FieldName::kConfiguration, configuration.version),
+               EventField(FieldName::kRoutes, configuration.routes.size()),
+               EventField(FieldName::kServices, configuration.services.size()),
+               EventField(FieldName::kAgeMs, age), EventField(FieldName::kCause, source)});
+}
+
+void BeliefLog::OnConfigurationRejected(std::string_view version, std::string_view reason) {
+  log_->Write(EventName::kConfigurationRejected,
+              {EventField(FieldName::kConfiguration, in_force_.configuration_version),
+               EventField(FieldName::kVersion, version), EventField(FieldName::kReason, reason)});
+}
+
+void BeliefLog::OnMap(const ownership::OwnershipMap& map, Duration age, std::string_view source) {
+  in_force_.map = map.version;
+  const MapSize size = SizeOf(map);
+  log_->Write(
+      EventName::kMapApplied,
+      {EventField(FieldName::kMap, MapInForce()),
+       EventField(FieldName::kServices, map.services.size()),
+       EventField(FieldName::kRanges, size.ranges), EventField(FieldName::kMoving, size.moving),
+       EventField(FieldName::kAgeMs, age), EventField(FieldName::kCause, source)});
+}
+
+void BeliefLog::OnBackends(const std::vector<catalog::Backend>& backends, uint64_t store_version,
+                           Duration age, std::string_view source) {
+  absl::flat_hash_map<std::string, KnownBackend> known;
+  for (const catalog::Backend& backend : backends) {
+    known[backend.id] = {backend.service, backend.draining};
+  }
+  if (known == backends_) {
+    return;
+  }
+  backends_ = std::move(known);
+  const auto draining =
+      std::count_if(backends.begin(), backends.end(),
+                    [](const catalog::Backend& backend) { return backend.draining; });
+  log_->Write(
+      EventName::kBackendsChanged,
+      {EventField(FieldName::kReady, static_cast<int64_t>(backends.size()) - draining),
+       EventField(FieldName::kDraining, draining), EventField(FieldName::kVersion, store_version),
+       EventField(FieldName::kAgeMs, age), EventField(FieldName::kCause, source)});
+}
+
+void BeliefLog::OnBackendBelief(const forwarding::BackendBelief& belief) {
+  metrics_->CountBelief(belief.event);
+  const auto known = backends_.find(belief.backend);
+  log_->Write(
+      EventName::kBackendBelief,
+      {EventField(FieldName::kBackend, belief.backend),
+       EventField(FieldName::kService, known == backends_.end() ? "" : known->second.service),
+       EventField(FieldName::kBelief, belief.event),
+       EventField(FieldName::kDetail, belief.detail)});
+}
+
+void BeliefLog::OnCoordinatorBelief(const ownership::BeliefAction& belief) {
+  metrics_->CountBelief(belief.event);
+  log_->Write(EventName::kCoordinatorBelief, {EventField(FieldName::kBelief, belief.event),
+                                              EventField(FieldName::kDetail, belief.detail),
+                                              EventField(FieldName::kMap, MapInForce())});
+}
+
+void BeliefLog::OnStoreReached(uint64_t store_version, Time now) {
+  if (std::exchange(store_lost_, false)) {
+    log_->Write(EventName::kStoreRegained,
+                {EventField(FieldName::kVersion, store_version),
+                 EventField(FieldName::kAgeMs, Since(store_lost_since_, now))});
+  }
+  store_reached_ = now;
+}
+
+void BeliefLog::OnStoreMissed(std::string_view reason, Time now) {
+  if (std::exchange(store_lost_, true)) {
+    return;
+  }
+  store_lost_since_ = now;
+  log_->Write(EventName::kStoreLost, {EventField(FieldName::kReason, reason),
+                                      EventField(FieldName::kAgeMs, Since(store_reached_, now))});
+}
+
+void BeliefLog::OnPeerLost(std::string_view name, const Endpoint& address, std::string_view zone,
+                           std::string_view reason, Duration silence) {
+  log_->Write(
+      EventName::kPeerLost,
+      {EventField(FieldName::kPeer, name), EventField(FieldName::kAddress, FormatEndpoint(address)),
+       EventField(FieldName::kZone, zone), EventField(FieldName::kReason, reason),
+       EventField(FieldName::kAgeMs, silence)});
+}
+
+void BeliefLog::OnPeerRegained(std::string_view name, const Endpoint& address,
+                               std::string_view zone, Duration silence) {
+  log_->Write(
+      EventName::kPeerRegained,
+      {EventField(FieldName::kPeer, name), EventField(FieldName::kAddress, FormatEndpoint(address)),
+       EventField(FieldName::kZone, zone), EventField(FieldName::kAgeMs, silence)});
+}
+
+void BeliefLog::OnStarted(std::string_view program_version, const Endpoint& callers,
+                          std::string_view zone) {
+  log_->Write(EventName::kNodeStarted, {EventField(FieldName::kVersion, program_version),
+                                        EventField(FieldName::kAddress, FormatEndpoint(callers)),
+                                        EventField(FieldName::kZone, zone)});
+}
+
+void BeliefLog::OnReady(bool ready, std::string_view reason) {
+  if (std::exchange(ready_, ready) == ready) {
+    return;
+  }
+  log_->Write(ready ? EventName::kNodeReady : EventName::kNodeNotReady,
+              {EventField(FieldName::kConfiguration, in_force_.configuration_version),
+               EventField(FieldName::kMap, MapInForce()), EventField(FieldName::kReason, reason)});
+}
+
+void BeliefLog::OnStopping(std::string_view cause, uint64_t running) {
+  log_->Write(EventName::kNodeStopping,
+              {EventField(FieldName::kCause, cause), EventField(FieldName::kRunning, running)});
+}
+
+void BeliefLog::OnStopped(std::string_view cause, uint64_t running, Duration elapsed) {
+  log_->Write(EventName::kNodeStopped,
+              {EventField(FieldName::kCause, cause), EventField(FieldName::kRunning, running),
+               EventField(FieldName::kElapsedMs, elapsed)});
+}
+
+void BeliefLog::OnSettingsReloaded(std::string_view cause, std::string_view detail) {
+  log_->Write(EventName::kSettingsReloaded,
+              {EventField(FieldName::kCause, cause), EventField(FieldName::kDetail, detail)});
+}
+
+void BeliefLog::OnSettingsRejected(std::string_view cause, std::string_view reason) {
+  log_->Write(EventName::kSettingsRejected,
+              {EventField(FieldName::kCause, cause), EventField(FieldName::kReason, reason)});
+}
+
+}  // namespace ladderstream::observability
--- /dev/null
+++ b/src/observability/belief_log.h
@@ -0,0 +1,89 @@
+// Logs each change of what the node believes and of its own state, and keeps what requests are
+// decided by (BeliefsInForce).
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/catalog/catalog.h"
+#include "core/forwarding/dispatcher.h"
+#include "core/ownership/coordinator.h"
+#include "observability/event_log.h"
+#include "observability/node_metrics.h"
+#include "observability/request_trace.h"
+#include "wire/identifiers.h"
+#include "wire/time.h"
+
+namespace ladderstream::observability {
+
+class BeliefLog {
+ public:
+  /// Both must outlive this.
+  BeliefLog(EventLog* log, NodeMetrics* metrics) : log_(log), metrics_(metrics) {}
+
+  const BeliefsInForce& in_force() const { return in_force_; }
+
+  /// A configuration comes into force. `age`: since its source was sure that it is the newest;
+  /// `source`: "store" or another node's name.
+  void OnConfiguration(const catalog::Configuration& configuration, Duration age,
+                       std::string_view source);
+  /// `version` as the source gave it; the one in force stays.
+  void OnConfigurationRejected(std::string_view version, std::string_view reason);
+
+  /// A map comes into force, from `source`.
+  void OnMap(const ownership::OwnershipMap& map, Duration age, std::string_view source);
+  /// The map in force is known to be the newest as of `now`. Writes no line.
+  void OnMapConfirmed(Time now) { in_force_.map_confirmed = now; }
+
+  /// The registrations changed. Writes a line only if their ids or states did.
+  void OnBackends(const std::vector<catalog::Backend>& backends, uint64_t store_version,
+                  Duration age, std::string_view source);
+  void OnBackendBelief(const forwarding::BackendBelief& belief);
+  void OnCoordinatorBelief(const ownership::BeliefAction& belief);
+
+  /// Each call of the store tells whether it was reached; lines are written when that changes.
+  void OnStoreReached(uint64_t store_version, Time now);
+  void OnStoreMissed(std::string_view reason, Time now);
+  bool store_is_lost() const { return store_lost_; }
+
+  /// `silence`: for how long nothing was heard of the peer.
+  void OnPeerLost(std::string_view name, const Endpoint& address, std::string_view zone,
+                  std::string_view reason, Duration silence);
+  void OnPeerRegained(std::string_view name, const Endpoint& address, std::string_view zone,
+                      Duration silence);
+
+  void OnStarted(std::string_view program_version, const Endpoint& callers, std::string_view zone);
+  /// Writes a line when `ready` changes.
+  void OnReady(bool ready, std::string_view reason);
+  /// `running`: requests without an answer.
+  void OnStopping(std::string_view cause, uint64_t running);
+  void OnStopped(std::string_view cause, uint64_t running, Duration elapsed);
+  void OnSettingsReloaded(std::string_view cause, std::string_view detail);
+  void OnSettingsRejected(std::string_view cause, std::string_view reason);
+
+ private:
+  /// What is known of a registered back end.
+  struct KnownBackend {
+    std::string service;
+    bool draining = false;
+    bool operator==(const KnownBackend&) const = default;
+  };
+
+  std::string MapInForce() const { return FormatMapVersion(in_force_.map); }
+
+  EventLog* const log_;
+  NodeMetrics* const metrics_;
+  BeliefsInForce in_force_;
+  absl::flat_hash_map<std::string, KnownBackend> backends_;
+  bool store_lost_ = false;
+  /// When the store was reached last.
+  Time store_reached_ = absl::InfinitePast();
+  Time store_lost_since_ = absl::InfinitePast();
+  bool ready_ = false;
+};
+
+}  // namespace ladderstream::observability
--- /dev/null
+++ b/src/observability/request_observer.cc
@@ -0,0 +1,172 @@
+#include "observability/request_observer.h"
+
+#include <array>
+#include <utility>
+
+namespace ladderstream::observability {
+namespace {
+
+constexpr int kServerErrors = 500;
+
+absl::string_view ToKey(std::string_view request_id) {
+  return {request_id.data(), request_id.size()};
+}
+
+AttemptResult ResultOf(forwarding::AttemptFailure failure) {
+  switch (failure) {
+    case forwarding::AttemptFailure::kConnectRefused:
+      return AttemptResult::kConnectRefused;
+    case forwarding::AttemptFailure::kConnectTimeout:
+      return AttemptResult::kConnectTimeout;
+    case forwarding::AttemptFailure::kNotSent:
+      return AttemptResult::kNotSent;
+    case forwarding::AttemptFailure::kLost:
+      return AttemptResult::kLost;
+    case forwarding::AttemptFailure::kTimedOut:
+      return AttemptResult::kTimedOut;
+  }
+  return AttemptResult::kLost;
+}
+
+}  // namespace
+
+void RequestObserver::OnRequestStarted(std::string_view request_id, std::string_view route) {
+  if (!request_id.empty() && traces_.size() < kMostTraces) {
+    traces_.try_emplace(ToKey(request_id), route, *beliefs_, log_->Now());
+  }
+}
+
+void RequestObserver::OnRequestDescribed(const forwarding::IncomingRequest& request) {
+  RequestTrace* const trace = Find(request.request_id);
+  if (trace != nullptr) {
+    trace->Describe(request);
+  }
+}
+
+void RequestObserver::OnAttemptDecided(std::string_view request_id,
+                                       const forwarding::SendDecision& send) {
+  RequestTrace* const trace = Find(request_id);
+  if (trace != nullptr) {
+    Begin(trace, send.backend, &send);
+  }
+}
+
+void RequestObserver::OnAttemptSent(std::string_view request_id, std::string_view backend) {
+  RequestTrace* const trace = Find(request_id);
+  if (trace != nullptr) {
+    Running(trace, backend).sent = log_->Now();
+  }
+}
+
+void RequestObserver::OnAttemptAnswered(std::string_view request_id, std::string_view backend,
+                                        int status, bool not_executed, Duration duration) {
+  metrics_->CountStage(RequestStage::kBackend, duration);
+  EndAttempt(request_id, backend,
+             not_executed ? AttemptResult::kNotExecuted : AttemptResult::kAnswered, status, {});
+}
+
+void RequestObserver::OnAttemptFailed(std::string_view request_id, std::string_view backend,
+                                      forwarding::AttemptFailure failure, std::string_view cause) {
+  EndAttempt(request_id, backend, ResultOf(failure), 0, cause);
+}
+
+void RequestObserver::OnAttemptCancelled(std::string_view request_id, std::string_view backend) {
+  EndAttempt(request_id, backend, AttemptResult::kCancelled, 0, {});
+}
+
+void RequestObserver::OnAnswered(const gateway::AnsweredRequest& request) {
+  const RequestOutcome outcome = OutcomeOfAnswer(request.code);
+  metrics_->CountRequest(request.route, outcome, request.code, request.total);
+  const Time now = log_->Now();
+  RequestTrace* const trace = Find(request.request_id);
+  EndRunning(trace);
+  PendingLine last = trace == nullptr ? FinalLine(request, now) : trace->Last(request, now);
+  if (outcome == RequestOutcome::kAnswered && request.status < kServerErrors) {
+    log_->WriteTogether(EventKind::kAnsweredRequest, absl::MakeConstSpan(&last, 1));
+  } else {
+    WriteFailure(request.request_id, trace, std::move(last));
+  }
+  Forget(request.request_id);
+}
+
+void RequestObserver::OnCallerGone(std::string_view request_id, Duration after) {
+  RequestTrace* const trace = Find(request_id);
+  metrics_->CountRequest(trace == nullptr ? std::string_view() : trace->route(),
+                         RequestOutcome::kCallerGone, ResultCode::kCancelled, after);
+  EndRunning(trace);
+  WriteFailure(request_id, trace, CallerGoneLine(request_id, after, log_->Now()));
+  Forget(request_id);
+}
+
+void RequestObserver::OnMalformed(ResultCode code, std::string_view detail) {
+  metrics_->CountRequest({}, RequestOutcome::kRefused, code, absl::ZeroDuration());
+  log_->Write(EventName::kRequestUnread, {EventField(FieldName::kCode, ladderstream::NameOf(code)),
+                                          EventField(FieldName::kStatus, HttpStatusOf(code)),
+                                          EventField(FieldName::kReason, detail)});
+}
+
+void RequestObserver::OnBackendConnected(std::string_view /*backend*/) {
+  metrics_->CountConnection("opened");
+}
+
+void RequestObserver::OnConnectionRetired(std::string_view /*backend*/, std::string_view cause) {
+  metrics_->CountConnection(cause);
+}
+
+RequestTrace* RequestObserver::Find(std::string_view request_id) {
+  const auto found = traces_.find(ToKey(request_id));
+  return found == traces_.end() ? nullptr : &found->second;
+}
+
+RequestTrace::Attempt& RequestObserver::Running(RequestTrace* trace, std::string_view backend) {
+  RequestTrace::Attempt* const attempt = trace->FindRunning(backend);
+  return attempt != nullptr ? *attempt : Begin(trace, backend, nullptr);
+}
+
+RequestTrace::Attempt& RequestObserver::Begin(RequestTrace* trace, std::string_view backend,
+                                              const forwarding::SendDecision* send) {
+  const Time now = log_->Now();
+  RequestTrace::Attempt& attempt = trace->AddAttempt(backend, send, now);
+  metrics_->CountAttempt(attempt.purpose);
+  if (attempt.purpose == AttemptPurpose::kFirst) {
+    metrics_->CountStage(RequestStage::kQueue, now - trace->started());
+  }
+  return attempt;
+}
+
+void RequestObserver::EndAttempt(std::string_view request_id, std::string_view backend,
+                                 AttemptResult result, int status, std::string_view cause) {
+  RequestTrace* const trace = Find(request_id);
+  if (trace == nullptr) {
+    return;
+  }
+  RequestTrace::Attempt& attempt = Running(trace, backend);
+  attempt.ended = log_->Now();
+  attempt.result = result;
+  attempt.status = status;
+  attempt.cause = std::string(CutFieldValue(cause));
+  metrics_->CountAttemptEnd(result);
+}
+
+void RequestObserver::EndRunning(RequestTrace* trace) {
+  if (trace == nullptr) {
+    return;
+  }
+  for (uint32_t left = trace->EndRunning(log_->Now()); left > 0; --left) {
+    metrics_->CountAttemptEnd(AttemptResult::kLeftBehind);
+  }
+}
+
+void RequestObserver::WriteFailure(std::string_view request_id, const RequestTrace* trace,
+                                   PendingLine last) {
+  std::vector<PendingLine> lines;
+  if (trace != nullptr) {
+    lines = trace->Steps(request_id);
+  }
+  lines.push_back(std::move(last));
+  log_->WriteTogether(EventKind::kFailedRequest, lines);
+}
+
+void RequestObserver::Forget(std::string_view request_id) { traces_.erase(ToKey(request_id)); }
+
+}  // namespace ladderstream::observability
--- a/src/settings/settings_reader.cc
+++ b/src/settings/settings_reader.cc
@@ -110,6 +110,19 @@
   *target = *text;
 }
 
+void SettingsReader::ReadBoolean(const std::string& key, Presence presence, bool* target) {
+  const std::string allowed = "true or false";
+  const SettingEntry* const entry = Find(key, presence, allowed);
+  if (entry == nullptr) {
+    return;
+  }
+  if (!entry->value.is_boolean()) {
+    AddInvalid(key, *entry, allowed);
+    return;
+  }
+  *target = entry->value.as_boolean();
+}
+
 std::optional<Endpoint> SettingsReader::ParseAddress(const std::string& text) const {
   try {
     const Endpoint endpoint = ParseEndpoint(text);
--- a/src/settings/settings_reader.h
+++ b/src/settings/settings_reader.h
@@ -43,6 +43,7 @@
   void ReadText(const std::string& key, Presence presence, std::string* target);
   void ReadChoice(const std::string& key, Presence presence,
                   const std::vector<std::string>& choices, std::string* target);
+  void ReadBoolean(const std::string& key, Presence presence, bool* target);
   /// An IP number and port, such as "10.0.0.1:7000".
   void ReadEndpoint(const std::string& key, Presence presence, Endpoint* target);
   void ReadEndpoint(const std::string& key, std::optional<Endpoint>* target);
--- /dev/null
+++ b/src/standin/fleet/demo.h
@@ -0,0 +1,21 @@
+// A run of nodes against a fleet under load, with a fault now and then, and a running report.
+#pragma once
+
+#include <ostream>
+
+#include "standin/fleet/deployments.h"
+#include "standin/fleet/judge.h"
+
+namespace ladderstream::fleet {
+
+struct DemoSettings {
+  Deployment deployment;
+  std::string node_program;
+  size_t nodes = 3;
+  Duration length = absl::Seconds(20);
+};
+
+/// Throws Error(kInternal) when the nodes do not come up.
+Verdict RunDemo(const DemoSettings& settings, std::ostream* out);
+
+}  // namespace ladderstream::fleet
--- /dev/null
+++ b/src/standin/fleet/fleet.cc
@@ -0,0 +1,109 @@
+#include "standin/fleet/fleet.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+#include "rehearsal/ports.h"
+
+namespace ladderstream::fleet {
+namespace {
+
+constexpr Duration kLongestCall = absl::Seconds(10);
+constexpr ownership::Key kKeyStep = 64;
+
+}  // namespace
+
+Fleet::Fleet(const FleetSettings& settings) : settings_(settings), random_(settings.seed) {
+  store_ = std::make_unique<StoreServer>(&loop_, settings.store);
+  registry_ = std::make_unique<Registry>(&loop_, store_.get(), &history_, settings.heartbeat);
+  config_writer_ = std::make_unique<ConfigWriter>(store_.get(), &history_);
+  nodes_ = std::make_unique<NodePool>(&loop_, &random_, settings.readiness_interval);
+  callers_ = std::make_unique<Callers>(&loop_, &random_, nodes_.get(), &history_);
+  callers_->SetLongestRest(settings.configuration.limits.idle_timeout * 0.8);
+  config_writer_->Write(settings.configuration);
+  for (const ServiceSpec& spec : settings.services) {
+    for (const std::string& zone : settings.zones) {
+      for (uint32_t i = 0; i < spec.backends_per_zone; ++i) {
+        AddBackend(spec.name, zone);
+      }
+    }
+  }
+}
+
+const ServiceSpec& Fleet::Spec(const std::string& service) const {
+  const auto found = std::find_if(settings_.services.begin(), settings_.services.end(),
+                                  [&](const ServiceSpec& spec) { return spec.name == service; });
+  if (found == settings_.services.end()) {
+    throw std::invalid_argument(absl::StrCat("no service ", service));
+  }
+  return *found;
+}
+
+Backend& Fleet::AddBackend(const std::string& service, const std::string& zone) {
+  // Not one of the ports that the system gives to outgoing connections: when this one has ended,
+  // another must be able to listen there.
+  return AddBackend(service, zone, rehearsal::FreeEndpoint());
+}
+
+Backend& Fleet::AddBackend(const std::string& service, const std::string& zone,
+                           const Endpoint& listen) {
+  BackendContext context;
+  context.loop = &loop_;
+  context.registry = registry_.get();
+  context.history = &history_;
+  context.random = &random_;
+  backends_.push_back(
+      std::make_unique<Backend>(context, Spec(service), &ledgers_[service], zone, listen));
+  return *backends_.back();
+}
+
+Backend& Fleet::Replace(const Backend& ended, const std::string& service) {
+  return AddBackend(service, ended.zone(), ended.address());
+}
+
+std::vector<Backend*> Fleet::backends(const std::string& service) {
+  std::vector<Backend*> found;
+  for (const auto& backend : backends_) {
+    if (backend->service() == service && !backend->ended()) {
+      found.push_back(backend.get());
+    }
+  }
+  return found;
+}
+
+Backend* Fleet::OwnerOf(const std::string& service, ownership::Key key) {
+  const auto living = backends(service);
+  const auto found = std::find_if(living.begin(), living.end(),
+                                  [key](const Backend* one) { return one->Holds(key); });
+  return found == living.end() ? nullptr : *found;
+}
+
+bool Fleet::AllKeysHeld() {
+  for (const ServiceSpec& spec : settings_.services) {
+    for (ownership::Key key = 0; spec.sharded && key <= ownership::kLastKey; key += kKeyStep) {
+      if (OwnerOf(spec.name, key) == nullptr) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+void Fleet::Disturb() {
+  history_.disturbances.push_back({.from = EventLoop::Now(), .until = absl::InfiniteFuture()});
+}
+
+void Fleet::Calm() {
+  for (Disturbance& disturbance : history_.disturbances) {
+    disturbance.until = std::min(disturbance.until, EventLoop::Now());
+  }
+}
+
+void Fleet::FinishCalls() {
+  callers_->Stop();
+  loop_.RunUntil([this] { return callers_->pending() == 0; }, kLongestCall);
+}
+
+}  // namespace ladderstream::fleet
--- /dev/null
+++ b/src/standin/fleet/fleet.h
@@ -0,0 +1,85 @@
+// A whole platform in one process: the store, services of back ends, an operator and callers.
+//
+// The nodes under test are processes of their own (see node_processes.h) or, in tests of the
+// stand-in itself, none.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "standin/fleet/backend.h"
+#include "standin/fleet/callers.h"
+#include "standin/fleet/config_writer.h"
+#include "standin/fleet/event_loop.h"
+#include "standin/fleet/judge.h"
+#include "standin/fleet/node_pool.h"
+#include "standin/fleet/registry.h"
+#include "standin/fleet/store_server.h"
+
+namespace ladderstream::fleet {
+
+struct FleetSettings {
+  std::vector<std::string> zones = {"a", "b", "c"};
+  std::vector<ServiceSpec> services;
+  catalog::Configuration configuration;
+  StoreSettings store;
+  Duration heartbeat = absl::Milliseconds(500);
+  Duration readiness_interval = absl::Milliseconds(500);
+  JudgeBounds bounds;
+  uint64_t seed = 1;
+};
+
+class Fleet {
+ public:
+  /// Starts the store and the back ends, and writes the first configuration.
+  explicit Fleet(const FleetSettings& settings);
+
+  EventLoop& loop() { return loop_; }
+  StoreServer& store() { return *store_; }
+  ConfigWriter& operators() { return *config_writer_; }
+  NodePool& nodes() { return *nodes_; }
+  Callers& callers() { return *callers_; }
+  History& history() { return history_; }
+  const FleetSettings& settings() const { return settings_; }
+
+  /// Starts one more back end, at an address of its own.
+  Backend& AddBackend(const std::string& service, const std::string& zone);
+  Backend& AddBackend(const std::string& service, const std::string& zone, const Endpoint& listen);
+  /// A new incarnation at the address of one that has ended, perhaps of another service.
+  Backend& Replace(const Backend& ended, const std::string& service);
+  /// All that have not ended.
+  std::vector<Backend*> backends(const std::string& service);
+  /// The back end that holds a key; null when none does.
+  Backend* OwnerOf(const std::string& service, ownership::Key key);
+  /// Whether every key of every sharded service is held by somebody.
+  bool AllKeysHeld();
+
+  /// From now until Calm(), bounds of time do not bind.
+  void Disturb();
+  void Calm();
+
+  /// Stops the callers and waits for the calls under way.
+  void FinishCalls();
+  Verdict Judge() const { return fleet::Judge(history_, settings_.bounds); }
+
+ private:
+  const ServiceSpec& Spec(const std::string& service) const;
+
+  EventLoop loop_;
+  FleetSettings settings_;
+  std::mt19937_64 random_;
+  History history_;
+  std::unique_ptr<StoreServer> store_;
+  std::unique_ptr<Registry> registry_;
+  std::unique_ptr<ConfigWriter> config_writer_;
+  std::unique_ptr<NodePool> nodes_;
+  std::unique_ptr<Callers> callers_;
+  std::map<std::string, HandoverLedger> ledgers_;
+  /// Ended ones stay: the loop may still call them.
+  std::vector<std::unique_ptr<Backend>> backends_;
+};
+
+}  // namespace ladderstream::fleet
--- /dev/null
+++ b/src/standin/fleet/node_processes.cc
@@ -0,0 +1,91 @@
+#include "standin/fleet/node_processes.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+#include "rehearsal/ports.h"
+
+namespace ladderstream::fleet {
+namespace {
+
+constexpr size_t kMostSeeds = 3;
+constexpr char kKeepLogs[] = "LADDERSTREAM_KEEP_LOGS";
+
+std::string Quoted(const std::string& text) { return absl::StrCat("\"", text, "\""); }
+
+std::string Quoted(const Endpoint& endpoint) { return Quoted(FormatEndpoint(endpoint)); }
+
+std::string Quoted(Duration duration) {
+  return Quoted(absl::StrCat(absl::ToInt64Milliseconds(duration), "ms"));
+}
+
+}  // namespace
+
+std::vector<Endpoint> EntrancesFor(size_t nodes) {
+  return std::vector<Endpoint>(nodes, Endpoint{"127.0.0.1", 0});
+}
+
+NodeProcesses::NodeProcesses(Fleet* fleet, const std::string& program, size_t count)
+    : fleet_(fleet), program_(program) {
+  if (std::getenv(kKeepLogs) != nullptr) {
+    group_.KeepDirectory();
+  }
+  const std::vector<std::string>& zones = fleet->settings().zones;
+  for (size_t index = 0; index < count; ++index) {
+    NodeProcess node;
+    node.name = absl::StrCat("node-", index);
+    node.zone = zones[index % zones.size()];
+    node.address = {.front = rehearsal::FreeEndpoint(), .readiness = rehearsal::FreeEndpoint()};
+    node.peers = rehearsal::FreeEndpoint();
+    node.metrics = rehearsal::FreeEndpoint();
+    nodes_.push_back(node);
+  }
+}
+
+std::string NodeProcesses::SettingsOf(size_t index) const {
+  const NodeProcess& node = nodes_[index];
+  const FleetSettings& fleet = fleet_->settings();
+  std::vector<std::string> seeds;
+  for (size_t seed = 0; seed < std::min(kMostSeeds, nodes_.size()); ++seed) {
+    seeds.push_back(Quoted(nodes_[seed].peers));
+  }
+  return absl::StrCat("[node]\nname = ", Quoted(node.name), "\nzone = ", Quoted(node.zone),
+                      "\n\n[listen]\ncallers = ", Quoted(node.address.front),
+                      "\nreadiness = ", Quoted(node.address.readiness),
+                      "\npeers = ", Quoted(node.peers), "\nmetrics = ", Quoted(node.metrics),
+                      "\n\n[membership]\nseeds = [", absl::StrJoin(seeds, ", "),
+                      "]\n\n[store]\naddress = ", Quoted(fleet_->store().endpoint(index)),
+                      "\nwrites_per_second = ", fleet.store.writes_per_second,
+                      "\nreads_per_second = ", fleet.store.reads_per_second,
+                      "\nhistory = ", Quoted(fleet.store.history),
+                      "\n\n[bounds]\ndrain_time = ", Quoted(fleet.bounds.drain),
+                      "\nconfiguration_apply_time = ", Quoted(fleet.bounds.config_apply),
+                      "\nregistration_interval = ", Quoted(fleet.heartbeat),
+                      "\nretry_budget_ratio = ", fleet.bounds.retry_budget_ratio,
+                      "\nretry_budget_slack = ", fleet.bounds.retry_budget_slack,
+                      "\nretry_budget_window = ", Quoted(fleet.bounds.budget_window), "\n");
+}
+
+void NodeProcesses::StartAll() {
+  std::vector<NodeAddress> addresses;
+  for (size_t index = 0; index < nodes_.size(); ++index) {
+    const NodeProcess& node = nodes_[index];
+    const auto file = group_.WriteFile(absl::StrCat(node.name, ".toml"), SettingsOf(index));
+    group_.Start({.name = node.name,
+                  .program = program_,
+                  .arguments = {absl::StrCat("--settings=", file.string())}});
+    addresses.push_back(node.address);
+  }
+  fleet_->nodes().SetNodes(addresses);
+}
+
+bool NodeProcesses::AwaitReady(Duration timeout) {
+  return fleet_->loop().RunUntil(
+      [this] { return fleet_->nodes().ready_count() == nodes_.size() && fleet_->AllKeysHeld(); },
+      timeout);
+}
+
+}  // namespace ladderstream::fleet
