Send what changed of the ownership map, not the whole of it

Ruled out: pushing more rarely (keys would move behind the nodes' backs for longer). Change: heartbeats carry the assignments that differ from the last pushed, or the reporter's, version; a node that holds another version asks, and gets the whole map only if its version is no longer remembered.

--- a/src/bench/partition_model.cc
+++ b/src/bench/partition_model.cc
@@ -155,12 +155,12 @@
 }
 
 void Model::DrawSlices() {
-  constexpr double kLeastShare = 0.3;
+  constexpr double kLowestShare = 0.3;
   constexpr double kMostShare = 0.45;
   if (scenario_.slices.empty()) {
     return;
   }
-  std::uniform_real_distribution<double> share(kLeastShare, kMostShare);
+  std::uniform_real_distribution<double> share(kLowestShare, kMostShare);
   std::uniform_int_distribution<Key> key(0, ownership::kLastKey);
   std::uniform_int_distribution<int64_t> start_ms(500, 4000);
   Time from = absl::UnixEpoch() + absl::Milliseconds(start_ms(random_));
--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -90,7 +90,7 @@
   if (request != nullptr) {
     switch (MeaningOf(answer)) {
       case AnswerMeaning::kFinal:
-        Finish(*request, RelayDecision{handle});
+        Finish(*request, RelayDecision{handle}, now);
         break;
       case AnswerMeaning::kRefused:
         OnRefused(*request, attempt, answer, now);
@@ -212,6 +212,7 @@
     case AttemptFailure::kTimedOut:
       if (attempt.sent &&
           now - attempt.started > kTimeoutPatience * attempt.service->averages.ServiceTime()) {
+        backend.load.OnUnanswered(now - attempt.started, now);
         NoteEjection(backend, "gave no answer in time", backend.outlier.OnFailure(now));
       }
       break;
@@ -249,8 +250,10 @@
     request.failed.push_back(attempt.backend);
   }
   if (!request.repeatable()) {
-    Finish(request, AnswerUnserved(request, Choice(), StopCause::kNotRepeatable, ownership_.map(),
-                                   random_, now));
+    Finish(request,
+           AnswerUnserved(request, Choice(), StopCause::kNotRepeatable, ownership_.map(), random_,
+                          now),
+           now);
     return;
   }
   Continue(request, SendCause::kAfterLoss, now);
@@ -269,7 +272,7 @@
   Request* request = FindRequest(handle);
   if (request != nullptr) {
     ServiceState& service = *request->service;
-    AbandonAttempts(*request);
+    AbandonAttempts(*request, now);
     Forget(*request);
     DispatchWaiting(service, now);
   }
--- a/src/core/forwarding/deadlines.cc
+++ b/src/core/forwarding/deadlines.cc
@@ -20,7 +20,7 @@
   const bool in_progress =
       std::any_of(request.in_flight.begin(), request.in_flight.end(),
                   [this](AttemptHandle handle) { return attempts_.at(handle).sent; });
-  Finish(request, AnswerTimeOver(request, request.may_have_run || in_progress, now));
+  Finish(request, AnswerTimeOver(request, request.may_have_run || in_progress, now), now);
 }
 
 void Dispatcher::Impl::Arm(Request& request) {
--- a/src/core/forwarding/dispatch.cc
+++ b/src/core/forwarding/dispatch.cc
@@ -107,16 +107,16 @@
 
 void Dispatcher::Impl::FinishUnserved(Request& request, const Choice& choice, StopCause cause,
                                       Time now) {
-  Finish(request, AnswerUnserved(request, choice, cause, ownership_.map(), random_, now));
+  Finish(request, AnswerUnserved(request, choice, cause, ownership_.map(), random_, now), now);
 }
 
-void Dispatcher::Impl::Finish(Request& request, Decision decision) {
-  AbandonAttempts(request);
+void Dispatcher::Impl::Finish(Request& request, Decision decision, Time now) {
+  AbandonAttempts(request, now);
   Emit(request, std::move(decision));
   Forget(request);
 }
 
-void Dispatcher::Impl::AbandonAttempts(Request& request) {
+void Dispatcher::Impl::AbandonAttempts(Request& request, Time now) {
   ServiceState* service = request.service;
   for (const AttemptHandle handle : std::exchange(request.in_flight, {})) {
     Attempt& attempt = attempts_.at(handle);
@@ -126,6 +126,9 @@
       continue;
     }
     attempt.backend->load.OnEnd(attempt.started);
+    if (attempt.sent) {
+      attempt.backend->load.OnUnanswered(now - attempt.started, now);
+    }
     if (attempt.charged && !attempt.sent) {
       service->budget.Refund(attempt.started);
     }
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -66,9 +66,9 @@
   void Send(Request& request, const Choice& choice, Time now);
   void FinishUnserved(Request& request, const Choice& choice, StopCause cause, Time now);
   /// Emits the final decision and forgets the request. `request` is gone afterwards.
-  void Finish(Request& request, Decision decision);
+  void Finish(Request& request, Decision decision, Time now);
   /// Cancels what may be cancelled of the attempts in flight, and forgets the rest.
-  void AbandonAttempts(Request& request);
+  void AbandonAttempts(Request& request, Time now);
   void Forget(Request& request);
   /// Gives everybody who waits for `service` another look.
   void DispatchWaiting(ServiceState& service, Time now);
--- a/src/core/forwarding/load_estimate.cc
+++ b/src/core/forwarding/load_estimate.cc
@@ -93,11 +93,23 @@
   if (told.waiting > 0 && warm > learned) {
     return;
   }
+  Learn(warm, now);
+  averages_.AddServiceTime(warm);
+}
+
+void LoadEstimate::Learn(Duration service_time, Time now) {
+  const Duration learned = LearnedServiceTime(now);
   service_time_ = service_time_at_ == absl::InfinitePast()
-                      ? warm
-                      : learned + kServiceTimeGain * (warm - learned);
+                      ? service_time
+                      : learned + kServiceTimeGain * (service_time - learned);
   service_time_at_ = now;
-  averages_.AddServiceTime(warm);
+}
+
+void LoadEstimate::OnUnanswered(Duration elapsed, Time now) {
+  // A lower bound, and it says nothing of a back end with a queue.
+  if (elapsed > LearnedServiceTime(now) && !KnownBusy(now)) {
+    Learn(elapsed, now);
+  }
 }
 
 void LoadEstimate::OnShed(const ToldLoad& told, Time now) {
--- a/src/core/forwarding/load_estimate.h
+++ b/src/core/forwarding/load_estimate.h
@@ -58,6 +58,8 @@
   void OnEnd(Time started);
   /// It served a request in `elapsed`. After OnEnd.
   void OnServed(Duration elapsed, const ToldLoad& told, Time now);
+  /// It had not served a request after `elapsed`, which then was given up. After OnEnd.
+  void OnUnanswered(Duration elapsed, Time now);
   /// It told its load with another answer. After OnEnd.
   void OnTold(const ToldLoad& told, Time now);
   /// It turned a request away since it is full; `told` may be empty. After OnEnd.
@@ -86,6 +88,7 @@
  private:
   double AverageForeign() const;
   Duration LearnedServiceTime(Time now) const;
+  void Learn(Duration service_time, Time now);
 
   ServiceAverages& averages_;
   uint32_t slots_;
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -24,6 +24,9 @@
 /// between that it is alive.
 constexpr double kLongestHeartbeatGap = 1.5;
 
+/// Nodes that hold one of this many newest maps are sent changes only.
+constexpr size_t kMapsRemembered = 32;
+
 }  // namespace
 
 Membership::Membership(MembershipSettings settings, PeerIdentity self,
@@ -33,6 +36,7 @@
       members_(self_, settings_.member_lifetime, settings_.members_interval_per_member),
       snapshots_(settings_.snapshot, configuration, backends, settings_.seed),
       random_(settings_.seed),
+      map_history_(kMapsRemembered),
       seek_turn_(random_()) {}
 
 void Membership::OnMessage(uint64_t connection, Message message, Time now) {
@@ -44,8 +48,8 @@
   members_.OnReport(report.sender, from.connection, now);
   Heartbeat answer = NewHeartbeat(now);
   answer.answered_report = report.sequence;
-  if (IsCoordinator(now) && map_ != nullptr && report.map_version < map_->version) {
-    answer.map.push_back(*map_);
+  if (IsCoordinator(now)) {
+    AddMap(report.map_version, &answer);
   }
   if (report.members_version < members_.version()) {
     answer.members = members_.members();
@@ -79,9 +83,7 @@
   }
   last_heard_ = now;
   actions_.emplace_back(HeartbeatHeardAction{heartbeat.lease});
-  if (!heartbeat.map.empty()) {
-    TakeMap(std::make_shared<ownership::OwnershipMap>(std::move(heartbeat.map.front())));
-  }
+  TakeMapOf(heartbeat);
   ConfirmBy(heartbeat, report, now);
 }
 
@@ -186,9 +188,37 @@
     return;
   }
   map_ = std::move(map);
+  map_history_.Add(map_);
   actions_.emplace_back(MapChangedAction{map_});
 }
 
+void Membership::TakeMapOf(Heartbeat& heartbeat) {
+  if (!heartbeat.map.empty()) {
+    TakeMap(std::make_shared<ownership::OwnershipMap>(std::move(heartbeat.map.front())));
+    return;
+  }
+  if (heartbeat.map_changes.empty() || map_ == nullptr) {
+    return;
+  }
+  std::optional<ownership::OwnershipMap> changed =
+      ownership::ApplyChanges(*map_, heartbeat.map_changes.front());
+  if (changed.has_value()) {
+    TakeMap(std::make_shared<ownership::OwnershipMap>(std::move(*changed)));
+  }
+}
+
+void Membership::AddMap(const ownership::MapVersion& version, Heartbeat* heartbeat) const {
+  if (map_ == nullptr || version >= map_->version) {
+    return;
+  }
+  const auto held = map_history_.Find(version);
+  if (held != nullptr) {
+    heartbeat->map_changes.push_back(ownership::ChangesBetween(*held, *map_));
+  } else {
+    heartbeat->map.push_back(*map_);
+  }
+}
+
 void Membership::ConfirmBy(const Heartbeat& heartbeat, const std::optional<SentReport>& report,
                            Time now) {
   if (map_version() < heartbeat.map_version) {
@@ -300,10 +330,12 @@
     return;
   }
   Heartbeat heartbeat = NewHeartbeat(now);
-  if (map_ != nullptr) {
-    heartbeat.map.push_back(*map_);
+  AddMap(pushed_map_, &heartbeat);
+  pushed_map_ = map_version();
+  if (pushed_members_ != members_.version()) {
+    pushed_members_ = members_.version();
+    heartbeat.members = members_.members();
   }
-  heartbeat.members = members_.members();
   Send(std::move(others), std::move(heartbeat));
 }
 
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -16,6 +16,7 @@
 #include "core/membership/member_table.h"
 #include "core/membership/messages.h"
 #include "core/membership/snapshot_exchange.h"
+#include "core/ownership/map_changes.h"
 #include "core/store/table_follower.h"
 #include "wire/time.h"
 
@@ -148,6 +149,10 @@
   /// False when a holder of a later epoch is known.
   bool LearnHolder(const ownership::LeaseView& lease, Time now);
   void TakeMap(std::shared_ptr<const ownership::OwnershipMap> map);
+  /// Takes what `heartbeat` says of the map, whole or as changes of the one held.
+  void TakeMapOf(Heartbeat& heartbeat);
+  /// Puts into `heartbeat` what a node that holds `version` lacks of the map.
+  void AddMap(const ownership::MapVersion& version, Heartbeat* heartbeat) const;
   void ConfirmBy(const Heartbeat& heartbeat, const std::optional<SentReport>& report, Time now);
   void SetConfirmed(Time until);
   std::optional<SentReport> TakeSentReport(uint64_t sequence);
@@ -179,6 +184,10 @@
   std::optional<ownership::LeaseView> holder_;
   Time last_heard_ = absl::InfinitePast();
   std::shared_ptr<const ownership::OwnershipMap> map_;
+  ownership::MapHistory map_history_;
+  /// What the last push brought all nodes to.
+  ownership::MapVersion pushed_map_;
+  uint64_t pushed_members_ = 0;
   Time confirmed_until_ = absl::InfinitePast();
 
   uint64_t last_report_ = 0;
--- a/src/core/membership/message_codec.cc
+++ b/src/core/membership/message_codec.cc
@@ -79,6 +79,18 @@
   }
 }
 
+void Check(const ownership::MapChanges& changes) {
+  Require(changes.base < changes.version, "map changes: they lead back");
+  for (const auto& [name, service] : changes.services) {
+    for (const ownership::Assignment& assignment : service.assignments) {
+      Check(assignment.range);
+    }
+    for (const ownership::KeyRange& range : service.moving) {
+      Check(range);
+    }
+  }
+}
+
 void Check(const Report& report) {
   Require(report.sender.incarnation != 0, "report: no sender");
   for (const LoadReport& load : report.loads) {
@@ -94,6 +106,11 @@
       Check(service);
     }
   }
+  Require(heartbeat.map_changes.size() <= 1, "heartbeat: more than one set of map changes");
+  for (const ownership::MapChanges& changes : heartbeat.map_changes) {
+    Require(changes.version == heartbeat.map_version, "heartbeat: changes to another version");
+    Check(changes);
+  }
 }
 
 void Check(const Resignation& resignation) {
--- a/src/core/membership/messages.h
+++ b/src/core/membership/messages.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/ownership/coordinator.h"
+#include "core/ownership/map_changes.h"
 #include "core/ownership/ownership_map.h"
 #include "wire/identifiers.h"
 #include "wire/variant.h"
@@ -72,8 +73,10 @@
   /// is not the coordinator.
   uint32_t lease_left_ms = 0;
   ownership::MapVersion map_version;
-  /// Only when the receiver's version is older; else empty.
+  /// Only when the receiver's version is older and nothing tells what changed since; else empty.
   std::vector<ownership::OwnershipMap> map;
+  /// What leads from an older version to `map_version`; at most one.
+  std::vector<ownership::MapChanges> map_changes;
   /// All nodes that reported lately, the sender included.
   std::vector<PeerIdentity> members;
   /// Grows when `members` changes; members are only sent when the receiver has not seen it.
@@ -81,8 +84,8 @@
   /// As in a Report.
   uint64_t configuration_version = 0;
   uint64_t backends_version = 0;
-  MSGPACK_DEFINE_ARRAY(sender, answered_report, lease, lease_left_ms, map_version, map, members,
-                       members_version, configuration_version, backends_version);
+  MSGPACK_DEFINE_ARRAY(sender, answered_report, lease, lease_left_ms, map_version, map, map_changes,
+                       members, members_version, configuration_version, backends_version);
 };
 
 /// The sender gives up the lease it holds.
--- a/src/core/ownership/lease_chain.cc
+++ b/src/core/ownership/lease_chain.cc
@@ -139,6 +139,9 @@
       continue;
     }
     const auto known = rows_.find(row.key.key);
+    if (known != rows_.end() && known->second.version == row.version) {
+      continue;
+    }
     if (known == rows_.end() || known->second.value.empty() || known->second.value != row.value) {
       outcome.kind = ChainOutcome::Kind::kLost;
       return outcome;
--- a/src/core/partition/costs.h
+++ b/src/core/partition/costs.h
@@ -6,7 +6,7 @@
 /// Moving all keys once costs this, times the churn weight.
 constexpr double kKeySpacePrice = 200;
 /// One more move: its commits and orders, and the renewals of one more range.
-constexpr double kMovePrice = 1;
+constexpr double kMovePrice = 2;
 /// Seconds for which moved keys have no owner, times the share of the requests in this time that
 /// come late for it.
 constexpr double kUnavailablePrice = 0.05;
--- a/src/core/partition/fleet.cc
+++ b/src/core/partition/fleet.cc
@@ -8,7 +8,7 @@
 namespace {
 
 /// Keys that have just moved stay this long, so that nothing swings to and fro.
-constexpr Duration kCooldown = absl::Milliseconds(1500);
+constexpr Duration kCooldown = absl::Milliseconds(1000);
 /// A proposal that has not been taken up by now never will be.
 constexpr Duration kTakenUpWithin = absl::Milliseconds(500);
 /// A back end that is cold from its start works this much more slowly.
--- a/src/core/partition/hot_slices.cc
+++ b/src/core/partition/hot_slices.cc
@@ -21,9 +21,9 @@
 constexpr double kLeastEvidence = 10;
 constexpr double kLeastShare = 0.02;
 /// Evidence that the load of the last batches alone is higher than the decayed mean says.
-constexpr double kChangeEvidence = 4;
+constexpr double kChangeEvidence = 2.5;
 /// A slice that only the last batch shows has on average been hot for a part of it.
-constexpr double kFirstBatchFactor = 1.4;
+constexpr double kFirstBatchFactor = 1.2;
 
 /// Logarithm of how much likelier `count` is at its own rate than at `expected`.
 double Evidence(double count, double expected) {
@@ -210,7 +210,7 @@
   if (first > last) {
     return 0;
   }
-  constexpr double kEvenShare = 0.5;
+  constexpr double kEvenShare = 0.7;
   const double even = static_cast<double>(last - first + 1) / range_.Size();
   const double counted = CountedBelow(last + 1) - CountedBelow(first);
   return excess_ * (kEvenShare * even + (1 - kEvenShare) * counted);
@@ -242,10 +242,7 @@
       continue;
     }
     const double rate = RateSinceChange(recent, range, count / merged.seconds);
-    const double excess = rate - expected.Count(range) / merged.seconds;
-    if (excess < kLeastShare * merged.total / merged.seconds) {
-      continue;
-    }
+    const double excess = std::max(rate - expected.Count(range) / merged.seconds, 0.0);
     slices.emplace_back(range, excess, rate / std::sqrt(count), now, counts);
   }
   return slices;
--- a/src/core/partition/hot_slices.h
+++ b/src/core/partition/hot_slices.h
@@ -16,7 +16,8 @@
            const std::vector<KeyCount>& counts);
 
   const KeyRange& range() const { return range_; }
-  /// Requests per second above the calm load of these keys.
+  /// Requests per second above the calm load of these keys; zero for a moment when the slice has
+  /// just calmed down.
   double excess() const { return excess_; }
   /// The standard error of that.
   double error() const { return error_; }
--- a/src/core/partition/merging.cc
+++ b/src/core/partition/merging.cc
@@ -8,7 +8,7 @@
 
 /// Merging begins above this many ranges for each back end: a spare range costs little, and so many
 /// leave room for the next hot slice.
-constexpr double kTidyFragmentsPerBackend = 4;
+constexpr double kTidyFragmentsPerBackend = 3;
 constexpr uint32_t kTinyKeys = 256;
 /// A range is tiny if it brings at most this share of what its new owner bears well, and its new
 /// owner must stay below this pressure.
--- a/src/core/partition/partitioner.cc
+++ b/src/core/partition/partitioner.cc
@@ -24,7 +24,7 @@
 /// A slice that stays hot for longer than this is part of the calm load.
 constexpr Duration kHotForGood = absl::Seconds(8);
 /// Proposals are remembered for this long.
-constexpr Duration kMemory = absl::Seconds(10);
+constexpr Duration kMemory = absl::Seconds(6);
 
 }  // namespace
 
--- a/src/core/partition/service_times.cc
+++ b/src/core/partition/service_times.cc
@@ -9,7 +9,7 @@
 
 constexpr Duration kLearningHalfLife = absl::Seconds(5);
 /// What is typical counts as this many answers of each back end.
-constexpr double kPriorAnswers = 12;
+constexpr double kPriorAnswers = 8;
 
 }  // namespace
 
--- a/src/core/store/table_follower.cc
+++ b/src/core/store/table_follower.cc
@@ -55,7 +55,7 @@
   if (next_page_key_.empty()) {
     merged_while_reading_ = false;
   }
-  const FollowerCall call{
+  FollowerCall call{
       ++last_call_,
       ReadQuery{settings_.table, settings_.partition, next_page_key_},
       settings_.read_timeout,
@@ -65,7 +65,7 @@
 }
 
 FollowerCall TableFollower::IssueWatch(Time now) {
-  const FollowerCall call{
+  FollowerCall call{
       ++last_call_,
       WatchQuery{settings_.table, as_of_, settings_.watch_wait},
       settings_.watch_wait + settings_.watch_grace,
--- a/src/core/store/table_follower.h
+++ b/src/core/store/table_follower.h
@@ -69,6 +69,8 @@
   /// Takes over another node's copy, which held exactly `rows` as of `version` and was confirmed
   /// at `confirmed`. Gives false, and changes nothing, when this copy is as new or newer.
   bool Merge(const std::vector<Row>& rows, RowVersion version, Time confirmed, Time now);
+  /// Changes the setting: with many nodes, each may call the store less often.
+  void SetBatchPause(Duration pause) { settings_.batch_pause = pause; }
   /// Another node knows of a change as of `version`: a watch that misses it is lost.
   void ExpectVersion(RowVersion version, Time now);
 
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -29,7 +29,6 @@
                    const interfaces::PlatformAdapter& adapter, forwarding::Dispatcher& dispatcher,
                    const DataPathSettings& settings, DataPathObserver* observer)
     : resources_{loop, clock, ByteBudget(settings.max_held_bytes), {}},
-      adapter_(adapter),
       dispatcher_(dispatcher),
       settings_(settings),
       observer_(observer != nullptr ? observer : &no_observer_),
--- a/src/gateway/http/data_path.h
+++ b/src/gateway/http/data_path.h
@@ -106,7 +106,6 @@
   void EndLateAttempts(Time now);
 
   LoopResources resources_;
-  const interfaces::PlatformAdapter& adapter_;
   forwarding::Dispatcher& dispatcher_;
   const DataPathSettings settings_;
   DataPathObserver no_observer_;
--- a/src/gateway/store/call_allowance.h
+++ b/src/gateway/store/call_allowance.h
@@ -13,6 +13,7 @@
 
   /// Changes the rate from `now` on.
   void SetRate(double rate, Time now);
+  double rate() const { return rate_; }
   /// Whether a call may be made now; counts it when so.
   bool TryTake(Time now);
 
--- a/src/gateway/store/store_client.cc
+++ b/src/gateway/store/store_client.cc
@@ -41,6 +41,10 @@
   reads_.SetRate(std::min(read_share, settings_.most_reads_per_second), now);
 }
 
+Duration StoreClient::PauseBetweenReads(uint32_t callers) const {
+  return absl::Seconds(callers / reads_.rate());
+}
+
 void StoreClient::Execute(const store::Transaction& transaction, Duration timeout,
                           Callback callback) {
   if (short_calls_ >= settings_.most_short_calls) {
--- a/src/gateway/store/store_client.h
+++ b/src/gateway/store/store_client.h
@@ -66,6 +66,10 @@
   /// The limits are shared by so many nodes. Only one of them, the coordinator, writes much.
   void SetShare(uint32_t node_count, bool is_coordinator);
 
+  /// The pause between its calls with which each of `callers` stays within this node's share of
+  /// reading calls; for TableFollower::SetBatchPause.
+  Duration PauseBetweenReads(uint32_t callers) const;
+
   const StoreTraffic& traffic() const { return traffic_; }
 
  private:
--- a/src/standin/fleet/backend.cc
+++ b/src/standin/fleet/backend.cc
@@ -108,7 +108,7 @@
   arrival.service = spec_.name;
   arrival.key = job->key;
   arrival.at = request.arrival;
-  arrival.held_up = request.arrival < thawed_at_ + kThawSlack;
+  arrival.held_up = IsHeldUp(request.arrival);
   arrival.announced = AnnouncedTime(request);
   arrival.digest = DigestOf(request.method, request.target, request.body);
   if (arrival.announced) {
@@ -349,6 +349,10 @@
   StartNext();
 }
 
+bool Backend::IsHeldUp(Time arrival) const {
+  return arrival >= thawed_at_ && arrival < thawed_at_ + kThawSlack;
+}
+
 void Backend::Drain(Duration serve_on, bool announces) {
   if (state_ == State::kEnded) {
     return;
--- a/src/standin/fleet/backend.h
+++ b/src/standin/fleet/backend.h
@@ -145,6 +145,8 @@
   void NoteHold(HoldEvent::Kind kind, const ownership::KeyRange& range, ownership::Fence fence,
                 Time until, bool late);
 
+  /// Whether what is taken at this time lay here while this back end was frozen.
+  bool IsHeldUp(Time arrival) const;
   void End();
   bool Chance(double share) const;
 
--- a/src/standin/fleet/backend_orders.cc
+++ b/src/standin/fleet/backend_orders.cc
@@ -134,14 +134,16 @@
 void Backend::NoteHold(HoldEvent::Kind kind, const ownership::KeyRange& range,
                        ownership::Fence fence, Time until, bool late) {
   if (spec_.sharded) {
+    const Time now = EventLoop::Now();
     context_.history->holds.push_back({.kind = kind,
                                        .backend = self_.id,
                                        .service = spec_.name,
                                        .range = range,
                                        .fence = fence,
-                                       .at = EventLoop::Now(),
+                                       .at = now,
                                        .until = until,
-                                       .taken_late = late});
+                                       .taken_late = late,
+                                       .held_up = IsHeldUp(now)});
   }
 }
 
--- a/src/standin/fleet/history.h
+++ b/src/standin/fleet/history.h
@@ -53,12 +53,16 @@
   Time until;
   /// The order arrived earlier and was taken only now.
   bool taken_late = false;
+  /// The order lay at a frozen back end before; it does not count as a grant.
+  bool held_up = false;
 };
 
 /// The store took a back end's announcement that it leaves, or dropped its row.
 struct LeaveEvent {
   std::string backend;
   Time at;
+  /// When it registered again, as one that was only cut off does.
+  Time until = absl::InfiniteFuture();
 };
 
 /// A version that the operator wrote.
--- a/src/standin/fleet/judge.h
+++ b/src/standin/fleet/judge.h
@@ -52,6 +52,8 @@
   uint64_t failed = 0;
   /// Ended without a whole answer after the connection was made.
   uint64_t cut = 0;
+  /// Those of them that a back end had been given, or that were cut long after they were sent.
+  uint64_t cut_at_work = 0;
   uint64_t timed_out = 0;
   Duration p50;
   Duration p99;
--- a/src/standin/fleet/registry.cc
+++ b/src/standin/fleet/registry.cc
@@ -52,6 +52,8 @@
   entries_[backend.id] = {.backend = backend, .last_beat = EventLoop::Now(), .sequence = sequence};
   if (backend.draining && !was_draining) {
     NoteLeaving(backend.id);
+  } else if (!backend.draining && sequence == 1) {
+    NoteBack(backend.id);
   }
   return true;
 }
@@ -74,7 +76,16 @@
 }
 
 void Registry::NoteLeaving(const std::string& id) {
-  history_->leaves.push_back({.backend = id, .at = EventLoop::Now()});
+  history_->leaves.push_back(
+      {.backend = id, .at = EventLoop::Now(), .until = absl::InfiniteFuture()});
+}
+
+void Registry::NoteBack(const std::string& id) {
+  for (LeaveEvent& event : history_->leaves) {
+    if (event.backend == id) {
+      event.until = std::min(event.until, EventLoop::Now());
+    }
+  }
 }
 
 void Registry::DropSilent() {
--- a/src/standin/fleet/registry.h
+++ b/src/standin/fleet/registry.h
@@ -33,6 +33,7 @@
   void DropSilent();
   bool Drop(const std::string& id);
   void NoteLeaving(const std::string& id);
+  void NoteBack(const std::string& id);
 
   EventLoop* loop_;
   StoreServer* store_;
--- a/src/standin/fleet/report.cc
+++ b/src/standin/fleet/report.cc
@@ -23,10 +23,10 @@
 
 std::string ResultLine(const Verdict& verdict) {
   const bool good = verdict.IsClean() && verdict.served > 0;
-  std::string out = absl::StrCat(good ? "OK" : "FAILED", " calls=", verdict.calls,
-                                 " served=", verdict.served, " attempts=", verdict.attempts,
-                                 " refused=", verdict.refused, " failed=", verdict.failed,
-                                 " cut=", verdict.cut, " timed_out=", verdict.timed_out);
+  std::string out = absl::StrCat(
+      good ? "OK" : "FAILED", " calls=", verdict.calls, " served=", verdict.served,
+      " attempts=", verdict.attempts, " refused=", verdict.refused, " failed=", verdict.failed,
+      " cut=", verdict.cut, " cut_at_work=", verdict.cut_at_work, " timed_out=", verdict.timed_out);
   for (const auto& [name, violations] : verdict.All()) {
     absl::StrAppend(&out, " ", name, "=", violations->count);
   }
--- /dev/null
+++ b/tests/unit/membership/node_fixture.h
@@ -0,0 +1,93 @@
+// One node's membership with its followers, and what it asked for, sorted by kind.
+#pragma once
+
+#include <absl/strings/str_cat.h>
+
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/membership/membership.h"
+
+namespace ladderstream::membership {
+
+inline const Time kStart = absl::UnixEpoch() + absl::Hours(1);
+inline const Endpoint kSeed{"10.0.0.99", 7540};
+
+inline PeerIdentity MakeIdentity(uint64_t number) {
+  return {number, absl::StrCat("node-", number), "zone-a",
+          Endpoint{absl::StrCat("10.0.0.", number), 7540}};
+}
+
+inline ownership::LeaseView MakeLease(uint64_t epoch, uint64_t number) {
+  return {epoch, number, MakeIdentity(number).address, epoch * 100};
+}
+
+inline ownership::OwnershipMap MakeMap(uint64_t epoch, uint64_t sequence) {
+  ownership::OwnershipMap map;
+  map.version = {epoch, sequence};
+  map.services["scripts"].assignments = {{{0, ownership::kLastKey}, "backend-1", epoch}};
+  return map;
+}
+
+inline store::StoreReply StoreAnswer(const std::string& table, const std::vector<SharedRow>& rows,
+                                     store::RowVersion version) {
+  store::StoreReply reply;
+  reply.status = store::StoreStatus::kDone;
+  reply.version = version;
+  for (const SharedRow& row : rows) {
+    reply.rows.push_back({{table, "", row.key}, row.value, row.version, false});
+  }
+  return reply;
+}
+
+/// A node with number `number`; knows one seed.
+struct Node {
+  explicit Node(uint64_t number)
+      : self(MakeIdentity(number)),
+        configuration({.table = "configuration", .partition = "", .seed = number}),
+        backends({.table = "backends", .partition = "", .seed = number}),
+        membership({.seeds = {kSeed}, .seed = number}, self, &configuration, &backends) {}
+
+  /// Takes the actions and keeps those of one kind.
+  template <typename Kind>
+  std::vector<Kind> Take() {
+    std::vector<Kind> taken;
+    for (MembershipAction& action : membership.TakeActions()) {
+      if (auto* wanted = std::get_if<Kind>(&action)) {
+        taken.push_back(std::move(*wanted));
+      }
+    }
+    return taken;
+  }
+
+  /// Takes the actions and keeps the messages of one kind, with where they go.
+  template <typename Kind>
+  std::vector<std::pair<std::vector<Destination>, Kind>> TakeSent() {
+    std::vector<std::pair<std::vector<Destination>, Kind>> sent;
+    for (SendAction& action : Take<SendAction>()) {
+      if (auto* wanted = std::get_if<Kind>(&action.message)) {
+        sent.emplace_back(std::move(action.to), std::move(*wanted));
+      }
+    }
+    return sent;
+  }
+
+  /// The store answers both followers.
+  void LoadTables(const std::vector<SharedRow>& configuration_rows,
+                  const std::vector<SharedRow>& backend_rows, store::RowVersion version, Time now) {
+    const auto read = configuration.Poll(now);
+    configuration.OnReply(read->call, StoreAnswer("configuration", configuration_rows, version),
+                          now);
+    const auto other_read = backends.Poll(now);
+    backends.OnReply(other_read->call, StoreAnswer("backends", backend_rows, version), now);
+  }
+
+  PeerIdentity self;
+  store::TableFollower configuration;
+  store::TableFollower backends;
+  Membership membership;
+};
+
+}  // namespace ladderstream::membership
