--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -7,9 +7,6 @@
 namespace ladderstream::membership {
 namespace {
 
-/// Reports that may be without an answer at a time; older ones are no longer waited for.
-constexpr size_t kMostSentReports = 16;
-
 /// How often the coordinator looks for silent members.
 constexpr Duration kRefreshInterval = absl::Milliseconds(500);
 
@@ -24,9 +21,6 @@
 /// between that it is alive.
 constexpr double kLongestHeartbeatGap = 1.5;
 
-/// Nodes that hold one of this many newest maps are sent changes only.
-constexpr size_t kMapsRemembered = 32;
-
 }  // namespace
 
 Membership::Membership(MembershipSettings settings, PeerIdentity self,
@@ -35,8 +29,8 @@
       self_(std::move(self)),
       members_(self_, settings_.member_lifetime, settings_.members_interval_per_member),
       snapshots_(settings_.snapshot, configuration, backends, settings_.seed),
+      relay_(settings_.relay, self_.incarnation, configuration, backends),
       random_(settings_.seed),
-      map_history_(kMapsRemembered),
       seek_turn_(random_()) {}
 
 void Membership::OnMessage(uint64_t connection, Message message, Time now) {
@@ -49,7 +43,8 @@
   Heartbeat answer = NewHeartbeat(now);
   answer.answered_report = report.sequence;
   if (IsCoordinator(now)) {
-    AddMap(report.map_version, &answer);
+    maps_.AddTo(report.map_version, &answer);
+    relay_.AddToAnswer(report, now, &answer);
   }
   if (report.members_version < members_.version()) {
     answer.members = members_.members();
@@ -64,7 +59,10 @@
 }
 
 void Membership::Handle(const Destination& from, Heartbeat heartbeat, Time now) {
-  const std::optional<SentReport> report = TakeSentReport(heartbeat.answered_report);
+  const std::optional<SentReport> report = sent_reports_.Take(heartbeat.answered_report);
+  if (relay_.TakeRows(heartbeat, now)) {
+    actions_.emplace_back(TablesMergedAction{});
+  }
   snapshots_.OnVersionsHeard(from, {heartbeat.configuration_version, heartbeat.backends_version},
                              now);
   if (report.has_value() && report->holder != 0 && report->holder != heartbeat.sender) {
@@ -81,10 +79,21 @@
   if (heartbeat.sender != heartbeat.lease.incarnation || heartbeat.lease_left_ms == 0) {
     return;
   }
+  HearCoordinator(heartbeat, report, now);
+}
+
+void Membership::HearCoordinator(Heartbeat& heartbeat, const std::optional<SentReport>& report,
+                                 Time now) {
   last_heard_ = now;
   actions_.emplace_back(HeartbeatHeardAction{heartbeat.lease});
-  TakeMapOf(heartbeat);
+  if (maps_.TakeOf(heartbeat)) {
+    actions_.emplace_back(MapChangedAction{maps_.map()});
+  }
   ConfirmBy(heartbeat, report, now);
+  const bool pushed = heartbeat.answered_report == 0;
+  if (pushed || report.has_value()) {
+    relay_.OnCoordinatorHeard(heartbeat, members(), pushed ? now : report->sent, !pushed, now);
+  }
 }
 
 void Membership::Handle(const Destination& /*from*/, const Resignation& resignation, Time /*now*/) {
@@ -115,7 +124,8 @@
   const bool of_holder = holder_.has_value() && holder_->peer_address == address;
   if (of_holder) {
     // A report at once shows whether anybody still listens there.
-    next_report_ = std::min(next_report_, std::max(now, last_report_sent_ + kLossReportPause));
+    next_report_ =
+        std::min(next_report_, std::max(now, sent_reports_.last_sent() + kLossReportPause));
   }
 }
 
@@ -132,7 +142,7 @@
     // All nodes learn it at much the same time; their first reports are spread a little.
     next_report_ = now + SharedReportInterval() * RandomShare();
     if (lease.incarnation != self_.incarnation) {
-      lease_until_ = absl::InfinitePast();
+      EndLeading();
     }
     return true;
   }
@@ -151,6 +161,7 @@
   lease_until_ = until;
   SetConfirmed(std::min(until, now + settings_.confirmation));
   if (took_over) {
+    relay_.OnLeading(true);
     members_.TakeOver(lease.epoch, now);
     next_refresh_ = now + kRefreshInterval;
     next_sign_of_life_ = now + LongestHeartbeatGap();
@@ -158,8 +169,15 @@
   }
 }
 
+void Membership::EndLeading() {
+  if (lease_until_ != absl::InfinitePast()) {
+    lease_until_ = absl::InfinitePast();
+    relay_.OnLeading(false);
+  }
+}
+
 void Membership::OnLeaseLost(Time now) {
-  lease_until_ = absl::InfinitePast();
+  EndLeading();
   push_wanted_ = false;
   next_report_ = now;
 }
@@ -170,10 +188,10 @@
 }
 
 void Membership::OnMap(const ownership::OwnershipMap& map, Time now) {
-  if (map_ != nullptr && map.version <= map_->version) {
+  if (!maps_.Take(std::make_shared<ownership::OwnershipMap>(map))) {
     return;
   }
-  TakeMap(std::make_shared<ownership::OwnershipMap>(map));
+  actions_.emplace_back(MapChangedAction{maps_.map()});
   if (!IsCoordinator(now)) {
     return;
   }
@@ -183,51 +201,16 @@
   }
 }
 
-void Membership::TakeMap(std::shared_ptr<const ownership::OwnershipMap> map) {
-  if (map_ != nullptr && map->version <= map_->version) {
-    return;
-  }
-  map_ = std::move(map);
-  map_history_.Add(map_);
-  actions_.emplace_back(MapChangedAction{map_});
-}
-
-void Membership::TakeMapOf(Heartbeat& heartbeat) {
-  if (!heartbeat.map.empty()) {
-    TakeMap(std::make_shared<ownership::OwnershipMap>(std::move(heartbeat.map.front())));
-    return;
-  }
-  if (heartbeat.map_changes.empty() || map_ == nullptr) {
-    return;
-  }
-  std::optional<ownership::OwnershipMap> changed =
-      ownership::ApplyChanges(*map_, heartbeat.map_changes.front());
-  if (changed.has_value()) {
-    TakeMap(std::make_shared<ownership::OwnershipMap>(std::move(*changed)));
-  }
-}
-
-void Membership::AddMap(const ownership::MapVersion& version, Heartbeat* heartbeat) const {
-  if (map_ == nullptr || version >= map_->version) {
-    return;
-  }
-  const auto held = map_history_.Find(version);
-  if (held != nullptr) {
-    heartbeat->map_changes.push_back(ownership::ChangesBetween(*held, *map_));
-  } else {
-    heartbeat->map.push_back(*map_);
-  }
-}
-
 void Membership::ConfirmBy(const Heartbeat& heartbeat, const std::optional<SentReport>& report,
                            Time now) {
-  if (map_version() < heartbeat.map_version) {
+  if (maps_.version() < heartbeat.map_version) {
     // A newer map exists that did not come along: the held one is surely old.
     SetConfirmed(now);
-    next_report_ = now;
+    // A lost push is lost to many nodes alike: their reports are spread a little.
+    next_report_ = std::min(next_report_, now + SharedReportInterval() * RandomShare());
     return;
   }
-  if (map_version() != heartbeat.map_version) {
+  if (maps_.version() != heartbeat.map_version) {
     return;
   }
   const bool pushed = heartbeat.answered_report == 0;
@@ -252,32 +235,15 @@
   actions_.emplace_back(MapConfirmedAction{until});
 }
 
-std::optional<Membership::SentReport> Membership::TakeSentReport(uint64_t sequence) {
-  const auto found =
-      std::find_if(sent_reports_.begin(), sent_reports_.end(),
-                   [sequence](const SentReport& sent) { return sent.sequence == sequence; });
-  if (found == sent_reports_.end()) {
-    return std::nullopt;
-  }
-  const SentReport sent = *found;
-  sent_reports_.erase(found);
-  return sent;
-}
-
 Report Membership::NewReport(uint64_t holder, Time now) {
   Report report;
   report.sender = self_;
-  report.sequence = ++last_report_;
-  report.map_version = map_version();
+  report.sequence = sent_reports_.Add(holder, now);
+  report.map_version = maps_.version();
   report.members_version = members_.version();
   const HeldVersions held = snapshots_.Held();
   report.configuration_version = held.configuration;
   report.backends_version = held.backends;
-  if (sent_reports_.size() >= kMostSentReports) {
-    sent_reports_.pop_front();
-  }
-  sent_reports_.push_back({report.sequence, now, holder});
-  last_report_sent_ = now;
   return report;
 }
 
@@ -314,7 +280,7 @@
     const int64_t left = absl::ToInt64Milliseconds(lease_until_ - now);
     heartbeat.lease_left_ms = static_cast<uint32_t>(std::min(left, kLongestLeaseMs));
   }
-  heartbeat.map_version = map_version();
+  heartbeat.map_version = maps_.version();
   heartbeat.members_version = members_.version();
   const HeldVersions held = snapshots_.Held();
   heartbeat.configuration_version = held.configuration;
@@ -326,12 +292,9 @@
   push_wanted_ = false;
   std::vector<Destination> others = members_.Others();
   next_push_ = now + settings_.push_interval_per_member * (others.size() + 1);
-  if (others.empty()) {
-    return;
-  }
   Heartbeat heartbeat = NewHeartbeat(now);
-  AddMap(pushed_map_, &heartbeat);
-  pushed_map_ = map_version();
+  maps_.AddToPush(&heartbeat);
+  relay_.AddToPush(now, &heartbeat);
   if (pushed_members_ != members_.version()) {
     pushed_members_ = members_.version();
     heartbeat.members = members_.members();
@@ -345,6 +308,7 @@
     OnLeaseLost(now);
   }
   if (IsCoordinator(now)) {
+    push_wanted_ = push_wanted_ || relay_.HasNews();
     if (push_wanted_ && now >= next_push_) {
       PushHeartbeat(now);
     }
@@ -384,7 +348,9 @@
 void Membership::ShowAlive(Time now) {
   next_sign_of_life_ = now + LongestHeartbeatGap();
   if (ReportInterval() > LongestHeartbeatGap()) {
-    Send(members_.Others(), NewHeartbeat(now));
+    Heartbeat heartbeat = NewHeartbeat(now);
+    relay_.AddToPush(now, &heartbeat);
+    Send(members_.Others(), std::move(heartbeat));
   }
 }
 
@@ -428,10 +394,6 @@
   return static_cast<double>(random_() % kJitterSteps) / static_cast<double>(kJitterSteps);
 }
 
-ownership::MapVersion Membership::map_version() const {
-  return map_ == nullptr ? ownership::MapVersion{} : map_->version;
-}
-
 void Membership::Send(std::vector<Destination> to, Message message) {
   if (!to.empty()) {
     actions_.emplace_back(SendAction{std::move(to), std::move(message)});
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -6,17 +6,18 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <memory>
 #include <optional>
 #include <random>
 #include <variant>
 #include <vector>
 
+#include "core/membership/map_exchange.h"
 #include "core/membership/member_table.h"
 #include "core/membership/messages.h"
+#include "core/membership/sent_reports.h"
 #include "core/membership/snapshot_exchange.h"
-#include "core/ownership/map_changes.h"
+#include "core/membership/table_relay.h"
 #include "core/store/table_follower.h"
 #include "wire/time.h"
 
@@ -44,6 +45,7 @@
   /// Taken off every confirmation.
   Duration confirmation_margin = absl::Milliseconds(100);
   SnapshotSettings snapshot = {};
+  RelaySettings relay = {};
   /// Of jitter and of whom to ask first.
   uint64_t seed = 0;
 };
@@ -112,6 +114,8 @@
   void OnResigned(Time now);
   /// This node committed or read a map; the coordinator sends it to all.
   void OnMap(const ownership::OwnershipMap& map, Time now);
+  /// The store answered a call that this node's coordinator part had sent then.
+  void OnStoreAnswered(Time sent) { relay_.OnStoreAnswered(sent); }
 
   /// Answers ReportDueAction.
   void SendReport(std::vector<LoadReport> loads, std::vector<std::string> refused_backends,
@@ -127,35 +131,24 @@
   const std::optional<ownership::LeaseView>& holder() const { return holder_; }
   bool IsCoordinator(Time now) const { return now < lease_until_; }
   /// Null before any is known.
-  const std::shared_ptr<const ownership::OwnershipMap>& map() const { return map_; }
+  const std::shared_ptr<const ownership::OwnershipMap>& map() const { return maps_.map(); }
   Time map_confirmed_until() const { return confirmed_until_; }
   const std::vector<PeerIdentity>& members() const { return members_.members(); }
 
  private:
-  /// A report that may still be answered.
-  struct SentReport {
-    uint64_t sequence = 0;
-    Time sent;
-    /// The coordinator it went to; 0 when it went to any other node.
-    uint64_t holder = 0;
-  };
-
   void Handle(const Destination& from, Report report, Time now);
   void Handle(const Destination& from, Heartbeat heartbeat, Time now);
   void Handle(const Destination& from, const Resignation& resignation, Time now);
   void Handle(const Destination& from, const SnapshotRequest& request, Time now);
   void Handle(const Destination& from, const Snapshot& snapshot, Time now);
 
+  void EndLeading();
   /// False when a holder of a later epoch is known.
   bool LearnHolder(const ownership::LeaseView& lease, Time now);
-  void TakeMap(std::shared_ptr<const ownership::OwnershipMap> map);
-  /// Takes what `heartbeat` says of the map, whole or as changes of the one held.
-  void TakeMapOf(Heartbeat& heartbeat);
-  /// Puts into `heartbeat` what a node that holds `version` lacks of the map.
-  void AddMap(const ownership::MapVersion& version, Heartbeat* heartbeat) const;
+  /// What the heartbeat of a coordinator that holds its lease says, beyond who it is.
+  void HearCoordinator(Heartbeat& heartbeat, const std::optional<SentReport>& report, Time now);
   void ConfirmBy(const Heartbeat& heartbeat, const std::optional<SentReport>& report, Time now);
   void SetConfirmed(Time until);
-  std::optional<SentReport> TakeSentReport(uint64_t sequence);
   Report NewReport(uint64_t holder, Time now);
   /// Asks some other node who the coordinator is.
   void SeekCoordinator(Time now);
@@ -171,29 +164,25 @@
   Duration LongestHeartbeatGap() const;
   /// In [0, 1).
   double RandomShare();
-  ownership::MapVersion map_version() const;
   void Send(std::vector<Destination> to, Message message);
 
   MembershipSettings settings_;
   PeerIdentity self_;
   MemberTable members_;
   SnapshotExchange snapshots_;
+  TableRelay relay_;
+  MapExchange maps_;
   std::mt19937_64 random_;
   std::vector<MembershipAction> actions_;
 
   std::optional<ownership::LeaseView> holder_;
   Time last_heard_ = absl::InfinitePast();
-  std::shared_ptr<const ownership::OwnershipMap> map_;
-  ownership::MapHistory map_history_;
   /// What the last push brought all nodes to.
-  ownership::MapVersion pushed_map_;
   uint64_t pushed_members_ = 0;
   Time confirmed_until_ = absl::InfinitePast();
 
-  uint64_t last_report_ = 0;
-  std::deque<SentReport> sent_reports_;
+  SentReports sent_reports_;
   Time next_report_ = absl::InfinitePast();
-  Time last_report_sent_ = absl::InfinitePast();
   uint64_t seek_turn_;
 
   /// This node's own lease.
--- a/src/core/membership/message_codec.cc
+++ b/src/core/membership/message_codec.cc
@@ -15,6 +15,8 @@
 constexpr size_t kMostElements = ownership::kLastKey + 1;
 constexpr size_t kMostTextBytes = size_t{1} << 20;
 constexpr size_t kMostDepth = 16;
+/// The configuration and the back ends.
+constexpr size_t kTablesRelayed = 2;
 /// Values in one message, in all its lists together; each takes some 24 bytes once parsed.
 constexpr size_t kMostValues = 500'000;
 
@@ -82,8 +84,11 @@
 void Check(const ownership::MapChanges& changes) {
   Require(changes.base < changes.version, "map changes: they lead back");
   for (const auto& [name, service] : changes.services) {
+    ownership::Key next = 0;
     for (const ownership::Assignment& assignment : service.assignments) {
       Check(assignment.range);
+      Require(assignment.range.first >= next, "map changes: ranges out of order, or twice");
+      next = assignment.range.last + 1;
     }
     for (const ownership::KeyRange& range : service.moving) {
       Check(range);
@@ -91,6 +96,17 @@
   }
 }
 
+void Check(const TableNews& news) {
+  Require(news.base <= news.version, "tables: changes that lead back");
+  Require(news.newest_change <= news.version, "tables: a change after the version");
+  for (const SharedRow& row : news.rows) {
+    Require(row.version > news.base, "tables: a row that did not change");
+  }
+  for (const RemovedRow& row : news.removals) {
+    Require(row.version > news.base, "tables: a removal before the base");
+  }
+}
+
 void Check(const Report& report) {
   Require(report.sender.incarnation != 0, "report: no sender");
   for (const LoadReport& load : report.loads) {
@@ -111,6 +127,11 @@
     Require(changes.version == heartbeat.map_version, "heartbeat: changes to another version");
     Check(changes);
   }
+  Require(heartbeat.tables.empty() || heartbeat.tables.size() == kTablesRelayed,
+          "heartbeat: not each table once");
+  for (const TableNews& news : heartbeat.tables) {
+    Check(news);
+  }
 }
 
 void Check(const Resignation& resignation) {
--- a/src/core/membership/messages.h
+++ b/src/core/membership/messages.h
@@ -60,6 +60,35 @@
                        backends_version, loads, refused_backends);
 };
 
+/// A row as the store holds it; `version` is the store's.
+struct SharedRow {
+  std::string key;
+  std::string value;
+  uint64_t version = 0;
+  MSGPACK_DEFINE_ARRAY(key, value, version);
+};
+
+/// A row that the store removed as of `version`.
+struct RemovedRow {
+  std::string key;
+  uint64_t version = 0;
+  MSGPACK_DEFINE_ARRAY(key, version);
+};
+
+/// What a copy of one table that is whole up to `base` lacks to be whole up to `version`.
+struct TableNews {
+  uint64_t base = 0;
+  uint64_t version = 0;
+  /// The table's last change up to `version`.
+  uint64_t newest_change = 0;
+  /// Changed after `base`, as are the removals.
+  std::vector<SharedRow> rows;
+  std::vector<RemovedRow> removals;
+  /// How long ago the sender was last sure that this is the newest, in milliseconds.
+  uint32_t age_ms = 0;
+  MSGPACK_DEFINE_ARRAY(base, version, newest_change, rows, removals, age_ms);
+};
+
 /// From the coordinator to a node; or from a node that is not the coordinator, which says in it
 /// whom it believes to be.
 struct Heartbeat {
@@ -84,8 +113,10 @@
   /// As in a Report.
   uint64_t configuration_version = 0;
   uint64_t backends_version = 0;
+  /// From the coordinator: of the configuration and of the back ends, in this order; or empty.
+  std::vector<TableNews> tables;
   MSGPACK_DEFINE_ARRAY(sender, answered_report, lease, lease_left_ms, map_version, map, map_changes,
-                       members, members_version, configuration_version, backends_version);
+                       members, members_version, configuration_version, backends_version, tables);
 };
 
 /// The sender gives up the lease it holds.
@@ -94,14 +125,6 @@
   MSGPACK_DEFINE_ARRAY(incarnation);
 };
 
-/// A row as the store holds it; `version` is the store's.
-struct SharedRow {
-  std::string key;
-  std::string value;
-  uint64_t version = 0;
-  MSGPACK_DEFINE_ARRAY(key, value, version);
-};
-
 /// From a node that cannot reach the metadata store, or missed a change: what have you that is
 /// newer? The versions say up to where the sender's copies are whole.
 struct SnapshotRequest {
--- /dev/null
+++ b/src/core/membership/table_relay.cc
@@ -0,0 +1,175 @@
+#include "core/membership/table_relay.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace ladderstream::membership {
+namespace {
+
+/// Spreads incarnations evenly and alike on every node (the finalizer of SplitMix64).
+uint64_t Mix(uint64_t value) {
+  constexpr uint64_t kFirst = 0xbf58476d1ce4e5b9;
+  constexpr uint64_t kSecond = 0x94d049bb133111eb;
+  value = (value ^ (value >> 30U)) * kFirst;
+  value = (value ^ (value >> 27U)) * kSecond;
+  return value ^ (value >> 31U);
+}
+
+uint32_t AgeInMilliseconds(Time confirmed, Time now) {
+  constexpr int64_t kMost = std::numeric_limits<uint32_t>::max();
+  return static_cast<uint32_t>(
+      std::clamp<int64_t>(absl::ToInt64Milliseconds(now - confirmed), 0, kMost));
+}
+
+TableNews ToNews(store::TableChanges changes, uint32_t age_ms) {
+  TableNews news{changes.base, changes.version, changes.newest_change, {}, {}, age_ms};
+  for (store::Row& row : changes.rows) {
+    if (row.removed) {
+      news.removals.push_back({std::move(row.key.key), row.version});
+    } else {
+      news.rows.push_back({std::move(row.key.key), std::move(row.value), row.version});
+    }
+  }
+  return news;
+}
+
+store::TableChanges ToChanges(const TableNews& news, const store::FollowerSettings& settings) {
+  store::TableChanges changes{news.base, news.version, news.newest_change, {}};
+  for (const RemovedRow& row : news.removals) {
+    changes.rows.push_back({{settings.table, settings.partition, row.key}, "", row.version, true});
+  }
+  for (const SharedRow& row : news.rows) {
+    changes.rows.push_back(
+        {{settings.table, settings.partition, row.key}, row.value, row.version, false});
+  }
+  return changes;
+}
+
+}  // namespace
+
+TableRelay::TableRelay(const RelaySettings& settings, uint64_t self,
+                       store::TableFollower* configuration, store::TableFollower* backends)
+    : settings_(settings),
+      self_(self),
+      followers_{configuration, backends},
+      own_watch_wait_(configuration->settings().watch_wait) {}
+
+void TableRelay::OnLeading(bool leading) {
+  if (!settings_.enabled) {
+    return;
+  }
+  for (store::TableFollower* follower : followers_) {
+    follower->Resume();
+    follower->SetWatchWait(leading ? std::min(settings_.coordinator_watch_wait, own_watch_wait_)
+                                   : own_watch_wait_);
+  }
+}
+
+void TableRelay::OnStoreAnswered(Time sent) {
+  for (store::TableFollower* follower : followers_) {
+    follower->OnStoreAnswered(sent);
+  }
+}
+
+bool TableRelay::HasNews() const {
+  if (!settings_.enabled) {
+    return false;
+  }
+  for (size_t table = 0; table < kTables; ++table) {
+    if (followers_[table]->settled_version() > pushed_[table]) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void TableRelay::AddToAnswer(const Report& report, Time now, Heartbeat* heartbeat) const {
+  const std::array<store::RowVersion, kTables> held = {report.configuration_version,
+                                                       report.backends_version};
+  for (size_t table = 0; table < kTables; ++table) {
+    // The report names the last change its copy holds; the copy may be whole far beyond it.
+    Add(table, std::min(held[table], pushed_[table]), now, heartbeat);
+  }
+}
+
+void TableRelay::AddToPush(Time now, Heartbeat* heartbeat) {
+  for (size_t table = 0; table < kTables; ++table) {
+    Add(table, pushed_[table], now, heartbeat);
+    pushed_[table] = followers_[table]->settled_version();
+  }
+}
+
+bool TableRelay::AllKnown() const {
+  return std::all_of(followers_.begin(), followers_.end(),
+                     [](const store::TableFollower* follower) { return follower->known(); });
+}
+
+void TableRelay::Add(size_t table, store::RowVersion base, Time now, Heartbeat* heartbeat) const {
+  const store::TableFollower& follower = *followers_[table];
+  if (!settings_.enabled || !AllKnown()) {
+    return;
+  }
+  auto changes = follower.ChangesSince(base);
+  if (!changes.has_value()) {
+    changes = follower.ChangesSince(pushed_[table]);
+  }
+  if (!changes.has_value()) {
+    // Who is not whole up to here has to ask the store, or another node for the whole table.
+    changes = follower.ChangesSince(follower.settled_version());
+  }
+  heartbeat->tables.push_back(
+      ToNews(std::move(*changes), AgeInMilliseconds(follower.watched_until(), now)));
+}
+
+bool TableRelay::TakeRows(const Heartbeat& heartbeat, Time now) {
+  if (!settings_.enabled || heartbeat.tables.size() != kTables) {
+    return false;
+  }
+  bool changed = false;
+  for (size_t table = 0; table < kTables; ++table) {
+    store::TableFollower* const follower = followers_[table];
+    const TableNews& news = heartbeat.tables[table];
+    const store::RowVersion before = follower->content_version();
+    follower->Apply(ToChanges(news, follower->settings()), now);
+    changed = changed || follower->content_version() > before;
+  }
+  return changed;
+}
+
+void TableRelay::OnCoordinatorHeard(const Heartbeat& heartbeat,
+                                    const std::vector<PeerIdentity>& members, Time made,
+                                    bool answers, Time now) {
+  const bool vouched = settings_.enabled && heartbeat.tables.size() == kTables &&
+                       !IsStandby(members, heartbeat.sender);
+  for (size_t table = 0; table < kTables; ++table) {
+    store::TableFollower* const follower = followers_[table];
+    if (!vouched || follower->as_of() < heartbeat.tables[table].base) {
+      follower->Resume();
+      continue;
+    }
+    const Duration age = absl::Milliseconds(heartbeat.tables[table].age_ms);
+    const Duration silence = answers ? settings_.silence : settings_.pushed_silence;
+    const Time until = made + std::min(silence, settings_.freshness - age);
+    if (age >= settings_.freshness) {
+      follower->Resume();
+    } else if (until > now) {
+      follower->Suspend(until, made - age);
+    }
+  }
+}
+
+bool TableRelay::IsStandby(const std::vector<PeerIdentity>& members, uint64_t coordinator) const {
+  const uint64_t own_rank = Mix(self_);
+  bool listed = false;
+  uint32_t ahead = 0;
+  for (const PeerIdentity& member : members) {
+    listed = listed || member.incarnation == coordinator;
+    const bool other = member.incarnation != coordinator && member.incarnation != self_;
+    ahead += other && Mix(member.incarnation) < own_rank ? 1 : 0;
+  }
+  // Before it has the coordinator's list, a node cannot tell; then it need not be one.
+  return listed && ahead < settings_.standbys;
+}
+
+}  // namespace ladderstream::membership
--- /dev/null
+++ b/src/core/membership/table_relay.h
@@ -0,0 +1,78 @@
+// Lets the coordinator tell the others what the metadata store told it, so that most nodes need not
+// watch the store while the coordinator's copies are surely fresh.
+//
+// The coordinator and a few standbys watch; every other node suspends its watches, table by table,
+// for as long as the last heartbeat vouches for the copy.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "core/membership/messages.h"
+#include "core/store/table_follower.h"
+#include "wire/time.h"
+
+namespace ladderstream::membership {
+
+struct RelaySettings {
+  bool enabled = true;
+  /// Members that watch besides the coordinator.
+  uint32_t standbys = 2;
+  /// A copy that was not confirmed for so long does not do instead of an own watch.
+  Duration freshness = absl::Milliseconds(1500);
+  /// Nor does one without a heartbeat for so long: one that answers a report counts from the
+  /// report's send; one that was pushed, whose age is unknown, is heard for less.
+  Duration silence = absl::Milliseconds(700);
+  Duration pushed_silence = absl::Milliseconds(600);
+  /// How long the store holds the coordinator's watches.
+  Duration coordinator_watch_wait = absl::Seconds(5);
+};
+
+class TableRelay {
+ public:
+  /// The followers outlive the relay.
+  TableRelay(const RelaySettings& settings, uint64_t self, store::TableFollower* configuration,
+             store::TableFollower* backends);
+
+  /// This node coordinates from now on, or no longer.
+  void OnLeading(bool leading);
+  /// The store answered a call of this node, other than the followers', that was sent then.
+  void OnStoreAnswered(Time sent);
+
+  /// At the coordinator: whether it holds changes that were not pushed.
+  bool HasNews() const;
+  /// Puts into `heartbeat` what the reporter's copies lack.
+  void AddToAnswer(const Report& report, Time now, Heartbeat* heartbeat) const;
+  /// Puts into `heartbeat`, which goes to all nodes, what changed since the last push.
+  void AddToPush(Time now, Heartbeat* heartbeat);
+
+  /// Takes the rows that any node's heartbeat carries. True when a copy changed.
+  bool TakeRows(const Heartbeat& heartbeat, Time now);
+  /// The coordinator's heartbeat, its rows taken: decides who watches. It was made at `made` or
+  /// later when it `answers` a report.
+  void OnCoordinatorHeard(const Heartbeat& heartbeat, const std::vector<PeerIdentity>& members,
+                          Time made, bool answers, Time now);
+
+ private:
+  static constexpr size_t kTables = 2;
+
+  /// Both tables were read once: nothing is said of one alone.
+  bool AllKnown() const;
+  /// Adds what copies that are whole up to `base` lack; or, when that is not remembered, up to what
+  /// the last push brought all to.
+  void Add(size_t table, store::RowVersion base, Time now, Heartbeat* heartbeat) const;
+  /// Whether this node is to watch besides the coordinator.
+  bool IsStandby(const std::vector<PeerIdentity>& members, uint64_t coordinator) const;
+
+  RelaySettings settings_;
+  uint64_t self_;
+  /// In the order of a heartbeat's tables.
+  std::array<store::TableFollower*, kTables> followers_;
+  Duration own_watch_wait_;
+  /// What the last push brought all copies to.
+  std::array<store::RowVersion, kTables> pushed_ = {};
+};
+
+}  // namespace ladderstream::membership
--- a/src/core/ownership/coordinator.h
+++ b/src/core/ownership/coordinator.h
@@ -38,6 +38,9 @@
   Duration slack = absl::Milliseconds(300);
   /// A peer's heartbeat older than this makes a node challenge the lease.
   Duration heartbeat_timeout = absl::Milliseconds(1000);
+  /// How much longer than others this node waits before it challenges a missing holder: weak
+  /// machines leave the lease to strong ones.
+  Duration challenge_delay = absl::ZeroDuration();
   /// For this long a node may go on using a map after its last confirmation. Keys of an owner that
   /// did not answer its release move no sooner than this after they were published as moving.
   Duration map_confirmation = absl::Seconds(3);
--- a/src/core/ownership/holder_watch.cc
+++ b/src/core/ownership/holder_watch.cc
@@ -42,6 +42,10 @@
   return span * static_cast<double>(step) / static_cast<double>(kJitterSteps);
 }
 
+Duration HolderWatch::Reserve(Duration span) const {
+  return settings_.challenge_delay + Jitter(span);
+}
+
 bool HolderWatch::HasEnded(uint64_t incarnation) const {
   return std::any_of(ended_.begin(), ended_.end(), [incarnation](const Ended& ended) {
     return ended.incarnation == incarnation;
@@ -79,7 +83,7 @@
   missing_since_ = now;
   retry_delay_ = absl::ZeroDuration();
   const Duration patience = settings_.heartbeat_timeout;
-  read_due_ = now + patience + Jitter(patience * kMissingSpread);
+  read_due_ = now + patience + Reserve(patience * kMissingSpread);
   return changed ? Heartbeat::kOfNewHolder : Heartbeat::kOfKnownHolder;
 }
 
@@ -92,7 +96,7 @@
     ended_.pop_front();
   }
   if (!holder_ || holder_->incarnation == incarnation) {
-    const Time due = now + Jitter(settings_.heartbeat_timeout * kEndedSpread);
+    const Time due = now + Reserve(settings_.heartbeat_timeout * kEndedSpread);
     read_due_ = std::min(read_due_, due);
   }
 }
@@ -114,7 +118,7 @@
     return true;
   }
   Observe(version, now);
-  read_due_ = observed_at_ + patience + Jitter(patience * kMissingSpread);
+  read_due_ = observed_at_ + patience + Reserve(patience * kMissingSpread);
   return false;
 }
 
@@ -128,11 +132,11 @@
     Observe(version, now);
   }
   const Duration patience = settings_.heartbeat_timeout;
-  read_due_ = now + patience + Jitter(patience * kMissingSpread);
+  read_due_ = now + patience + Reserve(patience * kMissingSpread);
 }
 
 void HolderWatch::Begin(Time now) {
-  read_due_ = std::min(read_due_, now + Jitter(settings_.heartbeat_timeout * kEndedSpread));
+  read_due_ = std::min(read_due_, now + Reserve(settings_.heartbeat_timeout * kEndedSpread));
 }
 
 void HolderWatch::OnFailure(Time now) {
--- a/src/core/ownership/holder_watch.h
+++ b/src/core/ownership/holder_watch.h
@@ -48,6 +48,8 @@
   void Observe(store::RowVersion version, Time now);
   /// A share of `span` that differs from node to node, and is the same at each call.
   Duration Jitter(Duration span) const;
+  /// For how long this node leaves a challenge to others.
+  Duration Reserve(Duration span) const;
   bool HasEnded(uint64_t incarnation) const;
   /// Whether a heartbeat shows that its sender has not ended, whatever was told.
   bool DisprovesEnd(const LeaseView& view, Time now) const;
--- a/src/core/partition/balance.cc
+++ b/src/core/partition/balance.cc
@@ -11,9 +11,8 @@
 namespace ladderstream::partition {
 namespace {
 
-/// A back end sheds load only above this pressure and this many times the mean.
+/// A back end sheds load only above this pressure.
 constexpr double kLeastPressure = 0.5;
-constexpr double kLeastOverMean = 1.15;
 /// Cells are cut to this share of what the source bears well.
 constexpr double kCellShare = 0.04;
 /// A single key with more than this share of it stands in no window.
@@ -90,11 +89,13 @@
 }
 
 std::optional<size_t> Balancer::NextSource() const {
-  double highest = std::max(kLeastPressure, kLeastOverMean * fleet_.MeanPressure());
+  double highest = kLeastPressure;
   std::optional<size_t> source;
   for (size_t i = 0; i < fleet_.members().size(); ++i) {
     const Member& member = fleet_.members()[i];
-    if (member.accepts && !done_.contains(i) && member.Pressure() > highest) {
+    const double most_gain = LateLoad(member.load, member.comfortable) * kCalmHorizon;
+    if (member.accepts && !done_.contains(i) && member.Pressure() > highest &&
+        most_gain > kLeastReturn * kMovePrice) {
       highest = member.Pressure();
       source = i;
     }
--- a/src/core/partition/capacity.cc
+++ b/src/core/partition/capacity.cc
@@ -7,9 +7,7 @@
 namespace {
 
 constexpr double kComfortableLateShare = 0.1;
-/// Fits the late shares of queues with two or three servers between 40% and 100% utilisation.
-constexpr double kLateExponent = 5;
-/// Where the power above reaches 1, and how steeply overload is charged beyond it.
+/// Where the power below reaches 1, and how steeply overload is charged beyond it.
 constexpr double kOverloadPressure = 1.585;
 constexpr double kOverloadSlope = 2;
 /// The squared coefficient of variation of service times.
@@ -55,7 +53,9 @@
   if (pressure >= kOverloadPressure) {
     return 1 + kOverloadSlope * (pressure - kOverloadPressure);
   }
-  return kComfortableLateShare * std::pow(std::max(pressure, 0.0), kLateExponent);
+  // The fifth power fits queues with two or three servers between 40% and 100% utilisation.
+  const double square = pressure * pressure;
+  return pressure <= 0 ? 0 : kComfortableLateShare * square * square * pressure;
 }
 
 }  // namespace ladderstream::partition
--- a/src/core/partition/fleet.cc
+++ b/src/core/partition/fleet.cc
@@ -168,16 +168,6 @@
   return count;
 }
 
-double Fleet::MeanPressure() const {
-  double load = 0;
-  double comfortable = 0;
-  for (const Member& member : members_) {
-    load += member.accepts ? member.load : 0;
-    comfortable += member.accepts ? member.comfortable : 0;
-  }
-  return comfortable > 0 ? load / comfortable : 0;
-}
-
 std::optional<size_t> Fleet::OwnerOf(Key key) const {
   const auto after =
       std::upper_bound(holdings_.begin(), holdings_.end(), key,
--- a/src/core/partition/fleet.h
+++ b/src/core/partition/fleet.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/partition/load_view.h"
@@ -32,8 +33,8 @@
   /// The owner of the map in force, or the back end that they are on their way to. Empty: a back
   /// end that is not known, or may not keep its keys.
   std::optional<size_t> member;
-  /// The owner's id in the map in force.
-  std::string owner;
+  /// The owner's id in the map in force, which outlives this.
+  std::string_view owner;
   /// On the move, or moved so recently that they stay where they are.
   bool frozen = false;
 };
@@ -65,8 +66,6 @@
   size_t Accepting() const;
   /// How many ranges the map has when all moves are done.
   size_t Fragments() const;
-  /// Load over what is borne well, all accepting back ends together.
-  double MeanPressure() const;
   /// The owner of the key, when it is a member.
   std::optional<size_t> OwnerOf(Key key) const;
 
--- a/src/core/partition/hot_slices.cc
+++ b/src/core/partition/hot_slices.cc
@@ -22,8 +22,6 @@
 constexpr double kLeastShare = 0.02;
 /// Evidence that the load of the last batches alone is higher than the decayed mean says.
 constexpr double kChangeEvidence = 2.5;
-/// A slice that only the last batch shows has on average been hot for a part of it.
-constexpr double kFirstBatchFactor = 1.2;
 
 /// Logarithm of how much likelier `count` is at its own rate than at `expected`.
 double Evidence(double count, double expected) {
@@ -157,7 +155,7 @@
     const double evidence = Evidence(tails[i].count, mean_rate * tails[i].seconds);
     if (evidence > best_evidence) {
       best_evidence = evidence;
-      rate = tails[i].count / tails[i].seconds * (i == 0 ? kFirstBatchFactor : 1);
+      rate = tails[i].count / tails[i].seconds;
       since = i;
     }
   }
--- a/src/core/partition/partitioner.cc
+++ b/src/core/partition/partitioner.cc
@@ -16,7 +16,7 @@
 namespace {
 
 /// How slowly the picture of the calm load changes.
-constexpr Duration kCalmHalfLife = absl::Seconds(10);
+constexpr Duration kCalmHalfLife = absl::Seconds(15);
 /// The first report is taken to cover this; later ones the time since the one before, at most the
 /// longest.
 constexpr Duration kFirstReport = absl::Milliseconds(300);
--- a/src/core/partition/service_times.cc
+++ b/src/core/partition/service_times.cc
@@ -32,6 +32,7 @@
     learned.seconds += absl::ToDoubleSeconds(sample.total);
     learned.at = now;
   }
+  UpdateTypical();
 }
 
 void ServiceTimes::Keep(const std::vector<PartitionBackend>& backends) {
@@ -40,11 +41,10 @@
     known.insert(backend.id);
   }
   std::erase_if(backends_, [&](const auto& entry) { return !known.contains(entry.first); });
+  UpdateTypical();
 }
 
-bool ServiceTimes::Known() const { return Typical() > 0; }
-
-double ServiceTimes::Typical() const {
+void ServiceTimes::UpdateTypical() {
   std::vector<double> means;
   for (const auto& [id, learned] : backends_) {
     if (learned.answers > 0 && learned.seconds > 0) {
@@ -52,21 +52,21 @@
     }
   }
   if (means.empty()) {
-    return 0;
+    typical_ = 0;
+    return;
   }
   const auto middle = means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
   std::nth_element(means.begin(), middle, means.end());
-  return *middle;
+  typical_ = *middle;
 }
 
 double ServiceTimes::Of(const std::string& backend) const {
-  const double typical = Typical();
   const auto found = backends_.find(backend);
   if (found == backends_.end()) {
-    return typical;
+    return typical_;
   }
   const Learned& learned = found->second;
-  return (learned.seconds + kPriorAnswers * typical) / (learned.answers + kPriorAnswers);
+  return (learned.seconds + kPriorAnswers * typical_) / (learned.answers + kPriorAnswers);
 }
 
 }  // namespace ladderstream::partition
--- a/src/core/partition/service_times.h
+++ b/src/core/partition/service_times.h
@@ -18,9 +18,9 @@
   void Keep(const std::vector<PartitionBackend>& backends);
 
   /// Whether anything is known; otherwise the figures below are zero.
-  bool Known() const;
+  bool Known() const { return typical_ > 0; }
   /// The mean of a typical back end, in seconds: the median of all.
-  double Typical() const;
+  double Typical() const { return typical_; }
   /// The mean of this one, in seconds; near the typical one while little is known of it.
   double Of(const std::string& backend) const;
 
@@ -32,7 +32,10 @@
     Time cold_until = absl::InfinitePast();
   };
 
+  void UpdateTypical();
+
   std::map<std::string, Learned> backends_;
+  double typical_ = 0;
 };
 
 }  // namespace ladderstream::partition
--- /dev/null
+++ b/src/core/store/removal_log.cc
@@ -0,0 +1,20 @@
+#include "core/store/removal_log.h"
+
+#include <algorithm>
+
+namespace ladderstream::store {
+
+void RemovalLog::Restart(RowVersion version) {
+  removals_.clear();
+  whole_since_ = version;
+}
+
+void RemovalLog::Add(const std::string& key, RowVersion version) {
+  removals_.push_back({key, version});
+  while (removals_.size() > capacity_) {
+    whole_since_ = std::max(whole_since_, removals_.front().version);
+    removals_.pop_front();
+  }
+}
+
+}  // namespace ladderstream::store
--- a/src/core/store/table_follower.cc
+++ b/src/core/store/table_follower.cc
@@ -33,14 +33,15 @@
 
 TableFollower::TableFollower(FollowerSettings settings)
     : settings_(std::move(settings)),
-      back_off_(settings_.shortest_back_off, settings_.longest_back_off, settings_.seed) {}
+      back_off_(settings_.shortest_back_off, settings_.longest_back_off, settings_.seed),
+      removals_(settings_.most_removals) {}
 
 std::optional<FollowerCall> TableFollower::Poll(Time now) {
   if (outstanding_.has_value() && now >= outstanding_->answer_by) {
     outstanding_.reset();
     Fail("no answer in time", now);
   }
-  if (outstanding_.has_value() || now < next_call_) {
+  if (outstanding_.has_value() || now < next_call_ || Suspended(now)) {
     return std::nullopt;
   }
   first_call_ = std::min(first_call_, now);
@@ -48,7 +49,8 @@
 }
 
 Time TableFollower::NextWake() const {
-  return outstanding_.has_value() ? outstanding_->answer_by : next_call_;
+  return outstanding_.has_value() ? outstanding_->answer_by
+                                  : std::max(next_call_, suspended_until_);
 }
 
 FollowerCall TableFollower::IssueRead(Time now) {
@@ -60,7 +62,7 @@
       ReadQuery{settings_.table, settings_.partition, next_page_key_},
       settings_.read_timeout,
   };
-  outstanding_ = Outstanding{call.call, false, 0, now, now + call.timeout};
+  outstanding_ = Outstanding{call.call, false, 0, {}, now, now + call.timeout};
   return call;
 }
 
@@ -70,7 +72,8 @@
       WatchQuery{settings_.table, as_of_, settings_.watch_wait},
       settings_.watch_wait + settings_.watch_grace,
   };
-  outstanding_ = Outstanding{call.call, true, as_of_, now, now + call.timeout};
+  outstanding_ =
+      Outstanding{call.call, true, as_of_, settings_.watch_wait, now, now + call.timeout};
   return call;
 }
 
@@ -141,14 +144,10 @@
     return;
   }
   history_losses_ = 0;
-  if (asked.after < as_of_) {
-    // A merge has overtaken this watch: its rows may be older than rows that are gone since.
-    Succeed(last_confirmed_);
-    next_call_ = now;
-    return;
-  }
+  // Another node's copy may have overtaken this watch; then rows that it tells may be gone since.
+  const RowVersion held = asked.after < as_of_ ? as_of_ : 0;
   for (const Row& row : reply.rows) {
-    if (row.key.partition != settings_.partition) {
+    if (row.key.partition != settings_.partition || row.version <= held) {
       continue;
     }
     if (row.removed) {
@@ -158,7 +157,7 @@
     }
   }
   as_of_ = std::max(as_of_, reply.version);
-  const Time wait_end = asked.sent + settings_.watch_wait;
+  const Time wait_end = asked.sent + asked.wait;
   const bool waited = reply.rows.empty() && now >= wait_end;
   Succeed(waited ? wait_end : asked.sent);
   next_call_ = waited ? now : now + settings_.batch_pause;
@@ -184,7 +183,7 @@
 void TableFollower::Fail(const std::string& detail, Time now) {
   last_failure_ = now;
   last_failure_detail_ = detail;
-  if (!failing_since_.has_value()) {
+  if (!failing_since_.has_value() && !Suspended(now)) {
     failing_since_ = now;
   }
   next_call_ = now + back_off_.Next();
@@ -205,24 +204,106 @@
   Install(rows, version);
   newest_change_ = std::max(newest_change_, version);
   last_confirmed_ = std::max(last_confirmed_, confirmed);
+  OvertakeReading();
+  return true;
+}
+
+void TableFollower::OvertakeReading() {
   if (!reading_) {
-    return true;
+    return;
   }
   merged_while_reading_ = true;
   if (!outstanding_.has_value()) {
     StartReading();
     reading_ = false;
   }
+}
+
+std::optional<TableChanges> TableFollower::ChangesSince(RowVersion base) const {
+  if (!known_ || base < removals_.whole_since()) {
+    return std::nullopt;
+  }
+  TableChanges changes{base, std::max(base, as_of_), content_version(), {}};
+  if (newest_change_ <= base) {
+    return changes;
+  }
+  for (const RemovalLog::Removal& removal : removals_.removals()) {
+    if (removal.version > base) {
+      changes.rows.push_back(
+          {{settings_.table, settings_.partition, removal.key}, "", removal.version, true});
+    }
+  }
+  for (const auto& [key, row] : rows_) {
+    if (row.version > base) {
+      changes.rows.push_back(
+          {{settings_.table, settings_.partition, key}, row.value, row.version, false});
+    }
+  }
+  return changes;
+}
+
+bool TableFollower::Apply(const TableChanges& changes, Time now) {
+  if (!known_ || changes.base > as_of_) {
+    return false;
+  }
+  // Up to as_of_ this copy is whole: an older row that it does not hold has gone.
+  const RowVersion held = as_of_;
+  RowVersion newest = held;
+  for (const Row& row : changes.rows) {
+    if (row.version <= held) {
+      continue;
+    }
+    newest = std::max(newest, row.version);
+    if (row.removed) {
+      Remove(row);
+    } else {
+      Put(row);
+    }
+  }
+  if (newest > held) {
+    ExpectVersion(std::min(newest, changes.version), now);
+    if (Suspended(now) && outstanding_.has_value() && outstanding_->is_watch) {
+      // Its answer is not needed any more.
+      outstanding_.reset();
+    }
+  }
+  if (changes.version > as_of_) {
+    as_of_ = changes.version;
+    OvertakeReading();
+  }
+  newest_change_ = std::max(newest_change_, std::min(changes.newest_change, as_of_));
   return true;
 }
 
+void TableFollower::Suspend(Time until, Time confirmed) {
+  if (!known_) {
+    return;
+  }
+  suspended_until_ = std::max(suspended_until_, until);
+  last_confirmed_ = std::max(last_confirmed_, confirmed);
+  failing_since_.reset();
+}
+
+void TableFollower::OnStoreAnswered(Time sent) {
+  if (!known_ || reading_ || sent < suspended_until_ || expected_version_ > as_of_) {
+    return;
+  }
+  const bool watching =
+      outstanding_.has_value() && outstanding_->is_watch && outstanding_->sent < sent;
+  if (watching || !failing_since_.has_value()) {
+    watched_until_ = std::max(watched_until_, sent);
+  }
+}
+
 void TableFollower::ExpectVersion(RowVersion version, Time now) {
+  expected_version_ = std::max(expected_version_, version);
   if (outstanding_.has_value() && outstanding_->is_watch && outstanding_->after < version) {
     outstanding_->answer_by = std::min(outstanding_->answer_by, now + settings_.watch_grace);
   }
 }
 
 void TableFollower::Install(const std::vector<Row>& rows, RowVersion version) {
+  removals_.Restart(version);
   std::set<std::string> present;
   for (const Row& row : rows) {
     if (row.key.partition != settings_.partition || row.removed) {
@@ -257,6 +338,7 @@
 
 void TableFollower::Remove(const Row& row) {
   newest_change_ = std::max(newest_change_, row.version);
+  removals_.Add(row.key.key, row.version);
   const auto held = rows_.find(row.key.key);
   if (held == rows_.end() || row.version < held->second.version) {
     return;
@@ -267,6 +349,10 @@
 
 RowVersion TableFollower::content_version() const { return std::min(newest_change_, as_of_); }
 
+RowVersion TableFollower::settled_version() const {
+  return std::max(content_version(), removals_.whole_since());
+}
+
 bool TableFollower::Troubled(Time now) const {
   return now - last_failure_ <= settings_.trouble_window;
 }
--- a/src/core/store/table_follower.h
+++ b/src/core/store/table_follower.h
@@ -2,9 +2,12 @@
 //
 // Pure: calls out, replies and time in; no I/O, no thread, no clock. At most one call is
 // outstanding. The copy never goes back: no row is replaced by an older one, and no answer as of an
-// older moment undoes what a newer one said. docs/design/014 describes what it is used for.
+// older moment undoes what a newer one said. While another node keeps the copy current, it can be
+// suspended and then makes no call. docs/design/014 describes what it is used for.
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -14,6 +17,7 @@
 #include <vector>
 
 #include "core/store/back_off.h"
+#include "core/store/removal_log.h"
 #include "core/store/store_types.h"
 #include "wire/time.h"
 
@@ -35,6 +39,8 @@
   Duration longest_back_off = absl::Seconds(1);
   /// A failure counts as trouble for this long.
   Duration trouble_window = absl::Seconds(3);
+  /// Removals that are remembered, for copies that lag behind.
+  size_t most_removals = 256;
   /// Of the jitter in back-offs.
   uint64_t seed = 0;
 };
@@ -55,6 +61,16 @@
 /// Rows by key.
 using TableRows = std::map<std::string, VersionedValue>;
 
+/// What leads from any copy that holds every change up to `base` to one up to `version`.
+struct TableChanges {
+  RowVersion base = 0;
+  RowVersion version = 0;
+  /// The last change of the table up to `version`, whether its row is among `rows` or not.
+  RowVersion newest_change = 0;
+  /// Rows changed or removed after `base`.
+  std::vector<Row> rows;
+};
+
 class TableFollower {
  public:
   explicit TableFollower(FollowerSettings settings);
@@ -69,8 +85,24 @@
   /// Takes over another node's copy, which held exactly `rows` as of `version` and was confirmed
   /// at `confirmed`. Gives false, and changes nothing, when this copy is as new or newer.
   bool Merge(const std::vector<Row>& rows, RowVersion version, Time confirmed, Time now);
+  /// What a copy that is whole up to `base` lacks; empty when this one does not know.
+  std::optional<TableChanges> ChangesSince(RowVersion base) const;
+  /// Takes over what another node's copy has that this one lacks. Gives false, and changes nothing,
+  /// when this copy does not reach up to the changes' base.
+  bool Apply(const TableChanges& changes, Time now);
+  /// Makes no call before `until`: another node, whose copy was confirmed at `confirmed`, keeps
+  /// this one current. A watch on its way stays there. Without effect while the table is unknown.
+  void Suspend(Time until, Time confirmed);
+  /// Watches again, from as_of().
+  void Resume() { suspended_until_ = absl::InfinitePast(); }
+  bool Suspended(Time now) const { return now < suspended_until_; }
+  /// The store answered another call of this node, sent then: what the watch has not told by now
+  /// has most likely not happened.
+  void OnStoreAnswered(Time sent);
   /// Changes the setting: with many nodes, each may call the store less often.
   void SetBatchPause(Duration pause) { settings_.batch_pause = pause; }
+  /// Changes the setting, from the next watch on.
+  void SetWatchWait(Duration wait) { settings_.watch_wait = wait; }
   /// Another node knows of a change as of `version`: a watch that misses it is lost.
   void ExpectVersion(RowVersion version, Time now);
 
@@ -82,9 +114,13 @@
   RowVersion as_of() const { return as_of_; }
   /// The last change of this table that the copy holds, not above as_of().
   RowVersion content_version() const;
+  /// The table did not change between this version and as_of(), neither by removals.
+  RowVersion settled_version() const;
   /// When the copy was last known to be the newest: the send of the last answered call, or the end
   /// of a watch in which nothing changed. In the infinite past when it never was.
   Time last_confirmed() const { return last_confirmed_; }
+  /// As last_confirmed(), counting a watch in order as proof while the store answers other calls.
+  Time watched_until() const { return std::max(watched_until_, last_confirmed_); }
   /// Whether a call failed within the trouble window.
   bool Troubled(Time now) const;
   /// Since when the store has not answered: the first of the failures in a row, or the first call
@@ -101,6 +137,7 @@
     uint64_t call = 0;
     bool is_watch = false;
     RowVersion after = 0;
+    Duration wait;
     Time sent;
     Time answer_by;
   };
@@ -118,6 +155,8 @@
   void Put(const Row& row);
   void Remove(const Row& row);
   void StartReading();
+  /// The copy was made newer, and is whole, while it was being read.
+  void OvertakeReading();
 
   FollowerSettings settings_;
   BackOff back_off_;
@@ -127,6 +166,11 @@
   RowVersion as_of_ = 0;
   RowVersion newest_change_ = 0;
   Time last_confirmed_ = absl::InfinitePast();
+  Time watched_until_ = absl::InfinitePast();
+  RemovalLog removals_;
+  /// A change as of this version has happened.
+  RowVersion expected_version_ = 0;
+  Time suspended_until_ = absl::InfinitePast();
 
   std::optional<Outstanding> outstanding_;
   uint64_t last_call_ = 0;
--- a/src/gateway/http/answer_reader.cc
+++ b/src/gateway/http/answer_reader.cc
@@ -28,8 +28,8 @@
 }  // namespace
 
 AnswerReader::AnswerReader(const interfaces::PlatformAdapter& adapter, size_t max_body,
-                           ByteBudget* budget)
-    : adapter_(adapter), max_body_(max_body), budget_(budget) {}
+                           ByteBudgetPtr budget)
+    : adapter_(adapter), max_body_(max_body), budget_(std::move(budget)) {}
 
 void AnswerReader::Begin(const ExpectedAnswer& expected) {
   expected_ = expected;
@@ -43,7 +43,7 @@
   scanner_.Reset();
   parser_.reset();
   answer_ = BackendAnswer();
-  answer_.reservation = ByteReservation(budget_);
+  answer_.reservation = ByteReservation(budget_, ByteUse::kAnswer);
   late_ = false;
 }
 
--- a/src/gateway/http/answer_reader.h
+++ b/src/gateway/http/answer_reader.h
@@ -42,8 +42,8 @@
 
 class AnswerReader {
  public:
-  /// Both must outlive the reader. `max_body` bounds one answer, in bytes.
-  AnswerReader(const interfaces::PlatformAdapter& adapter, size_t max_body, ByteBudget* budget);
+  /// `adapter` must outlive the reader. `max_body` bounds one answer, in bytes.
+  AnswerReader(const interfaces::PlatformAdapter& adapter, size_t max_body, ByteBudgetPtr budget);
 
   /// Begins with a new answer. What `expected` points to must last until the answer is taken.
   void Begin(const ExpectedAnswer& expected);
@@ -71,7 +71,7 @@
 
   const interfaces::PlatformAdapter& adapter_;
   size_t max_body_;
-  ByteBudget* budget_;
+  ByteBudgetPtr budget_;
   ExpectedAnswer expected_;
   HeadScanner scanner_;
   std::optional<Parser> parser_;
--- a/src/gateway/http/backend_connection.cc
+++ b/src/gateway/http/backend_connection.cc
@@ -30,7 +30,7 @@
       listener_(listener),
       backend_(std::move(backend)),
       socket_(resources.loop.get_executor()),
-      reader_(adapter, settings.max_answer_bytes, &resources.budget) {}
+      reader_(adapter, settings.max_answer_bytes, resources.budget) {}
 
 void BackendConnection::Connect(const Tcp::endpoint& address, Exchange exchange) {
   exchange_ = std::move(exchange);
--- a/src/gateway/http/byte_budget.h
+++ b/src/gateway/http/byte_budget.h
@@ -2,35 +2,50 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
 #include <utility>
 
 namespace ladderstream::gateway {
 
+/// Whose body it is. A part of the budget is kept for answers: what they answer has already run.
+enum class ByteUse { kRequest, kAnswer };
+
 class ByteBudget {
  public:
   explicit ByteBudget(size_t limit) : limit_(limit) {}
 
   size_t used() const { return used_; }
-  bool Fits(size_t bytes) const { return used_ + bytes <= limit_; }
+  bool Fits(ByteUse use, size_t bytes) const {
+    const size_t limit = use == ByteUse::kAnswer ? limit_ : limit_ / kShareParts * kRequestParts;
+    return used_ + bytes <= limit;
+  }
 
  private:
   friend class ByteReservation;
 
+  /// Requests may use three quarters.
+  static constexpr size_t kShareParts = 4;
+  static constexpr size_t kRequestParts = 3;
+
   size_t limit_;
   size_t used_ = 0;
 };
+using ByteBudgetPtr = std::shared_ptr<ByteBudget>;
 
-/// A part of the budget, given back when it goes. The budget outlives it.
+/// A part of the budget, given back when it goes.
 class ByteReservation {
  public:
   ByteReservation() = default;
-  explicit ByteReservation(ByteBudget* budget) : budget_(budget) {}
+  ByteReservation(ByteBudgetPtr budget, ByteUse use) : budget_(std::move(budget)), use_(use) {}
   ByteReservation(ByteReservation&& other) noexcept
-      : budget_(other.budget_), bytes_(std::exchange(other.bytes_, 0)) {}
+      : budget_(std::move(other.budget_)),
+        use_(other.use_),
+        bytes_(std::exchange(other.bytes_, 0)) {}
   ByteReservation& operator=(ByteReservation&& other) noexcept {
     if (this != &other) {
       Set(0);
-      budget_ = other.budget_;
+      budget_ = std::move(other.budget_);
+      use_ = other.use_;
       bytes_ = std::exchange(other.bytes_, 0);
     }
     return *this;
@@ -41,7 +56,7 @@
 
   /// Makes this `bytes` large. False, and nothing changed, when a growth does not fit.
   bool Resize(size_t bytes) {
-    if (bytes > bytes_ && budget_ != nullptr && !budget_->Fits(bytes - bytes_)) {
+    if (bytes > bytes_ && budget_ != nullptr && !budget_->Fits(use_, bytes - bytes_)) {
       return false;
     }
     Set(bytes);
@@ -56,7 +71,8 @@
     bytes_ = bytes;
   }
 
-  ByteBudget* budget_ = nullptr;
+  ByteBudgetPtr budget_;
+  ByteUse use_ = ByteUse::kRequest;
   size_t bytes_ = 0;
 };
 
--- a/src/gateway/http/caller_connection.cc
+++ b/src/gateway/http/caller_connection.cc
@@ -25,7 +25,7 @@
     : socket_(std::move(socket)),
       resources_(resources),
       owner_(owner),
-      reader_(names, limits, &resources.budget) {}
+      reader_(names, limits, resources.budget) {}
 
 void CallerConnection::Start(Time now) {
   last_progress_ = now;
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -28,7 +28,7 @@
 DataPath::DataPath(EventLoop& loop, const TimeSource& clock,
                    const interfaces::PlatformAdapter& adapter, forwarding::Dispatcher& dispatcher,
                    const DataPathSettings& settings, DataPathObserver* observer)
-    : resources_{loop, clock, ByteBudget(settings.max_held_bytes), {}},
+    : resources_{loop, clock, std::make_shared<ByteBudget>(settings.max_held_bytes), {}},
       dispatcher_(dispatcher),
       settings_(settings),
       observer_(observer != nullptr ? observer : &no_observer_),
@@ -157,7 +157,9 @@
   observer_->OnCallerGone(found->second.message->request_id, now - found->second.message->arrival);
   dispatcher_.OnCallerGone(handle, now);
   Pump();
-  Forget(handle);
+  if (requests_.contains(handle)) {
+    Forget(handle);
+  }
 }
 
 void DataPath::OnRefused(const ReadFault& fault) {
@@ -173,6 +175,7 @@
   attempt.sent = resources_.clock.Now();
   dispatcher_.OnSent(handle, attempt.sent);
   observer_->OnAttemptSent(attempt.message->request_id, attempt.backend);
+  Arm();
 }
 
 void DataPath::OnAnswer(AttemptHandle handle, BackendAnswer answer) {
--- a/src/gateway/http/data_path.h
+++ b/src/gateway/http/data_path.h
@@ -48,7 +48,7 @@
   size_t caller_connection_count() const { return callers_.connection_count(); }
   size_t backend_connection_count() const { return backends_.connection_count(); }
   size_t requests_in_flight() const { return requests_.size(); }
-  size_t held_bytes() const { return resources_.budget.used(); }
+  size_t held_bytes() const { return resources_.budget->used(); }
 
  private:
   struct Request {
--- a/src/gateway/http/event_loop.h
+++ b/src/gateway/http/event_loop.h
@@ -39,7 +39,7 @@
 struct LoopResources {
   EventLoop& loop;
   const TimeSource& clock;
-  ByteBudget budget;
+  ByteBudgetPtr budget;
   /// Valid only until the next read of any connection.
   std::array<char, kSharedBufferBytes> shared_buffer;
 };
--- a/src/gateway/http/http_client.cc
+++ b/src/gateway/http/http_client.cc
@@ -69,7 +69,7 @@
   std::vector<ConnectionPtr> connections = std::move(found->second);
   idle_.erase(found);
   while (!connections.empty()) {
-    const ConnectionPtr connection = std::move(connections.back());
+    ConnectionPtr connection = std::move(connections.back());
     connections.pop_back();
     if (clock_.Now() < connection->usable_until() && connection->IsSound()) {
       if (!connections.empty()) {
--- a/src/gateway/http/request_reader.cc
+++ b/src/gateway/http/request_reader.cc
@@ -28,8 +28,8 @@
 }  // namespace
 
 RequestReader::RequestReader(const interfaces::HeaderNames& names, const catalog::Limits& limits,
-                             ByteBudget* budget)
-    : names_(names), limits_(limits), budget_(budget) {}
+                             ByteBudgetPtr budget)
+    : names_(names), limits_(limits), budget_(std::move(budget)) {}
 
 ReadStatus RequestReader::Read(std::string_view bytes, size_t* consumed) {
   *consumed = 0;
@@ -114,7 +114,7 @@
   }
   const std::string_view target = ToView(message.target());
   request_ = CallerRequest();
-  request_.reservation = ByteReservation(budget_);
+  request_.reservation = ByteReservation(budget_, ByteUse::kRequest);
   request_.is_head_method = message.method() == http::verb::head;
   request_.has_body = parser_->chunked() || parser_->content_length().has_value();
   request_.closing = !modern || !parser_->keep_alive();
@@ -198,8 +198,10 @@
 }
 
 bool RequestReader::ReserveBody() {
-  const size_t known = parser_->content_length().value_or(0);
-  if (request_.reservation.Resize(std::max(known, parser_->get().body().size()))) {
+  // Only what has come is reserved: a caller that announces much and sends little holds little.
+  const size_t remaining = parser_->content_length_remaining().value_or(0);
+  if (budget_->Fits(ByteUse::kRequest, remaining) &&
+      request_.reservation.Resize(parser_->get().body().size())) {
     return true;
   }
   Fail(ResultCode::kOverloaded, "too many bytes of bodies are held");
--- a/src/gateway/http/request_reader.h
+++ b/src/gateway/http/request_reader.h
@@ -52,9 +52,9 @@
 
 class RequestReader {
  public:
-  /// All must outlive the reader. `limits` may change between requests.
+  /// References must outlive the reader. `limits` may change between requests.
   RequestReader(const interfaces::HeaderNames& names, const catalog::Limits& limits,
-                ByteBudget* budget);
+                ByteBudgetPtr budget);
 
   /// Takes bytes from the front of `bytes`; `consumed` says how many. The rest must be offered
   /// again, with more behind it, after kNeedMore, and to the next request after kComplete.
@@ -93,7 +93,7 @@
 
   const interfaces::HeaderNames& names_;
   const catalog::Limits& limits_;
-  ByteBudget* budget_;
+  ByteBudgetPtr budget_;
   HeadScanner scanner_;
   std::optional<Parser> parser_;
   CallerRequest request_;
--- a/src/gateway/settings/node_settings.cc
+++ b/src/gateway/settings/node_settings.cc
@@ -28,6 +28,12 @@
 constexpr NumberRange kDrift{0, 0.1};
 constexpr NumberRange kWeight{0, 1e6};
 
+/// A machine with so much is as good a coordinator as any.
+constexpr double kAmpleCpuShare = 0.4;
+constexpr double kAmpleLinkMbps = 100;
+/// How long the weakest machine leaves the lease to stronger ones.
+constexpr Duration kLongestChallengeDelay = absl::Milliseconds(400);
+
 void ReadNode(SettingsReader* reader, NodeSettings* settings) {
   reader->ReadText("node.name", kRequired, &settings->name);
   reader->ReadText("node.zone", kRequired, &settings->zone);
@@ -45,6 +51,7 @@
   reader->ReadNumber("limits.cpu_share", kOptional, kCores, &limits->cpu_share);
   reader->ReadInteger("limits.memory_mb", kOptional, kCount, &limits->memory_mb);
   reader->ReadInteger("limits.descriptors", kOptional, kCount, &limits->descriptors);
+  reader->ReadNumber("limits.link_mbps", kOptional, kRate, &limits->link_mbps);
 }
 
 void ReadStore(SettingsReader* reader, StoreSettings* store) {
@@ -86,6 +93,12 @@
   reader->ReadDuration("membership.member_lifetime", kOptional, kShort,
                        &membership->member_lifetime);
   reader->ReadDuration("membership.confirmation", kOptional, kShort, &membership->confirmation);
+  reader->ReadBoolean("membership.relay", kOptional, &membership->relay.enabled);
+}
+
+/// How much of what a coordinator of many nodes needs this machine has, from 0 to 1.
+double CoordinatorFitness(const MachineLimits& limits) {
+  return std::min({1.0, limits.cpu_share / kAmpleCpuShare, limits.link_mbps / kAmpleLinkMbps});
 }
 
 /// Where back ends accept only short holds, everything that has to fit into a hold shrinks alike.
@@ -116,6 +129,8 @@
   reader->ReadDuration("ownership.store_timeout", kOptional, kShort, &ownership->store_timeout);
   reader->ReadDuration("ownership.partition_interval", kOptional, kShort,
                        &ownership->partition_interval);
+  reader->ReadDuration("ownership.challenge_delay", kOptional, kLong,
+                       &ownership->challenge_delay);
   reader->ReadNumber("ownership.churn_weight", kOptional, kWeight,
                      &ownership->partition_weights.churn_weight);
   reader->ReadInteger("ownership.max_moves", kOptional, kCount,
@@ -146,6 +161,8 @@
   ReadBounds(&reader, &settings.bounds);
   FitDefaultsInto(settings.bounds.maximum_hold, &settings);
   ReadMembership(&reader, &settings.membership);
+  settings.ownership.challenge_delay =
+      kLongestChallengeDelay * (1 - CoordinatorFitness(settings.limits));
   ReadOwnership(&reader, &settings.ownership);
   ReadForwarding(&reader, settings, &settings.forwarding);
   CheckNodeSettings(settings, &reader);
--- a/src/gateway/settings/node_settings.h
+++ b/src/gateway/settings/node_settings.h
@@ -36,6 +36,8 @@
   uint32_t memory_mb = 256;
   /// Open files, sockets included.
   uint32_t descriptors = 1024;
+  /// Of its own link, megabits a second.
+  double link_mbps = 1000;
 };
 
 /// The metadata store and what it takes. Rates are of all nodes together.
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -19,6 +19,10 @@
 /// A release is answered when the work on its keys has ended.
 constexpr Duration kReleaseTimeout = absl::Seconds(3);
 
+/// Changes of a table within this are told by one call at least; and so many tables are followed.
+constexpr Duration kShortestBatchPause = absl::Milliseconds(50);
+constexpr uint32_t kFollowedTables = 2;
+
 /// More turns than any chain of events needs; ends a loop that would never settle.
 constexpr int kMostTurns = 64;
 
@@ -63,6 +67,17 @@
   return {incarnation, settings.name, settings.listen.peers};
 }
 
+/// Whether the store itself said what became of the call.
+bool WasAnswered(const store::StoreReply& reply) {
+  return reply.status != store::StoreStatus::kUnknown &&
+         reply.status != store::StoreStatus::kRefused;
+}
+
+/// Where a copy's newest rows come from, for logs.
+const char* SourceOf(const store::TableFollower& follower, Time now) {
+  return follower.Suspended(now) ? "coordinator" : "store";
+}
+
 }  // namespace
 
 ControlPlane::ControlPlane(gateway::LoopResources* resources, const gateway::NodeSettings& settings,
@@ -91,11 +106,13 @@
                 membership_.OnConnectFailed(address, refused, Now());
                 PumpSoon();
               },
-              [](const Endpoint&, const std::string&) {}}),
+              [this](const Endpoint& address, const std::string&) {
+                membership_.OnConnectionLost(address, Now());
+                PumpSoon();
+              }}),
       configuration_follower_(
           FollowerSettingsOf(adapter_->configuration_table(), incarnation + kConfigurationSeed)),
-      backend_follower_(
-          FollowerSettingsOf(adapter_->backend_table(), incarnation + kBackendSeed)),
+      backend_follower_(FollowerSettingsOf(adapter_->backend_table(), incarnation + kBackendSeed)),
       coordinator_(settings.ownership, CoordinatorIdentityOf(settings, incarnation)),
       membership_(MembershipSettingsOf(settings, incarnation + kMembershipSeed),
                   IdentityOf(settings, incarnation), &configuration_follower_, &backend_follower_),
@@ -135,7 +152,10 @@
 
 // Events.
 
-void ControlPlane::OnStoreReply(ownership::CallId call, const store::StoreReply& reply) {
+void ControlPlane::OnStoreReply(ownership::CallId call, Time sent, const store::StoreReply& reply) {
+  if (WasAnswered(reply)) {
+    membership_.OnStoreAnswered(sent);
+  }
   coordinator_.OnStoreReply(call, reply, Now());
   PumpSoon();
 }
@@ -148,9 +168,7 @@
 void ControlPlane::OnFollowerReply(store::TableFollower* follower, uint64_t call,
                                    const store::StoreReply& reply) {
   follower->OnReply(call, reply, Now());
-  const bool reached = reply.status != store::StoreStatus::kUnknown &&
-                       reply.status != store::StoreStatus::kRefused;
-  if (reached) {
+  if (WasAnswered(reply)) {
     beliefs_->OnStoreReached(reply.version, Now());
   } else {
     beliefs_->OnStoreMissed(reply.detail, Now());
@@ -161,15 +179,17 @@
 // Actions of the coordinator.
 
 void ControlPlane::Carry(const ownership::CommitAction& commit) {
-  store_.Execute(
-      commit.transaction, settings_.ownership.store_timeout,
-      [this, call = commit.call](const store::StoreReply& reply) { OnStoreReply(call, reply); });
+  store_.Execute(commit.transaction, settings_.ownership.store_timeout,
+                 [this, call = commit.call, sent = Now()](const store::StoreReply& reply) {
+                   OnStoreReply(call, sent, reply);
+                 });
 }
 
 void ControlPlane::Carry(const ownership::ReadAction& read) {
-  store_.Read(
-      read.query, settings_.ownership.store_timeout,
-      [this, call = read.call](const store::StoreReply& reply) { OnStoreReply(call, reply); });
+  store_.Read(read.query, settings_.ownership.store_timeout,
+              [this, call = read.call, sent = Now()](const store::StoreReply& reply) {
+                OnStoreReply(call, sent, reply);
+              });
 }
 
 void ControlPlane::Carry(const ownership::PublishAction& publish) {
@@ -203,7 +223,7 @@
 }
 
 void ControlPlane::Carry(const membership::MembersChangedAction& changed) {
-  store_.SetShare(std::max(changed.count, 1U), holds_lease_);
+  ShareStore();
   listener_->OnNodeCount(std::max(changed.count, 1U));
 }
 
@@ -268,8 +288,7 @@
   if (configuration_follower_.TakeChangedKeys().empty()) {
     return;
   }
-  const auto row =
-      configuration_follower_.rows().find(std::string(adapter_->configuration_key()));
+  const auto row = configuration_follower_.rows().find(std::string(adapter_->configuration_key()));
   if (row == configuration_follower_.rows().end()) {
     return;
   }
@@ -284,7 +303,8 @@
     beliefs_->OnConfigurationRejected(absl::StrCat(row->second.version), error.what());
     return;
   }
-  beliefs_->OnConfiguration(*configuration_, absl::ZeroDuration(), "store");
+  beliefs_->OnConfiguration(*configuration_, absl::ZeroDuration(),
+                            SourceOf(configuration_follower_, Now()));
   listener_->OnConfiguration(configuration_);
   TellCatalog();
 }
@@ -302,7 +322,8 @@
     }
   }
   const Time now = Now();
-  beliefs_->OnBackends(backends_, backend_follower_.as_of(), absl::ZeroDuration(), "store");
+  beliefs_->OnBackends(backends_, backend_follower_.as_of(), absl::ZeroDuration(),
+                       SourceOf(backend_follower_, now));
   listener_->OnBackends(backends_, backend_follower_.Troubled(now));
   TellCatalog();
 }
@@ -339,16 +360,23 @@
   }
 }
 
+void ControlPlane::ShareStore() {
+  store_.SetShare(std::max<uint32_t>(1, membership_.members().size()), holds_lease_);
+  const Duration pause = std::max(kShortestBatchPause, store_.PauseBetweenReads(kFollowedTables));
+  configuration_follower_.SetBatchPause(pause);
+  backend_follower_.SetBatchPause(pause);
+}
+
 void ControlPlane::ShareLease() {
   const Time now = Now();
   const bool holds = coordinator_.Holds(now);
+  if (holds && !holds_lease_) {
+    membership_.OnMap(coordinator_.Map(), now);
+  }
   if (holds && shared_lease_until_ != coordinator_.LeaseUntil()) {
     shared_lease_until_ = coordinator_.LeaseUntil();
     membership_.OnLeaseHeld(coordinator_.View(), shared_lease_until_, now);
   }
-  if (holds && !holds_lease_) {
-    membership_.OnMap(coordinator_.Map(), now);
-  }
   if (!holds && holds_lease_) {
     shared_lease_until_ = absl::InfinitePast();
     if (resigned_) {
@@ -359,7 +387,7 @@
   }
   if (holds != holds_lease_) {
     holds_lease_ = holds;
-    store_.SetShare(std::max<uint32_t>(1, membership_.members().size()), holds);
+    ShareStore();
   }
   const auto& holder = coordinator_.KnownHolder();
   if (holder && holder->incarnation != known_holder_) {
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -61,7 +61,7 @@
 
  private:
   // Events.
-  void OnStoreReply(ownership::CallId call, const store::StoreReply& reply);
+  void OnStoreReply(ownership::CallId call, Time sent, const store::StoreReply& reply);
   void OnOrderReply(ownership::CallId call, const ownership::OrderReply& reply);
   void OnFollowerReply(store::TableFollower* follower, uint64_t call,
                        const store::StoreReply& reply);
@@ -95,6 +95,8 @@
   void TellCatalog();
   void TellOwnLoad();
   void ShareLease();
+  /// Fits this node's calls into its share of what the store takes.
+  void ShareStore();
   bool CarryActions();
   void Arm();
   Time Now() const { return resources_->clock.Now(); }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -65,8 +65,8 @@
       log_output_(&loop_, &log_, 1),
       beliefs_(&log_, &metrics_),
       request_observer_(&log_, &metrics_, &beliefs_.in_force()),
-      resources_(new gateway::LoopResources{loop_, clock_, gateway::ByteBudget(size_t{64} << 20U),
-                                            {}}),
+      resources_(new gateway::LoopResources{
+          loop_, clock_, std::make_shared<gateway::ByteBudget>(size_t{64} << 20U), {}}),
       dispatcher_(DispatcherSettingsOf(settings, incarnation_)),
       data_path_(loop_, clock_, *adapter_, dispatcher_, DataPathSettingsOf(settings),
                  &request_observer_),
@@ -223,7 +223,8 @@
     EndStop(false);
     return;
   }
-  const Time next = now < callers_left ? callers_left : std::min(now + absl::Milliseconds(50), give_up);
+  const Time next =
+      now < callers_left ? callers_left : std::min(now + absl::Milliseconds(50), give_up);
   stop_timer_.expires_after(absl::ToChronoNanoseconds(next - now));
   stop_timer_.async_wait([this](const gateway::ErrorCode& error) {
     if (!error) {
--- a/src/node/order_sender.h
+++ b/src/node/order_sender.h
@@ -25,8 +25,8 @@
   void Send(const ownership::ReleaseAction& release);
 
  private:
-  void Call(ownership::CallId call, const Endpoint& address,
-            const interfaces::HttpRequest& request, Duration timeout);
+  void Call(ownership::CallId call, const Endpoint& address, const interfaces::HttpRequest& request,
+            Duration timeout);
   ownership::OrderReply ReplyOf(const gateway::CallResult& result) const;
 
   gateway::HttpClient* const client_;
--- a/src/standin/fleet/backend.h
+++ b/src/standin/fleet/backend.h
@@ -131,11 +131,15 @@
   void Finish(const JobPtr& job, int status);
   void Remove(const JobPtr& job);
   void Refuse(const ExchangePtr& exchange, Arrival* arrival, int status);
-  void AnswerRun(const JobPtr& job);
-  Answer MakeAnswer(const ExchangePtr& exchange, int status) const;
   Duration DrawServiceTime(const JobPtr& job) const;
   bool IsFull() const;
 
+  // Answers, in backend_answers.cc.
+  Answer MakeAnswer(const ExchangePtr& exchange, int status) const;
+  void AnswerRun(const JobPtr& job);
+  /// Sends it with the faults that are switched on.
+  void SendDamaged(const ExchangePtr& exchange, const Answer& answer);
+
   // Orders, in backend_orders.cc.
   void OnGrant(const ExchangePtr& exchange);
   void TakeGrant(const ExchangePtr& exchange, const GrantOrder& order, bool late, bool answers);
