--- a/src/interfaces/platform_adapter.h
+++ b/src/interfaces/platform_adapter.h
@@ -57,7 +57,8 @@
   virtual HttpRequest EncodeRead(const store::ReadQuery& query) const = 0;
   virtual HttpRequest EncodeWatch(const store::WatchQuery& query) const = 0;
   /// Never throws: an answer that cannot be read is kUnknown with a detail.
-  virtual store::StoreReply DecodeStoreReply(StoreCall call, const HttpResponse& response) const = 0;
+  virtual store::StoreReply DecodeStoreReply(StoreCall call,
+                                             const HttpResponse& response) const = 0;
 
   virtual HttpRequest EncodeGrant(const ownership::GrantAction& grant) const = 0;
   virtual HttpRequest EncodeRelease(const ownership::ReleaseAction& release) const = 0;
--- a/src/standin/fleet/judge.cc
+++ b/src/standin/fleet/judge.cc
@@ -362,7 +362,7 @@
       {"wrong", &wrong},           {"doubled", &doubled},     {"broken_promises", &broken_promises},
       {"two_owners", &two_owners}, {"fences", &fences},       {"after_drain", &after_drain},
       {"unasked", &unasked},       {"misrouted", &misrouted}, {"over_budget", &over_budget},
-      {"overtime", &overtime}};
+      {"overtime", &overtime},     {"lingering", &lingering}};
 }
 
 bool Verdict::IsClean() const {
--- /dev/null
+++ b/tests/integration/node/rig.cc
@@ -0,0 +1,96 @@
+#include "rig.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <stdexcept>
+
+#include "standin/fleet/report.h"
+
+namespace ladderstream::fleet {
+namespace {
+
+constexpr size_t kNodes = 3;
+constexpr char kProgram[] = LADDERSTREAM_BINARY_DIR "/ladderstream_node";
+
+FleetSettings Settings() {
+  FleetSettings settings = SmallDeployment().fleet;
+  settings.store.entrances = EntrancesFor(kNodes);
+  return settings;
+}
+
+}  // namespace
+
+Rig::Rig() : fleet_(Settings()), nodes_(&fleet_, kProgram, kNodes) {
+  std::signal(SIGPIPE, SIG_IGN);
+  nodes_.StartAll();
+  if (!nodes_.AwaitReady(absl::Seconds(20))) {
+    throw std::runtime_error("the nodes did not come up");
+  }
+  for (const RequestClass& request_class : SmallDeployment().load) {
+    fleet_.callers().Start(request_class);
+  }
+  Serve(50);
+}
+
+void Rig::Await(const std::string& what, const std::function<bool()>& condition, Duration timeout) {
+  if (!fleet_.loop().RunUntil(condition, timeout)) {
+    throw std::runtime_error(absl::StrCat("waited in vain for ", what));
+  }
+}
+
+void Rig::Serve(uint64_t calls) {
+  const uint64_t enough = fleet_.callers().served() + calls;
+  Await("calls to be served", [&] { return fleet_.callers().served() >= enough; });
+}
+
+size_t Rig::Coordinator() {
+  Await("a coordinator", [this] { return fleet_.store().last_conditional_writer().has_value(); });
+  return fleet_.store().last_conditional_writer().value();
+}
+
+void Rig::AwaitCoordinatorOtherThan(size_t node) {
+  Await("another coordinator", [&] { return Coordinator() != node; });
+}
+
+void Rig::AwaitKeysLeave(const Backend& backend) {
+  Await("other owners", [&] {
+    for (const Backend* other : fleet_.backends(backend.service())) {
+      if (other == &backend && other->HoldsAnyKey()) {
+        return false;
+      }
+    }
+    return fleet_.AllKeysHeld();
+  });
+}
+
+Backend& Rig::OwnerOfHotKey() {
+  Backend* owner = nullptr;
+  Await("an owner", [&] {
+    owner = fleet_.OwnerOf(kScripts, kHotKey);
+    return owner != nullptr;
+  });
+  return *owner;
+}
+
+void Rig::SetFaults(const std::string& service, const BackendFaults& faults) {
+  for (Backend* backend : fleet_.backends(service)) {
+    backend->SetFaults(faults);
+  }
+}
+
+Verdict Rig::Finish(double least_served) {
+  fleet_.FinishCalls();
+  Verdict verdict = fleet_.Judge();
+  BOOST_TEST_MESSAGE(ResultLine(verdict));
+  BOOST_TEST(verdict.IsClean(), VerdictTable(verdict));
+  const double share = static_cast<double>(verdict.served) /
+                       static_cast<double>(std::max<uint64_t>(verdict.calls, 1));
+  BOOST_TEST(share >= least_served, "served " << share << ", wanted " << least_served << "\n"
+                                              << ResultLine(verdict) << "\n"
+                                              << VerdictTable(verdict));
+  return verdict;
+}
+
+}  // namespace ladderstream::fleet
--- /dev/null
+++ b/tests/integration/node/rig.h
@@ -0,0 +1,52 @@
+// Three nodes as processes against a small fleet in this one, under load, judged in the end.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "standin/fleet/deployments.h"
+#include "standin/fleet/fleet.h"
+#include "standin/fleet/node_processes.h"
+
+namespace ladderstream::fleet {
+
+inline constexpr char kScripts[] = "scripts";
+inline constexpr char kBookings[] = "bookings";
+inline constexpr char kCards[] = "cards";
+/// One of the hot keys.
+inline constexpr ownership::Key kHotKey = 20100;
+
+/// Waiting functions throw std::runtime_error when what they wait for does not come.
+class Rig {
+ public:
+  /// Starts everything; returns when the nodes are ready, every key is held, and calls are served.
+  Rig();
+
+  Fleet& fleet() { return fleet_; }
+  NodeProcesses& nodes() { return nodes_; }
+
+  /// Runs the fleet until `condition` holds.
+  void Await(const std::string& what, const std::function<bool()>& condition,
+             Duration timeout = absl::Seconds(15));
+  /// Runs the fleet until so many more calls have been served.
+  void Serve(uint64_t calls);
+  /// The node that last wrote to the store under a condition.
+  size_t Coordinator();
+  /// Waits until another node writes to the store under a condition.
+  void AwaitCoordinatorOtherThan(size_t node);
+  /// Waits until every key is held by a back end other than this one.
+  void AwaitKeysLeave(const Backend& backend);
+  Backend& OwnerOfHotKey();
+  /// Every back end of the service fails in this way from now on.
+  void SetFaults(const std::string& service, const BackendFaults& faults);
+
+  /// Ends the load and checks that nothing happened that must never happen, and that at least this
+  /// share of the calls was served.
+  Verdict Finish(double least_served);
+
+ private:
+  Fleet fleet_;
+  NodeProcesses nodes_;
+};
+
+}  // namespace ladderstream::fleet
--- /dev/null
+++ b/tests/unit/forwarding/caller_gone_test.cc
@@ -0,0 +1,76 @@
+// What happens to a request whose caller has left.
+#include <boost/test/unit_test.hpp>
+
+#include "dispatcher_harness.h"
+
+namespace ladderstream::forwarding {
+namespace {
+
+struct Fleet : DispatcherHarness {
+  Fleet() {
+    AddBackends("cards", {"c-1", "c-2"});
+    AddBackends("books", {"b-1", "b-2"});
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(caller_gone, Fleet)
+
+BOOST_AUTO_TEST_CASE(repeatable_attempt_is_cancelled) {
+  const SendDecision send = StartAndSend("/cards/1");
+  Sent(send);
+  dispatcher.OnCallerGone(last, now);
+  BOOST_TEST(Only<CancelDecision>().attempt == send.attempt);
+  Advance(absl::Seconds(5));
+  BOOST_TEST(Quiet());
+}
+
+BOOST_AUTO_TEST_CASE(at_most_once_attempt_finishes_and_is_not_sent_again) {
+  const SendDecision send = StartAndSend("/books/1");
+  Sent(send);
+  dispatcher.OnCallerGone(last, now);
+  BOOST_TEST(Quiet());
+  Refuse(send);
+  Advance(absl::Seconds(5));
+  BOOST_TEST(Quiet());
+}
+
+BOOST_AUTO_TEST_CASE(at_most_once_attempt_that_has_not_left_is_cancelled) {
+  const SendDecision send = StartAndSend("/books/1");
+  dispatcher.OnCallerGone(last, now);
+  BOOST_TEST(Only<CancelDecision>().attempt == send.attempt);
+}
+
+BOOST_AUTO_TEST_CASE(forgotten_attempt_holds_its_slot_until_it_ends) {
+  RemoveBackend("b-2");
+  std::vector<SendDecision> held;
+  for (int i = 0; i < 10; ++i) {
+    held.push_back(StartAndSend("/books/1"));
+    Sent(held.back());
+    dispatcher.OnCallerGone(last, now);
+  }
+  const SendDecision busy = StartAndSend("/books/1");
+  for (const SendDecision& send : held) {
+    Answer(send, 200, 0, 0);
+  }
+  const SendDecision idle = StartAndSend("/books/1");
+  BOOST_TEST((idle.expected_wait < busy.expected_wait / 2));
+}
+
+BOOST_AUTO_TEST_CASE(waiting_request_is_dropped) {
+  Drain("b-1");
+  Drain("b-2");
+  // More than may wait at a time: each must give its place back.
+  for (int i = 0; i < 100; ++i) {
+    Start("/books/1");
+    BOOST_REQUIRE(Quiet());
+    dispatcher.OnCallerGone(last, now);
+  }
+  AddBackends("books", {"b-3"});
+  Advance(absl::Seconds(5));
+  BOOST_TEST(Quiet());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/tests/unit/forwarding/drain_test.cc
@@ -0,0 +1,74 @@
+// No new work for back ends that leave; patience with registrations that lapse.
+#include <boost/test/unit_test.hpp>
+
+#include "dispatcher_harness.h"
+
+namespace ladderstream::forwarding {
+namespace {
+
+BOOST_FIXTURE_TEST_SUITE(drain, DispatcherHarness)
+
+BOOST_AUTO_TEST_CASE(draining_back_end_gets_no_new_work) {
+  AddBackends("cards", {"c-1", "c-2"});
+  Drain("c-1");
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(StartAndSend("/cards/1").backend == "c-2");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(waiting_and_retried_requests_do_not_go_to_a_draining_back_end) {
+  AddBackends("books", {"b-1"});
+  const SendDecision first = StartAndSend("/books/1");
+  Sent(first);
+  Refuse(first);
+  BOOST_TEST(Quiet());
+  Drain("b-1");
+  Advance(absl::Seconds(1));
+  BOOST_TEST(Only<AnswerDecision>().status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(back_end_that_is_gone_gets_no_new_work) {
+  AddBackends("cards", {"c-1", "c-2"});
+  RemoveBackend("c-1");
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(StartAndSend("/cards/1").backend == "c-2");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(lapse_while_the_store_is_troubled_is_believed_only_later) {
+  AddBackends("cards", {"c-1"});
+  RemoveBackend("c-1", true);
+  Advance(absl::Milliseconds(1400));
+  BOOST_TEST(StartAndSend("/cards/1").backend == "c-1");
+  // A second look at the same gap does not start the time anew.
+  dispatcher.SetBackends({}, true, now);
+  Advance(absl::Milliseconds(101));
+  Start("/cards/1");
+  BOOST_TEST(All<SendDecision>().empty());
+  AddBackends("cards", {"c-1"});
+  BOOST_TEST(All<SendDecision>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(lapse_does_not_bring_a_draining_back_end_back) {
+  AddBackends("cards", {"c-1"});
+  Drain("c-1");
+  RemoveBackend("c-1", true);
+  Start("/cards/1");
+  BOOST_TEST(All<SendDecision>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(ready_only_while_every_service_has_somebody) {
+  AddBackends("cards", {"c-1"});
+  AddBackends("books", {"b-1"});
+  AddBackends("scripts", {"s-1"});
+  BOOST_TEST(!dispatcher.CanServe(now));
+  Own("s-1");
+  BOOST_TEST(dispatcher.CanServe(now));
+  Drain("b-1");
+  BOOST_TEST(!dispatcher.CanServe(now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/tests/unit/forwarding/fuzz_test.cc
@@ -0,0 +1,196 @@
+// Random events in random order: whatever happens, each request gets one final answer in time, and
+// no promise is broken.
+#include <algorithm>
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+#include "dispatcher_harness.h"
+
+namespace ladderstream::forwarding {
+namespace {
+
+struct Seen {
+  Time answer_by;
+  bool at_most_once = false;
+  /// Attempts of which no refusal, and no failure before sending, is known.
+  int may_run = 0;
+  std::set<std::string> reached;
+  bool finished = false;
+  bool gone = false;
+};
+
+class Fuzz : public DispatcherHarness {
+ public:
+  explicit Fuzz(uint64_t seed) : random_(seed) {
+    AddBackends("cards", {"c-1", "c-2", "c-3", "c-4"});
+    AddBackends("books", {"b-1", "b-2", "b-3", "b-4"});
+    AddBackends("scripts", {"s-1", "s-2"});
+    Own("s-1");
+    after_tick = [this] { Check(); };
+  }
+
+  void Run() {
+    for (int step = 0; step < 4000; ++step) {
+      Step();
+      Check();
+    }
+    for (const auto& [attempt, send] : std::map(open_)) {
+      requests_[owners_[attempt]].may_run -= sent_.contains(attempt) ? 0 : 1;
+      Fail(send, AttemptFailure::kTimedOut);
+      Check();
+    }
+    Advance(absl::Seconds(10));
+    Check();
+    for (const auto& [handle, seen] : requests_) {
+      BOOST_REQUIRE(seen.finished || seen.gone);
+    }
+    BOOST_TEST((dispatcher.NextWake() == absl::InfiniteFuture()));
+  }
+
+ private:
+  size_t Draw(size_t below) { return random_() % below; }
+
+  void Step() {
+    switch (Draw(8)) {
+      case 0:
+      case 1:
+        Begin();
+        break;
+      case 2:
+        Advance(absl::Milliseconds(static_cast<int64_t>(Draw(60))));
+        break;
+      case 3:
+        Disturb();
+        break;
+      default:
+        EndOne();
+    }
+  }
+
+  void Begin() {
+    static constexpr std::array kTargets = {"/cards/1", "/books/1", "/scripts/1"};
+    const size_t service = Draw(kTargets.size());
+    const Duration deadline = absl::Milliseconds(50 + static_cast<int64_t>(Draw(900)));
+    Start(kTargets[service], deadline, static_cast<ownership::Key>(Draw(65536)));
+    requests_[last].answer_by = now + deadline;
+    requests_[last].at_most_once = service == 1;
+  }
+
+  void Disturb() {
+    const std::array<std::string, 4> ids = {"c-1", "b-2", "s-1", "s-2"};
+    const std::string& id = ids[Draw(ids.size())];
+    switch (Draw(5)) {
+      case 0:
+        Drain(id);
+        break;
+      case 1:
+        AddBackend(MakeBackend(id, id[0] == 'c' ? "cards" : id[0] == 'b' ? "books" : "scripts"));
+        break;
+      case 2:
+        Own(id);
+        break;
+      case 3:
+        Own(Draw(2) == 0 ? "s-1" : "s-2");
+        break;
+      default:
+        if (!requests_.empty()) {
+          const RequestHandle handle = std::next(requests_.begin(), Draw(requests_.size()))->first;
+          requests_[handle].gone = requests_[handle].gone || !requests_[handle].finished;
+          dispatcher.OnCallerGone(handle, now);
+        }
+    }
+  }
+
+  void EndOne() {
+    if (open_.empty()) {
+      return;
+    }
+    const auto entry = std::next(open_.begin(), Draw(open_.size()));
+    const SendDecision send = entry->second;
+    Seen& seen = requests_[owners_[send.attempt]];
+    const bool sent = sent_.contains(send.attempt);
+    if (!sent && Draw(4) == 0) {
+      open_.erase(entry);
+      --seen.may_run;
+      Fail(send, Draw(2) == 0 ? AttemptFailure::kConnectRefused : AttemptFailure::kNotSent);
+      return;
+    }
+    if (!sent) {
+      sent_.insert(send.attempt);
+      seen.reached.insert(send.backend);
+      Sent(send);
+      return;
+    }
+    open_.erase(entry);
+    switch (Draw(6)) {
+      case 0:
+        --seen.may_run;
+        Refuse(send);
+        break;
+      case 1:
+        --seen.may_run;
+        Answer(send, 421);
+        break;
+      case 2:
+        Answer(send, 503);
+        break;
+      case 3:
+        Fail(send, AttemptFailure::kLost);
+        break;
+      default:
+        Answer(send, 200, static_cast<uint32_t>(Draw(3)), static_cast<uint32_t>(Draw(9)));
+    }
+  }
+
+  void Check() {
+    for (const RequestDecision& made : dispatcher.TakeDecisions()) {
+      Seen& seen = requests_[made.request];
+      BOOST_REQUIRE(!seen.finished);
+      if (const auto* send = std::get_if<SendDecision>(&made.decision)) {
+        CheckSend(made.request, *send, seen);
+      } else if (const auto* cancel = std::get_if<CancelDecision>(&made.decision)) {
+        if (!sent_.contains(cancel->attempt)) {
+          --seen.may_run;
+        }
+        open_.erase(cancel->attempt);
+      } else {
+        seen.finished = true;
+        BOOST_REQUIRE(!seen.gone);
+        BOOST_REQUIRE((now <= seen.answer_by));
+        if (const auto* answer = std::get_if<AnswerDecision>(&made.decision)) {
+          BOOST_REQUIRE(!answer->reason.empty());
+          BOOST_REQUIRE((answer->status != 503 || seen.may_run == 0));
+          BOOST_REQUIRE((answer->status == 503 || seen.may_run > 0));
+        }
+      }
+    }
+  }
+
+  void CheckSend(RequestHandle request, const SendDecision& send, Seen& seen) {
+    BOOST_REQUIRE(!seen.gone);
+    BOOST_REQUIRE((!seen.at_most_once || seen.may_run == 0));
+    BOOST_REQUIRE_LT(seen.reached.size(), 3U);
+    BOOST_REQUIRE((send.answer_by <= seen.answer_by && now < send.answer_by));
+    ++seen.may_run;
+    open_.emplace(send.attempt, send);
+    owners_.emplace(send.attempt, request);
+  }
+
+  std::mt19937_64 random_;
+  std::map<RequestHandle, Seen> requests_;
+  std::map<AttemptHandle, SendDecision> open_;
+  std::map<AttemptHandle, RequestHandle> owners_;
+  std::set<AttemptHandle> sent_;
+};
+
+BOOST_AUTO_TEST_CASE(no_order_of_events_breaks_a_promise) {
+  for (uint64_t seed = 1; seed <= 12; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) { Fuzz(seed).Run(); }
+  }
+}
+
+}  // namespace
+}  // namespace ladderstream::forwarding
--- /dev/null
+++ b/tests/unit/forwarding/route_test.cc
@@ -0,0 +1,127 @@
+// Routes by host and path, traffic splits, and which configuration a request goes by.
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+
+#include "dispatcher_harness.h"
+
+namespace ladderstream::forwarding {
+namespace {
+
+catalog::Configuration WithPrefixes() {
+  catalog::Configuration configuration = DispatcherHarness::DefaultConfiguration();
+  configuration.version = 2;
+  catalog::Route deeper = configuration.routes[0];
+  deeper.name = "deeper";
+  deeper.path_prefix = "/cards/old/";
+  configuration.routes.insert(configuration.routes.begin(), deeper);
+  return configuration;
+}
+
+BOOST_AUTO_TEST_SUITE(route)
+
+BOOST_AUTO_TEST_CASE(longest_prefix_of_the_path_wins) {
+  DispatcherHarness harness;
+  harness.Configure(WithPrefixes());
+  const auto name = [&](std::string_view host, std::string_view target) {
+    const catalog::Route* found = harness.dispatcher.FindRoute(host, target);
+    return found == nullptr ? std::string("none") : found->name;
+  };
+  BOOST_TEST(name("h.example", "/cards/1") == "cards");
+  BOOST_TEST(name("h.example", "/cards/old/1") == "deeper");
+  BOOST_TEST(name("H.Example:8080", "/cards/old/") == "deeper");
+  BOOST_TEST(name("h.example", "/cards/old") == "cards");
+  BOOST_TEST(name("h.example", "/cards?/cards/old/") == "none");
+  BOOST_TEST(name("h.example", "/cards/1?x=/cards/old/") == "cards");
+  BOOST_TEST(name("other.example", "/cards/1") == "none");
+}
+
+BOOST_AUTO_TEST_CASE(no_route_is_404_but_no_configuration_is_503) {
+  DispatcherHarness harness;
+  harness.Start("/nowhere/1");
+  BOOST_TEST(harness.Only<AnswerDecision>().status == 404);
+
+  Dispatcher empty(DispatcherHarness::DefaultSettings());
+  empty.Start({"id", "h.example", "/cards/1", std::nullopt, harness.now, absl::InfiniteFuture()},
+              harness.now);
+  const auto decisions = empty.TakeDecisions();
+  BOOST_REQUIRE_EQUAL(decisions.size(), 1U);
+  const auto& answer = std::get<AnswerDecision>(decisions.front().decision);
+  BOOST_TEST(answer.status == 503);
+  BOOST_TEST((answer.retry_after > absl::ZeroDuration()));
+}
+
+BOOST_AUTO_TEST_CASE(older_configuration_never_comes_back) {
+  DispatcherHarness harness;
+  harness.Configure(WithPrefixes());
+  harness.Configure(DispatcherHarness::DefaultConfiguration());
+  BOOST_TEST(harness.dispatcher.FindRoute("h.example", "/cards/old/1")->name == "deeper");
+}
+
+BOOST_AUTO_TEST_CASE(split_stays_within_two_requests_of_its_shares) {
+  DispatcherHarness harness;
+  catalog::Configuration split = DispatcherHarness::DefaultConfiguration();
+  split.version = 2;
+  split.routes[0].targets = {{"cards", 0.7}, {"books", 0.2}, {"spare", 0.1}};
+  split.services["spare"].name = "spare";
+  harness.Configure(split);
+  harness.AddBackends("cards", {"c-1"});
+  harness.AddBackends("books", {"b-1"});
+  harness.AddBackends("spare", {"s-1"});
+  std::map<std::string, int> counts;
+  for (int i = 1; i <= 300; ++i) {
+    const SendDecision send = harness.StartAndSend("/cards/1");
+    harness.Sent(send);
+    harness.Answer(send);
+    harness.Only<RelayDecision>();
+    ++counts[send.backend];
+    // New versions that leave the split alone must not start its cycle anew.
+    ++split.version;
+    harness.Configure(split);
+    BOOST_REQUIRE_LT(std::abs(counts["c-1"] - 0.7 * i), 2);
+    BOOST_REQUIRE_LT(std::abs(counts["b-1"] - 0.2 * i), 2);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(retry_stays_in_the_chosen_service) {
+  DispatcherHarness harness;
+  catalog::Configuration split = DispatcherHarness::DefaultConfiguration();
+  split.version = 2;
+  split.routes[0].targets = {{"cards", 1}, {"books", 1}};
+  harness.Configure(split);
+  harness.AddBackends("cards", {"c-1", "c-2"});
+  harness.AddBackends("books", {"b-1", "b-2"});
+  for (int i = 0; i < 8; ++i) {
+    const SendDecision first = harness.StartAndSend("/cards/1");
+    harness.Sent(first);
+    harness.Fail(first, AttemptFailure::kConnectRefused);
+    const auto second = harness.Only<SendDecision>();
+    BOOST_TEST(second.backend.front() == first.backend.front());
+    BOOST_TEST(second.backend != first.backend);
+    harness.Sent(second);
+    harness.Answer(second);
+    harness.Only<RelayDecision>();
+    harness.Advance(absl::Seconds(3));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(request_keeps_the_route_it_started_with) {
+  DispatcherHarness harness;
+  harness.AddBackends("cards", {"c-1", "c-2"});
+  const SendDecision first = harness.StartAndSend("/cards/1");
+  catalog::Configuration without = DispatcherHarness::DefaultConfiguration();
+  without.version = 2;
+  without.routes.erase(without.routes.begin());
+  harness.Configure(without);
+  harness.Fail(first, AttemptFailure::kConnectRefused);
+  const auto second = harness.Only<SendDecision>();
+  harness.Sent(second);
+  harness.Answer(second);
+  BOOST_TEST(harness.Only<RelayDecision>().attempt == second.attempt);
+  harness.Start("/cards/1");
+  BOOST_TEST(harness.Only<AnswerDecision>().status == 404);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace ladderstream::forwarding
--- a/tests/unit/gateway_peer/peer_transport_test.cc
+++ b/tests/unit/gateway_peer/peer_transport_test.cc
@@ -79,7 +79,7 @@
 
   EventLoop loop;
   SteadyClock clock;
-  LoopResources resources{loop, clock, ByteBudget(1U << 20U), {}};
+  LoopResources resources{loop, clock, std::make_shared<ByteBudget>(1U << 20U), {}};
   std::vector<std::unique_ptr<Peer>> peers;
 };
 
--- a/tests/unit/gateway_store/store_client_test.cc
+++ b/tests/unit/gateway_store/store_client_test.cc
@@ -104,7 +104,7 @@
 
   EventLoop loop;
   FakeClock clock;
-  LoopResources resources{loop, clock, ByteBudget(0), {}};
+  LoopResources resources{loop, clock, std::make_shared<ByteBudget>(0), {}};
   FakeExchanger exchanger;
   StoreClient client;
   std::vector<StoreStatus> replies;
--- /dev/null
+++ b/tests/unit/ownership/coordinator_harness.h
@@ -0,0 +1,67 @@
+// A coordinator with a store and back ends that answer at once, or not at all, as the test says.
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/ownership/coordinator.h"
+#include "model_store.h"
+#include "scripted_partitioner.h"
+
+namespace ladderstream::ownership {
+
+template <typename Sent>
+struct At {
+  Time at;
+  Sent sent;
+};
+
+class Harness {
+ public:
+  /// `port` tells machines apart: a process restarted on its machine has the same.
+  Harness(ModelStore* store, uint64_t incarnation, uint16_t port, Time now,
+          const CoordinatorSettings& settings = {});
+
+  /// Registers these back ends of the service kService, and no others.
+  void Register(const std::vector<std::string>& ids);
+  /// Lets time pass, with every wake on time.
+  void Run(Duration duration);
+  /// Starts, and waits until every back end has been granted its keys.
+  void Settle(const std::vector<std::string>& ids);
+  /// Carries out what the coordinator wants now.
+  void Drain();
+
+  /// Those sent at or after `since`.
+  std::vector<At<GrantAction>> GrantsSince(Time since) const;
+  const std::string& OwnerOf(Key key) const;
+  bool IsMoving(Key key) const;
+  bool Believed(const std::string& event) const;
+
+  static constexpr char kService[] = "boards";
+
+  CoordinatorSettings settings;
+  ModelStore* store;
+  Time now;
+  Coordinator coordinator;
+  /// The store takes calls and answers.
+  bool store_answers = true;
+  /// The store takes transactions, and their answers are lost.
+  bool store_mute = false;
+  /// These leave orders unanswered.
+  std::set<std::string> silent;
+  /// Nothing listens at the address of these.
+  std::set<std::string> unreachable;
+
+  std::vector<At<GrantAction>> grants;
+  std::vector<At<ReleaseAction>> releases;
+  std::vector<At<CommitAction>> commits;
+  std::vector<At<BeliefAction>> beliefs;
+  OwnershipMap published;
+
+ private:
+  void Order(CallId call, const std::string& backend, const std::string& handover);
+};
+
+}  // namespace ladderstream::ownership
--- /dev/null
+++ b/tests/unit/ownership/lease_test.cc
@@ -0,0 +1,221 @@
+// The lease: rows, the chain of writes, when a holder is challenged, what a holder may do.
+#include <boost/test/unit_test.hpp>
+
+#include "coordinator_harness.h"
+#include "core/ownership/belief_events.h"
+#include "core/ownership/holder_watch.h"
+#include "core/ownership/lease_chain.h"
+#include "core/ownership/ownership_rows.h"
+#include "wire/result_code.h"
+
+namespace ladderstream::ownership {
+namespace {
+
+const Time kStart = absl::UnixEpoch();
+const NodeIdentity kSelf{7, "node", {"node", 7}};
+
+BOOST_AUTO_TEST_CASE(RowsComeBackAsTheyWere) {
+  ServiceRow row;
+  row.assignments = {{{0, 9}, "a", 1000001}, {{10, 99}, "", 0}, {{100, kLastKey}, "a", 2000001}};
+  row.addresses["a"] = {"host", 80};
+  const ServiceRow decoded = DecodeServiceRow(EncodeServiceRow(row));
+  BOOST_TEST((decoded.assignments == row.assignments));
+  BOOST_TEST((decoded.addresses == row.addresses));
+}
+
+BOOST_AUTO_TEST_CASE(ARowThatMissesKeysIsMalformed) {
+  ServiceRow row;
+  row.assignments = {{{5, kLastKey}, "a", 1}};
+  BOOST_CHECK_THROW(DecodeServiceRow(EncodeServiceRow(row)), Error);
+  BOOST_CHECK_THROW(DecodeLeaseRow("?"), Error);
+}
+
+BOOST_AUTO_TEST_CASE(TheLeaseCountsFromTheSendOfTheConfirmedWrite) {
+  ModelStore store;
+  LeaseChain chain({}, kSelf);
+  chain.Restart(0, {});
+  const store::StoreReply reply = store.Apply(chain.Begin(1, 1, {}, {}, kStart));
+  BOOST_TEST(!chain.Valid(kStart));
+  BOOST_TEST((chain.OnReply(1, reply).kind == ChainOutcome::Kind::kApplied));
+  BOOST_TEST(chain.Valid(kStart + absl::Milliseconds(2499)));
+  BOOST_TEST(!chain.Valid(kStart + absl::Milliseconds(2500)));
+}
+
+BOOST_AUTO_TEST_CASE(ASlowAnswerDoesNotLengthenTheLease) {
+  ModelStore store;
+  CoordinatorSettings settings;
+  settings.store_timeout = absl::Seconds(10);
+  Harness node(&store, 1, 1, kStart, settings);
+  node.Settle({"a"});
+  node.store_answers = false;
+  node.Run(settings.lease_renewal);
+  const At<CommitAction> slow = node.commits.back();
+  const store::StoreReply reply = store.Apply(slow.sent.transaction);
+  node.Run(absl::Milliseconds(2000) - (node.now - slow.at));
+  node.coordinator.OnStoreReply(slow.sent.call, reply, node.now);
+  BOOST_TEST(node.coordinator.Holds(slow.at + settings.lease - absl::Milliseconds(1)));
+  BOOST_TEST(!node.coordinator.Holds(slow.at + settings.lease));
+}
+
+BOOST_AUTO_TEST_CASE(OfTwoUnansweredWritesTheStoreTellsWhichWasApplied) {
+  ModelStore store;
+  LeaseChain chain({}, kSelf);
+  chain.Restart(0, {});
+  const store::Transaction first = chain.Begin(1, 1, {}, {{"s", {0, 1}, "a", 5}}, kStart);
+  store.Apply(first);
+  chain.GiveUp(kStart + absl::Seconds(1));
+  const store::Transaction second = chain.Begin(2, 1, {}, {}, kStart + absl::Seconds(1));
+  const ChainOutcome outcome = chain.OnReply(2, store.Apply(second));
+  BOOST_TEST((outcome.kind == ChainOutcome::Kind::kApplied));
+  BOOST_TEST(outcome.applied.changes.size() == 1U);
+  BOOST_TEST((chain.confirmed_sent() == kStart));
+}
+
+BOOST_AUTO_TEST_CASE(ALateWriteFailsOnceAnotherWasApplied) {
+  ModelStore store;
+  LeaseChain chain({}, kSelf);
+  chain.Restart(0, {});
+  const store::Transaction late = chain.Begin(1, 1, {}, {}, kStart);
+  chain.GiveUp(kStart + absl::Seconds(1));
+  chain.OnReply(2, store.Apply(chain.Begin(2, 1, {}, {}, kStart + absl::Seconds(1))));
+  BOOST_TEST((store.Apply(late).status == store::StoreStatus::kConflict));
+}
+
+BOOST_AUTO_TEST_CASE(ARowThatStandsStillIsChallengedAndOneThatChangesIsNot) {
+  HolderWatch watch({}, kSelf);
+  const LeaseRow other{3, 8, 1, {"node", 8}};
+  BOOST_TEST(!watch.OnRow(other, 40, kStart));
+  BOOST_TEST((watch.ReadDue() >= kStart + absl::Seconds(1)));
+  BOOST_TEST(!watch.OnRow(other, 41, kStart + absl::Milliseconds(1100)));
+  BOOST_TEST(watch.OnRow(other, 41, kStart + absl::Milliseconds(2100)));
+}
+
+BOOST_AUTO_TEST_CASE(AnEndedHolderAndAPredecessorOnTheSameMachineAreChallengedAtOnce) {
+  HolderWatch watch({}, kSelf);
+  BOOST_TEST(watch.OnRow(LeaseRow{3, 8, 1, kSelf.peer_address}, 40, kStart));
+  const LeaseRow other{3, 9, 1, {"node", 9}};
+  BOOST_TEST(!watch.OnRow(other, 40, kStart));
+  watch.OnEnded(9, kStart);
+  BOOST_TEST((watch.ReadDue() <= kStart + absl::Milliseconds(100)));
+  BOOST_TEST(watch.OnRow(other, 41, kStart));
+}
+
+BOOST_AUTO_TEST_CASE(AHeartbeatDisprovesAnEnd) {
+  HolderWatch watch({}, kSelf);
+  const LeaseView view{3, 9, {"node", 9}, 40};
+  watch.OnHeartbeat(view, kStart);
+  watch.OnEnded(9, kStart);
+  BOOST_TEST((watch.OnHeartbeat(view, kStart) == HolderWatch::Heartbeat::kIgnored));
+  const Time later = kStart + absl::Seconds(1);
+  BOOST_TEST((watch.OnHeartbeat(view, later) == HolderWatch::Heartbeat::kOfKnownHolder));
+  BOOST_TEST((watch.ReadDue() >= later + absl::Seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(HeartbeatsKeepAStandbyFromChallenging) {
+  ModelStore store;
+  Harness holder(&store, 1, 1, kStart);
+  holder.Settle({"a"});
+  Harness standby(&store, 2, 2, holder.now);
+  standby.Register({"a"});
+  for (int i = 0; i < 20; ++i) {
+    standby.coordinator.OnHeartbeat(holder.coordinator.View(), standby.now);
+    standby.Run(absl::Milliseconds(500));
+  }
+  BOOST_TEST(standby.commits.empty());
+  const Time silent_since = standby.now;
+  standby.Run(absl::Milliseconds(1500));
+  BOOST_TEST(standby.coordinator.Holds(standby.now));
+  BOOST_TEST((standby.commits.front().at >= silent_since + absl::Milliseconds(500)));
+}
+
+BOOST_AUTO_TEST_CASE(ASuccessorRenewsCommittedOwnersAtOnceUnderTheirFences) {
+  ModelStore store;
+  Harness first(&store, 1, 1, kStart);
+  first.Settle({"a", "b"});
+  Harness second(&store, 2, 1, first.now);
+  const Time begun = second.now;
+  second.Register({"a", "b"});
+  second.Run(absl::Milliseconds(200));
+  BOOST_REQUIRE_EQUAL(second.grants.size(), 2U);
+  BOOST_TEST((second.grants.front().at <= begun + absl::Milliseconds(100)));
+  BOOST_TEST(second.grants.front().sent.fence == first.grants.front().sent.fence);
+  BOOST_TEST(second.published.version.epoch == 2U);
+  BOOST_TEST(!second.IsMoving(0));
+}
+
+BOOST_AUTO_TEST_CASE(ADeposedHolderSendsNothingMore) {
+  ModelStore store;
+  Harness first(&store, 1, 1, kStart);
+  first.Settle({"a"});
+  Harness second(&store, 2, 2, first.now);
+  second.Settle({"a"});
+  first.Run(absl::Seconds(1));
+  BOOST_TEST(first.Believed(belief::kLeaseLost));
+  const Time deposed = first.now;
+  first.Run(absl::Milliseconds(600));
+  BOOST_TEST(first.GrantsSince(deposed).empty());
+}
+
+BOOST_AUTO_TEST_CASE(WithTheStoreDownHoldsAreRenewedOftenUntilTheLeaseEnds) {
+  ModelStore store;
+  CoordinatorSettings settings;
+  settings.hold_renewal = absl::Milliseconds(1300);
+  Harness node(&store, 1, 1, kStart, settings);
+  node.Settle({"a"});
+  node.store_answers = false;
+  const Time last_write = node.commits.back().at;
+  node.Run(absl::Seconds(10));
+  const Time last_grant = node.grants.back().at;
+  BOOST_TEST((last_grant < last_write + node.settings.lease));
+  BOOST_TEST((last_grant >= last_write + node.settings.lease - settings.hold_renewal / 4));
+  BOOST_TEST(node.Believed(belief::kLeaseLapsed));
+  const Time troubled = last_write + 2 * node.settings.lease_renewal;
+  BOOST_TEST((node.GrantsSince(troubled).front().at < troubled + absl::Milliseconds(10)));
+  node.store_answers = true;
+  node.Run(absl::Seconds(2));
+  BOOST_TEST(node.Believed(belief::kLeaseRegained));
+  BOOST_TEST((node.grants.back().at > last_grant));
+}
+
+BOOST_AUTO_TEST_CASE(ANewEpochBeginsBeforeItsFencesRunOut) {
+  ModelStore store;
+  CoordinatorSettings settings;
+  settings.fences_before_new_epoch = 3;
+  Harness node(&store, 1, 1, kStart, settings);
+  node.Settle({"a", "b"});
+  partition::Script().next = {{{0, 9}, "b"}, {{20, 29}, "b"}, {{40, 49}, "b"}};
+  node.Run(absl::Seconds(1));
+  BOOST_TEST(node.published.version.epoch == 2U);
+  partition::Script().next = {{{60, 69}, "b"}};
+  const Time asked = node.now;
+  node.Run(absl::Seconds(1));
+  Fence highest = 0;
+  for (const At<GrantAction>& grant : node.GrantsSince(asked)) {
+    highest = std::max(highest, grant.sent.fence);
+  }
+  BOOST_TEST(highest > FenceOf(2, 0));
+  BOOST_TEST(!node.Believed(belief::kLeaseLost));
+}
+
+BOOST_AUTO_TEST_CASE(AResignedNodeFinishesMovesAndNeverHoldsAgain) {
+  ModelStore store;
+  Harness node(&store, 1, 1, kStart);
+  node.Settle({"a", "b"});
+  node.silent.insert("a");
+  partition::Script().next = {{{0, 99}, "b"}};
+  node.Run(absl::Milliseconds(500));
+  BOOST_TEST(node.IsMoving(0));
+  node.coordinator.Resign(node.now);
+  node.Drain();
+  BOOST_TEST(node.coordinator.Holds(node.now));
+  node.silent.clear();
+  node.Run(absl::Milliseconds(500));
+  BOOST_TEST(node.OwnerOf(0) == "b");
+  BOOST_TEST(!node.coordinator.Holds(node.now));
+  BOOST_TEST(node.Believed(belief::kResigned));
+  node.Run(absl::Seconds(20));
+  BOOST_TEST(!node.coordinator.Holds(node.now));
+}
+
+}  // namespace
+}  // namespace ladderstream::ownership
--- /dev/null
+++ b/tests/unit/ownership/model_backend.cc
@@ -0,0 +1,46 @@
+#include "model_backend.h"
+
+#include <algorithm>
+
+namespace ladderstream::ownership {
+namespace {
+
+/// Its clock runs this much slow.
+constexpr double kSlowClock = 1.02;
+
+}  // namespace
+
+OrderStatus ModelBackend::Grant(const KeyRange& range, Fence fence, Duration hold, bool late,
+                                Time now) {
+  bool fenced = false;
+  held.ForEach(range, [&](const KeyRange& /*keys*/, const HeldKeys& keys_held) {
+    fenced = fenced || keys_held.seen > fence;
+  });
+  if (fenced) {
+    return OrderStatus::kFenced;
+  }
+  held.Update(range, [&](HeldKeys& keys_held) {
+    if (!keys_held.HeldAt(now)) {
+      keys_held.since = now;
+    }
+    keys_held.seen = fence;
+    keys_held.fence = fence;
+    keys_held.until = now + hold * kSlowClock;
+    if (!late) {
+      keys_held.timely_until = keys_held.until;
+    }
+  });
+  return OrderStatus::kDone;
+}
+
+void ModelBackend::Release(const KeyRange& range, Fence fence, Time now) {
+  held.Update(range, [&](HeldKeys& keys_held) {
+    if (keys_held.fence <= fence || obeys_old_releases) {
+      keys_held.until = std::min(keys_held.until, now);
+      keys_held.timely_until = std::min(keys_held.timely_until, now);
+    }
+    keys_held.seen = std::max(keys_held.seen, fence);
+  });
+}
+
+}  // namespace ladderstream::ownership
--- /dev/null
+++ b/tests/unit/ownership/model_faults.cc
@@ -0,0 +1,245 @@
+// What goes wrong in the model, and back ends that come and go.
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+#include "model_world.h"
+
+namespace ladderstream::ownership {
+namespace {
+
+/// A registration lapses this long after its back end's last write.
+constexpr Duration kLapse = absl::Seconds(4);
+/// A draining back end serves for this long.
+constexpr Duration kDrain = absl::Milliseconds(2500);
+/// Long enough for a successor to take over and to wait the back end out.
+constexpr Duration kIsolation = absl::Seconds(10);
+constexpr size_t kFewestBackends = 2;
+
+}  // namespace
+
+void ModelWorld::StartBackend(const std::string& service, uint16_t port) {
+  auto backend = std::make_unique<ModelBackend>();
+  backend->id = absl::StrCat(service, "-", ++last_backend_);
+  backend->service = service;
+  backend->address = {"backend", port};
+  backend->work = DrawMs(0, 120);
+  backend->obeys_old_releases = Chance(50);
+  Trace(absl::StrCat("back end ", backend->id, " starts at port ", port));
+  backends_.push_back(std::move(backend));
+  TellCatalogToAll();
+}
+
+void ModelWorld::EndBackend(const std::string& id, bool orderly) {
+  ModelBackend* backend = BackendWithId(id);
+  if (backend == nullptr) {
+    return;
+  }
+  Trace(absl::StrCat("back end ", id, " ends"));
+  backend->up = false;
+  const auto unlist = [this, backend] {
+    backend->listed = false;
+    TellCatalogToAll();
+  };
+  if (orderly) {
+    unlist();
+  } else {
+    After(kLapse, unlist);
+  }
+  // A successor at the same or at another address; sometimes none.
+  const bool must = CountUp(backend->service) < kFewestBackends;
+  if (must || Chance(80)) {
+    const uint16_t port = Chance(60) ? backend->address.port : ++last_port_;
+    After(DrawMs(100, 3000), [this, port, service = backend->service] {
+      if (BackendAt({"backend", port}) == nullptr) {
+        StartBackend(service, port);
+      }
+    });
+  }
+}
+
+size_t ModelWorld::CountUp(const std::string& service) const {
+  return static_cast<size_t>(
+      std::count_if(backends_.begin(), backends_.end(), [&service](const auto& backend) {
+        return backend->up && backend->listed && !backend->draining && backend->service == service;
+      }));
+}
+
+std::string ModelWorld::RandomBackend() {
+  std::vector<std::string> ids;
+  for (const auto& backend : backends_) {
+    if (backend->up) {
+      ids.push_back(backend->id);
+    }
+  }
+  return ids.empty() ? "" : ids[Draw(ids.size())];
+}
+
+void ModelWorld::FaultLoop() {
+  if (now_ >= faults_end_) {
+    return;
+  }
+  switch (Draw(8)) {
+    case 0:
+    case 1:
+      NodeFault();
+      break;
+    case 2:
+    case 3:
+    case 4:
+      BackendFault();
+      break;
+    case 5:
+      FalseAlarm();
+      break;
+    default:
+      StoreFault();
+  }
+  After(DrawMs(0, 3000), [this] { FaultLoop(); });
+}
+
+void ModelWorld::FalseAlarm() {
+  for (const ModelNode& holder : nodes_) {
+    if (!holder.coordinator || !holder.coordinator->Holds(now_)) {
+      continue;
+    }
+    const size_t index = Draw(nodes_.size());
+    Trace(absl::StrCat("node ", index, " is told that node ", holder.index, " has ended"));
+    ToNode(index, nodes_[index].incarnation, [this, index, ended = holder.incarnation] {
+      nodes_[index].coordinator->OnCoordinatorEnded(ended, now_);
+    });
+    return;
+  }
+}
+
+void ModelWorld::NodeFault() {
+  // The holder is hit more often.
+  size_t index = Draw(nodes_.size());
+  for (const ModelNode& node : nodes_) {
+    if (node.coordinator && node.coordinator->Holds(now_) && Chance(60)) {
+      index = node.index;
+    }
+  }
+  ModelNode& node = nodes_[index];
+  const Time until = std::min(faults_end_, now_ + DrawMs(300, 7000));
+  Trace(absl::StrCat("fault at node ", index, " until ",
+                     absl::ToInt64Milliseconds(until - absl::UnixEpoch())));
+  switch (Draw(8)) {
+    case 0:
+      KillNode(index);
+      break;
+    case 1:
+      StopNode(index);
+      break;
+    case 2:
+      for (size_t i = 0; i < nodes_.size(); ++i) {
+        KillNode(i);
+      }
+      break;
+    case 3:
+      node.store_cut_until = until;
+      break;
+    case 4:
+      node.peers_cut_until = until;
+      break;
+    case 5:
+      node.store_cut_until = Chance(70) ? until : node.store_cut_until;
+      node.peers_cut_until = until;
+      node.backends_cut_until = until;
+      break;
+    case 6:
+      Isolate(node);
+      break;
+    default:
+      node.frozen_until = until;
+      At(until, [this, index] { Thaw(index); });
+  }
+}
+
+void ModelWorld::Isolate(ModelNode& node) {
+  const Time until = std::min(faults_end_, now_ + kIsolation);
+  node.store_cut_until = until;
+  node.peers_cut_until = until;
+  ModelBackend* backend = BackendWithId(RandomBackend());
+  if (backend == nullptr) {
+    return;
+  }
+  Trace(absl::StrCat("only node ", node.index, " reaches ", backend->id));
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    backend->cut_from_until[i] = i == node.index ? now_ : until;
+  }
+}
+
+void ModelWorld::BackendFault() {
+  const std::string id = RandomBackend();
+  ModelBackend* backend = BackendWithId(id);
+  if (backend == nullptr) {
+    return;
+  }
+  const Time until = std::min(faults_end_, now_ + DrawMs(500, 9000));
+  const uint64_t fault = Draw(8);
+  Trace(absl::StrCat("fault ", fault, " at back end ", id, " until ",
+                     absl::ToInt64Milliseconds(until - absl::UnixEpoch())));
+  switch (fault) {
+    case 0:
+      EndBackend(id, false);
+      break;
+    case 1:
+      if (CountUp(backend->service) > kFewestBackends) {
+        backend->draining = true;
+        TellCatalogToAll();
+        After(kDrain, [this, id] { EndBackend(id, true); });
+      }
+      break;
+    case 2:
+      // Cut off from the platform only: its registration lapses, and it serves on.
+      if (CountUp(backend->service) > kFewestBackends) {
+        backend->listed = false;
+        TellCatalogToAll();
+        At(until, [this, id] {
+          if (ModelBackend* returned = BackendWithId(id)) {
+            returned->listed = true;
+            TellCatalogToAll();
+          }
+        });
+      }
+      break;
+    case 3:
+      backend->late_until = until;
+      break;
+    case 4:
+      backend->cut_until = until;
+      break;
+    case 5:
+      backend->mute_until = until;
+      break;
+    case 6:
+      // Out of reach of the nodes but one, which may be the holder or its successor.
+      for (size_t i = 0; i < nodes_.size(); ++i) {
+        backend->cut_from_until[i] = until;
+      }
+      backend->cut_from_until[Draw(nodes_.size())] = now_;
+      break;
+    default:
+      backend->frozen_until = until;
+  }
+}
+
+void ModelWorld::StoreFault() {
+  const Time until = std::min(faults_end_, now_ + DrawMs(300, 8000));
+  const uint64_t fault = Draw(3);
+  Trace(absl::StrCat("fault ", fault, " at the store until ",
+                     absl::ToInt64Milliseconds(until - absl::UnixEpoch())));
+  switch (fault) {
+    case 0:
+      store_down_until_ = until;
+      break;
+    case 1:
+      store_slow_until_ = until;
+      break;
+    default:
+      store_loses_until_ = until;
+  }
+}
+
+}  // namespace ladderstream::ownership
--- /dev/null
+++ b/tests/unit/ownership/model_main.cc
@@ -0,0 +1,49 @@
+// Runs the model of ownership for a range of seeds and tells the first violation of each.
+//
+// Arguments: COUNT [FIRST], else as many seeds as continuous integration runs.
+#include <cstdint>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "model_world.h"
+
+namespace {
+
+constexpr uint64_t kSeeds = 400;
+constexpr uint64_t kMostFailuresShown = 3;
+
+}  // namespace
+
+int main(int argument_count, char** arguments) {
+  using ladderstream::ownership::ModelCounts;
+  using ladderstream::ownership::ModelWorld;
+  const uint64_t count = argument_count > 1 ? std::stoull(arguments[1]) : kSeeds;
+  const uint64_t first = argument_count > 2 ? std::stoull(arguments[2]) : 1;
+  uint64_t failures = 0;
+  ModelCounts sum;
+  for (uint64_t seed = first; seed < first + count; ++seed) {
+    ModelWorld world(seed);
+    const std::string violation = world.Run();
+    sum.requests += world.counts().requests;
+    sum.denied += world.counts().denied;
+    sum.unroutable += world.counts().unroutable;
+    sum.grants += world.counts().grants;
+    sum.commits += world.counts().commits;
+    sum.takeovers += world.counts().takeovers;
+    sum.wakes += world.counts().wakes;
+    if (violation.empty()) {
+      continue;
+    }
+    ++failures;
+    if (failures <= kMostFailuresShown) {
+      std::cout << world.TraceTail() << "\nseed " << seed << ": " << violation << "\n\n";
+    }
+  }
+  std::cout << count << " seeds, " << failures << " with a violation; a seed has "
+            << sum.requests / count << " requests (" << sum.denied / count << " denied, "
+            << sum.unroutable / count << " not routable), " << sum.grants / count << " grants, "
+            << sum.commits / count << " store writes, " << sum.takeovers / count << " takeovers, "
+            << sum.wakes / count << " wakes\n";
+  return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/unit/ownership/model_nodes.cc
@@ -0,0 +1,373 @@
+// Nodes, and the network between them, the store and the back ends.
+#include <absl/strings/str_cat.h>
+
+#include <variant>
+
+#include "model_world.h"
+
+namespace ladderstream::ownership {
+namespace {
+
+/// For this long a node uses a map after the send of the newest heartbeat it got.
+constexpr Duration kMapConfirmation = absl::Seconds(3);
+constexpr Duration kHeartbeatInterval = absl::Milliseconds(250);
+/// An order that arrives later than this after its send is a late one.
+constexpr Duration kLateOrder = absl::Milliseconds(300);
+
+template <typename... Visitors>
+struct Overloaded : Visitors... {
+  using Visitors::operator()...;
+};
+template <typename... Visitors>
+Overloaded(Visitors...) -> Overloaded<Visitors...>;
+
+}  // namespace
+
+void ModelWorld::StartNode(size_t index) {
+  ModelNode& node = nodes_[index];
+  node.incarnation = ++last_incarnation_ * 7919;
+  node.inbox.clear();
+  node.map = nullptr;
+  node.map_until = absl::InfinitePast();
+  node.frozen_until = absl::InfinitePast();
+  node.wake = absl::InfiniteFuture();
+  node.stopping = false;
+  NodeIdentity self{node.incarnation, absl::StrCat("node-", index), node.address};
+  node.coordinator = std::make_unique<Coordinator>(settings_, self);
+  Trace(absl::StrCat("node ", index, " starts"));
+  ToNode(index, node.incarnation, [this, index] { TellCatalog(nodes_[index]); });
+}
+
+void ModelWorld::KillNode(size_t index) {
+  ModelNode& node = nodes_[index];
+  if (!node.coordinator) {
+    return;
+  }
+  Trace(absl::StrCat("node ", index, " ends"));
+  const uint64_t incarnation = node.incarnation;
+  node.coordinator.reset();
+  node.inbox.clear();
+  node.map = nullptr;
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    if (i != index && Chance(50) && nodes_[i].coordinator) {
+      After(DrawMs(2, 80), [this, i, to = nodes_[i].incarnation, incarnation] {
+        ToNode(i, to, [this, i, incarnation] {
+          nodes_[i].coordinator->OnCoordinatorEnded(incarnation, now_);
+        });
+      });
+    }
+  }
+  After(DrawMs(200, 2500), [this, index] { StartNode(index); });
+}
+
+void ModelWorld::StopNode(size_t index) {
+  ModelNode& node = nodes_[index];
+  if (!node.coordinator || node.stopping) {
+    return;
+  }
+  Trace(absl::StrCat("node ", index, " is to stop"));
+  node.stopping = true;
+  const uint64_t incarnation = node.incarnation;
+  ToNode(index, incarnation, [this, index] { nodes_[index].coordinator->Resign(now_); });
+  After(absl::Seconds(2), [this, index, incarnation] {
+    if (nodes_[index].incarnation == incarnation) {
+      KillNode(index);
+    }
+  });
+}
+
+void ModelWorld::ToNode(size_t index, uint64_t incarnation, Event event) {
+  ModelNode& node = nodes_[index];
+  if (!node.coordinator || node.incarnation != incarnation) {
+    return;
+  }
+  if (now_ < node.frozen_until) {
+    node.inbox.push_back(std::move(event));
+    return;
+  }
+  event();
+  Drain(node);
+}
+
+void ModelWorld::Thaw(size_t index) {
+  ModelNode& node = nodes_[index];
+  if (!node.coordinator || now_ < node.frozen_until) {
+    return;
+  }
+  Trace(absl::StrCat("node ", index, " thaws"));
+  if (Chance(50)) {
+    node.coordinator->OnTick(now_);
+    Drain(node);
+  }
+  std::deque<Event> inbox;
+  inbox.swap(node.inbox);
+  for (const Event& event : inbox) {
+    event();
+    Drain(node);
+  }
+  node.coordinator->OnTick(now_);
+  Drain(node);
+}
+
+void ModelWorld::Drain(ModelNode& node) {
+  for (const Action& action : node.coordinator->TakeActions()) {
+    Perform(node, action);
+  }
+  const Time wake = std::max(node.coordinator->NextWake(), now_ + absl::Milliseconds(1));
+  if (wake >= node.wake || wake == absl::InfiniteFuture()) {
+    return;
+  }
+  node.wake = wake;
+  At(wake + absl::Microseconds(Draw(3000)),
+     [this, index = node.index, wake, incarnation = node.incarnation] {
+       ModelNode& woken = nodes_[index];
+       if (woken.incarnation != incarnation || woken.wake != wake) {
+         return;
+       }
+       woken.wake = absl::InfiniteFuture();
+       ++counts_.wakes;
+       if (now_ >= woken.frozen_until) {
+         ToNode(index, incarnation, [this, index] { nodes_[index].coordinator->OnTick(now_); });
+       }
+     });
+}
+
+void ModelWorld::Perform(ModelNode& node, const Action& action) {
+  std::visit(
+      Overloaded{
+          [&](const CommitAction& commit) {
+            ++counts_.commits;
+            SendToStore(node, commit.call, [this, transaction = commit.transaction] {
+              store::StoreReply reply = store_.Apply(transaction);
+              if (reply.status == store::StoreStatus::kDone) {
+                CheckCommits(transaction);
+              }
+              return reply;
+            });
+          },
+          [&](const ReadAction& read) {
+            SendToStore(node, read.call, [this, query = read.query] { return store_.Read(query); });
+          },
+          [&](const GrantAction& grant) {
+            ++counts_.grants;
+            CheckGrant(node, grant);
+            SendOrder(node, grant.call, grant.address, grant.backend, grant.hold,
+                      [this, grant](ModelBackend& backend, bool late) {
+                        OrderReply reply;
+                        reply.status =
+                            backend.Grant(grant.range, grant.fence, grant.hold, late, now_);
+                        if (reply.status == OrderStatus::kDone && !late) {
+                          CheckFences(backend, grant.range, grant.fence);
+                          CheckHolds(backend, grant.range);
+                        }
+                        return reply;
+                      });
+          },
+          [&](const ReleaseAction& release) {
+            SendOrder(node, release.call, release.address, release.backend, absl::ZeroDuration(),
+                      [this, release](ModelBackend& backend, bool /*late*/) {
+                        backend.Release(release.range, release.fence, now_);
+                        return OrderReply{OrderStatus::kDone, "handover"};
+                      });
+          },
+          [&](const PublishAction& publish) {
+            node.map = std::make_shared<OwnershipMap>(publish.map);
+            Broadcast(node);
+          },
+          [&](const BeliefAction& belief) {
+            counts_.takeovers += belief.event == "lease_acquired" ? 1 : 0;
+            Trace(absl::StrCat("node ", node.index, " ", belief.event, " ", belief.detail));
+            if (belief.event == "resigned") {
+              for (size_t i = 0; i < nodes_.size(); ++i) {
+                const uint64_t resigned = node.incarnation;
+                After(DrawMs(1, 20), [this, i, to = nodes_[i].incarnation, resigned] {
+                  ToNode(i, to, [this, i, resigned] {
+                    nodes_[i].coordinator->OnCoordinatorEnded(resigned, now_);
+                  });
+                });
+              }
+            }
+          }},
+      action);
+}
+
+void ModelWorld::SendToStore(ModelNode& node, CallId call,
+                             std::function<store::StoreReply()> work) {
+  const bool slow = now_ < store_slow_until_;
+  const bool loses = now_ < store_loses_until_;
+  const auto reply_with = [this, index = node.index, incarnation = node.incarnation, call](
+                              Duration delay, const store::StoreReply& reply) {
+    After(delay, [this, index, incarnation, call, reply] {
+      ToNode(index, incarnation, [this, index, call, reply] {
+        nodes_[index].coordinator->OnStoreReply(call, reply, now_);
+      });
+    });
+  };
+  store::StoreReply refused;
+  refused.status = store::StoreStatus::kRefused;
+  if (now_ < node.store_cut_until || now_ < store_down_until_) {
+    if (Chance(50)) {
+      reply_with(DrawMs(1, 900), Chance(50) ? refused : store::StoreReply{});
+    }
+    return;
+  }
+  if (Chance(1)) {
+    reply_with(DrawMs(1, 5), refused);
+    return;
+  }
+  Duration there = slow ? DrawMs(50, 900) : DrawMs(1, 8);
+  const bool lost = Chance(loses ? 50 : 1);
+  if (lost && Chance(30)) {
+    return;  // Never arrives.
+  }
+  if (lost && Chance(50)) {
+    there = DrawMs(100, 6000);
+  }
+  After(there, [this, work = std::move(work), reply_with, lost, slow] {
+    if (Chance(30)) {
+      store_.WriteElsewhere();
+    }
+    const store::StoreReply reply = work();
+    if (!lost) {
+      reply_with(slow ? DrawMs(50, 900) : DrawMs(1, 8), reply);
+    } else if (Chance(50)) {
+      reply_with(DrawMs(1, 600), store::StoreReply{});
+    }
+  });
+}
+
+void ModelWorld::ReplyOrder(size_t index, uint64_t incarnation, CallId call,
+                            const OrderReply& reply, Duration delay) {
+  After(delay, [this, index, incarnation, call, reply] {
+    ToNode(index, incarnation, [this, index, call, reply] {
+      nodes_[index].coordinator->OnOrderReply(call, reply, now_);
+    });
+  });
+}
+
+void ModelWorld::SendOrder(ModelNode& node, CallId call, const Endpoint& address,
+                           const std::string& id, Duration hold,
+                           const std::function<OrderReply(ModelBackend&, bool)>& work) {
+  const size_t index = node.index;
+  const uint64_t incarnation = node.incarnation;
+  ModelBackend* target = BackendAt(address);
+  if (target == nullptr) {
+    ReplyOrder(index, incarnation, call, {OrderStatus::kUnreachable, ""}, DrawMs(1, 5));
+    return;
+  }
+  if (target->id != id) {
+    ReplyOrder(index, incarnation, call, {OrderStatus::kOtherInstance, ""}, DrawMs(2, 8));
+    return;
+  }
+  const bool cut = now_ < node.backends_cut_until || target->CutFrom(index, now_);
+  if (cut && Chance(30)) {
+    ReplyOrder(index, incarnation, call, {OrderStatus::kUnreachable, ""}, DrawMs(1, 5));
+    return;
+  }
+  if (cut || Chance(1)) {
+    if (Chance(50)) {
+      ReplyOrder(index, incarnation, call, {}, settings_.order_timeout);
+    }
+    return;
+  }
+  const bool taken_late = now_ < target->late_until && Chance(70);
+  const bool answer_lost = taken_late || now_ < target->mute_until || Chance(1);
+  const Time sent = now_;
+  const Time arrival =
+      std::max(now_ + (taken_late ? DrawMs(400, 12000) : DrawMs(1, 6)), target->frozen_until);
+  At(arrival, [=, this] {
+    ModelBackend* taker = BackendWithId(id);
+    if (taker == nullptr) {
+      return;
+    }
+    if (now_ < taker->frozen_until) {
+      return;  // Frozen anew; lost for good.
+    }
+    const OrderReply reply = work(*taker, now_ - sent > kLateOrder);
+    Duration delay = DrawMs(1, 6);
+    if (hold == absl::ZeroDuration()) {
+      delay += taker->work;
+    }
+    if (!answer_lost) {
+      ReplyOrder(index, incarnation, call, reply, delay);
+    }
+  });
+}
+
+void ModelWorld::Broadcast(ModelNode& node) {
+  if (!node.coordinator->Holds(now_) || !node.map ||
+      node.map->version.epoch != node.coordinator->View().epoch) {
+    return;
+  }
+  node.map_until = now_ + kMapConfirmation;
+  for (ModelNode& other : nodes_) {
+    if (other.index == node.index || now_ < node.peers_cut_until || now_ < other.peers_cut_until ||
+        Chance(2)) {
+      continue;
+    }
+    After(DrawMs(1, 20), [this, index = other.index, to = other.incarnation, map = node.map,
+                          view = node.coordinator->View(), sent = now_] {
+      ToNode(index, to, [this, index, map, view, sent] {
+        ModelNode& receiver = nodes_[index];
+        receiver.coordinator->OnHeartbeat(view, now_);
+        if (!receiver.map || receiver.map->version <= map->version) {
+          receiver.map = map;
+          receiver.map_until = sent + kMapConfirmation;
+        }
+      });
+    });
+  }
+}
+
+void ModelWorld::HeartbeatLoop() {
+  for (ModelNode& node : nodes_) {
+    if (node.coordinator && now_ >= node.frozen_until) {
+      Broadcast(node);
+    }
+  }
+  TellLoad();
+  After(kHeartbeatInterval, [this] { HeartbeatLoop(); });
+}
+
+void ModelWorld::TellLoad() {
+  for (const auto& entry : load_) {
+    for (const ModelNode& node : nodes_) {
+      ToNode(node.index, node.incarnation, [this, index = node.index, entry] {
+        nodes_[index].coordinator->OnLoad(entry.first, entry.second, {}, now_);
+      });
+    }
+  }
+  load_.clear();
+}
+
+void ModelWorld::TellCatalog(ModelNode& node) {
+  std::vector<catalog::Service> services;
+  for (const std::string& name : services_) {
+    catalog::Service service;
+    service.name = name;
+    service.sharded = true;
+    services.push_back(service);
+  }
+  std::vector<catalog::Backend> backends;
+  for (const auto& backend : backends_) {
+    if (backend->listed) {
+      catalog::Backend listed;
+      listed.id = backend->id;
+      listed.service = backend->service;
+      listed.address = backend->address;
+      listed.draining = backend->draining;
+      backends.push_back(listed);
+    }
+  }
+  node.coordinator->OnCatalog(services, backends, now_);
+}
+
+void ModelWorld::TellCatalogToAll() {
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    After(DrawMs(5, 400), [this, i, to = nodes_[i].incarnation] {
+      ToNode(i, to, [this, i] { TellCatalog(nodes_[i]); });
+    });
+  }
+}
+
+}  // namespace ladderstream::ownership
--- /dev/null
+++ b/tests/unit/ownership/model_world.cc
@@ -0,0 +1,108 @@
+#include "model_world.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+#include "scripted_partitioner.h"
+
+namespace ladderstream::ownership {
+namespace {
+
+constexpr Duration kFaultsFor = absl::Seconds(25);
+constexpr Duration kRecovery = absl::Seconds(15);
+/// Balance may move a key just when the world is looked at: it is looked at for this long.
+constexpr Duration kRestWindow = absl::Seconds(1);
+constexpr Duration kRestInterval = absl::Milliseconds(100);
+constexpr size_t kTraceLines = 120;
+constexpr size_t kRequestKeys = 10;
+constexpr uint32_t kRandomMovesPercent = 25;
+
+}  // namespace
+
+ModelWorld::ModelWorld(uint64_t seed) : random_(seed), now_(absl::UnixEpoch()) {
+  partition::Script() = {{}, kRandomMovesPercent, seed};
+  faults_end_ = now_ + kFaultsFor;
+  services_.emplace_back("boards");
+  if (Chance(40)) {
+    services_.emplace_back("cards");
+  }
+  if (Chance(30)) {
+    store_.SetVersionError(1 + Draw(2));
+  }
+  if (Chance(30)) {
+    settings_.fences_before_new_epoch = 5;
+  }
+  if (Chance(30)) {
+    settings_.hold = absl::Milliseconds(2500 + Draw(5) * 1000);
+  }
+  for (const std::string& service : services_) {
+    const uint64_t count = 3 + Draw(4);
+    for (uint64_t i = 0; i < count; ++i) {
+      StartBackend(service, ++last_port_);
+    }
+  }
+  for (size_t i = 0; i < kRequestKeys; ++i) {
+    keys_.push_back(static_cast<Key>(Draw(kLastKey + 1)));
+  }
+  nodes_.resize(3 + Draw(3));
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    nodes_[i].index = i;
+    nodes_[i].address = {"node", static_cast<uint16_t>(i)};
+    After(DrawMs(0, 300), [this, i] { StartNode(i); });
+  }
+  After(absl::Milliseconds(100), [this] { HeartbeatLoop(); });
+  After(absl::Seconds(3), [this] { FaultLoop(); });
+  After(absl::Seconds(1), [this] { RequestLoop(); });
+  At(faults_end_, [this] {
+    Trace("faults end");
+    partition::Script().random_moves_percent = 0;
+  });
+}
+
+ModelWorld::~ModelWorld() = default;
+
+std::string ModelWorld::Run() {
+  const Time end = faults_end_ + kRecovery;
+  RunUntil(end - kRestWindow);
+  std::string unrest = CheckRest();
+  while (!unrest.empty() && now_ < end) {
+    RunUntil(now_ + kRestInterval);
+    unrest = CheckRest();
+  }
+  return violation_.empty() ? unrest : violation_;
+}
+
+void ModelWorld::RunUntil(Time end) {
+  while (violation_.empty() && events_.top().at <= end) {
+    Scheduled next = events_.top();
+    events_.pop();
+    now_ = next.at;
+    next.event();
+  }
+  now_ = end;
+}
+
+Duration ModelWorld::DrawMs(uint64_t least, uint64_t most) {
+  return absl::Milliseconds(least + Draw(most - least + 1)) + absl::Microseconds(Draw(1000));
+}
+
+void ModelWorld::At(Time at, Event event) {
+  events_.push({std::max(at, now_), ++scheduled_, std::move(event)});
+}
+
+void ModelWorld::Trace(const std::string& line) {
+  trace_.push_back(absl::StrCat(absl::ToInt64Milliseconds(now_ - absl::UnixEpoch()), "ms ", line));
+  if (trace_.size() > kTraceLines) {
+    trace_.pop_front();
+  }
+}
+
+void ModelWorld::Violate(const std::string& what) {
+  if (violation_.empty()) {
+    violation_ = what;
+  }
+}
+
+std::string ModelWorld::TraceTail() const { return absl::StrJoin(trace_, "\n"); }
+
+}  // namespace ladderstream::ownership
--- /dev/null
+++ b/tests/unit/ownership/model_world.h
@@ -0,0 +1,167 @@
+// A seeded world of coordinators, a store and back ends, in simulated time.
+//
+// Every run follows from its seed. Faults strike until kFaultsEnd; then the world is left alone and
+// must come to rest. Invariants are checked as things happen; the first violation ends the run.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/ownership/coordinator.h"
+#include "core/ownership/ownership_rows.h"
+#include "model_backend.h"
+#include "model_store.h"
+
+namespace ladderstream::ownership {
+
+struct ModelNode {
+  size_t index = 0;
+  uint64_t incarnation = 0;
+  Endpoint address;
+  /// Null while the process is down.
+  std::unique_ptr<Coordinator> coordinator;
+  /// Frozen until then; what reaches it meanwhile waits in `inbox`.
+  Time frozen_until = absl::InfinitePast();
+  std::deque<std::function<void()>> inbox;
+  Time store_cut_until = absl::InfinitePast();
+  Time peers_cut_until = absl::InfinitePast();
+  Time backends_cut_until = absl::InfinitePast();
+  bool stopping = false;
+  Time wake = absl::InfiniteFuture();
+  // Routing.
+  std::shared_ptr<const OwnershipMap> map;
+  Time map_until = absl::InfinitePast();
+};
+
+struct ModelCounts {
+  uint64_t requests = 0;
+  uint64_t denied = 0;
+  uint64_t unroutable = 0;
+  uint64_t grants = 0;
+  uint64_t commits = 0;
+  uint64_t takeovers = 0;
+  uint64_t wakes = 0;
+};
+
+class ModelWorld {
+ public:
+  explicit ModelWorld(uint64_t seed);
+  ~ModelWorld();
+
+  /// Gives the first violation; empty when there was none.
+  std::string Run();
+  /// What happened last, a line each.
+  std::string TraceTail() const;
+  const ModelCounts& counts() const { return counts_; }
+
+ private:
+  using Event = std::function<void()>;
+  struct Scheduled {
+    Time at;
+    uint64_t order = 0;
+    Event event;
+    bool operator>(const Scheduled& other) const {
+      return std::tie(at, order) > std::tie(other.at, other.order);
+    }
+  };
+
+  // Chance and time.
+  uint64_t Draw(uint64_t bound) { return random_() % bound; }
+  bool Chance(uint32_t percent) { return Draw(100) < percent; }
+  Duration DrawMs(uint64_t least, uint64_t most);
+  void At(Time at, Event event);
+  void After(Duration delay, Event event) { At(now_ + delay, std::move(event)); }
+  void RunUntil(Time end);
+  void Trace(const std::string& line);
+  void Violate(const std::string& what);
+
+  // Nodes (model_nodes.cc).
+  void StartNode(size_t index);
+  void KillNode(size_t index);
+  void StopNode(size_t index);
+  /// Runs `event` at the node, once it is not frozen, if it still is in this incarnation.
+  void ToNode(size_t index, uint64_t incarnation, Event event);
+  void Thaw(size_t index);
+  void Drain(ModelNode& node);
+  void Perform(ModelNode& node, const Action& action);
+  void SendToStore(ModelNode& node, CallId call, std::function<store::StoreReply()> work);
+  void SendOrder(ModelNode& node, CallId call, const Endpoint& address, const std::string& id,
+                 Duration hold, const std::function<OrderReply(ModelBackend&, bool)>& work);
+  void ReplyOrder(size_t index, uint64_t incarnation, CallId call, const OrderReply& reply,
+                  Duration delay);
+  void Broadcast(ModelNode& node);
+  void TellCatalog(ModelNode& node);
+  void TellCatalogToAll();
+  void HeartbeatLoop();
+  /// Tells every node what was asked for since the last time.
+  void TellLoad();
+
+  // Requests and invariants (model_invariants.cc).
+  void RequestLoop();
+  void StartRequest(ModelBackend& backend, Key key);
+  void CheckGrant(const ModelNode& node, const GrantAction& grant);
+  void CheckHolds(const ModelBackend& backend, const KeyRange& range);
+  void CheckFences(const ModelBackend& backend, const KeyRange& range, Fence fence);
+  void CheckCommits(const store::Transaction& transaction);
+  std::string CheckRest();
+  ModelBackend* BackendAt(const Endpoint& address);
+  ModelBackend* BackendWithId(const std::string& id);
+
+  // Faults (model_faults.cc).
+  void StartBackend(const std::string& service, uint16_t port);
+  void EndBackend(const std::string& id, bool orderly);
+  void FaultLoop();
+  void NodeFault();
+  void BackendFault();
+  /// A node loses the others and the store, and is the only one that reaches some back end.
+  void Isolate(ModelNode& node);
+  void StoreFault();
+  /// A node is told that the holder has ended, which is not so.
+  void FalseAlarm();
+  std::string RandomBackend();
+  size_t CountUp(const std::string& service) const;
+
+  std::mt19937_64 random_;
+  Time now_;
+  uint64_t scheduled_ = 0;
+  std::priority_queue<Scheduled, std::vector<Scheduled>, std::greater<>> events_;
+  std::deque<std::string> trace_;
+  std::string violation_;
+  ModelCounts counts_;
+
+  CoordinatorSettings settings_;
+  std::vector<std::string> services_;
+  ModelStore store_;
+  Time store_down_until_ = absl::InfinitePast();
+  Time store_slow_until_ = absl::InfinitePast();
+  Time store_loses_until_ = absl::InfinitePast();
+  std::vector<ModelNode> nodes_;
+  uint64_t last_incarnation_ = 0;
+  std::vector<std::unique_ptr<ModelBackend>> backends_;
+  uint64_t last_backend_ = 0;
+  uint16_t last_port_ = 0;
+  std::vector<Key> keys_;
+  std::map<std::string, std::vector<partition::KeyCount>> load_;
+  Time faults_end_;
+
+  struct HighestFence {
+    Fence fence = 0;
+    std::string owner;
+    /// The highest of any other owner.
+    Fence others = 0;
+  };
+  std::map<std::string, KeyMap<HighestFence>> highest_;
+  std::set<std::tuple<std::string, Fence, std::string>> committed_;
+  std::map<std::string, KeyMap<std::pair<Fence, std::string>>> committed_before_;
+};
+
+}  // namespace ladderstream::ownership
--- /dev/null
+++ b/tests/unit/ownership/ownership_test.cc
@@ -0,0 +1,367 @@
+// Owners, fences, moves and orders of a coordinator that holds the lease.
+#include <boost/test/unit_test.hpp>
+
+#include "coordinator_harness.h"
+#include "core/ownership/assignments.h"
+#include "core/ownership/belief_events.h"
+
+namespace ladderstream::ownership {
+namespace {
+
+const Time kStart = absl::UnixEpoch();
+
+struct Holding {
+  explicit Holding(const std::vector<std::string>& ids, const CoordinatorSettings& settings = {})
+      : node(&store, 1, 1, kStart, settings) {
+    node.Settle(ids);
+  }
+  ModelStore store;
+  Harness node;
+};
+
+BOOST_AUTO_TEST_CASE(AnAssignedRangeCutsWhatItOverlapsAndJoinsItsLike) {
+  Assignments assignments = {{{0, 99}, "a", 1}, {{100, kLastKey}, "b", 2}};
+  AssignRange({50, 149}, "b", 2, &assignments);
+  const Assignments expected = {{{0, 49}, "a", 1}, {{50, kLastKey}, "b", 2}};
+  BOOST_TEST((assignments == expected));
+  BOOST_TEST(FindAssignment(assignments, 49)->owner == "a");
+  BOOST_TEST(FindAssignment(assignments, kLastKey)->owner == "b");
+  BOOST_TEST((FindAssignment({}, 0) == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(TheFirstOwnersAreCommittedThenGrantedWithoutAWait) {
+  Holding holding({"a", "b"});
+  const Harness& node = holding.node;
+  BOOST_REQUIRE(node.grants.size() >= 2);
+  BOOST_TEST((node.grants[0].at <= kStart + absl::Seconds(1)));
+  BOOST_TEST(holding.store.rows().size() == 2U);
+  BOOST_TEST(node.OwnerOf(0) == "a");
+  BOOST_TEST(node.OwnerOf(kLastKey) == "b");
+  BOOST_TEST(!node.IsMoving(0));
+}
+
+BOOST_AUTO_TEST_CASE(APlannedMoveReleasesWithTheNextFenceAndHandsOver) {
+  Holding holding({"a", "b"});
+  Harness& node = holding.node;
+  const Fence old_fence = node.grants.front().sent.fence;
+  partition::Script().next = {{{100, 199}, "b"}};
+  const Time asked = node.now;
+  node.Run(absl::Milliseconds(450));
+  BOOST_REQUIRE_EQUAL(node.releases.size(), 1U);
+  const ReleaseAction& release = node.releases.front().sent;
+  BOOST_TEST(release.backend == "a");
+  BOOST_TEST((release.range == KeyRange{100, 199}));
+  BOOST_TEST(release.fence > old_fence);
+  const auto granted = node.GrantsSince(asked);
+  const auto moved = std::find_if(granted.begin(), granted.end(), [](const At<GrantAction>& grant) {
+    return grant.sent.range == KeyRange{100, 199};
+  });
+  BOOST_REQUIRE((moved != granted.end()));
+  BOOST_TEST(moved->sent.backend == "b");
+  BOOST_TEST(moved->sent.fence == release.fence);
+  BOOST_TEST(moved->sent.handover == "handover of a");
+  BOOST_TEST(node.OwnerOf(150) == "b");
+}
+
+BOOST_AUTO_TEST_CASE(KeysMoveUntilTheNewOwnerConfirms) {
+  Holding holding({"a", "b"});
+  Harness& node = holding.node;
+  node.silent.insert("b");
+  partition::Script().next = {{{100, 199}, "b"}};
+  node.Run(absl::Milliseconds(450));
+  BOOST_TEST(node.OwnerOf(150) == "b");
+  BOOST_TEST(node.IsMoving(150));
+  BOOST_TEST(!node.IsMoving(99));
+  node.silent.clear();
+  node.Run(absl::Milliseconds(450));
+  BOOST_TEST(!node.IsMoving(150));
+}
+
+BOOST_AUTO_TEST_CASE(ASilentOwnerIsWaitedOutAndToldOnAfterwards) {
+  Holding holding({"a", "b"});
+  Harness& node = holding.node;
+  node.silent.insert("a");
+  const Time silent_since = node.now;
+  node.Run(absl::Seconds(3));
+  BOOST_REQUIRE(node.Believed(belief::kOwnerSilent));
+  Time last_grant = absl::InfinitePast();
+  for (const At<GrantAction>& grant : node.GrantsSince(silent_since)) {
+    last_grant = grant.sent.backend == "a" ? grant.at : last_grant;
+  }
+  const size_t releases = node.releases.size();
+  BOOST_TEST(releases >= 3U);
+  const Time free = last_grant + node.settings.hold * 1.02 + node.settings.slack;
+  node.Run(free - absl::Milliseconds(1) - node.now);
+  BOOST_TEST(node.OwnerOf(0) == "a");
+  node.Run(absl::Milliseconds(2));
+  BOOST_TEST(node.OwnerOf(0) == "b");
+  const size_t before = node.releases.size();
+  node.Run(absl::Seconds(5));
+  BOOST_TEST(node.releases.size() >= before + 2);
+}
+
+BOOST_AUTO_TEST_CASE(RefusedGrantsDoNotLengthenTheWait) {
+  Holding holding({"a", "b"});
+  Harness& node = holding.node;
+  node.unreachable.insert("a");
+  const Time crashed = node.now;
+  node.Run(absl::Seconds(3));
+  BOOST_TEST(node.OwnerOf(0) == "a");
+  node.Run(crashed + node.settings.hold * 1.02 + node.settings.slack - node.now);
+  BOOST_TEST(node.OwnerOf(0) == "b");
+}
+
+BOOST_AUTO_TEST_CASE(KeysOfASilentOwnerStayUntilNoNodeUsesAnOlderMap) {
+  CoordinatorSettings settings;
+  settings.hold = absl::Milliseconds(800);
+  settings.hold_renewal = absl::Milliseconds(300);
+  Holding holding({"a", "b"}, settings);
+  Harness& node = holding.node;
+  node.silent.insert("a");
+  const Time silent_since = node.now;
+  while (node.OwnerOf(0) == "a" && node.now < silent_since + absl::Seconds(10)) {
+    node.Run(absl::Milliseconds(10));
+  }
+  BOOST_TEST((node.now >= node.releases.front().at + settings.map_confirmation));
+}
+
+BOOST_AUTO_TEST_CASE(ASuccessorWaitsUntilNoNodeUsesItsPredecessorsMap) {
+  CoordinatorSettings settings;
+  settings.hold = absl::Milliseconds(800);
+  settings.hold_renewal = absl::Milliseconds(300);
+  Holding holding({"a", "b"}, settings);
+  Harness successor(&holding.store, 2, 1, holding.node.now, settings);
+  successor.silent.insert("a");
+  successor.Register({"b"});
+  successor.Run(absl::Milliseconds(200));
+  const Time taken_over = successor.commits.front().at;
+  const Time free = taken_over + (settings.lease + settings.map_confirmation) * 1.02;
+  successor.Run(free - absl::Milliseconds(1) - successor.now);
+  BOOST_TEST(successor.OwnerOf(0) == "a");
+  successor.Run(absl::Milliseconds(2));
+  BOOST_TEST(successor.OwnerOf(0) == "b");
+}
+
+BOOST_AUTO_TEST_CASE(AnEndedOwnerIsNotWaitedFor) {
+  Holding holding({"a.1", "b"});
+  Harness& node = holding.node;
+  node.silent.insert("a.1");
+  node.coordinator.OnBackendEnded("a.1", node.now);
+  node.Drain();
+  node.Run(absl::Milliseconds(100));
+  BOOST_TEST(node.OwnerOf(0) == "b");
+  BOOST_TEST(node.releases.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ANewerOneAtItsAddressProvesThatAnOwnerEnded) {
+  Holding holding({"a.1", "b"});
+  Harness& node = holding.node;
+  node.silent.insert("a.1");
+  node.Register({"a.1", "a.2", "b"});
+  node.Run(absl::Milliseconds(100));
+  BOOST_TEST(node.OwnerOf(0) != "a.1");
+  BOOST_TEST(node.releases.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AVanishedOwnerIsReleasedAndNotRenewed) {
+  Holding holding({"a", "b"});
+  Harness& node = holding.node;
+  node.silent.insert("a");
+  const Time vanished = node.now;
+  node.Register({"b"});
+  node.Run(absl::Seconds(2));
+  for (const At<GrantAction>& grant : node.GrantsSince(vanished)) {
+    BOOST_TEST(grant.sent.backend == "b");
+  }
+  BOOST_TEST(node.OwnerOf(0) == "a");
+  BOOST_TEST(node.IsMoving(0));
+  node.silent.clear();
+  node.Run(absl::Milliseconds(450));
+  BOOST_TEST(node.OwnerOf(0) == "b");
+}
+
+BOOST_AUTO_TEST_CASE(AFencedOwnerGetsANewFenceAndNeverTheOldOneAgain) {
+  Holding holding({"a"});
+  Harness& node = holding.node;
+  node.silent.insert("a");
+  node.Run(node.settings.hold_renewal);
+  const GrantAction refused = node.grants.back().sent;
+  node.silent.clear();
+  node.store_answers = false;
+  const Time fenced = node.now;
+  node.coordinator.OnOrderReply(refused.call, {OrderStatus::kFenced, ""}, node.now);
+  node.Drain();
+  node.Run(absl::Milliseconds(700));
+  BOOST_TEST(node.GrantsSince(fenced).empty());
+  BOOST_TEST(node.IsMoving(0));
+  node.store_answers = true;
+  node.Run(absl::Milliseconds(700));
+  BOOST_REQUIRE(!node.GrantsSince(fenced).empty());
+  BOOST_TEST(node.GrantsSince(fenced).front().sent.fence > refused.fence);
+  BOOST_TEST(!node.IsMoving(0));
+}
+
+BOOST_AUTO_TEST_CASE(ADenialRenewsAtOnceButNotAtEachDenial) {
+  Holding holding({"a"});
+  Harness& node = holding.node;
+  node.Run(absl::Milliseconds(100));
+  const Time denied = node.now;
+  for (int i = 0; i < 10; ++i) {
+    node.coordinator.OnOwnerDenied(Harness::kService, 5, node.now);
+    node.Drain();
+    node.Run(absl::Milliseconds(1));
+  }
+  const auto granted = node.GrantsSince(denied);
+  BOOST_REQUIRE_EQUAL(granted.size(), 1U);
+  BOOST_TEST((granted.front().at == denied));
+}
+
+BOOST_AUTO_TEST_CASE(ACommitWhoseAnswerIsLostIsFoundDone) {
+  Holding holding({"a", "b"});
+  Harness& node = holding.node;
+  partition::Script().next = {{{100, 199}, "b"}};
+  node.store_answers = false;
+  node.store_mute = true;
+  node.Run(absl::Milliseconds(500));
+  BOOST_TEST(node.OwnerOf(150) == "a");
+  node.store_answers = true;
+  node.Run(absl::Seconds(1));
+  BOOST_TEST(node.OwnerOf(150) == "b");
+  BOOST_TEST(!node.Believed(belief::kLeaseLost));
+}
+
+BOOST_AUTO_TEST_CASE(KeysThatGoBackToTheirOwnerGetAFenceAboveThatOfTheRelease) {
+  Holding holding({"a", "b"});
+  Harness& node = holding.node;
+  node.silent.insert("a");
+  partition::Script().next = {{{100, 199}, "b"}};
+  node.Run(absl::Milliseconds(450));
+  const Fence released = node.releases.front().sent.fence;
+  node.Register({"a"});
+  node.silent.clear();
+  const Time answers = node.now;
+  node.Run(absl::Seconds(1));
+  const auto granted = node.GrantsSince(answers);
+  const auto back = std::find_if(granted.begin(), granted.end(), [](const At<GrantAction>& grant) {
+    return grant.sent.range.Contains(150);
+  });
+  BOOST_REQUIRE((back != granted.end()));
+  BOOST_TEST(back->sent.backend == "a");
+  BOOST_TEST(back->sent.fence > released);
+}
+
+BOOST_AUTO_TEST_CASE(AReleaseWaitsForTheRenewalUnderWay) {
+  Holding holding({"a", "b"});
+  Harness& node = holding.node;
+  node.silent.insert("a");
+  const Time silent_since = node.now;
+  while (node.GrantsSince(silent_since).empty()) {
+    node.Run(absl::Milliseconds(1));
+  }
+  const GrantAction renewal = node.GrantsSince(silent_since).front().sent;
+  partition::Script().next = {{{100, 199}, "b"}};
+  while (!node.Believed(belief::kMoveStarted)) {
+    node.Run(absl::Milliseconds(1));
+  }
+  BOOST_TEST(node.releases.empty());
+  node.silent.clear();
+  node.coordinator.OnOrderReply(renewal.call, {OrderStatus::kDone, ""}, node.now);
+  node.Drain();
+  BOOST_TEST(node.releases.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AFencedOrderForAWholeRangeDoesNotFenceWhatIsLeftOfIt) {
+  Holding holding({"a", "b"});
+  Harness& node = holding.node;
+  node.silent.insert("a");
+  node.Run(node.settings.hold_renewal);
+  const GrantAction whole = node.grants.back().sent;
+  partition::Script().next = {{{100, 199}, "b"}};
+  while (node.releases.empty()) {
+    node.Run(absl::Milliseconds(1));
+  }
+  node.silent.clear();
+  node.coordinator.OnOrderReply(whole.call, {OrderStatus::kFenced, ""}, node.now);
+  node.Drain();
+  BOOST_TEST(!node.Believed(belief::kOwnerFenced));
+  BOOST_TEST(!node.IsMoving(99));
+}
+
+BOOST_AUTO_TEST_CASE(ATargetThatIsGoneWhenItsKeysAreCommittedIsNotGrantedThem) {
+  Holding holding({"a", "b", "c"});
+  Harness& node = holding.node;
+  partition::Script().next = {{{100, 199}, "b"}};
+  node.store_answers = false;
+  node.store_mute = true;
+  node.Run(absl::Milliseconds(480));
+  node.Register({"a", "c"});
+  const Time gone = node.now;
+  node.store_answers = true;
+  node.Run(absl::Seconds(2));
+  for (const At<GrantAction>& grant : node.GrantsSince(gone)) {
+    BOOST_TEST(grant.sent.backend != "b");
+  }
+  BOOST_TEST(node.OwnerOf(150) != "b");
+  BOOST_TEST(!node.IsMoving(150));
+}
+
+BOOST_AUTO_TEST_CASE(AnUnreachableTargetIsReplacedWithoutAWait) {
+  Holding holding({"a", "b", "c"});
+  Harness& node = holding.node;
+  node.unreachable.insert("b");
+  partition::Script().next = {{{100, 199}, "b"}};
+  node.Run(absl::Milliseconds(1600));
+  BOOST_TEST(node.OwnerOf(150) != "b");
+  BOOST_TEST(!node.IsMoving(150));
+}
+
+BOOST_AUTO_TEST_CASE(ABackEndGetsTwoOrdersAtOnceAtMost) {
+  Holding holding({"a", "b"});
+  Harness& node = holding.node;
+  node.silent.insert("a");
+  for (Key first = 0; first < 1000; first += 100) {
+    partition::Script().next.push_back({{first, first + 9}, "b"});
+  }
+  node.Run(absl::Milliseconds(399));
+  BOOST_TEST(node.releases.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(APauseOfThisProcessIsNoSilenceOfAnOwner) {
+  CoordinatorSettings settings;
+  settings.lease = absl::Seconds(60);
+  settings.lease_renewal = absl::Seconds(20);
+  Holding holding({"a", "b"}, settings);
+  Harness& node = holding.node;
+  partition::Script().next = {{{10000, 19999}, "b"}};
+  node.Run(absl::Milliseconds(2100));
+  node.silent.insert("a");
+  const Time silent_since = node.now;
+  const auto unanswered = [&node, silent_since] {
+    size_t count = 0;
+    for (const At<GrantAction>& grant : node.GrantsSince(silent_since)) {
+      count += grant.sent.backend == "a" ? 1 : 0;
+    }
+    return count;
+  };
+  while (unanswered() < 2) {
+    node.Run(absl::Milliseconds(1));
+  }
+  // Both orders to it are unanswered when this process pauses.
+  node.now += absl::Seconds(5);
+  node.Run(absl::Milliseconds(300));
+  node.silent.clear();
+  node.Run(absl::Milliseconds(500));
+  BOOST_TEST(!node.Believed(belief::kOwnerSilent));
+}
+
+BOOST_AUTO_TEST_CASE(NeighboursOfOneOwnerGetOneFenceWhenAllIsCalm) {
+  Holding holding({"a", "b"});
+  Harness& node = holding.node;
+  partition::Script().next = {{{30000, 32767}, "b"}};
+  node.Run(absl::Seconds(5));
+  BOOST_TEST(node.published.services.at(Harness::kService).assignments.size() == 2U);
+  BOOST_TEST(node.OwnerOf(30000) == "b");
+}
+
+}  // namespace
+}  // namespace ladderstream::ownership
