Test the data path with real sockets; count orders by result; mend what the linter found

Cause: the data path had no unit test in the repository; a deadline that has passed was refused in two places; the linter found a field without use and containers that grow in loops. Change: gateway_http tests (keep-alive, framing, surplus, late and cut answers, callers that leave, drain); the dispatcher alone refuses a passed deadline; orders to back ends are counted by their result.

--- a/src/core/partition/fleet.cc
+++ b/src/core/partition/fleet.cc
@@ -91,7 +91,7 @@
       Holding holding = HoldingAt(input, assignment, first, now);
       holding.range = {first, std::min(assignment.range.last, end - 1)};
       first = holding.range.last + 1;
-      Append(std::move(holding));
+      Append(holding);
     }
   }
 }
@@ -131,7 +131,7 @@
   return holding;
 }
 
-void Fleet::Append(Holding holding) {
+void Fleet::Append(const Holding& holding) {
   if (!holdings_.empty()) {
     Holding& last = holdings_.back();
     if (last.member == holding.member && last.owner == holding.owner &&
@@ -140,7 +140,7 @@
       return;
     }
   }
-  holdings_.push_back(std::move(holding));
+  holdings_.push_back(holding);
 }
 
 std::optional<size_t> Fleet::Find(const std::string& id) const {
--- a/src/core/partition/fleet.h
+++ b/src/core/partition/fleet.h
@@ -79,7 +79,7 @@
   Holding HoldingAt(const FleetInput& input, const ownership::Assignment& assignment, Key key,
                     Time now) const;
   std::optional<size_t> Find(const std::string& id) const;
-  void Append(Holding holding);
+  void Append(const Holding& holding);
 
   const LoadView& load_;
   std::vector<Member> members_;
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -128,12 +128,6 @@
     request.route = route->name;
   }
   observer_->OnRequestStarted(message->request_id, request.route);
-  if (deadline <= now) {
-    Refuse(request,
-           {HttpStatusOf(ResultCode::kDeadlineUnreachable), ResultCode::kDeadlineUnreachable,
-            absl::ZeroDuration(), "the deadline has passed"});
-    return;
-  }
   forwarding::IncomingRequest described;
   described.request_id = message->request_id;
   described.host = message->host;
--- a/src/gateway/http/data_path.h
+++ b/src/gateway/http/data_path.h
@@ -92,7 +92,7 @@
   void Carry(forwarding::RequestHandle handle, const forwarding::CancelDecision& cancel);
   void Carry(forwarding::RequestHandle handle, const forwarding::RelayDecision& relay);
   void Carry(forwarding::RequestHandle handle, const forwarding::AnswerDecision& answer);
-  /// Answers from here, without the dispatcher or after its last word.
+  /// Answers from here.
   void Refuse(const Request& request, const forwarding::AnswerDecision& decision);
   /// Forgets a request that is answered or whose caller is gone. Attempts that the dispatcher did
   /// not cancel go on unheard.
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -26,6 +26,25 @@
 /// More turns than any chain of events needs; ends a loop that would never settle.
 constexpr int kMostTurns = 64;
 
+/// The result of an order, as a metric's label.
+std::string_view NameOf(ownership::OrderStatus status) {
+  switch (status) {
+    case ownership::OrderStatus::kDone:
+      return "done";
+    case ownership::OrderStatus::kFenced:
+      return "fenced";
+    case ownership::OrderStatus::kRefused:
+      return "refused";
+    case ownership::OrderStatus::kOtherInstance:
+      return "other_instance";
+    case ownership::OrderStatus::kUnreachable:
+      return "unreachable";
+    case ownership::OrderStatus::kNoAnswer:
+      break;
+  }
+  return "no_answer";
+}
+
 /// Mixed into the seeds of jitters, so that each differs.
 enum SeedPurpose : uint64_t { kConfigurationSeed = 1, kBackendSeed, kMembershipSeed, kPeerSeed };
 
@@ -161,6 +180,7 @@
 }
 
 void ControlPlane::OnOrderReply(ownership::CallId call, const ownership::OrderReply& reply) {
+  metrics_->CountCall("order", NameOf(reply.status));
   coordinator_.OnOrderReply(call, reply, Now());
   PumpSoon();
 }
--- a/src/node/load_exchange.cc
+++ b/src/node/load_exchange.cc
@@ -8,6 +8,11 @@
 membership::LoadReport ToReport(const forwarding::ServiceLoad& load) {
   membership::LoadReport report;
   report.service = load.service;
+  report.keys.reserve(load.keys.size());
+  report.counts.reserve(load.keys.size());
+  report.backends.reserve(load.samples.size());
+  report.answers.reserve(load.samples.size());
+  report.busy_us.reserve(load.samples.size());
   for (const partition::KeyCount& count : load.keys) {
     report.keys.push_back(count.key);
     report.counts.push_back(static_cast<float>(count.count));
@@ -26,6 +31,7 @@
 std::vector<partition::KeyCount> CountsOf(const membership::LoadReport& report) {
   std::vector<partition::KeyCount> counts;
   const size_t size = std::min(report.keys.size(), report.counts.size());
+  counts.reserve(size);
   for (size_t i = 0; i < size; ++i) {
     counts.push_back({report.keys[i], report.counts[i]});
   }
@@ -36,6 +42,7 @@
   std::vector<partition::ServiceTimeSample> samples;
   const size_t size =
       std::min({report.backends.size(), report.answers.size(), report.busy_us.size()});
+  samples.reserve(size);
   for (size_t i = 0; i < size; ++i) {
     const Duration total = absl::Microseconds(static_cast<int64_t>(report.busy_us[i]));
     samples.push_back({report.backends[i], report.answers[i], total});
@@ -47,6 +54,7 @@
 
 std::vector<membership::LoadReport> ToReports(const std::vector<forwarding::ServiceLoad>& loads) {
   std::vector<membership::LoadReport> reports;
+  reports.reserve(loads.size());
   for (const forwarding::ServiceLoad& load : loads) {
     reports.push_back(ToReport(load));
   }
--- a/tests/unit/forwarding/choice_test.cc
+++ b/tests/unit/forwarding/choice_test.cc
@@ -64,6 +64,7 @@
   AddBackend(remote);
   BOOST_TEST(!Serve(20).contains("r-1"));
   std::vector<std::string> order;
+  order.reserve(6);
   for (int i = 0; i < 6; ++i) {
     order.push_back(StartAndSend("/cards/1").backend);
   }
--- /dev/null
+++ b/tests/unit/gateway_http/backend_faults_test.cc
@@ -0,0 +1,208 @@
+// What a faulty back end does must not reach a caller as an answer.
+#include <string>
+
+#include "support.h"
+
+namespace ladderstream::gateway {
+namespace {
+
+bool IsLost(const std::string& answer) { return answer.starts_with("HTTP/1.1 502 "); }
+
+/// The answer that a caller gets on a route that may not be repeated, when the back end does this.
+std::string AnswerWhen(const TestBackend::Script& script) {
+  Node node;
+  node.backend.on_request = script;
+  return node.Ask(node.Connect(), "1", "/order/x");
+}
+
+BOOST_AUTO_TEST_SUITE(backend_faults)
+
+BOOST_AUTO_TEST_CASE(an_answer_cut_short_is_no_answer) {
+  BOOST_TEST(IsLost(AnswerWhen([](TestSocket& socket, const std::string& request) {
+    const std::string answer = AnswerTo(request, "abcdef");
+    socket.Send(answer.substr(0, answer.size() - 1));
+    socket.Close();
+  })));
+  BOOST_TEST(IsLost(AnswerWhen([](TestSocket& socket, const std::string& request) {
+    socket.Send(
+        "HTTP/1.1 200 OK\r\nT-Stamp: s\r\nT-Request-Id: " + HeaderOf(request, "T-Request-Id") +
+        "\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    socket.Close();
+  })));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_a_length_is_whole_only_when_closed_in_order) {
+  Node node;
+  TestSocket* peer = nullptr;
+  node.backend.on_request = [&](TestSocket& socket, const std::string& request) {
+    socket.Send("HTTP/1.1 200 OK\r\nT-Stamp: s\r\nT-Request-Id: " +
+                HeaderOf(request, "T-Request-Id") + "\r\n\r\nabc");
+    peer = &socket;
+  };
+  const auto caller = node.Connect();
+  caller->Send(Node::Get("1", "/order/x"));
+  node.WaitUntil([&] { return peer != nullptr; });
+  peer->Reset();
+  BOOST_TEST(IsLost(node.WaitForAnswer(caller)));
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_sound_answer_are_refused) {
+  const auto answers_with = [](const std::string& status, const std::string& fields) {
+    return AnswerWhen([status, fields](TestSocket& socket, const std::string&) {
+      socket.Send("HTTP/1.1 " + status + "\r\n" + fields + "\r\nabc");
+    });
+  };
+  const std::string id = "T-Request-Id: 1\r\n";
+  const std::string sound = id + "T-Stamp: s\r\nContent-Length: 3\r\n";
+  BOOST_TEST(!IsLost(answers_with("200 OK", sound)));
+  BOOST_TEST(IsLost(answers_with("200 OK", "T-Stamp: s\r\nContent-Length: 3\r\n")));
+  BOOST_TEST(IsLost(answers_with("200 OK", sound + id)));
+  BOOST_TEST(IsLost(answers_with("200 OK", id + "Content-Length: 3\r\n")));
+  BOOST_TEST(IsLost(answers_with("200 OK", sound + "Content-Encoding: gzip\r\n")));
+  BOOST_TEST(IsLost(answers_with("200 OK", sound + "Content-Length: 3\r\n")));
+  BOOST_TEST(IsLost(answers_with("200 OK", sound + "Transfer-Encoding: chunked\r\n")));
+  BOOST_TEST(IsLost(answers_with("200 OK", sound + "X: a\r\n b\r\n")));
+  BOOST_TEST(IsLost(answers_with("101 Switching", sound)));
+  BOOST_TEST(IsLost(answers_with("999 Odd", sound)));
+  BOOST_TEST(IsLost(AnswerWhen([](TestSocket& socket, const std::string&) {
+    socket.Send(std::string(200, '\x07') + "\r\n\r\n");
+  })));
+}
+
+BOOST_AUTO_TEST_CASE(surplus_bytes_retire_the_connection) {
+  Node node;
+  node.backend.on_request = [](TestSocket& socket, const std::string& request) {
+    socket.Send(AnswerTo(request, "right") + AnswerTo(request, "surplus"));
+  };
+  const auto caller = node.Connect();
+  for (const char* id : {"1", "2", "3"}) {
+    BOOST_TEST(BodyOf(node.Ask(caller, id)) == "right");
+  }
+  BOOST_TEST(node.backend.connections.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_second_answer_reaches_no_other_caller) {
+  Node node;
+  std::string earlier;
+  node.backend.on_request = [&](TestSocket& socket, const std::string& request) {
+    // On a reused connection the second answer to the request before arrives first.
+    if (!earlier.empty() && node.backend.connections.size() == 1) {
+      socket.Send(AnswerTo(earlier, "surplus"));
+    }
+    earlier = request;
+    socket.Send(AnswerTo(request, "right"));
+  };
+  const auto caller = node.Connect();
+  for (const char* id : {"1", "2", "3"}) {
+    const std::string answer = node.Ask(caller, id, "/order/x");
+    BOOST_TEST(HeaderOf(answer, "T-Request-Id") == id);
+    BOOST_TEST(BodyOf(answer) == "right");
+  }
+  // The connection that carried a late answer is not used again.
+  BOOST_TEST(node.backend.connections.size() == 2U);
+  BOOST_TEST(node.backend.requests.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(bytes_on_an_idle_connection_retire_it_at_once) {
+  Node node;
+  const auto caller = node.Connect();
+  node.Ask(caller, "1");
+  BOOST_TEST(node.data_path.backend_connection_count() == 1U);
+  node.backend.connections.at(0)->Send("HTTP/1.1 200 OK\r\n");
+  const Time begin = node.clock.Now();
+  node.WaitUntil([&] { return node.data_path.backend_connection_count() == 0; });
+  // Long before its age would end it.
+  BOOST_TEST((node.clock.Now() - begin < absl::Seconds(2)));
+  BOOST_TEST(BodyOf(node.Ask(caller, "2")) == "done");
+}
+
+BOOST_AUTO_TEST_CASE(a_back_end_gets_no_more_connections_than_its_share) {
+  DataPathSettings settings;
+  settings.backends.min_connections = 1;
+  Node node(settings);
+  node.Configure(catalog::Limits(), /*max_connections=*/10);
+  node.data_path.SetNodeCount(4);
+  node.backend.on_request = [](TestSocket&, const std::string&) {};
+  const auto first = node.Connect();
+  const auto second = node.Connect();
+  const auto third = node.Connect();
+  first->Send(Node::Get("1"));
+  second->Send(Node::Get("2"));
+  node.WaitUntil([&] { return node.backend.requests.size() == 2; });
+  // 10 x 0.8 / 4: the third would be one too many, and is told that it has not run.
+  BOOST_TEST(node.Ask(third, "3").starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(node.backend.connections.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_closed_while_idle_costs_no_request) {
+  Node node;
+  const auto caller = node.Connect();
+  node.Ask(caller, "1", "/order/x");
+  // The caller's next request and the back end's close wait for the same turn of the loop.
+  caller->Send(Node::Get("2", "/order/x"));
+  node.backend.connections.at(0)->Close();
+  BOOST_TEST(BodyOf(node.WaitForAnswer(caller)) == "done");
+  BOOST_TEST(node.backend.connections.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_request_runs_again_only_where_it_may) {
+  Node node;
+  int resets = 0;
+  node.backend.on_request = [&](TestSocket& socket, const std::string&) {
+    ++resets;
+    socket.Reset();
+  };
+  const auto caller = node.Connect();
+  BOOST_TEST(IsLost(node.Ask(caller, "1", "/order/x")));
+  BOOST_TEST(resets == 1);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_before_the_whole_request_is_read_ends_the_connection) {
+  Node node;
+  catalog::Limits limits;
+  limits.max_body_bytes = 64U << 20U;
+  node.Configure(limits);
+  // Answers as soon as a head is there, and reads no further.
+  TestSocketPtr backend_end;
+  const auto caller = node.Connect();
+  const size_t size = 24U << 20U;
+  caller->Send("POST /order/x HTTP/1.1\r\nHost: a.example\r\nT-Request-Id: 1\r\nContent-Length: " +
+               std::to_string(size) + "\r\n\r\n");
+  const std::string block(65536, 'b');
+  size_t sent = 0;
+  node.WaitUntil([&] {
+    if (sent < size) {
+      sent += caller->SendSome(block.substr(0, std::min(block.size(), size - sent)));
+    }
+    if (!node.backend.connections.empty() && backend_end == nullptr &&
+        node.backend.connections[0]->received.find("\r\n\r\n") != std::string::npos) {
+      backend_end = node.backend.connections[0];
+      backend_end->StopReading();
+      backend_end->Send(AnswerTo("\r\nT-Request-Id: 1\r\n", "early"));
+    }
+    return caller->received.ends_with("early");
+  });
+  BOOST_TEST(node.data_path.backend_connection_count() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(connection_close_and_told_idle_times_are_heeded) {
+  Node node;
+  std::string fields = "Connection: close\r\n";
+  node.backend.on_request = [&](TestSocket& socket, const std::string& request) {
+    socket.Send(AnswerTo(request, "done", fields));
+  };
+  const auto caller = node.Connect();
+  node.Ask(caller, "1");
+  BOOST_TEST(node.data_path.backend_connection_count() == 0U);
+  fields = "Keep-Alive: timeout=1\r\n";
+  node.Ask(caller, "2");
+  BOOST_TEST(node.data_path.backend_connection_count() == 1U);
+  const Time begin = node.clock.Now();
+  node.WaitUntil([&] { return node.data_path.backend_connection_count() == 0; });
+  BOOST_TEST((node.clock.Now() - begin < absl::Seconds(1)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace ladderstream::gateway
--- /dev/null
+++ b/tests/unit/gateway_http/http_client_test.cc
@@ -0,0 +1,102 @@
+#include "gateway/http/http_client.h"
+
+#include <optional>
+#include <string>
+
+#include "support.h"
+
+namespace ladderstream::gateway {
+namespace {
+
+struct ClientFixture {
+  ClientFixture() {
+    settings.connect_timeout = absl::Seconds(5);
+    backend.on_request = [this](TestSocket& socket, const std::string& request) {
+      if (answers) {
+        socket.Send("HTTP/1.1 200 OK\r\nX-Path: " + request.substr(4, request.find(' ', 4) - 4) +
+                    "\r\nContent-Length: 2\r\n\r\nok");
+      }
+    };
+  }
+
+  CallResult Call(const std::string& target, Duration timeout = absl::Seconds(5)) {
+    std::optional<CallResult> result;
+    interfaces::HttpRequest request;
+    request.method = "GET";
+    request.target = target;
+    client.Call(backend.address(), request, timeout, [&](CallResult got) { result = got; });
+    RunUntil(loop, [&] { return result.has_value(); });
+    return *result;
+  }
+
+  EventLoop loop{1};
+  SteadyClock clock;
+  TestBackend backend{loop};
+  HttpClientSettings settings;
+  HttpClient client{loop, clock, settings};
+  bool answers = true;
+};
+
+BOOST_FIXTURE_TEST_SUITE(http_client, ClientFixture)
+
+BOOST_AUTO_TEST_CASE(calls_share_a_connection_one_after_another) {
+  for (const char* target : {"/a", "/b"}) {
+    const CallResult result = Call(target);
+    BOOST_TEST((result.outcome == CallOutcome::kAnswered));
+    BOOST_TEST(result.response.status == 200);
+    BOOST_TEST(result.response.Header("x-path") == target);
+    BOOST_TEST(result.response.body == "ok");
+  }
+  BOOST_TEST(backend.connections.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_with_a_late_answer_is_not_used_again) {
+  answers = false;
+  BOOST_TEST((Call("/lost", absl::Milliseconds(30)).outcome == CallOutcome::kNoAnswer));
+  answers = true;
+  backend.connections.at(0)->Send("HTTP/1.1 200 OK\r\nX-Path: /lost\r\nContent-Length: 0\r\n\r\n");
+  const CallResult next = Call("/next");
+  BOOST_TEST(next.response.Header("X-Path") == "/next");
+  BOOST_TEST(backend.connections.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_connection_is_told_from_a_lost_answer) {
+  backend.on_request = [](TestSocket& socket, const std::string&) { socket.Close(); };
+  BOOST_TEST((Call("/closed").outcome == CallOutcome::kNoAnswer));
+  const Endpoint gone = TestBackend(loop).address();
+  std::optional<CallResult> result;
+  interfaces::HttpRequest request;
+  request.method = "GET";
+  request.target = "/";
+  client.Call(gone, request, absl::Seconds(5), [&](CallResult got) { result = got; });
+  BOOST_TEST(!result.has_value());
+  RunUntil(loop, [&] { return result.has_value(); });
+  BOOST_TEST((result->outcome == CallOutcome::kRefused));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_cut_short_is_no_answer) {
+  backend.on_request = [](TestSocket& socket, const std::string&) {
+    socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+    socket.Close();
+  };
+  BOOST_TEST((Call("/cut").outcome == CallOutcome::kNoAnswer));
+}
+
+BOOST_AUTO_TEST_CASE(a_cancelled_call_calls_nobody_back) {
+  answers = false;
+  bool called = false;
+  interfaces::HttpRequest request;
+  request.method = "GET";
+  request.target = "/";
+  const HttpCallId call =
+      client.Call(backend.address(), request, absl::Seconds(5), [&](CallResult) { called = true; });
+  RunUntil(loop, [&] { return backend.requests.size() == 1; });
+  client.Cancel(call);
+  RunUntil(loop, [&] { return backend.connections.at(0)->ended; });
+  BOOST_TEST(!called);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace ladderstream::gateway
--- /dev/null
+++ b/tests/unit/gateway_http/request_reader_test.cc
@@ -0,0 +1,83 @@
+// The readers take messages in pieces of any size.
+#include "gateway/http/request_reader.h"
+
+#include <string>
+
+#include "gateway/http/answer_reader.h"
+#include "support.h"
+
+namespace ladderstream::gateway {
+namespace {
+
+/// Feeds `bytes` in pieces of `piece` bytes, as a connection does; gives the last status.
+template <typename Reader>
+ReadStatus Feed(Reader& reader, const std::string& bytes, size_t piece, std::string* rest) {
+  ReadStatus status = ReadStatus::kNeedMore;
+  for (size_t offset = 0; offset < bytes.size() && status == ReadStatus::kNeedMore;
+       offset += piece) {
+    rest->append(bytes, offset, piece);
+    size_t consumed = 0;
+    status = reader.Read(*rest, &consumed);
+    rest->erase(0, consumed);
+  }
+  return status;
+}
+
+BOOST_AUTO_TEST_SUITE(readers)
+
+BOOST_AUTO_TEST_CASE(the_size_of_the_pieces_makes_no_difference) {
+  const TestAdapter adapter;
+  const catalog::Limits limits;
+  const auto budget = std::make_shared<ByteBudget>(1000000);
+  const std::string request =
+      "\r\nPOST http://B.example:80/p/q?r HTTP/1.1\r\nHost: a.example\r\nT-Request-Id: 1\r\n"
+      "T-Key: 77\r\nTransfer-Encoding: chunked\r\n\r\n5;x=\"y\"\r\nab\r\nc\r\n1\r\nd\r\n0\r\n"
+      "T-Request-Id: 2\r\n\r\n";
+  const std::string answer =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nT-Request-Id: 1\r\nT-Stamp: s\r\n"
+      "T-Load: 1,2,3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  for (size_t piece = 1; piece < request.size(); ++piece) {
+    std::string rest;
+    RequestReader request_reader(adapter.headers(), limits, budget);
+    BOOST_TEST((Feed(request_reader, request, piece, &rest) == ReadStatus::kComplete));
+    const CallerRequest read = request_reader.Take();
+    BOOST_TEST(read.body == "ab\r\ncd");
+    BOOST_TEST(read.request_id == "1");
+    BOOST_TEST(read.host == "B.example");
+    BOOST_TEST(read.target == "/p/q?r");
+    BOOST_TEST(read.key.value() == 77U);
+    BOOST_TEST(read.head.find("T-Request-Id: 2") == std::string::npos);
+    BOOST_TEST(rest.empty());
+
+    AnswerReader answer_reader(adapter, 1000, budget);
+    answer_reader.Begin({"1", false, false});
+    BOOST_TEST((Feed(answer_reader, answer, piece, &rest) == ReadStatus::kComplete));
+    const BackendAnswer got = answer_reader.Take();
+    BOOST_TEST(got.body == "abc");
+    BOOST_TEST(got.load.slots == 3U);
+    BOOST_TEST(got.keeps_open);
+  }
+  BOOST_TEST(budget->used() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(refusals_of_back_ends_are_told_apart) {
+  const TestAdapter adapter;
+  const auto budget = std::make_shared<ByteBudget>(1000);
+  const auto not_executed = [&](const std::string& status, const std::string& fields) {
+    AnswerReader reader(adapter, 1000, budget);
+    reader.Begin({"1", false, false});
+    std::string rest;
+    const std::string bytes =
+        "HTTP/1.1 " + status + "\r\nT-Request-Id: 1\r\n" + fields + "Content-Length: 0\r\n\r\n";
+    BOOST_TEST((Feed(reader, bytes, bytes.size(), &rest) == ReadStatus::kComplete));
+    return reader.Take().not_executed;
+  };
+  BOOST_TEST(not_executed("421 Misdirected", ""));
+  BOOST_TEST(not_executed("503 Full", "T-Not-Executed: 1\r\n"));
+  BOOST_TEST(!not_executed("503 Full", ""));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace ladderstream::gateway
--- a/tests/unit/ownership/model_world.h
+++ b/tests/unit/ownership/model_world.h
@@ -112,6 +112,8 @@
   void CheckHolds(const ModelBackend& backend, const KeyRange& range);
   void CheckFences(const ModelBackend& backend, const KeyRange& range, Fence fence);
   void CheckCommits(const store::Transaction& transaction);
+  /// Notes which keys each node finds held by their owner, and not moving.
+  void SeeServed();
   std::string CheckRest();
   ModelBackend* BackendAt(const Endpoint& address);
   ModelBackend* BackendWithId(const std::string& id);
@@ -151,6 +153,7 @@
   uint16_t last_port_ = 0;
   std::vector<Key> keys_;
   std::map<std::string, std::vector<partition::KeyCount>> load_;
+  std::map<std::pair<size_t, std::string>, KeyMap<bool>> seen_served_;
   Time faults_end_;
 
   struct HighestFence {
