--- a/src/core/partition/fleet.cc
+++ b/src/core/partition/fleet.cc
@@ -14,7 +14,7 @@
 /// A back end that is cold from its start works this much more slowly.
 constexpr double kColdFactor = 2;
 /// Without any service time known, back ends are taken to be used this much.
-constexpr double kAssumedPressure = 0.6;
+constexpr double kAssumedPressure = 0.5;
 
 bool Overlap(const KeyRange& a, const KeyRange& b) {
   return a.first <= b.last && b.first <= a.last;
