Mend what the linter found in the stand-in of the platform

Cause: a rounding by cast, a narrowing, a constant that hindered a move. Change: as said; no behaviour.

--- a/src/standin/fleet/http_client.cc
+++ b/src/standin/fleet/http_client.cc
@@ -137,7 +137,7 @@
     result.end = CallEnd::kAnswered;
     result.reusable = parser_->keep_alive() && !parser_->need_eof();
     auto message = parser_->release();
-    result.response.status = message.result_int();
+    result.response.status = static_cast<int>(message.result_int());
     for (const auto& field : message) {
       result.response.headers.emplace_back(std::string(field.name_string()),
                                            std::string(field.value()));
--- a/src/standin/fleet/judge.cc
+++ b/src/standin/fleet/judge.cc
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -376,7 +377,7 @@
     return absl::ZeroDuration();
   }
   const double position = share * static_cast<double>(sorted.size() - 1);
-  return sorted[static_cast<size_t>(position + 0.5)];
+  return sorted[static_cast<size_t>(std::lround(position))];
 }
 
 Verdict Judge(const History& history, const JudgeBounds& bounds) {
--- a/src/standin/fleet/store_server.cc
+++ b/src/standin/fleet/store_server.cc
@@ -255,7 +255,7 @@
 }
 
 TransactionResult StoreServer::Commit(const store::Transaction& transaction) {
-  const TransactionResult result = rows_.Apply(transaction, EventLoop::Now());
+  TransactionResult result = rows_.Apply(transaction, EventLoop::Now());
   if (result.applied) {
     WakeFeeds();
   }
