--- a/src/core/partition/partitioner.cc
+++ b/src/core/partition/partitioner.cc
@@ -112,11 +112,9 @@
   const LoadView load(calm_, 1, none_hot);
   const Fleet fleet({nobody, {}, backends, {}}, service_times_, load, absl::UnixEpoch());
   std::vector<Part> parts;
-  double comfortable = 0;
   for (size_t i = 0; i < fleet.members().size(); ++i) {
     if (fleet.members()[i].accepts) {
       parts.push_back({i, fleet.members()[i].comfortable});
-      comfortable += fleet.members()[i].comfortable;
     }
   }
   if (parts.empty()) {
--- a/src/standin/fleet/backend.h
+++ b/src/standin/fleet/backend.h
@@ -122,6 +122,8 @@
   void Beat();
   void OnRequest(const ExchangePtr& exchange);
   void OnWork(const ExchangePtr& exchange);
+  /// It names another incarnation that alone may do it.
+  bool IsForAnother(const ReceivedRequest& request) const;
   /// The status with which it is refused at once; 0 to take it.
   int RefusalOf(const ReceivedRequest& request, const std::optional<ownership::Key>& key) const;
   void Enqueue(const JobPtr& job);
