Take the changes of a map also from a version between

Cause: a push carries what changed since the push before. A node that was sent a newer map in between, in the answer to its report, holds neither end: it could not apply the push, knew that a newer map existed, and so refused every request of the services divided by key until its next report was answered.

Ruled out: a lease about to lapse (none did), slow answers to reports (map ages of 1 to 400 ms), single weak nodes (all nodes alike).

Change: within one epoch changes are applied to each version from their base on. A key that has the same owner and fence at both ends had them all the time, because fences of a key only rise. Which services are unchanged is told by name, so that a service that went and came back is not made up; then, and across epochs, the exact base is asked for as before.

--- a/src/core/ownership/map_changes.cc
+++ b/src/core/ownership/map_changes.cc
@@ -22,6 +22,15 @@
   return additions;
 }
 
+/// Whether all that differs between `held` and the newer map is among the changes.
+bool LeadOnFrom(const MapVersion& held, const MapChanges& changes) {
+  if (held == changes.base) {
+    return true;
+  }
+  return changes.base.epoch == changes.version.epoch && changes.base < held &&
+         held < changes.version;
+}
+
 }  // namespace
 
 MapChanges ChangesBetween(const OwnershipMap& older, const OwnershipMap& newer) {
@@ -35,30 +44,33 @@
     } else if (before->second != service) {
       changes.services[name] = {Additions(before->second.assignments, service.assignments),
                                 service.moving};
-    }
-  }
-  for (const auto& [name, service] : older.services) {
-    if (!newer.services.contains(name)) {
-      changes.removed_services.push_back(name);
+    } else {
+      changes.unchanged_services.push_back(name);
     }
   }
   return changes;
 }
 
 std::optional<OwnershipMap> ApplyChanges(const OwnershipMap& held, const MapChanges& changes) {
-  if (held.version != changes.base) {
+  if (!LeadOnFrom(held.version, changes)) {
     return std::nullopt;
   }
-  OwnershipMap map = held;
+  OwnershipMap map;
   map.version = changes.version;
-  for (const std::string& name : changes.removed_services) {
-    map.services.erase(name);
+  for (const std::string& name : changes.unchanged_services) {
+    const auto before = held.services.find(name);
+    if (before == held.services.end()) {
+      return std::nullopt;
+    }
+    map.services[name] = before->second;
   }
   for (const auto& [name, service] : changes.services) {
-    ServiceOwnership& target = map.services[name];
-    if (target.assignments.empty() && !service.assignments.empty()) {
-      target.assignments = Unowned();
+    const auto before = held.services.find(name);
+    if (before == held.services.end() && !CoversAllKeys(service.assignments)) {
+      return std::nullopt;
     }
+    ServiceOwnership& target = map.services[name];
+    target.assignments = before == held.services.end() ? Unowned() : before->second.assignments;
     for (const Assignment& assignment : service.assignments) {
       AssignRange(assignment.range, assignment.owner, assignment.fence, &target.assignments);
     }
--- a/src/core/ownership/map_changes.h
+++ b/src/core/ownership/map_changes.h
@@ -29,14 +29,20 @@
   MapVersion version;
   /// Services that differ.
   std::map<std::string, ServiceChanges> services;
-  std::vector<std::string> removed_services;
-  MSGPACK_DEFINE_ARRAY(base, version, services, removed_services);
+  /// Services that are as they were; whatever is neither here nor above has gone.
+  std::vector<std::string> unchanged_services;
+  MSGPACK_DEFINE_ARRAY(base, version, services, unchanged_services);
 };
 
 /// What leads from `older` to `newer`.
 MapChanges ChangesBetween(const OwnershipMap& older, const OwnershipMap& newer);
 
-/// The map that `changes` make of `held`; empty when they are based on another version.
+/// The map that `changes` make of `held`; empty when they do not lead on from there.
+///
+/// Within one epoch they lead on from each version between the base and the newer one too: a key
+/// that has the same owner and fence in both had them all the time, for fences only rise. So a node
+/// that was answered between two pushes still takes the second. Empty also when a service went and
+/// came back since the base, and `held` is without it.
 std::optional<OwnershipMap> ApplyChanges(const OwnershipMap& held, const MapChanges& changes);
 
 /// The newest maps, to find what changed since one of them. Not thread-safe.
--- a/tests/unit/membership/map_changes_test.cc
+++ b/tests/unit/membership/map_changes_test.cc
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <random>
+#include <vector>
 
 #include "core/ownership/assignments.h"
 
@@ -47,11 +48,62 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ChangesLeadOnFromEachMapBetween) {
+  std::mt19937_64 random(7);
+  std::vector<OwnershipMap> maps = {RandomSuccessor({{1, 1}, {}}, &random)};
+  for (int round = 0; round < kRounds; ++round) {
+    maps.push_back(RandomSuccessor(maps.back(), &random));
+    const OwnershipMap& newest = maps.back();
+    const size_t older = random() % (maps.size() - 1);
+    const size_t held = older + random() % (maps.size() - 1 - older);
+    const auto reached = ApplyChanges(maps[held], ChangesBetween(maps[older], newest));
+    BOOST_REQUIRE(reached.has_value());
+    BOOST_TEST((reached->version == newest.version));
+    BOOST_TEST((reached->services == newest.services));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ChangesOfAnotherMapAreNotApplied) {
   std::mt19937_64 random(7);
   const OwnershipMap first = RandomSuccessor({{1, 1}, {}}, &random);
   const OwnershipMap second = RandomSuccessor(first, &random);
-  BOOST_TEST(!ApplyChanges(RandomSuccessor(second, &random), ChangesBetween(first, second)));
+  const OwnershipMap third = RandomSuccessor(second, &random);
+  BOOST_TEST(!ApplyChanges(third, ChangesBetween(first, second)));
+  BOOST_TEST(!ApplyChanges(first, ChangesBetween(second, third)));
+}
+
+BOOST_AUTO_TEST_CASE(ChangesOfAnotherEpochNeedTheirBase) {
+  std::mt19937_64 random(7);
+  const OwnershipMap first = RandomSuccessor({{1, 1}, {}}, &random);
+  const OwnershipMap second = RandomSuccessor(first, &random);
+  OwnershipMap successor = first;
+  successor.version = {2, 1};
+  BOOST_TEST(!ApplyChanges(second, ChangesBetween(first, successor)));
+  BOOST_TEST(ApplyChanges(first, ChangesBetween(first, successor)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AServiceThatWentAndCameBackIsNotMadeUp) {
+  std::mt19937_64 random(7);
+  const OwnershipMap with = RandomSuccessor({{1, 1}, {}}, &random);
+  OwnershipMap without = with;
+  without.services.clear();
+  ++without.version.sequence;
+  OwnershipMap again = with;
+  again.version.sequence += 2;
+  OwnershipMap changed = RandomSuccessor(with, &random);
+  changed.version = again.version;
+  BOOST_TEST(!ApplyChanges(without, ChangesBetween(with, again)));
+  BOOST_TEST(!ApplyChanges(without, ChangesBetween(with, changed)));
+}
+
+BOOST_AUTO_TEST_CASE(AServiceOfBetweenThatWentAgainIsRemoved) {
+  std::mt19937_64 random(7);
+  const OwnershipMap before{{1, 1}, {}};
+  const OwnershipMap between = RandomSuccessor(before, &random);
+  const OwnershipMap after{{1, 3}, {}};
+  const auto reached = ApplyChanges(between, ChangesBetween(before, after));
+  BOOST_REQUIRE(reached.has_value());
+  BOOST_TEST(reached->services.empty());
 }
 
 BOOST_AUTO_TEST_CASE(AServiceThatGoesIsRemoved) {
