Count the bytes between nodes by what they carry and by zone

Change: each message queued for another node is counted by its kind (a heartbeat by the largest thing it carries) and by whether it leaves the zone; ladderstream_peer_messages_total and ladderstream_peer_bytes_total show it.

--- a/src/core/membership/member_table.cc
+++ b/src/core/membership/member_table.cc
@@ -89,11 +89,23 @@
   std::vector<Destination> destinations;
   destinations.reserve(others_.size());
   for (const auto& [incarnation, member] : others_) {
-    destinations.push_back({member.identity.address, member.connection});
+    destinations.push_back({member.identity.address, member.connection, ScopeOf(member.identity)});
   }
   return destinations;
 }
 
+ZoneScope MemberTable::ScopeOf(const PeerIdentity& member) const {
+  return member.zone == self_.zone ? ZoneScope::kOwn : ZoneScope::kOther;
+}
+
+Destination MemberTable::At(const Endpoint& address) const {
+  const auto found =
+      std::find_if(published_.begin(), published_.end(),
+                   [&address](const PeerIdentity& member) { return member.address == address; });
+  const ZoneScope scope = found == published_.end() ? ZoneScope::kUnknown : ScopeOf(*found);
+  return {address, 0, scope};
+}
+
 void MemberTable::Publish() {
   published_.clear();
   published_.reserve(others_.size() + 1);
--- a/src/core/membership/member_table.h
+++ b/src/core/membership/member_table.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <vector>
 
+#include "core/membership/message_kind.h"
 #include "core/membership/messages.h"
 #include "wire/time.h"
 
@@ -17,6 +18,8 @@
   Endpoint address;
   /// A connection of the transport; 0 for none.
   uint64_t connection = 0;
+  /// Only for counting what leaves the zone.
+  ZoneScope zone = ZoneScope::kUnknown;
   bool operator==(const Destination&) const = default;
 };
 
@@ -42,6 +45,10 @@
   uint64_t version() const { return version_; }
   /// All known members but this node.
   std::vector<Destination> Others() const;
+  /// Where `member` is, seen from this node.
+  ZoneScope ScopeOf(const PeerIdentity& member) const;
+  /// The node at `address`, a member or not.
+  Destination At(const Endpoint& address) const;
 
  private:
   struct Member {
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -49,7 +49,7 @@
   if (report.members_version < members_.version()) {
     answer.members = members_.members();
   }
-  Send({from}, std::move(answer));
+  Send({{from.address, from.connection, members_.ScopeOf(report.sender)}}, std::move(answer));
   snapshots_.OnVersionsHeard({report.sender.address, from.connection},
                              {report.configuration_version, report.backends_version}, now);
   if (!report.loads.empty() || !report.refused_backends.empty()) {
@@ -255,7 +255,7 @@
   Report report = NewReport(holder_->incarnation, now);
   report.loads = std::move(loads);
   report.refused_backends = std::move(refused_backends);
-  Send({Destination{holder_->peer_address, 0}}, std::move(report));
+  Send({members_.At(holder_->peer_address)}, std::move(report));
 }
 
 void Membership::SeekCoordinator(Time now) {
--- /dev/null
+++ b/src/core/membership/message_kind.cc
@@ -0,0 +1,51 @@
+#include "core/membership/message_kind.h"
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <variant>
+
+namespace ladderstream::membership {
+namespace {
+
+constexpr std::array<std::string_view, static_cast<size_t>(MessageKind::kCount)> kKindNames = {
+    "report",      "heartbeat",        "map",     "map_changes", "members", "rows",
+    "resignation", "snapshot_request", "snapshot"};
+
+constexpr std::array<std::string_view, static_cast<size_t>(ZoneScope::kCount)> kScopeNames = {
+    "unknown", "own", "other"};
+
+MessageKind KindOfBody(const Report& /*report*/) { return MessageKind::kReport; }
+
+MessageKind KindOfBody(const Heartbeat& heartbeat) {
+  if (!heartbeat.map.empty()) {
+    return MessageKind::kMap;
+  }
+  if (!heartbeat.members.empty()) {
+    return MessageKind::kMembers;
+  }
+  const bool has_rows = std::any_of(heartbeat.tables.begin(), heartbeat.tables.end(),
+                                    [](const TableNews& news) { return !news.rows.empty(); });
+  if (has_rows) {
+    return MessageKind::kRows;
+  }
+  return heartbeat.map_changes.empty() ? MessageKind::kHeartbeat : MessageKind::kMapChanges;
+}
+
+MessageKind KindOfBody(const Resignation& /*resignation*/) { return MessageKind::kResignation; }
+
+MessageKind KindOfBody(const SnapshotRequest& /*request*/) { return MessageKind::kSnapshotRequest; }
+
+MessageKind KindOfBody(const Snapshot& /*snapshot*/) { return MessageKind::kSnapshot; }
+
+}  // namespace
+
+MessageKind KindOf(const Message& message) {
+  return std::visit([](const auto& body) { return KindOfBody(body); }, message);
+}
+
+std::string_view NameOf(MessageKind kind) { return kKindNames.at(static_cast<size_t>(kind)); }
+
+std::string_view NameOf(ZoneScope scope) { return kScopeNames.at(static_cast<size_t>(scope)); }
+
+}  // namespace ladderstream::membership
--- a/src/gateway/peer/peer_settings.h
+++ b/src/gateway/peer/peer_settings.h
@@ -1,9 +1,11 @@
 // Settings and counts of the connections between nodes.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 
+#include "core/membership/message_kind.h"
 #include "wire/identifiers.h"
 #include "wire/time.h"
 
@@ -29,8 +31,21 @@
   uint64_t seed = 0;
 };
 
+/// Messages of one kind for nodes of one scope, and their bytes, lengths included.
+struct MessageTraffic {
+  uint64_t messages = 0;
+  uint64_t bytes = 0;
+};
+
+/// By MessageKind, then by ZoneScope.
+using TrafficTable =
+    std::array<std::array<MessageTraffic, static_cast<size_t>(membership::ZoneScope::kCount)>,
+               static_cast<size_t>(membership::MessageKind::kCount)>;
+
 /// Counts since the start.
 struct PeerTraffic {
+  /// What was queued, whether it left or not.
+  TrafficTable queued = {};
   uint64_t frames_sent = 0;
   uint64_t bytes_sent = 0;
   uint64_t frames_received = 0;
--- a/src/gateway/peer/peer_transport.cc
+++ b/src/gateway/peer/peer_transport.cc
@@ -125,8 +125,13 @@
     traffic_->frames_dropped += to.size();
     return;
   }
-  const bool is_report = std::holds_alternative<membership::Report>(message);
+  const membership::MessageKind kind = membership::KindOf(message);
+  const bool is_report = kind == membership::MessageKind::kReport;
+  auto& queued = traffic_->queued.at(static_cast<size_t>(kind));
   for (const membership::Destination& destination : to) {
+    MessageTraffic& count = queued.at(static_cast<size_t>(destination.zone));
+    ++count.messages;
+    count.bytes += frame->size();
     SendTo(destination, frame, is_report ? FrameRank::kReport : FrameRank::kOther);
   }
 }
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -92,6 +92,22 @@
          reply.status != store::StoreStatus::kRefused;
 }
 
+/// What was sent to other nodes, for the metrics.
+std::vector<observability::PeerMessageCount> CountsOf(const gateway::TrafficTable& queued) {
+  std::vector<observability::PeerMessageCount> counts;
+  for (size_t kind = 0; kind < queued.size(); ++kind) {
+    for (size_t scope = 0; scope < queued[kind].size(); ++scope) {
+      const gateway::MessageTraffic& traffic = queued[kind][scope];
+      if (traffic.messages > 0) {
+        counts.push_back({std::string(NameOf(static_cast<membership::MessageKind>(kind))),
+                          std::string(NameOf(static_cast<membership::ZoneScope>(scope))),
+                          traffic.messages, traffic.bytes});
+      }
+    }
+  }
+  return counts;
+}
+
 /// Where a copy's newest rows come from, for logs.
 const char* SourceOf(const store::TableFollower& follower, Time now) {
   return follower.Suspended(now) ? "coordinator" : "store";
@@ -164,6 +180,7 @@
   state->holds_lease = coordinator_.Holds(now);
   state->store_troubled = configuration_follower_.Troubled(now);
   state->peers = membership_.members().size();
+  state->peer_messages = CountsOf(peers_.traffic().queued);
   for (const catalog::Backend& backend : backends_) {
     ++state->backends[backend.draining ? "draining" : "ready"];
   }
--- a/src/observability/node_metrics.cc
+++ b/src/observability/node_metrics.cc
@@ -45,6 +45,11 @@
   return prometheus::BuildHistogram().Name(name).Help(help).Register(*registry);
 }
 
+/// Brings a counter that is kept elsewhere to its `total`.
+void RaiseTo(double total, prometheus::Counter* counter) {
+  counter->Increment(total - counter->Value());
+}
+
 }  // namespace
 
 std::string_view NameOf(RequestOutcome outcome) {
@@ -65,6 +70,10 @@
       backends_(AddGauges(&registry_, "ladderstream_backends", "Back ends by state.")),
       omitted_(AddCounters(&registry_, "ladderstream_log_lines_omitted_total",
                            "Log lines left out, by their kind and why.")),
+      peer_messages_(AddCounters(&registry_, "ladderstream_peer_messages_total",
+                                 "Messages to other nodes, by what they carry and their zone.")),
+      peer_bytes_(AddCounters(&registry_, "ladderstream_peer_bytes_total",
+                              "Bytes of the messages to other nodes.")),
       beliefs_(&AddCounters(&registry_, "ladderstream_beliefs_total",
                             "Changes of what the node believes."),
                "belief"),
@@ -167,6 +176,7 @@
 std::string NodeMetrics::Text(const NodeState& state, const EventBudget& budget) {
   SetGauges(state);
   SetBackends(state.backends);
+  SetPeerMessages(state.peer_messages);
   SetOmissions(budget);
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
@@ -227,6 +237,14 @@
   }
 }
 
+void NodeMetrics::SetPeerMessages(const std::vector<PeerMessageCount>& counts) {
+  for (const PeerMessageCount& count : counts) {
+    const prometheus::Labels labels = {{"message", count.message}, {"zone", count.zone}};
+    RaiseTo(static_cast<double>(count.messages), &peer_messages_.Add(labels));
+    RaiseTo(static_cast<double>(count.bytes), &peer_bytes_.Add(labels));
+  }
+}
+
 void NodeMetrics::SetOmissions(const EventBudget& budget) {
   for (size_t kind = 0; kind < kEventKindCount; ++kind) {
     for (size_t cause = 0; cause < kOmissionCauseCount; ++cause) {
@@ -236,7 +254,7 @@
       if (total > 0) {
         prometheus::Counter& count = omitted_.Add({{"kind", std::string(NameOf(event_kind))},
                                                    {"cause", std::string(NameOf(omission_cause))}});
-        count.Increment(total - count.Value());
+        RaiseTo(total, &count);
       }
     }
   }
--- a/src/observability/node_metrics.h
+++ b/src/observability/node_metrics.h
@@ -60,6 +60,15 @@
 /// Gives the name of a result, such as "connect_refused".
 std::string_view NameOf(AttemptResult result);
 
+/// Messages to other nodes of one kind, and their bytes.
+struct PeerMessageCount {
+  std::string message;
+  /// "own", "other" or "unknown".
+  std::string zone;
+  uint64_t messages = 0;
+  uint64_t bytes = 0;
+};
+
 /// What is read at each scrape.
 struct NodeState {
   uint64_t configuration_version = 0;
@@ -79,6 +88,8 @@
   uint64_t caller_connections = 0;
   uint64_t backend_connections = 0;
   uint64_t peers = 0;
+  /// Since the start; each message and zone once.
+  std::vector<PeerMessageCount> peer_messages;
 };
 
 class NodeMetrics {
@@ -135,6 +146,7 @@
   void RemoveSeries(const RouteSeries& series);
   void SetGauges(const NodeState& state);
   void SetBackends(const std::map<std::string, uint64_t>& backends);
+  void SetPeerMessages(const std::vector<PeerMessageCount>& counts);
   void SetOmissions(const EventBudget& budget);
   void SetGauge(const std::string& name, const std::string& help, double value);
 
@@ -144,6 +156,8 @@
   prometheus::Family<prometheus::Counter>& calls_;
   prometheus::Family<prometheus::Gauge>& backends_;
   prometheus::Family<prometheus::Counter>& omitted_;
+  prometheus::Family<prometheus::Counter>& peer_messages_;
+  prometheus::Family<prometheus::Counter>& peer_bytes_;
   std::vector<prometheus::Histogram*> stages_;
   std::vector<prometheus::Counter*> attempts_;
   std::vector<prometheus::Counter*> attempt_ends_;
--- a/tests/unit/observability/node_metrics_test.cc
+++ b/tests/unit/observability/node_metrics_test.cc
@@ -104,6 +104,21 @@
                         "ladderstream_log_lines_omitted_total{cause=\"output\",kind=\"peer\"} 7"));
 }
 
+BOOST_AUTO_TEST_CASE(peer_messages_are_counted_over_scrapes) {
+  NodeMetrics metrics;
+  const EventBudget budget(EventBudget::Default());
+  NodeState state = TestState();
+  state.peer_messages = {{"report", "other", 2, 300}};
+  metrics.Text(state, budget);
+  state.peer_messages = {{"report", "other", 5, 700}, {"rows", "own", 1, 90}};
+  const std::string text = metrics.Text(state, budget);
+  const std::string report = "{message=\"report\",zone=\"other\"} ";
+  BOOST_TEST(absl::StrContains(text, absl::StrCat("ladderstream_peer_messages_total", report, 5)));
+  BOOST_TEST(absl::StrContains(text, absl::StrCat("ladderstream_peer_bytes_total", report, 700)));
+  BOOST_TEST(
+      absl::StrContains(text, "ladderstream_peer_bytes_total{message=\"rows\",zone=\"own\"} 90"));
+}
+
 /// Every family that a scrape gives is explained on the page, and the page names no other.
 BOOST_AUTO_TEST_CASE(the_page_explains_exactly_the_metrics) {
   NodeMetrics metrics;
@@ -122,6 +137,7 @@
   families.insert({"ladderstream_requests_total", "ladderstream_request_seconds",
                    "ladderstream_calls_total", "ladderstream_beliefs_total",
                    "ladderstream_backend_connection_events_total",
+                   "ladderstream_peer_messages_total", "ladderstream_peer_bytes_total",
                    "ladderstream_log_lines_omitted_total"});
   std::set<std::string> explained;
   std::ifstream page(LADDERSTREAM_SOURCE_DIR "/docs/OPERATIONS.md");
