Send lists of members as differences, known senders by number, and sharded loads only

Cause: a changed list of members went whole to every node (5.3 KB with 87); each report named its sender in full (41 of 83 bytes beside the loads); and it carried service times of services without shards, which the coordinator drops. Loads grow with the traffic: a node with 7,750 requests a second would report some ten thousand keys each time.

Change: a heartbeat carries what leads from the receiver's version of the list to the newest, where the coordinator remembers the last 64 changes, its take-over among them; a copy that holds another version takes nothing and is sent the whole list. A node whose identity the coordinator has said to know sends its incarnation only, and the whole again when asked, or to a successor. Loads of services without shards stay at home.

--- /dev/null
+++ b/src/core/membership/load_sampling.cc
@@ -0,0 +1,62 @@
+#include "core/membership/load_sampling.h"
+
+#include <cstdint>
+#include <numeric>
+#include <utility>
+#include <vector>
+
+namespace ladderstream::membership {
+namespace {
+
+/// Systematic sampling: points at equal distances along the counts laid end to end.
+void SampleKeys(size_t most, double draw, LoadReport* load) {
+  const double total = std::accumulate(load->counts.begin(), load->counts.end(), 0.0);
+  const double step = total / static_cast<double>(most);
+  std::vector<uint32_t> keys;
+  std::vector<float> counts;
+  double laid = 0;
+  size_t points = 0;
+  for (size_t i = 0; i < load->keys.size(); ++i) {
+    laid += load->counts[i];
+    double drawn = 0;
+    for (; points < most && (draw + static_cast<double>(points)) * step < laid; ++points) {
+      drawn += step;
+    }
+    if (drawn > 0) {
+      keys.push_back(load->keys[i]);
+      counts.push_back(static_cast<float>(drawn));
+    }
+  }
+  load->keys = std::move(keys);
+  load->counts = std::move(counts);
+}
+
+template <typename Value>
+void KeepFrom(size_t first, size_t most, std::vector<Value>* values) {
+  std::vector<Value> kept;
+  kept.reserve(most);
+  for (size_t i = 0; i < most; ++i) {
+    kept.push_back(std::move((*values)[(first + i) % values->size()]));
+  }
+  *values = std::move(kept);
+}
+
+void SampleBackends(size_t most, double draw, LoadReport* load) {
+  const auto first = static_cast<size_t>(draw * static_cast<double>(load->backends.size()));
+  KeepFrom(first, most, &load->backends);
+  KeepFrom(first, most, &load->answers);
+  KeepFrom(first, most, &load->busy_us);
+}
+
+}  // namespace
+
+void SampleLoad(size_t most, double draw, LoadReport* load) {
+  if (load->keys.size() > most) {
+    SampleKeys(most, draw, load);
+  }
+  if (load->backends.size() > most) {
+    SampleBackends(most, draw, load);
+  }
+}
+
+}  // namespace ladderstream::membership
--- a/src/core/membership/member_table.cc
+++ b/src/core/membership/member_table.cc
@@ -12,6 +12,9 @@
 /// Reports that may be missing before a member leaves, when they come rarely.
 constexpr double kReportsPerLifetime = 3.5;
 
+/// Nodes that hold one of this many newest lists are sent changes only.
+constexpr size_t kChangesRemembered = 64;
+
 }  // namespace
 
 MemberTable::MemberTable(PeerIdentity self, Duration lifetime, Duration publish_interval_per_member)
@@ -21,25 +24,61 @@
   Publish();
 }
 
-void MemberTable::OnReport(const PeerIdentity& member, uint64_t connection, Time now) {
+std::optional<PeerIdentity> MemberTable::OnReport(const PeerIdentity& member, uint64_t connection,
+                                                  Time now) {
   if (member.incarnation == self_.incarnation) {
-    return;
+    return self_;
   }
   const auto known = others_.find(member.incarnation);
-  if (known != others_.end() && known->second.identity == member) {
+  if (known != others_.end() && (!member.IsWhole() || known->second.identity == member)) {
     known->second.connection = connection;
     known->second.last_report = now;
-    return;
+    return known->second.identity;
+  }
+  if (!member.IsWhole()) {
+    return std::nullopt;
   }
   std::erase_if(others_, [&member](const auto& entry) {
     return entry.second.identity.address == member.address;
   });
   others_.insert_or_assign(member.incarnation, Member{member, connection, now});
   changed_ = true;
+  return member;
 }
 
-bool MemberTable::Adopt(const std::vector<PeerIdentity>& members, uint64_t version, Time now) {
-  if (version <= version_ || members.empty()) {
+bool MemberTable::Adopt(const Heartbeat& heartbeat, Time now) {
+  if (heartbeat.members_version <= version_) {
+    return false;
+  }
+  const bool taken = heartbeat.member_changes.empty()
+                         ? Replace(heartbeat.members, now)
+                         : Apply(heartbeat.member_changes.front(), now);
+  if (!taken) {
+    return false;
+  }
+  version_ = heartbeat.members_version;
+  changed_ = false;
+  history_.clear();
+  Publish();
+  return true;
+}
+
+bool MemberTable::Apply(const MemberChanges& changes, Time now) {
+  if (changes.base != version_) {
+    return false;
+  }
+  // From the list itself: others may have reported to this node besides.
+  std::vector<PeerIdentity> members = published_;
+  std::erase_if(members, [&changes](const PeerIdentity& member) {
+    return std::find(changes.left.begin(), changes.left.end(), member.incarnation) !=
+           changes.left.end();
+  });
+  members.insert(members.end(), changes.joined.begin(), changes.joined.end());
+  return Replace(members, now);
+}
+
+bool MemberTable::Replace(const std::vector<PeerIdentity>& members, Time now) {
+  if (members.empty()) {
     return false;
   }
   std::map<uint64_t, Member> adopted;
@@ -52,20 +91,51 @@
     adopted.insert_or_assign(member.incarnation, Member{member, connection, now});
   }
   others_ = std::move(adopted);
-  version_ = version;
-  changed_ = false;
-  Publish();
   return true;
 }
 
+void MemberTable::AddTo(uint64_t version, Heartbeat* heartbeat) const {
+  if (version >= version_) {
+    return;
+  }
+  std::optional<MemberChanges> changes = ChangesSince(version);
+  if (changes.has_value()) {
+    heartbeat->member_changes.push_back(std::move(*changes));
+  } else {
+    heartbeat->members = published_;
+  }
+}
+
+std::optional<MemberChanges> MemberTable::ChangesSince(uint64_t version) const {
+  const auto first =
+      std::find_if(history_.begin(), history_.end(),
+                   [version](const Change& change) { return change.changes.base == version; });
+  // Version 0 is what each node starts with: lists of that version differ.
+  if (version == 0 || first == history_.end()) {
+    return std::nullopt;
+  }
+  MemberChanges all{version, {}, {}};
+  for (auto change = first; change != history_.end(); ++change) {
+    for (const uint64_t incarnation : change->changes.left) {
+      std::erase_if(all.joined, [incarnation](const PeerIdentity& member) {
+        return member.incarnation == incarnation;
+      });
+      all.left.push_back(incarnation);
+    }
+    all.joined.insert(all.joined.end(), change->changes.joined.begin(),
+                      change->changes.joined.end());
+  }
+  return all;
+}
+
 void MemberTable::TakeOver(uint64_t epoch, Time now) {
   for (auto& [incarnation, member] : others_) {
     member.last_report = now;
   }
-  version_ = std::max(version_ + 1, epoch << kVersionBitsPerEpoch);
+  history_.clear();
   changed_ = false;
   last_publish_ = now;
-  Publish();
+  PublishChange(std::max(version_ + 1, epoch << kVersionBitsPerEpoch));
 }
 
 bool MemberTable::Refresh(Time now, Duration report_interval) {
@@ -80,8 +150,7 @@
   }
   changed_ = false;
   last_publish_ = now;
-  ++version_;
-  Publish();
+  PublishChange(version_ + 1);
   return true;
 }
 
@@ -106,6 +175,27 @@
   return {address, 0, scope};
 }
 
+void MemberTable::PublishChange(uint64_t version) {
+  const std::vector<PeerIdentity> older = std::exchange(published_, {});
+  Publish();
+  MemberChanges changes{version_, {}, {}};
+  for (const PeerIdentity& member : older) {
+    if (member.incarnation != self_.incarnation && !others_.contains(member.incarnation)) {
+      changes.left.push_back(member.incarnation);
+    }
+  }
+  for (const PeerIdentity& member : published_) {
+    if (std::find(older.begin(), older.end(), member) == older.end()) {
+      changes.joined.push_back(member);
+    }
+  }
+  version_ = version;
+  history_.push_back({version, std::move(changes)});
+  if (history_.size() > kChangesRemembered) {
+    history_.pop_front();
+  }
+}
+
 void MemberTable::Publish() {
   published_.clear();
   published_.reserve(others_.size() + 1);
--- a/src/core/membership/member_table.h
+++ b/src/core/membership/member_table.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "core/membership/message_kind.h"
@@ -30,10 +32,13 @@
   MemberTable(PeerIdentity self, Duration lifetime, Duration publish_interval_per_member);
 
   /// A member reported, on this connection of the transport. Another run at the same address has
-  /// ended.
-  void OnReport(const PeerIdentity& member, uint64_t connection, Time now);
-  /// Takes over the list of the coordinator unless a newer one is known. True when it changed.
-  bool Adopt(const std::vector<PeerIdentity>& members, uint64_t version, Time now);
+  /// ended. Gives its whole identity; nothing when it is not known and not told.
+  std::optional<PeerIdentity> OnReport(const PeerIdentity& member, uint64_t connection, Time now);
+  /// Takes over the list of the coordinator, or what changed in it, unless a newer one is known.
+  /// True when it changed.
+  bool Adopt(const Heartbeat& heartbeat, Time now);
+  /// Puts into `heartbeat` what a node that holds the list of `version` lacks.
+  void AddTo(uint64_t version, Heartbeat* heartbeat) const;
   /// This node became the coordinator: members get a whole lifetime to report to it, and the list's
   /// versions go on above those of earlier epochs.
   void TakeOver(uint64_t epoch, Time now);
@@ -57,7 +62,20 @@
     Time last_report;
   };
 
+  /// What one version changed in the one before it.
+  struct Change {
+    uint64_t version = 0;
+    MemberChanges changes;
+  };
+
   void Publish();
+  /// Publishes the list as that of `version` and remembers what changed.
+  void PublishChange(uint64_t version);
+  /// Empty when not every change since `version` is remembered.
+  std::optional<MemberChanges> ChangesSince(uint64_t version) const;
+  /// Unless `changes` do not lead on from the list held.
+  bool Apply(const MemberChanges& changes, Time now);
+  bool Replace(const std::vector<PeerIdentity>& members, Time now);
 
   PeerIdentity self_;
   Duration lifetime_;
@@ -66,6 +84,8 @@
   std::map<uint64_t, Member> others_;
   std::vector<PeerIdentity> published_;
   uint64_t version_ = 0;
+  /// The newest changes, each based on the one before it.
+  std::deque<Change> history_;
   bool changed_ = false;
   Time last_publish_ = absl::InfinitePast();
 };
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -1,9 +1,12 @@
 #include "core/membership/membership.h"
 
 #include <algorithm>
+#include <optional>
 #include <type_traits>
 #include <utility>
 
+#include "core/membership/load_sampling.h"
+
 namespace ladderstream::membership {
 namespace {
 
@@ -39,19 +42,19 @@
 }
 
 void Membership::Handle(const Destination& from, Report report, Time now) {
-  members_.OnReport(report.sender, from.connection, now);
+  const std::optional<PeerIdentity> sender = members_.OnReport(report.sender, from.connection, now);
   Heartbeat answer = NewHeartbeat(now);
   answer.answered_report = report.sequence;
+  answer.identity_wanted = !sender.has_value();
   if (IsCoordinator(now)) {
     maps_.AddTo(report.map_version, &answer);
     relay_.AddToAnswer(report, now, &answer);
   }
-  if (report.members_version < members_.version()) {
-    answer.members = members_.members();
-  }
-  Send({{from.address, from.connection, members_.ScopeOf(report.sender)}}, std::move(answer));
-  snapshots_.OnVersionsHeard({report.sender.address, from.connection},
-                             {report.configuration_version, report.backends_version}, now);
+  members_.AddTo(report.members_version, &answer);
+  report.sender = sender.value_or(report.sender);
+  const Destination back{report.sender.address, from.connection, members_.ScopeOf(report.sender)};
+  Send({back}, std::move(answer));
+  snapshots_.OnVersionsHeard(back, {report.configuration_version, report.backends_version}, now);
   if (!report.loads.empty() || !report.refused_backends.empty()) {
     actions_.emplace_back(ReportReceivedAction{std::move(report.sender), std::move(report.loads),
                                                std::move(report.refused_backends)});
@@ -73,7 +76,10 @@
   if (heartbeat.lease.epoch == 0 || own_lease || !LearnHolder(heartbeat.lease, now)) {
     return;
   }
-  if (members_.Adopt(heartbeat.members, heartbeat.members_version, now)) {
+  if (report.has_value() && report->holder == heartbeat.sender) {
+    identity_known_by_ = heartbeat.identity_wanted ? 0 : heartbeat.sender;
+  }
+  if (members_.Adopt(heartbeat, now)) {
     actions_.emplace_back(MembersChangedAction{static_cast<uint32_t>(members().size())});
   }
   if (heartbeat.sender != heartbeat.lease.incarnation || heartbeat.lease_left_ms == 0) {
@@ -162,6 +168,8 @@
   SetConfirmed(std::min(until, now + settings_.confirmation));
   if (took_over) {
     relay_.OnLeading(true);
+    // The predecessor brought the others to this list.
+    pushed_members_ = members_.version();
     members_.TakeOver(lease.epoch, now);
     next_refresh_ = now + kRefreshInterval;
     next_sign_of_life_ = now + LongestHeartbeatGap();
@@ -238,6 +246,9 @@
 Report Membership::NewReport(uint64_t holder, Time now) {
   Report report;
   report.sender = self_;
+  if (holder != 0 && holder == identity_known_by_) {
+    report.sender = {.incarnation = self_.incarnation, .name = {}, .zone = {}, .address = {}};
+  }
   report.sequence = sent_reports_.Add(holder, now);
   report.map_version = maps_.version();
   report.members_version = members_.version();
@@ -253,11 +264,19 @@
     return;
   }
   Report report = NewReport(holder_->incarnation, now);
+  for (LoadReport& load : loads) {
+    SampleLoad(MostReportedCounts(), RandomShare(), &load);
+  }
   report.loads = std::move(loads);
   report.refused_backends = std::move(refused_backends);
   Send({members_.At(holder_->peer_address)}, std::move(report));
 }
 
+size_t Membership::MostReportedCounts() const {
+  return std::max(settings_.fewest_reported_counts,
+                  settings_.reported_counts / std::max<size_t>(1, members().size()));
+}
+
 void Membership::SeekCoordinator(Time now) {
   std::vector<Destination> others = OthersAndSeeds();
   if (holder_.has_value()) {
@@ -296,8 +315,8 @@
   maps_.AddToPush(&heartbeat);
   relay_.AddToPush(now, &heartbeat);
   if (pushed_members_ != members_.version()) {
+    members_.AddTo(pushed_members_, &heartbeat);
     pushed_members_ = members_.version();
-    heartbeat.members = members_.members();
   }
   Send(std::move(others), std::move(heartbeat));
 }
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -44,6 +44,10 @@
   Duration pushed_confirmation = absl::Milliseconds(600);
   /// Taken off every confirmation.
   Duration confirmation_margin = absl::Milliseconds(100);
+  /// Counts of keys, and of back ends, that all nodes together report in one interval at most, but
+  /// for the fewest that each may report.
+  size_t reported_counts = 16'384;
+  size_t fewest_reported_counts = 16;
   SnapshotSettings snapshot = {};
   RelaySettings relay = {};
   /// Of jitter and of whom to ask first.
@@ -150,6 +154,7 @@
   void ConfirmBy(const Heartbeat& heartbeat, const std::optional<SentReport>& report, Time now);
   void SetConfirmed(Time until);
   Report NewReport(uint64_t holder, Time now);
+  size_t MostReportedCounts() const;
   /// Asks some other node who the coordinator is.
   void SeekCoordinator(Time now);
   Heartbeat NewHeartbeat(Time now) const;
@@ -179,6 +184,8 @@
   Time last_heard_ = absl::InfinitePast();
   /// What the last push brought all nodes to.
   uint64_t pushed_members_ = 0;
+  /// The coordinator that answered that it knows this node's identity; 0 for none.
+  uint64_t identity_known_by_ = 0;
   Time confirmed_until_ = absl::InfinitePast();
 
   SentReports sent_reports_;
--- a/src/core/membership/message_codec.cc
+++ b/src/core/membership/message_codec.cc
@@ -127,6 +127,9 @@
     Require(changes.version == heartbeat.map_version, "heartbeat: changes to another version");
     Check(changes);
   }
+  Require(heartbeat.member_changes.empty() ||
+              (heartbeat.member_changes.size() == 1 && heartbeat.members.empty()),
+          "heartbeat: more than one list of members");
   Require(heartbeat.tables.empty() || heartbeat.tables.size() == kTablesRelayed,
           "heartbeat: not each table once");
   for (const TableNews& news : heartbeat.tables) {
--- a/src/core/membership/message_kind.cc
+++ b/src/core/membership/message_kind.cc
@@ -21,7 +21,7 @@
   if (!heartbeat.map.empty()) {
     return MessageKind::kMap;
   }
-  if (!heartbeat.members.empty()) {
+  if (!heartbeat.members.empty() || !heartbeat.member_changes.empty()) {
     return MessageKind::kMembers;
   }
   const bool has_rows = std::any_of(heartbeat.tables.begin(), heartbeat.tables.end(),
--- a/src/core/membership/messages.h
+++ b/src/core/membership/messages.h
@@ -25,6 +25,8 @@
   std::string zone;
   Endpoint address;
   bool operator==(const PeerIdentity&) const = default;
+  /// A node that the receiver knows already sends its incarnation only.
+  bool IsWhole() const { return address.port != 0; }
   MSGPACK_DEFINE_ARRAY(incarnation, name, zone, address);
 };
 
@@ -44,6 +46,7 @@
 /// From a node to the coordinator. A node that does not know the coordinator sends it, without
 /// loads, to any other node.
 struct Report {
+  /// Not whole once the receiver has answered that it knows the sender.
   PeerIdentity sender;
   /// Counts the sender's reports from 1; the answer names it.
   uint64_t sequence = 0;
@@ -89,6 +92,15 @@
   MSGPACK_DEFINE_ARRAY(base, version, newest_change, rows, removals, age_ms);
 };
 
+/// What leads from the list of members of version `base` to that of the heartbeat.
+struct MemberChanges {
+  uint64_t base = 0;
+  std::vector<PeerIdentity> joined;
+  /// Incarnations.
+  std::vector<uint64_t> left;
+  MSGPACK_DEFINE_ARRAY(base, joined, left);
+};
+
 /// From the coordinator to a node; or from a node that is not the coordinator, which says in it
 /// whom it believes to be.
 struct Heartbeat {
@@ -106,7 +118,8 @@
   std::vector<ownership::OwnershipMap> map;
   /// What leads from an older version to `map_version`; at most one.
   std::vector<ownership::MapChanges> map_changes;
-  /// All nodes that reported lately, the sender included.
+  /// All nodes that reported lately, the sender included. Only when nothing tells what changed
+  /// since the receiver's version.
   std::vector<PeerIdentity> members;
   /// Grows when `members` changes; members are only sent when the receiver has not seen it.
   uint64_t members_version = 0;
@@ -115,8 +128,13 @@
   uint64_t backends_version = 0;
   /// From the coordinator: of the configuration and of the back ends, in this order; or empty.
   std::vector<TableNews> tables;
+  /// At most one, and none beside `members`.
+  std::vector<MemberChanges> member_changes;
+  /// The sender of the report that this answers is to send its whole identity.
+  bool identity_wanted = false;
   MSGPACK_DEFINE_ARRAY(sender, answered_report, lease, lease_left_ms, map_version, map, map_changes,
-                       members, members_version, configuration_version, backends_version, tables);
+                       members, members_version, configuration_version, backends_version, tables,
+                       member_changes, identity_wanted);
 };
 
 /// The sender gives up the lease it holds.
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -238,7 +238,7 @@
 void ControlPlane::Carry(const membership::SendAction& send) { peers_.Send(send.to, send.message); }
 
 void ControlPlane::Carry(const membership::ReportDueAction&) {
-  membership_.SendReport(ToReports(listener_->TakeLoad()), {}, Now());
+  membership_.SendReport(ToReports(listener_->TakeLoad(), configuration_.get()), {}, Now());
 }
 
 void ControlPlane::Carry(const membership::HeartbeatHeardAction& heard) {
@@ -393,7 +393,7 @@
   }
   if (now >= next_own_load_) {
     next_own_load_ = now + kOwnLoadInterval;
-    TellCoordinator(ToReports(listener_->TakeLoad()), now, &coordinator_);
+    TellCoordinator(ToReports(listener_->TakeLoad(), configuration_.get()), now, &coordinator_);
   }
 }
 
--- a/src/node/load_exchange.cc
+++ b/src/node/load_exchange.cc
@@ -28,6 +28,11 @@
   return report;
 }
 
+bool IsSharded(const catalog::Configuration& configuration, const std::string& name) {
+  const auto service = configuration.services.find(name);
+  return service != configuration.services.end() && service->second.sharded;
+}
+
 std::vector<partition::KeyCount> CountsOf(const membership::LoadReport& report) {
   std::vector<partition::KeyCount> counts;
   const size_t size = std::min(report.keys.size(), report.counts.size());
@@ -52,11 +57,13 @@
 
 }  // namespace
 
-std::vector<membership::LoadReport> ToReports(const std::vector<forwarding::ServiceLoad>& loads) {
+std::vector<membership::LoadReport> ToReports(const std::vector<forwarding::ServiceLoad>& loads,
+                                              const catalog::Configuration* configuration) {
   std::vector<membership::LoadReport> reports;
-  reports.reserve(loads.size());
   for (const forwarding::ServiceLoad& load : loads) {
-    reports.push_back(ToReport(load));
+    if (configuration != nullptr && IsSharded(*configuration, load.service)) {
+      reports.push_back(ToReport(load));
+    }
   }
   return reports;
 }
--- a/src/node/load_exchange.h
+++ b/src/node/load_exchange.h
@@ -4,6 +4,7 @@
 
 #include <vector>
 
+#include "core/catalog/catalog.h"
 #include "core/forwarding/dispatcher.h"
 #include "core/membership/messages.h"
 #include "core/ownership/coordinator.h"
@@ -11,8 +12,9 @@
 
 namespace ladderstream::node {
 
-/// The message form of `loads`.
-std::vector<membership::LoadReport> ToReports(const std::vector<forwarding::ServiceLoad>& loads);
+/// The message form of those `loads` that the coordinator weighs: of the sharded services.
+std::vector<membership::LoadReport> ToReports(const std::vector<forwarding::ServiceLoad>& loads,
+                                              const catalog::Configuration* configuration);
 
 /// Tells `coordinator` what a node counted. Entries of unequal length are cut to the shortest.
 void TellCoordinator(const std::vector<membership::LoadReport>& reports, Time now,
--- a/tests/unit/membership/membership_test.cc
+++ b/tests/unit/membership/membership_test.cc
@@ -62,6 +62,26 @@
   BOOST_TEST((node.membership.map_confirmed_until() == absl::InfinitePast()));
 }
 
+BOOST_FIXTURE_TEST_CASE(AKnownSenderTellsItsIncarnationOnly, Follower) {
+  const auto sender_of_next = [this](bool wanted, uint64_t epoch, uint64_t coordinator) {
+    membership.SendReport({}, {}, kStart);
+    const Report report = TakeSent<Report>().front().second;
+    Heartbeat answer = MakeHeartbeat(epoch, coordinator, {3, 1});
+    answer.identity_wanted = wanted;
+    Answer(report.sequence, answer, kStart);
+    return report.sender;
+  };
+  BOOST_TEST((sender_of_next(true, 3, 2) == self));
+  BOOST_TEST((sender_of_next(false, 3, 2) == self));
+  const PeerIdentity shortened = sender_of_next(true, 3, 2);
+  BOOST_TEST(!shortened.IsWhole());
+  BOOST_TEST(shortened.incarnation == self.incarnation);
+  BOOST_TEST((sender_of_next(false, 3, 2) == self));
+  // A successor may know less.
+  membership.OnHolderKnown(MakeLease(4, 3), kStart);
+  BOOST_TEST((sender_of_next(false, 4, 3) == self));
+}
+
 BOOST_FIXTURE_TEST_CASE(ReportsGoToTheCoordinatorAtTheInterval, Follower) {
   Time now = kStart + kSpread;
   for (int i = 0; i < 3; ++i) {
@@ -323,6 +343,32 @@
   BOOST_TEST(!membership.IsCoordinator(kStart));
 }
 
+BOOST_FIXTURE_TEST_CASE(AnUnknownSenderIsAskedForItsIdentity, Coordinator) {
+  membership.TakeActions();
+  Report report = ReportOf(9, {2, 9});
+  report.sender = {.incarnation = 9, .name = {}, .zone = {}, .address = {}};
+  membership.OnMessage(kConnection, report, kStart);
+  BOOST_TEST(TakeSent<Heartbeat>().front().second.identity_wanted);
+  membership.OnMessage(kConnection, ReportOf(9, {2, 9}), kStart);
+  BOOST_TEST(!TakeSent<Heartbeat>().front().second.identity_wanted);
+  membership.OnMessage(kConnection, report, kStart);
+  BOOST_TEST(!TakeSent<Heartbeat>().front().second.identity_wanted);
+}
+
+BOOST_FIXTURE_TEST_CASE(AMemberIsSentWhatChangedInTheList, Coordinator) {
+  const auto pushed = TakeSent<Heartbeat>();
+  BOOST_TEST(pushed.front().second.members.empty());
+  BOOST_TEST_REQUIRE(pushed.front().second.member_changes.size() == 1);
+  BOOST_TEST(pushed.front().second.member_changes.front().base == 1);
+  Report report = ReportOf(1, {2, 9});
+  report.members_version = 1;
+  membership.OnMessage(kConnection, report, kStart);
+  BOOST_TEST(TakeSent<Heartbeat>().front().second.member_changes.size() == 1);
+  report.members_version = 0;
+  membership.OnMessage(kConnection, report, kStart);
+  BOOST_TEST(TakeSent<Heartbeat>().front().second.members.size() == 3);
+}
+
 BOOST_FIXTURE_TEST_CASE(ReportedLoadsAreHandedOn, Coordinator) {
   Report report = ReportOf(1, {2, 9});
   report.loads = {LoadReport{}};
--- a/tests/unit/membership/message_codec_test.cc
+++ b/tests/unit/membership/message_codec_test.cc
@@ -71,6 +71,16 @@
   BOOST_TEST(IsMalformed(report));
 }
 
+BOOST_AUTO_TEST_CASE(TwoListsOfMembersAreRefused) {
+  Heartbeat heartbeat = SoundHeartbeat();
+  heartbeat.member_changes.emplace_back();
+  BOOST_TEST(IsMalformed(heartbeat));
+  heartbeat.members.clear();
+  BOOST_TEST(!IsMalformed(heartbeat));
+  heartbeat.member_changes.emplace_back();
+  BOOST_TEST(IsMalformed(heartbeat));
+}
+
 BOOST_AUTO_TEST_CASE(MapsWithHolesAreRefused) {
   Heartbeat heartbeat = SoundHeartbeat();
   auto& assignments = heartbeat.map.front().services.at("scripts").assignments;
--- a/tests/unit/membership/message_kind_test.cc
+++ b/tests/unit/membership/message_kind_test.cc
@@ -28,7 +28,7 @@
   PeerIdentity far = MakeIdentity(3);
   far.zone = "zone-b";
   MemberTable table(MakeIdentity(1), absl::Seconds(3), absl::ZeroDuration());
-  table.Adopt({near, far}, 1, kStart);
+  table.Adopt(MakeMemberList({near, far}, 1), kStart);
   BOOST_TEST((table.At(near.address).zone == ZoneScope::kOwn));
   BOOST_TEST((table.At(far.address).zone == ZoneScope::kOther));
   BOOST_TEST((table.At(kSeed).zone == ZoneScope::kUnknown));
--- a/tests/unit/membership/node_fixture.h
+++ b/tests/unit/membership/node_fixture.h
@@ -31,6 +31,13 @@
   return map;
 }
 
+inline Heartbeat MakeMemberList(std::vector<PeerIdentity> members, uint64_t version) {
+  Heartbeat heartbeat;
+  heartbeat.members = std::move(members);
+  heartbeat.members_version = version;
+  return heartbeat;
+}
+
 inline store::StoreReply StoreAnswer(const std::string& table, const std::vector<SharedRow>& rows,
                                      store::RowVersion version) {
   store::StoreReply reply;
