Take up changed settings while running, and drop settings that decided nothing

Cause: on SIGHUP a node read its file, logged it and went on as before; a file that changed without a signal was not noticed; node.log_level was read and used nowhere. node.first_start, store.history and four of the bounds were checked and used by nothing; how long a draining back end still gets requests for its keys was fixed at 1.2 s, which fits a platform that allows 2 s and no shorter one; the store's limit of one partition, in which all rows of the nodes lie, was ignored. Ruled out: rebuilding the node's parts on a reload (a listener or the lease would be lost). Change: SettingsFile notices a file that was written or replaced and tells by name which changes are in force and which wait for the next start; log level, seeds, stop grace, retry budget and the store's rates are taken up. The settings that decided nothing are gone; drain_serving is 0.6 of bounds.drain_time (1.2 s where it is 2 s); a node writes within the smaller of the store's two limits.

--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -38,9 +38,8 @@
       owner_(ownership_, services_),
       guarded_least_wait_(least_wait_),
       guarded_owner_(owner_) {
-  retry_limits_.ratio = settings.budget_ratio * kRatioInUse;
-  retry_limits_.window = settings.budget_window;
   SetNodeCount(settings.node_count);
+  SetRetryBudget(settings.budget_ratio, settings.budget_slack, settings.budget_window);
 }
 
 void Dispatcher::Impl::SetConfiguration(std::shared_ptr<const catalog::Configuration> configuration,
@@ -71,7 +70,15 @@
 }
 
 void Dispatcher::Impl::SetNodeCount(uint32_t node_count) {
-  retry_limits_.slack = settings_.budget_slack * kSlackInUse / std::max(node_count, 1U);
+  node_count_ = std::max(node_count, 1U);
+  retry_limits_.slack = budget_slack_ * kSlackInUse / node_count_;
+}
+
+void Dispatcher::Impl::SetRetryBudget(double ratio, double slack, Duration window) {
+  retry_limits_.ratio = ratio * kRatioInUse;
+  retry_limits_.window = window;
+  budget_slack_ = slack;
+  SetNodeCount(node_count_);
 }
 
 const catalog::Route* Dispatcher::Impl::FindRoute(std::string_view host,
@@ -201,6 +208,9 @@
 }
 void Dispatcher::SetMapConfirmed(Time until) { impl_->SetMapConfirmed(until); }
 void Dispatcher::SetNodeCount(uint32_t node_count) { impl_->SetNodeCount(node_count); }
+void Dispatcher::SetRetryBudget(double ratio, double slack, Duration window) {
+  impl_->SetRetryBudget(ratio, slack, window);
+}
 void Dispatcher::SetStopping() { impl_->SetStopping(); }
 const catalog::Route* Dispatcher::FindRoute(std::string_view host, std::string_view target) const {
   return impl_->FindRoute(host, target);
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -180,6 +180,8 @@
   /// The map in force is known to be the newest as of `now`; it may be used until `until`.
   void SetMapConfirmed(Time until);
   void SetNodeCount(uint32_t node_count);
+  /// Replaces the limits on attempts beyond the first; see DispatcherSettings.
+  void SetRetryBudget(double ratio, double slack, Duration window);
   /// New requests are still served; CanServe says no from now on.
   void SetStopping();
 
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -34,6 +34,7 @@
   void SetOwnership(std::shared_ptr<const ownership::OwnershipMap> map, Time now);
   void SetMapConfirmed(Time until) { ownership_.SetConfirmed(until); }
   void SetNodeCount(uint32_t node_count);
+  void SetRetryBudget(double ratio, double slack, Duration window);
   void SetStopping() { stopping_ = true; }
   const catalog::Route* FindRoute(std::string_view host, std::string_view target) const;
 
@@ -100,6 +101,9 @@
   const DispatcherSettings settings_;
   std::mt19937_64 random_;
   RetryLimits retry_limits_;
+  /// Of all nodes together.
+  double budget_slack_ = 0;
+  uint32_t node_count_ = 1;
   RouteIndex routes_;
   TrafficSplit splits_;
   ServiceTable services_;
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -124,6 +124,8 @@
   /// Answers ReportDueAction.
   void SendReport(std::vector<LoadReport> loads, std::vector<std::string> refused_backends,
                   Time now);
+  /// Replaces the addresses to ask when no other node is known.
+  void SetSeeds(std::vector<Endpoint> seeds) { settings_.seeds = std::move(seeds); }
   /// To be called at or soon after NextWake().
   void OnTick(Time now);
   Time NextWake() const;
--- a/src/gateway/settings/node_settings.cc
+++ b/src/gateway/settings/node_settings.cc
@@ -34,11 +34,14 @@
 /// How long the weakest machine leaves the lease to stronger ones.
 constexpr Duration kLongestChallengeDelay = absl::Milliseconds(400);
 
+/// Of the time in which a draining back end may still get requests, so much is used for those whose
+/// keys it owns; the rest is for the way of the news and of the requests.
+constexpr double kDrainServingShare = 0.6;
+
 void ReadNode(SettingsReader* reader, NodeSettings* settings) {
   reader->ReadText("node.name", kRequired, &settings->name);
   reader->ReadText("node.zone", kRequired, &settings->zone);
   reader->ReadText("node.region", kOptional, &settings->region);
-  reader->ReadBoolean("node.first_start", kOptional, &settings->first_start);
   reader->ReadChoice("node.log_level", kOptional, {"debug", "info", "warning", "error"},
                      &settings->log_level);
   reader->ReadEndpoint("listen.callers", kRequired, &settings->listen.callers);
@@ -62,19 +65,12 @@
                      &store->partition_writes_per_second);
   reader->ReadDuration("store.transaction_time", kOptional, kLong, &store->transaction_time);
   reader->ReadInteger("store.row_bytes", kOptional, kCount, &store->row_bytes);
-  reader->ReadDuration("store.history", kOptional, kLong, &store->history);
 }
 
 void ReadBounds(SettingsReader* reader, PlatformBounds* bounds) {
   reader->ReadDuration("bounds.drain_time", kOptional, kLong, &bounds->drain_time);
   reader->ReadDuration("bounds.stop_grace", kOptional, kLong, &bounds->stop_grace);
-  reader->ReadDuration("bounds.configuration_apply_time", kOptional, kLong,
-                       &bounds->configuration_apply_time);
-  reader->ReadDuration("bounds.recovery_time", kOptional, kLong, &bounds->recovery_time);
   reader->ReadDuration("bounds.maximum_hold", kOptional, kInterval, &bounds->maximum_hold);
-  reader->ReadDuration("bounds.registration_interval", kOptional, kInterval,
-                       &bounds->registration_interval);
-  reader->ReadDuration("bounds.address_reuse_time", kOptional, kLong, &bounds->address_reuse_time);
   reader->ReadNumber("bounds.retry_budget_ratio", kOptional, kWeight, &bounds->retry_budget_ratio);
   reader->ReadNumber("bounds.retry_budget_slack", kOptional, kWeight, &bounds->retry_budget_slack);
   reader->ReadDuration("bounds.retry_budget_window", kOptional, kInterval,
@@ -139,6 +135,7 @@
 void ReadForwarding(SettingsReader* reader, const NodeSettings& settings,
                     forwarding::DispatcherSettings* forwarding) {
   forwarding->zone = settings.zone;
+  forwarding->drain_serving = settings.bounds.drain_time * kDrainServingShare;
   forwarding->budget_ratio = settings.bounds.retry_budget_ratio;
   forwarding->budget_slack = settings.bounds.retry_budget_slack;
   forwarding->budget_window = settings.bounds.retry_budget_window;
@@ -165,6 +162,7 @@
   ReadOwnership(&reader, &settings.ownership);
   ReadForwarding(&reader, settings, &settings.forwarding);
   CheckNodeSettings(settings, &reader);
+  settings.written = reader.Written();
   reader.Finish();
   return settings;
 }
--- a/src/gateway/settings/node_settings.h
+++ b/src/gateway/settings/node_settings.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -51,8 +52,6 @@
   Duration transaction_time = absl::Milliseconds(5);
   /// The longest value of a row.
   uint32_t row_bytes = 65536;
-  /// How far back a watch may start.
-  Duration history = absl::Seconds(20);
 };
 
 /// What the platform asks of a node, and what a node may count on.
@@ -61,17 +60,8 @@
   Duration drain_time = absl::Seconds(2);
   /// The process is killed this long after it was asked to stop.
   Duration stop_grace = absl::Seconds(6);
-  /// A configuration is in force everywhere this long after it was accepted.
-  Duration configuration_apply_time = absl::Seconds(2);
-  /// After a stop of the whole system, requests are served again within this.
-  Duration recovery_time = absl::Seconds(15);
   /// The longest hold that a back end accepts.
   Duration maximum_hold = absl::Seconds(10);
-  /// A back end writes its registration about this often; the registration goes after three
-  /// intervals without a write.
-  Duration registration_interval = absl::Seconds(1);
-  /// The address of a back end that has ended may belong to another after this.
-  Duration address_reuse_time = absl::Seconds(2);
   /// Attempts beyond the first of each request, of all nodes within the window: at most this
   /// share of the requests, plus the slack.
   double retry_budget_ratio = 0.2;
@@ -83,8 +73,6 @@
   std::string name;
   std::string zone;
   std::string region;
-  /// Nothing of the system has run before: there is nothing to recover.
-  bool first_start = false;
   /// "debug", "info", "warning" or "error".
   std::string log_level = "info";
   ListenAddresses listen;
@@ -95,7 +83,10 @@
   membership::MembershipSettings membership;
   /// Unless set, times that have to fit into a hold shrink with `bounds.maximum_hold`.
   ownership::CoordinatorSettings ownership;
-  /// `zone` and the budget are those of the settings above; `node_count` is left at 1.
+  /// Every setting as written, by full name; tells what a reload changed.
+  std::map<std::string, std::string> written;
+  /// `zone`, the budget and `drain_serving` follow from the settings above; `node_count` is left
+  /// at 1.
   forwarding::DispatcherSettings forwarding;
 };
 
--- a/src/gateway/store/store_client.cc
+++ b/src/gateway/store/store_client.cc
@@ -31,7 +31,15 @@
   }
 }
 
+void StoreClient::SetRates(double writes_per_second, double reads_per_second) {
+  settings_.writes_per_second = writes_per_second;
+  settings_.reads_per_second = reads_per_second;
+  SetShare(node_count_, is_coordinator_);
+}
+
 void StoreClient::SetShare(uint32_t node_count, bool is_coordinator) {
+  node_count_ = node_count;
+  is_coordinator_ = is_coordinator;
   const Time now = resources_->clock.Now();
   const double nodes = std::max<double>(node_count, 1);
   const double writers = is_coordinator ? 1 : nodes;
--- a/src/gateway/store/store_client.h
+++ b/src/gateway/store/store_client.h
@@ -63,6 +63,8 @@
   /// longer waits for it.
   void Run(const store::FollowerCall& call, Callback callback);
 
+  /// What the store takes from all nodes together, in calls a second, changed.
+  void SetRates(double writes_per_second, double reads_per_second);
   /// The limits are shared by so many nodes. Only one of them, the coordinator, writes much.
   void SetShare(uint32_t node_count, bool is_coordinator);
 
@@ -88,6 +90,8 @@
   interfaces::HttpExchanger* exchanger_;
   interfaces::PlatformAdapterPtr adapter_;
   StoreClientSettings settings_;
+  uint32_t node_count_ = 1;
+  bool is_coordinator_ = false;
   CallAllowance writes_;
   CallAllowance reads_;
   uint32_t short_calls_ = 0;
--- a/src/logging/log.h
+++ b/src/logging/log.h
@@ -61,8 +61,8 @@
 void Log(Part part, Severity severity, std::string_view sentence,
          std::initializer_list<LogField> fields = {});
 
-/// Sets up where lines go and which are kept. Call once, at the start of a program; before it,
-/// lines of kInfo and above go to standard error.
+/// Keeps only lines of `lowest` and above, from now on. Before the first call, lines of kInfo and
+/// above are kept.
 void SetUpLogging(Severity lowest);
 
 /// Gives "debug", "info", "warning" or "error".
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -55,10 +55,15 @@
   return settings;
 }
 
+/// All that nodes write lies in one partition of the store, which may take less than the whole.
+double WritesPerSecond(const gateway::StoreSettings& store) {
+  return std::min(store.writes_per_second, store.partition_writes_per_second);
+}
+
 gateway::StoreClientSettings StoreSettingsOf(const gateway::NodeSettings& settings) {
   gateway::StoreClientSettings store;
   store.address = settings.store.address;
-  store.writes_per_second = settings.store.writes_per_second;
+  store.writes_per_second = WritesPerSecond(settings.store);
   store.reads_per_second = settings.store.reads_per_second;
   return store;
 }
@@ -160,6 +165,13 @@
   PumpSoon();
 }
 
+void ControlPlane::Apply(const gateway::NodeSettings& fresh) {
+  membership_.SetSeeds(fresh.membership.seeds);
+  store_.SetRates(WritesPerSecond(fresh.store), fresh.store.reads_per_second);
+  ShareStore();
+  PumpSoon();
+}
+
 void ControlPlane::Resign() {
   resigned_ = true;
   coordinator_.Resign(Now());
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -50,6 +50,8 @@
 
   /// Begins to listen for other nodes and to read the store.
   void Start();
+  /// Settings that may change while the process runs.
+  void Apply(const gateway::NodeSettings& fresh);
   /// A planned stop: gives the lease up, if this node holds it.
   void Resign();
   /// Whether the lease, if this node held it, has been given up.
--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "gateway/settings/node_settings.h"
+#include "gateway/settings/settings_file.h"
 #include "node/node.h"
 #include "platform/adapter.h"
 #include "settings/setting_fault.h"
@@ -33,15 +34,14 @@
   return FLAGS_settings;
 }
 
-gateway::NodeSettings LoadSettings() { return gateway::LoadNodeSettings(SettingsPath(), {}); }
-
 int Run() {
-  const gateway::NodeSettings settings = LoadSettings();
+  gateway::SettingsFile file(SettingsPath());
+  const gateway::NodeSettings settings = file.Load();
   if (FLAGS_check_settings) {
     std::cout << "settings: no faults\n";
     return kStopped;
   }
-  Node node(settings, platform::MakeAdapter(), LoadSettings);
+  Node node(settings, platform::MakeAdapter(), &file);
   return node.Run() ? kStopped : kStopTimedOut;
 }
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -55,13 +55,20 @@
   return dispatcher;
 }
 
+/// The settings' check lets only names of severities pass.
+void KeepLogLevel(std::string_view name) {
+  Severity lowest = Severity::kInfo;
+  ParseSeverity(name, &lowest);
+  SetUpLogging(lowest);
+}
+
 }  // namespace
 
 Node::Node(const gateway::NodeSettings& settings, interfaces::PlatformAdapterPtr adapter,
-           SettingsReloader reload)
+           gateway::SettingsFile* file)
     : settings_(settings),
       adapter_(std::move(adapter)),
-      reload_(std::move(reload)),
+      file_(file),
       incarnation_(DrawIncarnation()),
       log_({settings.name, absl::StrCat(absl::Hex(incarnation_))}, &clock_),
       log_output_(&loop_, &log_, 1),
@@ -102,6 +109,7 @@
 }
 
 bool Node::Run() {
+  KeepLogLevel(settings_.log_level);
   beliefs_.OnStarted(kProgramVersion, settings_.listen.callers, settings_.zone);
   WaitForSignal();
   control_plane_.Start();
@@ -170,6 +178,9 @@
 void Node::OnHousekeeping() {
   LogBeliefs();
   log_.OnTick(Now());
+  if (file_->HasChanged()) {
+    Reload("file");
+  }
   housekeeping_.expires_after(absl::ToChronoNanoseconds(kHousekeepingInterval));
   housekeeping_.async_wait([this](const gateway::ErrorCode& error) {
     if (!error) {
@@ -198,13 +209,23 @@
 
 void Node::Reload(std::string_view cause) {
   try {
-    const gateway::NodeSettings fresh = reload_();
-    beliefs_.OnSettingsReloaded(cause, fresh.log_level);
+    const gateway::NodeSettings fresh = file_->Load();
+    beliefs_.OnSettingsReloaded(cause, Describe(CompareSettings(settings_, fresh)));
+    Apply(fresh);
   } catch (const settings::SettingsError& error) {
     beliefs_.OnSettingsRejected(cause, error.what());
   }
 }
 
+void Node::Apply(const gateway::NodeSettings& fresh) {
+  KeepLogLevel(fresh.log_level);
+  settings_.bounds.stop_grace = fresh.bounds.stop_grace;
+  dispatcher_.SetRetryBudget(fresh.bounds.retry_budget_ratio, fresh.bounds.retry_budget_slack,
+                             fresh.bounds.retry_budget_window);
+  control_plane_.Apply(fresh);
+  settings_.written = fresh.written;
+}
+
 void Node::BeginStop(std::string_view cause) {
   if (stopping_) {
     return;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,7 +3,6 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <string>
 
@@ -12,6 +11,7 @@
 #include "gateway/http/event_loop.h"
 #include "gateway/http/readiness_server.h"
 #include "gateway/settings/node_settings.h"
+#include "gateway/settings/settings_file.h"
 #include "gateway/steady_clock.h"
 #include "interfaces/platform_adapter.h"
 #include "node/control_plane.h"
@@ -25,12 +25,10 @@
 
 class Node : private ControlPlaneListener {
  public:
-  /// Reads the settings again when the process is told that they changed; throws SettingsError.
-  using SettingsReloader = std::function<gateway::NodeSettings()>;
-
-  /// Listens at once; throws Error(kInvalidSetting) when an address cannot be had.
+  /// `settings` were read from `file`, which outlives the node and is read again when it changes or
+  /// on SIGHUP. Listens at once; throws Error(kInvalidSetting) when an address cannot be had.
   Node(const gateway::NodeSettings& settings, interfaces::PlatformAdapterPtr adapter,
-       SettingsReloader reload);
+       gateway::SettingsFile* file);
   ~Node() override;
 
   /// Serves until a stop signal has been obeyed. False when requests were left when the time to
@@ -50,7 +48,10 @@
   void ServeMetrics(const Endpoint& listen);
   void WaitForSignal();
   void OnSignal(int signal);
+  /// Takes up what may change while the process runs; the log tells what waits for the next start.
+  /// Settings at fault change nothing.
   void Reload(std::string_view cause);
+  void Apply(const gateway::NodeSettings& fresh);
   void BeginStop(std::string_view cause);
   /// Ends the event loop once callers have gone elsewhere and nothing is left to answer.
   void TryStop();
@@ -64,9 +65,9 @@
 
   gateway::SteadyClock clock_;
   gateway::EventLoop loop_{1};
-  const gateway::NodeSettings settings_;
+  gateway::NodeSettings settings_;
   const interfaces::PlatformAdapterPtr adapter_;
-  const SettingsReloader reload_;
+  gateway::SettingsFile* const file_;
   const uint64_t incarnation_;
 
   observability::EventLog log_;
--- a/src/settings/settings_reader.cc
+++ b/src/settings/settings_reader.cc
@@ -237,6 +237,14 @@
   *target = *number;
 }
 
+std::map<std::string, std::string> SettingsReader::Written() const {
+  std::map<std::string, std::string> written;
+  for (const auto& [key, entry] : entries_) {
+    written[key] = TextOf(entry);
+  }
+  return written;
+}
+
 void SettingsReader::Finish() {
   for (const auto& [key, entry] : entries_) {
     if (!read_.contains(key)) {
--- a/src/settings/settings_reader.h
+++ b/src/settings/settings_reader.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -61,6 +62,9 @@
   /// Adds a fault that concerns several settings.
   void AddInconsistency(const std::string& keys, const std::string& allowed);
 
+  /// Every setting as written, by full name.
+  std::map<std::string, std::string> Written() const;
+
   /// Whether any fault has been found so far.
   bool HasFaults() const { return !faults_.empty(); }
 
--- a/src/standin/fleet/node_processes.cc
+++ b/src/standin/fleet/node_processes.cc
@@ -60,10 +60,7 @@
                       "]\n\n[store]\naddress = ", Quoted(fleet_->store().endpoint(index)),
                       "\nwrites_per_second = ", fleet.store.writes_per_second,
                       "\nreads_per_second = ", fleet.store.reads_per_second,
-                      "\nhistory = ", Quoted(fleet.store.history),
                       "\n\n[bounds]\ndrain_time = ", Quoted(fleet.bounds.drain),
-                      "\nconfiguration_apply_time = ", Quoted(fleet.bounds.config_apply),
-                      "\nregistration_interval = ", Quoted(fleet.heartbeat),
                       "\nretry_budget_ratio = ", fleet.bounds.retry_budget_ratio,
                       "\nretry_budget_slack = ", fleet.bounds.retry_budget_slack,
                       "\nretry_budget_window = ", Quoted(fleet.bounds.budget_window), "\n");
--- a/tests/integration/node/nodes_test.cc
+++ b/tests/integration/node/nodes_test.cc
@@ -1,12 +1,32 @@
 // Nodes are killed, frozen, stopped and started again.
+#include <absl/strings/str_replace.h>
+
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
 
 #include "rig.h"
 
 namespace ladderstream::fleet {
 namespace {
 
+std::string ReadAll(const std::filesystem::path& path) {
+  std::ostringstream content;
+  content << std::ifstream(path).rdbuf();
+  return content.str();
+}
+
+void WriteAll(const std::filesystem::path& path, const std::string& content) {
+  std::ofstream(path) << content;
+}
+
+std::string Replaced(const std::string& text, const std::string& from, const std::string& to) {
+  return absl::StrReplaceAll(text, {{from, to}});
+}
+
 BOOST_AUTO_TEST_SUITE(nodes)
 
 // Another node takes over before any hold ends.
@@ -91,6 +111,22 @@
   BOOST_TEST(verdict.cut_at_work == 0U);
 }
 
+// With and without a signal; a file at fault changes nothing.
+BOOST_AUTO_TEST_CASE(changed_settings_are_taken_up) {
+  Rig rig;
+  const std::filesystem::path file = rig.nodes().group().directory() / "node-0.toml";
+  const std::string before = ReadAll(file);
+  WriteAll(file, Replaced(before, "name = \"node-0\"", "name = \"node-0\"\nlog_level = \"debug\""));
+  rig.AwaitLog(0, "detail=\"in force: node.log_level\"");
+  WriteAll(file, Replaced(before, "[store]", "[store]\nnothing = 1"));
+  rig.nodes().Signal(0, SIGHUP);
+  rig.AwaitLog(0, "event=settings_rejected");
+  WriteAll(file, Replaced(before, "[bounds]", "[bounds]\nstop_grace = \"3s\""));
+  rig.AwaitLog(0, "detail=\"in force: bounds.stop_grace, node.log_level\"");
+  rig.Serve(100);
+  rig.Finish(0.97);
+}
+
 BOOST_AUTO_TEST_CASE(all_nodes_are_killed_and_come_back) {
   Rig rig;
   rig.fleet().Disturb();
--- a/tests/integration/node/rig.cc
+++ b/tests/integration/node/rig.cc
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <fstream>
+#include <sstream>
 #include <stdexcept>
 
 #include "standin/fleet/report.h"
@@ -45,6 +47,15 @@
   Await("calls to be served", [&] { return fleet_.callers().served() >= enough; });
 }
 
+void Rig::AwaitLog(size_t node, const std::string& text) {
+  const auto path = nodes_.group().directory() / absl::StrCat(nodes_.nodes()[node].name, ".log");
+  Await(text, [&] {
+    std::ostringstream log;
+    log << std::ifstream(path).rdbuf();
+    return log.str().find(text) != std::string::npos;
+  });
+}
+
 size_t Rig::Coordinator() {
   Await("a coordinator", [this] { return fleet_.store().last_conditional_writer().has_value(); });
   return fleet_.store().last_conditional_writer().value();
--- a/tests/integration/node/rig.h
+++ b/tests/integration/node/rig.h
@@ -30,6 +30,8 @@
              Duration timeout = absl::Seconds(15));
   /// Runs the fleet until so many more calls have been served.
   void Serve(uint64_t calls);
+  /// Runs the fleet until the node's log has this text.
+  void AwaitLog(size_t node, const std::string& text);
   /// The node that last wrote to the store under a condition.
   size_t Coordinator();
   /// Waits until another node writes to the store under a condition.
--- a/tests/unit/forwarding/retry_budget_test.cc
+++ b/tests/unit/forwarding/retry_budget_test.cc
@@ -70,6 +70,22 @@
   BOOST_TEST(budget.Allows(limits, 1, start + absl::Seconds(3)));
 }
 
+BOOST_AUTO_TEST_CASE(a_changed_budget_counts_from_the_next_retry) {
+  DispatcherHarness harness(DispatcherHarness::DefaultSettings());
+  harness.AddBackends("cards", {"c-1", "c-2"});
+  harness.dispatcher.SetRetryBudget(0, 0, absl::Seconds(10));
+  const SendDecision refused = harness.StartAndSend("/cards/1");
+  harness.Sent(refused);
+  harness.Refuse(refused, 503, 1);
+  BOOST_TEST(harness.All<SendDecision>().empty());
+  harness.dispatcher.SetRetryBudget(0, 1000, absl::Seconds(10));
+  harness.Advance(absl::Seconds(10));
+  const SendDecision again = harness.StartAndSend("/cards/2");
+  harness.Sent(again);
+  harness.Refuse(again, 503, 1);
+  harness.Only<SendDecision>();
+}
+
 BOOST_AUTO_TEST_CASE(budget_belongs_to_one_service) {
   DispatcherSettings settings = DispatcherHarness::DefaultSettings();
   settings.budget_slack = 1.3;
--- a/tests/unit/gateway_settings/node_settings_test.cc
+++ b/tests/unit/gateway_settings/node_settings_test.cc
@@ -81,7 +81,6 @@
   const NodeSettings defaults = LoadWith({});
   BOOST_TEST(shown.limits.memory_mb == defaults.limits.memory_mb);
   BOOST_TEST(shown.store.row_bytes == defaults.store.row_bytes);
-  BOOST_TEST((shown.store.history == defaults.store.history));
   BOOST_TEST((shown.bounds.stop_grace == defaults.bounds.stop_grace));
   BOOST_TEST((shown.bounds.maximum_hold == defaults.bounds.maximum_hold));
   BOOST_TEST((shown.ownership.lease == defaults.ownership.lease));
@@ -126,7 +125,7 @@
   const TemporaryFile file(
       "[node]\n"
       "name = 7\n"
-      "first_start = \"yes\"\n"
+      "log_level = \"loud\"\n"
       "colour = \"blue\"\n"
       "[listen]\n"
       "callers = \"server.example:80\"\n"
@@ -143,7 +142,7 @@
   std::sort(keys.begin(), keys.end());
   const std::vector<std::string> expected = {
       "bounds.maximum_hold", "limits.descriptors", "listen.callers",         "listen.peers",
-      "listen.readiness",    "node.colour",        "node.first_start",       "node.name",
+      "listen.readiness",    "node.colour",        "node.log_level",         "node.name",
       "node.zone",           "store.address",      "store.writes_per_second"};
   BOOST_TEST(keys == expected, boost::test_tools::per_element());
 }
--- a/tests/unit/gateway_settings/template_test.cc
+++ b/tests/unit/gateway_settings/template_test.cc
@@ -77,7 +77,6 @@
   BOOST_TEST(loaded.name == "front-rennes-a-1");
   BOOST_TEST(loaded.zone == "rennes-a");
   BOOST_TEST(loaded.region == "bretagne");
-  BOOST_TEST(loaded.first_start);
   BOOST_TEST(FormatEndpoint(loaded.listen.callers) == "10.1.0.34:8548");
   BOOST_TEST(FormatEndpoint(loaded.listen.readiness) == "10.1.0.34:8542");
   BOOST_TEST(FormatEndpoint(loaded.listen.peers) == "10.1.0.34:8544");
@@ -95,7 +94,6 @@
   BOOST_TEST(loaded.store.partition_writes_per_second == 300);
   BOOST_TEST((loaded.store.transaction_time == absl::Milliseconds(3)));
   BOOST_TEST(loaded.store.row_bytes == 65536U);
-  BOOST_TEST((loaded.store.history == absl::Seconds(20)));
 }
 
 BOOST_AUTO_TEST_CASE(every_bound_of_the_platform_reaches_its_setting) {
@@ -103,12 +101,9 @@
   const PlatformBounds& bounds = loaded.bounds;
   BOOST_TEST((bounds.drain_time == absl::Seconds(2)));
   BOOST_TEST((bounds.stop_grace == absl::Seconds(6)));
-  BOOST_TEST((bounds.configuration_apply_time == absl::Seconds(2)));
-  BOOST_TEST((bounds.recovery_time == absl::Seconds(15)));
   BOOST_TEST((bounds.maximum_hold == absl::Seconds(10)));
-  BOOST_TEST((bounds.registration_interval == absl::Milliseconds(1300)));
-  BOOST_TEST((bounds.address_reuse_time == absl::Seconds(2)));
   BOOST_TEST(loaded.forwarding.zone == "rennes-a");
+  BOOST_TEST((loaded.forwarding.drain_serving == absl::Milliseconds(1200)));
   BOOST_TEST(loaded.forwarding.budget_ratio == 0.2);
   BOOST_TEST(loaded.forwarding.budget_slack == 62);
   BOOST_TEST((loaded.forwarding.budget_window == absl::Seconds(10)));
@@ -117,13 +112,10 @@
 BOOST_AUTO_TEST_CASE(bounds_that_a_platform_does_not_give_have_the_defaults) {
   nlohmann::json fields = ReadFields(kFields);
   fields["bounds"] = nlohmann::json::object();
-  fields.erase("heartbeat_s");
   fields.erase("seeds");
-  fields["bootstrap"] = false;
   const NodeSettings loaded = Load(fields);
   BOOST_TEST((loaded.bounds.maximum_hold == PlatformBounds{}.maximum_hold));
   BOOST_TEST(loaded.membership.seeds.empty());
-  BOOST_TEST(!loaded.first_start);
 }
 
 BOOST_AUTO_TEST_CASE(names_with_quotes_stay_one_setting) {
--- a/tests/unit/gateway_store/store_client_test.cc
+++ b/tests/unit/gateway_store/store_client_test.cc
@@ -178,6 +178,12 @@
   BOOST_TEST(client.traffic().transactions - before == 60);
 }
 
+BOOST_FIXTURE_TEST_CASE(ChangedRatesKeepTheNodesShare, Fixture) {
+  client.SetShare(300, false);
+  client.SetRates(40, 200);
+  BOOST_TEST(client.PauseBetweenReads(1) == absl::Milliseconds(3750));
+}
+
 BOOST_FIXTURE_TEST_CASE(FollowersThatPauseAreNeverRefused, Fixture) {
   client.SetShare(300, false);
   const Duration pause = client.PauseBetweenReads(1);
