--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -23,10 +23,6 @@
 constexpr Duration kShortestBatchPause = absl::Milliseconds(50);
 constexpr uint32_t kFollowedTables = 2;
 
-/// The same before this node has heard how many others call the store: when many start together,
-/// with their back ends, each change would else cost a call of each of them.
-constexpr Duration kBatchPauseAtStart = absl::Milliseconds(300);
-
 /// More turns than any chain of events needs; ends a loop that would never settle.
 constexpr int kMostTurns = 64;
 
@@ -55,7 +51,6 @@
 store::FollowerSettings FollowerSettingsOf(std::string_view table, uint64_t seed) {
   store::FollowerSettings settings;
   settings.table = std::string(table);
-  settings.batch_pause = kBatchPauseAtStart;
   settings.seed = seed;
   return settings;
 }
