Report to a successor within the longest interval, with many nodes too

Cause: with 1,200 nodes first reports to a new coordinator were spread over n/200 s = 6 s, while every later one comes within 1.5 s.

Change: the spread is the longest interval at most. Nothing changes up to 300 nodes. Test: fails without the change.

--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -146,7 +146,7 @@
   if (!holder_.has_value() || lease.epoch > holder_->epoch) {
     holder_ = lease;
     // All nodes learn it at much the same time; their first reports are spread a little.
-    next_report_ = now + SharedReportInterval() * RandomShare();
+    next_report_ = now + ReportSpread() * RandomShare();
     if (lease.incarnation != self_.incarnation) {
       EndLeading();
     }
@@ -215,7 +215,7 @@
     // A newer map exists that did not come along: the held one is surely old.
     SetConfirmed(now);
     // A lost push is lost to many nodes alike: their reports are spread a little.
-    next_report_ = std::min(next_report_, now + SharedReportInterval() * RandomShare());
+    next_report_ = std::min(next_report_, now + ReportSpread() * RandomShare());
     return;
   }
   if (maps_.version() != heartbeat.map_version) {
@@ -400,6 +400,10 @@
   return absl::Seconds(static_cast<double>(members().size()) / settings_.reports_per_second);
 }
 
+Duration Membership::ReportSpread() const {
+  return std::min(SharedReportInterval(), settings_.longest_report_interval);
+}
+
 Duration Membership::ReportInterval() const {
   return std::clamp(SharedReportInterval(), settings_.shortest_report_interval,
                     settings_.longest_report_interval);
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -167,6 +167,8 @@
   std::vector<Destination> OthersAndSeeds() const;
   /// At which all nodes together keep to `reports_per_second`.
   Duration SharedReportInterval() const;
+  /// Over which nodes that learn something at the same time spread their reports.
+  Duration ReportSpread() const;
   Duration ReportInterval() const;
   Duration LongestHeartbeatGap() const;
   /// In [0, 1).
--- a/tests/unit/membership/membership_test.cc
+++ b/tests/unit/membership/membership_test.cc
@@ -62,6 +62,21 @@
   BOOST_TEST((node.membership.map_confirmed_until() == absl::InfinitePast()));
 }
 
+/// Pushes alone would have to keep a node going that waits longer for its first report.
+BOOST_FIXTURE_TEST_CASE(ManyNodesReportToASuccessorWithinTheLongestInterval, Follower) {
+  constexpr uint64_t kManyNodes = 1200;
+  Heartbeat heartbeat = MakeHeartbeat(3, 2, {3, 1});
+  for (uint64_t number = 1; number <= kManyNodes; ++number) {
+    heartbeat.members.push_back(MakeIdentity(number));
+  }
+  heartbeat.members_version = 1;
+  membership.OnMessage(kConnection, heartbeat, kStart);
+  for (uint64_t epoch = 4; epoch < 24; ++epoch) {
+    membership.OnHolderKnown(MakeLease(epoch, epoch), kStart);
+    BOOST_TEST((membership.NextWake() <= kStart + MembershipSettings{}.longest_report_interval));
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(AKnownSenderTellsItsIncarnationOnly, Follower) {
   const auto sender_of_next = [this](bool wanted, uint64_t epoch, uint64_t coordinator) {
     membership.SendReport({}, {}, kStart);
