--- a/src/bench/experiment.cc
+++ b/src/bench/experiment.cc
@@ -5,7 +5,7 @@
 std::vector<Experiment> AllExperiments() {
   std::vector<Experiment> all;
   for (const auto& group : {PlacementExperiments(), HollowExperiments(), OverloadExperiments(),
-                            PartitionExperiments()}) {
+                            PartitionExperiments(), MembershipExperiments()}) {
     all.insert(all.end(), group.begin(), group.end());
   }
   return all;
--- a/src/bench/experiment.h
+++ b/src/bench/experiment.h
@@ -24,5 +24,6 @@
 std::vector<Experiment> HollowExperiments();
 std::vector<Experiment> OverloadExperiments();
 std::vector<Experiment> PartitionExperiments();
+std::vector<Experiment> MembershipExperiments();
 
 }  // namespace ladderstream::bench
