Count a predecessor's lease from when its row was last seen to change

Cause: a successor waits, for owners that it cannot reach, until whatever its predecessor may have granted has ended. It took the predecessor's lease to run from its own takeover. Yet the takeover succeeds only at the version of the lease row that was challenged, so whatever confirmed the predecessor's lease last was sent before this node knew of that version: by a heartbeat that told it, a second or more before the challenge.

Ruled out: a shorter hold (costs renewals), taking a refused connection as the end of the holder (a cut refuses too).

Change: the wait runs from when the challenged version was first known here, which is never later than before, and never before the version existed.

Test: APredecessorsLeaseCountsFromWhenItsRowWasLastSeenToChange holds the first grant of a silent owner's keys between lease + hold with drift and slack + 0.1 s more, counted from the last heartbeat; before, it came a heartbeat timeout later.

--- a/src/core/ownership/coordinator_impl.h
+++ b/src/core/ownership/coordinator_impl.h
@@ -217,6 +217,8 @@
   /// This node challenges, and its write is not settled.
   bool challenging_ = false;
   uint64_t challenge_epoch_ = 0;
+  /// Since when this node has known the version of the lease row that it challenges.
+  Time challenged_known_since_ = absl::InfinitePast();
   /// After a failure the next write waits until then.
   Time write_not_before_ = absl::InfinitePast();
   Duration write_backoff_ = absl::ZeroDuration();
--- a/src/core/ownership/coordinator_lease.cc
+++ b/src/core/ownership/coordinator_lease.cc
@@ -117,6 +117,7 @@
 void Coordinator::Impl::Challenge(const std::optional<LeaseRow>& lease, store::RowVersion version,
                                   Time now) {
   challenge_epoch_ = lease ? lease->epoch : 0;
+  challenged_known_since_ = watch_.KnownSince(version, now);
   std::map<std::string, store::RowVersion> versions;
   for (const store::Row& row : read_rows_) {
     if (!ServiceOfRowKey(row.key.key).empty() && !row.removed) {
@@ -230,7 +231,9 @@
   fences_drawn_ = 0;
   sequence_ = 0;
   lapse_noted_ = false;
-  predecessor_until_ = now + settings_.lease * (1 + settings_.clock_drift);
+  // The challenge succeeded at the version that was known then: whatever confirmed a predecessor's
+  // lease last was sent before.
+  predecessor_until_ = challenged_known_since_ + settings_.lease * (1 + settings_.clock_drift);
   services_.clear();
   orders_.Clear();
   for (const store::Row& row : read_rows_) {
--- a/src/core/ownership/holder_watch.cc
+++ b/src/core/ownership/holder_watch.cc
@@ -66,6 +66,10 @@
   }
 }
 
+Time HolderWatch::KnownSince(store::RowVersion version, Time now) const {
+  return version != 0 && version == observed_version_ ? observed_at_ : now;
+}
+
 HolderWatch::Heartbeat HolderWatch::OnHeartbeat(const LeaseView& view, Time now) {
   if (DisprovesEnd(view, now)) {
     std::erase_if(ended_,
--- a/src/core/ownership/holder_watch.h
+++ b/src/core/ownership/holder_watch.h
@@ -39,6 +39,9 @@
   /// The rows could not be read, or a challenge was refused: tries again later, ever more rarely.
   void OnFailure(Time now);
 
+  /// Since when this node has known that the lease row had this version; `now` if it just learned
+  /// so.
+  Time KnownSince(store::RowVersion version, Time now) const;
   /// When the rows are to be read, with the aim of challenging.
   Time ReadDue() const { return read_due_; }
   const std::optional<LeaseView>& holder() const { return holder_; }
--- a/tests/unit/ownership/lease_test.cc
+++ b/tests/unit/ownership/lease_test.cc
@@ -1,4 +1,5 @@
 // The lease: rows, the chain of writes, when a holder is challenged, what a holder may do.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "coordinator_harness.h"
@@ -143,6 +144,27 @@
   BOOST_TEST(!second.IsMoving(0));
 }
 
+BOOST_AUTO_TEST_CASE(APredecessorsLeaseCountsFromWhenItsRowWasLastSeenToChange) {
+  ModelStore store;
+  Harness first(&store, 1, 1, kStart);
+  first.Settle({"a", "b"});
+  Harness second(&store, 2, 2, first.now);
+  second.Register({"a", "b"});
+  const Time heard = second.now;
+  second.coordinator.OnHeartbeat(first.coordinator.View(), heard);
+  second.silent.insert("a");
+  second.Run(absl::Seconds(9));
+  const auto granted = second.GrantsSince(heard);
+  const auto moved = std::find_if(granted.begin(), granted.end(), [](const At<GrantAction>& grant) {
+    return grant.sent.backend == "b" && grant.sent.range.Contains(0);
+  });
+  BOOST_REQUIRE((moved != granted.end()));
+  const CoordinatorSettings& settings = second.settings;
+  const Duration needed = (settings.lease + settings.hold) * (1 + settings.clock_drift);
+  BOOST_TEST((moved->at >= heard + needed));
+  BOOST_TEST((moved->at <= heard + needed + settings.slack + absl::Milliseconds(100)));
+}
+
 BOOST_AUTO_TEST_CASE(ADeposedHolderSendsNothingMore) {
   ModelStore store;
   Harness first(&store, 1, 1, kStart);
