Take any service's back end at an owner's address as proof of its end

Cause: the platform gives the address of a back end that ended to one of another service. The coordinator was told only of back ends of services divided by key, so this proof passed it by, and it waited the hold out.

Change: the coordinator is told of all registered back ends; those of other services count for nothing but this proof, and do not put a first partition off. Because the row of an earlier back end may come back late, one that has gone is remembered (2,048 of them) and so never passes for a newcomer.

--- a/src/core/ownership/backend_directory.cc
+++ b/src/core/ownership/backend_directory.cc
@@ -13,8 +13,9 @@
 constexpr Duration kFirstDistrust = absl::Seconds(3);
 constexpr Duration kLastDistrust = absl::Seconds(30);
 
-/// With more back ends, also the proof that one has ended is forgotten.
-constexpr size_t kMostRemembered = 512;
+/// Back ends that have gone are forgotten only above this many: the row of one that is known may
+/// come back late without passing for a newcomer at its address.
+constexpr size_t kMostRemembered = 2048;
 
 /// With fewer back ends, nothing is concluded from most of them being silent.
 constexpr size_t kFewestForMajority = 3;
@@ -24,7 +25,7 @@
 BackendDirectory::BackendDirectory(const CoordinatorSettings& settings) : settings_(settings) {}
 
 RegistrationChanges BackendDirectory::Update(const std::vector<catalog::Backend>& backends,
-                                             Time now) {
+                                             const std::set<std::string>& sharded, Time now) {
   std::map<Endpoint, std::string> newcomers;
   std::set<std::string> registered;
   for (const catalog::Backend& backend : backends) {
@@ -34,10 +35,10 @@
     }
   }
   RegistrationChanges changes;
-  changes.any = !newcomers.empty();
   for (auto& [id, known] : backends_) {
     const bool is_registered = registered.contains(id);
-    changes.any = changes.any || known.registered != is_registered;
+    changes.any =
+        changes.any || (known.registered != is_registered && sharded.contains(known.service));
     known.registered = is_registered;
     if (!known.ended && newcomers.contains(known.address)) {
       known.ended = true;
@@ -47,7 +48,8 @@
   for (const catalog::Backend& backend : backends) {
     const auto [place, is_new] = backends_.try_emplace(backend.id);
     KnownBackend& known = place->second;
-    changes.any = changes.any || known.draining != backend.draining;
+    const bool differs = is_new || known.draining != backend.draining;
+    changes.any = changes.any || (differs && sharded.contains(backend.service));
     known.service = backend.service;
     known.address = backend.address;
     known.zone = backend.zone;
@@ -71,10 +73,12 @@
 }
 
 void BackendDirectory::ForgetUnneeded(const std::set<std::string>& needed) {
-  const bool forget_ended = backends_.size() > kMostRemembered;
+  if (backends_.size() <= kMostRemembered) {
+    return;
+  }
   std::erase_if(backends_, [&](const auto& entry) {
     const auto& [id, known] = entry;
-    return !known.registered && !needed.contains(id) && (!known.ended || forget_ended);
+    return !known.registered && !needed.contains(id);
   });
 }
 
--- a/src/core/ownership/backend_directory.h
+++ b/src/core/ownership/backend_directory.h
@@ -40,7 +40,7 @@
 
 /// What an update of the registered back ends showed.
 struct RegistrationChanges {
-  /// Somebody came, left, or began to drain.
+  /// Somebody of a sharded service came, left, or began to drain.
   bool any = false;
   /// Proven to have ended: another incarnation registered newly at the address of a known one.
   std::vector<std::string> ended;
@@ -50,11 +50,13 @@
  public:
   explicit BackendDirectory(const CoordinatorSettings& settings);
 
-  /// The back ends that are registered now.
-  RegistrationChanges Update(const std::vector<catalog::Backend>& backends, Time now);
+  /// All back ends that are registered now; those of other services than the `sharded` ones only
+  /// show that whoever had their addresses before has ended.
+  RegistrationChanges Update(const std::vector<catalog::Backend>& backends,
+                             const std::set<std::string>& sharded, Time now);
   /// An owner that a row of the store names, and its address.
   void Remember(const std::string& id, const std::string& service, const Endpoint& address);
-  /// Forgets back ends that are neither registered nor in `needed`.
+  /// When very many are known, forgets those that are neither registered nor in `needed`.
   void ForgetUnneeded(const std::set<std::string>& needed);
 
   void MarkEnded(const std::string& id);
--- a/src/core/ownership/coordinator.h
+++ b/src/core/ownership/coordinator.h
@@ -145,8 +145,9 @@
   Coordinator(const CoordinatorSettings& settings, const NodeIdentity& self);
   ~Coordinator();
 
-  /// The sharded services and their registered back ends, whenever either changes. A back end that
-  /// is missing is gone.
+  /// The sharded services and all registered back ends, whenever either changes. A back end that is
+  /// missing is gone. One of any service at the address of an earlier one proves that this has
+  /// ended.
   void OnCatalog(const std::vector<catalog::Service>& sharded_services,
                  const std::vector<catalog::Backend>& backends, Time now);
   /// Another node's heartbeat as holder of the lease arrived.
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -387,14 +387,7 @@
       sharded.push_back(service);
     }
   }
-  std::vector<catalog::Backend> owners;
-  for (const catalog::Backend& backend : backends_) {
-    const auto service = configuration_->services.find(backend.service);
-    if (service != configuration_->services.end() && service->second.sharded) {
-      owners.push_back(backend);
-    }
-  }
-  coordinator_.OnCatalog(sharded, owners, Now());
+  coordinator_.OnCatalog(sharded, backends_, Now());
 }
 
 void ControlPlane::TellOwnLoad() {
--- a/tests/unit/ownership/coordinator_harness.cc
+++ b/tests/unit/ownership/coordinator_harness.cc
@@ -13,7 +13,8 @@
   partition::Script() = {};
 }
 
-void Harness::Register(const std::vector<std::string>& ids) {
+void Harness::Register(const std::vector<std::string>& ids,
+                       const std::map<std::string, Endpoint>& of_another_service) {
   catalog::Service service;
   service.name = kService;
   std::vector<catalog::Backend> backends;
@@ -25,6 +26,13 @@
     backend.address = {id.substr(0, id.find('.')), 1};
     backends.push_back(backend);
   }
+  for (const auto& [id, address] : of_another_service) {
+    catalog::Backend backend;
+    backend.id = id;
+    backend.service = "another service";
+    backend.address = address;
+    backends.push_back(backend);
+  }
   coordinator.OnCatalog({service}, backends, now);
   Drain();
 }
--- a/tests/unit/ownership/coordinator_harness.h
+++ b/tests/unit/ownership/coordinator_harness.h
@@ -1,6 +1,7 @@
 // A coordinator with a store and back ends that answer at once, or not at all, as the test says.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -24,8 +25,9 @@
   Harness(ModelStore* store, uint64_t incarnation, uint16_t port, Time now,
           const CoordinatorSettings& settings = {});
 
-  /// Registers these back ends of the service kService, and no others.
-  void Register(const std::vector<std::string>& ids);
+  /// Registers these back ends of the service kService, those of another service, and no others.
+  void Register(const std::vector<std::string>& ids,
+                const std::map<std::string, Endpoint>& of_another_service = {});
   /// Lets time pass, with every wake on time.
   void Run(Duration duration);
   /// Starts, and waits until every back end has been granted its keys.
