Put the first partition off while back ends come and nobody asks for keys

Cause: a service was partitioned 2 s after its first back end at the latest.

Change: up to 8 s while no node has reported a request for these keys; with the first reported request the bound is 2 s as before.

--- a/src/core/ownership/coordinator.cc
+++ b/src/core/ownership/coordinator.cc
@@ -95,6 +95,10 @@
   if (state == nullptr) {
     return;
   }
+  if (!counts.empty() && !state->asked_for) {
+    state->asked_for = true;
+    AskSoon(*state, now);
+  }
   state->partitioner->AddLoad(counts, now);
   state->partitioner->AddServiceTimes(samples, now);
 }
--- a/src/core/ownership/coordinator_impl.h
+++ b/src/core/ownership/coordinator_impl.h
@@ -80,6 +80,8 @@
     /// No row and no proposal yet.
     bool unpartitioned = false;
     Time unpartitioned_since = absl::InfinitePast();
+    /// A node was asked for its keys.
+    bool asked_for = false;
     std::unique_ptr<partition::Partitioner> partitioner;
     Time partition_due = absl::InfinitePast();
     /// Not asked sooner than this, also when something is urgent.
--- a/src/core/ownership/coordinator_moves.cc
+++ b/src/core/ownership/coordinator_moves.cc
@@ -15,8 +15,10 @@
 constexpr Duration kPartitionGap = absl::Milliseconds(50);
 
 /// A service gets its first partition after this many settling times, even if its back ends still
-/// change.
+/// change; later as long as nobody asks for its keys, since a back end that comes after it is given
+/// keys only as load shows the need.
 constexpr int kMostSettlingTimes = 4;
+constexpr int kMostSettlingTimesUnasked = 16;
 
 /// For this long after an owner was waited out, it may still take a grant that was sent to it.
 constexpr Duration kLingering = absl::Seconds(15);
@@ -191,8 +193,9 @@
   std::vector<partition::ProposedMove> moves;
   if (service.unpartitioned) {
     const Duration settle = settings_.registration_settle;
-    const Time due = std::min(backends_changed_at_ + settle,
-                              service.unpartitioned_since + settle * kMostSettlingTimes);
+    const int most = service.asked_for ? kMostSettlingTimes : kMostSettlingTimesUnasked;
+    const Time due =
+        std::min(backends_changed_at_ + settle, service.unpartitioned_since + settle * most);
     if (now < due) {
       service.partition_due = due;
       return;
--- a/tests/unit/ownership/ownership_test.cc
+++ b/tests/unit/ownership/ownership_test.cc
@@ -1,4 +1,6 @@
 // Owners, fences, moves and orders of a coordinator that holds the lease.
+#include <absl/strings/str_cat.h>
+
 #include <boost/test/unit_test.hpp>
 
 #include "coordinator_harness.h"
@@ -40,6 +42,57 @@
   BOOST_TEST(!node.IsMoving(0));
 }
 
+BOOST_AUTO_TEST_CASE(AnAddressUsedByAnotherServiceProvesThatTheOwnerEnded) {
+  Holding holding({"a", "b"});
+  Harness& node = holding.node;
+  node.silent.insert("a");
+  node.Register({"b"}, {{"other", {"a", 1}}});
+  const Time told = node.now;
+  node.Run(absl::Milliseconds(100));
+  BOOST_TEST(node.OwnerOf(0) == "b");
+  BOOST_TEST((node.GrantsSince(told).front().at <= told + absl::Milliseconds(100)));
+}
+
+BOOST_AUTO_TEST_CASE(ALateRowOfAnEarlierBackEndProvesNothing) {
+  Holding holding({"a", "b"});
+  Harness& node = holding.node;
+  node.Register({"a", "b"}, {{"other", {"c", 1}}});
+  node.Register({"a", "b"});
+  node.Register({"a", "b", "c"});
+  node.Register({"a", "b", "c"}, {{"other", {"c", 1}}});
+  for (const At<BeliefAction>& belief : node.beliefs) {
+    const bool of_c = belief.sent.detail.starts_with("c ");
+    BOOST_TEST(!(belief.sent.event == belief::kBackendEnded && of_c));
+  }
+}
+
+/// Back ends that register one after the other for 3.6 s.
+struct Arrival {
+  Arrival() : node(&store, 1, 1, kStart) {
+    for (int i = 0; i < 12; ++i) {
+      ids.push_back(absl::StrCat("b", i));
+      node.Register(ids);
+      node.Run(absl::Milliseconds(300));
+    }
+  }
+  ModelStore store;
+  Harness node;
+  std::vector<std::string> ids;
+};
+
+BOOST_FIXTURE_TEST_CASE(KeysThatNobodyAsksForWaitForAllBackEnds, Arrival) {
+  BOOST_TEST(!node.Believed(belief::kServicePartitioned));
+  node.Run(node.settings.registration_settle);
+  BOOST_TEST(node.Believed(belief::kServicePartitioned));
+}
+
+BOOST_FIXTURE_TEST_CASE(KeysThatAreAskedForWaitNoLonger, Arrival) {
+  node.coordinator.OnLoad(Harness::kService, {{7, 1}}, {}, node.now);
+  node.coordinator.OnTick(node.now);
+  node.Drain();
+  BOOST_TEST(node.Believed(belief::kServicePartitioned));
+}
+
 BOOST_AUTO_TEST_CASE(APlannedMoveReleasesWithTheNextFenceAndHandsOver) {
   Holding holding({"a", "b"});
   Harness& node = holding.node;
