--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -201,9 +201,6 @@
       NoteEjection(backend, "gave no connection in time", backend.outlier.OnConnectTimeout(now));
       break;
     case AttemptFailure::kNotSent:
-      if (!attempt.sent) {
-        backend.load.OnNoConnection(now);
-      }
       break;
     case AttemptFailure::kLost:
       // A full back end may reset connections instead of answering; it does so at once.
--- a/src/core/forwarding/dispatch.cc
+++ b/src/core/forwarding/dispatch.cc
@@ -13,13 +13,6 @@
 /// A waiting request is not looked at more often than this without cause.
 constexpr Duration kLeastWait = absl::Milliseconds(5);
 
-/// Whether the obstacle is a full back end that is not tried again before `time`: with nothing in
-/// flight there, no answer can tell better earlier.
-bool StaysFull(const Choice& choice, Time time) {
-  return choice.obstacle == Obstacle::kOwnerFull && choice.about->load.in_flight() == 0 &&
-         choice.try_again > time;
-}
-
 }  // namespace
 
 void Dispatcher::Impl::Dispatch(Request& request, Time now) {
@@ -59,9 +52,6 @@
 }
 
 bool Dispatcher::Impl::MayWait(const Request& request, const Choice& choice, Time now) const {
-  if (StaysFull(choice, request.patience_until)) {
-    return false;
-  }
   const Duration needed = request.service->averages.ServiceTime();
   return choice.may_pass && now < request.patience_until && request.answer_by - now > needed;
 }
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -128,8 +128,7 @@
   kConnectRefused,
   /// No connection was made in time; nothing left.
   kConnectTimeout,
-  /// No connection was free and no other may be made, or a reused one was found closed before a
-  /// byte of the request was written.
+  /// A reused connection was found closed before a byte of the request was written.
   kNotSent,
   /// The request may have left; then the connection was reset or closed, or the bytes were no
   /// answer, belonged to another request, or were cut short.
--- a/src/core/forwarding/final_answer.cc
+++ b/src/core/forwarding/final_answer.cc
@@ -113,25 +113,14 @@
                     std::mt19937_64& random, Time now) {
   Duration time = kOwnerRetryAfter;
   if (code == ResultCode::kOverloaded || code == ResultCode::kBackendShed) {
-    time = request.sharded && about != nullptr
-               ? std::max(about->load.ExpectedWait(now), about->load.full_until() - now)
-               : LeastWait(*request.service, now);
+    time = request.sharded && about != nullptr ? about->load.ExpectedWait(now)
+                                               : LeastWait(*request.service, now);
   }
   constexpr uint64_t kSteps = 1024;
   const double jitter = kRetryJitter * static_cast<double>(random() % kSteps) / kSteps;
   return std::clamp(time, kLeastRetryAfter, kMostRetryAfter) * (1 + jitter);
 }
 
-/// Only a request that may run twice comes back. Any back end may take it at once, but a key has
-/// one owner, which is no less full for the caller's haste.
-Duration RetryAfterLoss(const Request& request, std::mt19937_64& random, Time now) {
-  const BackendStatePtr& owner = request.setback.backend;
-  if (!request.repeatable() || !request.sharded || owner == nullptr || !owner->load.Full(now)) {
-    return absl::ZeroDuration();
-  }
-  return RetryAfter(request, ResultCode::kOverloaded, owner, random, now);
-}
-
 std::string DescribeLoad(const BackendState& backend, Time now) {
   const LoadEstimate& load = backend.load;
   if (load.ToldAge(now) == absl::InfiniteDuration()) {
@@ -208,8 +197,7 @@
                               Time now) {
   std::string reason = Describe(request, choice, cause, map, now);
   if (request.may_have_run) {
-    return MakeAnswer(ResultCode::kConnectionLost, RetryAfterLoss(request, random, now),
-                      std::move(reason));
+    return MakeAnswer(ResultCode::kConnectionLost, absl::ZeroDuration(), std::move(reason));
   }
   const bool by_setback = request.setback.kind != SetbackKind::kNone &&
                           (cause != StopCause::kObstacle || choice.obstacle == Obstacle::kAllTried);
--- a/src/core/forwarding/load_estimate.cc
+++ b/src/core/forwarding/load_estimate.cc
@@ -22,13 +22,6 @@
 /// After it turned a request away, its queue is taken as short again after so many slot intervals.
 constexpr int kLimitMemory = 4;
 constexpr Duration kLeastFull = absl::Milliseconds(5);
-/// The pause after a request that was turned away without a word doubles from one slot interval at
-/// most so often: every node sends its own probes, and only together do they fill the queue.
-constexpr uint32_t kMaxBackOffDoublings = 4;
-/// Doublings are forgotten when nothing was turned away for so long after a pause.
-constexpr Duration kBackOffMemory = absl::Seconds(1);
-/// How long it is remembered that there are no more connections.
-constexpr Duration kConnectionsMemory = absl::Seconds(1);
 
 void MoveTowards(double sample, double gain, double* average) {
   *average += gain * (sample - *average);
@@ -77,7 +70,6 @@
   }
   told_ = told;
   told_at_ = now;
-  untold_sheds_ = 0;
   const double others =
       static_cast<double>(told.running) + told.waiting - static_cast<double>(in_flight_.size());
   told_foreign_ = std::max(0.0, others);
@@ -92,7 +84,6 @@
     --others.running;
   }
   OnTold(others, now);
-  untold_sheds_ = 0;
   if (told.slots > 0 && told.running + told.waiting < limit_) {
     full_until_ = absl::InfinitePast();
   }
@@ -124,39 +115,15 @@
 void LoadEstimate::OnShed(const ToldLoad& told, Time now) {
   OnTold(told, now);
   const Duration interval = LearnedServiceTime(now) / slots_;
-  if (told.slots == 0) {
-    BackOff(interval, now);
-  } else {
-    full_until_ = now + std::max(interval, kLeastFull);
+  full_until_ = now + std::max(interval, kLeastFull);
+  if (told.slots > 0) {
     limit_ = std::max<double>(static_cast<double>(told.running) + told.waiting, slots_ + 1.0);
     limit_until_ = now + kLimitMemory * interval;
   }
 }
 
-void LoadEstimate::BackOff(Duration interval, Time now) {
-  // What was sent before the first was turned away says nothing new.
-  if (now < full_until_) {
-    return;
-  }
-  if (now > full_until_ + kBackOffMemory) {
-    untold_sheds_ = 0;
-  }
-  const int64_t factor = int64_t{1} << std::min(untold_sheds_, kMaxBackOffDoublings);
-  full_until_ = now + factor * std::max(interval, kLeastFull);
-  ++untold_sheds_;
-}
-
-void LoadEstimate::OnNoConnection(Time now) {
-  connections_ = std::max<size_t>(in_flight_.size(), 1);
-  connections_taken_until_ = now + kConnectionsMemory;
-}
-
 bool LoadEstimate::Full(Time now) const {
-  const bool probing =
-      untold_sheds_ > 0 && !in_flight_.empty() && now < full_until_ + kBackOffMemory;
-  const bool no_connection = now < connections_taken_until_ && in_flight_.size() >= connections_;
-  return now < full_until_ || probing || no_connection ||
-         (now < limit_until_ && Occupancy(now) >= limit_);
+  return now < full_until_ || (now < limit_until_ && Occupancy(now) >= limit_);
 }
 
 double LoadEstimate::AverageForeign() const { return averages_.foreign_per_slot() * slots_; }
--- a/src/core/forwarding/load_estimate.h
+++ b/src/core/forwarding/load_estimate.h
@@ -64,8 +64,6 @@
   void OnTold(const ToldLoad& told, Time now);
   /// It turned a request away since it is full; `told` may be empty. After OnEnd.
   void OnShed(const ToldLoad& told, Time now);
-  /// This node had no connection for a request, and may make no other. After OnEnd.
-  void OnNoConnection(Time now);
 
   /// Whether it would most likely turn the next request away.
   bool Full(Time now) const;
@@ -89,7 +87,6 @@
 
  private:
   double AverageForeign() const;
-  void BackOff(Duration interval, Time now);
   Duration LearnedServiceTime(Time now) const;
   void Learn(Duration service_time, Time now);
 
@@ -108,11 +105,6 @@
   Time service_time_at_ = absl::InfinitePast();
 
   Time full_until_ = absl::InfinitePast();
-  /// Times in a row that it turned requests away without telling its load.
-  uint32_t untold_sheds_ = 0;
-  Time connections_taken_until_ = absl::InfinitePast();
-  /// Requests in flight from here when there was no connection for one more.
-  size_t connections_ = 0;
   Time limit_until_ = absl::InfinitePast();
   /// The occupancy at which it turned a request away.
   double limit_ = 0;
--- a/src/gateway/http/backend_pool.cc
+++ b/src/gateway/http/backend_pool.cc
@@ -43,23 +43,13 @@
   CloseAll(unlisted, "the back end is gone");
 }
 
-double BackendPool::Share(const std::string& backend) const {
+uint32_t BackendPool::MaxOpen(const std::string& backend) const {
   const auto limit = limits_.find(backend);
   if (limit == limits_.end() || limit->second == 0) {
-    return std::numeric_limits<double>::infinity();
+    return std::numeric_limits<uint32_t>::max();
   }
-  return limit->second * settings_.connection_share / std::max(node_count_, 1U);
-}
-
-uint32_t BackendPool::MaxOpen(const std::string& backend) const {
-  constexpr double kMost = std::numeric_limits<uint32_t>::max();
-  const auto share = static_cast<uint32_t>(std::min(Share(backend), kMost));
-  return std::max(settings_.min_connections, share);
-}
-
-size_t BackendPool::MaxIdle(const std::string& backend) const {
-  const auto most = static_cast<double>(settings_.max_idle_connections);
-  return static_cast<size_t>(std::clamp(Share(backend), 1.0, std::max(most, 1.0)));
+  const double share = limit->second * settings_.connection_share / std::max(node_count_, 1U);
+  return std::max(settings_.min_connections, static_cast<uint32_t>(share));
 }
 
 BackendConnectionPtr BackendPool::Start(const std::string& backend, const Endpoint& address,
@@ -108,7 +98,7 @@
 void BackendPool::OnReusable(const BackendConnectionPtr& connection) {
   Entry& entry = entries_[connection->backend()];
   const bool listed = limits_.empty() || limits_.contains(connection->backend());
-  if (!listed || entry.idle.size() >= MaxIdle(connection->backend())) {
+  if (!listed || entry.idle.size() >= settings_.max_idle_connections) {
     connection->Close(listed ? "enough idle connections" : "the back end is gone");
     return;
   }
--- a/src/gateway/http/backend_pool.h
+++ b/src/gateway/http/backend_pool.h
@@ -47,10 +47,7 @@
   void OnClosed(BackendConnection& connection, std::string_view cause) override;
 
   BackendConnectionPtr TakeIdle(Entry& entry);
-  /// This node's share of the connections that a back end takes; infinite when that is unknown.
-  double Share(const std::string& backend) const;
   uint32_t MaxOpen(const std::string& backend) const;
-  size_t MaxIdle(const std::string& backend) const;
   static void CloseAll(const std::vector<BackendConnectionPtr>& connections,
                        std::string_view cause);
 
--- a/src/gateway/http/data_path_settings.h
+++ b/src/gateway/http/data_path_settings.h
@@ -14,8 +14,7 @@
   double connection_share = 0.8;
   /// A node may have this many connections to one back end, however many nodes there are.
   uint32_t min_connections = 4;
-  /// Idle connections kept to one back end, and no more than this node's share of its connections
-  /// (one in any case): with many nodes, idle ones alone would use up what it takes.
+  /// Idle connections kept to one back end.
   uint32_t max_idle_connections = 4;
   /// An idle connection is closed at this age when the back end told none.
   Duration idle_timeout = absl::Seconds(4);
--- a/tests/unit/gateway_http/backend_faults_test.cc
+++ b/tests/unit/gateway_http/backend_faults_test.cc
@@ -1,7 +1,5 @@
 // What a faulty back end does must not reach a caller as an answer.
-#include <functional>
 #include <string>
-#include <vector>
 
 #include "support.h"
 
@@ -136,28 +134,6 @@
   BOOST_TEST(node.backend.connections.size() == 2U);
 }
 
-BOOST_AUTO_TEST_CASE(idle_connections_stay_within_the_share) {
-  Node node;
-  node.Configure(catalog::Limits(), /*max_connections=*/10);
-  node.data_path.SetNodeCount(8);
-  std::vector<std::function<void()>> held;
-  node.backend.on_request = [&](TestSocket& socket, const std::string& request) {
-    held.push_back([&socket, answer = AnswerTo(request, "done")] { socket.Send(answer); });
-  };
-  const auto first = node.Connect();
-  const auto second = node.Connect();
-  first->Send(Node::Get("1"));
-  second->Send(Node::Get("2"));
-  node.WaitUntil([&] { return held.size() == 2; });
-  // 10 x 0.8 / 8: two may be in use, but only one of them rests.
-  for (const auto& answer : held) {
-    answer();
-  }
-  BOOST_TEST(BodyOf(node.WaitForAnswer(first)) == "done");
-  BOOST_TEST(BodyOf(node.WaitForAnswer(second)) == "done");
-  node.WaitUntil([&] { return node.data_path.backend_connection_count() == 1; });
-}
-
 BOOST_AUTO_TEST_CASE(a_connection_closed_while_idle_costs_no_request) {
   Node node;
   const auto caller = node.Connect();
