Refuse late requests that might outlast a stopping node

Cause: a node that is asked to stop goes on taking requests until its end, 0.4 s before the grace time is up, and cuts those in work then. While most nodes of a zone stop together, callers go on coming to them. Ruled out: requests of the first half of the grace time (all cut ones came later). Change: in the second half of the grace time, a request whose deadline or route's time-out lies beyond the end is refused at once, with 503 and when to come back; earlier ones and those with less time are served as usual. Test: drain_test late_request_that_might_outlast_the_process_is_refused; the function it calls is new, so it did not build before.

--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -18,6 +18,8 @@
 /// Without anything learned, an answer is expected after this share of the target latency.
 constexpr double kPriorServiceShare = 1.0 / 3;
 constexpr Duration kNoConfigurationRetryAfter = absl::Milliseconds(250);
+/// Another node may take the request at once.
+constexpr Duration kStoppingRetryAfter = absl::Milliseconds(20);
 
 Duration PatienceOf(const catalog::Route& route, const DispatcherSettings& settings) {
   if (route.target_latency == absl::InfiniteDuration()) {
@@ -106,6 +108,10 @@
   auto made = MakeRequest(incoming, *route, now);
   Request& request = *made;
   request.handle = handle;
+  if (now > last_start_ && request.answer_by > end_) {
+    return refuse(ResultCode::kShuttingDown, kStoppingRetryAfter,
+                  absl::StrCat(request.service->name, ": this node ends before the request might"));
+  }
   request.service->budget.AddRequest(now);
   if (request.sharded) {
     if (!request.key || *request.key > ownership::kLastKey) {
@@ -212,6 +218,7 @@
   impl_->SetRetryBudget(ratio, slack, window);
 }
 void Dispatcher::SetStopping() { impl_->SetStopping(); }
+void Dispatcher::SetEnd(Time last_start, Time end) { impl_->SetEnd(last_start, end); }
 const catalog::Route* Dispatcher::FindRoute(std::string_view host, std::string_view target) const {
   return impl_->FindRoute(host, target);
 }
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -184,6 +184,9 @@
   void SetRetryBudget(double ratio, double slack, Duration window);
   /// New requests are still served; CanServe says no from now on.
   void SetStopping();
+  /// The process ends at `end`: requests that come after `last_start` are refused when they might
+  /// not be answered by then. Earlier ones are served as usual.
+  void SetEnd(Time last_start, Time end);
 
   /// The route of a request; null when there is none, or when no configuration is known.
   const catalog::Route* FindRoute(std::string_view host, std::string_view target) const;
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -36,6 +36,10 @@
   void SetNodeCount(uint32_t node_count);
   void SetRetryBudget(double ratio, double slack, Duration window);
   void SetStopping() { stopping_ = true; }
+  void SetEnd(Time last_start, Time end) {
+    last_start_ = last_start;
+    end_ = end;
+  }
   const catalog::Route* FindRoute(std::string_view host, std::string_view target) const;
 
   RequestHandle Start(const IncomingRequest& incoming, Time now);
@@ -113,6 +117,8 @@
   OverloadGuard guarded_least_wait_;
   OverloadGuard guarded_owner_;
   bool stopping_ = false;
+  Time last_start_ = absl::InfiniteFuture();
+  Time end_ = absl::InfiniteFuture();
 
   RequestHandle last_request_ = 0;
   AttemptHandle last_attempt_ = 0;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -21,6 +21,9 @@
 /// Left of the grace time for the last lines of the log and the end of the process.
 constexpr Duration kStopMargin = absl::Milliseconds(400);
 
+/// After this share of the grace time, requests that might outlast it are refused.
+constexpr double kLastStartShare = 0.5;
+
 constexpr Duration kHousekeepingInterval = absl::Seconds(1);
 constexpr Duration kLastFlush = absl::Milliseconds(50);
 
@@ -237,6 +240,7 @@
   IsReady();
   control_plane_.Resign();
   dispatcher_.SetStopping();
+  dispatcher_.SetEnd(stop_began_ + kLastStartShare * settings_.bounds.stop_grace, StopBy());
   data_path_.BeginDrain([this] {
     drained_ = true;
     TryStop();
@@ -244,9 +248,11 @@
   TryStop();
 }
 
+Time Node::StopBy() const { return stop_began_ + settings_.bounds.stop_grace - kStopMargin; }
+
 void Node::TryStop() {
   const Time now = Now();
-  const Time give_up = stop_began_ + settings_.bounds.stop_grace - kStopMargin;
+  const Time give_up = StopBy();
   if (now >= give_up) {
     EndStop(data_path_.requests_in_flight() > 0);
     return;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -54,6 +54,8 @@
   void Apply(const gateway::NodeSettings& fresh);
   void BeginStop(std::string_view cause);
   /// Ends the event loop once callers have gone elsewhere and nothing is left to answer.
+  /// When the process ends at the latest.
+  Time StopBy() const;
   void TryStop();
   void EndStop(bool timed_out);
   bool IsReady();
--- a/tests/unit/forwarding/drain_test.cc
+++ b/tests/unit/forwarding/drain_test.cc
@@ -27,6 +27,21 @@
   BOOST_TEST(Only<AnswerDecision>().status == 503);
 }
 
+BOOST_AUTO_TEST_CASE(late_request_that_might_outlast_the_process_is_refused) {
+  AddBackends("books", {"b-1", "b-2"});
+  dispatcher.SetStopping();
+  dispatcher.SetEnd(now + absl::Seconds(3), now + absl::Seconds(5));
+  Advance(absl::Seconds(3));
+  StartAndSend("/books/1", absl::Seconds(10));
+  Advance(absl::Milliseconds(500));
+  StartAndSend("/books/2", absl::Seconds(1));
+  Start("/books/3", absl::Seconds(2));
+  const auto refused = Only<AnswerDecision>();
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST((refused.code == ResultCode::kShuttingDown));
+  BOOST_TEST((refused.retry_after > absl::ZeroDuration()));
+}
+
 BOOST_AUTO_TEST_CASE(back_end_that_is_gone_gets_no_new_work) {
   AddBackends("cards", {"c-1", "c-2"});
   RemoveBackend("c-1");
