--- a/src/explain/log_line.cc
+++ b/src/explain/log_line.cc
@@ -8,6 +8,7 @@
 #include <absl/strings/strip.h>
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 namespace ladderstream::explain {
@@ -116,7 +117,7 @@
   if (field.first == "event") {
     line->event = std::move(field.second);
   } else if (field.first == "up") {
-    return absl::SimpleAtod(field.second, &line->up);
+    return absl::SimpleAtod(field.second, &line->up) && std::isfinite(line->up);
   } else if (field.first == "node") {
     line->node = std::move(field.second);
   } else if (field.first == "run") {
--- a/src/gateway/http/request_reader.cc
+++ b/src/gateway/http/request_reader.cc
@@ -139,6 +139,10 @@
     return false;
   }
   const RoutingTarget routing = FindRoutingTarget(request_.host, target);
+  if (!seen_.host) {
+    // Passed on as HTTP/1.1, which asks for one.
+    AppendField(&request_.head, "Host", routing.host);
+  }
   request_.target = std::string(routing.target);
   request_.host = std::string(routing.host);
   return ReserveBody();
--- a/tests/unit/gateway_http/request_reader_test.cc
+++ b/tests/unit/gateway_http/request_reader_test.cc
@@ -60,6 +60,28 @@
   BOOST_TEST(budget->used() == 0U);
 }
 
+// Found by fuzzing: HTTP/1.0 knows requests without a host, HTTP/1.1 does not.
+BOOST_AUTO_TEST_CASE(an_old_request_without_a_host_is_passed_on_with_one) {
+  const TestAdapter adapter;
+  const catalog::Limits limits;
+  const auto host_passed_on = [&](const std::string& target, const std::string& fields) {
+    RequestReader reader(adapter.headers(), limits, std::make_shared<ByteBudget>(1000));
+    const std::string bytes =
+        "GET " + target + " HTTP/1.0\r\n" + fields + "T-Request-Id: 1\r\n\r\n";
+    std::string rest;
+    BOOST_TEST((Feed(reader, bytes, bytes.size(), &rest) == ReadStatus::kComplete));
+    return HeaderOf(reader.Take().head + "\r\n", "Host");
+  };
+  BOOST_TEST(host_passed_on("/x", "Host: a.example:80\r\n") == "a.example:80");
+  BOOST_TEST(host_passed_on("http://b.example:80/x", "") == "b.example");
+  BOOST_TEST(host_passed_on("/x", "") == "");
+  RequestReader reader(adapter.headers(), limits, std::make_shared<ByteBudget>(1000));
+  const std::string bytes = "GET /x HTTP/1.0\r\nT-Request-Id: 1\r\n\r\n";
+  std::string rest;
+  BOOST_TEST((Feed(reader, bytes, bytes.size(), &rest) == ReadStatus::kComplete));
+  BOOST_TEST(reader.Take().head.find("Host: \r\n") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(refusals_of_back_ends_are_told_apart) {
   const TestAdapter adapter;
   const auto budget = std::make_shared<ByteBudget>(1000);
--- a/tests/unit/observability/log_line_test.cc
+++ b/tests/unit/observability/log_line_test.cc
@@ -58,6 +58,10 @@
       (ParseLogLine(stamp + "info main: Hi. event=x up=1 node=\"\\q\"", &line) == LineKind::kBad));
   BOOST_TEST((ParseLogLine("2026-13-31T10:00:00.250000Z info main: Hi. event=x", &line) ==
               LineKind::kBad));
+  for (const char* up : {"nan", "inf", "-inf", "1e999"}) {
+    BOOST_TEST((ParseLogLine(stamp + "info main: Hi. event=x up=" + up + " node=n", &line) ==
+                LineKind::kBad));
+  }
   BOOST_TEST((ParseLogLine("", &line) == LineKind::kBad));
   BOOST_TEST((ParseLogLine(std::string(1000, '\0'), &line) == LineKind::kBad));
 }
--- a/tests/unit/wire/codec_test.cc
+++ b/tests/unit/wire/codec_test.cc
@@ -2,6 +2,8 @@
 #include "wire/codec.h"
 
 #include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
 
 #include "wire/peer_message.h"
 
@@ -36,6 +38,19 @@
   BOOST_CHECK_EXCEPTION(Decode<PeerFrame>(""), Error, is_malformed);
 }
 
+// Found by fuzzing: space for what a length announced was reserved before a byte of it had come.
+BOOST_AUTO_TEST_CASE(an_announced_length_reserves_nothing) {
+  const auto is_over_limit = [](const Error& error) {
+    return error.code() == ResultCode::kMalformedMessage &&
+           std::string(error.what()).find("overflow") != std::string::npos;
+  };
+  const std::string array("\xdd\x00\x0f\xff\xff", 5);
+  const std::string map("\xdf\x00\x0f\xff\xff", 5);
+  for (const std::string& bytes : {array, map, std::string(1000, '\x91')}) {
+    BOOST_CHECK_EXCEPTION(Decode<std::vector<int>>(bytes), Error, is_over_limit);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(range_is_the_top_bits_of_the_hash) {
   for (const uint32_t count : {1U, 2U, 256U, 4096U}) {
     BOOST_TEST(RangeOf("customer/17", count).value() < count);
