Have the ownership model pause processes mid-turn, reuse addresses across services and shorten holds

Change: a process may stop between a decision and its send; an address may go to another service's back end; holds may be shorter than the use of a map; one fault lets an owner's last grants arrive when another owns its keys while some node has an old map. A grant's lateness counts from its decision. Late grants beside another owner are counted.

--- a/tests/unit/ownership/model_faults.cc
+++ b/tests/unit/ownership/model_faults.cc
@@ -14,6 +14,7 @@
 constexpr Duration kDrain = absl::Milliseconds(2500);
 /// Long enough for a successor to take over and to wait the back end out.
 constexpr Duration kIsolation = absl::Seconds(10);
+constexpr Duration kLastGrants = absl::Milliseconds(1500);
 constexpr size_t kFewestBackends = 2;
 
 }  // namespace
@@ -49,7 +50,11 @@
   // A successor at the same or at another address; sometimes none.
   const bool must = CountUp(backend->service) < kFewestBackends;
   if (must || Chance(80)) {
-    const uint16_t port = Chance(60) ? backend->address.port : ++last_port_;
+    const bool same = Chance(60);
+    const uint16_t port = same ? backend->address.port : TakePort();
+    if (!same) {
+      left_ports_.push_back(backend->address.port);
+    }
     After(DrawMs(100, 3000), [this, port, service = backend->service] {
       if (BackendAt({"backend", port}) == nullptr) {
         StartBackend(service, port);
@@ -58,6 +63,16 @@
   }
 }
 
+uint16_t ModelWorld::TakePort() {
+  if (left_ports_.empty() || Chance(40)) {
+    return ++last_port_;
+  }
+  const size_t index = Draw(left_ports_.size());
+  const uint16_t port = left_ports_[index];
+  left_ports_.erase(left_ports_.begin() + static_cast<ptrdiff_t>(index));
+  return port;
+}
+
 size_t ModelWorld::CountUp(const std::string& service) const {
   return static_cast<size_t>(
       std::count_if(backends_.begin(), backends_.end(), [&service](const auto& backend) {
@@ -177,7 +192,7 @@
     return;
   }
   const Time until = std::min(faults_end_, now_ + DrawMs(500, 9000));
-  const uint64_t fault = Draw(8);
+  const uint64_t fault = Draw(9);
   Trace(absl::StrCat("fault ", fault, " at back end ", id, " until ",
                      absl::ToInt64Milliseconds(until - absl::UnixEpoch())));
   switch (fault) {
@@ -214,6 +229,16 @@
       backend->mute_until = until;
       break;
     case 6:
+      // Its last grants arrive when another owns its keys, while some node has an old map.
+      backend->late_until = now_ + kLastGrants;
+      At(backend->late_until, [this, id] {
+        if (ModelBackend* late = BackendWithId(id)) {
+          late->cut_until = std::min(faults_end_, now_ + kIsolation);
+        }
+      });
+      nodes_[Draw(nodes_.size())].peers_cut_until = std::min(faults_end_, now_ + kIsolation);
+      break;
+    case 7:
       // Out of reach of the nodes but one, which may be the holder or its successor.
       for (size_t i = 0; i < nodes_.size(); ++i) {
         backend->cut_from_until[i] = until;
--- a/tests/unit/ownership/model_invariants.cc
+++ b/tests/unit/ownership/model_invariants.cc
@@ -95,8 +95,8 @@
   }
 }
 
-void ModelWorld::CheckGrant(const ModelNode& node, const GrantAction& grant) {
-  if (!node.coordinator->Holds(now_)) {
+void ModelWorld::CheckGrant(const ModelNode& node, const GrantAction& grant, Time decided) {
+  if (!node.coordinator->Holds(decided)) {
     Violate(absl::StrCat("node ", node.index, " grants without holding the lease"));
   }
   for (const std::string& service : services_) {
@@ -123,6 +123,19 @@
   }
 }
 
+void ModelWorld::CountLateOverlap(const ModelBackend& backend, const KeyRange& range) {
+  bool overlaps = false;
+  for (const auto& other : backends_) {
+    if (other.get() == &backend || !other->up || other->service != backend.service) {
+      continue;
+    }
+    other->held.ForEach(range, [&](const KeyRange& /*keys*/, const HeldKeys& held) {
+      overlaps = overlaps || held.HeldAt(now_);
+    });
+  }
+  counts_.late_overlaps += overlaps ? 1 : 0;
+}
+
 void ModelWorld::CheckFences(const ModelBackend& backend, const KeyRange& range, Fence fence) {
   highest_[backend.service].Update(range, [&](HighestFence& highest) {
     const Fence others = highest.owner == backend.id ? highest.others : highest.fence;
--- a/tests/unit/ownership/model_main.cc
+++ b/tests/unit/ownership/model_main.cc
@@ -32,6 +32,7 @@
     sum.commits += world.counts().commits;
     sum.takeovers += world.counts().takeovers;
     sum.wakes += world.counts().wakes;
+    sum.late_overlaps += world.counts().late_overlaps;
     if (violation.empty()) {
       continue;
     }
@@ -44,6 +45,7 @@
             << sum.requests / count << " requests (" << sum.denied / count << " denied, "
             << sum.unroutable / count << " not routable), " << sum.grants / count << " grants, "
             << sum.commits / count << " store writes, " << sum.takeovers / count << " takeovers, "
-            << sum.wakes / count << " wakes\n";
+            << sum.wakes / count
+            << " wakes; late grants beside another owner in all: " << sum.late_overlaps << "\n";
   return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/tests/unit/ownership/model_nodes.cc
+++ b/tests/unit/ownership/model_nodes.cc
@@ -1,6 +1,7 @@
 // Nodes, and the network between them, the store and the back ends.
 #include <absl/strings/str_cat.h>
 
+#include <utility>
 #include <variant>
 
 #include "model_world.h"
@@ -13,6 +14,8 @@
 constexpr Duration kHeartbeatInterval = absl::Milliseconds(250);
 /// An order that arrives later than this after its send is a late one.
 constexpr Duration kLateOrder = absl::Milliseconds(300);
+/// The process pauses once in so many actions.
+constexpr uint64_t kActionsPerPause = 400;
 
 template <typename... Visitors>
 struct Overloaded : Visitors... {
@@ -27,6 +30,7 @@
   ModelNode& node = nodes_[index];
   node.incarnation = ++last_incarnation_ * 7919;
   node.inbox.clear();
+  node.unsent.clear();
   node.map = nullptr;
   node.map_until = absl::InfinitePast();
   node.frozen_until = absl::InfinitePast();
@@ -47,6 +51,7 @@
   const uint64_t incarnation = node.incarnation;
   node.coordinator.reset();
   node.inbox.clear();
+  node.unsent.clear();
   node.map = nullptr;
   for (size_t i = 0; i < nodes_.size(); ++i) {
     if (i != index && Chance(50) && nodes_[i].coordinator) {
@@ -95,24 +100,26 @@
     return;
   }
   Trace(absl::StrCat("node ", index, " thaws"));
-  if (Chance(50)) {
+  // The turn that was interrupted ends first.
+  PerformAll(node, std::exchange(node.unsent, {}), node.decided);
+  if (now_ >= node.frozen_until && Chance(50)) {
     node.coordinator->OnTick(now_);
     Drain(node);
   }
-  std::deque<Event> inbox;
-  inbox.swap(node.inbox);
-  for (const Event& event : inbox) {
+  while (now_ >= node.frozen_until && !node.inbox.empty()) {
+    const Event event = std::move(node.inbox.front());
+    node.inbox.pop_front();
     event();
     Drain(node);
   }
-  node.coordinator->OnTick(now_);
-  Drain(node);
+  if (now_ >= node.frozen_until) {
+    node.coordinator->OnTick(now_);
+    Drain(node);
+  }
 }
 
 void ModelWorld::Drain(ModelNode& node) {
-  for (const Action& action : node.coordinator->TakeActions()) {
-    Perform(node, action);
-  }
+  PerformAll(node, node.coordinator->TakeActions(), now_);
   const Time wake = std::max(node.coordinator->NextWake(), now_ + absl::Milliseconds(1));
   if (wake >= node.wake || wake == absl::InfiniteFuture()) {
     return;
@@ -132,7 +139,27 @@
      });
 }
 
-void ModelWorld::Perform(ModelNode& node, const Action& action) {
+void ModelWorld::PerformAll(ModelNode& node, std::vector<Action> actions, Time decided) {
+  for (size_t i = 0; i < actions.size(); ++i) {
+    if (now_ < faults_end_ && Draw(kActionsPerPause) == 0) {
+      actions.erase(actions.begin(), actions.begin() + static_cast<ptrdiff_t>(i));
+      PauseBefore(node, std::move(actions), decided);
+      return;
+    }
+    Perform(node, actions[i], decided);
+  }
+}
+
+void ModelWorld::PauseBefore(ModelNode& node, std::vector<Action> rest, Time decided) {
+  node.unsent = std::move(rest);
+  node.decided = decided;
+  node.frozen_until = std::max(node.frozen_until, std::min(faults_end_, now_ + DrawMs(20, 7000)));
+  Trace(absl::StrCat("node ", node.index, " pauses with ", node.unsent.size(), " to do until ",
+                     absl::ToInt64Milliseconds(node.frozen_until - absl::UnixEpoch())));
+  At(node.frozen_until, [this, index = node.index] { Thaw(index); });
+}
+
+void ModelWorld::Perform(ModelNode& node, const Action& action, Time decided) {
   std::visit(
       Overloaded{
           [&](const CommitAction& commit) {
@@ -150,13 +177,15 @@
           },
           [&](const GrantAction& grant) {
             ++counts_.grants;
-            CheckGrant(node, grant);
-            SendOrder(node, grant.call, grant.address, grant.backend, grant.hold,
+            CheckGrant(node, grant, decided);
+            SendOrder(node, grant.call, grant.address, grant.backend, grant.hold, decided,
                       [this, grant](ModelBackend& backend, bool late) {
                         OrderReply reply;
                         reply.status =
                             backend.Grant(grant.range, grant.fence, grant.hold, late, now_);
-                        if (reply.status == OrderStatus::kDone && !late) {
+                        if (reply.status == OrderStatus::kDone && late) {
+                          CountLateOverlap(backend, grant.range);
+                        } else if (reply.status == OrderStatus::kDone) {
                           CheckFences(backend, grant.range, grant.fence);
                           CheckHolds(backend, grant.range);
                         }
@@ -165,7 +194,7 @@
           },
           [&](const ReleaseAction& release) {
             SendOrder(node, release.call, release.address, release.backend, absl::ZeroDuration(),
-                      [this, release](ModelBackend& backend, bool /*late*/) {
+                      decided, [this, release](ModelBackend& backend, bool /*late*/) {
                         backend.Release(release.range, release.fence, now_);
                         return OrderReply{OrderStatus::kDone, "handover"};
                       });
@@ -246,7 +275,7 @@
 }
 
 void ModelWorld::SendOrder(ModelNode& node, CallId call, const Endpoint& address,
-                           const std::string& id, Duration hold,
+                           const std::string& id, Duration hold, Time decided,
                            const std::function<OrderReply(ModelBackend&, bool)>& work) {
   const size_t index = node.index;
   const uint64_t incarnation = node.incarnation;
@@ -272,7 +301,6 @@
   }
   const bool taken_late = now_ < target->late_until && Chance(70);
   const bool answer_lost = taken_late || now_ < target->mute_until || Chance(1);
-  const Time sent = now_;
   const Time arrival =
       std::max(now_ + (taken_late ? DrawMs(400, 12000) : DrawMs(1, 6)), target->frozen_until);
   At(arrival, [=, this] {
@@ -283,7 +311,7 @@
     if (now_ < taker->frozen_until) {
       return;  // Frozen anew; lost for good.
     }
-    const OrderReply reply = work(*taker, now_ - sent > kLateOrder);
+    const OrderReply reply = work(*taker, now_ - decided > kLateOrder);
     Duration delay = DrawMs(1, 6);
     if (hold == absl::ZeroDuration()) {
       delay += taker->work;
--- a/tests/unit/ownership/model_world.cc
+++ b/tests/unit/ownership/model_world.cc
@@ -3,6 +3,8 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
+#include <algorithm>
+
 #include "scripted_partitioner.h"
 
 namespace ladderstream::ownership {
@@ -33,7 +35,9 @@
     settings_.fences_before_new_epoch = 5;
   }
   if (Chance(30)) {
-    settings_.hold = absl::Milliseconds(2500 + Draw(5) * 1000);
+    // Also shorter than the time for which a map may be used.
+    settings_.hold = absl::Milliseconds(1000 + Draw(12) * 500);
+    settings_.hold_renewal = std::min(settings_.hold_renewal, settings_.hold / 4);
   }
   for (const std::string& service : services_) {
     const uint64_t count = 3 + Draw(4);
--- a/tests/unit/ownership/model_world.h
+++ b/tests/unit/ownership/model_world.h
@@ -32,6 +32,9 @@
   /// Frozen until then; what reaches it meanwhile waits in `inbox`.
   Time frozen_until = absl::InfinitePast();
   std::deque<std::function<void()>> inbox;
+  /// Decided at `decided` and not done yet, because the process stood still in between.
+  std::vector<Action> unsent;
+  Time decided;
   Time store_cut_until = absl::InfinitePast();
   Time peers_cut_until = absl::InfinitePast();
   Time backends_cut_until = absl::InfinitePast();
@@ -50,6 +53,8 @@
   uint64_t commits = 0;
   uint64_t takeovers = 0;
   uint64_t wakes = 0;
+  /// Grants that were taken late, while another held some of their keys.
+  uint64_t late_overlaps = 0;
 };
 
 class ModelWorld {
@@ -92,10 +97,14 @@
   void ToNode(size_t index, uint64_t incarnation, Event event);
   void Thaw(size_t index);
   void Drain(ModelNode& node);
-  void Perform(ModelNode& node, const Action& action);
+  /// Performs what was decided at `decided`, unless the process pauses on the way.
+  void PerformAll(ModelNode& node, std::vector<Action> actions, Time decided);
+  void Perform(ModelNode& node, const Action& action, Time decided);
+  void PauseBefore(ModelNode& node, std::vector<Action> rest, Time decided);
   void SendToStore(ModelNode& node, CallId call, std::function<store::StoreReply()> work);
   void SendOrder(ModelNode& node, CallId call, const Endpoint& address, const std::string& id,
-                 Duration hold, const std::function<OrderReply(ModelBackend&, bool)>& work);
+                 Duration hold, Time decided,
+                 const std::function<OrderReply(ModelBackend&, bool)>& work);
   void ReplyOrder(size_t index, uint64_t incarnation, CallId call, const OrderReply& reply,
                   Duration delay);
   void Broadcast(ModelNode& node);
@@ -108,8 +117,10 @@
   // Requests and invariants (model_invariants.cc).
   void RequestLoop();
   void StartRequest(ModelBackend& backend, Key key);
-  void CheckGrant(const ModelNode& node, const GrantAction& grant);
+  void CheckGrant(const ModelNode& node, const GrantAction& grant, Time decided);
   void CheckHolds(const ModelBackend& backend, const KeyRange& range);
+  /// Counts a late grant if another holds some of its keys; only requests there would be wrong.
+  void CountLateOverlap(const ModelBackend& backend, const KeyRange& range);
   void CheckFences(const ModelBackend& backend, const KeyRange& range, Fence fence);
   void CheckCommits(const store::Transaction& transaction);
   /// Notes which keys each node finds held by their owner, and not moving.
@@ -130,6 +141,8 @@
   /// A node is told that the holder has ended, which is not so.
   void FalseAlarm();
   std::string RandomBackend();
+  /// A port for a new back end; perhaps one that another, even of another service, has left.
+  uint16_t TakePort();
   size_t CountUp(const std::string& service) const;
 
   std::mt19937_64 random_;
@@ -151,6 +164,7 @@
   std::vector<std::unique_ptr<ModelBackend>> backends_;
   uint64_t last_backend_ = 0;
   uint16_t last_port_ = 0;
+  std::vector<uint16_t> left_ports_;
   std::vector<Key> keys_;
   std::map<std::string, std::vector<partition::KeyCount>> load_;
   std::map<std::pair<size_t, std::string>, KeyMap<bool>> seen_served_;
