Make no text of log lines that are not kept; test the volume of a flood of failed requests

Cause: lines below the lowest severity were formatted and then dropped, so log_level spared no processor time and the cost of logs could not be measured by a setting. Change: EventLog leaves them out before any text is made.

--- a/src/logging/log.cc
+++ b/src/logging/log.cc
@@ -144,7 +144,7 @@
 
 void Log(Part part, Severity severity, std::string_view sentence,
          std::initializer_list<LogField> fields) {
-  if (severity < lowest_severity.load(std::memory_order_relaxed)) {
+  if (!IsKept(severity)) {
     return;
   }
   const std::string line = FormatLogLine(part, severity, sentence, fields);
@@ -176,8 +176,12 @@
   }
 }
 
+bool IsKept(Severity severity) {
+  return severity >= lowest_severity.load(std::memory_order_relaxed);
+}
+
 void WriteLogLine(Severity severity, std::string_view line) {
-  if (severity >= lowest_severity.load(std::memory_order_relaxed)) {
+  if (IsKept(severity)) {
     BOOST_LOG_SEV(SharedLogger(), severity) << line;
   }
 }
--- a/src/logging/log.h
+++ b/src/logging/log.h
@@ -85,6 +85,9 @@
 /// Writes a line that is formatted already, its time included.
 void WriteLogLine(Severity severity, std::string_view line);
 
+/// Whether lines of this severity are written.
+bool IsKept(Severity severity);
+
 /// Reads "debug", "info", "warning" or "error"; false for anything else.
 bool ParseSeverity(std::string_view text, Severity* severity);
 
--- a/src/observability/event_log.cc
+++ b/src/observability/event_log.cc
@@ -49,6 +49,9 @@
 EventLog::~EventLog() { SetLogDestination(nullptr); }
 
 void EventLog::Write(EventName event, absl::Span<const EventField> fields) {
+  if (!Keeps(event)) {
+    return;
+  }
   const EventDescription& description = Describe(event);
   const Time now = time_->Now();
   if (!budget_.Take(description.kind, 1, now)) {
@@ -70,6 +73,9 @@
   }
   uint64_t lost = 0;
   for (const PendingLine& pending : lines) {
+    if (!Keeps(pending.event)) {
+      continue;
+    }
     FormatLine(pending.event, pending.at, now, pending.fields);
     lost += Emit(kind, Describe(pending.event).severity) ? 0 : 1;
   }
--- a/src/observability/event_log.h
+++ b/src/observability/event_log.h
@@ -70,6 +70,9 @@
   EventLog(const EventLog&) = delete;
   EventLog& operator=(const EventLog&) = delete;
 
+  /// Whether lines of this event are written at all, by their severity.
+  static bool Keeps(EventName event) { return IsKept(Describe(event).severity); }
+
   /// Writes one line about a belief or the process.
   void Write(EventName event, absl::Span<const EventField> fields);
 
--- a/src/observability/request_observer.cc
+++ b/src/observability/request_observer.cc
@@ -80,11 +80,14 @@
   const Time now = log_->Now();
   RequestTrace* const trace = Find(request.request_id);
   EndRunning(trace);
-  PendingLine last = trace == nullptr ? FinalLine(request, now) : trace->Last(request, now);
-  if (outcome == RequestOutcome::kAnswered && request.status < kServerErrors) {
-    log_->WriteTogether(EventKind::kAnsweredRequest, absl::MakeConstSpan(&last, 1));
-  } else {
-    WriteFailure(request.request_id, trace, std::move(last));
+  const bool well = outcome == RequestOutcome::kAnswered && request.status < kServerErrors;
+  if (!well || EventLog::Keeps(EventName::kRequestAnswered)) {
+    PendingLine last = trace == nullptr ? FinalLine(request, now) : trace->Last(request, now);
+    if (well) {
+      log_->WriteTogether(EventKind::kAnsweredRequest, absl::MakeConstSpan(&last, 1));
+    } else {
+      WriteFailure(request.request_id, trace, std::move(last));
+    }
   }
   Forget(request.request_id);
 }
--- a/tests/unit/observability/request_observer_test.cc
+++ b/tests/unit/observability/request_observer_test.cc
@@ -248,6 +248,51 @@
   BOOST_TEST(seen.size() == kEventCount - 2);
 }
 
+/// Five times the load that nodes see on a calm day, of which every request fails with two
+/// attempts.
+BOOST_AUTO_TEST_CASE(a_flood_of_failures_stays_within_its_volume) {
+  constexpr int kSeconds = 20;
+  constexpr int kRequestsPerSecond = 5 * 50;
+  constexpr size_t kLongestLine = 1024;
+  size_t lines = 0;
+  size_t bytes = 0;
+  for (int i = 0; i < kSeconds * kRequestsPerSecond; ++i) {
+    Start();
+    for (const char* backend : {"b-1", "b-2"}) {
+      Decide(backend, forwarding::SendCause::kFirst);
+      observer.OnAttemptFailed(kId, backend, forwarding::AttemptFailure::kTimedOut,
+                               std::string(10000, 'x'));
+    }
+    Finish(504, ResultCode::kTimedOut);
+    test.clock.now += absl::Seconds(1) / kRequestsPerSecond;
+    test.log.OnTick(test.clock.now);
+    for (const std::string& line : test.TakeLines()) {
+      ++lines;
+      bytes += line.size();
+    }
+  }
+  const auto index = static_cast<size_t>(EventKind::kFailedRequest);
+  const KindBudget& budget = EventBudget::Default().at(index);
+  const auto most = static_cast<size_t>(budget.burst + budget.lines_per_second * kSeconds);
+  // And one line a second that tells what was left out.
+  BOOST_TEST(lines <= most + kSeconds);
+  BOOST_TEST(lines >= most * 9 / 10);
+  BOOST_TEST(bytes <= lines * kLongestLine);
+  BOOST_TEST(test.log.budget().TotalOmitted(EventKind::kFailedRequest, OmissionCause::kBudget) >
+             0U);
+}
+
+BOOST_AUTO_TEST_CASE(what_is_not_kept_costs_no_line) {
+  SetUpLogging(Severity::kError);
+  Start();
+  Finish(200, ResultCode::kOk);
+  Start();
+  Finish(503, ResultCode::kNoOwner);
+  SetUpLogging(Severity::kInfo);
+  BOOST_TEST(test.TakeLines().empty());
+  BOOST_TEST(observer.traces() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
