Answer the operators' typed calls over the metadata store

Cause: the operators' interface (typed calls of a schema file, each of which takes effect or is refused) lived in ladderstreamd alone, on a replicated log that the platform's store makes needless. It has to stand on the store before that daemon can go.

Ruled out: gRPC in every node (threads and memory on machines of a fifth of a core; the deployed build would link it); ladderctl writing the store by itself (no typed calls for other programs). Reading the operation's row back after a lost answer: "not there" decides nothing while the write may still come.

Change: proto/operators.proto (services, routes, limits; back ends, assignments and status to read; what back ends and the coordinator do by themselves is dropped, see design note 015). src/core/changes: a change, its validation with every fault at once, and its submission, which settles an unanswered write by sending the very same conditional write again. platform/configuration_encoder writes the row and keeps fields it does not know. src/operator_service: ladderstream_operatord, which holds no state. src/ladderctl: the command line. The old command line is called ladderstreamd_ctl until it goes. Not part of deploy/system.toml.

--- a/src/core/store/store_types.h
+++ b/src/core/store/store_types.h
@@ -54,6 +54,8 @@
   std::string partition;
   /// Continue behind an answer with `more`: the last key seen followed by a NUL byte; else empty.
   std::string from_key;
+  /// The platform may give fewer.
+  uint32_t most_rows = 500;
 };
 
 /// Waits until a row of `table` changes after `after`, at most for `wait`.
--- a/src/interfaces/platform_adapter.h
+++ b/src/interfaces/platform_adapter.h
@@ -70,6 +70,11 @@
   virtual std::string_view backend_table() const = 0;
   /// Throws Error(kInvalidConfiguration) naming the place.
   virtual catalog::Configuration DecodeConfiguration(std::string_view value) const = 0;
+  /// Gives the row's value. `previous` is the one that it replaces, empty if there is none: what it
+  /// holds besides the fields of `configuration` stays. Throws Error(kInvalidConfiguration) when
+  /// `previous` cannot be read.
+  virtual std::string EncodeConfiguration(const catalog::Configuration& configuration,
+                                          std::string_view previous) const = 0;
   /// Throws Error(kMalformedMessage) naming the place. `id` is the row's key.
   virtual catalog::Backend DecodeBackend(std::string_view id, std::string_view value) const = 0;
 };
--- /dev/null
+++ b/src/operator_service/store_reader.cc
@@ -0,0 +1,79 @@
+#include "operator_service/store_reader.h"
+
+#include <absl/strings/str_cat.h>
+
+#include "core/changes/change_submission.h"
+#include "core/ownership/coordinator.h"
+#include "wire/result_code.h"
+
+namespace ladderstream::operator_service {
+namespace {
+
+void RequireDone(const store::StoreReply& reply) {
+  if (reply.status != store::StoreStatus::kDone) {
+    throw Error(ResultCode::kStoreUnavailable,
+                absl::StrCat("the store gave no answer: ", reply.detail));
+  }
+}
+
+}  // namespace
+
+catalog::Configuration StoreReader::ReadConfiguration() const {
+  const interfaces::PlatformAdapter& adapter = store_.adapter();
+  const auto value = ReadValue({.table = std::string(adapter.configuration_table()),
+                                .partition = "",
+                                .key = std::string(adapter.configuration_key())});
+  return value.has_value() ? adapter.DecodeConfiguration(*value) : catalog::Configuration();
+}
+
+std::vector<catalog::Backend> StoreReader::ReadBackends() const {
+  const interfaces::PlatformAdapter& adapter = store_.adapter();
+  std::vector<catalog::Backend> backends;
+  for (const store::Row& row : ReadTable(std::string(adapter.backend_table()), "")) {
+    backends.push_back(adapter.DecodeBackend(row.key.key, row.value));
+  }
+  return backends;
+}
+
+Ownership StoreReader::ReadOwnership() const {
+  Ownership ownership;
+  const ownership::CoordinatorSettings place;
+  for (const store::Row& row : ReadTable(place.table, place.partition)) {
+    if (row.key.key == ownership::kLeaseRowKey) {
+      ownership.lease = ownership::DecodeLeaseRow(row.value);
+      continue;
+    }
+    const std::string service = ownership::ServiceOfRowKey(row.key.key);
+    if (!service.empty()) {
+      ownership.services[service] = ownership::DecodeServiceRow(row.value).assignments;
+    }
+  }
+  return ownership;
+}
+
+std::optional<changes::ChangeRecord> StoreReader::ReadRecord(
+    const std::string& operation_id) const {
+  const auto value =
+      ReadValue({.table = changes::kOperationTable, .partition = "", .key = operation_id});
+  if (!value.has_value()) {
+    return std::nullopt;
+  }
+  return changes::DecodeChangeRecord(*value);
+}
+
+std::optional<std::string> StoreReader::ReadValue(const store::RowKey& key) const {
+  const store::StoreReply reply = store_.Read(
+      {.table = key.table, .partition = key.partition, .from_key = key.key, .most_rows = 1});
+  RequireDone(reply);
+  const store::Row* const row = changes::FindRow(reply, key);
+  return row == nullptr ? std::nullopt : std::optional<std::string>(row->value);
+}
+
+std::vector<store::Row> StoreReader::ReadTable(const std::string& table,
+                                               const std::string& partition) const {
+  store::StoreReply reply = store_.ReadAll(table, partition);
+  RequireDone(reply);
+  return std::move(reply.rows);
+}
+
+}  // namespace ladderstream::operator_service
--- a/src/rehearsal/cluster.cc
+++ b/src/rehearsal/cluster.cc
@@ -50,7 +50,7 @@
       objects_(FreeEndpoint()),
       machines_(FreeEndpoint()),
       platform_control_(FreeEndpoint()),
-      operators_(&processes_, Program("ladderctl")) {
+      operators_(&processes_, Program("ladderstreamd_ctl")) {
   const DeploymentSpec& deployment = settings_.deployment;
   for (const std::string& zone : deployment.zones) {
     for (uint32_t i = 0; i < settings_.nodes_per_zone; ++i) {
--- a/src/standin/fleet/config_writer.cc
+++ b/src/standin/fleet/config_writer.cc
@@ -3,7 +3,6 @@
 #include <absl/strings/str_cat.h>
 
 #include <nlohmann/json.hpp>
-#include <utility>
 
 #include "standin/fleet/wire_names.h"
 
@@ -89,9 +88,13 @@
   if (!store_->Transact(transaction, &result)) {
     return false;
   }
-  newest_ = std::move(configuration);
-  history_->configurations.push_back({.configuration = newest_, .acknowledged = EventLoop::Now()});
+  Note(configuration);
   return true;
 }
 
+void ConfigWriter::Note(const catalog::Configuration& configuration) {
+  newest_ = configuration;
+  history_->configurations.push_back({.configuration = newest_, .acknowledged = EventLoop::Now()});
+}
+
 }  // namespace ladderstream::fleet
--- a/src/standin/fleet/config_writer.h
+++ b/src/standin/fleet/config_writer.h
@@ -16,6 +16,9 @@
   /// Writes the next version, the configuration's own number aside. False when the store is down.
   bool Write(catalog::Configuration configuration);
 
+  /// Notes a version that another operator wrote.
+  void Note(const catalog::Configuration& configuration);
+
   /// The newest version written.
   const catalog::Configuration& newest() const { return newest_; }
 
--- a/tests/integration/node/rig.cc
+++ b/tests/integration/node/rig.cc
@@ -6,19 +6,22 @@
 #include <csignal>
 #include <fstream>
 #include <sstream>
+#include <optional>
 #include <stdexcept>
 
+#include "standin/fleet/http_client.h"
 #include "standin/fleet/report.h"
+#include "standin/fleet/wire_names.h"
 
 namespace ladderstream::fleet {
 namespace {
 
-constexpr size_t kNodes = 3;
+constexpr Duration kPatience = absl::Seconds(1);
 constexpr char kProgram[] = LADDERSTREAM_BINARY_DIR "/ladderstream_node";
 
 FleetSettings Settings() {
   FleetSettings settings = SmallDeployment().fleet;
-  settings.store.entrances = EntrancesFor(kNodes);
+  settings.store.entrances = EntrancesFor(kNodes + kOperatorEntrances);
   return settings;
 }
 
@@ -85,6 +88,21 @@
   return *owner;
 }
 
+int Rig::StatusAt(size_t node, const std::string& host, const std::string& path) {
+  const interfaces::HttpRequest request = {
+      .method = "GET",
+      .target = path,
+      .headers = {{"Host", host}, {wire::kRequestId, "rig"}, {wire::kDeadlineMs, "300"}},
+      .body = ""};
+  std::optional<CallResult> result;
+  const auto connection =
+      HttpClientConnection::Make(&fleet_.loop(), nodes_.nodes().at(node).address.front);
+  connection->Call(request, kPatience, kPatience, [&](const CallResult& one) { result = one; });
+  Await("an answer", [&] { return result.has_value(); });
+  connection->Close();
+  return result->end == CallEnd::kAnswered ? result->response.status : -1;
+}
+
 void Rig::SetFaults(const std::string& service, const BackendFaults& faults) {
   for (Backend* backend : fleet_.backends(service)) {
     backend->SetFaults(faults);
--- a/tests/integration/node/rig.h
+++ b/tests/integration/node/rig.h
@@ -10,6 +10,10 @@
 
 namespace ladderstream::fleet {
 
+inline constexpr size_t kNodes = 3;
+/// The store has one entrance for each node, and these behind them.
+inline constexpr size_t kOperatorEntrances = 2;
+
 inline constexpr char kScripts[] = "scripts";
 inline constexpr char kBookings[] = "bookings";
 inline constexpr char kCards[] = "cards";
@@ -39,6 +43,9 @@
   /// Waits until every key is held by a back end other than this one.
   void AwaitKeysLeave(const Backend& backend);
   Backend& OwnerOfHotKey();
+  /// The status with which a node answers a request for this host and path, made beside the load;
+  /// -1 when it gives none.
+  int StatusAt(size_t node, const std::string& host, const std::string& path);
   /// Every back end of the service fails in this way from now on.
   void SetFaults(const std::string& service, const BackendFaults& faults);
 
--- a/tests/integration/operator_test.cc
+++ b/tests/integration/operator_test.cc
@@ -20,7 +20,7 @@
                 uint64_t expected_revision, uint64_t max_queue) {
   cluster.processes().Start(
       {name,
-       absl::StrCat(LADDERSTREAM_BINARY_DIR, "/ladderctl"),
+       absl::StrCat(LADDERSTREAM_BINARY_DIR, "/ladderstreamd_ctl"),
        {"update-service", absl::StrCat("--nodes=", FormatEndpoint(node.operators)),
         absl::StrCat("--name=", kScripts), absl::StrCat("--max_queue=", max_queue),
         absl::StrCat("--expected_revision=", expected_revision), "--output=json"}});
--- /dev/null
+++ b/tests/unit/changes/change_submission_test.cc
@@ -0,0 +1,182 @@
+// One change at a time: what the operator is told in each case.
+#include "core/changes/change_submission.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "simulated_store.h"
+
+namespace ladderstream::changes {
+namespace {
+
+using store::StoreReply;
+using store::StoreStatus;
+
+constexpr char kOperation[] = "deploy-1";
+
+struct Fixture {
+  ChangeSubmission Submit(std::optional<uint64_t> expected) const {
+    return ChangeSubmission({kOperation, expected, std::make_shared<const Change>(change), digest},
+                            TestFormat(), SubmissionTiming(), now);
+  }
+
+  /// Answers everything truly until the end.
+  SubmissionOutcome RunToEnd(ChangeSubmission& submission, SubmissionAction action) {
+    while (!std::holds_alternative<SubmissionOutcome>(action)) {
+      if (const auto* const read = std::get_if<ReadRow>(&action)) {
+        now += read->delay;
+        action = submission.OnRead(table.Read(read->key), now);
+      } else {
+        const auto& write = std::get<WriteRows>(action);
+        now += write.delay;
+        action = submission.OnWrite(table.Execute(write.transaction), now);
+      }
+    }
+    return std::get<SubmissionOutcome>(action);
+  }
+
+  SubmissionOutcome RunToEnd(std::optional<uint64_t> expected) {
+    ChangeSubmission submission = Submit(expected);
+    return RunToEnd(submission, submission.Start());
+  }
+
+  /// Gives the transaction that writes.
+  store::Transaction ReachWrite(ChangeSubmission& submission) {
+    SubmissionAction action = submission.Start();
+    while (const auto* const read = std::get_if<ReadRow>(&action)) {
+      action = submission.OnRead(table.Read(read->key), now);
+    }
+    return std::get<WriteRows>(action).transaction;
+  }
+
+  /// Answers everything with `status` until the end.
+  SubmissionOutcome FailStore(ChangeSubmission& submission, SubmissionAction action,
+                              StoreStatus status) {
+    while (!std::holds_alternative<SubmissionOutcome>(action)) {
+      now += absl::Seconds(1);
+      const bool reads = std::holds_alternative<ReadRow>(action);
+      action = reads ? submission.OnRead(ReplyOf(status), now)
+                     : submission.OnWrite(ReplyOf(status), now);
+    }
+    return std::get<SubmissionOutcome>(action);
+  }
+
+  SimulatedStore table;
+  Change change = CreateService{SampleService("books")};
+  uint64_t digest = 1;
+  Time now = absl::FromUnixSeconds(1000);
+};
+
+BOOST_FIXTURE_TEST_SUITE(change_submission, Fixture)
+
+BOOST_AUTO_TEST_CASE(accepted_is_durable) {
+  const SubmissionOutcome outcome = RunToEnd(7);
+  BOOST_TEST((outcome.code == ResultCode::kOk));
+  BOOST_TEST(outcome.revision == 8U);
+  BOOST_TEST(table.Newest().version == 8U);
+  BOOST_TEST(table.Record(kOperation)->revision == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(another_revision_is_a_conflict_with_the_newest) {
+  const SubmissionOutcome outcome = RunToEnd(6);
+  BOOST_TEST((outcome.code == ResultCode::kRevisionConflict));
+  BOOST_TEST(outcome.revision == 7U);
+  BOOST_TEST(!table.Record(kOperation).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_bad_change_writes_nothing) {
+  change = CreateRoute{SampleRoute("vip", "none")};
+  const SubmissionOutcome outcome = RunToEnd(std::nullopt);
+  BOOST_TEST((outcome.code == ResultCode::kUnknownName));
+  BOOST_TEST(outcome.faults.size() == 1U);
+  BOOST_TEST(table.Newest().version == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(a_value_that_the_store_would_not_take_is_refused) {
+  catalog::Configuration large = SampleConfiguration();
+  for (int number = 0; number < 700; ++number) {
+    large.routes.push_back(SampleRoute("route-" + std::to_string(number), "cards"));
+  }
+  table.Put(TestFormat()->row(), TestFormat()->Encode(large, ""));
+  const SubmissionOutcome outcome = RunToEnd(std::nullopt);
+  BOOST_TEST((outcome.code == ResultCode::kInvalidConfiguration));
+  BOOST_TEST_REQUIRE(outcome.faults.size() == 1U);
+  BOOST_TEST(outcome.faults[0].field == "configuration");
+}
+
+BOOST_AUTO_TEST_CASE(a_repeated_id_gets_the_earlier_outcome) {
+  RunToEnd(7);
+  const SubmissionOutcome outcome = RunToEnd(7);
+  BOOST_TEST((outcome.code == ResultCode::kOk));
+  BOOST_TEST(outcome.revision == 8U);
+  BOOST_TEST(table.Newest().version == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(a_reused_id_is_refused) {
+  RunToEnd(7);
+  digest = 2;
+  BOOST_TEST((RunToEnd(8).code == ResultCode::kOperationIdReused));
+  BOOST_TEST(table.Newest().version == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_answer_is_read_back) {
+  ChangeSubmission submission = Submit(7);
+  table.Execute(ReachWrite(submission));
+  SubmissionAction next = submission.OnWrite(ReplyOf(StoreStatus::kUnknown), now);
+  const SubmissionOutcome outcome = RunToEnd(submission, std::move(next));
+  BOOST_TEST((outcome.code == ResultCode::kOk));
+  BOOST_TEST(outcome.revision == 8U);
+  BOOST_TEST(table.Newest().version == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(a_write_that_comes_late_takes_effect_once) {
+  ChangeSubmission submission = Submit(7);
+  const store::Transaction write = ReachWrite(submission);
+  table.Delay(write);
+  SubmissionAction next = submission.OnWrite(ReplyOf(StoreStatus::kUnknown), now);
+  BOOST_TEST((RunToEnd(submission, std::move(next)).code == ResultCode::kOk));
+  table.RunLate();
+  BOOST_TEST(table.Newest().version == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(a_write_that_may_still_arrive_is_pending_not_refused) {
+  ChangeSubmission submission = Submit(7);
+  table.Delay(ReachWrite(submission));
+  const SubmissionOutcome outcome = FailStore(
+      submission, submission.OnWrite(ReplyOf(StoreStatus::kUnknown), now), StoreStatus::kRefused);
+  BOOST_TEST((outcome.code == ResultCode::kChangePending));
+  BOOST_TEST(outcome.revision == 8U);
+  table.RunLate();
+  BOOST_TEST((RunToEnd(7).code == ResultCode::kOk));
+  BOOST_TEST(table.Newest().version == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(another_winner_ends_an_undecided_write) {
+  ChangeSubmission submission = Submit(7);
+  const store::Transaction write = ReachWrite(submission);
+  SubmissionAction next = submission.OnWrite(ReplyOf(StoreStatus::kUnknown), now);
+  catalog::Configuration other = SampleConfiguration();
+  other.version = 8;
+  table.Put(TestFormat()->row(), TestFormat()->Encode(other, ""));
+  const SubmissionOutcome outcome = RunToEnd(submission, std::move(next));
+  BOOST_TEST((outcome.code == ResultCode::kRevisionConflict));
+  BOOST_TEST(outcome.revision == 8U);
+  BOOST_TEST((table.Execute(write).status == StoreStatus::kConflict));
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_refuses_leaves_nothing_pending) {
+  ChangeSubmission submission = Submit(7);
+  const SubmissionOutcome outcome =
+      FailStore(submission, submission.Start(), StoreStatus::kRefused);
+  BOOST_TEST((outcome.code == ResultCode::kStoreUnavailable));
+  BOOST_TEST(table.Newest().version == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(an_unreadable_row_is_an_internal_error) {
+  table.Put(TestFormat()->row(), "rubbish");
+  BOOST_TEST((RunToEnd(7).code == ResultCode::kInternal));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace ladderstream::changes
--- /dev/null
+++ b/tests/unit/changes/simulated_store.h
@@ -0,0 +1,76 @@
+// A metadata store for tests whose answers are true, lost, or whose writes come late.
+#pragma once
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "core/changes/change_submission.h"
+#include "operator_service/change_runner.h"
+#include "platform/adapter.h"
+#include "sample_configuration.h"
+#include "standin/fleet/metadata_store.h"
+
+namespace ladderstream::changes {
+
+inline constexpr size_t kMaxValueBytes = 65536;
+
+/// As the product keeps the configuration on its platform.
+inline ConfigurationFormatPtr TestFormat() {
+  return operator_service::MakeFormat(platform::MakeAdapter(), kMaxValueBytes);
+}
+
+inline store::StoreReply ReplyOf(store::StoreStatus status, std::vector<store::Row> rows = {}) {
+  store::StoreReply reply;
+  reply.status = status;
+  reply.rows = std::move(rows);
+  return reply;
+}
+
+class SimulatedStore {
+ public:
+  SimulatedStore() { Put(TestFormat()->row(), TestFormat()->Encode(SampleConfiguration(), "")); }
+
+  void Put(const store::RowKey& key, const std::string& value) {
+    rows_.Apply({.conditions = {}, .puts = {{key, value}}, .removals = {}}, absl::UnixEpoch());
+  }
+
+  store::StoreReply Read(const store::RowKey& key) const {
+    const store::Row* const row = rows_.Find(key);
+    return ReplyOf(store::StoreStatus::kDone,
+                   row == nullptr ? std::vector<store::Row>() : std::vector<store::Row>{*row});
+  }
+
+  /// Runs `transaction` now and gives its true answer.
+  store::StoreReply Execute(const store::Transaction& transaction) {
+    const fleet::TransactionResult result = rows_.Apply(transaction, absl::UnixEpoch());
+    return ReplyOf(result.applied ? store::StoreStatus::kDone : store::StoreStatus::kConflict,
+                   result.rows);
+  }
+
+  /// Keeps `transaction` on its way; RunLate lets it arrive.
+  void Delay(const store::Transaction& transaction) { late_.push_back(transaction); }
+
+  void RunLate() {
+    for (const auto& transaction : late_) {
+      Execute(transaction);
+    }
+    late_.clear();
+  }
+
+  catalog::Configuration Newest() const {
+    const store::Row* const row = rows_.Find(TestFormat()->row());
+    return row == nullptr ? catalog::Configuration() : TestFormat()->Decode(row->value);
+  }
+
+  std::optional<ChangeRecord> Record(const std::string& operation_id) const {
+    const store::Row* const row = rows_.Find({kOperationTable, "", operation_id});
+    return row == nullptr ? std::nullopt : std::optional(DecodeChangeRecord(row->value));
+  }
+
+ private:
+  fleet::MetadataStore rows_;
+  std::vector<store::Transaction> late_;
+};
+
+}  // namespace ladderstream::changes
--- /dev/null
+++ b/tests/unit/changes/validation_test.cc
@@ -0,0 +1,87 @@
+// Every fault is found, all at once, each with its place.
+#include "core/changes/validation.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <limits>
+#include <string>
+#include <vector>
+
+#include "sample_configuration.h"
+
+namespace ladderstream::changes {
+namespace {
+
+/// One thing made wrong, and the place where it shall be found.
+struct Wrong {
+  std::string field;
+  std::function<void(catalog::Configuration&)> make;
+};
+
+const std::vector<Wrong> kWrongs = {
+    {"services[cards].health_path", [](auto& c) { c.services["cards"].health_path = "health"; }},
+    {"services[cards].max_connections",
+     [](auto& c) { c.services["cards"].max_connections = 70000; }},
+    {"services[cards].warmup_ms", [](auto& c) { c.services["cards"].warmup = absl::Hours(2); }},
+    {"services[a b].name", [](auto& c) { c.services["a b"] = SampleService("a b"); }},
+    {"routes[].name", [](auto& c) { c.routes.push_back(SampleRoute("", "cards")); }},
+    {"routes[read].host", [](auto& c) { c.routes[0].host = "Example.org"; }},
+    {"routes[read].path_prefix", [](auto& c) { c.routes[0].path_prefix = "/read"; }},
+    {"routes[pay].path_prefix", [](auto& c) { c.routes[1].path_prefix = "/read/"; }},
+    {"routes[read].timeout_ms", [](auto& c) { c.routes[0].timeout = absl::ZeroDuration(); }},
+    {"routes[read].target_latency_ms",
+     [](auto& c) { c.routes[0].target_latency = absl::Hours(2); }},
+    {"routes[read].max_attempts", [](auto& c) { c.routes[0].max_attempts = 0; }},
+    {"routes[read].priority", [](auto& c) { c.routes[0].priority = 1001; }},
+    {"routes[read].targets.count", [](auto& c) { c.routes[0].targets.clear(); }},
+    {"routes[read].targets[none].service",
+     [](auto& c) { c.routes[0].targets[0].service = "none"; }},
+    {"routes[read].targets[scripts].weight", [](auto& c) { c.routes[0].targets[0].weight = -1; }},
+    {"routes[read].targets",
+     [](auto& c) { c.routes[0].targets[0].weight = std::numeric_limits<double>::quiet_NaN(); }},
+    {"routes[read].targets[scripts].service",
+     [](auto& c) { c.routes[0].targets.push_back(c.routes[0].targets[0]); }},
+    {"limits.max_header_bytes", [](auto& c) { c.limits.max_header_bytes = 10; }},
+    {"limits.max_body_bytes", [](auto& c) { c.limits.max_body_bytes = 0; }},
+    {"limits.idle_timeout_ms", [](auto& c) { c.limits.idle_timeout = absl::Hours(2); }},
+};
+
+bool NamesField(const std::vector<ConfigurationFault>& faults, const std::string& field) {
+  return std::any_of(faults.begin(), faults.end(),
+                     [&](const ConfigurationFault& fault) { return fault.field == field; });
+}
+
+BOOST_AUTO_TEST_SUITE(validation)
+
+BOOST_AUTO_TEST_CASE(a_sound_configuration_has_no_faults) {
+  BOOST_TEST(Validate(SampleConfiguration()).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_wrong_field_is_named) {
+  for (const Wrong& wrong : kWrongs) {
+    catalog::Configuration configuration = SampleConfiguration();
+    wrong.make(configuration);
+    BOOST_TEST(NamesField(Validate(configuration), wrong.field), wrong.field);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(all_faults_are_told_at_once) {
+  catalog::Configuration configuration = SampleConfiguration();
+  configuration.routes[0].host = "";
+  configuration.routes[1].max_attempts = 99;
+  configuration.limits.max_body_bytes = 0;
+  BOOST_TEST(Validate(configuration).size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(operation_ids) {
+  BOOST_TEST(IsOperationId("deploy-1.2_x"));
+  BOOST_TEST(!IsOperationId(""));
+  BOOST_TEST(!IsOperationId("a/b"));
+  BOOST_TEST(!IsOperationId(std::string(65, 'a')));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace ladderstream::changes
--- a/tests/unit/gateway_http/support.cc
+++ b/tests/unit/gateway_http/support.cc
@@ -43,6 +43,10 @@
   NotUsed();
 }
 catalog::Configuration TestAdapter::DecodeConfiguration(std::string_view) const { NotUsed(); }
+std::string TestAdapter::EncodeConfiguration(const catalog::Configuration&,
+                                             std::string_view) const {
+  NotUsed();
+}
 catalog::Backend TestAdapter::DecodeBackend(std::string_view, std::string_view) const { NotUsed(); }
 
 void RunUntil(EventLoop& loop, const std::function<bool()>& done) {
--- a/tests/unit/gateway_http/support.h
+++ b/tests/unit/gateway_http/support.h
@@ -35,6 +35,7 @@
   std::string_view configuration_key() const override { return "newest"; }
   std::string_view backend_table() const override { return "backends"; }
   catalog::Configuration DecodeConfiguration(std::string_view) const override;
+  std::string EncodeConfiguration(const catalog::Configuration&, std::string_view) const override;
   catalog::Backend DecodeBackend(std::string_view, std::string_view) const override;
 
  private:
--- a/tests/unit/gateway_store/store_client_test.cc
+++ b/tests/unit/gateway_store/store_client_test.cc
@@ -83,6 +83,10 @@
   catalog::Configuration DecodeConfiguration(std::string_view /*value*/) const override {
     return {};
   }
+  std::string EncodeConfiguration(const catalog::Configuration& /*configuration*/,
+                                  std::string_view /*previous*/) const override {
+    return {};
+  }
   catalog::Backend DecodeBackend(std::string_view /*id*/,
                                  std::string_view /*value*/) const override {
     return {};
--- a/tests/unit/platform/configuration_codec_test.cc
+++ b/tests/unit/platform/configuration_codec_test.cc
@@ -103,6 +103,34 @@
   BOOST_TEST((read.limits.idle_timeout == absl::Seconds(15)));
 }
 
+BOOST_AUTO_TEST_CASE(what_is_written_is_read_back) {
+  const catalog::Configuration read = kAdapter->DecodeConfiguration(kConfiguration);
+  catalog::Configuration next = read;
+  next.version = 8;
+  next.routes[0].timeout = absl::InfiniteDuration();
+  next.routes[0].targets = {{"huvo11a", 1}};
+  next.routes[1].targets = {{"huvo11a", 1}, {"kafi81c", 3}};
+  next.services.at("huvo11a").sharded = false;
+  next.limits.max_body_bytes = 4096;
+  for (const char* const previous : {"", kConfiguration}) {
+    const std::string written = kAdapter->EncodeConfiguration(next, previous);
+    BOOST_TEST((kAdapter->DecodeConfiguration(written) == next));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(fields_that_the_product_does_not_know_stay) {
+  catalog::Configuration next = kAdapter->DecodeConfiguration(kConfiguration);
+  next.version = 8;
+  next.routes.erase(next.routes.begin());
+  const json written = json::parse(kAdapter->EncodeConfiguration(next, kConfiguration));
+  BOOST_TEST(written["version"] == "r8");
+  BOOST_TEST(written["base_version"] == "r7");
+  BOOST_TEST(written["services"]["huvo11a"]["grants"] == "direct");
+  BOOST_TEST(written["services"]["kafi81c"]["protocol"] == "h1");
+  BOOST_TEST(!written["routes"].contains("r-9n73hh2"));
+  BOOST_CHECK_THROW(kAdapter->EncodeConfiguration(next, "[]"), Error);
+}
+
 BOOST_AUTO_TEST_CASE(a_service_that_is_only_named_by_a_route_has_the_defaults) {
   const catalog::Configuration read = kAdapter->DecodeConfiguration(kConfiguration);
   BOOST_TEST_REQUIRE(read.services.contains("wuno96b"));
