Cut nodes off from one another in tests with real processes

Cause: the old integration tests cut a zone off through standin_fault_proxy; no node.* scenario did, because a node tells others the address at which it listens, so nothing could stand between.

Change: the setting listen.peers_advertised (empty: the address listened at), as is needed behind anything that passes connections on. The rig puts a proxy before each node's peer address on demand.

--- a/src/gateway/settings/node_settings.cc
+++ b/src/gateway/settings/node_settings.cc
@@ -47,6 +47,7 @@
   reader->ReadEndpoint("listen.callers", kRequired, &settings->listen.callers);
   reader->ReadEndpoint("listen.readiness", kRequired, &settings->listen.readiness);
   reader->ReadEndpoint("listen.peers", kRequired, &settings->listen.peers);
+  reader->ReadEndpoint("listen.peers_advertised", &settings->listen.peers_advertised);
   reader->ReadEndpoint("listen.metrics", &settings->listen.metrics);
 }
 
--- a/src/gateway/settings/node_settings.h
+++ b/src/gateway/settings/node_settings.h
@@ -24,10 +24,18 @@
 struct ListenAddresses {
   Endpoint callers;
   Endpoint readiness;
-  /// Other nodes; also what this node tells them as its own address.
+  /// Other nodes.
   Endpoint peers;
+  /// What this node tells other nodes as its own address, when something stands between that passes
+  /// connections on; `peers` when empty.
+  std::optional<Endpoint> peers_advertised;
   /// Not offered when empty.
   std::optional<Endpoint> metrics;
+
+  /// Where other nodes reach this one.
+  const Endpoint& own_peer_address() const {
+    return peers_advertised.has_value() ? *peers_advertised : peers;
+  }
 };
 
 /// What the machine leaves to the process.
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -83,12 +83,12 @@
 }
 
 membership::PeerIdentity IdentityOf(const gateway::NodeSettings& settings, uint64_t incarnation) {
-  return {incarnation, settings.name, settings.zone, settings.listen.peers};
+  return {incarnation, settings.name, settings.zone, settings.listen.own_peer_address()};
 }
 
 ownership::NodeIdentity CoordinatorIdentityOf(const gateway::NodeSettings& settings,
                                               uint64_t incarnation) {
-  return {incarnation, settings.name, settings.listen.peers};
+  return {incarnation, settings.name, settings.listen.own_peer_address()};
 }
 
 /// Whether the store itself said what became of the call.
--- a/src/standin/fleet/node_processes.cc
+++ b/src/standin/fleet/node_processes.cc
@@ -40,6 +40,7 @@
     node.zone = zones[index % zones.size()];
     node.address = {.front = rehearsal::FreeEndpoint(), .readiness = rehearsal::FreeEndpoint()};
     node.peers = rehearsal::FreeEndpoint();
+    node.peers_advertised = node.peers;
     node.metrics = rehearsal::FreeEndpoint();
     nodes_.push_back(node);
   }
@@ -50,20 +51,21 @@
   const FleetSettings& fleet = fleet_->settings();
   std::vector<std::string> seeds;
   for (size_t seed = 0; seed < std::min(kMostSeeds, nodes_.size()); ++seed) {
-    seeds.push_back(Quoted(nodes_[seed].peers));
+    seeds.push_back(Quoted(nodes_[seed].peers_advertised));
   }
-  return absl::StrCat("[node]\nname = ", Quoted(node.name), "\nzone = ", Quoted(node.zone),
-                      "\n\n[listen]\ncallers = ", Quoted(node.address.front),
-                      "\nreadiness = ", Quoted(node.address.readiness),
-                      "\npeers = ", Quoted(node.peers), "\nmetrics = ", Quoted(node.metrics),
-                      "\n\n[membership]\nseeds = [", absl::StrJoin(seeds, ", "),
-                      "]\n\n[store]\naddress = ", Quoted(fleet_->store().endpoint(index)),
-                      "\nwrites_per_second = ", fleet.store.writes_per_second,
-                      "\nreads_per_second = ", fleet.store.reads_per_second,
-                      "\n\n[bounds]\ndrain_time = ", Quoted(fleet.bounds.drain),
-                      "\nretry_budget_ratio = ", fleet.bounds.retry_budget_ratio,
-                      "\nretry_budget_slack = ", fleet.bounds.retry_budget_slack,
-                      "\nretry_budget_window = ", Quoted(fleet.bounds.budget_window), "\n");
+  return absl::StrCat(
+      "[node]\nname = ", Quoted(node.name), "\nzone = ", Quoted(node.zone),
+      "\n\n[listen]\ncallers = ", Quoted(node.address.front),
+      "\nreadiness = ", Quoted(node.address.readiness), "\npeers = ", Quoted(node.peers),
+      "\npeers_advertised = ", Quoted(node.peers_advertised), "\nmetrics = ", Quoted(node.metrics),
+      "\n\n[membership]\nseeds = [", absl::StrJoin(seeds, ", "),
+      "]\n\n[store]\naddress = ", Quoted(fleet_->store().endpoint(index)),
+      "\nwrites_per_second = ", fleet.store.writes_per_second,
+      "\nreads_per_second = ", fleet.store.reads_per_second,
+      "\n\n[bounds]\ndrain_time = ", Quoted(fleet.bounds.drain),
+      "\nretry_budget_ratio = ", fleet.bounds.retry_budget_ratio,
+      "\nretry_budget_slack = ", fleet.bounds.retry_budget_slack,
+      "\nretry_budget_window = ", Quoted(fleet.bounds.budget_window), "\n");
 }
 
 void NodeProcesses::StartAll() {
--- a/src/standin/fleet/node_processes.h
+++ b/src/standin/fleet/node_processes.h
@@ -16,6 +16,8 @@
   std::string zone;
   NodeAddress address;
   Endpoint peers;
+  /// Where other nodes are told to reach it.
+  Endpoint peers_advertised;
   Endpoint metrics;
 };
 
@@ -28,6 +30,11 @@
   rehearsal::ProcessGroup& group() { return group_; }
   const std::vector<NodeProcess>& nodes() const { return nodes_; }
 
+  /// Other nodes are to reach this one by that address, which leads to its own. Before StartAll.
+  void AdvertisePeers(size_t node, const Endpoint& address) {
+    nodes_[node].peers_advertised = address;
+  }
+
   /// Starts all nodes and tells the fleet of them.
   void StartAll();
   void Signal(size_t node, int signal) { group_.Signal(nodes_[node].name, signal); }
--- a/tests/integration/node/rig.cc
+++ b/tests/integration/node/rig.cc
@@ -9,6 +9,7 @@
 #include <optional>
 #include <stdexcept>
 
+#include "rehearsal/ports.h"
 #include "standin/fleet/http_client.h"
 #include "standin/fleet/report.h"
 #include "standin/fleet/wire_names.h"
@@ -27,8 +28,11 @@
 
 }  // namespace
 
-Rig::Rig() : fleet_(Settings()), nodes_(&fleet_, kProgram, kNodes) {
+Rig::Rig(PeerLinks links) : fleet_(Settings()), nodes_(&fleet_, kProgram, kNodes) {
   std::signal(SIGPIPE, SIG_IGN);
+  if (links == PeerLinks::kProxied) {
+    StartProxies();
+  }
   nodes_.StartAll();
   if (!nodes_.AwaitReady(absl::Seconds(20))) {
     throw std::runtime_error("the nodes did not come up");
@@ -39,6 +43,22 @@
   Serve(50);
 }
 
+void Rig::StartProxies() {
+  proxy_ = std::make_unique<standin::FaultProxy>();
+  for (size_t node = 0; node < nodes_.count(); ++node) {
+    const standin::LinkSettings link = {.name = nodes_.nodes()[node].name,
+                                        .listen = rehearsal::FreeEndpoint(),
+                                        .target = nodes_.nodes()[node].peers};
+    nodes_.AdvertisePeers(node, proxy_->AddLink(link));
+  }
+}
+
+void Rig::SetPeerFaults(size_t node, const standin::LinkFaults& faults) {
+  proxy_->SetFaults(nodes_.nodes().at(node).name, "", faults);
+}
+
+void Rig::SetPeerFaults(const standin::LinkFaults& faults) { proxy_->SetFaults("", "", faults); }
+
 void Rig::Await(const std::string& what, const std::function<bool()>& condition, Duration timeout) {
   if (!fleet_.loop().RunUntil(condition, timeout)) {
     throw std::runtime_error(absl::StrCat("waited in vain for ", what));
--- a/tests/integration/node/rig.h
+++ b/tests/integration/node/rig.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string>
 
+#include "standin/fault_proxy/fault_proxy.h"
 #include "standin/fleet/deployments.h"
 #include "standin/fleet/fleet.h"
 #include "standin/fleet/node_processes.h"
@@ -20,11 +22,20 @@
 /// One of the hot keys.
 inline constexpr ownership::Key kHotKey = 20100;
 
+enum class PeerLinks { kDirect, kProxied };
+
 /// Waiting functions throw std::runtime_error when what they wait for does not come.
 class Rig {
  public:
   /// Starts everything; returns when the nodes are ready, every key is held, and calls are served.
-  Rig();
+  Rig() : Rig(PeerLinks::kDirect) {}
+  /// With kProxied, the connections from node to node go through proxies that SetPeerFaults steers.
+  explicit Rig(PeerLinks links);
+
+  /// Strikes the connections that lead to this node from others.
+  void SetPeerFaults(size_t node, const standin::LinkFaults& faults);
+  /// Strikes the connections between all nodes.
+  void SetPeerFaults(const standin::LinkFaults& faults);
 
   Fleet& fleet() { return fleet_; }
   NodeProcesses& nodes() { return nodes_; }
@@ -54,7 +65,11 @@
   Verdict Finish(double least_served);
 
  private:
+  void StartProxies();
+
   Fleet fleet_;
+  /// Null when the nodes are connected directly.
+  std::unique_ptr<standin::FaultProxy> proxy_;
   NodeProcesses nodes_;
 };
 
--- a/tests/unit/gateway_settings/node_settings_test.cc
+++ b/tests/unit/gateway_settings/node_settings_test.cc
@@ -101,6 +101,14 @@
   BOOST_TEST(shown.forwarding.patience_share == defaults.forwarding.patience_share);
 }
 
+BOOST_AUTO_TEST_CASE(other_nodes_are_told_where_to_reach_this_one) {
+  const ListenAddresses direct = LoadWith({}).listen;
+  BOOST_TEST((direct.own_peer_address() == direct.peers));
+  const ListenAddresses relayed = LoadWith({{"listen.peers_advertised", "10.9.9.9:7"}}).listen;
+  BOOST_TEST(FormatEndpoint(relayed.own_peer_address()) == "10.9.9.9:7");
+  BOOST_TEST((relayed.peers == direct.peers));
+}
+
 BOOST_AUTO_TEST_CASE(the_example_shows_every_setting) {
   // The fault of an unknown setting lists the settings of its section.
   std::vector<std::string> known;
