Remove ladderstreamd, its rehearsal and its stand-ins

ladderstream_node does all of it over the metadata store (design 013) and is what runs; the operators' calls have their own server. A newcomer found two daemons, two stand-in platforms and two command lines.

Promises that the removed tests served, and what shows them now (table in design note 015): one owner, survival of acknowledged assignments, whole answers, "not run" and at most once: the model of ownership and node.backends.*, node.nodes.*, node.store.*; a leaving back end and a planned stop: node.backends.back_ends_drain, node.nodes.stopped_node_cuts_nothing; racing operators, lost answers, configuration in force and never back: node.operators.*; a zone that is cut off: node.network.*.

Kept: what the stand-in fleet uses (ports, processes under test) as src/standin/processes, and standin_fault_proxy. scripts/demo runs the stand-in fleet now, with the last line that it had before (imbalance, churn and unavailable time from the back ends' own records: src/standin/fleet/measures).

--- a/src/standin/fleet/demo.cc
+++ b/src/standin/fleet/demo.cc
@@ -35,7 +35,7 @@
         fleet_(settings.deployment.fleet),
         nodes_(&fleet_, settings.node_program, settings.nodes) {}
 
-  Verdict Run() {
+  DemoResult Run() {
     nodes_.StartAll();
     if (!nodes_.AwaitReady(kStartLimit)) {
       throw Error(ResultCode::kInternal, "the nodes did not come up");
@@ -48,7 +48,7 @@
     Plan();
     fleet_.loop().RunFor(settings_.length);
     fleet_.FinishCalls();
-    return fleet_.Judge();
+    return {fleet_.Judge(), Measure(fleet_.history())};
   }
 
  private:
@@ -133,7 +133,7 @@
 
 }  // namespace
 
-Verdict RunDemo(const DemoSettings& settings, std::ostream* out) {
+DemoResult RunDemo(const DemoSettings& settings, std::ostream* out) {
   return Demo(settings, out).Run();
 }
 
--- a/src/standin/fleet/demo.h
+++ b/src/standin/fleet/demo.h
@@ -5,6 +5,7 @@
 
 #include "standin/fleet/deployments.h"
 #include "standin/fleet/judge.h"
+#include "standin/fleet/measures.h"
 
 namespace ladderstream::fleet {
 
@@ -15,7 +16,12 @@
   Duration length = absl::Seconds(20);
 };
 
+struct DemoResult {
+  Verdict verdict;
+  Measures measures;
+};
+
 /// Throws Error(kInternal) when the nodes do not come up.
-Verdict RunDemo(const DemoSettings& settings, std::ostream* out);
+DemoResult RunDemo(const DemoSettings& settings, std::ostream* out);
 
 }  // namespace ladderstream::fleet
--- a/src/standin/fleet/fleet.cc
+++ b/src/standin/fleet/fleet.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <stdexcept>
 
-#include "rehearsal/ports.h"
+#include "standin/processes/ports.h"
 
 namespace ladderstream::fleet {
 namespace {
@@ -44,7 +44,7 @@
 Backend& Fleet::AddBackend(const std::string& service, const std::string& zone) {
   // Not one of the ports that the system gives to outgoing connections: when this one has ended,
   // another must be able to listen there.
-  return AddBackend(service, zone, rehearsal::FreeEndpoint());
+  return AddBackend(service, zone, standin::FreeEndpoint());
 }
 
 Backend& Fleet::AddBackend(const std::string& service, const std::string& zone,
--- a/src/standin/fleet/main/main.cc
+++ b/src/standin/fleet/main/main.cc
@@ -58,11 +58,13 @@
 int Run() {
   const DemoSettings settings = ReadSettings();
   try {
-    const Verdict verdict = RunDemo(settings, &std::cout);
-    std::cout << VerdictTable(verdict) << ResultLine(verdict) << std::endl;
+    const DemoResult result = RunDemo(settings, &std::cout);
+    const Verdict& verdict = result.verdict;
+    std::cout << VerdictTable(verdict) << ResultLine(verdict) << "\n"
+              << DemoLine(verdict, result.measures) << std::endl;
     return verdict.IsClean() && verdict.served > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
   } catch (const Error& error) {
-    std::cout << "FAILED " << error.what() << std::endl;
+    std::cout << "DEMO FAILED " << error.what() << std::endl;
     return EXIT_FAILURE;
   }
 }
--- a/src/standin/fleet/node_processes.cc
+++ b/src/standin/fleet/node_processes.cc
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <cstdlib>
 
-#include "rehearsal/ports.h"
+#include "standin/processes/ports.h"
 
 namespace ladderstream::fleet {
 namespace {
@@ -38,10 +38,10 @@
     NodeProcess node;
     node.name = absl::StrCat("node-", index);
     node.zone = zones[index % zones.size()];
-    node.address = {.front = rehearsal::FreeEndpoint(), .readiness = rehearsal::FreeEndpoint()};
-    node.peers = rehearsal::FreeEndpoint();
+    node.address = {.front = standin::FreeEndpoint(), .readiness = standin::FreeEndpoint()};
+    node.peers = standin::FreeEndpoint();
     node.peers_advertised = node.peers;
-    node.metrics = rehearsal::FreeEndpoint();
+    node.metrics = standin::FreeEndpoint();
     nodes_.push_back(node);
   }
 }
--- a/src/standin/fleet/node_processes.h
+++ b/src/standin/fleet/node_processes.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "rehearsal/process_group.h"
 #include "standin/fleet/fleet.h"
+#include "standin/processes/process_group.h"
 
 namespace ladderstream::fleet {
 
@@ -27,7 +27,7 @@
   /// fleet's store has an entrance for each of them.
   NodeProcesses(Fleet* fleet, const std::string& program, size_t count);
 
-  rehearsal::ProcessGroup& group() { return group_; }
+  standin::ProcessGroup& group() { return group_; }
   const std::vector<NodeProcess>& nodes() const { return nodes_; }
 
   /// Other nodes are to reach this one by that address, which leads to its own. Before StartAll.
@@ -51,7 +51,7 @@
 
   Fleet* fleet_;
   std::string program_;
-  rehearsal::ProcessGroup group_;
+  standin::ProcessGroup group_;
   std::vector<NodeProcess> nodes_;
 };
 
--- a/src/standin/fleet/report.cc
+++ b/src/standin/fleet/report.cc
@@ -35,4 +35,15 @@
   return out;
 }
 
+std::string DemoLine(const Verdict& verdict, const Measures& measures) {
+  const bool good = verdict.IsClean() && verdict.served > 0;
+  return absl::StrFormat(
+      "DEMO %s requests=%d answered=%d wrong=%d doubled=%d lost=%d p99_ms=%.1f imbalance=%.2f "
+      "churn=%.2f unavailable_ms=%d",
+      good ? "OK" : "FAILED", verdict.calls, verdict.served, verdict.wrong.count,
+      verdict.doubled.count, verdict.broken_promises.count,
+      absl::ToDoubleMilliseconds(verdict.p99), measures.imbalance, measures.churn,
+      absl::ToInt64Milliseconds(measures.unavailable));
+}
+
 }  // namespace ladderstream::fleet
--- a/src/standin/fleet/report.h
+++ b/src/standin/fleet/report.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "standin/fleet/judge.h"
+#include "standin/fleet/measures.h"
 
 namespace ladderstream::fleet {
 
@@ -13,4 +14,7 @@
 /// "OK calls=... ..." or "FAILED calls=... ...".
 std::string ResultLine(const Verdict& verdict);
 
+/// The last line of a demo: "DEMO OK requests=... ..." or "DEMO FAILED requests=... ...".
+std::string DemoLine(const Verdict& verdict, const Measures& measures);
+
 }  // namespace ladderstream::fleet
--- a/src/rehearsal/ports.cc
+++ b/src/standin/processes/ports.cc
@@ -1,4 +1,4 @@
-#include "rehearsal/ports.h"
+#include "standin/processes/ports.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
@@ -14,7 +14,7 @@
 
 #include "wire/result_code.h"
 
-namespace ladderstream::rehearsal {
+namespace ladderstream::standin {
 namespace {
 
 constexpr char kLoopback[] = "127.0.0.1";
@@ -50,9 +50,9 @@
   return true;
 }
 
-/// Keeps the port from other rehearsals on this machine for as long as this process lives: between
-/// the choice of a port and the moment its server listens, another might choose it as well. UDP
-/// ports are apart from the TCP ports that the servers use.
+/// Keeps the port from other test programs on this machine for as long as this process lives:
+/// between the choice of a port and the moment its server listens, another might choose it as well.
+/// UDP ports are apart from the TCP ports that the servers use.
 bool Reserve(uint16_t port) { return BindLoopback(SOCK_DGRAM, port) >= 0; }
 
 class PortAllocator {
@@ -107,4 +107,4 @@
   return result && result->status / kStatusClass == 2;
 }
 
-}  // namespace ladderstream::rehearsal
+}  // namespace ladderstream::standin
--- a/src/rehearsal/ports.h
+++ b/src/standin/processes/ports.h
@@ -9,7 +9,7 @@
 
 #include "wire/identifiers.h"
 
-namespace ladderstream::rehearsal {
+namespace ladderstream::standin {
 
 /// Gives a TCP port of 127.0.0.1 that nothing is bound to. It lies below the range from which the
 /// system numbers outgoing connections, so that a killed process finds its port free when it is
@@ -27,4 +27,4 @@
 /// Whether a GET of `path` is answered with a 2xx status.
 bool HttpAnswers(const Endpoint& endpoint, const std::string& path);
 
-}  // namespace ladderstream::rehearsal
+}  // namespace ladderstream::standin
--- a/src/rehearsal/process_group.cc
+++ b/src/standin/processes/process_group.cc
@@ -1,4 +1,4 @@
-#include "rehearsal/process_group.h"
+#include "standin/processes/process_group.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
@@ -15,10 +15,10 @@
 #include <fstream>
 #include <sstream>
 
-#include "rehearsal/ports.h"
+#include "standin/processes/ports.h"
 #include "wire/result_code.h"
 
-namespace ladderstream::rehearsal {
+namespace ladderstream::standin {
 namespace {
 
 constexpr int kExecFailed = 127;
@@ -253,4 +253,4 @@
   }
 }
 
-}  // namespace ladderstream::rehearsal
+}  // namespace ladderstream::standin
--- a/src/rehearsal/process_group.h
+++ b/src/standin/processes/process_group.h
@@ -1,6 +1,6 @@
-// Starts, signals and ends the processes of a rehearsed deployment.
+// Starts, signals and ends the processes of a deployment under test.
 //
-// Every process that a group started is ended with the group, and also when the rehearsing program
+// Every process that a group started is ended with the group, and also when the program
 // itself dies: each gets SIGKILL when the thread that started it ends. So a group is used on one
 // thread, which must outlive the processes. Errors are thrown as Error(kInternal).
 #pragma once
@@ -15,7 +15,7 @@
 #include <thread>
 #include <vector>
 
-namespace ladderstream::rehearsal {
+namespace ladderstream::standin {
 
 /// How a process ended.
 struct ExitStatus {
@@ -112,4 +112,4 @@
   std::map<std::string, Process> processes_;
 };
 
-}  // namespace ladderstream::rehearsal
+}  // namespace ladderstream::standin
--- a/tests/integration/node/nodes_test.cc
+++ b/tests/integration/node/nodes_test.cc
@@ -103,7 +103,7 @@
   rig.Await("its end", [&] { return !rig.nodes().IsRunning(coordinator); });
   const auto exit =
       rig.nodes().group().WaitForExit(rig.nodes().nodes()[coordinator].name, absl::ZeroDuration());
-  BOOST_TEST((exit == rehearsal::ExitStatus{.code = 0, .signal = 0}));
+  BOOST_TEST((exit == standin::ExitStatus{.code = 0, .signal = 0}));
   rig.nodes().Restart(coordinator);
   rig.Await("the node", [&] { return rig.fleet().nodes().ready_count() == rig.nodes().count(); });
   rig.Serve(200);
--- a/tests/integration/node/operators.cc
+++ b/tests/integration/node/operators.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "platform/adapter.h"
-#include "rehearsal/ports.h"
+#include "standin/processes/ports.h"
 
 namespace ladderstream::fleet {
 namespace {
@@ -18,7 +18,7 @@
 
 Operators::Operators(Rig* rig) : rig_(rig) {
   for (size_t server = 0; server < kOperatorEntrances; ++server) {
-    servers_.push_back(rehearsal::FreeEndpoint());
+    servers_.push_back(standin::FreeEndpoint());
     const Endpoint store = rig->fleet().store().endpoint(kNodes + server);
     rig->nodes().group().Start(
         {.name = absl::StrCat("operatord-", server),
@@ -41,7 +41,7 @@
 }
 
 CommandResult Operators::Wait(const std::string& name) {
-  rehearsal::ProcessGroup& group = rig_->nodes().group();
+  standin::ProcessGroup& group = rig_->nodes().group();
   rig_->Await(name, [&] {
     NoteNewest();
     return !group.IsRunning(name);
--- a/tests/integration/node/rig.cc
+++ b/tests/integration/node/rig.cc
@@ -9,10 +9,10 @@
 #include <optional>
 #include <stdexcept>
 
-#include "rehearsal/ports.h"
 #include "standin/fleet/http_client.h"
 #include "standin/fleet/report.h"
 #include "standin/fleet/wire_names.h"
+#include "standin/processes/ports.h"
 
 namespace ladderstream::fleet {
 namespace {
@@ -47,7 +47,7 @@
   proxy_ = std::make_unique<standin::FaultProxy>();
   for (size_t node = 0; node < nodes_.count(); ++node) {
     const standin::LinkSettings link = {.name = nodes_.nodes()[node].name,
-                                        .listen = rehearsal::FreeEndpoint(),
+                                        .listen = standin::FreeEndpoint(),
                                         .target = nodes_.nodes()[node].peers};
     nodes_.AdvertisePeers(node, proxy_->AddLink(link));
   }
--- a/tests/unit/rehearsal/process_group_test.cc
+++ b/tests/unit/standin_processes/process_group_test.cc
@@ -1,4 +1,4 @@
-#include "rehearsal/process_group.h"
+#include "standin/processes/process_group.h"
 
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -9,10 +9,10 @@
 #include <filesystem>
 #include <set>
 
-#include "rehearsal/ports.h"
+#include "standin/processes/ports.h"
 #include "wire/result_code.h"
 
-namespace ladderstream::rehearsal {
+namespace ladderstream::standin {
 namespace {
 
 constexpr absl::Duration kPatience = absl::Seconds(10);
@@ -114,4 +114,4 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
-}  // namespace ladderstream::rehearsal
+}  // namespace ladderstream::standin
