Remove the replicated log, its authority, simulator and hollow nodes

The metadata store does the agreement, so elections, voters, founding, group membership and the leases that back ends asked for are needless (design 013). With them go the libraries that only the old daemon and its models used: admission, health, routing, placement, configuration, the simulator, the emulator, hollow nodes, and the experiments on them. They depend on one another, so they go together.

--- a/tests/unit/configuration/main_test.cc
+++ /dev/null
@@ -1,2 +0,0 @@
-#define BOOST_TEST_MODULE configuration
-#include <boost/test/unit_test.hpp>
--- a/tests/unit/emulator/main_test.cc
+++ /dev/null
@@ -1,2 +0,0 @@
-#define BOOST_TEST_MODULE emulator
-#include <boost/test/unit_test.hpp>
