--- a/src/operator_service/blocking_store.cc
+++ b/src/operator_service/blocking_store.cc
@@ -70,7 +70,7 @@
   bool more = all.more;
   while (all.status == StoreStatus::kDone && more && !all.rows.empty()) {
     query.from_key = all.rows.back().key.key + '\0';
-    const StoreReply page = Read(query);
+    StoreReply page = Read(query);
     if (page.status != StoreStatus::kDone) {
       return page;
     }
--- a/src/standin/fleet/report.cc
+++ b/src/standin/fleet/report.cc
@@ -41,9 +41,8 @@
       "DEMO %s requests=%d answered=%d wrong=%d doubled=%d lost=%d p99_ms=%.1f imbalance=%.2f "
       "churn=%.2f unavailable_ms=%d",
       good ? "OK" : "FAILED", verdict.calls, verdict.served, verdict.wrong.count,
-      verdict.doubled.count, verdict.broken_promises.count,
-      absl::ToDoubleMilliseconds(verdict.p99), measures.imbalance, measures.churn,
-      absl::ToInt64Milliseconds(measures.unavailable));
+      verdict.doubled.count, verdict.broken_promises.count, absl::ToDoubleMilliseconds(verdict.p99),
+      measures.imbalance, measures.churn, absl::ToInt64Milliseconds(measures.unavailable));
 }
 
 }  // namespace ladderstream::fleet
--- a/src/wire/result_code.cc
+++ b/src/wire/result_code.cc
@@ -19,6 +19,7 @@
     CodeRow{ResultCode::kNoOwner, "NO_OWNER", 503},
     CodeRow{ResultCode::kOwnerChanged, "OWNER_CHANGED", 503},
     CodeRow{ResultCode::kConfigurationUnconfirmed, "CONFIGURATION_UNCONFIRMED", 503},
+    CodeRow{ResultCode::kShuttingDown, "SHUTTING_DOWN", 503},
     CodeRow{ResultCode::kBackendUnreachable, "BACKEND_UNREACHABLE", 503},
     CodeRow{ResultCode::kBackendShed, "BACKEND_SHED", 503},
     CodeRow{ResultCode::kCancelled, "CANCELLED", 499},
--- a/src/wire/result_code.h
+++ b/src/wire/result_code.h
@@ -20,6 +20,7 @@
   kNoOwner = 1003,
   kOwnerChanged = 1004,
   kConfigurationUnconfirmed = 1005,
+  kShuttingDown = 1006,
   kBackendUnreachable = 1007,
   kBackendShed = 1008,
   kCancelled = 1009,
--- a/tests/integration/node/rig.cc
+++ b/tests/integration/node/rig.cc
@@ -5,8 +5,8 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <fstream>
-#include <sstream>
 #include <optional>
+#include <sstream>
 #include <stdexcept>
 
 #include "standin/fleet/http_client.h"
