--- a/tests/integration/node/operators_test.cc
+++ b/tests/integration/node/operators_test.cc
@@ -55,10 +55,10 @@
   for (int round = 1; round <= kRounds; ++round) {
     const uint64_t before = operators.Revision();
     for (size_t racer = 0; racer < kRacers; ++racer) {
-      operators.Start(
-          absl::StrCat("racer-", round, "-", racer), racer % kOperatorEntrances,
-          {"update-route", "--name=route-cards", absl::StrCat("--priority=", 10 * round + racer),
-           absl::StrCat("--expected_revision=", before)});
+      operators.Start(absl::StrCat("racer-", round, "-", racer), racer % kOperatorEntrances,
+                      {"update-route", "--name=route-cards",
+                       absl::StrCat("--priority=", 10 * static_cast<size_t>(round) + racer),
+                       absl::StrCat("--expected_revision=", before)});
     }
     int winners = 0;
     for (size_t racer = 0; racer < kRacers; ++racer) {
