--- a/tests/unit/changes/change_submission_test.cc
+++ b/tests/unit/changes/change_submission_test.cc
@@ -133,7 +133,8 @@
   const store::Transaction write = ReachWrite(submission);
   table.Delay(write);
   SubmissionAction next = submission.OnWrite(ReplyOf(StoreStatus::kUnknown), now);
-  BOOST_TEST((RunToEnd(submission, std::move(next)).code == ResultCode::kOk));
+  const SubmissionOutcome outcome = RunToEnd(submission, std::move(next));
+  BOOST_TEST((outcome.code == ResultCode::kOk));
   table.RunLate();
   BOOST_TEST(table.Newest().version == 8U);
 }
