--- a/tests/unit/membership/load_sampling_test.cc
+++ b/tests/unit/membership/load_sampling_test.cc
@@ -15,7 +15,7 @@
     load.counts.push_back(i == keys / 2 ? static_cast<float>(keys) : 1);
     load.backends.push_back(std::to_string(i));
     load.answers.push_back(i);
-    load.busy_us.push_back(i * 10);
+    load.busy_us.push_back(uint64_t{i} * 10);
   }
   return load;
 }
