Learn the speed of back ends that tell no load

Change: nodes report untold answers too, marked as including the wait; the partitioner finds the service time behind them from the mean time and the rate over all nodes, by the formula of the queue. Reports that tell of a part of the back ends say which part.

--- a/src/bench/membership_fleet.cc
+++ b/src/bench/membership_fleet.cc
@@ -373,6 +373,7 @@
     load.backends.push_back(BackendName(random_() % settings_.registered_backends));
     load.answers.push_back(1);
     load.busy_us.push_back(kServiceTimeUs);
+    load.includes_wait.push_back(0);
   }
   return load;
 }
--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -126,8 +126,9 @@
     return;
   }
   backend.load.OnServed(elapsed, ToldOf(answer), now);
-  if (answer.slots > 0 && answer.waiting == 0 && answer.running <= answer.slots) {
-    attempt.service->load.AddServiceTime(backend.registration.id, elapsed);
+  const bool told = answer.slots > 0;
+  if (!told || (answer.waiting == 0 && answer.running <= answer.slots)) {
+    attempt.service->load.AddServiceTime(backend.registration.id, elapsed, !told);
   }
 }
 
--- a/src/core/forwarding/load_counter.h
+++ b/src/core/forwarding/load_counter.h
@@ -13,8 +13,9 @@
 class LoadCounter {
  public:
   void AddKey(ownership::Key key) { ++keys_[key]; }
-  /// `elapsed` of an answer that had not waited in the back end's queue.
-  void AddServiceTime(const std::string& backend, Duration elapsed);
+  /// `elapsed` of an answer. `includes_wait`: the back end tells no load, so it may have waited in
+  /// its queue; otherwise it had not waited.
+  void AddServiceTime(const std::string& backend, Duration elapsed, bool includes_wait);
   void SetDenied(ownership::Key key) { denied_ = key; }
 
   bool empty() const { return keys_.empty() && samples_.empty() && !denied_; }
--- a/src/core/membership/load_sampling.cc
+++ b/src/core/membership/load_sampling.cc
@@ -42,10 +42,13 @@
 }
 
 void SampleBackends(size_t most, double draw, LoadReport* load) {
-  const auto first = static_cast<size_t>(draw * static_cast<double>(load->backends.size()));
+  const size_t backends = load->backends.size();
+  const auto first = static_cast<size_t>(draw * static_cast<double>(backends));
   KeepFrom(first, most, &load->backends);
   KeepFrom(first, most, &load->answers);
   KeepFrom(first, most, &load->busy_us);
+  KeepFrom(first, most, &load->includes_wait);
+  load->reported_share = static_cast<double>(most) / static_cast<double>(backends);
 }
 
 }  // namespace
--- a/src/core/membership/message_codec.cc
+++ b/src/core/membership/message_codec.cc
@@ -48,9 +48,12 @@
 
 void Check(const LoadReport& load) {
   Require(load.keys.size() == load.counts.size(), "loads: keys and counts differ in number");
-  Require(
-      load.backends.size() == load.answers.size() && load.backends.size() == load.busy_us.size(),
-      "loads: back ends and their figures differ in number");
+  const size_t backends = load.backends.size();
+  Require(backends == load.answers.size() && backends == load.busy_us.size() &&
+              backends == load.includes_wait.size(),
+          "loads: back ends and their figures differ in number");
+  Require(load.reported_share > 0 && load.reported_share <= 1,
+          "loads: the reported share is not between 0 and 1");
   for (const uint32_t key : load.keys) {
     Require(key <= ownership::kLastKey, "loads: a key beyond the last one");
   }
--- a/src/core/membership/messages.h
+++ b/src/core/membership/messages.h
@@ -37,10 +37,15 @@
   std::vector<float> counts;
   std::vector<std::string> backends;
   std::vector<uint32_t> answers;
-  /// Sum of service times, in microseconds, by back end.
+  /// How long the answers of each back end took together, in microseconds.
   std::vector<uint64_t> busy_us;
+  /// By back end: 1 when it tells no load, so that the times contain the wait in its queue.
+  std::vector<uint8_t> includes_wait;
+  /// The share of the sender's back ends that this report tells of.
+  double reported_share = 1;
   std::vector<uint32_t> denied_keys;
-  MSGPACK_DEFINE_ARRAY(service, keys, counts, backends, answers, busy_us, denied_keys);
+  MSGPACK_DEFINE_ARRAY(service, keys, counts, backends, answers, busy_us, includes_wait,
+                       reported_share, denied_keys);
 };
 
 /// From a node to the coordinator. A node that does not know the coordinator sends it, without
--- a/src/core/partition/capacity.cc
+++ b/src/core/partition/capacity.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace ladderstream::partition {
 namespace {
@@ -33,6 +34,16 @@
   return WaitProbability(slots, utilisation) * std::exp(-decay * wait);
 }
 
+/// The mean time in the queue, in seconds (Allen and Cunneen's approximation).
+double MeanWait(uint32_t slots, double rate, double service_time) {
+  const double utilisation = rate * service_time / slots;
+  if (utilisation >= 1) {
+    return std::numeric_limits<double>::infinity();
+  }
+  return WaitProbability(slots, utilisation) * service_time * (1 + kServiceVariation) / 2 /
+         (slots * (1 - utilisation));
+}
+
 }  // namespace
 
 double ComfortableLoad(uint32_t slots, double service_time, double late_after) {
@@ -49,6 +60,18 @@
   return low * std::max<uint32_t>(slots, 1) / service_time;
 }
 
+double ServiceTimeBehind(uint32_t slots, double rate, double mean_time) {
+  const uint32_t servers = std::clamp<uint32_t>(slots, 1, kMostSlots);
+  double low = 0;
+  double high = rate > 0 ? std::min(mean_time, servers / rate) : mean_time;
+  // The time in the system grows with the service time, so halving the interval finds it.
+  for (int i = 0; i < kBisections; ++i) {
+    const double middle = (low + high) / 2;
+    (middle + MeanWait(servers, rate, middle) < mean_time ? low : high) = middle;
+  }
+  return high;
+}
+
 double LateShare(double pressure) {
   if (pressure >= kOverloadPressure) {
     return 1 + kOverloadSlope * (pressure - kOverloadPressure);
--- a/src/core/partition/partitioner.h
+++ b/src/core/partition/partitioner.h
@@ -35,12 +35,17 @@
   double count = 0;
 };
 
-/// What nodes saw of one back end in the last interval, of answers that had not waited in its
-/// queue.
+/// What one node saw of one back end in the last interval.
 struct ServiceTimeSample {
   std::string backend;
   uint32_t answers = 0;
+  /// How long these answers took together.
   Duration total = absl::ZeroDuration();
+  /// False: the back end told that none of these answers had waited in its queue. True: it tells no
+  /// load, so `total` contains any waiting, and `answers` counts all that it served this node.
+  bool includes_wait = false;
+  /// The chance that this sample was reported at all; reports of many back ends tell of a part.
+  double reported_share = 1;
 };
 
 /// A proposal to give keys to another back end. `range` may be a part of an assignment or span
--- a/src/core/partition/service_times.h
+++ b/src/core/partition/service_times.h
@@ -1,4 +1,9 @@
-// How long each back end works on a request, learned from answers that did not queue.
+// How long each back end works on a request, learned from the answers that nodes got.
+//
+// A back end that tells its load is known by the answers that did not wait in its queue. For one
+// that tells nothing, the time that answers took contains the wait, which grows without bound as it
+// fills up; with the rate of its answers, over all nodes, the service time behind it is found by the
+// formula of its queue.
 #pragma once
 
 #include <map>
@@ -14,7 +19,7 @@
   /// Answers of a back end that is still slow from its start say nothing of its speed.
   void SetColdUntil(const std::string& backend, Time until);
   void Add(const std::vector<ServiceTimeSample>& samples, Time now);
-  /// Forgets all back ends that are not in `backends`.
+  /// Takes over what is registered of `backends`, and forgets all others.
   void Keep(const std::vector<PartitionBackend>& backends);
 
   /// Whether anything is known; otherwise the figures below are zero.
@@ -26,12 +31,22 @@
 
  private:
   struct Learned {
+    uint32_t slots = 1;
+    bool includes_wait = false;
+    /// Answers that were reported, the time they took, and how many there were in all, reported or
+    /// not. Decayed.
     double answers = 0;
     double seconds = 0;
+    double all_answers = 0;
+    /// For how long it was observed, decayed alike, in seconds; `all_answers` over this is a rate.
+    double observed = 0;
     Time at = absl::InfinitePast();
     Time cold_until = absl::InfinitePast();
   };
 
+  static void Decay(Learned& learned, Time now);
+  /// The service time that the answers of one back end show, in seconds.
+  static double Mean(const Learned& learned);
   void UpdateTypical();
 
   std::map<std::string, Learned> backends_;
--- a/src/node/load_exchange.cc
+++ b/src/node/load_exchange.cc
@@ -13,6 +13,7 @@
   report.backends.reserve(load.samples.size());
   report.answers.reserve(load.samples.size());
   report.busy_us.reserve(load.samples.size());
+  report.includes_wait.reserve(load.samples.size());
   for (const partition::KeyCount& count : load.keys) {
     report.keys.push_back(count.key);
     report.counts.push_back(static_cast<float>(count.count));
@@ -21,6 +22,7 @@
     report.backends.push_back(sample.backend);
     report.answers.push_back(sample.answers);
     report.busy_us.push_back(static_cast<uint64_t>(absl::ToInt64Microseconds(sample.total)));
+    report.includes_wait.push_back(sample.includes_wait ? 1 : 0);
   }
   if (load.denied_key) {
     report.denied_keys.push_back(*load.denied_key);
@@ -45,12 +47,13 @@
 
 std::vector<partition::ServiceTimeSample> SamplesOf(const membership::LoadReport& report) {
   std::vector<partition::ServiceTimeSample> samples;
-  const size_t size =
-      std::min({report.backends.size(), report.answers.size(), report.busy_us.size()});
+  const size_t size = std::min({report.backends.size(), report.answers.size(),
+                                report.busy_us.size(), report.includes_wait.size()});
   samples.reserve(size);
   for (size_t i = 0; i < size; ++i) {
     const Duration total = absl::Microseconds(static_cast<int64_t>(report.busy_us[i]));
-    samples.push_back({report.backends[i], report.answers[i], total});
+    samples.push_back({report.backends[i], report.answers[i], total, report.includes_wait[i] != 0,
+                       report.reported_share});
   }
   return samples;
 }
--- a/tests/unit/membership/load_sampling_test.cc
+++ b/tests/unit/membership/load_sampling_test.cc
@@ -16,6 +16,7 @@
     load.backends.push_back(std::to_string(i));
     load.answers.push_back(i);
     load.busy_us.push_back(uint64_t{i} * 10);
+    load.includes_wait.push_back(static_cast<uint8_t>(i % 2));
   }
   return load;
 }
@@ -45,9 +46,11 @@
   LoadReport load = MakeLoad(100);
   SampleLoad(10, 0.95, &load);
   BOOST_TEST_REQUIRE(load.backends.size() == 10);
+  BOOST_TEST(load.reported_share == 0.1);
   for (size_t i = 0; i < 10; ++i) {
     BOOST_TEST(load.backends[i] == std::to_string(load.answers[i]));
     BOOST_TEST(load.busy_us[i] == load.answers[i] * 10);
+    BOOST_TEST(load.includes_wait[i] == load.answers[i] % 2);
   }
 }
 
--- a/tests/unit/membership/message_codec_test.cc
+++ b/tests/unit/membership/message_codec_test.cc
@@ -24,7 +24,7 @@
 Report SoundReport() {
   Report report;
   report.sender = MakeIdentity(1);
-  report.loads.push_back({"scripts", {7}, {3.5F}, {"backend-1"}, {4}, {900}, {8}});
+  report.loads.push_back({"scripts", {7}, {3.5F}, {"backend-1"}, {4}, {900}, {1}, 0.5, {8}});
   return report;
 }
 
@@ -42,6 +42,8 @@
   const Message report = DecodeMessage(EncodeMessage(SoundReport()));
   BOOST_TEST((std::get<Report>(report).sender == MakeIdentity(1)));
   BOOST_TEST(std::get<Report>(report).loads.front().busy_us.front() == 900);
+  BOOST_TEST(std::get<Report>(report).loads.front().includes_wait.front() == 1);
+  BOOST_TEST(std::get<Report>(report).loads.front().reported_share == 0.5);
   const Message heartbeat = DecodeMessage(EncodeMessage(SoundHeartbeat()));
   BOOST_TEST((std::get<Heartbeat>(heartbeat).members == SoundHeartbeat().members));
   BOOST_TEST((std::get<Heartbeat>(heartbeat).map.front().services ==
--- a/tests/unit/partition/estimates_test.cc
+++ b/tests/unit/partition/estimates_test.cc
@@ -217,6 +217,29 @@
   BOOST_TEST(times.Of("unknown") == 0.06, boost::test_tools::tolerance(kTolerance));
 }
 
+BOOST_AUTO_TEST_CASE(ServiceTimesOfBackendsThatTellNoLoadAreFoundBehindTheirQueues) {
+  // A free back end, and one that is used so much that its answers wait four times as long as they
+  // are worked on; both work 60 ms on each. Told times say one is five times slower.
+  constexpr uint32_t kSlots = 4;
+  BOOST_TEST(ServiceTimeBehind(kSlots, 5, 0.06) == 0.06, boost::test_tools::tolerance(0.02));
+  BOOST_TEST(ServiceTimeBehind(kSlots, 63, 0.3) == 0.06, boost::test_tools::tolerance(0.1));
+  // Full all the time: what it gets done tells how long it works.
+  BOOST_TEST(ServiceTimeBehind(kSlots, 40, 0.45) == 0.1, boost::test_tools::tolerance(0.05));
+  BOOST_TEST(ServiceTimeBehind(kSlots, 0, 0.06) == 0.06, boost::test_tools::tolerance(0.02));
+
+  ServiceTimes times;
+  times.Keep({{"busy", "", kSlots}, {"free", "", kSlots}, {"usual", "", kSlots}});
+  for (int i = 1; i <= 40; ++i) {
+    const Time now = kStart + i * absl::Milliseconds(400);
+    times.Add({{"busy", 13, 13 * absl::Milliseconds(300), true, 0.5},
+               {"free", 4, 4 * absl::Milliseconds(60), true},
+               {"usual", 4, 4 * absl::Milliseconds(60), true}},
+              now);
+  }
+  BOOST_TEST(times.Of("busy") == 0.06, boost::test_tools::tolerance(0.15));
+  BOOST_TEST(times.Of("free") == 0.06, boost::test_tools::tolerance(0.05));
+}
+
 BOOST_AUTO_TEST_CASE(OldServiceTimesAreForgotten) {
   ServiceTimes times;
   const ServiceTimeSample usual_b{"b", 100, absl::Seconds(6)};
