Use a map beyond the end of the lease that it was confirmed in

A confirmation was cut to what was left of the lease, though the wait before a silent owner's keys move already counts from the end of the predecessor's lease (ASuccessorWaitsUntilNoNodeUsesItsPredecessorsMap). Change: a confirmation counts its own time only; a setting that outlasts the coordinator's wait is refused.

--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -165,7 +165,7 @@
     return;
   }
   lease_until_ = until;
-  SetConfirmed(std::min(until, now + settings_.confirmation));
+  SetConfirmed(now + settings_.confirmation - settings_.confirmation_margin);
   if (took_over) {
     relay_.OnLeading(true);
     // The predecessor brought the others to this list.
@@ -227,8 +227,9 @@
   }
   // An answer was made after its report was sent, however long it was on the way.
   const Time made = pushed ? now : report->sent;
-  const Duration longest = pushed ? settings_.pushed_confirmation : settings_.confirmation;
-  const Duration span = std::min(absl::Milliseconds(heartbeat.lease_left_ms), longest);
+  const Duration span = pushed ? settings_.pushed_confirmation : settings_.confirmation;
+  // This may reach beyond the end of the sender's lease: a successor lets a silent owner's keys move
+  // only when no map that was confirmed before that end is in use any more (WaitOutEnd).
   const Time until = made + span - settings_.confirmation_margin;
   if (until > confirmed_until_) {
     SetConfirmed(until);
--- a/src/gateway/settings/settings_checks.cc
+++ b/src/gateway/settings/settings_checks.cc
@@ -97,6 +97,13 @@
         absl::StrCat("more than longest_report_interval + ", Show(membership.confirmation_margin),
                      " = ", Show(longest + membership.confirmation_margin)));
   }
+  // A silent owner's keys move once maps confirmed before are out of use.
+  if (membership.confirmation > settings.ownership.map_confirmation) {
+    reader->AddInconsistency(
+        absl::StrCat("membership.confirmation = ", Show(membership.confirmation)),
+        absl::StrCat("at most ", Show(settings.ownership.map_confirmation),
+                     ", after which the coordinator takes older maps as out of use"));
+  }
   const Duration two_reports = 2 * membership.shortest_report_interval;
   if (settings.ownership.heartbeat_timeout <= two_reports) {
     reader->AddInconsistency(
