Begin no planned move while a commit is unanswered

Ruled out: going back to the old owner, which needs a commit itself. Change: a move of keys whose owner may keep them waits while a store write has gone unanswered for a quarter of its time-out, or the lease was not renewed for two intervals.

--- a/src/core/ownership/coordinator_impl.h
+++ b/src/core/ownership/coordinator_impl.h
@@ -166,6 +166,9 @@
   void StartMove(ServiceState& service, RangeState& state, const std::string& to, Time now);
   void MarkMoving(RangeState& state, Time now);
   bool IsBusy(const RangeState& state) const;
+  /// Whether a commit begun now may stay unanswered for long. Keys that were released for it would
+  /// be without an owner until then, so moves that are not needed wait.
+  bool CommitsInDoubt(Time now) const;
   size_t CountMoves(const ServiceState& service) const;
   void ListMoves(const ServiceState& service, Assignments* view, std::vector<KeyRange>* busy) const;
   std::set<std::string> OwnersOf(const ServiceState& service) const;
--- a/src/core/ownership/coordinator_moves.cc
+++ b/src/core/ownership/coordinator_moves.cc
@@ -20,6 +20,10 @@
 constexpr int kMostSettlingTimes = 4;
 constexpr int kMostSettlingTimesUnasked = 16;
 
+/// A store write that has gone unanswered for this share of its time-out puts the next ones in
+/// doubt. A sound store answers within a few hundredths of it.
+constexpr double kDoubtfulShare = 0.25;
+
 /// For this long after an owner was waited out, it may still take a grant that was sent to it.
 constexpr Duration kLingering = absl::Seconds(15);
 
@@ -238,7 +242,9 @@
       continue;
     }
     const bool must = !directory_.Keeps(state.owner);
-    if (state.owner == move.to || (!must && under_way >= settings_.partition_weights.max_moves)) {
+    const bool may =
+        must || (under_way < settings_.partition_weights.max_moves && !CommitsInDoubt(now));
+    if (state.owner == move.to || !may) {
       continue;
     }
     StartMove(service, state, move.to, now);
@@ -246,6 +252,14 @@
   }
 }
 
+bool Coordinator::Impl::CommitsInDoubt(Time now) const {
+  const std::vector<LeaseAttempt>& attempts = chain_.attempts();
+  return StoreTroubled(now) ||
+         std::any_of(attempts.begin(), attempts.end(), [&](const LeaseAttempt& attempt) {
+           return now - attempt.sent >= settings_.store_timeout * kDoubtfulShare;
+         });
+}
+
 std::set<std::string> Coordinator::Impl::OwnersOf(const ServiceState& service) const {
   std::set<std::string> owners;
   for (const RangeState& state : service.table.ranges()) {
--- a/tests/unit/ownership/ownership_test.cc
+++ b/tests/unit/ownership/ownership_test.cc
@@ -195,6 +195,32 @@
   BOOST_TEST(successor.OwnerOf(0) == "b");
 }
 
+BOOST_AUTO_TEST_CASE(NoPlannedMoveBeginsWhileACommitIsUnanswered) {
+  Holding holding({"a", "b"});
+  Harness& node = holding.node;
+  node.store_answers = false;
+  const size_t commits = node.commits.size();
+  while (node.commits.size() == commits) {
+    node.Run(absl::Milliseconds(10));
+  }
+  node.Run(node.settings.store_timeout / 2);
+  partition::Script().next = {{{0, 99}, "b"}};
+  node.Run(absl::Milliseconds(500));
+  BOOST_TEST(partition::Script().next.empty());
+  BOOST_TEST(node.releases.empty());
+  BOOST_TEST(!node.IsMoving(0));
+  // Keys of an owner that leaves have nothing to lose.
+  node.Register({"b"});
+  partition::Script().next = {{{0, 99}, "b"}};
+  node.Run(absl::Milliseconds(500));
+  BOOST_TEST(!node.releases.empty());
+  // With an answering store planned moves go on.
+  Holding sound({"a", "b"});
+  partition::Script().next = {{{0, 99}, "b"}};
+  sound.node.Run(absl::Milliseconds(500));
+  BOOST_TEST(sound.node.OwnerOf(0) == "b");
+}
+
 BOOST_AUTO_TEST_CASE(AnEndedOwnerIsNotWaitedFor) {
   Holding holding({"a.1", "b"});
   Harness& node = holding.node;
