Limit what a node has at an overloaded owner, by how its requests fare there

A node knew of an owner's queue only from resets that came at once, and paused for one slot interval, whatever the number of nodes. Change: OwnerLimit, an adaptive concurrency limit for each owner and node: more after each answer in time, a cut after a late one or one turned away however late, spaced out below one request. The rest waits up to its patience, then is refused with a time to come back.

--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -32,6 +32,11 @@
   return now - attempt.started < attempt.backend->load.ServiceTime(now) * kQuickShare;
 }
 
+/// Whether an answer that comes now is soon enough for the share of its time that an attempt has.
+bool InTime(const Attempt& attempt, Time now) {
+  return now - attempt.started <= attempt.timely;
+}
+
 /// The attempt's bytes surely never left.
 bool NeverLeft(const Attempt& attempt, AttemptFailure failure) {
   switch (failure) {
@@ -126,6 +131,7 @@
     return;
   }
   backend.load.OnServed(elapsed, ToldOf(answer), now);
+  backend.owner_limit.OnAnswer(attempt.started, InTime(attempt, now), now);
   const bool told = answer.slots > 0;
   if (!told || (answer.waiting == 0 && answer.running <= answer.slots)) {
     attempt.service->load.AddServiceTime(backend.registration.id, elapsed, !told);
@@ -137,6 +143,7 @@
   BackendState& backend = *attempt.backend;
   if (EndedAtOnce(attempt, now)) {
     backend.load.OnShed(ToldOf(answer), now);
+    backend.owner_limit.OnTurnedAway(attempt.started, backend.load.ServiceTime(now), now);
   } else {
     backend.load.OnTold(ToldOf(answer), now);
   }
@@ -208,9 +215,11 @@
       if (EndedAtOnce(attempt, now)) {
         backend.load.OnShed({}, now);
       }
+      backend.owner_limit.OnTurnedAway(attempt.started, backend.load.ServiceTime(now), now);
       NoteEjection(backend, "lost a request", backend.outlier.OnFailure(now));
       break;
     case AttemptFailure::kTimedOut:
+      backend.owner_limit.OnAnswer(attempt.started, false, now);
       if (attempt.sent &&
           now - attempt.started > kTimeoutPatience * attempt.service->averages.ServiceTime()) {
         backend.load.OnUnanswered(now - attempt.started, now);
--- a/src/core/forwarding/backend_state.h
+++ b/src/core/forwarding/backend_state.h
@@ -6,6 +6,7 @@
 #include "core/catalog/catalog.h"
 #include "core/forwarding/load_estimate.h"
 #include "core/forwarding/outlier_detector.h"
+#include "core/forwarding/owner_limit.h"
 #include "wire/time.h"
 
 namespace ladderstream::forwarding {
@@ -29,6 +30,8 @@
   Time owner_usable_until = absl::InfiniteFuture();
   LoadEstimate load;
   OutlierDetector outlier;
+  /// Of requests for keys that it owns.
+  OwnerLimit owner_limit;
 };
 
 using BackendStatePtr = std::shared_ptr<BackendState>;
--- a/src/core/forwarding/dispatch.cc
+++ b/src/core/forwarding/dispatch.cc
@@ -10,6 +10,9 @@
 constexpr uint32_t kMaxSends = 8;
 /// Requests of one service that may wait at a time.
 constexpr size_t kMaxWaiting = 64;
+/// The share of the target latency that an attempt may take; the rest is for waiting here and for
+/// the way to the caller.
+constexpr double kTimelyShare = 0.75;
 /// A waiting request is not looked at more often than this without cause.
 constexpr Duration kLeastWait = absl::Milliseconds(5);
 
@@ -82,6 +85,7 @@
   attempt.service = request.service;
   attempt.fence = choice.fence;
   attempt.started = now;
+  attempt.timely = request.route->target_latency * kTimelyShare;
   attempt.charged = request.departures > 0;
   if (attempt.charged) {
     request.service->budget.Charge(now);
@@ -128,6 +132,9 @@
     attempt.backend->load.OnEnd(attempt.started);
     if (attempt.sent) {
       attempt.backend->load.OnUnanswered(now - attempt.started, now);
+      if (now - attempt.started > attempt.timely) {
+        attempt.backend->owner_limit.OnAnswer(attempt.started, false, now);
+      }
     }
     if (attempt.charged && !attempt.sent) {
       service->budget.Refund(attempt.started);
--- a/src/core/forwarding/owner_choice.cc
+++ b/src/core/forwarding/owner_choice.cc
@@ -81,6 +81,9 @@
   if (owner->load.Full(context.now)) {
     return Blocked(Obstacle::kOwnerFull, owner, owner->load.full_until());
   }
+  if (!owner->owner_limit.Allows(owner->load.in_flight(), context.now)) {
+    return Blocked(Obstacle::kOwnerFull, owner, owner->owner_limit.next_send());
+  }
   Choice choice;
   choice.backend = owner;
   choice.fence = assignment.fence;
--- a/src/core/forwarding/request_state.h
+++ b/src/core/forwarding/request_state.h
@@ -67,6 +67,8 @@
   ServiceState* service = nullptr;
   ownership::Fence fence = 0;
   Time started;
+  /// An answer that takes longer is late, whatever its request waited for before.
+  Duration timely = absl::InfiniteDuration();
   bool sent = false;
   /// It was charged to the retry budget when it was started.
   bool charged = false;
--- /dev/null
+++ b/tests/unit/forwarding/owner_limit_test.cc
@@ -0,0 +1,94 @@
+// What one node may have at an owner of keys that is overloaded, found without being told.
+#include "core/forwarding/owner_limit.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "dispatcher_harness.h"
+
+namespace ladderstream::forwarding {
+namespace {
+
+constexpr Duration kServiceTime = absl::Milliseconds(60);
+const Time kStart = absl::FromUnixSeconds(1000);
+
+BOOST_AUTO_TEST_SUITE(owner_limit)
+
+BOOST_AUTO_TEST_CASE(an_owner_that_answers_in_time_is_not_limited) {
+  OwnerLimit limit;
+  limit.OnAnswer(kStart, true, kStart + kServiceTime);
+  BOOST_TEST(limit.Allows(1000, kStart + kServiceTime));
+}
+
+BOOST_AUTO_TEST_CASE(losses_cut_the_limit_once_for_what_was_sent_together) {
+  OwnerLimit limit;
+  for (int i = 0; i < 8; ++i) {
+    limit.OnTurnedAway(kStart, kServiceTime, kStart + absl::Milliseconds(i));
+  }
+  BOOST_TEST(limit.limit() >= 1);
+  BOOST_TEST(limit.Allows(0, kStart + absl::Milliseconds(8)));
+  BOOST_TEST(!limit.Allows(2, kStart + absl::Milliseconds(8)));
+}
+
+BOOST_AUTO_TEST_CASE(a_share_below_one_request_spaces_them_out) {
+  OwnerLimit limit;
+  Time now = kStart;
+  while (limit.limit() >= 0.5) {
+    limit.OnTurnedAway(now, kServiceTime, now);
+    now += absl::Milliseconds(1);
+  }
+  BOOST_TEST(!limit.Allows(0, now));
+  BOOST_TEST((limit.next_send() >= now + kServiceTime - absl::Milliseconds(1)));
+  BOOST_TEST(limit.Allows(0, limit.next_send()));
+  BOOST_TEST(!limit.Allows(1, limit.next_send()));
+}
+
+BOOST_AUTO_TEST_CASE(late_answers_cut_and_timely_ones_raise_it_until_it_is_forgotten) {
+  OwnerLimit limit;
+  limit.OnAnswer(kStart, false, kStart + absl::Milliseconds(1));
+  const double cut = limit.limit();
+  limit.OnAnswer(kStart + absl::Milliseconds(2), true, kStart + absl::Milliseconds(50));
+  BOOST_TEST(limit.limit() > cut);
+  limit.OnAnswer(kStart + absl::Milliseconds(2), true, kStart + absl::Seconds(3));
+  BOOST_TEST(limit.limit() == OwnerLimit::kUnlimited);
+}
+
+struct Owned : DispatcherHarness {
+  Owned() {
+    AddBackends("scripts", {"s-1"});
+    Own("s-1");
+  }
+  SendDecision Send() { return StartAndSend("/scripts/1", absl::Seconds(2), 77); }
+};
+
+/// A full owner may reset a connection long after the request came, without telling its load.
+BOOST_FIXTURE_TEST_CASE(requests_lost_late_at_an_untold_owner_hold_the_next_ones_back, Owned) {
+  std::vector<SendDecision> sent;
+  for (int i = 0; i < 4; ++i) {
+    sent.push_back(Send());
+    Sent(sent.back());
+  }
+  Advance(absl::Milliseconds(160));
+  for (const SendDecision& send : sent) {
+    Fail(send, AttemptFailure::kLost);
+  }
+  Advance(absl::Milliseconds(200));
+  dispatcher.TakeDecisions();
+  // One probes whether it is well again; what comes beside it waits its turn.
+  Start("/scripts/1", absl::Seconds(2), 77);
+  Start("/scripts/1", absl::Seconds(2), 77);
+  Start("/scripts/1", absl::Seconds(2), 77);
+  BOOST_TEST(All<SendDecision>().size() <= 1U);
+  Advance(absl::Milliseconds(110));
+  const std::vector<AnswerDecision> answers = All<AnswerDecision>();
+  BOOST_TEST(!answers.empty());
+  for (const AnswerDecision& answer : answers) {
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST((answer.code == ResultCode::kOverloaded));
+    BOOST_TEST((answer.retry_after > absl::ZeroDuration()));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace ladderstream::forwarding
