--- a/src/core/partition/balance.cc
+++ b/src/core/partition/balance.cc
@@ -51,6 +51,8 @@
   /// How many pieces may be cut without going beyond any bound.
   size_t MaxParts() const;
   Plan BestPlan(size_t source) const;
+  /// The best move of one whole range, which makes no further one.
+  Plan BestWholeRange(size_t source, const std::vector<double>& loads) const;
   Plan PlanWindow(size_t source, const std::vector<double>& loads, const Window& window) const;
   Plan PlanHeavy(size_t source, const std::vector<double>& loads, const Cell& cell) const;
   /// What moving these keys costs, but for the moves themselves.
@@ -70,7 +72,7 @@
 }
 
 std::vector<ProposedMove> Balancer::Run() {
-  while (MaxParts() > 0) {
+  while (moves_.size() < max_moves_) {
     const std::optional<size_t> source = NextSource();
     if (!source) {
       break;
@@ -147,6 +149,9 @@
 
 Plan Balancer::BestPlan(size_t source) const {
   const std::vector<double> loads = CautiousLoads(source);
+  if (MaxParts() == 0) {
+    return BestWholeRange(source, loads);
+  }
   const Supply supply = SupplyOf(source);
   SpreadRequest request;
   request.source = source;
@@ -173,6 +178,21 @@
   return best;
 }
 
+Plan Balancer::BestWholeRange(size_t source, const std::vector<double>& loads) const {
+  Plan best;
+  for (const Holding& holding : fleet_.holdings()) {
+    if (holding.member != source || holding.frozen) {
+      continue;
+    }
+    const Rate rate = fleet_.load().Of(holding.range);
+    Plan plan = PlanHeavy(source, loads, {holding.range, rate.total, rate.hot});
+    if (plan.value > best.value) {
+      best = std::move(plan);
+    }
+  }
+  return best;
+}
+
 double Balancer::Price(const KeyRange& range, double rate) const {
   const double key_share = range.Size() / kAllKeys;
   return weights_.churn_weight * kKeySpacePrice * key_share + kUnavailablePrice * rate;
--- a/tests/unit/partition/partitioner_test.cc
+++ b/tests/unit/partition/partitioner_test.cc
@@ -194,6 +194,24 @@
   BOOST_TEST(CountRanges(service.assignments) <= 3 * kBackends);
 }
 
+/// With as many ranges as there may be, an imbalance is still mended by moving whole ones.
+BOOST_AUTO_TEST_CASE(WholeRangesMoveWhenThereMayBeNoMoreRanges) {
+  constexpr uint32_t kFew = 4;
+  constexpr uint32_t kMost = 6 * kFew;
+  ServiceFixture service(kFew);
+  std::vector<Flow> flows;
+  const Key size = (ownership::kLastKey + 1) / kMost;
+  for (uint32_t i = 0; i < kMost; ++i) {
+    const Key last = i + 1 == kMost ? ownership::kLastKey : (i + 1) * size - 1;
+    service.Assign({i * size, last}, service.backends[i % kFew].id);
+    flows.push_back({{i * size, last}, i % kFew == 0 ? 12.0 : 1.0});
+  }
+  const double before = Highest(service.Loads(flows));
+  service.Run(flows, kSettling);
+  BOOST_TEST(Highest(service.Loads(flows)) < before / 2);
+  BOOST_TEST(CountRanges(service.assignments) <= kMost);
+}
+
 BOOST_AUTO_TEST_CASE(DearChurnKeepsColdKeysButNotHotOnes) {
   PartitionWeights weights;
   weights.churn_weight = 200;
