--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -29,7 +29,7 @@
 struct DispatcherSettings {
   std::string zone;
   /// In another zone, a request is taken to last longer by this share of its service time.
-  double remote_zone_cost = 0.3;
+  double remote_zone_cost = 0.55;
   /// The nodes among whom the retry budget is shared; kept current by SetNodeCount.
   uint32_t node_count = 1;
   /// All nodes' attempts beyond the first of each request, within `budget_window`, stay below
