--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -39,7 +39,7 @@
   Duration members_interval_per_member = absl::Milliseconds(10);
   Duration push_interval_per_member = absl::Milliseconds(2);
   /// An answered report confirms the map for at most this, counted from its send.
-  Duration confirmation = absl::Milliseconds(2500);
+  Duration confirmation = absl::Milliseconds(3000);
   /// A pushed heartbeat was sent at an unknown time: it confirms the map for at most this.
   Duration pushed_confirmation = absl::Milliseconds(600);
   /// Taken off every confirmation.
--- a/tests/unit/gateway_settings/node_settings_test.cc
+++ b/tests/unit/gateway_settings/node_settings_test.cc
@@ -166,8 +166,8 @@
   CheckInconsistent({{"ownership.lease", "2850ms"}}, "ownership.hold =");
   CheckInconsistent({{"ownership.hold_renewal", "2100ms"}}, "ownership.hold =");
   CheckInconsistent({{"ownership.hold", "10100ms"}}, "ownership.hold =");
-  CheckInconsistent({{"membership.longest_report_interval", "2400ms"}}, "membership.confirmation");
-  CheckInconsistent({{"membership.confirmation", "3100ms"}}, "membership.confirmation");
+  CheckInconsistent({{"membership.longest_report_interval", "2900ms"}}, "membership.confirmation");
+  CheckInconsistent({{"membership.confirmation", "3300ms"}}, "membership.confirmation");
   CheckInconsistent({{"membership.member_lifetime", "2900ms"}}, "membership.member_lifetime");
   CheckInconsistent({{"membership.shortest_report_interval", "1600ms"}},
                     "membership.shortest_report_interval");
--- a/tests/unit/membership/membership_test.cc
+++ b/tests/unit/membership/membership_test.cc
@@ -13,6 +13,10 @@
 /// The first reports to a new coordinator are spread over less than this.
 constexpr Duration kSpread = absl::Milliseconds(10);
 
+/// What one answered report confirms a map for, from its send.
+const Duration kConfirmation =
+    MembershipSettings{}.confirmation - MembershipSettings{}.confirmation_margin;
+
 /// A heartbeat of node `number` as coordinator.
 Heartbeat MakeHeartbeat(uint64_t epoch, uint64_t number, ownership::MapVersion map_version) {
   Heartbeat heartbeat;
@@ -152,7 +156,7 @@
 BOOST_FIXTURE_TEST_CASE(AnAnswerConfirmsFromTheReportsSend, Follower) {
   const uint64_t sequence = SendReport(kStart);
   Answer(sequence, MakeHeartbeat(3, 2, {3, 1}), kStart + absl::Milliseconds(700));
-  const Time until = kStart + absl::Milliseconds(2500 - 100);
+  const Time until = kStart + kConfirmation;
   BOOST_TEST((membership.map_confirmed_until() == until));
   // The same answer again, or one to a report never sent, confirms nothing.
   Answer(sequence, MakeHeartbeat(3, 2, {3, 1}), kStart + absl::Seconds(5));
@@ -165,18 +169,18 @@
   Heartbeat ending_lease = MakeHeartbeat(3, 2, {3, 1});
   ending_lease.lease_left_ms = 50;
   Answer(SendReport(kStart), ending_lease, kStart);
-  BOOST_TEST((membership.map_confirmed_until() == kStart + absl::Milliseconds(2400)));
+  BOOST_TEST((membership.map_confirmed_until() == kStart + kConfirmation));
   // One that ran out confirms nothing.
   ending_lease.lease_left_ms = 0;
   Answer(SendReport(kStart + absl::Seconds(1)), ending_lease, kStart + absl::Seconds(1));
-  BOOST_TEST((membership.map_confirmed_until() == kStart + absl::Milliseconds(2400)));
+  BOOST_TEST((membership.map_confirmed_until() == kStart + kConfirmation));
 }
 
 BOOST_FIXTURE_TEST_CASE(NoConfirmationOutlastsItsBound, Follower) {
   Heartbeat long_lease = MakeHeartbeat(3, 2, {3, 1});
   long_lease.lease_left_ms = 60'000;
   Answer(SendReport(kStart), long_lease, kStart);
-  BOOST_TEST((membership.map_confirmed_until() == kStart + absl::Milliseconds(2400)));
+  BOOST_TEST((membership.map_confirmed_until() == kStart + kConfirmation));
 }
 
 BOOST_FIXTURE_TEST_CASE(APushConfirmsForAShortTimeOnly, Follower) {
@@ -358,7 +362,8 @@
   const auto answers = TakeSent<Heartbeat>();
   BOOST_TEST(answers.front().second.lease_left_ms == 0);
   BOOST_TEST(answers.front().second.map.empty());
-  BOOST_TEST((membership.map_confirmed_until() <= later));
+  // Nothing more is confirmed than when the lease was renewed last.
+  BOOST_TEST((membership.map_confirmed_until() == kStart + kConfirmation));
   membership.OnTick(later);
   BOOST_TEST((membership.NextWake() > later));
 }
--- a/tests/unit/ownership/model_nodes.cc
+++ b/tests/unit/ownership/model_nodes.cc
@@ -9,8 +9,6 @@
 namespace ladderstream::ownership {
 namespace {
 
-/// For this long a node uses a map after the send of the newest heartbeat it got.
-constexpr Duration kMapConfirmation = absl::Seconds(3);
 constexpr Duration kHeartbeatInterval = absl::Milliseconds(250);
 /// An order that arrives later than this after its send is a late one.
 constexpr Duration kLateOrder = absl::Milliseconds(300);
@@ -327,7 +325,7 @@
       node.map->version.epoch != node.coordinator->View().epoch) {
     return;
   }
-  node.map_until = now_ + kMapConfirmation;
+  node.map_until = now_ + settings_.map_confirmation;
   for (ModelNode& other : nodes_) {
     if (other.index == node.index || now_ < node.peers_cut_until || now_ < other.peers_cut_until ||
         Chance(2)) {
@@ -340,7 +338,7 @@
         receiver.coordinator->OnHeartbeat(view, now_);
         if (!receiver.map || receiver.map->version <= map->version) {
           receiver.map = map;
-          receiver.map_until = sent + kMapConfirmation;
+          receiver.map_until = sent + settings_.map_confirmation;
         }
       });
     });
