Leave a quarter of a second between watches from the start of a node

Change: nodes that do not coordinate leave at least 250 ms between two watches, from their start on.

--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -22,11 +22,13 @@
 /// Changes of a table within this are told to the coordinator by one call at least; and so many
 /// tables are followed.
 constexpr Duration kShortestBatchPause = absl::Milliseconds(50);
-/// Other nodes hear of changes from the coordinator, so when they watch themselves they leave this
-/// much between two calls for each node, as all may have to watch at once; at most the longest, a
-/// third of the shortest time in which a draining back end must be known to all.
+/// Other nodes hear of changes from the coordinator. When they watch themselves, all may have to at
+/// once, as at the start of a fleet, before any knows how many they are: they leave this much between
+/// two calls for each node they know of, within bounds. The upper one is a third of the shortest time
+/// in which a draining back end must be known to all.
 constexpr Duration kBatchPausePerNode = absl::Milliseconds(10);
-constexpr Duration kLongestBatchPause = absl::Milliseconds(700);
+constexpr Duration kLeastOtherBatchPause = absl::Milliseconds(250);
+constexpr Duration kMostOtherBatchPause = absl::Milliseconds(700);
 constexpr uint32_t kFollowedTables = 2;
 
 /// More turns than any chain of events needs; ends a loop that would never settle.
@@ -168,6 +170,7 @@
 
 void ControlPlane::Start() {
   peers_.Start();
+  ShareStore();
   PumpSoon();
 }
 
@@ -411,9 +414,10 @@
 void ControlPlane::ShareStore() {
   const uint32_t nodes = std::max<uint32_t>(1, membership_.members().size());
   store_.SetShare(nodes, holds_lease_);
-  const Duration least = holds_lease_ ? kShortestBatchPause
-                                      : std::clamp(nodes * kBatchPausePerNode, kShortestBatchPause,
-                                                   kLongestBatchPause);
+  const Duration least =
+      holds_lease_ ? kShortestBatchPause
+                   : std::clamp(nodes * kBatchPausePerNode, kLeastOtherBatchPause,
+                                kMostOtherBatchPause);
   const Duration pause = std::max(least, store_.PauseBetweenReads(kFollowedTables));
   configuration_follower_.SetBatchPause(pause);
   backend_follower_.SetBatchPause(pause);
