Log moves that are put off and the limit at an owner, and format what changed

A node's reason for "the owner is full" names its limit there; the coordinator tells once when moves wait for an unanswered write. The test of the wait checks the line.

--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -33,9 +33,7 @@
 }
 
 /// Whether an answer that comes now is soon enough for the share of its time that an attempt has.
-bool InTime(const Attempt& attempt, Time now) {
-  return now - attempt.started <= attempt.timely;
-}
+bool InTime(const Attempt& attempt, Time now) { return now - attempt.started <= attempt.timely; }
 
 /// The attempt's bytes surely never left.
 bool NeverLeft(const Attempt& attempt, AttemptFailure failure) {
--- a/src/core/forwarding/final_answer.cc
+++ b/src/core/forwarding/final_answer.cc
@@ -123,12 +123,16 @@
 
 std::string DescribeLoad(const BackendState& backend, Time now) {
   const LoadEstimate& load = backend.load;
+  const double limit = backend.owner_limit.limit();
+  const std::string limited =
+      limit == OwnerLimit::kUnlimited ? "" : absl::StrFormat(", limit %.2f", limit);
   if (load.ToldAge(now) == absl::InfiniteDuration()) {
-    return absl::StrCat(backend.registration.id, ", load untold, ", load.in_flight(), " from here");
+    return absl::StrCat(backend.registration.id, ", load untold, ", load.in_flight(), " from here",
+                        limited);
   }
-  return absl::StrFormat("%s, told running %u waiting %u %.0f ms ago, %u from here",
+  return absl::StrFormat("%s, told running %u waiting %u %.0f ms ago, %u from here%s",
                          backend.registration.id, load.told().running, load.told().waiting,
-                         absl::ToDoubleMilliseconds(load.ToldAge(now)), load.in_flight());
+                         absl::ToDoubleMilliseconds(load.ToldAge(now)), load.in_flight(), limited);
 }
 
 std::string DescribeSetback(const Request& request) {
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -228,8 +228,8 @@
   // An answer was made after its report was sent, however long it was on the way.
   const Time made = pushed ? now : report->sent;
   const Duration span = pushed ? settings_.pushed_confirmation : settings_.confirmation;
-  // This may reach beyond the end of the sender's lease: a successor lets a silent owner's keys move
-  // only when no map that was confirmed before that end is in use any more (WaitOutEnd).
+  // This may reach beyond the end of the sender's lease: a successor lets a silent owner's keys
+  // move only when no map that was confirmed before that end is in use any more (WaitOutEnd).
   const Time until = made + span - settings_.confirmation_margin;
   if (until > confirmed_until_) {
     SetConfirmed(until);
--- a/src/core/ownership/belief_events.h
+++ b/src/core/ownership/belief_events.h
@@ -33,6 +33,9 @@
 inline constexpr char kAssignmentsCommitted[] = "assignments_committed";
 /// An owner is told to release keys that another back end shall get.
 inline constexpr char kMoveStarted[] = "move_started";
+/// Moves that are not needed wait, since a write to the store is unanswered; told once until one is
+/// confirmed.
+inline constexpr char kMovesPutOff[] = "moves_put_off";
 /// The new owner of moved keys has confirmed its grant.
 inline constexpr char kMoveFinished[] = "move_finished";
 /// A refused grant showed that the owner has seen a higher fence: the keys get a new one.
--- a/src/core/ownership/coordinator.h
+++ b/src/core/ownership/coordinator.h
@@ -42,8 +42,8 @@
   /// machines leave the lease to strong ones.
   Duration challenge_delay = absl::ZeroDuration();
   /// For this long a node may go on using a map after its last confirmation. Keys of an owner that
-  /// did not answer its release move no sooner than this after they were published as moving. So far
-  /// below the hold that waiting for it does not lengthen the wait for a silent owner.
+  /// did not answer its release move no sooner than this after they were published as moving. So
+  /// far below the hold that waiting for it does not lengthen the wait for a silent owner.
   Duration map_confirmation = absl::Milliseconds(3200);
   /// A back end that confirmed no grant for this long is silent: it loses its keys.
   Duration silence_patience = absl::Milliseconds(1200);
--- a/src/core/ownership/coordinator_impl.h
+++ b/src/core/ownership/coordinator_impl.h
@@ -169,6 +169,8 @@
   /// Whether a commit begun now may stay unanswered for long. Keys that were released for it would
   /// be without an owner until then, so moves that are not needed wait.
   bool CommitsInDoubt(Time now) const;
+  /// Tells so once, until a write is confirmed.
+  void NoteMovesPutOff(Time now);
   size_t CountMoves(const ServiceState& service) const;
   void ListMoves(const ServiceState& service, Assignments* view, std::vector<KeyRange>* busy) const;
   std::set<std::string> OwnersOf(const ServiceState& service) const;
@@ -229,6 +231,7 @@
   Duration write_backoff_ = absl::ZeroDuration();
   bool lapse_noted_ = false;
   bool trouble_noted_ = false;
+  bool moves_put_off_noted_ = false;
   bool write_failure_noted_ = false;
   std::optional<Time> resign_by_;
 
--- a/src/core/ownership/coordinator_lease.cc
+++ b/src/core/ownership/coordinator_lease.cc
@@ -205,6 +205,7 @@
   write_not_before_ = absl::InfinitePast();
   write_failure_noted_ = false;
   trouble_noted_ = false;
+  moves_put_off_noted_ = false;
   if (role_ == Role::kHolder) {
     if (outcome.applied.epoch > epoch_) {
       epoch_ = outcome.applied.epoch;
--- a/src/core/ownership/coordinator_moves.cc
+++ b/src/core/ownership/coordinator_moves.cc
@@ -242,11 +242,14 @@
       continue;
     }
     const bool must = !directory_.Keeps(state.owner);
-    const bool may =
-        must || (under_way < settings_.partition_weights.max_moves && !CommitsInDoubt(now));
+    const bool may = must || under_way < settings_.partition_weights.max_moves;
     if (state.owner == move.to || !may) {
       continue;
     }
+    if (!must && CommitsInDoubt(now)) {
+      NoteMovesPutOff(now);
+      continue;
+    }
     StartMove(service, state, move.to, now);
     ++under_way;
   }
@@ -260,6 +263,17 @@
          });
 }
 
+void Coordinator::Impl::NoteMovesPutOff(Time now) {
+  if (!moves_put_off_noted_) {
+    moves_put_off_noted_ = true;
+    Believe(belief::kMovesPutOff,
+            absl::StrCat("lease confirmed ",
+                         absl::FormatDuration(
+                             absl::Trunc(now - chain_.confirmed_sent(), absl::Milliseconds(1))),
+                         " ago, ", chain_.attempts().size(), " writes unanswered"));
+  }
+}
+
 std::set<std::string> Coordinator::Impl::OwnersOf(const ServiceState& service) const {
   std::set<std::string> owners;
   for (const RangeState& state : service.table.ranges()) {
--- a/src/core/partition/capacity.h
+++ b/src/core/partition/capacity.h
@@ -16,8 +16,9 @@
 double ComfortableLoad(uint32_t slots, double service_time, double late_after);
 
 /// The service time, in seconds, of a back end with `slots` slots that answers `rate` requests per
-/// second in `mean_time` seconds each, waiting included: the one at which a queue of this load makes
-/// its answers take as long. Never more than `mean_time`, or than what its slots can work off.
+/// second in `mean_time` seconds each, waiting included: the one at which a queue of this load
+/// makes its answers take as long. Never more than `mean_time`, or than what its slots can work
+/// off.
 double ServiceTimeBehind(uint32_t slots, double rate, double mean_time);
 
 /// The share of late answers at `pressure`, which is load over comfortable load. Goes on growing
--- a/src/core/partition/service_times.h
+++ b/src/core/partition/service_times.h
@@ -2,8 +2,8 @@
 //
 // A back end that tells its load is known by the answers that did not wait in its queue. For one
 // that tells nothing, the time that answers took contains the wait, which grows without bound as it
-// fills up; with the rate of its answers, over all nodes, the service time behind it is found by the
-// formula of its queue.
+// fills up; with the rate of its answers, over all nodes, the service time behind it is found by
+// the formula of its queue.
 #pragma once
 
 #include <map>
--- a/src/explain/outcomes.h
+++ b/src/explain/outcomes.h
@@ -1,5 +1,5 @@
-// Sums up from the logs of all nodes what became of the requests: by service, outcome and cause, with
-// the time at which each was most frequent and a request to explain.
+// Sums up from the logs of all nodes what became of the requests: by service, outcome and cause,
+// with the time at which each was most frequent and a request to explain.
 #pragma once
 
 #include <absl/time/time.h>
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -23,9 +23,9 @@
 /// tables are followed.
 constexpr Duration kShortestBatchPause = absl::Milliseconds(50);
 /// Other nodes hear of changes from the coordinator. When they watch themselves, all may have to at
-/// once, as at the start of a fleet, before any knows how many they are: they leave this much between
-/// two calls for each node they know of, within bounds. The upper one is a third of the shortest time
-/// in which a draining back end must be known to all.
+/// once, as at the start of a fleet, before any knows how many they are: they leave this much
+/// between two calls for each node they know of, within bounds. The upper one is a third of the
+/// shortest time in which a draining back end must be known to all.
 constexpr Duration kBatchPausePerNode = absl::Milliseconds(10);
 constexpr Duration kLeastOtherBatchPause = absl::Milliseconds(250);
 constexpr Duration kMostOtherBatchPause = absl::Milliseconds(700);
@@ -414,10 +414,9 @@
 void ControlPlane::ShareStore() {
   const uint32_t nodes = std::max<uint32_t>(1, membership_.members().size());
   store_.SetShare(nodes, holds_lease_);
-  const Duration least =
-      holds_lease_ ? kShortestBatchPause
-                   : std::clamp(nodes * kBatchPausePerNode, kLeastOtherBatchPause,
-                                kMostOtherBatchPause);
+  const Duration least = holds_lease_ ? kShortestBatchPause
+                                      : std::clamp(nodes * kBatchPausePerNode,
+                                                   kLeastOtherBatchPause, kMostOtherBatchPause);
   const Duration pause = std::max(least, store_.PauseBetweenReads(kFollowedTables));
   configuration_follower_.SetBatchPause(pause);
   backend_follower_.SetBatchPause(pause);
--- a/tests/unit/membership/membership_test.cc
+++ b/tests/unit/membership/membership_test.cc
@@ -164,7 +164,8 @@
   BOOST_TEST((membership.map_confirmed_until() == until));
 }
 
-/// A successor waits for maps that were confirmed before the end of the lease, so requests need not.
+/// A successor waits for maps that were confirmed before the end of the lease, so requests need
+/// not.
 BOOST_FIXTURE_TEST_CASE(AMapStaysConfirmedBeyondTheLeaseOfWhoConfirmedIt, Follower) {
   Heartbeat ending_lease = MakeHeartbeat(3, 2, {3, 1});
   ending_lease.lease_left_ms = 50;
--- a/tests/unit/ownership/ownership_test.cc
+++ b/tests/unit/ownership/ownership_test.cc
@@ -209,6 +209,7 @@
   BOOST_TEST(partition::Script().next.empty());
   BOOST_TEST(node.releases.empty());
   BOOST_TEST(!node.IsMoving(0));
+  BOOST_TEST(node.Believed(belief::kMovesPutOff));
   // Keys of an owner that leaves have nothing to lose.
   node.Register({"b"});
   partition::Script().next = {{{0, 99}, "b"}};
