Show a limit only where it counts, and remove what nobody calls

Read as a newcomer: the reason of a refusal named the limit of a back end also where any of a service may serve; OwnerLimit::Reset had no caller.

--- a/src/core/forwarding/final_answer.cc
+++ b/src/core/forwarding/final_answer.cc
@@ -121,11 +121,12 @@
   return std::clamp(time, kLeastRetryAfter, kMostRetryAfter) * (1 + jitter);
 }
 
-std::string DescribeLoad(const BackendState& backend, Time now) {
+/// `owner`: it is asked for keys that it owns, so this node's limit there counts.
+std::string DescribeLoad(const BackendState& backend, bool owner, Time now) {
   const LoadEstimate& load = backend.load;
   const double limit = backend.owner_limit.limit();
   const std::string limited =
-      limit == OwnerLimit::kUnlimited ? "" : absl::StrFormat(", limit %.2f", limit);
+      owner && limit != OwnerLimit::kUnlimited ? absl::StrFormat(", limit %.2f", limit) : "";
   if (load.ToldAge(now) == absl::InfiniteDuration()) {
     return absl::StrCat(backend.registration.id, ", load untold, ", load.in_flight(), " from here",
                         limited);
@@ -170,7 +171,7 @@
   std::string text =
       absl::StrCat(request.service->name, ": ", DescribeCause(request, choice, cause));
   if (choice.about != nullptr) {
-    absl::StrAppend(&text, " (", DescribeLoad(*choice.about, now), ")");
+    absl::StrAppend(&text, " (", DescribeLoad(*choice.about, request.sharded, now), ")");
   }
   if (request.sharded) {
     absl::StrAppend(
--- a/src/core/forwarding/load_counter.cc
+++ b/src/core/forwarding/load_counter.cc
@@ -7,7 +7,7 @@
 void LoadCounter::AddServiceTime(const std::string& backend, Duration elapsed, bool includes_wait) {
   partition::ServiceTimeSample& sample = samples_[backend];
   if (sample.includes_wait != includes_wait) {
-    // It tells its load now and then; what it does not tell of, would be counted as not waiting.
+    // It tells its load now and then. Answers of both kinds cannot be summed up in one sample.
     sample = {};
     sample.includes_wait = includes_wait;
   }
--- a/src/core/forwarding/owner_limit.h
+++ b/src/core/forwarding/owner_limit.h
@@ -22,8 +22,6 @@
   void OnAnswer(Time started, bool in_time, Time now);
   /// The owner took none of it, or lost it, as full ones do. `service_time`: what it usually takes.
   void OnTurnedAway(Time started, Duration service_time, Time now);
-  /// Its registration changed.
-  void Reset() { *this = OwnerLimit(); }
 
   /// Whether one more may be sent while `in_flight` are there.
   bool Allows(uint32_t in_flight, Time now) const;
