--- a/src/core/forwarding/owner_limit.cc
+++ b/src/core/forwarding/owner_limit.cc
@@ -5,8 +5,8 @@
 namespace ladderstream::forwarding {
 namespace {
 
-// Estimates, meant for a node that sees some ten answers a second of such an owner. Only kGrowth was
-// measured against another figure (docs/design/018).
+// Estimates, meant for a node that sees some ten answers a second of such an owner. Only kGrowth
+// was measured against another figure (docs/design/018).
 
 /// Added to the limit by each answer in time. 0.2 made no difference.
 constexpr double kGrowth = 0.1;
