Make a whole map once for the nodes that lack it together

Cause: after a start of all nodes each report was answered with the whole map and the whole list, encoded and compressed for it alone, by the node whose lease must not lapse. Change: one report in 50 ms is answered with them; the others that ask meanwhile get one message, made once. Changed test: RareReportsAreMadeUpForBySignsOfLife lets those that lack the list get it before it looks at what is sent.

--- a/src/core/membership/map_exchange.cc
+++ b/src/core/membership/map_exchange.cc
@@ -40,6 +40,10 @@
          Take(std::make_shared<ownership::OwnershipMap>(std::move(*changed)));
 }
 
+bool MapExchange::NeedsWhole(const ownership::MapVersion& version) const {
+  return map_ != nullptr && version < map_->version && history_.Find(version) == nullptr;
+}
+
 void MapExchange::AddTo(const ownership::MapVersion& version, Heartbeat* heartbeat) const {
   if (map_ == nullptr || version >= map_->version) {
     return;
--- a/src/core/membership/map_exchange.h
+++ b/src/core/membership/map_exchange.h
@@ -25,6 +25,8 @@
 
   /// Puts into `heartbeat` what a node that holds `version` lacks of the map.
   void AddTo(const ownership::MapVersion& version, Heartbeat* heartbeat) const;
+  /// Whether a node that holds `version` can only be sent the whole map.
+  bool NeedsWhole(const ownership::MapVersion& version) const;
   /// Puts into `heartbeat`, which goes to all nodes, what changed since this was last called.
   void AddToPush(Heartbeat* heartbeat);
 
--- a/src/core/membership/member_table.h
+++ b/src/core/membership/member_table.h
@@ -39,6 +39,10 @@
   bool Adopt(const Heartbeat& heartbeat, Time now);
   /// Puts into `heartbeat` what a node that holds the list of `version` lacks.
   void AddTo(uint64_t version, Heartbeat* heartbeat) const;
+  /// Whether a node that holds the list of `version` can only be sent the whole one.
+  bool NeedsWhole(uint64_t version) const {
+    return version < version_ && !ChangesSince(version).has_value();
+  }
   /// This node became the coordinator: members get a whole lifetime to report to it, and the list's
   /// versions go on above those of earlier epochs.
   void TakeOver(uint64_t epoch, Time now);
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -46,13 +46,12 @@
   Heartbeat answer = NewHeartbeat(now);
   answer.answered_report = report.sequence;
   answer.identity_wanted = !sender.has_value();
+  report.sender = sender.value_or(report.sender);
+  const Destination back{report.sender.address, from.connection, members_.ScopeOf(report.sender)};
   if (IsCoordinator(now)) {
-    maps_.AddTo(report.map_version, &answer);
     relay_.AddToAnswer(report, now, &answer);
   }
-  members_.AddTo(report.members_version, &answer);
-  report.sender = sender.value_or(report.sender);
-  const Destination back{report.sender.address, from.connection, members_.ScopeOf(report.sender)};
+  AddCopies(report, back, now, &answer);
   Send({back}, std::move(answer));
   snapshots_.OnVersionsHeard(back, {report.configuration_version, report.backends_version}, now);
   if (!report.loads.empty() || !report.refused_backends.empty()) {
@@ -61,6 +60,32 @@
   }
 }
 
+void Membership::AddCopies(const Report& report, const Destination& back, Time now,
+                           Heartbeat* answer) {
+  const bool leads = IsCoordinator(now);
+  const bool whole = members_.NeedsWhole(report.members_version) ||
+                     (leads && maps_.NeedsWhole(report.map_version));
+  // Who does not coordinate has a list for whoever comes; that costs it no lease.
+  if (leads && whole && !whole_copies_.Grant(back, now)) {
+    return;
+  }
+  if (leads) {
+    maps_.AddTo(report.map_version, answer);
+  }
+  members_.AddTo(report.members_version, answer);
+}
+
+void Membership::SendWholeCopies(Time now) {
+  if (!whole_copies_.Due(now)) {
+    return;
+  }
+  Heartbeat heartbeat = NewHeartbeat(now);
+  maps_.AddTo({}, &heartbeat);
+  members_.AddTo(0, &heartbeat);
+  relay_.AddAsPushed(now, &heartbeat);
+  Send(whole_copies_.Take(now), std::move(heartbeat));
+}
+
 void Membership::Handle(const Destination& from, Heartbeat heartbeat, Time now) {
   const std::optional<SentReport> report = sent_reports_.Take(heartbeat.answered_report);
   if (relay_.TakeRows(heartbeat, now)) {
@@ -180,6 +205,7 @@
 void Membership::EndLeading() {
   if (lease_until_ != absl::InfinitePast()) {
     lease_until_ = absl::InfinitePast();
+    whole_copies_.Clear();
     relay_.OnLeading(false);
   }
 }
@@ -332,6 +358,7 @@
     if (push_wanted_ && now >= next_push_) {
       PushHeartbeat(now);
     }
+    SendWholeCopies(now);
     if (now >= next_sign_of_life_) {
       ShowAlive(now);
     }
@@ -361,8 +388,8 @@
     return std::min(next_report_, snapshots_.NextWake());
   }
   const Time next_push = push_wanted_ ? next_push_ : absl::InfiniteFuture();
-  return std::min(
-      {lease_until_, next_push, next_sign_of_life_, next_refresh_, snapshots_.NextWake()});
+  return std::min({lease_until_, next_push, next_sign_of_life_, next_refresh_,
+                   whole_copies_.NextWake(), snapshots_.NextWake()});
 }
 
 void Membership::ShowAlive(Time now) {
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -18,6 +18,7 @@
 #include "core/membership/sent_reports.h"
 #include "core/membership/snapshot_exchange.h"
 #include "core/membership/table_relay.h"
+#include "core/membership/whole_copies.h"
 #include "core/store/table_follower.h"
 #include "wire/time.h"
 
@@ -163,6 +164,9 @@
   void PushHeartbeat(Time now);
   /// Keeps many nodes, which report rarely, from taking the coordinator for dead.
   void ShowAlive(Time now);
+  /// Puts the map and the list into the answer to a report, as far as the reporter lacks them.
+  void AddCopies(const Report& report, const Destination& back, Time now, Heartbeat* answer);
+  void SendWholeCopies(Time now);
   void AskForSnapshot(Time now);
   std::vector<Destination> OthersAndSeeds() const;
   /// At which all nodes together keep to `reports_per_second`.
@@ -181,6 +185,7 @@
   SnapshotExchange snapshots_;
   TableRelay relay_;
   MapExchange maps_;
+  WholeCopies whole_copies_;
   std::mt19937_64 random_;
   std::vector<MembershipAction> actions_;
 
--- a/src/core/membership/table_relay.cc
+++ b/src/core/membership/table_relay.cc
@@ -93,6 +93,12 @@
   }
 }
 
+void TableRelay::AddAsPushed(Time now, Heartbeat* heartbeat) const {
+  for (size_t table = 0; table < kTables; ++table) {
+    Add(table, pushed_[table], now, heartbeat);
+  }
+}
+
 void TableRelay::AddToPush(Time now, Heartbeat* heartbeat) {
   for (size_t table = 0; table < kTables; ++table) {
     Add(table, pushed_[table], now, heartbeat);
--- a/src/core/membership/table_relay.h
+++ b/src/core/membership/table_relay.h
@@ -45,6 +45,8 @@
   bool HasNews() const;
   /// Puts into `heartbeat` what the reporter's copies lack.
   void AddToAnswer(const Report& report, Time now, Heartbeat* heartbeat) const;
+  /// Puts into `heartbeat`, which goes to some nodes beside a push, what all were pushed already.
+  void AddAsPushed(Time now, Heartbeat* heartbeat) const;
   /// Puts into `heartbeat`, which goes to all nodes, what changed since the last push.
   void AddToPush(Time now, Heartbeat* heartbeat);
 
--- a/tests/unit/membership/membership_test.cc
+++ b/tests/unit/membership/membership_test.cc
@@ -318,6 +318,31 @@
   BOOST_TEST(answers[1].second.map.empty());
 }
 
+/// After a start of the whole fleet everybody lacks the map at once. Encoding it for each of 300
+/// reports cost the coordinator its lease.
+BOOST_FIXTURE_TEST_CASE(AWholeMapIsMadeOnceForThoseThatAskTogether, Coordinator) {
+  membership.TakeActions();
+  const Time asked = kStart + absl::Seconds(1);
+  constexpr uint64_t kNodes = 40;
+  for (uint64_t number = 10; number < 10 + kNodes; ++number) {
+    membership.OnMessage(number, ReportOf(number, {}), asked);
+  }
+  size_t whole = 0;
+  for (const auto& [to, answer] : TakeSent<Heartbeat>()) {
+    BOOST_TEST(answer.answered_report == 41);
+    whole += answer.map.size();
+  }
+  BOOST_TEST(whole == 1U);
+  membership.OnTick(asked + absl::Milliseconds(50));
+  auto sent = TakeSent<Heartbeat>();
+  std::erase_if(sent, [](const auto& heartbeat) { return heartbeat.second.map.empty(); });
+  BOOST_REQUIRE(sent.size() == 1);
+  BOOST_TEST(sent.front().first.size() == kNodes - 1);
+  BOOST_TEST(sent.front().second.map.size() == 1);
+  BOOST_TEST(!sent.front().second.members.empty());
+  BOOST_TEST(sent.front().second.answered_report == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(AChangedMapIsPushedAtOnceThenBounded, Coordinator) {
   membership.TakeActions();
   const Time first = kStart + absl::Milliseconds(100);
@@ -341,6 +366,8 @@
   for (uint64_t number = 10; number < 310; ++number) {
     membership.OnMessage(number, ReportOf(number, {2, 9}), kStart + absl::Seconds(1));
   }
+  // Those that lack the list get it together.
+  membership.OnTick(kStart + absl::Milliseconds(1100));
   membership.TakeActions();
   membership.OnTick(kStart + absl::Milliseconds(1500));
   BOOST_TEST(TakeSent<Heartbeat>().empty());  // to all that is known, three nodes take part
