Let the coordinator name the standbys, and tell what a reading anew shows to have gone

Change: each heartbeat names the two standbys; a reading anew is told as the difference to the copy before it, and whoever holds a copy from between the two still watches itself.

--- a/src/core/membership/member_table.cc
+++ b/src/core/membership/member_table.cc
@@ -163,6 +163,15 @@
   return destinations;
 }
 
+std::vector<uint64_t> MemberTable::OtherIncarnations() const {
+  std::vector<uint64_t> incarnations;
+  incarnations.reserve(others_.size());
+  for (const auto& [incarnation, member] : others_) {
+    incarnations.push_back(incarnation);
+  }
+  return incarnations;
+}
+
 ZoneScope MemberTable::ScopeOf(const PeerIdentity& member) const {
   return member.zone == self_.zone ? ZoneScope::kOwn : ZoneScope::kOther;
 }
--- a/src/core/membership/member_table.h
+++ b/src/core/membership/member_table.h
@@ -54,6 +54,7 @@
   uint64_t version() const { return version_; }
   /// All known members but this node.
   std::vector<Destination> Others() const;
+  std::vector<uint64_t> OtherIncarnations() const;
   /// Where `member` is, seen from this node.
   ZoneScope ScopeOf(const PeerIdentity& member) const;
   /// The node at `address`, a member or not.
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -123,7 +123,7 @@
   ConfirmBy(heartbeat, report, now);
   const bool pushed = heartbeat.answered_report == 0;
   if (pushed || report.has_value()) {
-    relay_.OnCoordinatorHeard(heartbeat, members(), pushed ? now : report->sent, !pushed, now);
+    relay_.OnCoordinatorHeard(heartbeat, pushed ? now : report->sent, !pushed, now);
   }
 }
 
@@ -326,6 +326,7 @@
     constexpr int64_t kLongestLeaseMs = 60'000;
     const int64_t left = absl::ToInt64Milliseconds(lease_until_ - now);
     heartbeat.lease_left_ms = static_cast<uint32_t>(std::min(left, kLongestLeaseMs));
+    heartbeat.standbys = relay_.ChooseStandbys(members_.OtherIncarnations());
   }
   heartbeat.map_version = maps_.version();
   heartbeat.members_version = members_.version();
--- a/src/core/membership/messages.h
+++ b/src/core/membership/messages.h
@@ -94,7 +94,10 @@
   std::vector<RemovedRow> removals;
   /// How long ago the sender was last sure that this is the newest, in milliseconds.
   uint32_t age_ms = 0;
-  MSGPACK_DEFINE_ARRAY(base, version, newest_change, rows, removals, age_ms);
+  /// As in store::TableChanges.
+  uint64_t gap_first = 0;
+  uint64_t gap_last = 0;
+  MSGPACK_DEFINE_ARRAY(base, version, newest_change, rows, removals, age_ms, gap_first, gap_last);
 };
 
 /// What leads from the list of members of version `base` to that of the heartbeat.
@@ -137,9 +140,11 @@
   std::vector<MemberChanges> member_changes;
   /// The sender of the report that this answers is to send its whole identity.
   bool identity_wanted = false;
+  /// From the coordinator: incarnations of the nodes that are to watch the store besides it.
+  std::vector<uint64_t> standbys;
   MSGPACK_DEFINE_ARRAY(sender, answered_report, lease, lease_left_ms, map_version, map, map_changes,
                        members, members_version, configuration_version, backends_version, tables,
-                       member_changes, identity_wanted);
+                       member_changes, identity_wanted, standbys);
 };
 
 /// The sender gives up the lease it holds.
--- a/src/core/membership/table_relay.cc
+++ b/src/core/membership/table_relay.cc
@@ -23,7 +23,8 @@
 }
 
 TableNews ToNews(store::TableChanges changes, uint32_t age_ms) {
-  TableNews news{changes.base, changes.version, changes.newest_change, {}, {}, age_ms};
+  TableNews news{changes.base, changes.version, changes.newest_change, {},
+                 {},           age_ms,          changes.gap_first,     changes.gap_last};
   for (store::Row& row : changes.rows) {
     if (row.removed) {
       news.removals.push_back({std::move(row.key.key), row.version});
@@ -35,7 +36,8 @@
 }
 
 store::TableChanges ToChanges(const TableNews& news, const store::FollowerSettings& settings) {
-  store::TableChanges changes{news.base, news.version, news.newest_change, {}};
+  store::TableChanges changes{news.base, news.version,   news.newest_change,
+                              {},        news.gap_first, news.gap_last};
   for (const RemovedRow& row : news.removals) {
     changes.rows.push_back({{settings.table, settings.partition, row.key}, "", row.version, true});
   }
@@ -147,14 +149,12 @@
   return changed;
 }
 
-void TableRelay::OnCoordinatorHeard(const Heartbeat& heartbeat,
-                                    const std::vector<PeerIdentity>& members, Time made,
-                                    bool answers, Time now) {
-  const bool vouched = settings_.enabled && heartbeat.tables.size() == kTables &&
-                       !IsStandby(members, heartbeat.sender);
+void TableRelay::OnCoordinatorHeard(const Heartbeat& heartbeat, Time made, bool answers, Time now) {
+  const bool vouched =
+      settings_.enabled && heartbeat.tables.size() == kTables && !IsStandby(heartbeat);
   for (size_t table = 0; table < kTables; ++table) {
     store::TableFollower* const follower = followers_[table];
-    if (!vouched || follower->as_of() < heartbeat.tables[table].base) {
+    if (!vouched || !Reaches(*follower, heartbeat.tables[table])) {
       follower->Resume();
       continue;
     }
@@ -169,17 +169,23 @@
   }
 }
 
-bool TableRelay::IsStandby(const std::vector<PeerIdentity>& members, uint64_t coordinator) const {
-  const uint64_t own_rank = Mix(self_);
-  bool listed = false;
-  uint32_t ahead = 0;
-  for (const PeerIdentity& member : members) {
-    listed = listed || member.incarnation == coordinator;
-    const bool other = member.incarnation != coordinator && member.incarnation != self_;
-    ahead += other && Mix(member.incarnation) < own_rank ? 1 : 0;
-  }
-  // Before it has the coordinator's list, a node cannot tell; then it need not be one.
-  return listed && ahead < settings_.standbys;
+bool TableRelay::Reaches(const store::TableFollower& follower, const TableNews& news) {
+  const bool in_gap = news.gap_first < follower.as_of() && follower.as_of() < news.gap_last;
+  return follower.as_of() >= news.base && !in_gap;
+}
+
+std::vector<uint64_t> TableRelay::ChooseStandbys(std::vector<uint64_t> others) const {
+  const size_t count = std::min<size_t>(settings_.standbys, others.size());
+  std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count),
+                    others.end(),
+                    [](uint64_t one, uint64_t other) { return Mix(one) < Mix(other); });
+  others.resize(count);
+  return others;
+}
+
+bool TableRelay::IsStandby(const Heartbeat& heartbeat) const {
+  return std::find(heartbeat.standbys.begin(), heartbeat.standbys.end(), self_) !=
+         heartbeat.standbys.end();
 }
 
 }  // namespace ladderstream::membership
--- a/src/core/membership/table_relay.h
+++ b/src/core/membership/table_relay.h
@@ -54,8 +54,10 @@
   bool TakeRows(const Heartbeat& heartbeat, Time now);
   /// The coordinator's heartbeat, its rows taken: decides who watches. It was made at `made` or
   /// later when it `answers` a report.
-  void OnCoordinatorHeard(const Heartbeat& heartbeat, const std::vector<PeerIdentity>& members,
-                          Time made, bool answers, Time now);
+  void OnCoordinatorHeard(const Heartbeat& heartbeat, Time made, bool answers, Time now);
+  /// At the coordinator: which of the others, by incarnation, are to watch besides it. Spread over
+  /// the fleet, and the same as long as they take part.
+  std::vector<uint64_t> ChooseStandbys(std::vector<uint64_t> others) const;
 
  private:
   static constexpr size_t kTables = 2;
@@ -66,7 +68,9 @@
   /// the last push brought all to.
   void Add(size_t table, store::RowVersion base, Time now, Heartbeat* heartbeat) const;
   /// Whether this node is to watch besides the coordinator.
-  bool IsStandby(const std::vector<PeerIdentity>& members, uint64_t coordinator) const;
+  bool IsStandby(const Heartbeat& heartbeat) const;
+  /// Whether a copy, the news taken, is as whole as the coordinator's.
+  static bool Reaches(const store::TableFollower& follower, const TableNews& news);
 
   RelaySettings settings_;
   uint64_t self_;
--- a/src/core/store/removal_log.cc
+++ b/src/core/store/removal_log.cc
@@ -9,6 +9,11 @@
   whole_since_ = version;
 }
 
+void RemovalLog::ForgetUpTo(RowVersion version) {
+  whole_since_ = std::max(whole_since_, version);
+  std::erase_if(removals_, [version](const Removal& one) { return one.version <= version; });
+}
+
 void RemovalLog::Add(const std::string& key, RowVersion version) {
   removals_.push_back({key, version});
   while (removals_.size() > capacity_) {
--- a/src/core/store/removal_log.h
+++ b/src/core/store/removal_log.h
@@ -20,6 +20,8 @@
 
   /// Forgets everything: removals are known from `version` on.
   void Restart(RowVersion version);
+  /// Forgets removals as of this version and earlier ones.
+  void ForgetUpTo(RowVersion version);
   /// The oldest removal is forgotten when there are too many.
   void Add(const std::string& key, RowVersion version);
 
--- a/src/core/store/table_follower.cc
+++ b/src/core/store/table_follower.cc
@@ -223,10 +223,11 @@
 }
 
 std::optional<TableChanges> TableFollower::ChangesSince(RowVersion base) const {
-  if (!known_ || base < removals_.whole_since()) {
+  const bool in_gap = gap_first_ < base && base < gap_last_;
+  if (!known_ || base < removals_.whole_since() || in_gap) {
     return std::nullopt;
   }
-  TableChanges changes{base, std::max(base, as_of_), content_version(), {}};
+  TableChanges changes{base, std::max(base, as_of_), content_version(), {}, gap_first_, gap_last_};
   if (newest_change_ <= base) {
     return changes;
   }
@@ -246,7 +247,7 @@
 }
 
 bool TableFollower::Apply(const TableChanges& changes, Time now) {
-  if (!known_ || changes.base > as_of_) {
+  if (!known_ || changes.base > as_of_ || changes.InGap(as_of_)) {
     return false;
   }
   // Up to as_of_ this copy is whole: an older row that it does not hold has gone.
@@ -305,8 +306,21 @@
   }
 }
 
+void TableFollower::NoteGap(RowVersion version) {
+  if (!known_) {
+    removals_.Restart(version);
+    return;
+  }
+  if (version > as_of_) {
+    // Of an earlier gap nothing more is told: who is older than its end has to watch.
+    removals_.ForgetUpTo(gap_last_);
+    gap_first_ = as_of_;
+    gap_last_ = version;
+  }
+}
+
 void TableFollower::Install(const std::vector<Row>& rows, RowVersion version) {
-  removals_.Restart(version);
+  NoteGap(version);
   std::set<std::string> present;
   for (const Row& row : rows) {
     if (row.key.partition != settings_.partition || row.removed) {
@@ -323,6 +337,7 @@
     changed_keys_.insert(held->first);
     // When it went is not known, only that it was by now.
     newest_change_ = std::max(newest_change_, version);
+    removals_.Add(held->first, version);
     held = rows_.erase(held);
   }
   as_of_ = std::max(as_of_, version);
--- a/src/core/store/table_follower.h
+++ b/src/core/store/table_follower.h
@@ -72,6 +72,14 @@
   RowVersion newest_change = 0;
   /// Rows changed or removed after `base`.
   std::vector<Row> rows;
+  /// Between these versions the table was read anew instead of watched. A row that both appeared
+  /// and went there is not told of: a copy as of a version in between may hold it, and takes
+  /// nothing.
+  RowVersion gap_first = 0;
+  RowVersion gap_last = 0;
+
+  /// Whether a copy that is whole up to `version` may hold rows that these changes say nothing of.
+  bool InGap(RowVersion version) const { return gap_first < version && version < gap_last; }
 };
 
 class TableFollower {
@@ -161,6 +169,9 @@
   /// Makes the copy that of a whole reading: newer rows replace, and missing ones go unless they
   /// are newer than `version`.
   void Install(const std::vector<Row>& rows, RowVersion version);
+  /// Before a whole reading as of `version` is installed: what it lacks went after as_of(), unless
+  /// this is the first reading.
+  void NoteGap(RowVersion version);
   void Put(const Row& row);
   void Remove(const Row& row);
   void StartReading();
@@ -177,6 +188,9 @@
   Time last_confirmed_ = absl::InfinitePast();
   Time watched_until_ = absl::InfinitePast();
   RemovalLog removals_;
+  /// See TableChanges; equal when there is none.
+  RowVersion gap_first_ = 0;
+  RowVersion gap_last_ = 0;
   /// A change as of this version has happened.
   RowVersion expected_version_ = 0;
   Time suspended_until_ = absl::InfinitePast();
