--- a/src/core/membership/message_codec.cc
+++ b/src/core/membership/message_codec.cc
@@ -102,6 +102,7 @@
 void Check(const TableNews& news) {
   Require(news.base <= news.version, "tables: changes that lead back");
   Require(news.newest_change <= news.version, "tables: a change after the version");
+  Require(news.gap_first <= news.gap_last, "tables: a gap that ends before it begins");
   for (const SharedRow& row : news.rows) {
     Require(row.version > news.base, "tables: a row that did not change");
   }
--- a/tests/unit/membership/message_codec_test.cc
+++ b/tests/unit/membership/message_codec_test.cc
@@ -50,6 +50,32 @@
               SoundHeartbeat().map.front().services));
 }
 
+/// The message with its body's last fields taken away, or with one more, as a node of the version
+/// before or after this one sends it.
+std::string OfAnotherVersion(const Message& message, int more_fields) {
+  const std::string bytes = EncodeMessage(message);
+  msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+  msgpack::object& body = handle.get().via.array.ptr[1];
+  std::vector<msgpack::object> fields(body.via.array.ptr, body.via.array.ptr + body.via.array.size);
+  fields.resize(fields.size() + static_cast<size_t>(more_fields), msgpack::object(uint64_t{7}));
+  body.via.array.ptr = fields.data();
+  body.via.array.size = static_cast<uint32_t>(fields.size());
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, handle.get());
+  return {buffer.data(), buffer.size()};
+}
+
+/// During a rolling update nodes of two versions talk to each other.
+BOOST_AUTO_TEST_CASE(HeartbeatsOfTheVersionBeforeAndOfTheNextAreTaken) {
+  Heartbeat heartbeat = SoundHeartbeat();
+  heartbeat.standbys = {2, 3};
+  const Message before = DecodeMessage(OfAnotherVersion(heartbeat, -1));
+  BOOST_TEST((std::get<Heartbeat>(before).members == heartbeat.members));
+  BOOST_TEST(std::get<Heartbeat>(before).standbys.empty());
+  const Message next = DecodeMessage(OfAnotherVersion(heartbeat, 1));
+  BOOST_TEST(std::get<Heartbeat>(next).standbys.size() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(EveryCutOrLongerMessageIsRefused) {
   const std::string whole = EncodeMessage(SoundHeartbeat());
   for (size_t size = 0; size < whole.size(); ++size) {
