Tell changes from the end of a gap on, and not from within

After a reading anew in which rows changed and none went, the last change lies within the gap; changes since it cannot be told, and TableRelay took the value of an empty optional. Ruled out: the order book (its test and the models pass). Change: the version from which a table is settled is never within a gap.

--- a/src/core/store/table_follower.cc
+++ b/src/core/store/table_follower.cc
@@ -368,7 +368,9 @@
 RowVersion TableFollower::content_version() const { return std::min(newest_change_, as_of_); }
 
 RowVersion TableFollower::settled_version() const {
-  return std::max(content_version(), removals_.whole_since());
+  const RowVersion settled = std::max(content_version(), removals_.whole_since());
+  // Changes can be told from the end of a gap on, and not from within.
+  return gap_first_ < settled && settled < gap_last_ ? gap_last_ : settled;
 }
 
 bool TableFollower::Troubled(Time now) const {
--- a/tests/unit/membership/table_relay_test.cc
+++ b/tests/unit/membership/table_relay_test.cc
@@ -253,6 +253,30 @@
   BOOST_TEST(pair.node.backends.rows().at("i-2").value == "draining");
 }
 
+/// Nothing could be told from a version within the gap, and a node that tried ended by itself.
+BOOST_AUTO_TEST_CASE(WhatFollowsAReadingAnewIsToldFromItsEndOn) {
+  Pair pair;
+  store::TableFollower& table = pair.coordinator.backends;
+  const auto watch = table.Poll(table.NextWake());
+  store::StoreReply gone;
+  gone.status = store::StoreStatus::kHistoryGone;
+  table.OnReply(watch->call, gone, kStart);
+  const auto read = table.Poll(kStart);
+  table.OnReply(read->call,
+                StoreAnswer("backends", {{"i-1", "ready", 50}, {"i-2", "ready", 85}}, 90), kStart);
+  pair.Hear(pair.Push());
+  BOOST_TEST(pair.node.backends.rows().contains("i-2"));
+  pair.Hear(pair.Push());
+  BOOST_TEST(pair.node.backends.Suspended(kStart));
+  Report report;
+  report.configuration_version = 40;
+  report.backends_version = 85;
+  Heartbeat answer;
+  pair.from.AddToAnswer(report, kStart, &answer);
+  BOOST_REQUIRE(answer.tables.size() == 2);
+  BOOST_TEST(answer.tables.back().base == 90U);
+}
+
 /// It heard of a row that both came and went while the coordinator did not watch.
 BOOST_AUTO_TEST_CASE(ACopyFromWithinTheGapIsNotVouchedFor) {
   Pair pair;
