--- a/src/bench/coordination_model.cc
+++ b/src/bench/coordination_model.cc
@@ -78,8 +78,8 @@
 
 CoordinationModel::CoordinationModel(const CoordinationSettings& settings)
     : settings_(settings),
-      now_(absl::UnixEpoch() + absl::Hours(1)),
-      free_at_(now_),
+      events_(absl::UnixEpoch() + absl::Hours(1)),
+      free_at_(now()),
       random_(settings.seed),
       store_(std::make_unique<Store>()) {
   ownership::ServiceRow row;
@@ -106,43 +106,28 @@
 
 CoordinationModel::~CoordinationModel() = default;
 
-void CoordinationModel::At(Time time, std::function<void()> run) {
-  events_.push({time, ++last_event_, std::make_shared<std::function<void()>>(std::move(run))});
-}
-
-void CoordinationModel::Run(Duration duration) {
-  const Time end = now_ + duration;
-  while (!events_.empty() && events_.top().time <= end) {
-    const Event event = events_.top();
-    events_.pop();
-    now_ = std::max(now_, event.time);
-    (*event.run)();
-  }
-  now_ = end;
-}
-
 Duration CoordinationModel::RunUntilRenewed(Time since, Duration most) {
-  const Time start = now_;
+  const Time start = now();
   const auto all_renewed = [this, since] {
     return std::all_of(backends_.begin(), backends_.end(), [&](const catalog::Backend& backend) {
       const auto confirmed = confirmed_.find(backend.id);
       return confirmed != confirmed_.end() && confirmed->second >= since;
     });
   };
-  while (!all_renewed() && now_ - start < most) {
+  while (!all_renewed() && now() - start < most) {
     Run(absl::Milliseconds(1));
   }
-  return now_ - start;
+  return now() - start;
 }
 
 void CoordinationModel::Turn(std::function<void()> work, Duration sockets) {
-  if (now_ < free_at_) {
-    At(free_at_, [this, work = std::move(work), sockets] { Turn(work, sockets); });
+  if (now() < free_at_) {
+    events_.At(free_at_, [this, work = std::move(work), sockets] { Turn(work, sockets); });
     return;
   }
   const Duration before = ProcessorTime();
   work();
-  coordinator_->OnTick(now_);
+  coordinator_->OnTick(now());
   std::vector<ownership::Action> actions = coordinator_->TakeActions();
   const Duration measured = ProcessorTime() - before;
   for (const ownership::Action& action : actions) {
@@ -151,10 +136,10 @@
     sockets += order ? settings_.order_cost : absl::ZeroDuration();
   }
   const Duration taken = (measured + sockets) / settings_.cpu_share;
-  free_at_ = now_ + taken;
+  free_at_ = now() + taken;
   costs_.busy += taken;
   costs_.longest_turn = std::max(costs_.longest_turn, taken);
-  At(free_at_, [this, actions = std::move(actions)] { Carry(actions); });
+  events_.At(free_at_, [this, actions = std::move(actions)] { Carry(actions); });
 }
 
 void CoordinationModel::Carry(const std::vector<ownership::Action>& actions) {
@@ -174,15 +159,15 @@
       map_ = publish->map;
     }
   }
-  const bool holds = coordinator_->Holds(now_);
+  const bool holds = coordinator_->Holds(now());
   costs_.leases_lost += holds_ && !holds ? 1 : 0;
   holds_ = holds;
   ArmWake();
 }
 
 void CoordinationModel::AnswerFromStore(ownership::CallId call, store::StoreReply reply) {
-  At(now_ + settings_.store_round_trip, [this, call, reply = std::move(reply)] {
-    Turn([this, call, reply] { coordinator_->OnStoreReply(call, reply, now_); },
+  events_.At(now() + settings_.store_round_trip, [this, call, reply = std::move(reply)] {
+    Turn([this, call, reply] { coordinator_->OnStoreReply(call, reply, now()); },
          absl::ZeroDuration());
   });
 }
@@ -192,26 +177,26 @@
   if (silent_.contains(backend)) {
     return;
   }
-  At(now_ + settings_.round_trip, [this, backend, call, grant] {
+  events_.At(now() + settings_.round_trip, [this, backend, call, grant] {
     if (grant) {
-      confirmed_[backend] = now_;
+      confirmed_[backend] = now();
     }
     Turn(
         [this, call, grant] {
           coordinator_->OnOrderReply(call, {ownership::OrderStatus::kDone, grant ? "" : "handover"},
-                                     now_);
+                                     now());
         },
         absl::ZeroDuration());
   });
 }
 
 void CoordinationModel::ArmWake() {
-  const Time wake = std::max(coordinator_->NextWake(), now_ + absl::Microseconds(100));
+  const Time wake = std::max(coordinator_->NextWake(), now() + absl::Microseconds(100));
   if (wake >= wake_ || wake == absl::InfiniteFuture()) {
     return;
   }
   wake_ = wake;
-  At(wake, [this, wake] {
+  events_.At(wake, [this, wake] {
     if (wake_ == wake) {
       wake_ = absl::InfiniteFuture();
       Turn([] {}, absl::ZeroDuration());
@@ -223,8 +208,8 @@
   catalog::Service service;
   service.name = kService;
   service.sharded = true;
-  At(now_, [this, service] {
-    Turn([this, service] { coordinator_->OnCatalog({service}, backends_, now_); },
+  events_.At(now(), [this, service] {
+    Turn([this, service] { coordinator_->OnCatalog({service}, backends_, now()); },
          absl::ZeroDuration());
   });
 }
@@ -247,9 +232,9 @@
     const catalog::Backend& backend = backends_[random_() % backends_.size()];
     samples.push_back({backend.id, 1, kServiceTime, false, 1});
   }
-  Turn([this, counts, samples] { coordinator_->OnLoad(kService, counts, samples, now_); },
+  Turn([this, counts, samples] { coordinator_->OnLoad(kService, counts, samples, now()); },
        settings_.report_cost);
-  At(now_ + absl::Seconds(1 / settings_.reports_per_second), [this] { Report(); });
+  events_.At(now() + absl::Seconds(1 / settings_.reports_per_second), [this] { Report(); });
 }
 
 void CoordinationModel::Replace(size_t count) {
--- a/src/bench/coordination_model.h
+++ b/src/bench/coordination_model.h
@@ -12,13 +12,12 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
-#include <tuple>
 #include <vector>
 
+#include "bench/event_queue.h"
 #include "core/ownership/coordinator.h"
 #include "wire/time.h"
 
@@ -59,8 +58,8 @@
   CoordinationModel(const CoordinationModel&) = delete;
   CoordinationModel& operator=(const CoordinationModel&) = delete;
 
-  Time now() const { return now_; }
-  void Run(Duration duration);
+  Time now() const { return events_.now(); }
+  void Run(Duration duration) { events_.Run(duration); }
   /// Until every back end that owns keys has confirmed a grant since `since`; gives the time that
   /// took, or `most`.
   Duration RunUntilRenewed(Time since, Duration most);
@@ -77,18 +76,6 @@
 
  private:
   struct Store;
-  struct Event {
-    Time time;
-    uint64_t number = 0;
-    std::shared_ptr<std::function<void()>> run;
-  };
-  struct Later {
-    bool operator()(const Event& one, const Event& other) const {
-      return std::tie(one.time, one.number) > std::tie(other.time, other.number);
-    }
-  };
-
-  void At(Time time, std::function<void()> run);
   /// Runs `work` as a turn of the coordinator's process, once it is free.
   void Turn(std::function<void()> work, Duration sockets);
   void Carry(const std::vector<ownership::Action>& actions);
@@ -100,11 +87,9 @@
   ownership::Key DrawKey();
 
   CoordinationSettings settings_;
-  Time now_;
+  EventQueue events_;
   /// Until then the coordinator's process is busy with the last turn.
   Time free_at_;
-  uint64_t last_event_ = 0;
-  std::priority_queue<Event, std::vector<Event>, Later> events_;
   std::mt19937_64 random_;
   std::unique_ptr<Store> store_;
   std::unique_ptr<ownership::Coordinator> coordinator_;
--- a/src/bench/membership_fleet.cc
+++ b/src/bench/membership_fleet.cc
@@ -71,7 +71,7 @@
 
 MembershipFleet::MembershipFleet(const FleetSettings& settings)
     : settings_(settings),
-      now_(absl::UnixEpoch() + absl::Hours(1)),
+      events_(absl::UnixEpoch() + absl::Hours(1)),
       store_(std::make_unique<FleetStore>()),
       random_(settings.seed),
       map_(FirstMap(settings.map_ranges)) {
@@ -88,9 +88,9 @@
     by_address_[AddressOf(i)] = i;
   }
   for (size_t i = 0; i < settings_.nodes; ++i) {
-    Visit(i, [this, i] { nodes_[i]->membership.OnHolderKnown(Lease(), now_); });
+    Visit(i, [this, i] { nodes_[i]->membership.OnHolderKnown(Lease(), now()); });
   }
-  Visit(coordinator_, [this] { nodes_[coordinator_]->membership.OnMap(map_, now_); });
+  Visit(coordinator_, [this] { nodes_[coordinator_]->membership.OnMap(map_, now()); });
   RenewLease();
 }
 
@@ -100,24 +100,9 @@
   return {epoch_, coordinator_ + 1, AddressOf(coordinator_), epoch_};
 }
 
-void MembershipFleet::At(Time time, std::function<void()> run) {
-  events_.push({time, ++last_event_, std::make_shared<std::function<void()>>(std::move(run))});
-}
-
-void MembershipFleet::Run(Duration duration) {
-  const Time end = now_ + duration;
-  while (!events_.empty() && events_.top().time <= end) {
-    const Event event = events_.top();
-    events_.pop();
-    now_ = std::max(now_, event.time);
-    (*event.run)();
-  }
-  now_ = end;
-}
-
 Duration MembershipFleet::RunUntil(
     const std::function<bool(const membership::Membership&, size_t node)>& holds, Duration most) {
-  const Time start = now_;
+  const Time start = now();
   const auto all = [&] {
     for (size_t i = 0; i < nodes_.size(); ++i) {
       if (nodes_[i]->alive && !holds(nodes_[i]->membership, i)) {
@@ -126,10 +111,10 @@
     }
     return true;
   };
-  while (!all() && now_ - start < most) {
+  while (!all() && now() - start < most) {
     Run(absl::Milliseconds(1));
   }
-  return now_ - start;
+  return now() - start;
 }
 
 void MembershipFleet::ForEachLive(
@@ -155,7 +140,7 @@
   auto& changed = assignments[map_.version.sequence % assignments.size()];
   changed.owner = BackendName(map_.version.sequence % settings_.registered_backends);
   changed.fence += 1;
-  Visit(coordinator_, [this] { nodes_[coordinator_]->membership.OnMap(map_, now_); });
+  Visit(coordinator_, [this] { nodes_[coordinator_]->membership.OnMap(map_, now()); });
   return map_.version;
 }
 
@@ -167,14 +152,14 @@
   }
   for (const size_t ended : nodes) {
     for (size_t i = 0; refused && i < nodes_.size(); ++i) {
-      At(now_ + DelayBetween(i, ended), [this, i, ended] {
-        Visit(i, [&] { nodes_[i]->membership.OnConnectionLost(AddressOf(ended), now_); });
+      events_.At(now() + DelayBetween(i, ended), [this, i, ended] {
+        Visit(i, [&] { nodes_[i]->membership.OnConnectionLost(AddressOf(ended), now()); });
       });
     }
   }
   if (lease_lost_ && !refused) {
     // Nobody hears that it ended: a challenger waits until the lease has surely run out.
-    At(now_ + kLease, [this] {
+    events_.At(now() + kLease, [this] {
       for (size_t i = 0; i < nodes_.size(); ++i) {
         TakeLease(i, coordinator_ + 1);
       }
@@ -207,17 +192,17 @@
   }
   const Duration before = ProcessorTime();
   work();
-  visited.membership.OnTick(now_);
+  visited.membership.OnTick(now());
   PollStore(node);
   CarryActions(node);
   visited.costs.processor_time += ProcessorTime() - before;
   const Time wake =
-      std::max(now_ + absl::Microseconds(1),
+      std::max(now() + absl::Microseconds(1),
                std::min({visited.membership.NextWake(), visited.configuration.NextWake(),
                          visited.backends.NextWake()}));
   if (wake < visited.wake) {
     visited.wake = wake;
-    At(wake, [this, node, wake] {
+    events_.At(wake, [this, node, wake] {
       if (nodes_[node]->wake == wake) {
         Wake(node);
       }
@@ -235,13 +220,14 @@
   for (auto actions = core.TakeActions(); !actions.empty(); actions = core.TakeActions()) {
     for (const membership::MembershipAction& action : actions) {
       if (std::holds_alternative<membership::ReportDueAction>(action)) {
-        core.SendReport({MakeLoad()}, {}, now_);
+        core.SendReport({MakeLoad()}, {}, now());
       } else if (const auto* send = std::get_if<membership::SendAction>(&action)) {
         Send(node, *send);
       } else if (const auto* ended = std::get_if<membership::CoordinatorEndedAction>(&action)) {
         // Two calls of the store: to read the lease row, and to write it.
-        At(now_ + settings_.store_delay * 2,
-           [this, node, incarnation = ended->incarnation] { TakeLease(node, incarnation); });
+        events_.At(
+            now() + settings_.store_delay * 2,
+            [this, node, incarnation = ended->incarnation] { TakeLease(node, incarnation); });
       }
     }
   }
@@ -255,7 +241,7 @@
   coordinator_ = node;
   ++epoch_;
   map_.version = {epoch_, 1};
-  Visit(node, [this, node] { nodes_[node]->membership.OnMap(map_, now_); });
+  Visit(node, [this, node] { nodes_[node]->membership.OnMap(map_, now()); });
   RenewLease();
 }
 
@@ -266,10 +252,10 @@
   }
   Visit(holder, [this, holder] {
     membership::Membership& core = nodes_[holder]->membership;
-    core.OnLeaseHeld(Lease(), now_ + kLease - settings_.store_delay, now_);
-    core.OnStoreAnswered(now_ - settings_.store_delay);
+    core.OnLeaseHeld(Lease(), now() + kLease - settings_.store_delay, now());
+    core.OnStoreAnswered(now() - settings_.store_delay);
   });
-  At(now_ + kRenewal, [this, holder] {
+  events_.At(now() + kRenewal, [this, holder] {
     if (holder == coordinator_) {
       RenewLease();
     }
@@ -279,7 +265,7 @@
 void MembershipFleet::PollStore(size_t node) {
   Node& polled = *nodes_[node];
   for (store::TableFollower* follower : {&polled.configuration, &polled.backends}) {
-    if (const auto call = follower->Poll(now_)) {
+    if (const auto call = follower->Poll(now())) {
       ++polled.costs.store_calls;
       Call(node, follower, *call);
     }
@@ -289,11 +275,12 @@
 void MembershipFleet::Call(size_t node, store::TableFollower* follower,
                            const store::FollowerCall& call) {
   const auto reply = [this, node, follower, id = call.call](store::StoreReply answer) {
-    At(now_ + settings_.store_delay / 2, [this, node, follower, id, answer = std::move(answer)] {
-      Visit(node, [&] { follower->OnReply(id, answer, now_); });
-    });
+    events_.At(now() + settings_.store_delay / 2,
+               [this, node, follower, id, answer = std::move(answer)] {
+                 Visit(node, [&] { follower->OnReply(id, answer, now()); });
+               });
   };
-  At(now_ + settings_.store_delay / 2, [this, query = call.query, reply] {
+  events_.At(now() + settings_.store_delay / 2, [this, query = call.query, reply] {
     if (const auto* read = std::get_if<store::ReadQuery>(&query)) {
       reply(store_->Read(*read));
       return;
@@ -301,7 +288,7 @@
     const auto& watch = std::get<store::WatchQuery>(query);
     const uint64_t number = store_->Watch(watch, reply);
     if (number != 0) {
-      At(now_ + watch.wait, [this, number] { store_->EndWatch(number); });
+      events_.At(now() + watch.wait, [this, number] { store_->EndWatch(number); });
     }
   });
 }
@@ -327,12 +314,13 @@
   ++costs.messages_sent;
   costs.bytes_sent += size;
   const Duration delay = DelayBetween(from, to);
-  At(now_ + delay, [this, from, to, bytes, size, delay] {
+  events_.At(now() + delay, [this, from, to, bytes, size, delay] {
     Node& receiver = *nodes_[to];
     if (!receiver.alive) {
       if (receiver.refuses) {
-        At(now_ + delay, [this, from, to] {
-          Visit(from, [&] { nodes_[from]->membership.OnConnectFailed(AddressOf(to), true, now_); });
+        events_.At(now() + delay, [this, from, to] {
+          Visit(from,
+                [&] { nodes_[from]->membership.OnConnectFailed(AddressOf(to), true, now()); });
         });
       }
       return;
@@ -340,7 +328,7 @@
     ++receiver.costs.messages_received;
     receiver.costs.bytes_received += size;
     Visit(to, [&] {
-      receiver.membership.OnMessage(from + 1, membership::DecodeMessage(*bytes), now_);
+      receiver.membership.OnMessage(from + 1, membership::DecodeMessage(*bytes), now());
     });
   });
 }
--- a/src/bench/membership_fleet.h
+++ b/src/bench/membership_fleet.h
@@ -9,12 +9,11 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <string>
-#include <tuple>
 #include <vector>
 
+#include "bench/event_queue.h"
 #include "bench/fleet_store.h"
 #include "core/membership/membership.h"
 #include "core/store/table_follower.h"
@@ -57,8 +56,8 @@
   MembershipFleet(const MembershipFleet&) = delete;
   MembershipFleet& operator=(const MembershipFleet&) = delete;
 
-  Time now() const { return now_; }
-  void Run(Duration duration);
+  Time now() const { return events_.now(); }
+  void Run(Duration duration) { events_.Run(duration); }
   /// Until `holds` for every live node, looked at each millisecond; gives the time that took, or
   /// `most`.
   Duration RunUntil(const std::function<bool(const membership::Membership&, size_t node)>& holds,
@@ -83,17 +82,6 @@
 
  private:
   struct Node;
-  struct Event {
-    Time time;
-    uint64_t number = 0;
-    std::shared_ptr<std::function<void()>> run;
-  };
-  struct Later {
-    bool operator()(const Event& one, const Event& other) const {
-      return std::tie(one.time, one.number) > std::tie(other.time, other.number);
-    }
-  };
-
   /// Runs `work` at the node, counts its time, and then carries out what it asked for.
   void Visit(size_t node, const std::function<void()>& work);
   void CarryActions(size_t node);
@@ -105,18 +93,15 @@
   void RenewLease();
   /// The node wins the lease, unless another one has it.
   void TakeLease(size_t node, uint64_t ended);
-  void At(Time time, std::function<void()> run);
   Duration DelayBetween(size_t one, size_t other) const;
   membership::LoadReport MakeLoad();
   ownership::LeaseView Lease() const;
 
   FleetSettings settings_;
-  Time now_;
-  uint64_t last_event_ = 0;
+  EventQueue events_;
   std::unique_ptr<FleetStore> store_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::map<Endpoint, size_t> by_address_;
-  std::priority_queue<Event, std::vector<Event>, Later> events_;
   std::mt19937_64 random_;
   ownership::OwnershipMap map_;
   size_t coordinator_ = 0;
--- a/src/standin/fleet/main/main.cc
+++ b/src/standin/fleet/main/main.cc
@@ -5,7 +5,6 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <filesystem>
 #include <iostream>
 
 #include "standin/fleet/demo.h"
@@ -27,14 +26,6 @@
 
 constexpr uint32_t kMostNodes = 30;
 
-std::string NodeProgram() {
-  if (!FLAGS_node_program.empty()) {
-    return FLAGS_node_program;
-  }
-  const std::filesystem::path self = std::filesystem::read_symlink("/proc/self/exe");
-  return (self.parent_path() / "ladderstream_node").string();
-}
-
 DemoSettings ReadSettings() {
   standin::FlagChecks checks;
   checks.Require(FLAGS_nodes >= 1 && FLAGS_nodes <= kMostNodes, "nodes",
@@ -49,7 +40,7 @@
   for (RequestClass& request_class : settings.deployment.load) {
     request_class.per_second *= FLAGS_load;
   }
-  settings.node_program = NodeProgram();
+  settings.node_program = NodeProgramOr(FLAGS_node_program);
   settings.nodes = FLAGS_nodes;
   settings.length = absl::Seconds(FLAGS_seconds);
   return settings;
--- a/src/standin/fleet/main/soak_main.cc
+++ b/src/standin/fleet/main/soak_main.cc
@@ -7,7 +7,6 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -34,14 +33,6 @@
 constexpr uint32_t kMostNodes = 30;
 constexpr double kMostSeconds = 3600;
 
-std::string NodeProgram() {
-  if (!FLAGS_node_program.empty()) {
-    return FLAGS_node_program;
-  }
-  const std::filesystem::path self = std::filesystem::read_symlink("/proc/self/exe");
-  return (self.parent_path() / "ladderstream_node").string();
-}
-
 std::vector<SoakFault> ReadSchedule() {
   if (FLAGS_schedule.empty()) {
     return DrawSchedule(FLAGS_seed, absl::Seconds(FLAGS_seconds));
@@ -66,7 +57,7 @@
   settings.deployment = FindDeployment(FLAGS_deployment);
   settings.deployment.fleet.seed = FLAGS_seed;
   settings.deployment.fleet.store.entrances = EntrancesFor(FLAGS_nodes);
-  settings.node_program = NodeProgram();
+  settings.node_program = NodeProgramOr(FLAGS_node_program);
   settings.nodes = FLAGS_nodes;
   settings.length = absl::Seconds(FLAGS_seconds);
   settings.schedule = ReadSchedule();
--- a/src/standin/fleet/node_processes.cc
+++ b/src/standin/fleet/node_processes.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <filesystem>
 
 #include "standin/processes/ports.h"
 
@@ -24,6 +25,14 @@
 
 }  // namespace
 
+std::string NodeProgramOr(const std::string& given) {
+  if (!given.empty()) {
+    return given;
+  }
+  const std::filesystem::path self = std::filesystem::read_symlink("/proc/self/exe");
+  return (self.parent_path() / "ladderstream_node").string();
+}
+
 std::vector<Endpoint> EntrancesFor(size_t nodes) {
   return std::vector<Endpoint>(nodes, Endpoint{"127.0.0.1", 0});
 }
--- a/src/standin/fleet/node_processes.h
+++ b/src/standin/fleet/node_processes.h
@@ -55,6 +55,9 @@
   std::vector<NodeProcess> nodes_;
 };
 
+/// `given`, or, when that is empty, ladderstream_node beside the program that runs.
+std::string NodeProgramOr(const std::string& given);
+
 /// One entrance for each of `nodes` nodes.
 std::vector<Endpoint> EntrancesFor(size_t nodes);
 
--- a/tests/unit/membership/table_relay_test.cc
+++ b/tests/unit/membership/table_relay_test.cc
@@ -105,6 +105,17 @@
     const auto watch = coordinator.backends.Poll(coordinator.backends.NextWake());
     coordinator.backends.OnReply(watch->call, StoreAnswer("backends", {row}, version), kStart);
   }
+  /// The store has forgotten its history, so the coordinator reads the back ends anew.
+  void ReadAnew(const std::vector<SharedRow>& rows, store::RowVersion version) {
+    store::TableFollower& table = coordinator.backends;
+    const auto watch = table.Poll(table.NextWake());
+    store::StoreReply gone;
+    gone.status = store::StoreStatus::kHistoryGone;
+    table.OnReply(watch->call, gone, kStart);
+    const auto read = table.Poll(kStart);
+    BOOST_REQUIRE(std::holds_alternative<store::ReadQuery>(read->query));
+    table.OnReply(read->call, StoreAnswer("backends", rows, version), kStart);
+  }
   Heartbeat Push(Time now = kStart) {
     Heartbeat heartbeat;
     heartbeat.sender = 1;
@@ -239,14 +250,7 @@
   Pair pair;
   pair.Change({"i-2", "ready", 70}, 70);
   pair.Hear(pair.Push());
-  store::TableFollower& table = pair.coordinator.backends;
-  const auto watch = table.Poll(table.NextWake());
-  store::StoreReply gone;
-  gone.status = store::StoreStatus::kHistoryGone;
-  table.OnReply(watch->call, gone, kStart);
-  const auto read = table.Poll(kStart);
-  BOOST_REQUIRE(std::holds_alternative<store::ReadQuery>(read->query));
-  table.OnReply(read->call, StoreAnswer("backends", {{"i-2", "draining", 85}}, 90), kStart);
+  pair.ReadAnew({{"i-2", "draining", 85}}, 90);
   pair.Hear(pair.Push());
   BOOST_TEST(pair.node.backends.Suspended(kStart));
   BOOST_TEST(!pair.node.backends.rows().contains("i-1"));
@@ -256,14 +260,7 @@
 /// Nothing could be told from a version within the gap, and a node that tried ended by itself.
 BOOST_AUTO_TEST_CASE(WhatFollowsAReadingAnewIsToldFromItsEndOn) {
   Pair pair;
-  store::TableFollower& table = pair.coordinator.backends;
-  const auto watch = table.Poll(table.NextWake());
-  store::StoreReply gone;
-  gone.status = store::StoreStatus::kHistoryGone;
-  table.OnReply(watch->call, gone, kStart);
-  const auto read = table.Poll(kStart);
-  table.OnReply(read->call,
-                StoreAnswer("backends", {{"i-1", "ready", 50}, {"i-2", "ready", 85}}, 90), kStart);
+  pair.ReadAnew({{"i-1", "ready", 50}, {"i-2", "ready", 85}}, 90);
   pair.Hear(pair.Push());
   BOOST_TEST(pair.node.backends.rows().contains("i-2"));
   pair.Hear(pair.Push());
@@ -281,13 +278,7 @@
 BOOST_AUTO_TEST_CASE(ACopyFromWithinTheGapIsNotVouchedFor) {
   Pair pair;
   pair.Hear(pair.Push());
-  store::TableFollower& table = pair.coordinator.backends;
-  const auto watch = table.Poll(table.NextWake());
-  store::StoreReply gone;
-  gone.status = store::StoreStatus::kHistoryGone;
-  table.OnReply(watch->call, gone, kStart);
-  const auto read = table.Poll(kStart);
-  table.OnReply(read->call, StoreAnswer("backends", {{"i-1", "ready", 50}}, 90), kStart);
+  pair.ReadAnew({{"i-1", "ready", 50}}, 90);
   pair.node.backends.Resume();
   const auto own = pair.node.backends.Poll(pair.node.backends.NextWake());
   pair.node.backends.OnReply(own->call, StoreAnswer("backends", {{"i-3", "ready", 75}}, 75),
--- a/tests/unit/ownership/ownership_test.cc
+++ b/tests/unit/ownership/ownership_test.cc
@@ -21,14 +21,6 @@
   Harness node;
 };
 
-std::vector<std::string> ManyIds(size_t count) {
-  std::vector<std::string> ids(count);
-  for (size_t i = 0; i < count; ++i) {
-    ids[i] = absl::StrCat("b", 1000 + i);
-  }
-  return ids;
-}
-
 BOOST_AUTO_TEST_CASE(AnAssignedRangeCutsWhatItOverlapsAndJoinsItsLike) {
   Assignments assignments = {{{0, 99}, "a", 1}, {{100, kLastKey}, "b", 2}};
   AssignRange({50, 149}, "b", 2, &assignments);
@@ -358,80 +350,6 @@
   BOOST_TEST(node.releases.size() == 1U);
 }
 
-/// The work at each answer must not grow with the number of ranges, nor one step with that of
-/// orders: 385 owners of 1,182 ranges once kept half a core busy until the lease had run out.
-BOOST_AUTO_TEST_CASE(OneStepSendsFewOrdersHoweverManyAreDue) {
-  const std::vector<std::string> ids = ManyIds(300);
-  ModelStore store;
-  Harness node(&store, 1, 1, kStart);
-  // Answers would bring the next step within the same moment.
-  node.silent.insert(ids.begin(), ids.end());
-  node.Register(ids);
-  while (node.grants.size() < ids.size()) {
-    node.Run(absl::Milliseconds(1));
-  }
-  std::map<Time, size_t> sent;
-  for (const At<GrantAction>& grant : node.grants) {
-    ++sent[grant.at];
-  }
-  for (const auto& [at, count] : sent) {
-    BOOST_TEST(count <= 32U);
-  }
-  BOOST_TEST((node.grants[ids.size() - 1].at - node.grants.front().at < absl::Milliseconds(1)));
-}
-
-BOOST_AUTO_TEST_CASE(AnAnsweredRenewalChangesNothingThatIsLookedAt) {
-  Holding holding({"a", "b"});
-  Harness& node = holding.node;
-  node.silent.insert("a");
-  const size_t before = node.grants.size();
-  while (node.grants.size() == before || node.grants.back().sent.backend != "a") {
-    node.Run(absl::Milliseconds(1));
-  }
-  const Time wake = node.coordinator.NextWake();
-  node.coordinator.OnOrderReply(node.grants.back().sent.call, {OrderStatus::kDone, ""}, node.now);
-  BOOST_TEST((node.coordinator.NextWake() == wake));
-}
-
-BOOST_AUTO_TEST_CASE(ManyRangesAreRenewedMoreRarelyButWithinTheirHold) {
-  CoordinatorSettings settings;
-  settings.renewals_per_second = 10;
-  const std::vector<std::string> ids = ManyIds(60);
-  Holding holding(ids, settings);
-  Harness& node = holding.node;
-  const Time calm = node.now;
-  node.Run(absl::Seconds(20));
-  std::map<std::string, Time> last;
-  for (const At<GrantAction>& grant : node.GrantsSince(calm)) {
-    const auto before = last.find(grant.sent.backend);
-    if (before != last.end()) {
-      BOOST_TEST((grant.at - before->second <= settings.hold * 0.3 + absl::Milliseconds(1)));
-      BOOST_TEST((grant.at - before->second >= settings.hold_renewal));
-    }
-    last[grant.sent.backend] = grant.at;
-  }
-  BOOST_TEST(last.size() == ids.size());
-}
-
-BOOST_AUTO_TEST_CASE(ASuccessorBalancesOnlyOnceTheOwnersHaveAnswered) {
-  Holding holding({"a", "b"});
-  const Time taken = holding.node.now;
-  Harness successor(&holding.store, 2, 2, taken);
-  partition::Script().next = {{{100, 199}, "b"}};
-  successor.silent = {"a"};
-  successor.Register({"a", "b"});
-  successor.coordinator.OnCoordinatorEnded(1, taken);
-  while (!successor.Believed(belief::kLeaseAcquired)) {
-    successor.Run(absl::Milliseconds(1));
-  }
-  const Time acquired = successor.now;
-  successor.Run(absl::Milliseconds(300));
-  BOOST_TEST(!successor.Believed(belief::kMoveStarted));
-  BOOST_TEST((successor.now - acquired >= absl::Milliseconds(300)));
-  successor.Run(absl::Milliseconds(800));
-  BOOST_TEST(successor.Believed(belief::kMoveStarted));
-}
-
 BOOST_AUTO_TEST_CASE(AFencedOrderForAWholeRangeDoesNotFenceWhatIsLeftOfIt) {
   Holding holding({"a", "b"});
   Harness& node = holding.node;
