Revert the early succession of holders that are heard and cannot renew

While the store loses the answers of all, a standby challenged a holder that had not renewed for 1.2 s, and each successor counts its wait for the silent owner anew, 7 s: six leases in 14 s, and the wait never ended. What is lost: keys that are moving when the store turns the coordinator alone away are without an owner until its lease has run out. To be tried: challenge only a holder that the store refuses, as it says itself; hand the start of the wait over in the store, so that a succession does not lengthen it.

--- a/src/core/ownership/coordinator.cc
+++ b/src/core/ownership/coordinator.cc
@@ -82,9 +82,6 @@
       break;
     case HolderWatch::Heartbeat::kOfKnownHolder:
       break;
-    case HolderWatch::Heartbeat::kOfUnrenewedHolder:
-      next_wake_ = ComputeWake(now);
-      return;
   }
   challenging_ = false;
   read_call_.reset();
--- a/src/core/ownership/coordinator_lease.cc
+++ b/src/core/ownership/coordinator_lease.cc
@@ -26,7 +26,6 @@
     WriteStep(now);
   } else if (has_catalog_ && !read_call_ && now >= watch_.ReadDue()) {
     read_rows_.clear();
-    watch_.OnLook();
     StartRead("", now);
   }
 }
--- a/src/core/ownership/holder_watch.cc
+++ b/src/core/ownership/holder_watch.cc
@@ -12,14 +12,6 @@
 /// timeouts: it may be heard by nobody.
 constexpr int kUnheardTimeouts = 5;
 
-/// A holder whose row has not changed for this many renewals cannot write, though it is heard: most
-/// likely the store turns it away. Half a renewal is left for the write and the heartbeats.
-constexpr double kMissedRenewals = 1.5;
-
-/// Weak machines leave that look to strong ones for this many further challenge delays: while the
-/// store is down for all, each look is a call for nothing.
-constexpr int kUnrenewedReserve = 3;
-
 /// Parts of the heartbeat timeout over which challengers are spread.
 constexpr double kMissingSpread = 0.25;
 constexpr double kEndedSpread = 0.1;
@@ -67,19 +59,6 @@
   });
 }
 
-Time HolderWatch::MissedRenewalAt() const {
-  if (!holder_ || holder_->row_version != observed_version_ || observed_version_ == 0) {
-    return absl::InfiniteFuture();
-  }
-  return observed_at_ + settings_.lease_renewal * kMissedRenewals;
-}
-
-Time HolderWatch::UnrenewedLookDue() const {
-  return looked_at_version_ == observed_version_
-             ? absl::InfiniteFuture()
-             : MissedRenewalAt() + settings_.challenge_delay * kUnrenewedReserve;
-}
-
 void HolderWatch::Observe(store::RowVersion version, Time now) {
   if (version != observed_version_) {
     observed_version_ = version;
@@ -108,11 +87,8 @@
   missing_since_ = now;
   retry_delay_ = absl::ZeroDuration();
   const Duration patience = settings_.heartbeat_timeout;
-  read_due_ = std::min(now + patience, UnrenewedLookDue()) + Reserve(patience * kMissingSpread);
-  if (changed) {
-    return Heartbeat::kOfNewHolder;
-  }
-  return now >= MissedRenewalAt() ? Heartbeat::kOfUnrenewedHolder : Heartbeat::kOfKnownHolder;
+  read_due_ = now + patience + Reserve(patience * kMissingSpread);
+  return changed ? Heartbeat::kOfNewHolder : Heartbeat::kOfKnownHolder;
 }
 
 void HolderWatch::OnEnded(uint64_t incarnation, Time now) {
--- a/src/core/ownership/holder_watch.h
+++ b/src/core/ownership/holder_watch.h
@@ -21,8 +21,6 @@
     /// It is this node's own, or that of a holder that was replaced or has ended.
     kIgnored,
     kOfKnownHolder,
-    /// It is heard, and has not renewed its lease for too long: a challenge under way goes on.
-    kOfUnrenewedHolder,
     kOfNewHolder,
   };
 
@@ -38,8 +36,6 @@
   void OnOvertaken(const std::optional<LeaseRow>& row, store::RowVersion version, Time now);
   /// The first look is due now.
   void Begin(Time now);
-  /// The rows are being read.
-  void OnLook() { looked_at_version_ = observed_version_; }
   /// The rows could not be read, or a challenge was refused: tries again later, ever more rarely.
   void OnFailure(Time now);
 
@@ -53,10 +49,6 @@
 
  private:
   void Observe(store::RowVersion version, Time now);
-  /// When a holder that is heard has surely missed a renewal of its lease.
-  Time MissedRenewalAt() const;
-  /// When the rows are to be read for that; InfiniteFuture when they were, or could not be.
-  Time UnrenewedLookDue() const;
   /// A share of `span` that differs from node to node, and is the same at each call.
   Duration Jitter(Duration span) const;
   /// For how long this node leaves a challenge to others.
@@ -79,8 +71,6 @@
   std::deque<Ended> ended_;
   store::RowVersion observed_version_ = 0;
   Time observed_at_ = absl::InfinitePast();
-  /// A look was taken at the row while it had this version.
-  store::RowVersion looked_at_version_ = 0;
   /// Since when the holder that the row names was not heard of.
   Time missing_since_ = absl::InfinitePast();
   Time read_due_ = absl::InfiniteFuture();
