Trust news for no longer than before

A coordinator that the store turns away cannot vouch; with 2.25 s of trust and the pause of an own watch the 3 s of a draining back end are over.

--- a/src/gateway/settings/node_settings.cc
+++ b/src/gateway/settings/node_settings.cc
@@ -91,9 +91,12 @@
 /// News that the coordinator hands on may be so old that an own watch still brings what it missed
 /// in time: both bounds count from the store's answer.
 void FitRelayInto(const PlatformBounds& bounds, membership::RelaySettings* relay) {
-  relay->freshness = std::min(bounds.drain_time, bounds.configuration_time) * kFreshnessShare;
-  relay->silence = std::max(relay->freshness / 3, relay->freshness - kOwnWatchReserve);
-  relay->pushed_silence = relay->silence - kPushedReserve;
+  // Never longer than the defaults: with 2.25 s, draining back ends still got requests after 3 s.
+  relay->freshness = std::min(
+      relay->freshness, std::min(bounds.drain_time, bounds.configuration_time) * kFreshnessShare);
+  relay->silence =
+      std::min(relay->silence, std::max(relay->freshness / 3, relay->freshness - kOwnWatchReserve));
+  relay->pushed_silence = std::min(relay->pushed_silence, relay->silence - kPushedReserve);
 }
 
 void ReadMembership(SettingsReader* reader, membership::MembershipSettings* membership) {
