Add an emulator of forwarding with an all-knowing reference, and try admission shares for owners

bench forwarding: the very Dispatcher on simulated arrivals, slots, queues, disturbed machines and hot keys, five deployments, baselines, an all-knowing reference and a bound.

--- a/src/bench/experiment.h
+++ b/src/bench/experiment.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "bench/forwarding_deployment.h"
 #include "bench/report.h"
 
 namespace ladderstream::bench {
@@ -20,6 +21,9 @@
 /// All experiments, in the order in which they are listed.
 std::vector<Experiment> AllExperiments();
 
+/// Policies of forwarding in one deployment, by load, over so many seeds from `first_seed` on.
+Report RunForwarding(const ForwardingDeployment& deployment, uint32_t seeds, uint64_t first_seed);
+
 std::vector<Experiment> PartitionExperiments();
 std::vector<Experiment> MembershipExperiments();
 std::vector<Experiment> CoordinationExperiments();
--- a/src/bench/main.cc
+++ b/src/bench/main.cc
@@ -11,17 +11,23 @@
 
 DEFINE_bool(list, false, "list the experiments and exit");
 DEFINE_uint64(seed, 1, "seed of every random choice");
+DEFINE_string(deployment, "examples/forwarding/call-centre-bookings.toml",
+              "of the experiment \"forwarding\": its deployment");
+DEFINE_uint32(seeds, 20, "of the experiment \"forwarding\": plays of each variant");
 DEFINE_string(output, "bench-results", "directory for the JSON and SVG files");
 
 namespace ladderstream::bench {
 namespace {
 
 constexpr int kUsageError = 2;
+constexpr char kForwarding[] = "forwarding";
 
 void List() {
   for (const Experiment& experiment : AllExperiments()) {
     std::cout << experiment.name << ": " << experiment.description << "\n";
   }
+  std::cout << kForwarding
+            << ": Requests through nodes and queues, by policy (--deployment, --seeds)\n";
 }
 
 void WriteFile(const std::filesystem::path& path, const std::string& text) {
@@ -46,6 +52,15 @@
 }
 
 int Run(const std::string& name) {
+  if (name == kForwarding) {
+    const ForwardingDeployment deployment = LoadForwardingDeployment(FLAGS_deployment);
+    Report report = RunForwarding(deployment, FLAGS_seeds, FLAGS_seed);
+    report.experiment = absl::StrCat(name, "-", deployment.name);
+    report.seed = FLAGS_seed;
+    std::cout << FormatText(report);
+    Keep(report);
+    return 0;
+  }
   for (const Experiment& experiment : AllExperiments()) {
     if (experiment.name != name) {
       continue;
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,6 +28,9 @@
 /// Names one attempt of a request at one back end.
 using AttemptHandle = uint64_t;
 
+/// By owner, the share of the requests for its keys that it is to be sent; 1 for those left out.
+using AdmissionShares = std::map<std::string, double>;
+
 struct DispatcherSettings {
   std::string zone;
   /// In another zone, a request is taken to last longer by this share of its service time: with
@@ -68,6 +72,8 @@
   Duration connect_timeout = absl::Milliseconds(150);
   /// Whether a repeatable request whose back end is slow may be sent to a second one meanwhile.
   bool hedge = true;
+  /// Whether this node limits what it has at an owner by how its requests fare there (OwnerLimit).
+  bool limit_owners = true;
   /// For choices among equals; to differ from node to node.
   uint64_t seed = 0;
 };
@@ -191,6 +197,8 @@
   void SetOwnership(std::shared_ptr<const ownership::OwnershipMap> map, Time now);
   /// The map in force is known to be the newest as of `now`; it may be used until `until`.
   void SetMapConfirmed(Time until);
+  /// Of the owners of `service`, in place of those given before; void after `until`.
+  void SetAdmission(const std::string& service, const AdmissionShares& shares, Time until);
   void SetNodeCount(uint32_t node_count);
   /// All nodes that take part, this one included, as the coordinator last said.
   void SetMembers(const std::vector<uint64_t>& members, Time now);
--- a/src/core/forwarding/owner_choice.cc
+++ b/src/core/forwarding/owner_choice.cc
@@ -62,6 +62,13 @@
   return ChooseOwner(*assignment, context);
 }
 
+BackendStatePtr OwnerChoice::OwnerOf(const ServiceState& service, ownership::Key key) const {
+  const ownership::ServiceOwnership* owned = ownership_.Find(service.name);
+  const ownership::Assignment* assignment =
+      owned == nullptr ? nullptr : ownership::FindAssignment(owned->assignments, key);
+  return assignment == nullptr ? nullptr : services_.FindBackend(assignment->owner);
+}
+
 Choice OwnerChoice::ChooseOwner(const ownership::Assignment& assignment,
                                 const ChoiceContext& context) const {
   const BackendStatePtr owner = services_.FindBackend(assignment.owner);
@@ -84,7 +91,7 @@
   if (owner->load.Full(context.now)) {
     return Blocked(Obstacle::kOwnerFull, owner, owner->load.full_until());
   }
-  if (!owner->owner_limit.Allows(owner->load.in_flight(), context.now)) {
+  if (limit_owners_ && !owner->owner_limit.Allows(owner->load.in_flight(), context.now)) {
     return Blocked(Obstacle::kOwnerFull, owner, owner->owner_limit.next_send());
   }
   Choice choice;
--- a/src/core/forwarding/owner_choice.h
+++ b/src/core/forwarding/owner_choice.h
@@ -32,8 +32,14 @@
  public:
   /// All must outlive the choice.
   OwnerChoice(const OwnershipView& ownership, const ServiceTable& services,
-              const ColdSenders& cold_senders)
-      : ownership_(ownership), services_(services), cold_senders_(cold_senders) {}
+              const ColdSenders& cold_senders, bool limit_owners)
+      : ownership_(ownership),
+        services_(services),
+        cold_senders_(cold_senders),
+        limit_owners_(limit_owners) {}
+
+  /// The owner of a key by the map in force; null when none is known.
+  BackendStatePtr OwnerOf(const ServiceState& service, ownership::Key key) const;
 
   Choice Choose(const ChoiceContext& context) override;
 
@@ -43,6 +49,7 @@
   const OwnershipView& ownership_;
   const ServiceTable& services_;
   const ColdSenders& cold_senders_;
+  const bool limit_owners_;
 };
 
 }  // namespace ladderstream::forwarding
