Find connections that carry nothing any more by keep-alive probes

Cause: a connection may go silent without a reset. Unacknowledged bytes were bounded by 2 s, but a watch of the store sends nothing for up to 20 s, so its loss showed only when the watch was overdue. Change: probes after 1 s, given up 2 s later, on connections to the store, nodes and back ends; a test of the socket's options that fails without it.

--- a/src/gateway/http/backend_connection.cc
+++ b/src/gateway/http/backend_connection.cc
@@ -41,7 +41,7 @@
     PrepareSocket(socket_, error);
   }
   if (!error) {
-    SetUserTimeout(socket_, settings_.user_timeout, error);
+    BoundSilence(socket_, settings_.user_timeout, error);
   }
   if (error) {
     Fail(AttemptFailure::kNotSent, "no socket");
--- a/src/gateway/http/event_loop.cc
+++ b/src/gateway/http/event_loop.cc
@@ -13,6 +13,14 @@
 
 constexpr int kListenBacklog = 1024;
 
+/// The shortest times that the kernel takes: a connection on which nothing comes back any more is
+/// found 3 s after its last byte. A watch of the store says nothing for up to 20 s in order.
+constexpr int kProbeSeconds = 1;
+constexpr int kUnansweredProbes = 2;
+
+using KeepAliveIdle = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using KeepAliveInterval = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using KeepAliveCount = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 }  // namespace
@@ -34,8 +42,17 @@
   }
 }
 
-void SetUserTimeout(Socket& socket, Duration timeout, ErrorCode& error) {
+void BoundSilence(Socket& socket, Duration timeout, ErrorCode& error) {
   socket.set_option(UserTimeout(static_cast<int>(absl::ToInt64Milliseconds(timeout))), error);
+  const auto set = [&](const auto& option) {
+    if (!error) {
+      socket.set_option(option, error);
+    }
+  };
+  set(boost::asio::socket_base::keep_alive(true));
+  set(KeepAliveIdle(kProbeSeconds));
+  set(KeepAliveInterval(kProbeSeconds));
+  set(KeepAliveCount(kUnansweredProbes));
 }
 
 Acceptor Listen(EventLoop& loop, const Endpoint& endpoint) {
--- a/src/gateway/http/event_loop.h
+++ b/src/gateway/http/event_loop.h
@@ -50,8 +50,9 @@
 /// Sends small writes at once and makes every call return at once.
 void PrepareSocket(Socket& socket, ErrorCode& error);
 
-/// Gives a connection up when bytes stay unacknowledged for `timeout`, also while connecting.
-void SetUserTimeout(Socket& socket, Duration timeout, ErrorCode& error);
+/// Gives a connection up when bytes stay unacknowledged for `timeout`, also while connecting, and
+/// when nothing at all comes back any more, also while it is idle.
+void BoundSilence(Socket& socket, Duration timeout, ErrorCode& error);
 
 /// A listening socket; throws Error(kInvalidSetting) when the address cannot be had.
 Acceptor Listen(EventLoop& loop, const Endpoint& endpoint);
--- a/src/gateway/http/http_client_connection.cc
+++ b/src/gateway/http/http_client_connection.cc
@@ -73,7 +73,7 @@
     PrepareSocket(socket_, error);
   }
   if (!error) {
-    SetUserTimeout(socket_, client_.settings_.user_timeout, error);
+    BoundSilence(socket_, client_.settings_.user_timeout, error);
   }
   if (error) {
     // Not from within the caller's own call.
--- a/src/gateway/peer/peer_transport.cc
+++ b/src/gateway/peer/peer_transport.cc
@@ -30,7 +30,7 @@
 void PreparePeerSocket(Socket& socket, const PeerSettings& settings) {
   ErrorCode ignored;
   PrepareSocket(socket, ignored);
-  SetUserTimeout(socket, settings.user_timeout, ignored);
+  BoundSilence(socket, settings.user_timeout, ignored);
   socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
   socket.set_option(TcpOption<TCP_KEEPIDLE>(kKeepAliveIdleSeconds), ignored);
   socket.set_option(TcpOption<TCP_KEEPINTVL>(kKeepAliveIntervalSeconds), ignored);
--- a/tests/unit/gateway_http/http_client_test.cc
+++ b/tests/unit/gateway_http/http_client_test.cc
@@ -1,5 +1,7 @@
 #include "gateway/http/http_client.h"
 
+#include <netinet/tcp.h>
+
 #include <optional>
 #include <string>
 
@@ -60,6 +62,29 @@
   BOOST_TEST(backend.connections.size() == 2U);
 }
 
+// Without it, a watch of the store on a connection that carries nothing any more is waited for as
+// long as the store may hold it.
+BOOST_AUTO_TEST_CASE(an_idle_connection_asks_whether_the_other_side_is_there) {
+  EventLoop loop;
+  Socket socket(loop);
+  socket.open(Tcp::v4());
+  ErrorCode error;
+  BoundSilence(socket, absl::Seconds(2), error);
+  BOOST_TEST(!error);
+  boost::asio::socket_base::keep_alive keeps_alive;
+  socket.get_option(keeps_alive);
+  BOOST_TEST(keeps_alive.value());
+  const auto value_of = [&socket](int option) {
+    int value = 0;
+    socklen_t size = sizeof(value);
+    BOOST_TEST(getsockopt(socket.native_handle(), IPPROTO_TCP, option, &value, &size) == 0);
+    return value;
+  };
+  const int seconds = value_of(TCP_KEEPIDLE) + value_of(TCP_KEEPINTVL) * value_of(TCP_KEEPCNT);
+  BOOST_TEST(seconds <= 3);
+  BOOST_TEST(value_of(TCP_USER_TIMEOUT) == 2000);
+}
+
 BOOST_AUTO_TEST_CASE(a_refused_connection_is_told_from_a_lost_answer) {
   backend.on_request = [](TestSocket& socket, const std::string&) { socket.Close(); };
   BOOST_TEST((Call("/closed").outcome == CallOutcome::kNoAnswer));
