Reckon with how disturbed a back end's machine is, take admission shares out, and hold a split's shares to a test

Hypothesis: the fourth figure tells a slow machine from a slow back end. Change: service times are learned as on an undisturbed machine and multiplied by the told slowdown, which fades into the service's mean in 0.4 s; samples for the partitioner are levelled alike.

--- a/src/bench/forwarding_experiment.cc
+++ b/src/bench/forwarding_experiment.cc
@@ -44,29 +44,15 @@
 std::vector<Variant> VariantsOf(const ForwardingDeployment& deployment) {
   std::vector<Variant> variants = {
       Make(deployment, "in force", ForwardingPolicy::kInForce),
-      Make(deployment, "without admission shares", ForwardingPolicy::kInForce),
       Make(deployment, "without limit at owners", ForwardingPolicy::kInForce),
-      Make(deployment, "without both", ForwardingPolicy::kInForce),
       Make(deployment, "without hedging", ForwardingPolicy::kInForce),
       Make(deployment, "random", ForwardingPolicy::kRandom),
       Make(deployment, "round robin", ForwardingPolicy::kRoundRobin),
       Make(deployment, "least of two", ForwardingPolicy::kLeastOfTwo),
       Make(deployment, "knows queues", ForwardingPolicy::kKnowsQueues),
       Make(deployment, "all-knowing", ForwardingPolicy::kAllKnowing)};
-  for (double pressure : {1.1, 1.3, 1.6}) {
-    for (int memory : {3, 8}) {
-      variants.push_back(Make(deployment, absl::StrCat("adm ", pressure, " mem ", memory),
-                              ForwardingPolicy::kInForce));
-      variants.back().play.admitted_pressure = pressure;
-      variants.back().play.admission_memory = absl::Seconds(memory);
-      variants.back().play.dispatcher.limit_owners = false;
-    }
-  }
-  variants[1].play.admission = false;
-  variants[2].play.dispatcher.limit_owners = false;
-  variants[3].play.admission = false;
-  variants[3].play.dispatcher.limit_owners = false;
-  variants[4].play.dispatcher.hedge = false;
+  variants[1].play.dispatcher.limit_owners = false;
+  variants[2].play.dispatcher.hedge = false;
   return variants;
 }
 
--- a/src/bench/forwarding_model.cc
+++ b/src/bench/forwarding_model.cc
@@ -14,7 +14,6 @@
 #include <utility>
 
 #include "bench/event_queue.h"
-#include "core/partition/capacity.h"
 
 namespace ladderstream::bench {
 namespace {
@@ -30,9 +29,6 @@
 constexpr char kTarget[] = "/service/";
 /// A caller that is told nothing comes back after this.
 constexpr Duration kDefaultReturn = absl::Milliseconds(100);
-/// How often a coordinator tells the nodes the owners' admission shares, and the time constant with
-/// which it averages what owners are asked.
-constexpr Duration kAdmissionInterval = absl::Milliseconds(400);
 constexpr int kUnavailable = 503;
 constexpr int kOk = 200;
 
@@ -60,8 +56,6 @@
   double slowdown = 1;
   std::map<uint64_t, Job> running;
   std::deque<Job> waiting;
-  /// Requests of callers for its keys, decayed.
-  double asked = 0;
   /// For the all-knowing reference: when each slot is free.
   std::vector<Time> free_at;
 };
@@ -103,7 +97,6 @@
 
   void ScheduleArrival();
   void ScheduleDisturbance();
-  void ScheduleAdmission();
   void Try(size_t caller);
   void TryInForce(size_t caller, size_t router);
   void TryBaseline(size_t caller, size_t router);
@@ -285,32 +278,8 @@
   events_.At(now() + spec().disturbed_interval, [this] { ScheduleDisturbance(); });
 }
 
-void Model::ScheduleAdmission() {
-  const double memory = absl::ToDoubleSeconds(play_.admission_memory);
-  forwarding::AdmissionShares shares;
-  for (size_t i = 0; i < servers_.size(); ++i) {
-    Server& server = servers_[i];
-    const double service_time = absl::ToDoubleSeconds(spec().work) * MeanSlowdown() / server.speed;
-    const double late_after = absl::ToDoubleSeconds(spec().target);
-    const double comfortable = partition::ComfortableLoad(spec().slots, service_time, late_after);
-    const double share =
-        partition::AdmissionShare(server.asked / memory, play_.admitted_pressure * comfortable);
-    if (share < 1) {
-      shares[IdOf(i)] = share;
-    }
-    server.asked *= std::exp(-absl::FDivDuration(kAdmissionInterval, play_.admission_memory));
-  }
-  for (Router& router : routers_) {
-    router.dispatcher->SetAdmission(kService, shares, now() + 4 * kAdmissionInterval);
-  }
-  events_.At(now() + kAdmissionInterval, [this] { ScheduleAdmission(); });
-}
-
 void Model::Try(size_t caller) {
   const size_t router = random_() % routers_.size();
-  if (spec().sharded) {
-    servers_[OwnerOf(callers_[caller].key)].asked += 1;
-  }
   switch (play_.policy) {
     case ForwardingPolicy::kInForce:
       TryInForce(caller, router);
@@ -584,9 +553,6 @@
 ForwardingOutcome Model::Play() {
   events_.Run(start_ - now());
   ScheduleDisturbance();
-  if (in_force() && spec().sharded && play_.admission) {
-    ScheduleAdmission();
-  }
   ScheduleArrival();
   events_.Run(play_.length + spec().deadline + absl::Seconds(1));
   CloseBooks();
--- a/src/bench/forwarding_model.h
+++ b/src/bench/forwarding_model.h
@@ -35,10 +35,6 @@
   ForwardingPolicy policy = ForwardingPolicy::kInForce;
   /// Of kInForce.
   forwarding::DispatcherSettings dispatcher;
-  /// Of kInForce: owners' admission shares, as a coordinator gives them.
-  bool admission = true;
-  double admitted_pressure = 1.1;
-  Duration admission_memory = absl::Milliseconds(800);
   Duration length = absl::Seconds(12);
   uint64_t seed = 1;
 };
--- a/src/core/forwarding/backend_choice.h
+++ b/src/core/forwarding/backend_choice.h
@@ -37,8 +37,6 @@
   kOwnerDenied,
   kOwnerUnreachable,
   kOwnerFull,
-  /// The coordinator sees more requests for the owner's keys than it can serve.
-  kOwnerOverloaded,
   /// The owner is cold, and it is not this node's turn to send there.
   kOwnerCold,
 };
--- a/src/core/forwarding/backend_state.h
+++ b/src/core/forwarding/backend_state.h
@@ -30,9 +30,6 @@
   Time owner_usable_until = absl::InfiniteFuture();
   /// While it is cold, this node may send the next request then.
   Time next_cold_send = absl::InfinitePast();
-  /// Of the requests for keys that it owns, the share that it is to be sent, and until when.
-  double admission_share = 1;
-  Time admission_until = absl::InfinitePast();
   LoadEstimate load;
   OutlierDetector outlier;
   /// Of requests for keys that it owns.
--- a/src/core/forwarding/dispatch.cc
+++ b/src/core/forwarding/dispatch.cc
@@ -36,10 +36,6 @@
     FinishUnserved(request, Choice(), StopCause::kAttemptsSpent, now);
     return;
   }
-  if (const auto turned_away = TurnAway(request, now)) {
-    FinishUnserved(request, *turned_away, StopCause::kObstacle, now);
-    return;
-  }
   const Choice choice = Choose(request, now);
   if (choice.backend != nullptr) {
     Send(request, choice, now);
@@ -58,22 +54,6 @@
   return request.sharded ? guarded_owner_.Choose(context) : guarded_least_wait_.Choose(context);
 }
 
-std::optional<Choice> Dispatcher::Impl::TurnAway(Request& request, Time now) {
-  if (!request.sharded || request.admission_drawn) {
-    return std::nullopt;
-  }
-  request.admission_drawn = true;
-  const BackendStatePtr owner = owner_.OwnerOf(*request.service, *request.key);
-  if (owner == nullptr || now >= owner->admission_until || owner->admission_share >= 1 ||
-      std::uniform_real_distribution<double>(0, 1)(random_) < owner->admission_share) {
-    return std::nullopt;
-  }
-  Choice choice;
-  choice.obstacle = Obstacle::kOwnerOverloaded;
-  choice.about = owner;
-  return choice;
-}
-
 bool Dispatcher::Impl::MayWait(const Request& request, const Choice& choice, Time now) const {
   const Duration needed = request.service->averages.ServiceTime();
   return choice.may_pass && now < request.patience_until && request.answer_by - now > needed;
--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -77,15 +77,6 @@
   retry_limits_.slack = budget_slack_ * kSlackInUse / node_count_;
 }
 
-void Dispatcher::Impl::SetAdmission(const std::string& service, const AdmissionShares& shares,
-                                    Time until) {
-  for (const BackendStatePtr& backend : services_.Service(service).backends) {
-    const auto share = shares.find(backend->registration.id);
-    backend->admission_share = share == shares.end() ? 1 : share->second;
-    backend->admission_until = until;
-  }
-}
-
 void Dispatcher::Impl::SetRetryBudget(double ratio, double slack, Duration window) {
   retry_limits_.ratio = ratio * kRatioInUse;
   retry_limits_.window = window;
@@ -223,10 +214,6 @@
   impl_->SetOwnership(std::move(map), now);
 }
 void Dispatcher::SetMapConfirmed(Time until) { impl_->SetMapConfirmed(until); }
-void Dispatcher::SetAdmission(const std::string& service, const AdmissionShares& shares,
-                              Time until) {
-  impl_->SetAdmission(service, shares, until);
-}
 void Dispatcher::SetNodeCount(uint32_t node_count) { impl_->SetNodeCount(node_count); }
 void Dispatcher::SetMembers(const std::vector<uint64_t>& members, Time now) {
   impl_->SetMembers(members, now);
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -6,7 +6,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,9 +27,6 @@
 /// Names one attempt of a request at one back end.
 using AttemptHandle = uint64_t;
 
-/// By owner, the share of the requests for its keys that it is to be sent; 1 for those left out.
-using AdmissionShares = std::map<std::string, double>;
-
 struct DispatcherSettings {
   std::string zone;
   /// In another zone, a request is taken to last longer by this share of its service time: with
@@ -197,8 +193,6 @@
   void SetOwnership(std::shared_ptr<const ownership::OwnershipMap> map, Time now);
   /// The map in force is known to be the newest as of `now`; it may be used until `until`.
   void SetMapConfirmed(Time until);
-  /// Of the owners of `service`, in place of those given before; void after `until`.
-  void SetAdmission(const std::string& service, const AdmissionShares& shares, Time until);
   void SetNodeCount(uint32_t node_count);
   /// All nodes that take part, this one included, as the coordinator last said.
   void SetMembers(const std::vector<uint64_t>& members, Time now);
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -34,7 +34,6 @@
   void SetBackends(const std::vector<catalog::Backend>& backends, bool store_troubled, Time now);
   void SetOwnership(std::shared_ptr<const ownership::OwnershipMap> map, Time now);
   void SetMapConfirmed(Time until) { ownership_.SetConfirmed(until); }
-  void SetAdmission(const std::string& service, const AdmissionShares& shares, Time until);
   void SetNodeCount(uint32_t node_count);
   void SetMembers(const std::vector<uint64_t>& members, Time now) {
     cold_senders_.SetMembers(members, now);
@@ -71,8 +70,6 @@
   // dispatch.cc: a request that has no attempt in flight is sent, waits, or is answered.
   void Dispatch(Request& request, Time now);
   Choice Choose(const Request& request, Time now);
-  /// Draws, once for each request, whether its owner takes it. Gives the obstacle if it does not.
-  std::optional<Choice> TurnAway(Request& request, Time now);
   bool MayWait(const Request& request, const Choice& choice, Time now) const;
   void Wait(Request& request, const Choice& choice, Time now);
   void StopWaiting(Request& request);
--- a/src/core/forwarding/final_answer.cc
+++ b/src/core/forwarding/final_answer.cc
@@ -45,8 +45,6 @@
       return "the owner is unreachable";
     case Obstacle::kOwnerFull:
       return "the owner is full";
-    case Obstacle::kOwnerOverloaded:
-      return "the owner is asked for more than it can serve";
     case Obstacle::kOwnerCold:
       return "the owner is cold";
   }
@@ -86,7 +84,6 @@
     case Obstacle::kAllCold:
     case Obstacle::kOverloaded:
     case Obstacle::kOwnerFull:
-    case Obstacle::kOwnerOverloaded:
     case Obstacle::kOwnerCold:
       return ResultCode::kOverloaded;
     default:
--- a/src/core/forwarding/load_estimate.cc
+++ b/src/core/forwarding/load_estimate.cc
@@ -14,6 +14,9 @@
 constexpr Duration kServiceTimeMemory = absl::Seconds(5);
 /// Told load fades with this many service times, but not quicker than kLeastToldMemory.
 constexpr double kToldMemory = 1.0;
+/// Told slowdown fades into the average with this time constant: other users of a machine change
+/// many times a second.
+constexpr Duration kSlowdownMemory = absl::Milliseconds(400);
 constexpr Duration kLeastToldMemory = absl::Milliseconds(20);
 /// While cold, a back end takes this many times as long.
 constexpr double kColdFactor = 2;
@@ -48,6 +51,10 @@
   MoveTowards(foreign / slots, kAverageGain, &foreign_per_slot_);
 }
 
+void ServiceAverages::AddSlowdown(double slowdown) {
+  MoveTowards(slowdown, kAverageGain, &slowdown_);
+}
+
 void ServiceAverages::NoteTold(const ToldLoad& told) {
   if (told.slots > 0 && told.running == 0) {
     told_counts_itself_ = false;
@@ -75,6 +82,9 @@
   told_foreign_ = std::max(0.0, others);
   MoveTowards(told_foreign_, kForeignGain, &usual_foreign_);
   averages_.AddForeign(told_foreign_, slots_);
+  if (told.slowdown > 0) {
+    averages_.AddSlowdown(told.slowdown);
+  }
 }
 
 void LoadEstimate::OnServed(Duration elapsed, const ToldLoad& told, Time now) {
@@ -88,17 +98,17 @@
     full_until_ = absl::InfinitePast();
   }
   const Duration warm = now < cold_until_ ? elapsed / kColdFactor : elapsed;
-  const Duration learned = LearnedServiceTime(now);
+  const Duration usual = told.slowdown > 0 ? warm / told.slowdown : warm;
   // With a queue the elapsed time is only an upper bound.
-  if (told.waiting > 0 && warm > learned) {
+  if (told.waiting > 0 && usual > LearnedUsualTime(now)) {
     return;
   }
-  Learn(warm, now);
-  averages_.AddServiceTime(warm);
+  Learn(usual, now);
+  averages_.AddServiceTime(usual);
 }
 
 void LoadEstimate::Learn(Duration service_time, Time now) {
-  const Duration learned = LearnedServiceTime(now);
+  const Duration learned = LearnedUsualTime(now);
   service_time_ = service_time_at_ == absl::InfinitePast()
                       ? service_time
                       : learned + kServiceTimeGain * (service_time - learned);
@@ -108,7 +118,7 @@
 void LoadEstimate::OnUnanswered(Duration elapsed, Time now) {
   // A lower bound, and it says nothing of a back end with a queue.
   if (elapsed > LearnedServiceTime(now) && !KnownBusy(now)) {
-    Learn(elapsed, now);
+    Learn(elapsed / Slowdown(now), now);
   }
 }
 
@@ -136,8 +146,23 @@
   return foreign + static_cast<double>(in_flight_.size());
 }
 
+double LoadEstimate::Slowdown(Time now) const {
+  const double average = averages_.slowdown();
+  return told_.slowdown > 0
+             ? average + (told_.slowdown - average) * Fade(ToldAge(now), kSlowdownMemory)
+             : average;
+}
+
+Duration LoadEstimate::Levelled(Duration elapsed, const ToldLoad& told) const {
+  return told.slowdown > 0 ? elapsed * (averages_.slowdown() / told.slowdown) : elapsed;
+}
+
 Duration LoadEstimate::LearnedServiceTime(Time now) const {
-  const Duration average = averages_.ServiceTime();
+  return LearnedUsualTime(now) * Slowdown(now);
+}
+
+Duration LoadEstimate::LearnedUsualTime(Time now) const {
+  const Duration average = averages_.UsualServiceTime();
   if (service_time_at_ == absl::InfinitePast()) {
     return average;
   }
--- a/src/core/forwarding/owner_choice.cc
+++ b/src/core/forwarding/owner_choice.cc
@@ -62,13 +62,6 @@
   return ChooseOwner(*assignment, context);
 }
 
-BackendStatePtr OwnerChoice::OwnerOf(const ServiceState& service, ownership::Key key) const {
-  const ownership::ServiceOwnership* owned = ownership_.Find(service.name);
-  const ownership::Assignment* assignment =
-      owned == nullptr ? nullptr : ownership::FindAssignment(owned->assignments, key);
-  return assignment == nullptr ? nullptr : services_.FindBackend(assignment->owner);
-}
-
 Choice OwnerChoice::ChooseOwner(const ownership::Assignment& assignment,
                                 const ChoiceContext& context) const {
   const BackendStatePtr owner = services_.FindBackend(assignment.owner);
--- a/src/core/forwarding/owner_choice.h
+++ b/src/core/forwarding/owner_choice.h
@@ -38,9 +38,6 @@
         cold_senders_(cold_senders),
         limit_owners_(limit_owners) {}
 
-  /// The owner of a key by the map in force; null when none is known.
-  BackendStatePtr OwnerOf(const ServiceState& service, ownership::Key key) const;
-
   Choice Choose(const ChoiceContext& context) override;
 
  private:
--- a/src/core/forwarding/request_state.h
+++ b/src/core/forwarding/request_state.h
@@ -50,8 +50,6 @@
   Setback setback;
   SendCause next_cause = SendCause::kFirst;
 
-  /// Whether its owner takes it has been drawn.
-  bool admission_drawn = false;
   bool waiting = false;
   Time wait_until = absl::InfiniteFuture();
   Time hedge_at = absl::InfiniteFuture();
--- a/src/core/partition/capacity.cc
+++ b/src/core/partition/capacity.cc
@@ -11,8 +11,6 @@
 /// Where the power below reaches 1, and how steeply overload is charged beyond it.
 constexpr double kOverloadPressure = 1.585;
 constexpr double kOverloadSlope = 2;
-/// An owner is sent at most so many times its comfortable load.
-constexpr double kAdmittedPressure = 1.1;
 /// The squared coefficient of variation of service times.
 constexpr double kServiceVariation = 0.25;
 /// Even the slowest back end bears this utilisation.
@@ -74,11 +72,6 @@
   return high;
 }
 
-double AdmissionShare(double load, double comfortable) {
-  const double admitted = kAdmittedPressure * comfortable;
-  return load <= admitted ? 1 : admitted / load;
-}
-
 double LateShare(double pressure) {
   if (pressure >= kOverloadPressure) {
     return 1 + kOverloadSlope * (pressure - kOverloadPressure);
--- a/src/core/partition/capacity.h
+++ b/src/core/partition/capacity.h
@@ -25,10 +25,6 @@
 /// beyond 1 under overload, for a queue that grows spoils what comes after it too.
 double LateShare(double pressure);
 
-/// The share of the requests for a back end's keys, `load` of them a second, that it should be sent
-/// when it bears `comfortable` a second well; 1 when it can take all.
-double AdmissionShare(double load, double comfortable);
-
 /// Late answers per second of a back end.
 inline double LateLoad(double load, double comfortable) {
   return load * LateShare(load / comfortable);
--- a/tests/unit/bench/forwarding_model_test.cc
+++ b/tests/unit/bench/forwarding_model_test.cc
@@ -64,7 +64,6 @@
   limited.deployment.nodes = 2;
   limited.deployment.backends = 8;
   limited.deployment.sharded = true;
-  limited.admission = false;
   ForwardingPlay open = limited;
   open.dispatcher.limit_owners = false;
   BOOST_TEST(PlayForwarding(open).in_time < PlayForwarding(limited).in_time);
--- a/tests/unit/forwarding/route_test.cc
+++ b/tests/unit/forwarding/route_test.cc
@@ -104,6 +104,45 @@
   }
 }
 
+// A part of a split without room keeps its share: what does not fit there is refused.
+BOOST_AUTO_TEST_CASE(what_does_not_fit_in_a_part_does_not_go_to_another) {
+  DispatcherHarness harness;
+  catalog::Configuration split = DispatcherHarness::DefaultConfiguration();
+  split.version = 2;
+  split.routes[0].targets = {{"cards", 1}, {"books", 1}, {"scripts", 2}};
+  harness.Configure(split);
+  harness.AddBackends("cards", {"c-1"});
+  // "books" has no back end, and the owner of all keys of "scripts" is full.
+  harness.AddBackends("scripts", {"s-1"});
+  harness.Own("s-1");
+  const SendDecision shed = harness.StartAndSend("/scripts/1", absl::Seconds(2), 7);
+  harness.Sent(shed);
+  harness.Refuse(shed);
+  int served = 0;
+  int refused = 0;
+  constexpr int kRequests = 40;
+  for (int i = 0; i < kRequests; ++i) {
+    harness.Start("/cards/1", absl::Seconds(2), 7);
+    for (const RequestDecision& decided : harness.dispatcher.TakeDecisions()) {
+      if (const auto* send = std::get_if<SendDecision>(&decided.decision)) {
+        if (send->backend == "c-1") {
+          ++served;
+          harness.Sent(*send);
+          harness.Answer(*send);
+        } else {
+          harness.Sent(*send);
+          harness.Refuse(*send);
+        }
+      }
+      refused += std::holds_alternative<AnswerDecision>(decided.decision) ? 1 : 0;
+    }
+    harness.Advance(absl::Milliseconds(120));
+    refused += static_cast<int>(harness.All<AnswerDecision>().size());
+  }
+  BOOST_TEST(served == kRequests / 4);
+  BOOST_TEST(refused >= kRequests * 3 / 4 - 1);
+}
+
 BOOST_AUTO_TEST_CASE(request_keeps_the_route_it_started_with) {
   DispatcherHarness harness;
   harness.AddBackends("cards", {"c-1", "c-2"});
