--- a/src/bench/cold_start_model.cc
+++ b/src/bench/cold_start_model.cc
@@ -63,7 +63,6 @@
   const ColdStart start_;
   std::mt19937_64 random_;
   std::vector<Node> nodes_;
-  uint64_t last_id_ = 0;
   Time now_ = absl::FromUnixSeconds(1000);
   Time cold_from_;
   /// At the coordinator, the first node: the list in force and its members' last reports.
--- a/src/bench/experiment.h
+++ b/src/bench/experiment.h
@@ -21,8 +21,12 @@
 /// All experiments, in the order in which they are listed.
 std::vector<Experiment> AllExperiments();
 
-/// Policies of forwarding in one deployment, by load, over so many seeds from `first_seed` on.
-Report RunForwarding(const ForwardingDeployment& deployment, uint32_t seeds, uint64_t first_seed);
+/// From a calm fleet to one that is asked for more than it can do.
+std::vector<double> UsualLoads();
+/// Policies of forwarding in one deployment, by load, over so many seeds from `first_seed` on;
+/// only the one named, unless `policy` is empty.
+Report RunForwarding(const ForwardingDeployment& deployment, const std::vector<double>& loads,
+                     const std::string& policy, uint32_t seeds, uint64_t first_seed);
 
 std::vector<Experiment> PartitionExperiments();
 std::vector<Experiment> MembershipExperiments();
--- a/src/bench/forwarding_experiment.cc
+++ b/src/bench/forwarding_experiment.cc
@@ -15,7 +15,6 @@
 namespace ladderstream::bench {
 namespace {
 
-constexpr double kLoads[] = {0.4, 0.6, 0.8, 1.0, 1.2};
 /// The half-width of a 95% interval in standard errors.
 constexpr double kConfidence = 1.96;
 
@@ -41,7 +40,8 @@
   return variant;
 }
 
-std::vector<Variant> VariantsOf(const ForwardingDeployment& deployment) {
+/// All of them, or the one named `only`.
+std::vector<Variant> VariantsOf(const ForwardingDeployment& deployment, const std::string& only) {
   std::vector<Variant> variants = {
       Make(deployment, "in force", ForwardingPolicy::kInForce),
       Make(deployment, "without limit at owners", ForwardingPolicy::kInForce),
@@ -53,6 +53,8 @@
       Make(deployment, "all-knowing", ForwardingPolicy::kAllKnowing)};
   variants[1].play.dispatcher.limit_owners = false;
   variants[2].play.dispatcher.hedge = false;
+  std::erase_if(variants,
+                [&only](const Variant& variant) { return !only.empty() && variant.name != only; });
   return variants;
 }
 
@@ -99,20 +101,23 @@
 
 }  // namespace
 
-Report RunForwarding(const ForwardingDeployment& deployment, uint32_t seeds, uint64_t first_seed) {
+std::vector<double> UsualLoads() { return {0.4, 0.6, 0.8, 1.0, 1.2}; }
+
+Report RunForwarding(const ForwardingDeployment& deployment, const std::vector<double>& loads,
+                     const std::string& policy, uint32_t seeds, uint64_t first_seed) {
   Report report;
   Table table{
       absl::StrCat(deployment.name, ", ", seeds, " seeds"),
       {"load", "policy", "credit", "+-", "in time", "late", "refused", "refused again", "bound"},
       {}};
   Plot plot{absl::StrCat("credit by load: ", deployment.name), "load", "credit", {}, false};
-  for (const Variant& variant : VariantsOf(deployment)) {
+  for (const Variant& variant : VariantsOf(deployment, policy)) {
     plot.series.push_back({variant.name, {}, {}});
   }
-  for (const double load : kLoads) {
+  for (const double load : loads) {
     ForwardingDeployment loaded = deployment;
     loaded.load = load;
-    const std::vector<Variant> variants = VariantsOf(loaded);
+    const std::vector<Variant> variants = VariantsOf(loaded, policy);
     for (size_t i = 0; i < variants.size(); ++i) {
       const Summary summary = Summarize(PlaySeeds(variants[i].play, first_seed, seeds));
       table.rows.push_back(
--- a/src/bench/forwarding_model.cc
+++ b/src/bench/forwarding_model.cc
@@ -49,6 +49,10 @@
   /// 0: of a baseline.
   AttemptHandle attempt = 0;
   uint64_t number = 0;
+  /// While it runs: what was left of its work, at speed 1, when the machine was last disturbed or
+  /// left alone.
+  Duration left;
+  Time since;
 };
 
 struct Server {
@@ -107,8 +111,12 @@
   void ArmTick(size_t router);
   void Cancel(Router& router, AttemptHandle attempt);
   void Arrive(size_t server, const Job& job);
-  void Begin(size_t server, const Job& job);
-  void Complete(size_t server, uint64_t number);
+  void Begin(size_t server, Job job);
+  /// Work that runs there goes on at another pace.
+  void SetSlowdown(size_t server, double slowdown);
+  void ScheduleEnd(size_t server, const Job& job);
+  /// Unless its pace has changed since.
+  void Complete(size_t server, uint64_t number, Time since);
   void StartWaiting(size_t server);
   /// The back end's answer is on its way to the node.
   void Answer(size_t server, const Job& job, bool served);
@@ -272,8 +280,8 @@
 }
 
 void Model::ScheduleDisturbance() {
-  for (Server& server : servers_) {
-    server.slowdown = Uniform() < spec().disturbed_share ? spec().disturbed_factor : 1;
+  for (size_t i = 0; i < servers_.size(); ++i) {
+    SetSlowdown(i, Uniform() < spec().disturbed_share ? spec().disturbed_factor : 1);
   }
   events_.At(now() + spec().disturbed_interval, [this] { ScheduleDisturbance(); });
 }
@@ -323,7 +331,7 @@
 void Model::TryBaseline(size_t caller, size_t router) {
   const size_t server = PickServer(callers_[caller], routers_[router]);
   ++routers_[router].in_flight[server];
-  const Job job{caller, router, 0, ++last_job_};
+  const Job job{caller, router, 0, ++last_job_, {}, {}};
   events_.At(now() + kHop, [this, server, job] { Arrive(server, job); });
 }
 
@@ -364,7 +372,7 @@
       const size_t caller = router.callers[decided.request];
       if (const auto* send = std::get_if<forwarding::SendDecision>(&decided.decision)) {
         const size_t server = send->address.port - 1U;
-        const Job job{caller, index, send->attempt, ++last_job_};
+        const Job job{caller, index, send->attempt, ++last_job_, {}, {}};
         router.attempts[send->attempt] = {server, job.number};
         router.dispatcher->OnSent(send->attempt, now());
         events_.At(now() + kHop, [this, server, job] { Arrive(server, job); });
@@ -432,18 +440,42 @@
   }
 }
 
-void Model::Begin(size_t index, const Job& job) {
+void Model::Begin(size_t index, Job job) {
+  job.left = callers_[job.caller].work;
+  job.since = now();
+  servers_[index].running.emplace(job.number, job);
+  ScheduleEnd(index, job);
+}
+
+void Model::SetSlowdown(size_t index, double slowdown) {
   Server& server = servers_[index];
-  server.running.emplace(job.number, job);
-  const Duration takes = callers_[job.caller].work / server.speed * server.slowdown;
-  events_.At(now() + takes, [this, index, number = job.number] { Complete(index, number); });
+  if (slowdown == server.slowdown) {
+    return;
+  }
+  for (auto& [number, job] : server.running) {
+    job.left -= (now() - job.since) * (server.speed / server.slowdown);
+    job.since = now();
+  }
+  server.slowdown = slowdown;
+  for (const auto& [number, job] : server.running) {
+    ScheduleEnd(index, job);
+  }
+}
+
+void Model::ScheduleEnd(size_t index, const Job& job) {
+  const Server& server = servers_[index];
+  const Duration takes = job.left / server.speed * server.slowdown;
+  events_.At(now() + takes, [this, index, number = job.number, since = job.since] {
+    Complete(index, number, since);
+  });
 }
 
-void Model::Complete(size_t index, uint64_t number) {
-  auto node = servers_[index].running.extract(number);
-  if (node.empty()) {
+void Model::Complete(size_t index, uint64_t number, Time since) {
+  const auto running = servers_[index].running.find(number);
+  if (running == servers_[index].running.end() || running->second.since != since) {
     return;
   }
+  auto node = servers_[index].running.extract(running);
   Answer(index, node.mapped(), true);
   StartWaiting(index);
 }
--- a/src/bench/main.cc
+++ b/src/bench/main.cc
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <iostream>
 #include <stdexcept>
+#include <vector>
 
 #include "bench/experiment.h"
 
@@ -13,6 +14,8 @@
 DEFINE_uint64(seed, 1, "seed of every random choice");
 DEFINE_string(deployment, "examples/forwarding/call-centre-bookings.toml",
               "of the experiment \"forwarding\": its deployment");
+DEFINE_double(load, 0, "of the experiment \"forwarding\": one load in place of the usual five");
+DEFINE_string(policy, "", "of the experiment \"forwarding\": one policy in place of all");
 DEFINE_uint32(seeds, 20, "of the experiment \"forwarding\": plays of each variant");
 DEFINE_string(output, "bench-results", "directory for the JSON and SVG files");
 
@@ -54,7 +57,9 @@
 int Run(const std::string& name) {
   if (name == kForwarding) {
     const ForwardingDeployment deployment = LoadForwardingDeployment(FLAGS_deployment);
-    Report report = RunForwarding(deployment, FLAGS_seeds, FLAGS_seed);
+    const std::vector<double> loads =
+        FLAGS_load > 0 ? std::vector<double>{FLAGS_load} : UsualLoads();
+    Report report = RunForwarding(deployment, loads, FLAGS_policy, FLAGS_seeds, FLAGS_seed);
     report.experiment = absl::StrCat(name, "-", deployment.name);
     report.seed = FLAGS_seed;
     std::cout << FormatText(report);
--- a/src/core/forwarding/load_estimate.cc
+++ b/src/core/forwarding/load_estimate.cc
@@ -7,11 +7,11 @@
 namespace {
 
 /// Weights of the newest sample in the moving averages.
-constexpr double kServiceTimeGain = 0.3;
+constexpr double kServiceTimeGain = 0.15;
 constexpr double kForeignGain = 0.3;
 constexpr double kAverageGain = 0.1;
 /// A learned service time fades into the service's average with this time constant.
-constexpr Duration kServiceTimeMemory = absl::Seconds(5);
+constexpr Duration kServiceTimeMemory = absl::Seconds(60);
 /// Told load fades with this many service times, but not quicker than kLeastToldMemory.
 constexpr double kToldMemory = 1.0;
 /// Told slowdown fades into the average with this time constant: other users of a machine change
@@ -109,9 +109,9 @@
 
 void LoadEstimate::Learn(Duration service_time, Time now) {
   const Duration learned = LearnedUsualTime(now);
-  service_time_ = service_time_at_ == absl::InfinitePast()
-                      ? service_time
-                      : learned + kServiceTimeGain * (service_time - learned);
+  ++samples_;
+  const double gain = std::max(kServiceTimeGain, 1.0 / (samples_ + 1));
+  service_time_ = learned + gain * (service_time - learned);
   service_time_at_ = now;
 }
 
--- a/src/core/forwarding/load_estimate.h
+++ b/src/core/forwarding/load_estimate.h
@@ -114,6 +114,8 @@
   /// On an undisturbed machine.
   Duration service_time_ = absl::ZeroDuration();
   Time service_time_at_ = absl::InfinitePast();
+  /// How many samples it was learned from.
+  uint32_t samples_ = 0;
 
   Time full_until_ = absl::InfinitePast();
   Time limit_until_ = absl::InfinitePast();
--- a/tests/unit/bench/forwarding_model_test.cc
+++ b/tests/unit/bench/forwarding_model_test.cc
@@ -1,8 +1,8 @@
 // The order of policies in cases where it is known, and what the model promises of itself.
-#include <boost/test/unit_test.hpp>
-
 #include "bench/forwarding_model.h"
 
+#include <boost/test/unit_test.hpp>
+
 namespace ladderstream::bench {
 namespace {
 
