Take the told slowdown and the learning from the mean on out again

Change: load_estimate as before both; the figure stays a typed field and stands in the reasons of refusals.

--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -131,8 +131,7 @@
   backend.owner_limit.OnAnswer(attempt.started, InTime(attempt, now), now);
   const bool told = answer.load.slots > 0;
   if (!told || (answer.load.waiting == 0 && answer.load.running <= answer.load.slots)) {
-    attempt.service->load.AddServiceTime(backend.registration.id,
-                                         backend.load.Levelled(elapsed, answer.load), !told);
+    attempt.service->load.AddServiceTime(backend.registration.id, elapsed, !told);
   }
 }
 
--- a/src/core/forwarding/final_answer.cc
+++ b/src/core/forwarding/final_answer.cc
@@ -137,8 +137,10 @@
     return absl::StrCat(backend.registration.id, ", load untold, ", load.in_flight(), " from here",
                         limited);
   }
-  return absl::StrFormat("%s, told running %u waiting %u %.0f ms ago, %u from here%s",
-                         backend.registration.id, load.told().running, load.told().waiting,
+  const double slowdown = load.told().slowdown;
+  const std::string slowed = slowdown > 0 ? absl::StrFormat(" slowdown %.2f", slowdown) : "";
+  return absl::StrFormat("%s, told running %u waiting %u%s %.0f ms ago, %u from here%s",
+                         backend.registration.id, load.told().running, load.told().waiting, slowed,
                          absl::ToDoubleMilliseconds(load.ToldAge(now)), load.in_flight(), limited);
 }
 
--- a/src/core/forwarding/load_estimate.cc
+++ b/src/core/forwarding/load_estimate.cc
@@ -7,16 +7,13 @@
 namespace {
 
 /// Weights of the newest sample in the moving averages.
-constexpr double kServiceTimeGain = 0.15;
+constexpr double kServiceTimeGain = 0.3;
 constexpr double kForeignGain = 0.3;
 constexpr double kAverageGain = 0.1;
 /// A learned service time fades into the service's average with this time constant.
-constexpr Duration kServiceTimeMemory = absl::Seconds(60);
+constexpr Duration kServiceTimeMemory = absl::Seconds(5);
 /// Told load fades with this many service times, but not quicker than kLeastToldMemory.
 constexpr double kToldMemory = 1.0;
-/// Told slowdown fades into the average with this time constant: other users of a machine change
-/// many times a second.
-constexpr Duration kSlowdownMemory = absl::Milliseconds(400);
 constexpr Duration kLeastToldMemory = absl::Milliseconds(20);
 /// While cold, a back end takes this many times as long.
 constexpr double kColdFactor = 2;
@@ -51,10 +48,6 @@
   MoveTowards(foreign / slots, kAverageGain, &foreign_per_slot_);
 }
 
-void ServiceAverages::AddSlowdown(double slowdown) {
-  MoveTowards(slowdown, kAverageGain, &slowdown_);
-}
-
 void ServiceAverages::NoteTold(const ToldLoad& told) {
   if (told.slots > 0 && told.running == 0) {
     told_counts_itself_ = false;
@@ -82,9 +75,6 @@
   told_foreign_ = std::max(0.0, others);
   MoveTowards(told_foreign_, kForeignGain, &usual_foreign_);
   averages_.AddForeign(told_foreign_, slots_);
-  if (told.slowdown > 0) {
-    averages_.AddSlowdown(told.slowdown);
-  }
 }
 
 void LoadEstimate::OnServed(Duration elapsed, const ToldLoad& told, Time now) {
@@ -98,27 +88,27 @@
     full_until_ = absl::InfinitePast();
   }
   const Duration warm = now < cold_until_ ? elapsed / kColdFactor : elapsed;
-  const Duration usual = told.slowdown > 0 ? warm / told.slowdown : warm;
+  const Duration learned = LearnedServiceTime(now);
   // With a queue the elapsed time is only an upper bound.
-  if (told.waiting > 0 && usual > LearnedUsualTime(now)) {
+  if (told.waiting > 0 && warm > learned) {
     return;
   }
-  Learn(usual, now);
-  averages_.AddServiceTime(usual);
+  Learn(warm, now);
+  averages_.AddServiceTime(warm);
 }
 
 void LoadEstimate::Learn(Duration service_time, Time now) {
-  const Duration learned = LearnedUsualTime(now);
-  ++samples_;
-  const double gain = std::max(kServiceTimeGain, 1.0 / (samples_ + 1));
-  service_time_ = learned + gain * (service_time - learned);
+  const Duration learned = LearnedServiceTime(now);
+  service_time_ = service_time_at_ == absl::InfinitePast()
+                      ? service_time
+                      : learned + kServiceTimeGain * (service_time - learned);
   service_time_at_ = now;
 }
 
 void LoadEstimate::OnUnanswered(Duration elapsed, Time now) {
   // A lower bound, and it says nothing of a back end with a queue.
   if (elapsed > LearnedServiceTime(now) && !KnownBusy(now)) {
-    Learn(elapsed / Slowdown(now), now);
+    Learn(elapsed, now);
   }
 }
 
@@ -146,23 +136,8 @@
   return foreign + static_cast<double>(in_flight_.size());
 }
 
-double LoadEstimate::Slowdown(Time now) const {
-  const double average = averages_.slowdown();
-  return told_.slowdown > 0
-             ? average + (told_.slowdown - average) * Fade(ToldAge(now), kSlowdownMemory)
-             : average;
-}
-
-Duration LoadEstimate::Levelled(Duration elapsed, const ToldLoad& told) const {
-  return told.slowdown > 0 ? elapsed * (averages_.slowdown() / told.slowdown) : elapsed;
-}
-
 Duration LoadEstimate::LearnedServiceTime(Time now) const {
-  return LearnedUsualTime(now) * Slowdown(now);
-}
-
-Duration LoadEstimate::LearnedUsualTime(Time now) const {
-  const Duration average = averages_.UsualServiceTime();
+  const Duration average = averages_.ServiceTime();
   if (service_time_at_ == absl::InfinitePast()) {
     return average;
   }
--- a/src/core/forwarding/load_estimate.h
+++ b/src/core/forwarding/load_estimate.h
@@ -23,16 +23,10 @@
   void AddServiceTime(Duration service_time);
   /// `foreign`: requests at the back end that are not this node's.
   void AddForeign(double foreign, uint32_t slots);
-  /// How many times as long as usual work takes, by what a back end told.
-  void AddSlowdown(double slowdown);
   /// Told figures count the request that they come with, until one is seen that does not.
   void NoteTold(const ToldLoad& told);
 
-  /// On a machine that is disturbed as much as they are on average.
-  Duration ServiceTime() const { return UsualServiceTime() * slowdown_; }
-  /// On an undisturbed machine.
-  Duration UsualServiceTime() const { return known_ ? service_time_ : prior_; }
-  double slowdown() const { return slowdown_; }
+  Duration ServiceTime() const { return known_ ? service_time_ : prior_; }
   /// Requests of other nodes per slot.
   double foreign_per_slot() const { return foreign_per_slot_; }
   bool told_counts_itself() const { return told_counts_itself_; }
@@ -41,8 +35,6 @@
   Duration prior_ = absl::Milliseconds(100);
   Duration service_time_ = absl::ZeroDuration();
   bool known_ = false;
-  /// 1 while nobody tells any.
-  double slowdown_ = 1;
   double foreign_per_slot_ = 0;
   bool told_counts_itself_ = true;
 };
@@ -81,9 +73,6 @@
   Duration ExpectedWait(Time now) const;
   /// Whether fresh knowledge, not averages, says that all its slots are taken.
   bool KnownBusy(Time now) const;
-  /// What an attempt that took `elapsed` and came with `told` would take on a machine that is
-  /// disturbed as much as they are on average: the better figure to compare back ends by.
-  Duration Levelled(Duration elapsed, const ToldLoad& told) const;
 
   uint32_t in_flight() const { return static_cast<uint32_t>(in_flight_.size()); }
   uint32_t slots() const { return slots_; }
@@ -93,10 +82,6 @@
 
  private:
   double AverageForeign() const;
-  /// How disturbed its machine is expected to be; 1 when it tells nothing of that.
-  double Slowdown(Time now) const;
-  /// On an undisturbed machine.
-  Duration LearnedUsualTime(Time now) const;
   Duration LearnedServiceTime(Time now) const;
   void Learn(Duration service_time, Time now);
 
@@ -111,11 +96,8 @@
   double told_foreign_ = 0;
   double usual_foreign_ = 0;
 
-  /// On an undisturbed machine.
   Duration service_time_ = absl::ZeroDuration();
   Time service_time_at_ = absl::InfinitePast();
-  /// How many samples it was learned from.
-  uint32_t samples_ = 0;
 
   Time full_until_ = absl::InfinitePast();
   Time limit_until_ = absl::InfinitePast();
--- a/tests/unit/forwarding/load_test.cc
+++ b/tests/unit/forwarding/load_test.cc
@@ -1,7 +1,6 @@
 // What the coordinator is told of requests for keys.
 #include <boost/test/unit_test.hpp>
 
-#include "core/forwarding/load_estimate.h"
 #include "dispatcher_harness.h"
 
 namespace ladderstream::forwarding {
@@ -45,33 +44,6 @@
   BOOST_TEST((loads[0].samples[0].total == absl::Milliseconds(80)));
 }
 
-// A fifth of the machines are three times as slow at a time: a slow answer that says so must not
-// pass for a slow back end.
-BOOST_AUTO_TEST_CASE(what_a_disturbed_machine_takes_says_nothing_of_its_back_end) {
-  const Time now = absl::FromUnixSeconds(1000);
-  ServiceAverages averages;
-  LoadEstimate disturbed(2, averages);
-  LoadEstimate untold(2, averages);
-  for (LoadEstimate* load : {&disturbed, &untold}) {
-    load->OnServed(absl::Milliseconds(100), {1, 0, 2, 1}, now);
-  }
-  disturbed.OnServed(absl::Milliseconds(300), {1, 0, 2, 3}, now);
-  untold.OnServed(absl::Milliseconds(300), {1, 0, 2, 0}, now);
-  const Time later = now + absl::Seconds(2);
-  BOOST_TEST((disturbed.ServiceTime(later) < untold.ServiceTime(later)));
-}
-
-BOOST_AUTO_TEST_CASE(a_told_slowdown_counts_while_it_is_fresh) {
-  const Time now = absl::FromUnixSeconds(1000);
-  ServiceAverages averages;
-  LoadEstimate load(2, averages);
-  load.OnServed(absl::Milliseconds(300), {1, 0, 2, 3}, now);
-  BOOST_TEST((load.ServiceTime(now) == absl::Milliseconds(300)));
-  BOOST_TEST((load.ServiceTime(now + absl::Seconds(3)) < absl::Milliseconds(150)));
-  BOOST_TEST((load.Levelled(absl::Milliseconds(300), {1, 0, 2, 3}) < absl::Milliseconds(150)));
-  BOOST_TEST((load.Levelled(absl::Milliseconds(300), {1, 0, 2, 0}) == absl::Milliseconds(300)));
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
