Tell of the list of members when a node takes the lease, and keep what a back end says of its being cold

Cause, found by reading: a node that is alone never told the dispatcher its list, so it sent nothing to cold back ends; a cold time that came with an answer was lost at the next change of any registration.

--- a/src/core/forwarding/service_table.cc
+++ b/src/core/forwarding/service_table.cc
@@ -59,9 +59,12 @@
 
 void ServiceTable::Update(const catalog::Backend& backend, BackendState& state, Time now) {
   catalog::Backend previous = std::exchange(state.registration, backend);
-  state.load.SetColdUntil(backend.cold_until);
-  if (backend.BoundedByCold(now) && !previous.BoundedByCold(now)) {
-    AddBelief(state, "cold", absl::StrCat("for ", absl::FormatDuration(backend.cold_until - now)));
+  // What it said itself is newer than what its registration says through the store.
+  const Time cold_until = std::max(backend.cold_until, state.said_cold_until);
+  state.registration.cold_until = cold_until;
+  state.load.SetColdUntil(cold_until);
+  if (state.registration.BoundedByCold(now) && !previous.BoundedByCold(now)) {
+    AddBelief(state, "cold", absl::StrCat("for ", absl::FormatDuration(cold_until - now)));
   }
   previous.cold_left = backend.cold_left;
   previous.cold_until = backend.cold_until;
@@ -90,6 +93,7 @@
 
 void ServiceTable::NoteCold(Duration time_left, BackendState& state, Time now) {
   const Time until = now + time_left;
+  state.said_cold_until = std::max(state.said_cold_until, until);
   if (until <= state.registration.cold_until) {
     return;
   }
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -198,6 +198,8 @@
     // The predecessor brought the others to this list.
     pushed_members_ = members_.version();
     members_.TakeOver(lease.epoch, now);
+    // A node that is alone has no other cause to tell of its list, which is now the one in force.
+    actions_.emplace_back(MembersChangedAction{static_cast<uint32_t>(members().size())});
     next_refresh_ = now + kRefreshInterval;
     next_sign_of_life_ = now + LongestHeartbeatGap();
     PushHeartbeat(now);
--- a/tests/unit/forwarding/cold_test.cc
+++ b/tests/unit/forwarding/cold_test.cc
@@ -104,6 +104,8 @@
   answer.cold_left = absl::Seconds(1);
   dispatcher.OnAttemptAnswer(send.attempt, answer, now);
   Only<RelayDecision>();
+  // Its registration, which comes through the store, may say less for a while.
+  AddBackends("books", {"b-1"});
   BOOST_TEST(CountSends("/cards/1", "c-1", 50) == 0);
   Advance(absl::Seconds(1));
   BOOST_TEST(CountSends("/cards/1", "c-1", 5) == 5);
--- a/tests/unit/membership/membership_test.cc
+++ b/tests/unit/membership/membership_test.cc
@@ -303,6 +303,35 @@
   }
 };
 
+// Who may send to a cold back end is drawn from the list: a node without one may not.
+BOOST_AUTO_TEST_CASE(ANodeThatIsAloneTellsOfItsListWhenItLeads) {
+  Node node(2);
+  node.membership.OnLeaseHeld(MakeLease(3, 2), kStart + absl::Seconds(2), kStart);
+  const auto changed = node.Take<MembersChangedAction>();
+  BOOST_REQUIRE(changed.size() == 1);
+  BOOST_TEST(changed.front().count == 1U);
+  node.membership.OnLeaseHeld(MakeLease(3, 2), kStart + absl::Seconds(3),
+                              kStart + absl::Seconds(1));
+  const auto confirmed = node.Take<MembersConfirmedAction>();
+  BOOST_REQUIRE(confirmed.size() == 1);
+  BOOST_TEST((confirmed.front().until == kStart + absl::Seconds(3)));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAnsweredReportConfirmsTheListOfMembers, Follower) {
+  Heartbeat list = MakeHeartbeat(3, 2, {3, 1});
+  list.members = {MakeIdentity(1), MakeIdentity(2)};
+  list.members_version = 5;
+  const uint64_t sequence = SendReport(kStart + absl::Seconds(1));
+  Answer(sequence, list, kStart + absl::Milliseconds(1500));
+  const auto confirmed = Take<MembersConfirmedAction>();
+  BOOST_REQUIRE(confirmed.size() == 1);
+  // From the report's send, less the margin.
+  BOOST_TEST((confirmed.front().until == kStart + absl::Milliseconds(2900)));
+  // A push, whose age is not known, confirms nothing.
+  Answer(0, list, kStart + absl::Milliseconds(1600));
+  BOOST_TEST(Take<MembersConfirmedAction>().empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(ASuccessorTellsAllMembersAtOnce, Coordinator) {
   const auto pushed = TakeSent<Heartbeat>();
   BOOST_REQUIRE(pushed.size() == 1);
