Tell how old the news of a back end may have been when a node heard of it

Cause: the four hypotheses differ in how late a node heard and what it then allowed itself, and no line told the first: age_ms of backends_changed was always 0. Change: a copy of a table knows since when each change may have been in force: what a waiting watch brings is at most 0.5 s old, what a reading after a lost watch or a teller that was deaf brings is as old as the last sure moment. Told in backends_changed, in the details of backend_belief, and in ladderstream_backend_news_age_seconds. No decision uses it yet.

--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -58,8 +58,8 @@
 }
 
 void Dispatcher::Impl::SetBackends(const std::vector<catalog::Backend>& backends,
-                                   bool store_troubled, Time now) {
-  services_.SetBackends(backends, store_troubled, now);
+                                   const RegistrationNews& news, Time now) {
+  services_.SetBackends(backends, news, now);
   for (ServiceState* service : services_.Services()) {
     DispatchWaiting(*service, now);
   }
@@ -206,9 +206,9 @@
                                   Time now) {
   impl_->SetConfiguration(std::move(configuration), now);
 }
-void Dispatcher::SetBackends(const std::vector<catalog::Backend>& backends, bool store_troubled,
-                             Time now) {
-  impl_->SetBackends(backends, store_troubled, now);
+void Dispatcher::SetBackends(const std::vector<catalog::Backend>& backends,
+                             const RegistrationNews& news, Time now) {
+  impl_->SetBackends(backends, news, now);
 }
 void Dispatcher::SetOwnership(std::shared_ptr<const ownership::OwnershipMap> map, Time now) {
   impl_->SetOwnership(std::move(map), now);
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -173,6 +173,14 @@
   std::optional<ownership::Key> denied_key;
 };
 
+/// How a list of registrations was learned.
+struct RegistrationNews {
+  /// The store was not well lately: a missing registration may have lapsed by mistake.
+  bool store_troubled = false;
+  /// What differs from the list before happened after this, however late it was heard.
+  Time changed_after = absl::InfinitePast();
+};
+
 /// A change of what the dispatcher believes of a back end, for the log.
 struct BackendBelief {
   std::string backend;
@@ -186,9 +194,9 @@
   ~Dispatcher();
 
   void SetConfiguration(std::shared_ptr<const catalog::Configuration> configuration, Time now);
-  /// All registered back ends, whenever one changes. `store_troubled`: the store was not well
-  /// lately, so a missing registration may have lapsed by mistake.
-  void SetBackends(const std::vector<catalog::Backend>& backends, bool store_troubled, Time now);
+  /// All registered back ends, whenever one changes.
+  void SetBackends(const std::vector<catalog::Backend>& backends, const RegistrationNews& news,
+                   Time now);
   /// Null or stale (see SetMapConfirmed) maps make keyed requests fail with kNoOwner.
   void SetOwnership(std::shared_ptr<const ownership::OwnershipMap> map, Time now);
   /// The map in force is known to be the newest as of `now`; it may be used until `until`.
--- a/src/core/forwarding/service_table.cc
+++ b/src/core/forwarding/service_table.cc
@@ -21,10 +21,18 @@
   return backend.evacuated ? "evacuated" : "ready";
 }
 
+/// How long ago it may have changed, for a belief's detail.
+std::string AgeOf(const RegistrationNews& news, Time now) {
+  const Duration age = now - news.changed_after;
+  return age == absl::InfiniteDuration()
+             ? ", nothing tells when"
+             : absl::StrCat(", at most ", absl::ToInt64Milliseconds(age), " ms ago");
+}
+
 }  // namespace
 
-void ServiceTable::SetBackends(const std::vector<catalog::Backend>& backends, bool store_troubled,
-                               Time now) {
+void ServiceTable::SetBackends(const std::vector<catalog::Backend>& backends,
+                               const RegistrationNews& news, Time now) {
   absl::flat_hash_set<std::string> registered;
   for (const catalog::Backend& backend : backends) {
     registered.insert(backend.id);
@@ -32,12 +40,12 @@
     if (known == backends_.end()) {
       Register(backend);
     } else {
-      Update(backend, *known->second, now);
+      Update(backend, news, *known->second, now);
     }
   }
   for (auto& [id, state] : backends_) {
     if (state->registered && !registered.contains(id)) {
-      MarkGone(*state, store_troubled, now);
+      MarkGone(news, *state, now);
     }
   }
   Rebuild(now);
@@ -57,7 +65,8 @@
   backends_.emplace(backend.id, std::move(state));
 }
 
-void ServiceTable::Update(const catalog::Backend& backend, BackendState& state, Time now) {
+void ServiceTable::Update(const catalog::Backend& backend, const RegistrationNews& news,
+                          BackendState& state, Time now) {
   catalog::Backend previous = std::exchange(state.registration, backend);
   // What it said itself is newer than what its registration says through the store.
   const Time cold_until = std::max(backend.cold_until, state.said_cold_until);
@@ -84,10 +93,10 @@
   }
   if (backend.draining) {
     StopNewWork(settings_.drain_grace, settings_.drain_serving, state, now);
-    AddBelief(state, "draining", "its registration says so");
+    AddBelief(state, "draining", absl::StrCat("its registration says so", AgeOf(news, now)));
   } else {
     StopNewWork(absl::ZeroDuration(), settings_.evacuation_serving, state, now);
-    AddBelief(state, "evacuated", backend.zone);
+    AddBelief(state, "evacuated", absl::StrCat(backend.zone, AgeOf(news, now)));
   }
 }
 
@@ -102,18 +111,19 @@
   AddBelief(state, "cold", absl::StrCat("for ", absl::FormatDuration(time_left), ", as it says"));
 }
 
-void ServiceTable::MarkGone(BackendState& state, bool store_troubled, Time now) {
+void ServiceTable::MarkGone(const RegistrationNews& news, BackendState& state, Time now) {
   state.registered = false;
   state.gone_at = now;
-  if (store_troubled) {
+  if (news.store_troubled) {
     StopNewWork(settings_.lapse_grace, std::max(settings_.drain_serving, settings_.lapse_grace),
                 state, now);
   } else {
     StopNewWork(settings_.drain_grace, settings_.drain_serving, state, now);
   }
-  AddBelief(state, "gone",
-            store_troubled ? "its registration disappeared while the store was troubled"
-                           : "its registration disappeared");
+  AddBelief(
+      state, "gone",
+      absl::StrCat("its registration disappeared",
+                   news.store_troubled ? " while the store was troubled" : "", AgeOf(news, now)));
 }
 
 void ServiceTable::StopNewWork(Duration grace, Duration owner_grace, BackendState& state,
--- a/src/core/forwarding/service_table.h
+++ b/src/core/forwarding/service_table.h
@@ -31,7 +31,8 @@
   explicit ServiceTable(const DispatcherSettings& settings) : settings_(settings) {}
 
   /// Takes over all registrations of now; see Dispatcher::SetBackends.
-  void SetBackends(const std::vector<catalog::Backend>& backends, bool store_troubled, Time now);
+  void SetBackends(const std::vector<catalog::Backend>& backends, const RegistrationNews& news,
+                   Time now);
 
   /// The back end itself said that it is cold for `time_left` from now on.
   void NoteCold(Duration time_left, BackendState& state, Time now);
@@ -48,8 +49,9 @@
 
  private:
   void Register(const catalog::Backend& backend);
-  void Update(const catalog::Backend& backend, BackendState& state, Time now);
-  void MarkGone(BackendState& state, bool store_troubled, Time now);
+  void Update(const catalog::Backend& backend, const RegistrationNews& news, BackendState& state,
+              Time now);
+  void MarkGone(const RegistrationNews& news, BackendState& state, Time now);
   void StopNewWork(Duration grace, Duration owner_grace, BackendState& state, Time now) const;
   /// Drops back ends that disappeared long ago, and lists the others by service.
   void Rebuild(Time now);
--- a/src/core/membership/messages.h
+++ b/src/core/membership/messages.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <msgpack.hpp>
 #include <string>
 #include <variant>
@@ -83,6 +84,8 @@
   MSGPACK_DEFINE_ARRAY(key, version);
 };
 
+constexpr uint32_t kUnknownAge = std::numeric_limits<uint32_t>::max();
+
 /// What a copy of one table that is whole up to `base` lacks to be whole up to `version`.
 struct TableNews {
   uint64_t base = 0;
@@ -97,7 +100,11 @@
   /// As in store::TableChanges.
   uint64_t gap_first = 0;
   uint64_t gap_last = 0;
-  MSGPACK_DEFINE_ARRAY(base, version, newest_change, rows, removals, age_ms, gap_first, gap_last);
+  /// How long ago the oldest of the changes here may have happened when this was sent, in
+  /// milliseconds. A sender of the version before does not tell.
+  uint32_t change_age_ms = kUnknownAge;
+  MSGPACK_DEFINE_ARRAY(base, version, newest_change, rows, removals, age_ms, gap_first, gap_last,
+                       change_age_ms);
 };
 
 /// What leads from the list of members of version `base` to that of the heartbeat.
--- a/src/core/membership/table_relay.cc
+++ b/src/core/membership/table_relay.cc
@@ -22,9 +22,16 @@
       std::clamp<int64_t>(absl::ToInt64Milliseconds(now - confirmed), 0, kMost));
 }
 
-TableNews ToNews(store::TableChanges changes, uint32_t age_ms) {
-  TableNews news{changes.base, changes.version, changes.newest_change, {},
-                 {},           age_ms,          changes.gap_first,     changes.gap_last};
+TableNews ToNews(store::TableChanges changes, uint32_t age_ms, Time now) {
+  TableNews news{changes.base,
+                 changes.version,
+                 changes.newest_change,
+                 {},
+                 {},
+                 age_ms,
+                 changes.gap_first,
+                 changes.gap_last,
+                 AgeInMilliseconds(changes.changed_after, now)};
   for (store::Row& row : changes.rows) {
     if (row.removed) {
       news.removals.push_back({std::move(row.key.key), row.version});
@@ -35,9 +42,13 @@
   return news;
 }
 
-store::TableChanges ToChanges(const TableNews& news, const store::FollowerSettings& settings) {
-  store::TableChanges changes{news.base, news.version,   news.newest_change,
-                              {},        news.gap_first, news.gap_last};
+store::TableChanges ToChanges(const TableNews& news, const store::FollowerSettings& settings,
+                              Time now) {
+  const Time changed_after = news.change_age_ms == kUnknownAge
+                                 ? absl::InfinitePast()
+                                 : now - absl::Milliseconds(news.change_age_ms);
+  store::TableChanges changes{news.base,      news.version,  news.newest_change, {},
+                              news.gap_first, news.gap_last, changed_after};
   for (const RemovedRow& row : news.removals) {
     changes.rows.push_back({{settings.table, settings.partition, row.key}, "", row.version, true});
   }
@@ -131,7 +142,7 @@
     changes = follower.ChangesSince(follower.settled_version());
   }
   heartbeat->tables.push_back(
-      ToNews(std::move(*changes), AgeInMilliseconds(follower.watched_until(), now)));
+      ToNews(std::move(*changes), AgeInMilliseconds(follower.watched_until(), now), now));
 }
 
 bool TableRelay::TakeRows(const Heartbeat& heartbeat, Time now) {
@@ -143,7 +154,7 @@
     store::TableFollower* const follower = followers_[table];
     const TableNews& news = heartbeat.tables[table];
     const store::RowVersion before = follower->content_version();
-    follower->Apply(ToChanges(news, follower->settings()), now);
+    follower->Apply(ToChanges(news, follower->settings(), now), now);
     changed = changed || follower->content_version() > before;
   }
   return changed;
--- a/src/core/store/removal_log.cc
+++ b/src/core/store/removal_log.cc
@@ -14,8 +14,8 @@
   std::erase_if(removals_, [version](const Removal& one) { return one.version <= version; });
 }
 
-void RemovalLog::Add(const std::string& key, RowVersion version) {
-  removals_.push_back({key, version});
+void RemovalLog::Add(const std::string& key, RowVersion version, Time changed_after) {
+  removals_.push_back({key, version, changed_after});
   while (removals_.size() > capacity_) {
     whole_since_ = std::max(whole_since_, removals_.front().version);
     removals_.pop_front();
--- a/src/core/store/removal_log.h
+++ b/src/core/store/removal_log.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "core/store/store_types.h"
+#include "wire/time.h"
 
 namespace ladderstream::store {
 
@@ -16,6 +17,8 @@
   struct Removal {
     std::string key;
     RowVersion version = 0;
+    /// As in VersionedValue.
+    Time changed_after = absl::InfinitePast();
   };
 
   /// Forgets everything: removals are known from `version` on.
@@ -23,7 +26,7 @@
   /// Forgets removals as of this version and earlier ones.
   void ForgetUpTo(RowVersion version);
   /// The oldest removal is forgotten when there are too many.
-  void Add(const std::string& key, RowVersion version);
+  void Add(const std::string& key, RowVersion version, Time changed_after);
 
   /// Every removal after this version is known.
   RowVersion whole_since() const { return whole_since_; }
--- a/src/core/store/table_follower.cc
+++ b/src/core/store/table_follower.cc
@@ -149,14 +149,15 @@
   history_losses_ = 0;
   // Another node's copy may have overtaken this watch; then rows that it tells may be gone since.
   const RowVersion held = asked.after < as_of_ ? as_of_ : 0;
+  const Time changed_after = WholeUntil(asked, now);
   for (const Row& row : reply.rows) {
     if (row.key.partition != settings_.partition || row.version <= held) {
       continue;
     }
     if (row.removed) {
-      Remove(row);
+      Remove(row, changed_after);
     } else {
-      Put(row);
+      Put(row, changed_after);
     }
   }
   as_of_ = std::max(as_of_, reply.version);
@@ -168,6 +169,7 @@
 
 void TableFollower::OnHistoryGone(const std::string& detail, Time now) {
   StartReading();
+  deaf_ = true;
   ++history_losses_;
   next_call_ = now;
   if (history_losses_ > 1) {
@@ -184,6 +186,7 @@
 }
 
 void TableFollower::Fail(const std::string& detail, Time now) {
+  deaf_ = true;
   last_failure_ = now;
   last_failure_detail_ = detail;
   if (!failing_since_.has_value() && !Suspended(now)) {
@@ -193,6 +196,7 @@
 }
 
 void TableFollower::Succeed(Time confirmed) {
+  deaf_ = false;
   failing_since_.reset();
   back_off_.Reset();
   last_confirmed_ = std::max(last_confirmed_, confirmed);
@@ -227,7 +231,8 @@
   if (!known_ || base < removals_.whole_since() || in_gap) {
     return std::nullopt;
   }
-  TableChanges changes{base, std::max(base, as_of_), content_version(), {}, gap_first_, gap_last_};
+  TableChanges changes{base,      std::max(base, as_of_), content_version(), {}, gap_first_,
+                       gap_last_, absl::InfiniteFuture()};
   if (newest_change_ <= base) {
     return changes;
   }
@@ -235,12 +240,14 @@
     if (removal.version > base) {
       changes.rows.push_back(
           {{settings_.table, settings_.partition, removal.key}, "", removal.version, true});
+      changes.changed_after = std::min(changes.changed_after, removal.changed_after);
     }
   }
   for (const auto& [key, row] : rows_) {
     if (row.version > base) {
       changes.rows.push_back(
           {{settings_.table, settings_.partition, key}, row.value, row.version, false});
+      changes.changed_after = std::min(changes.changed_after, row.changed_after);
     }
   }
   return changes;
@@ -252,6 +259,9 @@
   }
   // Up to as_of_ this copy is whole: an older row that it does not hold has gone.
   const RowVersion held = as_of_;
+  // The sender knows how long it may have been deaf, and this copy how long it may have been left
+  // without news; the changes may be as old as the longer of the two.
+  const Time changed_after = std::min(WholeUntil(outstanding_, now), changes.changed_after);
   RowVersion newest = held;
   for (const Row& row : changes.rows) {
     if (row.version <= held) {
@@ -259,9 +269,9 @@
     }
     newest = std::max(newest, row.version);
     if (row.removed) {
-      Remove(row);
+      Remove(row, changed_after);
     } else {
-      Put(row);
+      Put(row, changed_after);
     }
   }
   if (newest > held) {
@@ -321,48 +331,64 @@
 
 void TableFollower::Install(const std::vector<Row>& rows, RowVersion version) {
   NoteGap(version);
+  // A reading comes where a watch was not in order: what it vouched for meanwhile does not count.
+  const Time changed_after = last_confirmed_;
   std::set<std::string> present;
   for (const Row& row : rows) {
     if (row.key.partition != settings_.partition || row.removed) {
       continue;
     }
     present.insert(row.key.key);
-    Put(row);
+    Put(row, changed_after);
   }
   for (auto held = rows_.begin(); held != rows_.end();) {
     if (held->second.version > version || present.contains(held->first)) {
       ++held;
       continue;
     }
-    changed_keys_.insert(held->first);
+    NoteChange(held->first, changed_after);
     // When it went is not known, only that it was by now.
     newest_change_ = std::max(newest_change_, version);
-    removals_.Add(held->first, version);
+    removals_.Add(held->first, version, changed_after);
     held = rows_.erase(held);
   }
   as_of_ = std::max(as_of_, version);
   known_ = true;
 }
 
-void TableFollower::Put(const Row& row) {
+Time TableFollower::WholeUntil(const std::optional<Outstanding>& watch, Time now) const {
+  if (deaf_) {
+    return last_confirmed_;
+  }
+  const bool waits =
+      watch.has_value() && watch->is_watch && now - watch->sent >= settings_.watch_delivery;
+  return waits ? std::max(watched_until(), now - settings_.watch_delivery) : watched_until();
+}
+
+void TableFollower::NoteChange(const std::string& key, Time changed_after) {
+  changed_keys_.insert(key);
+  changed_after_ = std::min(changed_after_, changed_after);
+}
+
+void TableFollower::Put(const Row& row, Time changed_after) {
   newest_change_ = std::max(newest_change_, row.version);
   const auto held = rows_.find(row.key.key);
   if (held != rows_.end() && row.version <= held->second.version) {
     return;
   }
-  rows_.insert_or_assign(row.key.key, VersionedValue{row.value, row.version});
-  changed_keys_.insert(row.key.key);
+  rows_.insert_or_assign(row.key.key, VersionedValue{row.value, row.version, changed_after});
+  NoteChange(row.key.key, changed_after);
 }
 
-void TableFollower::Remove(const Row& row) {
+void TableFollower::Remove(const Row& row, Time changed_after) {
   newest_change_ = std::max(newest_change_, row.version);
-  removals_.Add(row.key.key, row.version);
+  removals_.Add(row.key.key, row.version, changed_after);
   const auto held = rows_.find(row.key.key);
   if (held == rows_.end() || row.version < held->second.version) {
     return;
   }
   rows_.erase(held);
-  changed_keys_.insert(row.key.key);
+  NoteChange(row.key.key, changed_after);
 }
 
 RowVersion TableFollower::content_version() const { return std::min(newest_change_, as_of_); }
@@ -387,6 +413,7 @@
 std::vector<std::string> TableFollower::TakeChangedKeys() {
   std::vector<std::string> keys(changed_keys_.begin(), changed_keys_.end());
   changed_keys_.clear();
+  changed_after_ = absl::InfiniteFuture();
   return keys;
 }
 
--- a/src/core/store/table_follower.h
+++ b/src/core/store/table_follower.h
@@ -31,6 +31,9 @@
   /// A watch without an answer this long after `watch_wait` counts as lost; so does one that stays
   /// silent this long after a change is known that it should have told.
   Duration watch_grace = absl::Seconds(1);
+  /// A store and a connection in order bring a waiting watch its answer within this after a change:
+  /// the store's 4 ms and the way, with room for a loop that is behind.
+  Duration watch_delivery = absl::Milliseconds(500);
   Duration read_timeout = absl::Seconds(1);
   /// Pause between an answer that came at once and the next watch, so that changes in quick
   /// succession cost one call.
@@ -59,6 +62,8 @@
 struct VersionedValue {
   std::string value;
   RowVersion version = 0;
+  /// The row changed to this after then; in the infinite past when nothing tells.
+  Time changed_after = absl::InfinitePast();
 };
 
 /// Rows by key.
@@ -77,6 +82,8 @@
   /// nothing.
   RowVersion gap_first = 0;
   RowVersion gap_last = 0;
+  /// None of `rows` changed before.
+  Time changed_after = absl::InfiniteFuture();
 
   /// Whether a copy that is whole up to `version` may hold rows that these changes say nothing of.
   bool InGap(RowVersion version) const { return gap_first < version && version < gap_last; }
@@ -148,6 +155,10 @@
 
   /// The keys whose rows changed, appeared or went since the last call.
   std::vector<std::string> TakeChangedKeys();
+  /// None of the changes that TakeChangedKeys gives next happened before this; in the infinite
+  /// future when there are none. What a node allows itself for some time after a change counts from
+  /// here: it may hear of the change much later.
+  Time changed_after() const { return changed_after_; }
 
  private:
   struct Outstanding {
@@ -169,11 +180,14 @@
   /// Makes the copy that of a whole reading: newer rows replace, and missing ones go unless they
   /// are newer than `version`.
   void Install(const std::vector<Row>& rows, RowVersion version);
+  /// No change that the copy lacks happened before this, as long as `watch` is in order.
+  Time WholeUntil(const std::optional<Outstanding>& watch, Time now) const;
   /// Before a whole reading as of `version` is installed: what it lacks went after as_of(), unless
   /// this is the first reading.
   void NoteGap(RowVersion version);
-  void Put(const Row& row);
-  void Remove(const Row& row);
+  void Put(const Row& row, Time changed_after);
+  void Remove(const Row& row, Time changed_after);
+  void NoteChange(const std::string& key, Time changed_after);
   void StartReading();
   /// The copy was made newer, and is whole, while it was being read.
   void OvertakeReading();
@@ -182,6 +196,7 @@
   BackOff back_off_;
   TableRows rows_;
   std::set<std::string> changed_keys_;
+  Time changed_after_ = absl::InfiniteFuture();
   bool known_ = false;
   RowVersion as_of_ = 0;
   RowVersion newest_change_ = 0;
@@ -211,6 +226,8 @@
   /// Times that history was gone since a watch last succeeded.
   uint32_t history_losses_ = 0;
 
+  /// The last call failed, or history was gone: the watch before may have been deaf for long.
+  bool deaf_ = false;
   std::optional<Time> failing_since_;
   Time last_failure_ = absl::InfinitePast();
   std::string last_failure_detail_;
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -49,13 +49,14 @@
   Pump();
 }
 
-void DataPath::SetBackends(const std::vector<catalog::Backend>& backends, bool store_troubled) {
+void DataPath::SetBackends(const std::vector<catalog::Backend>& backends,
+                           const forwarding::RegistrationNews& news) {
   services_.clear();
   for (const catalog::Backend& backend : backends) {
     services_[backend.id] = backend.service;
   }
   ApplyConnectionLimits();
-  dispatcher_.SetBackends(backends, store_troubled, resources_.clock.Now());
+  dispatcher_.SetBackends(backends, news, resources_.clock.Now());
   Pump();
 }
 
--- a/src/gateway/http/data_path.h
+++ b/src/gateway/http/data_path.h
@@ -31,7 +31,8 @@
 
   /// These also tell the dispatcher.
   void SetConfiguration(std::shared_ptr<const catalog::Configuration> configuration);
-  void SetBackends(const std::vector<catalog::Backend>& backends, bool store_troubled);
+  void SetBackends(const std::vector<catalog::Backend>& backends,
+                   const forwarding::RegistrationNews& news);
   void SetNodeCount(uint32_t node_count);
 
   /// Carries out what the dispatcher has decided. To be called after anybody else has told the
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -198,6 +198,7 @@
   const Time now = Now();
   state->configuration_version = configuration_ ? configuration_->version : 0;
   state->configuration_age = now - configuration_follower_.last_confirmed();
+  state->backend_news_age = backend_news_age_;
   if (const auto& map = membership_.map()) {
     state->map_epoch = map->version.epoch;
     state->map_sequence = map->version.sequence;
@@ -368,10 +369,11 @@
 }
 
 void ControlPlane::TakeConfiguration() {
+  const Time changed_after = configuration_follower_.changed_after();
   if (configuration_follower_.TakeChangedKeys().empty()) {
     return;
   }
-  TakeEvacuations();
+  TakeEvacuations(changed_after);
   const auto row = configuration_follower_.rows().find(std::string(adapter_->configuration_key()));
   if (row == configuration_follower_.rows().end()) {
     return;
@@ -390,10 +392,10 @@
   beliefs_->OnConfiguration(*configuration_, absl::ZeroDuration(),
                             SourceOf(configuration_follower_, Now()));
   listener_->OnConfiguration(configuration_);
-  TellBackends();
+  TellBackends(changed_after);
 }
 
-void ControlPlane::TakeEvacuations() {
+void ControlPlane::TakeEvacuations(Time changed_after) {
   catalog::EvacuatedZones zones;
   for (const auto& [key, row] : configuration_follower_.rows()) {
     if (auto zone = adapter_->EvacuatedZoneOf(key)) {
@@ -406,10 +408,11 @@
   evacuated_zones_ = std::move(zones);
   beliefs_->OnEvacuations(evacuated_zones_, configuration_follower_.as_of(),
                           SourceOf(configuration_follower_, Now()));
-  TellBackends();
+  TellBackends(changed_after);
 }
 
 void ControlPlane::TakeBackends() {
+  const Time changed_after = backend_follower_.changed_after();
   if (backend_follower_.TakeChangedKeys().empty()) {
     return;
   }
@@ -423,19 +426,20 @@
       beliefs_->OnRowNotUnderstood(id, {error.what()});
     }
   }
-  TellBackends();
+  TellBackends(changed_after);
 }
 
-void ControlPlane::TellBackends() {
+void ControlPlane::TellBackends(Time changed_after) {
   if (!backend_follower_.known()) {
     return;
   }
   const Time now = Now();
   backends_ =
       backend_registry_.Complete(registrations_, evacuated_zones_, configuration_.get(), now);
-  beliefs_->OnBackends(backends_, backend_follower_.as_of(), absl::ZeroDuration(),
+  backend_news_age_ = now - changed_after;
+  beliefs_->OnBackends(backends_, backend_follower_.as_of(), backend_news_age_,
                        SourceOf(backend_follower_, now));
-  listener_->OnBackends(backends_, backend_follower_.Troubled(now));
+  listener_->OnBackends(backends_, {backend_follower_.Troubled(now), changed_after});
   TellCatalog();
 }
 
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -33,7 +33,8 @@
   virtual ~ControlPlaneListener() = default;
 
   virtual void OnConfiguration(std::shared_ptr<const catalog::Configuration> configuration) = 0;
-  virtual void OnBackends(const std::vector<catalog::Backend>& backends, bool store_troubled) = 0;
+  virtual void OnBackends(const std::vector<catalog::Backend>& backends,
+                          const forwarding::RegistrationNews& news) = 0;
   virtual void OnOwnership(std::shared_ptr<const ownership::OwnershipMap> map) = 0;
   virtual void OnMapConfirmed(Time until) = 0;
   /// All nodes that take part, this one included, by incarnation.
@@ -100,10 +101,11 @@
   void PumpSoon();
   void PollFollower(store::TableFollower* follower);
   void TakeConfiguration();
-  void TakeEvacuations();
+  void TakeEvacuations(Time changed_after);
   void TakeBackends();
   /// Joins the registrations with the rest that is known of them, and tells everybody.
-  void TellBackends();
+  /// What differs from what was told before changed after `changed_after`.
+  void TellBackends(Time changed_after);
   void TellCatalog();
   void TellOwnLoad();
   void ShareLease();
@@ -133,6 +135,8 @@
 
   std::shared_ptr<const catalog::Configuration> configuration_;
   catalog::EvacuatedZones evacuated_zones_;
+  /// Of the last change of registrations, when it was heard.
+  Duration backend_news_age_;
   catalog::BackendRegistry backend_registry_;
   /// As decoded from the registrations, and as completed.
   std::vector<catalog::Backend> registrations_;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -130,8 +130,9 @@
   LogBeliefs();
 }
 
-void Node::OnBackends(const std::vector<catalog::Backend>& backends, bool store_troubled) {
-  data_path_.SetBackends(backends, store_troubled);
+void Node::OnBackends(const std::vector<catalog::Backend>& backends,
+                      const forwarding::RegistrationNews& news) {
+  data_path_.SetBackends(backends, news);
   LogBeliefs();
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -38,7 +38,8 @@
  private:
   // ControlPlaneListener
   void OnConfiguration(std::shared_ptr<const catalog::Configuration> configuration) override;
-  void OnBackends(const std::vector<catalog::Backend>& backends, bool store_troubled) override;
+  void OnBackends(const std::vector<catalog::Backend>& backends,
+                  const forwarding::RegistrationNews& news) override;
   void OnOwnership(std::shared_ptr<const ownership::OwnershipMap> map) override;
   void OnMapConfirmed(Time until) override;
   void OnMembers(const std::vector<uint64_t>& members) override;
--- a/src/observability/node_metrics.cc
+++ b/src/observability/node_metrics.cc
@@ -215,6 +215,9 @@
   SetGauge("ladderstream_configuration_age_seconds",
            "Since the configuration was last known to be the newest.",
            absl::ToDoubleSeconds(state.configuration_age));
+  SetGauge("ladderstream_backend_news_age_seconds",
+           "How old the last change of registrations may have been when it was heard.",
+           absl::ToDoubleSeconds(state.backend_news_age));
   SetGauge("ladderstream_map_epoch", "Epoch of the ownership map in force; grows with each holder.",
            static_cast<double>(state.map_epoch));
   SetGauge("ladderstream_map_sequence", "Place of the ownership map in force within its epoch.",
--- a/src/observability/node_metrics.h
+++ b/src/observability/node_metrics.h
@@ -77,6 +77,8 @@
   /// Since the map was last known to be the newest.
   Duration map_age;
   Duration configuration_age;
+  /// How old the last change of the registrations may have been when this node heard of it.
+  Duration backend_news_age;
   bool holds_lease = false;
   bool store_troubled = false;
   bool ready = false;
--- a/tests/unit/forwarding/dispatcher_harness.h
+++ b/tests/unit/forwarding/dispatcher_harness.h
@@ -28,8 +28,10 @@
   void Configure(const catalog::Configuration& configuration);
   void AddBackend(const catalog::Backend& backend);
   void AddBackends(const std::string& service, const std::vector<std::string>& ids);
-  void RemoveBackend(const std::string& id, bool store_troubled = false);
-  void Drain(const std::string& id);
+  /// `age`: how long ago this may have happened.
+  void RemoveBackend(const std::string& id, bool store_troubled = false,
+                     Duration age = absl::ZeroDuration());
+  void Drain(const std::string& id, Duration age = absl::ZeroDuration());
   /// Gives all keys of "scripts" to `owner`, as the next map.
   void Own(const std::string& owner, std::vector<ownership::KeyRange> moving = {});
 
--- a/tests/unit/gateway_http/support.cc
+++ b/tests/unit/gateway_http/support.cc
@@ -176,7 +176,7 @@
   registered.service = "service";
   registered.address = backend.address();
   registered.slots = 4;
-  data_path.SetBackends({registered}, /*store_troubled=*/false);
+  data_path.SetBackends({registered}, {});
   Configure(catalog::Limits());
 }
 
