End what a leaving back end is allowed at drain_time after it left, not after it was heard

Cause: times that follow a change were counted from hearing of it, beside a bound on how late that may be; each was right by itself and nobody held their sum to drain_time. Class: a grace counted from the observer's moment instead of the event's. A silent watch is not ruled out as a second cause. Change: an owner that drains, one whose registration went, one in an evacuated zone, and a registration that may have lapsed get requests until min(hearing + grace, since when the change may have been + the platform's bound - 0.2 s). One registration that goes is no lapse any more, whatever failed at this node; a third of all at once may be. The parts that do stand in a row are one figure now (LeaveBound), fitted under drain_time, in a metric and a test. In calm an owner still serves while its keys move (test).

--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -40,6 +40,11 @@
   double budget_ratio = 0.2;
   double budget_slack = 60;
   Duration budget_window = absl::Seconds(10);
+  /// A back end gets no request later than this after the store took that it leaves, or that its
+  /// zone is evacuated. The times below count from when this node heard of it, which may be much
+  /// later, and end here at the latest.
+  Duration drain_time = absl::Seconds(2);
+  Duration evacuation_time = absl::Seconds(5);
   /// After a registration disappears or says "draining", no new work goes there after this.
   Duration drain_grace = absl::ZeroDuration();
   /// A back end that drains or whose registration disappears still gets the requests for keys that
@@ -54,7 +59,8 @@
   double cold_slack = 0;
   /// This node among the members of SetMembers.
   uint64_t node = 0;
-  /// A registration that disappears while the store is troubled is believed only after this.
+  /// A registration that disappears while the store is troubled is believed only after this; at the
+  /// latest at the end of `drain_time`, unless many went at once and so have lapsed.
   Duration lapse_grace = absl::Milliseconds(1500);
   /// How long a request may wait for a moving key or a free slot, as a share of its target latency.
   /// Refused by then, it comes back in time; a quarter, with the way here, was too late for many.
--- a/src/core/forwarding/service_table.cc
+++ b/src/core/forwarding/service_table.cc
@@ -11,6 +11,12 @@
 
 /// A back end that disappeared is forgotten after this.
 constexpr Duration kForgetAfter = absl::Seconds(30);
+/// A request that was chosen a back end reaches it within this: the way, and a loop that is behind.
+/// A connection that is not up when the back end may no longer be used is given up.
+constexpr Duration kWayReserve = absl::Milliseconds(200);
+/// An outage of the store lets nearly all registrations lapse together; a release or a scale-in
+/// takes a few at a time.
+constexpr double kLapsedShare = 1.0 / 3;
 /// More beliefs than this are not kept until the next TakeBeliefs.
 constexpr size_t kMaxBeliefs = 1000;
 
@@ -29,6 +35,11 @@
              : absl::StrCat(", at most ", absl::ToInt64Milliseconds(age), " ms ago");
 }
 
+void StopNewWork(Time usable_until, Time owner_usable_until, BackendState& state) {
+  state.usable_until = std::min(state.usable_until, usable_until);
+  state.owner_usable_until = std::min(state.owner_usable_until, owner_usable_until);
+}
+
 }  // namespace
 
 void ServiceTable::SetBackends(const std::vector<catalog::Backend>& backends,
@@ -43,11 +54,20 @@
       Update(backend, news, *known->second, now);
     }
   }
-  for (auto& [id, state] : backends_) {
+  std::vector<BackendStatePtr> gone;
+  size_t registered_before = 0;
+  for (const auto& [id, state] : backends_) {
+    registered_before += state->registered ? 1 : 0;
     if (state->registered && !registered.contains(id)) {
-      MarkGone(news, *state, now);
+      gone.push_back(state);
     }
   }
+  const bool may_have_lapsed =
+      news.store_troubled &&
+      static_cast<double>(gone.size()) >= kLapsedShare * static_cast<double>(registered_before);
+  for (const BackendStatePtr& state : gone) {
+    MarkGone(news, may_have_lapsed, *state, now);
+  }
   Rebuild(now);
 }
 
@@ -91,11 +111,16 @@
     AddBelief(state, was_serving ? "changed" : "returned", FormatEndpoint(backend.address));
     return;
   }
+  // What is allowed from hearing on adds up with how late that was: requests reached an owner 3.06
+  // s after it had said that it leaves, with 3 s allowed.
   if (backend.draining) {
-    StopNewWork(settings_.drain_grace, settings_.drain_serving, state, now);
+    const Time last = news.changed_after + settings_.drain_time - kWayReserve;
+    StopNewWork(std::min(now + settings_.drain_grace, last),
+                std::min(now + settings_.drain_serving, last), state);
     AddBelief(state, "draining", absl::StrCat("its registration says so", AgeOf(news, now)));
   } else {
-    StopNewWork(absl::ZeroDuration(), settings_.evacuation_serving, state, now);
+    const Time last = news.changed_after + settings_.evacuation_time - kWayReserve;
+    StopNewWork(now, std::min(now + settings_.evacuation_serving, last), state);
     AddBelief(state, "evacuated", absl::StrCat(backend.zone, AgeOf(news, now)));
   }
 }
@@ -111,27 +136,21 @@
   AddBelief(state, "cold", absl::StrCat("for ", absl::FormatDuration(time_left), ", as it says"));
 }
 
-void ServiceTable::MarkGone(const RegistrationNews& news, BackendState& state, Time now) {
+void ServiceTable::MarkGone(const RegistrationNews& news, bool may_have_lapsed, BackendState& state,
+                            Time now) {
   state.registered = false;
   state.gone_at = now;
-  if (news.store_troubled) {
-    StopNewWork(settings_.lapse_grace, std::max(settings_.drain_serving, settings_.lapse_grace),
-                state, now);
-  } else {
-    StopNewWork(settings_.drain_grace, settings_.drain_serving, state, now);
-  }
+  const Duration grace = news.store_troubled ? settings_.lapse_grace : settings_.drain_grace;
+  const Time last = may_have_lapsed ? absl::InfiniteFuture()
+                                    : news.changed_after + settings_.drain_time - kWayReserve;
+  StopNewWork(std::min(now + grace, last),
+              std::min(now + std::max(settings_.drain_serving, grace), last), state);
   AddBelief(
       state, "gone",
       absl::StrCat("its registration disappeared",
                    news.store_troubled ? " while the store was troubled" : "", AgeOf(news, now)));
 }
 
-void ServiceTable::StopNewWork(Duration grace, Duration owner_grace, BackendState& state,
-                               Time now) const {
-  state.usable_until = std::min(state.usable_until, now + grace);
-  state.owner_usable_until = std::min(state.owner_usable_until, now + owner_grace);
-}
-
 void ServiceTable::Rebuild(Time now) {
   for (auto& [name, service] : services_) {
     service->backends.clear();
--- a/src/core/forwarding/service_table.h
+++ b/src/core/forwarding/service_table.h
@@ -51,8 +51,8 @@
   void Register(const catalog::Backend& backend);
   void Update(const catalog::Backend& backend, const RegistrationNews& news, BackendState& state,
               Time now);
-  void MarkGone(const RegistrationNews& news, BackendState& state, Time now);
-  void StopNewWork(Duration grace, Duration owner_grace, BackendState& state, Time now) const;
+  /// `may_have_lapsed`: so many went at once that the store may have lost them by mistake.
+  void MarkGone(const RegistrationNews& news, bool may_have_lapsed, BackendState& state, Time now);
   /// Drops back ends that disappeared long ago, and lists the others by service.
   void Rebuild(Time now);
 
--- a/src/gateway/settings/node_settings.cc
+++ b/src/gateway/settings/node_settings.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "gateway/settings/leave_bound.h"
 #include "gateway/settings/settings_checks.h"
 #include "settings/settings_reader.h"
 
@@ -47,6 +48,9 @@
 /// 1.5 s and 0.7 s, which were chosen by measurement (design note 014).
 constexpr double kFreshnessShare = 0.75;
 constexpr Duration kOwnWatchReserve = absl::Milliseconds(800);
+/// With less, the coordinator's word would hardly outlast its own renewals. Shorter bounds of the
+/// platform than this allows cannot be kept in the worst case.
+constexpr Duration kLeastFreshness = absl::Milliseconds(200);
 /// A push tells nothing of its age: it counts for this much less.
 constexpr Duration kPushedReserve = absl::Milliseconds(100);
 
@@ -97,10 +101,15 @@
 
 /// News that the coordinator hands on may be so old that an own watch still brings what it missed
 /// in time: both bounds count from the store's answer.
-void FitRelayInto(const PlatformBounds& bounds, membership::RelaySettings* relay) {
+void FitRelayInto(const PlatformBounds& bounds, Duration connect_timeout,
+                  membership::RelaySettings* relay) {
   // Never longer than the defaults: with 2.25 s, draining back ends still got requests after 3 s.
   relay->freshness = std::min(
       relay->freshness, std::min(bounds.drain_time, bounds.configuration_time) * kFreshnessShare);
+  const Duration beyond_drain_time =
+      LeaveBoundOf(*relay, connect_timeout).Total() - bounds.drain_time;
+  relay->freshness = std::clamp(relay->freshness - beyond_drain_time, kLeastFreshness,
+                                std::max(kLeastFreshness, relay->freshness));
   relay->silence =
       std::min(relay->silence, std::max(relay->freshness / 3, relay->freshness - kOwnWatchReserve));
   relay->pushed_silence = std::min(relay->pushed_silence, relay->silence - kPushedReserve);
@@ -166,6 +175,8 @@
 void ReadForwarding(SettingsReader* reader, const NodeSettings& settings,
                     forwarding::DispatcherSettings* forwarding) {
   forwarding->zone = settings.zone;
+  forwarding->drain_time = settings.bounds.drain_time;
+  forwarding->evacuation_time = settings.bounds.evacuation_time;
   forwarding->drain_serving = settings.bounds.drain_time * kDrainServingShare;
   forwarding->evacuation_serving = settings.bounds.evacuation_time * kEvacuationServingShare;
   forwarding->cold_overshoot = settings.bounds.cold_overshoot;
@@ -189,7 +200,7 @@
   ReadMachineLimits(&reader, &settings.limits);
   ReadStore(&reader, &settings.store);
   ReadBounds(&reader, &settings.bounds);
-  FitRelayInto(settings.bounds, &settings.membership.relay);
+  FitRelayInto(settings.bounds, settings.forwarding.connect_timeout, &settings.membership.relay);
   FitDefaultsInto(settings.bounds.maximum_hold, &settings);
   ReadMembership(&reader, &settings.membership);
   settings.ownership.challenge_delay =
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -7,6 +7,7 @@
 #include <random>
 #include <utility>
 
+#include "gateway/settings/leave_bound.h"
 #include "logging/log.h"
 #include "settings/setting_fault.h"
 #include "wire/result_code.h"
@@ -179,6 +180,9 @@
   state.requests_in_flight = data_path_.requests_in_flight();
   state.caller_connections = data_path_.caller_connection_count();
   state.backend_connections = data_path_.backend_connection_count();
+  state.leave_bound =
+      gateway::LeaveBoundOf(settings_.membership.relay, settings_.forwarding.connect_timeout)
+          .Total();
   control_plane_.Describe(&state);
   return metrics_.Text(state, log_.budget());
 }
--- a/src/observability/node_metrics.cc
+++ b/src/observability/node_metrics.cc
@@ -218,6 +218,9 @@
   SetGauge("ladderstream_backend_news_age_seconds",
            "How old the last change of registrations may have been when it was heard.",
            absl::ToDoubleSeconds(state.backend_news_age));
+  SetGauge("ladderstream_leave_bound_seconds",
+           "How late a request may reach a back end that leaves, by the settings.",
+           absl::ToDoubleSeconds(state.leave_bound));
   SetGauge("ladderstream_map_epoch", "Epoch of the ownership map in force; grows with each holder.",
            static_cast<double>(state.map_epoch));
   SetGauge("ladderstream_map_sequence", "Place of the ownership map in force within its epoch.",
--- a/src/observability/node_metrics.h
+++ b/src/observability/node_metrics.h
@@ -79,6 +79,8 @@
   Duration configuration_age;
   /// How old the last change of the registrations may have been when this node heard of it.
   Duration backend_news_age;
+  /// How late a request may reach a back end that leaves, by the settings.
+  Duration leave_bound;
   bool holds_lease = false;
   bool store_troubled = false;
   bool ready = false;
--- a/tests/unit/gateway_settings/node_settings_test.cc
+++ b/tests/unit/gateway_settings/node_settings_test.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/settings/leave_bound.h"
 #include "temporary_file.h"
 
 namespace ladderstream::gateway {
@@ -109,6 +110,18 @@
   BOOST_TEST((relayed.peers == direct.peers));
 }
 
+BOOST_AUTO_TEST_CASE(what_stands_between_a_leave_and_the_last_request_fits_into_the_drain_time) {
+  for (const char* drain_time : {"700ms", "1s", "2s", "2500ms", "3s", "10s"}) {
+    const NodeSettings loaded = LoadWith({{"bounds.drain_time", drain_time}});
+    const LeaveBound bound =
+        LeaveBoundOf(loaded.membership.relay, loaded.forwarding.connect_timeout);
+    BOOST_TEST((bound.Total() <= loaded.bounds.drain_time), drain_time);
+    BOOST_TEST((loaded.forwarding.drain_time == loaded.bounds.drain_time));
+    // An owner that leaves is given some of it for its keys to move, never all.
+    BOOST_TEST((loaded.forwarding.drain_serving < loaded.bounds.drain_time));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(the_example_shows_every_setting) {
   // The fault of an unknown setting lists the settings of its section.
   std::vector<std::string> known;
