Let the soak strike in series, silence watches of the store, and judge late requests to leaving back ends

Cause: the soak took its whole run as disturbed, so that no bound of time was ever judged in it, the one on leaving back ends among them; a node whose store fell silent got its waiting watch reset, which tells it at once. Change: disturbances are of one node or of all, and last as long as the fault; who leaves is judged by whether the node that sent was in order. DrawSeries: stops in turn, drains, reloads, configurations and kills in series that overlap, watches that get no answer any more. Schedules of kept seeds stay what they were. Up to 300 nodes.

--- a/src/standin/fleet/fleet.cc
+++ b/src/standin/fleet/fleet.cc
@@ -95,6 +95,11 @@
   history_.disturbances.push_back({.from = EventLoop::Now(), .until = absl::InfiniteFuture()});
 }
 
+void Fleet::DisturbFor(Duration time, std::optional<size_t> node) {
+  const Time now = EventLoop::Now();
+  history_.disturbances.push_back({.from = now, .until = now + time, .node = node});
+}
+
 void Fleet::Calm() {
   for (Disturbance& disturbance : history_.disturbances) {
     disturbance.until = std::min(disturbance.until, EventLoop::Now());
--- a/src/standin/fleet/fleet.h
+++ b/src/standin/fleet/fleet.h
@@ -59,6 +59,8 @@
 
   /// From now until Calm(), bounds of time do not bind.
   void Disturb();
+  /// The same for a time, for one node or, if empty, for all.
+  void DisturbFor(Duration time, std::optional<size_t> node);
   void Calm();
 
   /// Stops the callers and waits for the calls under way.
--- a/src/standin/fleet/history.h
+++ b/src/standin/fleet/history.h
@@ -76,6 +76,8 @@
 struct Disturbance {
   Time from;
   Time until = absl::InfiniteFuture();
+  /// Only this node was; empty: the store, or all nodes.
+  std::optional<size_t> node = std::nullopt;
 };
 
 /// One try of a call, under a request id of its own.
--- a/src/standin/fleet/judge.cc
+++ b/src/standin/fleet/judge.cc
@@ -228,7 +228,7 @@
       for (const LeaveEvent* left : leaves[arrival.backend]) {
         const bool late = arrival.at > left->at + bounds_.drain && arrival.at < left->until &&
                           arrival.refused != kMisdirected && !arrival.held_up &&
-                          !IsDisturbed(left->at, arrival.at);
+                          IsBound(arrival, left->at);
         if (late) {
           verdict_->after_drain.Add(absl::StrCat(arrival.request_id, " reached ", arrival.backend,
                                                  " ", absl::FormatDuration(arrival.at - left->at),
@@ -260,6 +260,24 @@
     }
   }
 
+  /// Whether the node that sent this was in order for long enough to have heard of a change that a
+  /// store in order had taken then.
+  bool IsBound(const Arrival& arrival, Time changed) const {
+    const auto attempt = attempts_.find(arrival.request_id);
+    if (attempt == attempts_.end()) {
+      return false;
+    }
+    const size_t node = attempt->second->node;
+    return std::none_of(history_.disturbances.begin(), history_.disturbances.end(),
+                        [&](const Disturbance& disturbance) {
+                          const bool of_all = !disturbance.node.has_value();
+                          const Time from = of_all ? changed : arrival.at;
+                          return (of_all || *disturbance.node == node) &&
+                                 disturbance.from < arrival.at &&
+                                 disturbance.until + bounds_.contact > from;
+                        });
+  }
+
   bool IsDisturbed(Time from, Time until) const {
     return std::any_of(history_.disturbances.begin(), history_.disturbances.end(),
                        [&](const Disturbance& disturbance) {
--- a/src/standin/fleet/main/soak_main.cc
+++ b/src/standin/fleet/main/soak_main.cc
@@ -19,6 +19,7 @@
 
 DEFINE_string(deployment, "small", "small, bretagne or tirol");
 DEFINE_uint32(nodes, 3, "how many nodes run");
+DEFINE_string(faults, "single", "single, or series: many of them in series that overlap");
 DEFINE_double(seconds, 30, "how long faults strike");
 DEFINE_uint64(seed, 1, "of the faults and the load");
 DEFINE_string(schedule, "", "a file with the faults; empty: drawn by the seed");
@@ -30,12 +31,15 @@
 namespace ladderstream::fleet {
 namespace {
 
-constexpr uint32_t kMostNodes = 30;
+/// A node takes some 15 MB; half of a machine of 24 GB is far from reached.
+constexpr uint32_t kMostNodes = 300;
 constexpr double kMostSeconds = 3600;
 
 std::vector<SoakFault> ReadSchedule() {
   if (FLAGS_schedule.empty()) {
-    return DrawSchedule(FLAGS_seed, absl::Seconds(FLAGS_seconds));
+    const Duration length = absl::Seconds(FLAGS_seconds);
+    return FLAGS_faults == "series" ? DrawSeries(FLAGS_seed, length)
+                                    : DrawSchedule(FLAGS_seed, length);
   }
   std::ifstream file(FLAGS_schedule);
   if (!file) {
@@ -49,7 +53,9 @@
 SoakSettings ReadSettings() {
   standin::FlagChecks checks;
   checks.Require(FLAGS_nodes >= 1 && FLAGS_nodes <= kMostNodes, "nodes",
-                 std::to_string(FLAGS_nodes), "1 to 30");
+                 std::to_string(FLAGS_nodes), "1 to 300");
+  checks.Require(FLAGS_faults == "single" || FLAGS_faults == "series", "faults", FLAGS_faults,
+                 "single or series");
   checks.Require(FLAGS_seconds > 0 && FLAGS_seconds <= kMostSeconds, "seconds",
                  std::to_string(FLAGS_seconds), "more than 0, at most 3600");
   checks.ExitOnFaults();
--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -24,6 +24,8 @@
 /// (4.9 s), a takeover, and a back end's distrust of 3 s, with room for a busy machine.
 constexpr Duration kRecoveryBound = absl::Seconds(20);
 constexpr uint64_t kServedAfterwards = 200;
+/// A node that is asked to stop has ended within this.
+constexpr Duration kStopTime = absl::Seconds(6);
 constexpr Duration kRestartDelay = absl::Milliseconds(300);
 constexpr Duration kReviveInterval = absl::Milliseconds(200);
 constexpr double kShare = 0.3;
@@ -55,7 +57,6 @@
     for (const RequestClass& request_class : settings_.deployment.load) {
       fleet_.callers().Start(request_class);
     }
-    fleet_.Disturb();
     fleet_.loop().Every(kReviveInterval, [this] { ReviveNodes(); });
     for (const SoakFault& fault : settings_.schedule) {
       fleet_.loop().After(fault.at, [this, &fault] { Strike(fault); });
@@ -79,11 +80,12 @@
                              std::string(NameOf(fault.kind)), absl::ToDoubleSeconds(fault.lasts),
                              fault.target)
           << std::endl;
-    if (fault.kind <= FaultKind::kAllNodesKilled) {
+    if (fault.kind <= FaultKind::kAllNodesKilled || fault.kind == FaultKind::kNodeReloads) {
       StrikeNodes(fault);
     } else if (fault.kind <= FaultKind::kLinksOneWay) {
       StrikeLinks(fault);
-    } else if (fault.kind <= FaultKind::kStoreForgets) {
+    } else if (fault.kind <= FaultKind::kStoreForgets ||
+               fault.kind == FaultKind::kStoreConnectionsSilent) {
       StrikeStore(fault);
     } else if (fault.kind <= FaultKind::kAnswersDamaged) {
       StrikeBackend(fault);
@@ -98,11 +100,16 @@
       case FaultKind::kCoordinatorKilled:
         Kill(fleet_.store().last_conditional_writer().value_or(0) % nodes_.count(), fault.lasts);
         break;
+      case FaultKind::kNodeReloads:
+        SignalIfRunning(node, SIGHUP);
+        break;
       case FaultKind::kNodePaused:
+        fleet_.DisturbFor(fault.lasts, node);
         SignalIfRunning(node, SIGSTOP);
         Later(fault.lasts, [this, node] { SignalIfRunning(node, SIGCONT); });
         break;
       case FaultKind::kNodeStopped:
+        fleet_.DisturbFor(fault.lasts + kStopTime, node);
         SignalIfRunning(node, SIGTERM);
         away_until_[node] = EventLoop::Now() + fault.lasts;
         break;
@@ -117,6 +124,7 @@
   }
 
   void Kill(size_t node, Duration away) {
+    fleet_.DisturbFor(away + kReviveInterval, node);
     away_until_[node] = EventLoop::Now() + away;
     if (nodes_.IsRunning(node)) {
       nodes_.Kill(node);
@@ -144,16 +152,24 @@
     faults.cut = fault.kind == FaultKind::kLinksCut;
     faults.half_open = fault.kind == FaultKind::kLinksSilent;
     faults.hold_backward = fault.kind == FaultKind::kLinksOneWay;
+    fleet_.DisturbFor(fault.lasts, fault.target % nodes_.count());
     const std::string link = nodes_.nodes()[fault.target % nodes_.count()].name;
     proxy_.SetFaults(link, "", faults);
     Later(fault.lasts, [this, link] { proxy_.SetFaults(link, "", {}); });
   }
 
   void StrikeStore(const SoakFault& fault) {
+    const size_t node = fault.target % nodes_.count();
     if (fault.kind == FaultKind::kStoreForgets) {
+      fleet_.DisturbFor(absl::ZeroDuration(), std::nullopt);
       fleet_.store().ForgetHistory();
       return;
     }
+    if (fault.kind == FaultKind::kStoreConnectionsSilent) {
+      fleet_.DisturbFor(absl::ZeroDuration(), node);
+      fleet_.store().SilenceWatchesAt(node);
+      return;
+    }
     StoreFaults faults;
     switch (fault.kind) {
       case FaultKind::kStoreUnavailable:
@@ -171,11 +187,12 @@
       default:
         faults.outage = StoreOutage::kSilent;
     }
-    const size_t node = fault.target % nodes_.count();
     if (fault.kind == FaultKind::kStoreSilentForOne) {
+      fleet_.DisturbFor(fault.lasts, node);
       fleet_.store().SetFaultsAt(node, faults);
       Later(fault.lasts, [this, node] { fleet_.store().SetFaultsAt(node, {}); });
     } else {
+      fleet_.DisturbFor(fault.lasts, std::nullopt);
       fleet_.store().SetFaults(faults);
       Later(fault.lasts, [this] { fleet_.store().SetFaults({}); });
     }
--- a/src/standin/fleet/soak_schedule.cc
+++ b/src/standin/fleet/soak_schedule.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr size_t kKinds = static_cast<size_t>(FaultKind::kCount);
+/// Kinds that DrawSchedule draws from.
+constexpr size_t kSingleKinds = static_cast<size_t>(FaultKind::kNodeReloads);
 /// Between the starts of two faults, on average: with faults of up to 5 s, three at once.
 constexpr int64_t kMeanPauseMs = 900;
 constexpr int64_t kShortestMs = 300;
@@ -22,15 +24,57 @@
 constexpr uint64_t kTargets = 1000;
 
 constexpr std::array<std::string_view, kKinds> kNames = {
-    "node_killed",      "coordinator_killed",    "node_paused",       "node_stopped",
-    "all_nodes_killed", "links_delayed",         "links_cut",         "links_silent",
-    "links_one_way",    "store_unavailable",     "store_silent",      "store_silent_for_one",
-    "store_slow",       "store_loses_answers",   "store_writes_late", "store_forgets",
-    "backend_crashes",  "backend_freezes",       "backend_drains",    "backend_cut_from_store",
-    "address_reused",   "orders_late",           "orders_unanswered", "answers_lost",
-    "answers_damaged",  "configuration_changes", "other_keys_hot",
+    "node_killed",
+    "coordinator_killed",
+    "node_paused",
+    "node_stopped",
+    "all_nodes_killed",
+    "links_delayed",
+    "links_cut",
+    "links_silent",
+    "links_one_way",
+    "store_unavailable",
+    "store_silent",
+    "store_silent_for_one",
+    "store_slow",
+    "store_loses_answers",
+    "store_writes_late",
+    "store_forgets",
+    "backend_crashes",
+    "backend_freezes",
+    "backend_drains",
+    "backend_cut_from_store",
+    "address_reused",
+    "orders_late",
+    "orders_unanswered",
+    "answers_lost",
+    "answers_damaged",
+    "configuration_changes",
+    "other_keys_hot",
+    "node_reloads",
+    "store_connections_silent",
 };
 
+/// Faults of one kind that follow each other, with targets in turn.
+struct Series {
+  FaultKind kind;
+  uint64_t steps;
+  int64_t gap_ms;
+  int64_t lasts_ms;
+};
+
+/// Overlapping, a series lasts 1 to 6 s.
+constexpr std::array<Series, 6> kSeries = {{
+    {FaultKind::kNodeStopped, 4, 700, 400},
+    {FaultKind::kNodeReloads, 6, 150, 0},
+    {FaultKind::kBackendDrains, 8, 250, 1500},
+    {FaultKind::kConfigurationChanges, 6, 120, 0},
+    {FaultKind::kStoreConnectionsSilent, 3, 400, 0},
+    {FaultKind::kNodeKilled, 3, 300, 600},
+}};
+/// Of the draws, so many in ten begin a series; the others are single faults.
+constexpr uint64_t kSeriesInTen = 6;
+
 [[noreturn]] void Refuse(size_t line, const std::string& what) {
   throw Error(ResultCode::kMalformedMessage, absl::StrCat("schedule, line ", line, ": ", what));
 }
@@ -72,7 +116,7 @@
   for (int64_t at = draw(0, kMeanPauseMs); at + kShortestMs < end;
        at += draw(0, 2 * kMeanPauseMs)) {
     SoakFault fault;
-    fault.kind = static_cast<FaultKind>(random() % kKinds);
+    fault.kind = static_cast<FaultKind>(random() % kSingleKinds);
     fault.at = absl::Milliseconds(at);
     fault.lasts = absl::Milliseconds(std::min(draw(kShortestMs, kLongestMs), end - at));
     fault.target = random() % kTargets;
@@ -81,6 +125,35 @@
   return schedule;
 }
 
+std::vector<SoakFault> DrawSeries(uint64_t seed, Duration length) {
+  std::mt19937_64 random(seed);
+  const auto draw = [&random](int64_t least, int64_t most) {
+    return least + static_cast<int64_t>(random() % static_cast<uint64_t>(most - least + 1));
+  };
+  std::vector<SoakFault> schedule;
+  const int64_t end = absl::ToInt64Milliseconds(length);
+  for (int64_t at = draw(0, kMeanPauseMs); at + kShortestMs < end;
+       at += draw(0, 2 * kMeanPauseMs)) {
+    const uint64_t target = random() % kTargets;
+    Series series = {static_cast<FaultKind>(random() % kSingleKinds), 1, 0,
+                     draw(kShortestMs, kLongestMs)};
+    if (random() % 10 < kSeriesInTen) {
+      series = kSeries.at(random() % kSeries.size());
+    }
+    for (uint64_t step = 0; step < series.steps; ++step) {
+      const int64_t begins = at + static_cast<int64_t>(step) * series.gap_ms;
+      if (begins + kShortestMs < end) {
+        const int64_t lasts = std::min(series.lasts_ms, end - begins);
+        schedule.push_back(
+            {series.kind, absl::Milliseconds(begins), absl::Milliseconds(lasts), target + step});
+      }
+    }
+  }
+  std::stable_sort(schedule.begin(), schedule.end(),
+                   [](const SoakFault& a, const SoakFault& b) { return a.at < b.at; });
+  return schedule;
+}
+
 std::string FormatSchedule(const std::vector<SoakFault>& schedule) {
   std::string text;
   for (const SoakFault& fault : schedule) {
--- a/src/standin/fleet/soak_schedule.h
+++ b/src/standin/fleet/soak_schedule.h
@@ -46,6 +46,9 @@
   // Of what is asked for.
   kConfigurationChanges,
   kOtherKeysHot,
+  // Drawn by DrawSeries only, so that kept seeds of DrawSchedule stay what they are.
+  kNodeReloads,
+  kStoreConnectionsSilent,
   kCount,
 };
 
@@ -63,6 +66,11 @@
 /// Faults that all end within `length`, by their start; several at once.
 std::vector<SoakFault> DrawSchedule(uint64_t seed, Duration length);
 
+/// As DrawSchedule, but most faults come in series that overlap: each node is stopped in turn, many
+/// back ends leave one after the other, settings are reloaded and configurations change in quick
+/// succession, watches of the store fall silent.
+std::vector<SoakFault> DrawSeries(uint64_t seed, Duration length);
+
 /// One line a fault: its kind, milliseconds from the start, how many it lasts, its target.
 std::string FormatSchedule(const std::vector<SoakFault>& schedule);
 /// Throws Error(kMalformedMessage) that names the line.
--- a/src/standin/fleet/store_server.cc
+++ b/src/standin/fleet/store_server.cc
@@ -78,6 +78,11 @@
   if (faults.outage == StoreOutage::kNone) {
     return;
   }
+  if (faults.outage == StoreOutage::kSilent) {
+    // As for all nodes: who waits learns nothing, not even that.
+    SilenceWatchesAt(entrance);
+    return;
+  }
   for (auto feed = feeds_.begin(); feed != feeds_.end();) {
     if (feed->entrance == entrance) {
       feed->exchange->Reset();
@@ -88,6 +93,15 @@
   }
 }
 
+void StoreServer::SilenceWatchesAt(size_t entrance) {
+  feeds_.remove_if([entrance](const WaitingFeed& feed) {
+    if (feed.entrance == entrance) {
+      feed.exchange->Silence();
+    }
+    return feed.entrance == entrance;
+  });
+}
+
 void StoreServer::Heal() {
   faults_at_.clear();
   SetFaults({});
--- a/src/standin/fleet/store_server.h
+++ b/src/standin/fleet/store_server.h
@@ -74,6 +74,8 @@
   void SetFaults(const StoreFaults& faults);
   /// For the clients of one entrance, in place of those of all.
   void SetFaultsAt(size_t entrance, const StoreFaults& faults);
+  /// The watches that wait there never get an answer; other calls and new watches do.
+  void SilenceWatchesAt(size_t entrance);
   /// Ends all faults.
   void Heal();
 
--- a/tests/unit/standin_fleet/judge_test.cc
+++ b/tests/unit/standin_fleet/judge_test.cc
@@ -186,6 +186,21 @@
   BOOST_TEST(Judged().after_drain.count == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(only_a_node_that_was_disturbed_itself_may_hear_late_that_a_back_end_left) {
+  Served("1");
+  history.leaves.push_back({.backend = "b1", .at = kStart - absl::Seconds(6)});
+  const size_t node = history.attempts.front().node;
+  Disturbance& disturbance = history.disturbances.emplace_back();
+  disturbance.from = kStart - absl::Seconds(9);
+  disturbance.until = kStart - absl::Seconds(2);
+  disturbance.node = node + 1;
+  BOOST_TEST(Judged().after_drain.count == 1U);
+  disturbance.node = node;
+  BOOST_TEST(Judged().after_drain.count == 0U);
+  disturbance.until = kStart - absl::Seconds(4);
+  BOOST_TEST(Judged().after_drain.count == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(sees_work_that_goes_on_without_its_caller) {
   for (int i = 0; i < 8; ++i) {
     const std::string id = std::to_string(i);
--- a/tests/unit/standin_fleet/soak_schedule_test.cc
+++ b/tests/unit/standin_fleet/soak_schedule_test.cc
@@ -35,10 +35,27 @@
     for (const SoakFault& fault : DrawSchedule(seed, absl::Seconds(60))) {
       kinds.insert(fault.kind);
     }
+    for (const SoakFault& fault : DrawSeries(seed, absl::Seconds(60))) {
+      kinds.insert(fault.kind);
+    }
   }
   BOOST_TEST(kinds.size() == static_cast<size_t>(FaultKind::kCount));
 }
 
+BOOST_AUTO_TEST_CASE(series_follow_each_other_in_time_and_overlap) {
+  const Duration length = absl::Seconds(60);
+  const auto drawn = DrawSeries(3, length);
+  BOOST_TEST((drawn == DrawSeries(3, length)));
+  size_t stops = 0;
+  for (size_t i = 0; i < drawn.size(); ++i) {
+    BOOST_TEST((drawn[i].at + drawn[i].lasts <= length));
+    BOOST_TEST((i == 0 || drawn[i - 1].at <= drawn[i].at));
+    stops += drawn[i].kind == FaultKind::kNodeStopped ? 1 : 0;
+  }
+  BOOST_TEST(stops >= 4);
+  BOOST_TEST(drawn.size() > 2 * DrawSchedule(3, length).size());
+}
+
 BOOST_AUTO_TEST_CASE(a_written_schedule_reads_as_it_was) {
   const auto drawn = DrawSchedule(11, absl::Seconds(60));
   BOOST_TEST((ParseSchedule("# kept\n" + FormatSchedule(drawn)) == drawn));
