Send nothing over a connection that comes up after its back end left

Cause: a request is given its back end when it is decided on; where a new connection is needed, it was written when that came up, whatever the node had heard meanwhile. A loop that stands still sees the connection before the end of the 150 ms allowed for it. Ruled out: ending each connection that is seen up after 150 ms: an overloaded node would then use none at all, and eject its back ends. Change: when a connection has come up, the dispatcher is asked whether the back end may still be used, by owner or by anybody. Before, after: the test's request reached a back end that was known to be gone; now it is refused.

--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -64,6 +64,17 @@
   return attempt;
 }
 
+bool Dispatcher::Impl::MaySend(AttemptHandle handle, Time now) const {
+  const auto found = attempts_.find(handle);
+  if (found == attempts_.end()) {
+    return false;
+  }
+  const Attempt& attempt = found->second;
+  const auto request = requests_.find(attempt.request);
+  const bool by_key = request != requests_.end() && request->second->sharded;
+  return by_key ? attempt.backend->UsableAsOwner(now) : attempt.backend->UsableForAny(now);
+}
+
 void Dispatcher::Impl::OnSent(AttemptHandle handle, Time now) {
   const auto found = attempts_.find(handle);
   if (found == attempts_.end()) {
--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -233,6 +233,9 @@
 void Dispatcher::OnCallerGone(RequestHandle request, Time now) {
   impl_->OnCallerGone(request, now);
 }
+bool Dispatcher::MaySend(AttemptHandle attempt, Time now) const {
+  return impl_->MaySend(attempt, now);
+}
 void Dispatcher::OnSent(AttemptHandle attempt, Time now) { impl_->OnSent(attempt, now); }
 void Dispatcher::OnAttemptAnswer(AttemptHandle attempt, const AttemptAnswer& answer, Time now) {
   impl_->OnAttemptAnswer(attempt, answer, now);
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -50,6 +50,7 @@
 
   RequestHandle Start(const IncomingRequest& incoming, Time now);
   void OnCallerGone(RequestHandle handle, Time now);
+  bool MaySend(AttemptHandle handle, Time now) const;
   void OnSent(AttemptHandle handle, Time now);
   void OnAttemptAnswer(AttemptHandle handle, const AttemptAnswer& answer, Time now);
   void OnAttemptFailure(AttemptHandle handle, AttemptFailure failure, Time now);
--- a/src/gateway/http/backend_connection.h
+++ b/src/gateway/http/backend_connection.h
@@ -30,6 +30,8 @@
  public:
   virtual ~ExchangeListener() = default;
 
+  /// Whether a request whose connection came up just now may still go to its back end.
+  virtual bool MaySend(forwarding::AttemptHandle attempt) = 0;
   /// The first byte is about to be written.
   virtual void OnSent(forwarding::AttemptHandle attempt) = 0;
   virtual void OnAnswer(forwarding::AttemptHandle attempt, BackendAnswer answer) = 0;
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -162,6 +162,10 @@
   observer_->OnMalformed(fault.code, fault.detail);
 }
 
+bool DataPath::MaySend(AttemptHandle attempt) {
+  return dispatcher_.MaySend(attempt, resources_.clock.Now());
+}
+
 void DataPath::OnSent(AttemptHandle handle) {
   const auto found = attempts_.find(handle);
   if (found == attempts_.end()) {
--- a/src/gateway/http/data_path.h
+++ b/src/gateway/http/data_path.h
@@ -84,6 +84,7 @@
   void OnQuiet() override;
 
   // ExchangeListener
+  bool MaySend(forwarding::AttemptHandle attempt) override;
   void OnSent(forwarding::AttemptHandle attempt) override;
   void OnAnswer(forwarding::AttemptHandle attempt, BackendAnswer answer) override;
   void OnFailure(forwarding::AttemptHandle attempt, forwarding::AttemptFailure failure,
--- a/tests/unit/forwarding/drain_test.cc
+++ b/tests/unit/forwarding/drain_test.cc
@@ -16,6 +16,22 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(what_was_decided_before_may_not_go_once_the_back_end_leaves) {
+  AddBackends("cards", {"c-1"});
+  AddBackends("scripts", {"s-1"});
+  Own("s-1");
+  const SendDecision card = StartAndSend("/cards/1");
+  const SendDecision script = StartAndSend("/scripts/1", absl::Seconds(2), 7);
+  BOOST_TEST(dispatcher.MaySend(card.attempt, now));
+  Drain("c-1");
+  Drain("s-1");
+  BOOST_TEST(!dispatcher.MaySend(card.attempt, now));
+  // The keys of an owner have nobody else until they have moved.
+  BOOST_TEST(dispatcher.MaySend(script.attempt, now));
+  Advance(DefaultSettings().drain_serving);
+  BOOST_TEST(!dispatcher.MaySend(script.attempt, now));
+}
+
 BOOST_AUTO_TEST_CASE(waiting_and_retried_requests_do_not_go_to_a_draining_back_end) {
   AddBackends("books", {"b-1"});
   const SendDecision first = StartAndSend("/books/1");
--- a/tests/unit/gateway_http/backend_faults_test.cc
+++ b/tests/unit/gateway_http/backend_faults_test.cc
@@ -134,6 +134,16 @@
   BOOST_TEST(node.backend.connections.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_connection_that_comes_up_after_its_back_end_left_carries_no_request) {
+  Node node;
+  const TestSocketPtr caller = node.Connect();
+  caller->Send(Node::Get("1"));
+  node.WaitUntil([&] { return node.data_path.backend_connection_count() == 1; });
+  node.data_path.SetBackends({}, {});
+  BOOST_TEST(node.WaitForAnswer(caller).starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(node.backend.requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_closed_while_idle_costs_no_request) {
   Node node;
   const auto caller = node.Connect();
