Share the rows of tests and the draws of schedules, and tell how old a configuration may have been when heard

Cause: two runs of lines stood twice since the last changes; age_ms of configuration_applied was always 0, as that of backends_changed had been.

--- a/src/core/membership/messages.h
+++ b/src/core/membership/messages.h
@@ -84,6 +84,7 @@
   MSGPACK_DEFINE_ARRAY(key, version);
 };
 
+/// Of an age that the sender does not tell.
 constexpr uint32_t kUnknownAge = std::numeric_limits<uint32_t>::max();
 
 /// What a copy of one table that is whole up to `base` lacks to be whole up to `version`.
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -389,8 +389,9 @@
     beliefs_->OnConfigurationRejected(absl::StrCat(row->second.version), error.what());
     return;
   }
-  beliefs_->OnConfiguration(*configuration_, absl::ZeroDuration(),
-                            SourceOf(configuration_follower_, Now()));
+  const Time now = Now();
+  beliefs_->OnConfiguration(*configuration_, now - changed_after,
+                            SourceOf(configuration_follower_, now));
   listener_->OnConfiguration(configuration_);
   TellBackends(changed_after);
 }
@@ -426,6 +427,9 @@
       beliefs_->OnRowNotUnderstood(id, {error.what()});
     }
   }
+  if (changed_after != absl::InfinitePast()) {
+    backend_news_age_ = Now() - changed_after;
+  }
   TellBackends(changed_after);
 }
 
@@ -436,8 +440,7 @@
   const Time now = Now();
   backends_ =
       backend_registry_.Complete(registrations_, evacuated_zones_, configuration_.get(), now);
-  backend_news_age_ = now - changed_after;
-  beliefs_->OnBackends(backends_, backend_follower_.as_of(), backend_news_age_,
+  beliefs_->OnBackends(backends_, backend_follower_.as_of(), now - changed_after,
                        SourceOf(backend_follower_, now));
   listener_->OnBackends(backends_, {backend_follower_.Troubled(now), changed_after});
   TellCatalog();
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -135,7 +135,7 @@
 
   std::shared_ptr<const catalog::Configuration> configuration_;
   catalog::EvacuatedZones evacuated_zones_;
-  /// Of the last change of registrations, when it was heard.
+  /// Of the last change of registrations, when it was heard; the first reading tells none.
   Duration backend_news_age_;
   catalog::BackendRegistry backend_registry_;
   /// As decoded from the registrations, and as completed.
--- a/src/standin/fleet/soak_schedule.cc
+++ b/src/standin/fleet/soak_schedule.cc
@@ -74,6 +74,31 @@
 }};
 /// Of the draws, so many in ten begin a series; the others are single faults.
 constexpr uint64_t kSeriesInTen = 6;
+constexpr uint64_t kTenths = 10;
+
+/// What a seed draws, in order.
+class Draw {
+ public:
+  explicit Draw(uint64_t seed) : random_(seed) {}
+
+  uint64_t Below(uint64_t end) { return random_() % end; }
+  int64_t Between(int64_t least, int64_t most) {
+    return least + static_cast<int64_t>(Below(static_cast<uint64_t>(most - least + 1)));
+  }
+  FaultKind SingleKind() { return static_cast<FaultKind>(Below(kSingleKinds)); }
+  /// Calls `strike` with each moment at which faults begin, and with the end, in milliseconds.
+  template <typename Strike>
+  void AtMoments(Duration length, Strike strike) {
+    const int64_t end = absl::ToInt64Milliseconds(length);
+    for (int64_t at = Between(0, kMeanPauseMs); at + kShortestMs < end;
+         at += Between(0, 2 * kMeanPauseMs)) {
+      strike(at, end);
+    }
+  }
+
+ private:
+  std::mt19937_64 random_;
+};
 
 [[noreturn]] void Refuse(size_t line, const std::string& what) {
   throw Error(ResultCode::kMalformedMessage, absl::StrCat("schedule, line ", line, ": ", what));
@@ -107,38 +132,27 @@
 std::string_view NameOf(FaultKind kind) { return kNames.at(static_cast<size_t>(kind)); }
 
 std::vector<SoakFault> DrawSchedule(uint64_t seed, Duration length) {
-  std::mt19937_64 random(seed);
-  const auto draw = [&random](int64_t least, int64_t most) {
-    return least + static_cast<int64_t>(random() % static_cast<uint64_t>(most - least + 1));
-  };
+  Draw draw(seed);
   std::vector<SoakFault> schedule;
-  const int64_t end = absl::ToInt64Milliseconds(length);
-  for (int64_t at = draw(0, kMeanPauseMs); at + kShortestMs < end;
-       at += draw(0, 2 * kMeanPauseMs)) {
+  draw.AtMoments(length, [&](int64_t at, int64_t end) {
     SoakFault fault;
-    fault.kind = static_cast<FaultKind>(random() % kSingleKinds);
+    fault.kind = draw.SingleKind();
     fault.at = absl::Milliseconds(at);
-    fault.lasts = absl::Milliseconds(std::min(draw(kShortestMs, kLongestMs), end - at));
-    fault.target = random() % kTargets;
+    fault.lasts = absl::Milliseconds(std::min(draw.Between(kShortestMs, kLongestMs), end - at));
+    fault.target = draw.Below(kTargets);
     schedule.push_back(fault);
-  }
+  });
   return schedule;
 }
 
 std::vector<SoakFault> DrawSeries(uint64_t seed, Duration length) {
-  std::mt19937_64 random(seed);
-  const auto draw = [&random](int64_t least, int64_t most) {
-    return least + static_cast<int64_t>(random() % static_cast<uint64_t>(most - least + 1));
-  };
+  Draw draw(seed);
   std::vector<SoakFault> schedule;
-  const int64_t end = absl::ToInt64Milliseconds(length);
-  for (int64_t at = draw(0, kMeanPauseMs); at + kShortestMs < end;
-       at += draw(0, 2 * kMeanPauseMs)) {
-    const uint64_t target = random() % kTargets;
-    Series series = {static_cast<FaultKind>(random() % kSingleKinds), 1, 0,
-                     draw(kShortestMs, kLongestMs)};
-    if (random() % 10 < kSeriesInTen) {
-      series = kSeries.at(random() % kSeries.size());
+  draw.AtMoments(length, [&](int64_t at, int64_t end) {
+    const uint64_t target = draw.Below(kTargets);
+    Series series = {draw.SingleKind(), 1, 0, draw.Between(kShortestMs, kLongestMs)};
+    if (draw.Below(kTenths) < kSeriesInTen) {
+      series = kSeries.at(draw.Below(kSeries.size()));
     }
     for (uint64_t step = 0; step < series.steps; ++step) {
       const int64_t begins = at + static_cast<int64_t>(step) * series.gap_ms;
@@ -148,7 +162,7 @@
             {series.kind, absl::Milliseconds(begins), absl::Milliseconds(lasts), target + step});
       }
     }
-  }
+  });
   std::stable_sort(schedule.begin(), schedule.end(),
                    [](const SoakFault& a, const SoakFault& b) { return a.at < b.at; });
   return schedule;
--- a/tests/unit/store/changed_after_test.cc
+++ b/tests/unit/store/changed_after_test.cc
@@ -5,30 +5,13 @@
 #include <vector>
 
 #include "core/store/table_follower.h"
+#include "table_rows.h"
 
 namespace ladderstream::store {
 namespace {
 
-constexpr char kTable[] = "servers";
-const Time kStart = absl::UnixEpoch() + absl::Hours(1);
 constexpr Duration kDelivery = absl::Seconds(1);
 
-Row MakeRow(const std::string& key, RowVersion version) {
-  return {{kTable, "", key}, "value", version, false};
-}
-
-Row Removed(const std::string& key, RowVersion version) {
-  return {{kTable, "", key}, "", version, true};
-}
-
-StoreReply Done(std::vector<Row> rows, RowVersion version) {
-  StoreReply reply;
-  reply.status = StoreStatus::kDone;
-  reply.rows = std::move(rows);
-  reply.version = version;
-  return reply;
-}
-
 /// Has read "a" and "b" at the start; its watch waits since then.
 struct Watching {
   Watching() : follower({.table = kTable, .partition = "", .seed = 7}) {
--- a/tests/unit/store/shared_changes_test.cc
+++ b/tests/unit/store/shared_changes_test.cc
@@ -6,31 +6,14 @@
 #include <vector>
 
 #include "core/store/table_follower.h"
+#include "table_rows.h"
 
 namespace ladderstream::store {
 namespace {
 
-constexpr char kTable[] = "servers";
 constexpr size_t kMostRemovals = 3;
-const Time kStart = absl::UnixEpoch() + absl::Hours(1);
 const Time kUntil = kStart + absl::Milliseconds(700);
 
-Row MakeRow(const std::string& key, RowVersion version) {
-  return {{kTable, "", key}, "value", version, false};
-}
-
-Row Removed(const std::string& key, RowVersion version) {
-  return {{kTable, "", key}, "", version, true};
-}
-
-StoreReply Done(std::vector<Row> rows, RowVersion version) {
-  StoreReply reply;
-  reply.status = StoreStatus::kDone;
-  reply.rows = std::move(rows);
-  reply.version = version;
-  return reply;
-}
-
 /// Has read `rows` as of `version`; its watch is on its way.
 struct Copy {
   Copy(const std::vector<Row>& rows, RowVersion version)
--- a/tests/unit/store/table_follower_test.cc
+++ b/tests/unit/store/table_follower_test.cc
@@ -4,30 +4,13 @@
 #include <string>
 #include <vector>
 
+#include "table_rows.h"
+
 namespace ladderstream::store {
 namespace {
 
-constexpr char kTable[] = "servers";
-const Time kStart = absl::UnixEpoch() + absl::Hours(1);
 constexpr Duration kWait = absl::Seconds(20);
 
-Row MakeRow(const std::string& key, RowVersion version, const std::string& value = "value") {
-  return {{kTable, "", key}, value, version, false};
-}
-
-Row Removed(const std::string& key, RowVersion version) {
-  return {{kTable, "", key}, "", version, true};
-}
-
-StoreReply Done(std::vector<Row> rows, RowVersion version, bool more = false) {
-  StoreReply reply;
-  reply.status = StoreStatus::kDone;
-  reply.rows = std::move(rows);
-  reply.version = version;
-  reply.more = more;
-  return reply;
-}
-
 StoreReply Failed(StoreStatus status) {
   StoreReply reply;
   reply.status = status;
