Do not take a push of the coordinator as made when it arrives

Cause: a push tells no age; it was taken as made at its arrival, so a node whose coordinator was slow took its copy for whole up to 0.25 s too long, and what a leaving owner was allowed ended that much too late. Change: a push vouches for the copy as before, and says nothing of since when. Before, after: the test fails without the change.

--- a/src/core/membership/table_relay.cc
+++ b/src/core/membership/table_relay.cc
@@ -175,7 +175,9 @@
     if (age >= settings_.freshness) {
       follower->Resume();
     } else if (until > now) {
-      follower->Suspend(until, made - age);
+      // When a push was made is not known: from a slow coordinator it came 0.25 s late, and what
+      // leaving back ends were allowed ended that much too late.
+      follower->Suspend(until, answers ? made - age : absl::InfinitePast());
     }
   }
 }
--- a/tests/unit/membership/table_relay_test.cc
+++ b/tests/unit/membership/table_relay_test.cc
@@ -133,6 +133,21 @@
   TableRelay to{{.standbys = 0}, 2, &node.configuration, &node.backends};
 };
 
+BOOST_AUTO_TEST_CASE(APushVouchesButDoesNotTellSinceWhen) {
+  // A slow coordinator's pushes came a quarter of a second after they were made: taken for the
+  // moment of their arrival, requests reached an owner 2.045 s after it had left, 2 s allowed.
+  Pair pair;
+  const Time later = kStart + absl::Milliseconds(300);
+  pair.coordinator.backends.Poll(pair.coordinator.backends.NextWake());
+  pair.coordinator.backends.OnStoreAnswered(later);
+  pair.Hear(pair.Push(later), later);
+  BOOST_TEST(pair.node.backends.Suspended(later));
+  BOOST_TEST((pair.node.backends.last_confirmed() == kStart));
+  // An answer was made after its report was sent.
+  pair.to.OnCoordinatorHeard(pair.Push(later), later, /*answers=*/true, later);
+  BOOST_TEST((pair.node.backends.last_confirmed() > kStart));
+}
+
 BOOST_AUTO_TEST_CASE(AMissedPushEndsTheSuspensionOfItsTableOnly) {
   Pair pair;
   pair.Hear(pair.Push());
