--- a/src/core/membership/messages.h
+++ b/src/core/membership/messages.h
@@ -166,7 +166,9 @@
 struct SnapshotRequest {
   uint64_t configuration_version = 0;
   uint64_t backends_version = 0;
-  MSGPACK_DEFINE_ARRAY(configuration_version, backends_version);
+  /// Counts the sender's questions from 1; the answer names it.
+  uint64_t sequence = 0;
+  MSGPACK_DEFINE_ARRAY(configuration_version, backends_version, sequence);
 };
 
 /// The answer: rows as the sender last read them from the store.
@@ -179,7 +181,10 @@
   std::vector<SharedRow> backends;
   /// How long ago the sender was last sure that these are the newest, in milliseconds.
   uint32_t age_ms = 0;
-  MSGPACK_DEFINE_ARRAY(configuration_version, configuration, backends_version, backends, age_ms);
+  /// The sequence of the request; 0 from a sender of the version before.
+  uint64_t answered_request = 0;
+  MSGPACK_DEFINE_ARRAY(configuration_version, configuration, backends_version, backends, age_ms,
+                       answered_request);
 };
 
 using Message = std::variant<Report, Heartbeat, Resignation, SnapshotRequest, Snapshot>;
--- a/src/core/membership/sent_reports.h
+++ b/src/core/membership/sent_reports.h
@@ -1,4 +1,4 @@
-// This node's reports that may still be answered.
+// This node's reports, or its questions for snapshots, that may still be answered.
 #pragma once
 
 #include <cstdint>
--- a/src/core/membership/snapshot_exchange.cc
+++ b/src/core/membership/snapshot_exchange.cc
@@ -84,11 +84,15 @@
   }
   const Time confirmed = std::min(configuration_->last_confirmed(), backends_->last_confirmed());
   snapshot.age_ms = Milliseconds(now - confirmed);
+  snapshot.answered_request = request.sequence;
   return snapshot;
 }
 
 bool SnapshotExchange::OnSnapshot(const Snapshot& snapshot, Time now) {
-  const Time confirmed = now - absl::Milliseconds(snapshot.age_ms);
+  // Taken as made at its arrival, a late answer would let changes seem younger than they are.
+  const std::optional<SentReport> question = questions_.Take(snapshot.answered_request);
+  const Time confirmed = question.has_value() ? question->sent - absl::Milliseconds(snapshot.age_ms)
+                                              : absl::InfinitePast();
   const bool configuration_changed = MergeInto(configuration_, snapshot.configuration,
                                                snapshot.configuration_version, confirmed, now);
   const bool backends_changed =
@@ -108,7 +112,7 @@
   if (hinted) {
     ++hint_->questions;
     next_question_ = now + settings_.shortest_interval;
-    return Question{hint_->from, Request()};
+    return Question{hint_->from, NewRequest(now)};
   }
   if (now - next_question_ > settings_.longest_interval) {
     interval_ = settings_.shortest_interval;
@@ -120,7 +124,7 @@
   const bool known = configuration_->known() && backends_->known();
   interval_ =
       known ? std::min(interval_ * 2, settings_.longest_interval) : settings_.shortest_interval;
-  return Question{others[turn_++ % others.size()], Request()};
+  return Question{others[turn_++ % others.size()], NewRequest(now)};
 }
 
 Time SnapshotExchange::NextWake() const {
@@ -145,8 +149,8 @@
   return std::min(configuration, backends);
 }
 
-SnapshotRequest SnapshotExchange::Request() const {
-  return {configuration_->as_of(), backends_->as_of()};
+SnapshotRequest SnapshotExchange::NewRequest(Time now) {
+  return {configuration_->as_of(), backends_->as_of(), questions_.Add(/*holder=*/0, now)};
 }
 
 }  // namespace ladderstream::membership
--- a/src/core/membership/snapshot_exchange.h
+++ b/src/core/membership/snapshot_exchange.h
@@ -8,6 +8,7 @@
 
 #include "core/membership/member_table.h"
 #include "core/membership/messages.h"
+#include "core/membership/sent_reports.h"
 #include "core/store/table_follower.h"
 #include "wire/time.h"
 
@@ -66,13 +67,15 @@
   bool HintIsOpen() const;
   /// When the store counts as turning this node away; infinite while it answers.
   Time TurnedAwayAt() const;
-  SnapshotRequest Request() const;
+  /// The next question, which counts as sent now.
+  SnapshotRequest NewRequest(Time now);
 
   SnapshotSettings settings_;
   store::TableFollower* configuration_;
   store::TableFollower* backends_;
   std::mt19937_64 random_;
   std::optional<Hint> hint_;
+  SentReports questions_;
   Time next_question_ = absl::InfinitePast();
   Duration interval_;
   /// Where the turn among the others stands; starts anywhere so that nodes ask different ones.
--- a/tests/unit/membership/message_codec_test.cc
+++ b/tests/unit/membership/message_codec_test.cc
@@ -76,6 +76,27 @@
   BOOST_TEST(std::get<Heartbeat>(next).standbys.size() == 2);
 }
 
+/// TableNews of the version before.
+struct ShorterTableNews {
+  uint64_t base = 0;
+  uint64_t version = 0;
+  uint64_t newest_change = 0;
+  std::vector<SharedRow> rows;
+  std::vector<RemovedRow> removals;
+  uint32_t age_ms = 0;
+  uint64_t gap_first = 0;
+  uint64_t gap_last = 0;
+  MSGPACK_DEFINE_ARRAY(base, version, newest_change, rows, removals, age_ms, gap_first, gap_last);
+};
+
+BOOST_AUTO_TEST_CASE(TableNewsOfTheVersionBeforeDoNotTellHowOldTheyAre) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, ShorterTableNews{40, 50, 45, {}, {{"i-1", 41}}, 7, 0, 0});
+  const auto news = msgpack::unpack(buffer.data(), buffer.size())->as<TableNews>();
+  BOOST_TEST(news.age_ms == 7);
+  BOOST_TEST(news.change_age_ms == kUnknownAge);
+}
+
 BOOST_AUTO_TEST_CASE(EveryCutOrLongerMessageIsRefused) {
   const std::string whole = EncodeMessage(SoundHeartbeat());
   for (size_t size = 0; size < whole.size(); ++size) {
--- a/tests/unit/membership/snapshot_test.cc
+++ b/tests/unit/membership/snapshot_test.cc
@@ -61,6 +61,29 @@
   BOOST_TEST(asker.backends.Troubled(later));
 }
 
+BOOST_AUTO_TEST_CASE(ALateSnapshotConfirmsFromItsQuestionsSend) {
+  // What the copies lack may have changed while the answer was on its way.
+  Node asker(1);
+  Node helper(2);
+  helper.LoadTables({{"config", "r12", 40}}, {{"i-1", "ready", 50}}, 60, kStart);
+  const Time asked = kStart + absl::Milliseconds(301);
+  RefuseUntil(asker, kStart, asked);
+  asker.membership.OnTick(asked);
+  const auto questions = asker.TakeSent<SnapshotRequest>();
+  BOOST_REQUIRE(questions.size() == 1);
+  helper.membership.OnMessage(kConnection, questions.front().second, asked);
+  const Snapshot answer = helper.TakeSent<Snapshot>().front().second;
+  asker.membership.OnMessage(kConnection, answer, asked + absl::Seconds(2));
+  BOOST_TEST((asker.backends.last_confirmed() == kStart));
+  // Nobody asked for this one: when it was made is not known.
+  Snapshot unasked = answer;
+  unasked.backends_version = 70;
+  unasked.age_ms = 0;
+  asker.membership.OnMessage(kConnection, unasked, asked + absl::Seconds(3));
+  BOOST_TEST(asker.backends.as_of() == 70);
+  BOOST_TEST((asker.backends.last_confirmed() == kStart));
+}
+
 BOOST_AUTO_TEST_CASE(QuestionsAreSpreadOverTheMembers) {
   Node asker(1);
   asker.membership.OnMessage(kConnection, MemberList({2, 3, 4}), kStart);
