--- /dev/null
+++ b/src/node/catalog_tables.h
@@ -0,0 +1,71 @@
+// Reads the two tables that are followed into the configuration and the back ends in force, and
+// tells of each change with how old it may be. One thread; makes no call.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "core/catalog/backend_registry.h"
+#include "core/catalog/catalog.h"
+#include "core/forwarding/dispatcher.h"
+#include "core/store/table_follower.h"
+#include "interfaces/platform_adapter.h"
+#include "observability/belief_log.h"
+#include "wire/time.h"
+
+namespace ladderstream::node {
+
+using ConfigurationPtr = std::shared_ptr<const catalog::Configuration>;
+
+class CatalogTables {
+ public:
+  /// Who hears of changes.
+  struct Handlers {
+    std::function<void(const ConfigurationPtr&)> on_configuration;
+    std::function<void(const std::vector<catalog::Backend>&, const forwarding::RegistrationNews&)>
+        on_backends;
+  };
+
+  /// Everything handed in outlives this; the followers are of the adapter's two tables.
+  CatalogTables(const interfaces::PlatformAdapter* adapter, observability::BeliefLog* beliefs,
+                store::TableFollower* configuration_follower,
+                store::TableFollower* backend_follower, Handlers handlers);
+
+  /// Takes what changed in the tables since the last call.
+  void Take(Time now);
+
+  /// Null before any is known.
+  const ConfigurationPtr& configuration() const { return configuration_; }
+  /// Every registered back end, with what the configuration and evacuations say of it.
+  const std::vector<catalog::Backend>& backends() const { return backends_; }
+  /// How old the last change of registrations may have been when it was heard; the first reading
+  /// tells none.
+  Duration backend_news_age() const { return backend_news_age_; }
+
+ private:
+  void TakeConfiguration(Time now);
+  /// Gives false when no newer configuration could be read.
+  bool ReadConfiguration();
+  void TakeEvacuations(Time changed_after, Time now);
+  void TakeBackends(Time now);
+  /// Joins the registrations with the rest that is known of them. What differs from what was told
+  /// before changed after `changed_after`.
+  void TellBackends(Time changed_after, Time now);
+
+  const interfaces::PlatformAdapter* const adapter_;
+  observability::BeliefLog* const beliefs_;
+  store::TableFollower* const configuration_follower_;
+  store::TableFollower* const backend_follower_;
+  const Handlers handlers_;
+
+  ConfigurationPtr configuration_;
+  catalog::EvacuatedZones evacuated_zones_;
+  catalog::BackendRegistry backend_registry_;
+  /// As decoded from the registrations, and as completed.
+  std::vector<catalog::Backend> registrations_;
+  std::vector<catalog::Backend> backends_;
+  Duration backend_news_age_;
+};
+
+}  // namespace ladderstream::node
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -1,7 +1,5 @@
 #include "node/control_plane.h"
 
-#include <absl/strings/str_cat.h>
-
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
@@ -126,11 +124,6 @@
   return counts;
 }
 
-/// Where a copy's newest rows come from, for logs.
-const char* SourceOf(const store::TableFollower& follower, Time now) {
-  return follower.Suspended(now) ? "coordinator" : "store";
-}
-
 }  // namespace
 
 ControlPlane::ControlPlane(gateway::LoopResources* resources, const gateway::NodeSettings& settings,
@@ -166,6 +159,15 @@
       configuration_follower_(
           FollowerSettingsOf(adapter_->configuration_table(), incarnation + kConfigurationSeed)),
       backend_follower_(FollowerSettingsOf(adapter_->backend_table(), incarnation + kBackendSeed)),
+      catalog_(adapter_.get(), beliefs, &configuration_follower_, &backend_follower_,
+               {[this](const ConfigurationPtr& configuration) {
+                  listener_->OnConfiguration(configuration);
+                },
+                [this](const std::vector<catalog::Backend>& backends,
+                       const forwarding::RegistrationNews& news) {
+                  listener_->OnBackends(backends, news);
+                  TellCatalog();
+                }}),
       coordinator_(settings.ownership, CoordinatorIdentityOf(settings, incarnation)),
       membership_(MembershipSettingsOf(settings, incarnation + kMembershipSeed),
                   IdentityOf(settings, incarnation), &configuration_follower_, &backend_follower_),
@@ -196,9 +198,9 @@
 
 void ControlPlane::Describe(observability::NodeState* state) const {
   const Time now = Now();
-  state->configuration_version = configuration_ ? configuration_->version : 0;
+  state->configuration_version = catalog_.configuration() ? catalog_.configuration()->version : 0;
   state->configuration_age = now - configuration_follower_.last_confirmed();
-  state->backend_news_age = backend_news_age_;
+  state->backend_news_age = catalog_.backend_news_age();
   if (const auto& map = membership_.map()) {
     state->map_epoch = map->version.epoch;
     state->map_sequence = map->version.sequence;
@@ -209,7 +211,7 @@
   state->peers = membership_.members().size();
   state->peer_messages = CountsOf(peers_.traffic().queued);
   state->store_calls = StoreCalls();
-  for (const catalog::Backend& backend : backends_) {
+  for (const catalog::Backend& backend : catalog_.backends()) {
     ++state->backends[backend.draining ? "draining" : "ready"];
     state->backends["evacuated"] += backend.evacuated ? 1 : 0;
     state->backends["cold"] += now < backend.cold_until ? 1 : 0;
@@ -276,7 +278,8 @@
 void ControlPlane::Carry(const membership::SendAction& send) { peers_.Send(send.to, send.message); }
 
 void ControlPlane::Carry(const membership::ReportDueAction&) {
-  membership_.SendReport(ToReports(listener_->TakeLoad(), configuration_.get()), {}, Now());
+  membership_.SendReport(ToReports(listener_->TakeLoad(), catalog_.configuration().get()), {},
+                         Now());
 }
 
 void ControlPlane::Carry(const membership::HeartbeatHeardAction& heard) {
@@ -338,8 +341,7 @@
   membership_.OnTick(now);
   PollFollower(&configuration_follower_);
   PollFollower(&backend_follower_);
-  TakeConfiguration();
-  TakeBackends();
+  catalog_.Take(now);
   TellOwnLoad();
   for (int turn = 0; turn < kMostTurns && CarryActions(); ++turn) {
   }
@@ -368,95 +370,17 @@
   }
 }
 
-void ControlPlane::TakeConfiguration() {
-  const Time changed_after = configuration_follower_.changed_after();
-  if (configuration_follower_.TakeChangedKeys().empty()) {
-    return;
-  }
-  TakeEvacuations(changed_after);
-  const auto row = configuration_follower_.rows().find(std::string(adapter_->configuration_key()));
-  if (row == configuration_follower_.rows().end()) {
-    return;
-  }
-  try {
-    auto configuration = std::make_shared<const catalog::Configuration>(
-        adapter_->DecodeConfiguration(row->second.value));
-    if (configuration_ && configuration->version <= configuration_->version) {
-      return;
-    }
-    configuration_ = std::move(configuration);
-  } catch (const Error& error) {
-    beliefs_->OnConfigurationRejected(absl::StrCat(row->second.version), error.what());
-    return;
-  }
-  const Time now = Now();
-  beliefs_->OnConfiguration(*configuration_, now - changed_after,
-                            SourceOf(configuration_follower_, now));
-  listener_->OnConfiguration(configuration_);
-  TellBackends(changed_after);
-}
-
-void ControlPlane::TakeEvacuations(Time changed_after) {
-  catalog::EvacuatedZones zones;
-  for (const auto& [key, row] : configuration_follower_.rows()) {
-    if (auto zone = adapter_->EvacuatedZoneOf(key)) {
-      zones.insert(std::move(*zone));
-    }
-  }
-  if (zones == evacuated_zones_) {
-    return;
-  }
-  evacuated_zones_ = std::move(zones);
-  beliefs_->OnEvacuations(evacuated_zones_, configuration_follower_.as_of(),
-                          SourceOf(configuration_follower_, Now()));
-  TellBackends(changed_after);
-}
-
-void ControlPlane::TakeBackends() {
-  const Time changed_after = backend_follower_.changed_after();
-  if (backend_follower_.TakeChangedKeys().empty()) {
-    return;
-  }
-  registrations_.clear();
-  for (const auto& [id, row] : backend_follower_.rows()) {
-    try {
-      interfaces::ReadingNotes notes;
-      registrations_.push_back(adapter_->DecodeBackend(id, row.value, &notes));
-      beliefs_->OnRowNotUnderstood(id, notes);
-    } catch (const Error& error) {
-      beliefs_->OnRowNotUnderstood(id, {error.what()});
-    }
-  }
-  if (changed_after != absl::InfinitePast()) {
-    backend_news_age_ = Now() - changed_after;
-  }
-  TellBackends(changed_after);
-}
-
-void ControlPlane::TellBackends(Time changed_after) {
-  if (!backend_follower_.known()) {
-    return;
-  }
-  const Time now = Now();
-  backends_ =
-      backend_registry_.Complete(registrations_, evacuated_zones_, configuration_.get(), now);
-  beliefs_->OnBackends(backends_, backend_follower_.as_of(), now - changed_after,
-                       SourceOf(backend_follower_, now));
-  listener_->OnBackends(backends_, {backend_follower_.Troubled(now), changed_after});
-  TellCatalog();
-}
-
 void ControlPlane::TellCatalog() {
-  if (!configuration_ || !backend_follower_.known()) {
+  if (!catalog_.configuration()) {
     return;
   }
   std::vector<catalog::Service> sharded;
-  for (const auto& [name, service] : configuration_->services) {
+  for (const auto& [name, service] : catalog_.configuration()->services) {
     if (service.sharded) {
       sharded.push_back(service);
     }
   }
-  coordinator_.OnCatalog(sharded, backends_, Now());
+  coordinator_.OnCatalog(sharded, catalog_.backends(), Now());
 }
 
 void ControlPlane::TellOwnLoad() {
@@ -467,7 +391,8 @@
   }
   if (now >= next_own_load_) {
     next_own_load_ = now + kOwnLoadInterval;
-    TellCoordinator(ToReports(listener_->TakeLoad(), configuration_.get()), now, &coordinator_);
+    TellCoordinator(ToReports(listener_->TakeLoad(), catalog_.configuration().get()), now,
+                    &coordinator_);
   }
 }
 
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -8,7 +8,6 @@
 #include <string>
 #include <vector>
 
-#include "core/catalog/backend_registry.h"
 #include "core/catalog/catalog.h"
 #include "core/forwarding/dispatcher.h"
 #include "core/membership/membership.h"
@@ -20,6 +19,7 @@
 #include "gateway/settings/node_settings.h"
 #include "gateway/store/store_client.h"
 #include "interfaces/platform_adapter.h"
+#include "node/catalog_tables.h"
 #include "node/http_client_exchanger.h"
 #include "node/order_sender.h"
 #include "observability/belief_log.h"
@@ -64,7 +64,7 @@
 
   /// Since the start, by kind.
   std::map<std::string, uint64_t> StoreCalls() const;
-  bool HasConfiguration() const { return configuration_ != nullptr; }
+  bool HasConfiguration() const { return catalog_.configuration() != nullptr; }
   /// Adds what the metrics show of the control plane.
   void Describe(observability::NodeState* state) const;
 
@@ -100,12 +100,7 @@
   /// Pumps after the present event, once however often it is asked for.
   void PumpSoon();
   void PollFollower(store::TableFollower* follower);
-  void TakeConfiguration();
-  void TakeEvacuations(Time changed_after);
-  void TakeBackends();
-  /// Joins the registrations with the rest that is known of them, and tells everybody.
-  /// What differs from what was told before changed after `changed_after`.
-  void TellBackends(Time changed_after);
+  /// Tells the coordinator, once there is a configuration.
   void TellCatalog();
   void TellOwnLoad();
   void ShareLease();
@@ -130,17 +125,10 @@
 
   store::TableFollower configuration_follower_;
   store::TableFollower backend_follower_;
+  CatalogTables catalog_;
   ownership::Coordinator coordinator_;
   membership::Membership membership_;
 
-  std::shared_ptr<const catalog::Configuration> configuration_;
-  catalog::EvacuatedZones evacuated_zones_;
-  /// Of the last change of registrations, when it was heard; the first reading tells none.
-  Duration backend_news_age_;
-  catalog::BackendRegistry backend_registry_;
-  /// As decoded from the registrations, and as completed.
-  std::vector<catalog::Backend> registrations_;
-  std::vector<catalog::Backend> backends_;
   /// What membership was last told of this node's lease.
   ownership::LeaseView shared_lease_;
   Time shared_lease_until_ = absl::InfinitePast();
--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -80,12 +80,11 @@
                              std::string(NameOf(fault.kind)), absl::ToDoubleSeconds(fault.lasts),
                              fault.target)
           << std::endl;
-    if (fault.kind <= FaultKind::kAllNodesKilled || fault.kind == FaultKind::kNodeReloads) {
+    if (fault.kind <= FaultKind::kNodeReloads) {
       StrikeNodes(fault);
     } else if (fault.kind <= FaultKind::kLinksOneWay) {
       StrikeLinks(fault);
-    } else if (fault.kind <= FaultKind::kStoreForgets ||
-               fault.kind == FaultKind::kStoreConnectionsSilent) {
+    } else if (fault.kind <= FaultKind::kStoreConnectionsSilent) {
       StrikeStore(fault);
     } else if (fault.kind <= FaultKind::kAnswersDamaged) {
       StrikeBackend(fault);
--- a/src/standin/fleet/soak_schedule.cc
+++ b/src/standin/fleet/soak_schedule.cc
@@ -14,8 +14,23 @@
 namespace {
 
 constexpr size_t kKinds = static_cast<size_t>(FaultKind::kCount);
-/// Kinds that DrawSchedule draws from.
-constexpr size_t kSingleKinds = static_cast<size_t>(FaultKind::kNodeReloads);
+
+/// Kinds that came after seeds had been kept: DrawSchedule leaves them out, so that these draw what
+/// they drew.
+constexpr bool IsOfSeriesOnly(FaultKind kind) {
+  return kind == FaultKind::kNodeReloads || kind == FaultKind::kStoreConnectionsSilent;
+}
+constexpr size_t kSingleKinds = kKinds - 2;
+constexpr std::array<FaultKind, kSingleKinds> SingleKinds() {
+  std::array<FaultKind, kSingleKinds> kinds = {};
+  size_t count = 0;
+  for (size_t kind = 0; kind < kKinds; ++kind) {
+    if (!IsOfSeriesOnly(static_cast<FaultKind>(kind))) {
+      kinds.at(count++) = static_cast<FaultKind>(kind);
+    }
+  }
+  return kinds;
+}
 /// Between the starts of two faults, on average: with faults of up to 5 s, three at once.
 constexpr int64_t kMeanPauseMs = 900;
 constexpr int64_t kShortestMs = 300;
@@ -24,35 +39,21 @@
 constexpr uint64_t kTargets = 1000;
 
 constexpr std::array<std::string_view, kKinds> kNames = {
-    "node_killed",
-    "coordinator_killed",
-    "node_paused",
-    "node_stopped",
-    "all_nodes_killed",
-    "links_delayed",
-    "links_cut",
-    "links_silent",
-    "links_one_way",
-    "store_unavailable",
-    "store_silent",
-    "store_silent_for_one",
-    "store_slow",
-    "store_loses_answers",
-    "store_writes_late",
-    "store_forgets",
-    "backend_crashes",
-    "backend_freezes",
-    "backend_drains",
-    "backend_cut_from_store",
-    "address_reused",
-    "orders_late",
-    "orders_unanswered",
-    "answers_lost",
-    "answers_damaged",
-    "configuration_changes",
+    "node_killed",          "coordinator_killed",
+    "node_paused",          "node_stopped",
+    "all_nodes_killed",     "node_reloads",
+    "links_delayed",        "links_cut",
+    "links_silent",         "links_one_way",
+    "store_unavailable",    "store_silent",
+    "store_silent_for_one", "store_slow",
+    "store_loses_answers",  "store_writes_late",
+    "store_forgets",        "store_connections_silent",
+    "backend_crashes",      "backend_freezes",
+    "backend_drains",       "backend_cut_from_store",
+    "address_reused",       "orders_late",
+    "orders_unanswered",    "answers_lost",
+    "answers_damaged",      "configuration_changes",
     "other_keys_hot",
-    "node_reloads",
-    "store_connections_silent",
 };
 
 /// Faults of one kind that follow each other, with targets in turn.
@@ -85,7 +86,7 @@
   int64_t Between(int64_t least, int64_t most) {
     return least + static_cast<int64_t>(Below(static_cast<uint64_t>(most - least + 1)));
   }
-  FaultKind SingleKind() { return static_cast<FaultKind>(Below(kSingleKinds)); }
+  FaultKind SingleKind() { return SingleKinds().at(Below(kSingleKinds)); }
   /// Calls `strike` with each moment at which faults begin, and with the end, in milliseconds.
   template <typename Strike>
   void AtMoments(Duration length, Strike strike) {
--- a/src/standin/fleet/soak_schedule.h
+++ b/src/standin/fleet/soak_schedule.h
@@ -20,6 +20,7 @@
   kNodePaused,
   kNodeStopped,
   kAllNodesKilled,
+  kNodeReloads,
   // Of the connections between nodes.
   kLinksDelayed,
   kLinksCut,
@@ -33,6 +34,7 @@
   kStoreLosesAnswers,
   kStoreWritesLate,
   kStoreForgets,
+  kStoreConnectionsSilent,
   // Of back ends.
   kBackendCrashes,
   kBackendFreezes,
@@ -46,9 +48,6 @@
   // Of what is asked for.
   kConfigurationChanges,
   kOtherKeysHot,
-  // Drawn by DrawSeries only, so that kept seeds of DrawSchedule stay what they are.
-  kNodeReloads,
-  kStoreConnectionsSilent,
   kCount,
 };
 
--- a/tests/unit/standin_fleet/soak_schedule_test.cc
+++ b/tests/unit/standin_fleet/soak_schedule_test.cc
@@ -17,6 +17,16 @@
   BOOST_TEST((drawn != DrawSchedule(8, absl::Seconds(30))));
 }
 
+BOOST_AUTO_TEST_CASE(kept_seeds_draw_what_they_drew) {
+  const auto drawn = DrawSchedule(6, absl::Seconds(20));
+  BOOST_TEST(drawn.size() == 23U);
+  const std::string first = FormatSchedule({drawn.begin(), drawn.begin() + 4});
+  for (const char* fault : {"links_cut", "store_slow", "backend_freezes", "all_nodes_killed"}) {
+    BOOST_TEST(first.find(fault) != std::string::npos, fault);
+  }
+  BOOST_TEST(drawn.front().target == 334U);
+}
+
 BOOST_AUTO_TEST_CASE(faults_end_in_time_and_overlap) {
   const Duration length = absl::Seconds(60);
   const auto drawn = DrawSchedule(3, length);
