Give load, admission and allowances rooms of their own beside forwarding

Change: moves only. core/load holds what is believed of back ends (load_estimate, outlier_detector, load_counter), core/admission who may go now (owner_limit, wait_queue), core/allowance what all nodes share (retry_budget, cold_senders). Forwarding asks them; they do not know of it.

--- a/src/bench/cold_start_model.cc
+++ b/src/bench/cold_start_model.cc
@@ -7,7 +7,7 @@
 namespace ladderstream::bench {
 namespace {
 
-using forwarding::ColdSenders;
+using allowance::ColdSenders;
 
 constexpr Duration kStep = absl::Milliseconds(5);
 /// Before the back end turns cold, lists have been the same for this long.
@@ -35,7 +35,7 @@
   Time next_demand;
   Time next_send = absl::InfinitePast();
   size_t known_members = 0;
-  std::unique_ptr<ColdSenders> senders;
+  std::unique_ptr<allowance::ColdSenders> senders;
 };
 
 class Fleet {
@@ -85,7 +85,7 @@
   node.next_report = now_ + ReportInterval() * Random();
   node.last_report = absl::InfinitePast();
   node.next_demand = now_ + start_.demand * Random();
-  node.senders = std::make_unique<ColdSenders>(node.id, start_.overshoot, start_.slack);
+  node.senders = std::make_unique<allowance::ColdSenders>(node.id, start_.overshoot, start_.slack);
   nodes_.push_back(std::move(node));
 }
 
@@ -159,7 +159,7 @@
     node.known_members = published_.size();
     node.senders->SetMembers(published_, now_);
   }
-  node.senders->SetConfirmed(now_ + ColdSenders::kListLifetime);
+  node.senders->SetConfirmed(now_ + allowance::ColdSenders::kListLifetime);
 }
 
 bool Fleet::MaySend(const Node& node) const {
--- a/src/bench/cold_start_model.h
+++ b/src/bench/cold_start_model.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "core/forwarding/cold_senders.h"
+#include "core/allowance/cold_senders.h"
 #include "wire/time.h"
 
 namespace ladderstream::bench {
--- a/src/core/forwarding/owner_limit.cc
+++ b/src/core/admission/owner_limit.cc
@@ -1,8 +1,8 @@
-#include "core/forwarding/owner_limit.h"
+#include "core/admission/owner_limit.h"
 
 #include <algorithm>
 
-namespace ladderstream::forwarding {
+namespace ladderstream::admission {
 namespace {
 
 // Estimates, meant for a node that sees some ten answers a second of such an owner. Only kGrowth
@@ -57,4 +57,4 @@
   return in_flight == 0 && now >= next_send_;
 }
 
-}  // namespace ladderstream::forwarding
+}  // namespace ladderstream::admission
--- a/src/core/forwarding/owner_limit.h
+++ b/src/core/admission/owner_limit.h
@@ -14,7 +14,7 @@
 
 #include "wire/time.h"
 
-namespace ladderstream::forwarding {
+namespace ladderstream::admission {
 
 class OwnerLimit {
  public:
@@ -43,4 +43,4 @@
   Time next_send_ = absl::InfinitePast();
 };
 
-}  // namespace ladderstream::forwarding
+}  // namespace ladderstream::admission
--- a/src/core/forwarding/wait_queue.h
+++ b/src/core/admission/wait_queue.h
@@ -9,7 +9,7 @@
 
 #include "wire/time.h"
 
-namespace ladderstream::forwarding {
+namespace ladderstream::admission {
 
 /// Ordered by rank (0 first), then by arrival.
 class WaitQueue {
@@ -41,4 +41,4 @@
   std::set<Entry> entries_;
 };
 
-}  // namespace ladderstream::forwarding
+}  // namespace ladderstream::admission
--- a/src/core/forwarding/cold_senders.cc
+++ b/src/core/allowance/cold_senders.cc
@@ -1,8 +1,8 @@
-#include "core/forwarding/cold_senders.h"
+#include "core/allowance/cold_senders.h"
 
 #include <algorithm>
 
-namespace ladderstream::forwarding {
+namespace ladderstream::allowance {
 namespace {
 
 /// FNV-1a: every node must draw the same, whatever it was built with.
@@ -70,4 +70,4 @@
   return used <= 0 ? absl::InfiniteDuration() : absl::Seconds(kSenders / used);
 }
 
-}  // namespace ladderstream::forwarding
+}  // namespace ladderstream::allowance
--- a/src/core/forwarding/cold_senders.h
+++ b/src/core/allowance/cold_senders.h
@@ -23,7 +23,7 @@
 
 #include "wire/time.h"
 
-namespace ladderstream::forwarding {
+namespace ladderstream::allowance {
 
 class ColdSenders {
  public:
@@ -65,4 +65,4 @@
   Time confirmed_until_ = absl::InfinitePast();
 };
 
-}  // namespace ladderstream::forwarding
+}  // namespace ladderstream::allowance
--- a/src/core/forwarding/retry_budget.cc
+++ b/src/core/allowance/retry_budget.cc
@@ -1,8 +1,8 @@
-#include "core/forwarding/retry_budget.h"
+#include "core/allowance/retry_budget.h"
 
 #include <algorithm>
 
-namespace ladderstream::forwarding {
+namespace ladderstream::allowance {
 namespace {
 
 void DropBefore(Time start, std::deque<Time>* times) {
@@ -29,4 +29,4 @@
   }
 }
 
-}  // namespace ladderstream::forwarding
+}  // namespace ladderstream::allowance
--- a/src/core/forwarding/retry_budget.h
+++ b/src/core/allowance/retry_budget.h
@@ -6,7 +6,7 @@
 
 #include "wire/time.h"
 
-namespace ladderstream::forwarding {
+namespace ladderstream::allowance {
 
 /// What a budget is reckoned from. Shared by the budgets of all services of the node.
 struct RetryLimits {
@@ -38,4 +38,4 @@
   std::deque<Time> retries_;
 };
 
-}  // namespace ladderstream::forwarding
+}  // namespace ladderstream::allowance
--- a/src/core/forwarding/backend_choice.cc
+++ b/src/core/forwarding/backend_choice.cc
@@ -26,7 +26,7 @@
   const BackendStatePtr* cold = nullptr;
 };
 
-bool ColdAllows(const BackendState& backend, const ColdSenders& senders, Time now) {
+bool ColdAllows(const BackendState& backend, const allowance::ColdSenders& senders, Time now) {
   const catalog::Backend& registration = backend.registration;
   return !registration.BoundedByCold(now) ||
          (now >= backend.next_cold_send && senders.IsSender(registration.id, now));
--- a/src/core/forwarding/backend_choice.h
+++ b/src/core/forwarding/backend_choice.h
@@ -5,8 +5,8 @@
 #include <random>
 #include <vector>
 
+#include "core/allowance/cold_senders.h"
 #include "core/forwarding/backend_state.h"
-#include "core/forwarding/cold_senders.h"
 #include "core/forwarding/service_table.h"
 #include "core/ownership/ownership_map.h"
 #include "wire/time.h"
@@ -87,7 +87,7 @@
 class LeastWaitChoice : public BackendChoice {
  public:
   /// All must outlive the choice.
-  LeastWaitChoice(const DispatcherSettings& settings, const ColdSenders& cold_senders,
+  LeastWaitChoice(const DispatcherSettings& settings, const allowance::ColdSenders& cold_senders,
                   std::mt19937_64& random)
       : settings_(settings), cold_senders_(cold_senders), random_(random) {}
 
@@ -106,14 +106,14 @@
   Choice Explain(const Scan& scan) const;
 
   const DispatcherSettings& settings_;
-  const ColdSenders& cold_senders_;
+  const allowance::ColdSenders& cold_senders_;
   std::mt19937_64& random_;
   /// Of the choice being made; kept for its memory.
   std::vector<Candidate> candidates_;
 };
 
 /// Whether this node may send to `backend` now, as far as its being cold goes.
-bool ColdAllows(const BackendState& backend, const ColdSenders& senders, Time now);
+bool ColdAllows(const BackendState& backend, const allowance::ColdSenders& senders, Time now);
 
 /// Refuses at once what `inner` would send into a queue that lasts too long.
 class OverloadGuard : public BackendChoice {
--- a/src/core/forwarding/backend_state.h
+++ b/src/core/forwarding/backend_state.h
@@ -3,16 +3,16 @@
 
 #include <memory>
 
+#include "core/admission/owner_limit.h"
 #include "core/catalog/catalog.h"
-#include "core/forwarding/load_estimate.h"
-#include "core/forwarding/outlier_detector.h"
-#include "core/forwarding/owner_limit.h"
+#include "core/load/load_estimate.h"
+#include "core/load/outlier_detector.h"
 #include "wire/time.h"
 
 namespace ladderstream::forwarding {
 
 struct BackendState {
-  BackendState(const catalog::Backend& backend, ServiceAverages& averages)
+  BackendState(const catalog::Backend& backend, load::ServiceAverages& averages)
       : registration(backend), load(backend.slots, averages) {}
 
   bool UsableForAny(Time now) const { return now < usable_until; }
@@ -32,10 +32,10 @@
   Time said_cold_until = absl::InfinitePast();
   /// While it is cold, this node may send the next request then.
   Time next_cold_send = absl::InfinitePast();
-  LoadEstimate load;
-  OutlierDetector outlier;
+  load::LoadEstimate load;
+  load::OutlierDetector outlier;
   /// Of requests for keys that it owns.
-  OwnerLimit owner_limit;
+  admission::OwnerLimit owner_limit;
 };
 
 using BackendStatePtr = std::shared_ptr<BackendState>;
--- a/src/core/forwarding/deadlines.cc
+++ b/src/core/forwarding/deadlines.cc
@@ -85,7 +85,7 @@
                                 request.denied,   request.start_by, now};
     const Choice choice = guarded_least_wait_.Choose(context);
     if (choice.backend != nullptr) {
-      const LoadEstimate& load = choice.backend->load;
+      const load::LoadEstimate& load = choice.backend->load;
       const bool free = load.Occupancy(now) + 1 <= load.slots();
       const bool in_time = choice.expected_wait + load.ServiceTime(now) < request.answer_by - now;
       if (free && in_time &&
--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -149,8 +149,8 @@
   return request;
 }
 
-std::vector<ServiceLoad> Dispatcher::Impl::TakeLoad() {
-  std::vector<ServiceLoad> loads;
+std::vector<load::ServiceLoad> Dispatcher::Impl::TakeLoad() {
+  std::vector<load::ServiceLoad> loads;
   for (ServiceState* service : services_.Services()) {
     if (!service->load.empty()) {
       loads.push_back(service->load.Take(service->name));
@@ -246,7 +246,7 @@
 void Dispatcher::OnTick(Time now) { impl_->OnTick(now); }
 std::vector<RequestDecision> Dispatcher::TakeDecisions() { return impl_->TakeDecisions(); }
 Time Dispatcher::NextWake() const { return impl_->NextWake(); }
-std::vector<ServiceLoad> Dispatcher::TakeLoad() { return impl_->TakeLoad(); }
+std::vector<load::ServiceLoad> Dispatcher::TakeLoad() { return impl_->TakeLoad(); }
 std::vector<BackendBelief> Dispatcher::TakeBeliefs() { return impl_->TakeBeliefs(); }
 bool Dispatcher::CanServe(Time now) const { return impl_->CanServe(now); }
 
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -15,6 +15,7 @@
 
 #include "core/catalog/catalog.h"
 #include "core/catalog/told_load.h"
+#include "core/load/load_counter.h"
 #include "core/ownership/ownership_map.h"
 #include "core/partition/partitioner.h"
 #include "wire/result_code.h"
@@ -170,15 +171,6 @@
   bool closing = false;
 };
 
-/// What the dispatcher saw since the last TakeLoad, for the coordinator.
-struct ServiceLoad {
-  std::string service;
-  std::vector<partition::KeyCount> keys;
-  std::vector<partition::ServiceTimeSample> samples;
-  /// A key whose owner said that it does not own it.
-  std::optional<ownership::Key> denied_key;
-};
-
 /// How a list of registrations was learned.
 struct RegistrationNews {
   /// The store was not well lately: a missing registration may have lapsed by mistake.
@@ -245,7 +237,7 @@
   std::vector<RequestDecision> TakeDecisions();
   Time NextWake() const;
 
-  std::vector<ServiceLoad> TakeLoad();
+  std::vector<load::ServiceLoad> TakeLoad();
   std::vector<BackendBelief> TakeBeliefs();
   /// Whether every service that has a route has a back end or an owner to send to, and this node is
   /// not stopping.
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -13,13 +13,13 @@
 #include <utility>
 #include <vector>
 
+#include "core/allowance/cold_senders.h"
+#include "core/allowance/retry_budget.h"
 #include "core/forwarding/backend_choice.h"
-#include "core/forwarding/cold_senders.h"
 #include "core/forwarding/dispatcher.h"
 #include "core/forwarding/final_answer.h"
 #include "core/forwarding/owner_choice.h"
 #include "core/forwarding/request_state.h"
-#include "core/forwarding/retry_budget.h"
 #include "core/forwarding/route_index.h"
 #include "core/forwarding/service_table.h"
 #include "core/forwarding/traffic_split.h"
@@ -58,7 +58,7 @@
 
   std::vector<RequestDecision> TakeDecisions() { return std::exchange(decisions_, {}); }
   Time NextWake() const;
-  std::vector<ServiceLoad> TakeLoad();
+  std::vector<load::ServiceLoad> TakeLoad();
   std::vector<BackendBelief> TakeBeliefs() { return services_.TakeBeliefs(); }
   bool CanServe(Time now) const;
 
@@ -111,7 +111,7 @@
 
   const DispatcherSettings settings_;
   std::mt19937_64 random_;
-  RetryLimits retry_limits_;
+  allowance::RetryLimits retry_limits_;
   /// Of all nodes together.
   double budget_slack_ = 0;
   uint32_t node_count_ = 1;
@@ -119,7 +119,7 @@
   TrafficSplit splits_;
   ServiceTable services_;
   OwnershipView ownership_;
-  ColdSenders cold_senders_;
+  allowance::ColdSenders cold_senders_;
   LeastWaitChoice least_wait_;
   OwnerChoice owner_;
   OverloadGuard guarded_least_wait_;
--- a/src/core/forwarding/final_answer.cc
+++ b/src/core/forwarding/final_answer.cc
@@ -129,10 +129,11 @@
 
 /// `owner`: it is asked for keys that it owns, so this node's limit there counts.
 std::string DescribeLoad(const BackendState& backend, bool owner, Time now) {
-  const LoadEstimate& load = backend.load;
+  const load::LoadEstimate& load = backend.load;
   const double limit = backend.owner_limit.limit();
-  const std::string limited =
-      owner && limit != OwnerLimit::kUnlimited ? absl::StrFormat(", limit %.2f", limit) : "";
+  const std::string limited = owner && limit != admission::OwnerLimit::kUnlimited
+                                  ? absl::StrFormat(", limit %.2f", limit)
+                                  : "";
   if (load.ToldAge(now) == absl::InfiniteDuration()) {
     return absl::StrCat(backend.registration.id, ", load untold, ", load.in_flight(), " from here",
                         limited);
--- a/src/core/forwarding/owner_choice.h
+++ b/src/core/forwarding/owner_choice.h
@@ -32,7 +32,7 @@
  public:
   /// All must outlive the choice.
   OwnerChoice(const OwnershipView& ownership, const ServiceTable& services,
-              const ColdSenders& cold_senders, bool limit_owners)
+              const allowance::ColdSenders& cold_senders, bool limit_owners)
       : ownership_(ownership),
         services_(services),
         cold_senders_(cold_senders),
@@ -45,7 +45,7 @@
 
   const OwnershipView& ownership_;
   const ServiceTable& services_;
-  const ColdSenders& cold_senders_;
+  const allowance::ColdSenders& cold_senders_;
   const bool limit_owners_;
 };
 
--- a/src/core/forwarding/request_state.h
+++ b/src/core/forwarding/request_state.h
@@ -20,7 +20,7 @@
   BackendStatePtr backend;
   /// Of its answer; 0 when there was none.
   int status = 0;
-  ToldLoad told;
+  catalog::ToldLoad told;
 };
 
 struct Request {
@@ -57,7 +57,7 @@
   Time timer = absl::InfiniteFuture();
 
   bool repeatable() const { return route->repeatability == catalog::Repeatability::kRepeatable; }
-  WaitQueue::Entry QueueEntry() const { return {route->priority, arrival, handle}; }
+  admission::WaitQueue::Entry QueueEntry() const { return {route->priority, arrival, handle}; }
 };
 
 struct Attempt {
--- a/src/core/forwarding/service_table.h
+++ b/src/core/forwarding/service_table.h
@@ -7,21 +7,21 @@
 #include <string>
 #include <vector>
 
+#include "core/admission/wait_queue.h"
+#include "core/allowance/retry_budget.h"
 #include "core/forwarding/backend_state.h"
 #include "core/forwarding/dispatcher.h"
-#include "core/forwarding/load_counter.h"
-#include "core/forwarding/retry_budget.h"
-#include "core/forwarding/wait_queue.h"
+#include "core/load/load_counter.h"
 
 namespace ladderstream::forwarding {
 
 /// What one service's requests share. Outlives its registrations.
 struct ServiceState {
   std::string name;
-  ServiceAverages averages;
-  RetryBudget budget;
-  LoadCounter load;
-  WaitQueue waiting;
+  load::ServiceAverages averages;
+  allowance::RetryBudget budget;
+  load::LoadCounter load;
+  admission::WaitQueue waiting;
   std::vector<BackendStatePtr> backends;
 };
 
--- a/src/core/forwarding/load_counter.cc
+++ b/src/core/load/load_counter.cc
@@ -1,8 +1,8 @@
-#include "core/forwarding/load_counter.h"
+#include "core/load/load_counter.h"
 
 #include <utility>
 
-namespace ladderstream::forwarding {
+namespace ladderstream::load {
 
 void LoadCounter::AddServiceTime(const std::string& backend, Duration elapsed, bool includes_wait) {
   partition::ServiceTimeSample& sample = samples_[backend];
@@ -33,4 +33,4 @@
   return load;
 }
 
-}  // namespace ladderstream::forwarding
+}  // namespace ladderstream::load
--- a/src/core/forwarding/load_counter.h
+++ b/src/core/load/load_counter.h
@@ -5,10 +5,22 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
-#include "core/forwarding/dispatcher.h"
+#include "core/ownership/ownership_map.h"
+#include "core/partition/partitioner.h"
+#include "wire/time.h"
 
-namespace ladderstream::forwarding {
+namespace ladderstream::load {
+
+/// What a node saw of one service since it told this last, for the coordinator.
+struct ServiceLoad {
+  std::string service;
+  std::vector<partition::KeyCount> keys;
+  std::vector<partition::ServiceTimeSample> samples;
+  /// A key whose owner said that it does not own it.
+  std::optional<ownership::Key> denied_key;
+};
 
 class LoadCounter {
  public:
@@ -28,4 +40,4 @@
   std::optional<ownership::Key> denied_;
 };
 
-}  // namespace ladderstream::forwarding
+}  // namespace ladderstream::load
--- a/src/core/forwarding/load_estimate.cc
+++ b/src/core/load/load_estimate.cc
@@ -1,9 +1,9 @@
-#include "core/forwarding/load_estimate.h"
+#include "core/load/load_estimate.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace ladderstream::forwarding {
+namespace ladderstream::load {
 namespace {
 
 /// Weights of the newest sample in the moving averages.
@@ -166,4 +166,4 @@
   return in_flight_.size() >= slots_ || (fresh && Occupancy(now) >= slots_);
 }
 
-}  // namespace ladderstream::forwarding
+}  // namespace ladderstream::load
--- a/src/core/forwarding/load_estimate.h
+++ b/src/core/load/load_estimate.h
@@ -11,7 +11,7 @@
 #include "core/catalog/told_load.h"
 #include "wire/time.h"
 
-namespace ladderstream::forwarding {
+namespace ladderstream::load {
 
 using catalog::ToldLoad;
 
@@ -105,4 +105,4 @@
   double limit_ = 0;
 };
 
-}  // namespace ladderstream::forwarding
+}  // namespace ladderstream::load
--- a/src/core/forwarding/outlier_detector.cc
+++ b/src/core/load/outlier_detector.cc
@@ -1,8 +1,8 @@
-#include "core/forwarding/outlier_detector.h"
+#include "core/load/outlier_detector.h"
 
 #include <algorithm>
 
-namespace ladderstream::forwarding {
+namespace ladderstream::load {
 namespace {
 
 constexpr Duration kFirstUnreachable = absl::Milliseconds(100);
@@ -64,4 +64,4 @@
 
 void OutlierDetector::OnSuccess() { Reset(); }
 
-}  // namespace ladderstream::forwarding
+}  // namespace ladderstream::load
--- a/src/core/forwarding/outlier_detector.h
+++ b/src/core/load/outlier_detector.h
@@ -5,7 +5,7 @@
 
 #include "wire/time.h"
 
-namespace ladderstream::forwarding {
+namespace ladderstream::load {
 
 /// What this node concluded from its own attempts at one back end. Two grounds are kept apart: it
 /// takes no connections (`unreachable`), or it takes requests and fails them (`suspect`).
@@ -41,4 +41,4 @@
   Time suspect_until_ = absl::InfinitePast();
 };
 
-}  // namespace ladderstream::forwarding
+}  // namespace ladderstream::load
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -41,7 +41,7 @@
   virtual void OnMembers(const std::vector<uint64_t>& members) = 0;
   virtual void OnMembersConfirmed(Time until) = 0;
   /// What the data path counted since the last call.
-  virtual std::vector<forwarding::ServiceLoad> TakeLoad() = 0;
+  virtual std::vector<load::ServiceLoad> TakeLoad() = 0;
 };
 
 class ControlPlane {
--- a/src/node/load_exchange.cc
+++ b/src/node/load_exchange.cc
@@ -5,7 +5,7 @@
 namespace ladderstream::node {
 namespace {
 
-membership::LoadReport ToReport(const forwarding::ServiceLoad& load) {
+membership::LoadReport ToReport(const load::ServiceLoad& load) {
   membership::LoadReport report;
   report.service = load.service;
   report.keys.reserve(load.keys.size());
@@ -60,10 +60,10 @@
 
 }  // namespace
 
-std::vector<membership::LoadReport> ToReports(const std::vector<forwarding::ServiceLoad>& loads,
+std::vector<membership::LoadReport> ToReports(const std::vector<load::ServiceLoad>& loads,
                                               const catalog::Configuration* configuration) {
   std::vector<membership::LoadReport> reports;
-  for (const forwarding::ServiceLoad& load : loads) {
+  for (const load::ServiceLoad& load : loads) {
     if (configuration != nullptr && IsSharded(*configuration, load.service)) {
       reports.push_back(ToReport(load));
     }
--- a/src/node/load_exchange.h
+++ b/src/node/load_exchange.h
@@ -13,7 +13,7 @@
 namespace ladderstream::node {
 
 /// The message form of those `loads` that the coordinator weighs: of the sharded services.
-std::vector<membership::LoadReport> ToReports(const std::vector<forwarding::ServiceLoad>& loads,
+std::vector<membership::LoadReport> ToReports(const std::vector<load::ServiceLoad>& loads,
                                               const catalog::Configuration* configuration);
 
 /// Tells `coordinator` what a node counted. Entries of unequal length are cut to the shortest.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -152,7 +152,7 @@
 
 void Node::OnMembersConfirmed(Time until) { dispatcher_.SetMembersConfirmed(until); }
 
-std::vector<forwarding::ServiceLoad> Node::TakeLoad() {
+std::vector<load::ServiceLoad> Node::TakeLoad() {
   LogBeliefs();
   return dispatcher_.TakeLoad();
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -44,7 +44,7 @@
   void OnMapConfirmed(Time until) override;
   void OnMembers(const std::vector<uint64_t>& members) override;
   void OnMembersConfirmed(Time until) override;
-  std::vector<forwarding::ServiceLoad> TakeLoad() override;
+  std::vector<load::ServiceLoad> TakeLoad() override;
 
   /// Without the address, the node runs on without metrics.
   void ServeMetrics(const Endpoint& listen);
--- a/tests/unit/bench/cold_start_test.cc
+++ b/tests/unit/bench/cold_start_test.cc
@@ -41,7 +41,7 @@
 BOOST_AUTO_TEST_CASE(most_of_what_it_bears_is_used_in_calm) {
   for (const uint32_t nodes : kNodes) {
     // A single node is one of three senders, and leaves the others' shares unused.
-    const double least = nodes < forwarding::ColdSenders::kSenders ? 0.3 : 0.7;
+    const double least = nodes < allowance::ColdSenders::kSenders ? 0.3 : 0.7;
     BOOST_TEST(PlayColdStart(Make(nodes, ColdEvent::kCalm, 3)).used_share > least,
                nodes << " nodes");
   }
--- a/tests/unit/forwarding/choice_test.cc
+++ b/tests/unit/forwarding/choice_test.cc
@@ -3,7 +3,7 @@
 #include <map>
 #include <set>
 
-#include "core/forwarding/outlier_detector.h"
+#include "core/load/outlier_detector.h"
 #include "dispatcher_harness.h"
 
 namespace ladderstream::forwarding {
@@ -121,7 +121,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(ejections_grow_while_failures_go_on) {
-  OutlierDetector detector;
+  load::OutlierDetector detector;
   for (const int expected : {100, 200, 400, 800, 1600, 2000, 2000}) {
     BOOST_TEST((detector.OnConnectRefused(now) == absl::Milliseconds(expected)));
   }
--- a/tests/unit/forwarding/owner_limit_test.cc
+++ b/tests/unit/forwarding/owner_limit_test.cc
@@ -1,5 +1,5 @@
 // What one node may have at an owner of keys that is overloaded, found without being told.
-#include "core/forwarding/owner_limit.h"
+#include "core/admission/owner_limit.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -14,13 +14,13 @@
 BOOST_AUTO_TEST_SUITE(owner_limit)
 
 BOOST_AUTO_TEST_CASE(an_owner_that_answers_in_time_is_not_limited) {
-  OwnerLimit limit;
+  admission::OwnerLimit limit;
   limit.OnAnswer(kStart, true, kStart + kServiceTime);
   BOOST_TEST(limit.Allows(1000, kStart + kServiceTime));
 }
 
 BOOST_AUTO_TEST_CASE(losses_cut_the_limit_once_for_what_was_sent_together) {
-  OwnerLimit limit;
+  admission::OwnerLimit limit;
   for (int i = 0; i < 8; ++i) {
     limit.OnTurnedAway(kStart, kServiceTime, kStart + absl::Milliseconds(i));
   }
@@ -30,7 +30,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_share_below_one_request_spaces_them_out) {
-  OwnerLimit limit;
+  admission::OwnerLimit limit;
   Time now = kStart;
   while (limit.limit() >= 0.5) {
     limit.OnTurnedAway(now, kServiceTime, now);
@@ -43,13 +43,13 @@
 }
 
 BOOST_AUTO_TEST_CASE(late_answers_cut_and_timely_ones_raise_it_until_it_is_forgotten) {
-  OwnerLimit limit;
+  admission::OwnerLimit limit;
   limit.OnAnswer(kStart, false, kStart + absl::Milliseconds(1));
   const double cut = limit.limit();
   limit.OnAnswer(kStart + absl::Milliseconds(2), true, kStart + absl::Milliseconds(50));
   BOOST_TEST(limit.limit() > cut);
   limit.OnAnswer(kStart + absl::Milliseconds(2), true, kStart + absl::Seconds(3));
-  BOOST_TEST(limit.limit() == OwnerLimit::kUnlimited);
+  BOOST_TEST(limit.limit() == admission::OwnerLimit::kUnlimited);
 }
 
 struct Owned : DispatcherHarness {
--- a/tests/unit/forwarding/retry_budget_test.cc
+++ b/tests/unit/forwarding/retry_budget_test.cc
@@ -1,5 +1,5 @@
 // The bound on what is sent beyond first attempts, under loads that ask for more.
-#include "core/forwarding/retry_budget.h"
+#include "core/allowance/retry_budget.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -62,9 +62,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(slack_of_a_new_process_grows_within_a_window) {
-  RetryBudget budget;
+  allowance::RetryBudget budget;
   const Time start = absl::FromUnixSeconds(100);
-  const RetryLimits limits{0, 4, absl::Seconds(10), start};
+  const allowance::RetryLimits limits{0, 4, absl::Seconds(10), start};
   BOOST_TEST(!budget.Allows(limits, 1, start));
   BOOST_TEST(!budget.Allows(limits, 1, start + absl::Seconds(2)));
   BOOST_TEST(budget.Allows(limits, 1, start + absl::Seconds(3)));
--- a/tests/unit/node/load_exchange_test.cc
+++ b/tests/unit/node/load_exchange_test.cc
@@ -5,8 +5,8 @@
 namespace ladderstream::node {
 namespace {
 
-forwarding::ServiceLoad MakeLoad(const std::string& service) {
-  forwarding::ServiceLoad load;
+load::ServiceLoad MakeLoad(const std::string& service) {
+  load::ServiceLoad load;
   load.service = service;
   load.samples.push_back({"backend-1", 2, absl::Milliseconds(90)});
   return load;
@@ -16,7 +16,7 @@
   catalog::Configuration configuration;
   configuration.services["keyed"].sharded = true;
   configuration.services["plain"].sharded = false;
-  const std::vector<forwarding::ServiceLoad> loads = {MakeLoad("plain"), MakeLoad("keyed"),
+  const std::vector<load::ServiceLoad> loads = {MakeLoad("plain"), MakeLoad("keyed"),
                                                       MakeLoad("undeclared")};
   const auto reports = ToReports(loads, &configuration);
   BOOST_TEST_REQUIRE(reports.size() == 1);
