--- a/tests/unit/node/load_exchange_test.cc
+++ b/tests/unit/node/load_exchange_test.cc
@@ -17,7 +17,7 @@
   configuration.services["keyed"].sharded = true;
   configuration.services["plain"].sharded = false;
   const std::vector<load::ServiceLoad> loads = {MakeLoad("plain"), MakeLoad("keyed"),
-                                                      MakeLoad("undeclared")};
+                                                MakeLoad("undeclared")};
   const auto reports = ToReports(loads, &configuration);
   BOOST_TEST_REQUIRE(reports.size() == 1);
   BOOST_TEST(reports.front().service == "keyed");
