Go on balancing keys while those of lost owners are waited out

Cause: at most 16 keys' moves are under way at a time, and keys of owners that fell silent, which wait 4.9 s for their holds, counted among them. After 16 or more owners crashed, nothing else moved until then, though the others were overloaded and new back ends stood idle. Ruled out: the bound on ranges (not reached in the test), the partitioner (it proposes them). Change: only moves whose owner might keep its keys count. The test fails without it (the key stays with its owner).

--- a/src/core/ownership/coordinator_impl.h
+++ b/src/core/ownership/coordinator_impl.h
@@ -175,6 +175,10 @@
   /// Tells so once, until a write is confirmed.
   void NoteMovesPutOff(Time now);
   size_t CountMoves(const ServiceState& service) const;
+  /// Moves whose owner might as well keep its keys. Keys of owners that are lost wait for seconds
+  /// without an order or a commit; counted among the moves under way, those of 16 lost owners would
+  /// stop all balancing until their holds end, when the others need it most.
+  size_t CountPlannedMoves(const ServiceState& service) const;
   void ListMoves(const ServiceState& service, Assignments* view, std::vector<KeyRange>* busy) const;
   std::set<std::string> OwnersOf(const ServiceState& service) const;
   void AskSoon(ServiceState& service, Time now);
--- a/src/core/ownership/coordinator_moves.cc
+++ b/src/core/ownership/coordinator_moves.cc
@@ -165,6 +165,14 @@
                                            [](const RangeState& state) { return state.moving; }));
 }
 
+size_t Coordinator::Impl::CountPlannedMoves(const ServiceState& service) const {
+  const std::vector<RangeState>& ranges = service.table.ranges();
+  return static_cast<size_t>(
+      std::count_if(ranges.begin(), ranges.end(), [this](const RangeState& state) {
+        return state.moving && directory_.Keeps(state.owner);
+      }));
+}
+
 void Coordinator::Impl::ListMoves(const ServiceState& service, Assignments* view,
                                   std::vector<KeyRange>* busy) const {
   for (const RangeState& state : service.table.ranges()) {
@@ -234,7 +242,7 @@
   }
   service.table.SplitAt(move.range.first);
   service.table.SplitAt(move.range.last + 1);
-  size_t under_way = CountMoves(service);
+  size_t under_way = CountPlannedMoves(service);
   for (RangeState& state : service.table.ranges()) {
     if (!Covers(move.range, state.range) || IsBusy(state)) {
       continue;
@@ -258,7 +266,7 @@
       continue;
     }
     StartMove(service, state, move.to, now);
-    ++under_way;
+    under_way += must ? 0 : 1;
   }
 }
 
--- /dev/null
+++ b/tests/unit/ownership/balance_during_waits_test.cc
@@ -0,0 +1,43 @@
+// Balancing goes on while the keys of owners that fell silent are waited for.
+#include <absl/strings/str_cat.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "coordinator_harness.h"
+
+namespace ladderstream::ownership {
+namespace {
+
+constexpr int kBackends = 40;
+/// More than may be moved for balance at a time, and fewer than half of all.
+constexpr int kSilent = 18;
+
+BOOST_AUTO_TEST_CASE(KeysOfSilentOwnersDoNotKeepOthersFromMoving) {
+  ModelStore store;
+  Harness node(&store, 1, 1, absl::UnixEpoch());
+  BOOST_REQUIRE(kSilent > static_cast<int>(node.settings.partition_weights.max_moves));
+  std::vector<std::string> ids;
+  for (int i = 0; i < kBackends; ++i) {
+    ids.push_back(absl::StrCat("b", 10 + i));
+  }
+  node.Settle(ids);
+  // Every other one: the published map joins neighbouring ranges that move.
+  for (int i = 0; i < kSilent; ++i) {
+    node.silent.insert(ids[2 * i]);
+  }
+  // Long enough to be taken as silent, and far from the end of their holds.
+  node.Run(node.settings.hold_renewal + node.settings.silence_patience +
+           node.settings.partition_interval * 2);
+  BOOST_REQUIRE(node.published.services.at(Harness::kService).moving.size() >=
+                node.settings.partition_weights.max_moves);
+
+  BOOST_REQUIRE(node.OwnerOf(kLastKey) == ids.back());
+  partition::Script().next = {{{kLastKey, kLastKey}, ids[1]}};
+  node.Run(node.settings.partition_interval * 2);
+
+  BOOST_TEST(node.OwnerOf(kLastKey) == ids[1]);
+  BOOST_TEST(!node.IsMoving(kLastKey));
+}
+
+}  // namespace
+}  // namespace ladderstream::ownership
