Serve keys through an outage of the store: a longer lease, holds cut short at its end

Cause: the coordinator acted for 2.5 s after its last confirmed write.

Ruled out (docs/design/026): long holds while writes fail, which a successor would have to assume always (13 s of waiting for an owner that does not answer it, 10.2 s now, 7.4 s before) and which the coordinator's own silent owners would pay after each short outage; a longer lease alone (1.3 s longer a wait for the same); delegates and promises (a second agreement beside the store).

Change: a lease of 6.5 s. A grant near its end holds no longer than the last map is used. A holder that is heard of, but whose row stands still for 2.5 s, is challenged a heartbeat time-out later, as early as a lapsed one was; reads in vain are spread and rare. The holder writes again within 0.3 s of a refusal. The first holder of all waits for no predecessor. The list of members is confirmed in the first 2.5 s of a lease only, as before.

The model draws leases, longer holds, outages of up to 12 s, for some nodes, with writes done late, with the holder killed; its isolation outlasts the longer lease.

--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -191,8 +191,9 @@
     return;
   }
   lease_until_ = until;
-  actions_.emplace_back(MembersConfirmedAction{until});
-  SetConfirmed(now + settings_.confirmation - settings_.confirmation_margin);
+  actions_.emplace_back(MembersConfirmedAction{until - settings_.members_lease_reserve});
+  // As long as the nodes that it confirms the map to last.
+  SetConfirmed(until + settings_.confirmation - settings_.confirmation_margin);
   if (took_over) {
     relay_.OnLeading(true);
     // The predecessor brought the others to this list.
@@ -278,7 +279,9 @@
 void Membership::ConfirmMembersBy(const Heartbeat& heartbeat,
                                   const std::optional<SentReport>& report) {
   // When a push was made is not known.
-  if (report.has_value() && heartbeat.members_version == members_.version()) {
+  const Duration lease_left = absl::Milliseconds(heartbeat.lease_left_ms);
+  if (report.has_value() && heartbeat.members_version == members_.version() &&
+      lease_left > settings_.members_lease_reserve) {
     actions_.emplace_back(MembersConfirmedAction{report->sent + settings_.members_confirmation -
                                                  settings_.confirmation_margin});
   }
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -45,6 +45,10 @@
   Duration pushed_confirmation = absl::Milliseconds(600);
   /// An answered report confirms the list of members for this, counted from its send.
   Duration members_confirmation = absl::Seconds(2);
+  /// The list is not confirmed in this last part of the coordinator's lease: another may lead by
+  /// then, and nodes that rely on either list send to cold back ends. What the lease lasts beyond
+  /// the time after which a coordinator whose lease is not renewed is challenged.
+  Duration members_lease_reserve = absl::ZeroDuration();
   /// Taken off every confirmation.
   Duration confirmation_margin = absl::Milliseconds(100);
   /// Counts of keys, and of back ends, that all nodes together report in one interval at most, but
--- a/src/core/ownership/coordinator.cc
+++ b/src/core/ownership/coordinator.cc
@@ -83,8 +83,10 @@
     case HolderWatch::Heartbeat::kOfKnownHolder:
       break;
   }
-  challenging_ = false;
-  read_call_.reset();
+  if (!watch_.HolderUnrenewed(now)) {
+    challenging_ = false;
+    read_call_.reset();
+  }
   next_wake_ = ComputeWake(now);
 }
 
--- a/src/core/ownership/coordinator.h
+++ b/src/core/ownership/coordinator.h
@@ -26,9 +26,15 @@
   /// Where the lease and the assignments are kept.
   std::string table = "ownership";
   std::string partition = "ownership";
-  /// How long after the send of a confirmed lease write the coordinator may act.
-  Duration lease = absl::Milliseconds(2500);
+  /// How long after the send of a confirmed lease write the coordinator may act. Long enough that
+  /// it goes on renewing holds and confirming its map while the store is away: with the use of the
+  /// last map behind it, callers find owners for 8.9 s after the last write. Not longer, since a
+  /// successor waits for it before it moves the keys of an owner that does not answer.
+  Duration lease = absl::Milliseconds(6500);
   Duration lease_renewal = absl::Milliseconds(800);
+  /// A holder that is heard of, but whose lease row was not renewed for this long, is challenged:
+  /// it may be the only one that the store does not answer.
+  Duration unrenewed_patience = absl::Milliseconds(2500);
   /// How long one grant lets a back end hold keys; at most the platform's bound.
   Duration hold = absl::Milliseconds(4500);
   Duration hold_renewal = absl::Milliseconds(1000);
--- a/src/core/ownership/coordinator_impl.h
+++ b/src/core/ownership/coordinator_impl.h
@@ -191,6 +191,12 @@
   void SendRelease(ServiceState& service, const std::string& backend, const Endpoint& address,
                    const KeyRange& range, Fence fence, Time now);
   Duration RenewalInterval(Time now) const;
+  /// For how long a grant sent now may hold.
+  Duration HoldOf(Time now) const;
+  /// The longest that a grant sent at the very end of a lease may hold.
+  Duration LastHold() const;
+  /// Holds are cut short by the end of the lease.
+  bool LeaseEnds(Time now) const;
   size_t CountRanges() const;
   /// A successor's owners have not all been asked yet to go on.
   bool RenewsFirst(const ServiceState& service, Time now) const;
@@ -232,7 +238,8 @@
   /// This node challenges, and its write is not settled.
   bool challenging_ = false;
   uint64_t challenge_epoch_ = 0;
-  /// Since when this node has known the version of the lease row that it challenges.
+  /// Since when this node has known the version of the lease row that it challenges; InfinitePast
+  /// when nobody ever held the lease, so that there is no predecessor to wait for.
   Time challenged_known_since_ = absl::InfinitePast();
   /// After a failure the next write waits until then.
   Time write_not_before_ = absl::InfinitePast();
--- a/src/core/ownership/coordinator_lease.cc
+++ b/src/core/ownership/coordinator_lease.cc
@@ -12,9 +12,11 @@
 namespace ladderstream::ownership {
 namespace {
 
-/// Waits between writes that fail; doubled from the first to the last.
+/// Waits between writes that fail; doubled from the first to the last. The holder alone finds out
+/// so soon that the store is back: some 30 writes in 8 s of refusals.
 constexpr Duration kFirstBackoff = absl::Milliseconds(50);
-constexpr Duration kLastBackoff = absl::Milliseconds(1600);
+constexpr Duration kLastHolderBackoff = absl::Milliseconds(300);
+constexpr Duration kLastChallengeBackoff = absl::Milliseconds(1600);
 
 }  // namespace
 
@@ -117,7 +119,6 @@
 void Coordinator::Impl::Challenge(const std::optional<LeaseRow>& lease, store::RowVersion version,
                                   Time now) {
   challenge_epoch_ = lease ? lease->epoch : 0;
-  challenged_known_since_ = watch_.KnownSince(version, now);
   std::map<std::string, store::RowVersion> versions;
   for (const store::Row& row : read_rows_) {
     if (!ServiceOfRowKey(row.key.key).empty() && !row.removed) {
@@ -130,6 +131,8 @@
     }
   }
   ++challenge_epoch_;
+  const bool never_held = version == 0 && versions.empty();
+  challenged_known_since_ = never_held ? absl::InfinitePast() : watch_.KnownSince(version, now);
   chain_.Restart(version, versions);
   challenging_ = true;
   Believe(belief::kLeaseChallenged,
@@ -170,7 +173,8 @@
     write_failure_noted_ = true;
     Believe(belief::kStoreWriteFailed, detail);
   }
-  write_backoff_ = std::clamp(write_backoff_ * 2, kFirstBackoff, kLastBackoff);
+  const Duration last = role_ == Role::kHolder ? kLastHolderBackoff : kLastChallengeBackoff;
+  write_backoff_ = std::clamp(write_backoff_ * 2, kFirstBackoff, last);
   const double share = static_cast<double>((self_.incarnation + last_call_) % 64) / 64;
   write_not_before_ = now + write_backoff_ * (0.5 + share / 2);
 }
@@ -259,7 +263,9 @@
       directory_.Remember(owner, name, address);
     }
     service.committed = decoded.assignments;
-    service.table = RangeTable(decoded.assignments, predecessor_until_);
+    // The predecessor's last grants were cut short, and end no later than a whole one of then.
+    const Time last_whole_grant = predecessor_until_ - (settings_.hold - LastHold());
+    service.table = RangeTable(decoded.assignments, last_whole_grant);
   } catch (const Error& error) {
     // Whoever owns these keys cannot be told: only waiting helps.
     Believe(belief::kRowUnreadable, absl::StrCat(row.key.key, ": ", error.what()));
--- a/src/core/ownership/coordinator_orders.cc
+++ b/src/core/ownership/coordinator_orders.cc
@@ -13,8 +13,8 @@
 /// How often the release of an owner that was waited out is repeated.
 constexpr Duration kLingeringInterval = absl::Seconds(2);
 
-/// While the store is troubled, holds are renewed this many times as often.
-constexpr int kTroubledRenewals = 4;
+/// Near the end of a lease that is not renewed, holds are renewed this many times as often.
+constexpr int kLastRenewals = 4;
 
 /// However many ranges there are, each is renewed within this share of its hold: with the defaults
 /// 1.35 s of 4.5 s, so that a successor still renews every owner in time (docs/DEPLOYING.md has the
@@ -59,12 +59,26 @@
 
 Duration Coordinator::Impl::RenewalInterval(Time now) const {
   const Duration wanted =
-      StoreTroubled(now) ? settings_.hold_renewal / kTroubledRenewals : settings_.hold_renewal;
+      LeaseEnds(now) ? settings_.hold_renewal / kLastRenewals : settings_.hold_renewal;
   const Duration affordable =
       absl::Seconds(static_cast<double>(CountRanges()) / settings_.renewals_per_second);
   return std::clamp(affordable, wanted, std::max(wanted, settings_.hold * kLatestRenewalShare));
 }
 
+Duration Coordinator::Impl::LastHold() const {
+  return std::min(settings_.hold, settings_.map_confirmation);
+}
+
+Duration Coordinator::Impl::HoldOf(Time now) const {
+  // No hold outlives the lease by more than the maps do that were confirmed at its end: a
+  // successor, which waits for those, need not wait longer for an owner that does not answer.
+  return std::min(settings_.hold, LeaseUntil() + LastHold() - now);
+}
+
+bool Coordinator::Impl::LeaseEnds(Time now) const {
+  return now >= LeaseUntil() - std::max(settings_.hold - LastHold(), settings_.hold_renewal);
+}
+
 bool Coordinator::Impl::RenewsFirst(const ServiceState& service, Time now) const {
   if (now >= took_over_at_ + kRenewsFirst) {
     return false;
@@ -185,7 +199,7 @@
   orders_.Add(
       {call, Order::Kind::kGrant, service.name, state.owner, state.range, state.fence, now, false});
   actions_.emplace_back(GrantAction{call, state.owner, address, state.range, state.fence,
-                                    settings_.hold, state.handover});
+                                    HoldOf(now), state.handover});
 }
 
 void Coordinator::Impl::SendRelease(ServiceState& service, const std::string& backend,
--- a/src/core/ownership/holder_watch.cc
+++ b/src/core/ownership/holder_watch.cc
@@ -16,6 +16,11 @@
 constexpr double kMissingSpread = 0.25;
 constexpr double kEndedSpread = 0.1;
 
+/// Part of its patience with an unrenewed holder over which a node's reads are spread. When the
+/// store is away for all, each of many nodes reads in vain, and the first one that does not is
+/// enough.
+constexpr double kUnrenewedSpread = 1;
+
 constexpr Duration kFirstRetry = absl::Milliseconds(100);
 constexpr Duration kLastRetry = absl::Milliseconds(1600);
 
@@ -63,9 +68,19 @@
   if (version != observed_version_) {
     observed_version_ = version;
     observed_at_ = now;
+    const Duration patience = settings_.unrenewed_patience;
+    // Not sooner than one that falls silent then: where the store loses answers, holders that were
+    // replaced early followed each other, and each waited anew for silent owners.
+    unrenewed_due_ =
+        now + patience + settings_.heartbeat_timeout + Reserve(patience * kUnrenewedSpread);
   }
 }
 
+bool HolderWatch::HolderUnrenewed(Time now) const {
+  return holder_ && holder_->row_version != 0 && holder_->row_version == observed_version_ &&
+         now - observed_at_ >= settings_.unrenewed_patience;
+}
+
 Time HolderWatch::KnownSince(store::RowVersion version, Time now) const {
   return version != 0 && version == observed_version_ ? observed_at_ : now;
 }
@@ -88,6 +103,9 @@
   retry_delay_ = absl::ZeroDuration();
   const Duration patience = settings_.heartbeat_timeout;
   read_due_ = now + patience + Reserve(patience * kMissingSpread);
+  if (view.row_version != 0) {
+    read_due_ = std::min(read_due_, unrenewed_due_);
+  }
   return changed ? Heartbeat::kOfNewHolder : Heartbeat::kOfKnownHolder;
 }
 
@@ -146,6 +164,8 @@
 void HolderWatch::OnFailure(Time now) {
   retry_delay_ = std::clamp(retry_delay_ * 2, kFirstRetry, kLastRetry);
   read_due_ = now + retry_delay_ + Jitter(retry_delay_);
+  const Duration patience = settings_.unrenewed_patience;
+  unrenewed_due_ = std::max(unrenewed_due_, now + patience + Jitter(patience * kUnrenewedSpread));
 }
 
 }  // namespace ladderstream::ownership
--- a/src/core/ownership/holder_watch.h
+++ b/src/core/ownership/holder_watch.h
@@ -42,6 +42,8 @@
   /// Since when this node has known that the lease row had this version; `now` if it just learned
   /// so.
   Time KnownSince(store::RowVersion version, Time now) const;
+  /// Whether the holder is heard of while its lease row stands still.
+  bool HolderUnrenewed(Time now) const;
   /// When the rows are to be read, with the aim of challenging.
   Time ReadDue() const { return read_due_; }
   const std::optional<LeaseView>& holder() const { return holder_; }
@@ -74,6 +76,8 @@
   /// Since when the holder that the row names was not heard of.
   Time missing_since_ = absl::InfinitePast();
   Time read_due_ = absl::InfiniteFuture();
+  /// When the rows are to be read although the holder is heard of.
+  Time unrenewed_due_ = absl::InfiniteFuture();
   Duration retry_delay_ = absl::ZeroDuration();
 };
 
--- a/src/gateway/settings/node_settings.cc
+++ b/src/gateway/settings/node_settings.cc
@@ -143,6 +143,7 @@
   ownership->hold_renewal *= share;
   ownership->lease *= share;
   ownership->lease_renewal *= share;
+  ownership->unrenewed_patience *= share;
   ownership->heartbeat_timeout *= share;
   ownership->store_timeout *= share;
   ownership->order_timeout *= share;
@@ -153,6 +154,8 @@
 void ReadOwnership(SettingsReader* reader, ownership::CoordinatorSettings* ownership) {
   reader->ReadDuration("ownership.lease", kOptional, kShort, &ownership->lease);
   reader->ReadDuration("ownership.lease_renewal", kOptional, kShort, &ownership->lease_renewal);
+  reader->ReadDuration("ownership.unrenewed_patience", kOptional, kShort,
+                       &ownership->unrenewed_patience);
   reader->ReadDuration("ownership.hold", kOptional, kShort, &ownership->hold);
   reader->ReadDuration("ownership.hold_renewal", kOptional, kShort, &ownership->hold_renewal);
   reader->ReadNumber("ownership.renewals_per_second", kOptional, kRate,
@@ -206,6 +209,8 @@
   settings.ownership.challenge_delay =
       kLongestChallengeDelay * (1 - CoordinatorFitness(settings.limits));
   ReadOwnership(&reader, &settings.ownership);
+  settings.membership.members_lease_reserve =
+      settings.ownership.lease - settings.ownership.unrenewed_patience;
   ReadForwarding(&reader, settings, &settings.forwarding);
   CheckNodeSettings(settings, &reader);
   settings.written = reader.Written();
--- a/src/gateway/settings/settings_checks.cc
+++ b/src/gateway/settings/settings_checks.cc
@@ -35,33 +35,41 @@
   }
 }
 
-/// A lease survives one renewal without an answer.
+/// A coordinator is not challenged for one renewal without an answer, and by a successor before its
+/// lease ends.
 void CheckLease(const ownership::CoordinatorSettings& ownership, SettingsReader* reader) {
+  const std::string patience =
+      absl::StrCat("ownership.unrenewed_patience = ", Show(ownership.unrenewed_patience));
   const Duration needed = ownership.lease_renewal + 2 * ownership.store_timeout;
-  if (ownership.lease < needed) {
+  if (ownership.unrenewed_patience < needed) {
     reader->AddInconsistency(
-        absl::StrCat("ownership.lease = ", Show(ownership.lease)),
-        absl::StrCat("at least lease_renewal + 2 x store_timeout = ", Show(needed)));
+        patience, absl::StrCat("at least lease_renewal + 2 x store_timeout = ", Show(needed)));
   }
-  if (ownership.heartbeat_timeout >= ownership.lease) {
+  if (ownership.unrenewed_patience > ownership.lease) {
+    reader->AddInconsistency(patience, absl::StrCat("at most lease = ", Show(ownership.lease)));
+  }
+  if (ownership.heartbeat_timeout >= ownership.unrenewed_patience) {
     reader->AddInconsistency(
         absl::StrCat("ownership.heartbeat_timeout = ", Show(ownership.heartbeat_timeout)),
-        absl::StrCat("less than lease = ", Show(ownership.lease)));
+        absl::StrCat("less than unrenewed_patience = ", Show(ownership.unrenewed_patience)));
   }
 }
 
 /// A hold survives the loss of the coordinator: the last renewal before it may be as old as one
-/// renewal interval; then the lease runs out on the slower clock, a successor takes it with one
-/// call of the store, and renews.
+/// renewal interval; then it is challenged, at the latest as one that is heard of but does not
+/// renew its lease, on the slower clock; a successor takes it with one call of the store, and
+/// renews.
 void CheckHold(const NodeSettings& settings, SettingsReader* reader) {
   const ownership::CoordinatorSettings& ownership = settings.ownership;
-  const Duration needed = ownership.hold_renewal + ownership.lease * (1 + ownership.clock_drift) +
+  const Duration needed = ownership.hold_renewal +
+                          ownership.unrenewed_patience * (1 + ownership.clock_drift) +
                           ownership.store_timeout;
   if (ownership.hold <= needed) {
     reader->AddInconsistency(
         absl::StrCat("ownership.hold = ", Show(ownership.hold)),
-        absl::StrCat("more than hold_renewal + lease with clock_drift + store_timeout = ",
-                     Show(needed)));
+        absl::StrCat(
+            "more than hold_renewal + unrenewed_patience with clock_drift + store_timeout = ",
+            Show(needed)));
   }
   const Duration two_tries = 2 * ownership.hold_renewal + ownership.order_timeout;
   if (ownership.hold <= two_tries) {
--- a/tests/unit/ownership/coordinator_harness.h
+++ b/tests/unit/ownership/coordinator_harness.h
@@ -51,6 +51,8 @@
   Coordinator coordinator;
   /// The store takes calls and answers.
   bool store_answers = true;
+  /// The store answers at once that it does nothing.
+  bool store_refuses = false;
   /// The store takes transactions, and their answers are lost.
   bool store_mute = false;
   /// These leave orders unanswered.
@@ -61,6 +63,7 @@
   std::vector<At<GrantAction>> grants;
   std::vector<At<ReleaseAction>> releases;
   std::vector<At<CommitAction>> commits;
+  size_t reads = 0;
   std::vector<At<BeliefAction>> beliefs;
   OwnershipMap published;
 
--- a/tests/unit/ownership/model_backend.h
+++ b/tests/unit/ownership/model_backend.h
@@ -52,6 +52,8 @@
   Duration work;
   /// A release under a lower fence than that of the grant still ends the grant.
   bool obeys_old_releases = false;
+  /// A renewal with a shorter hold does not shorten the one before it.
+  bool keeps_longest_hold = false;
 
   OrderStatus Grant(const KeyRange& range, Fence fence, Duration hold, bool late, Time now);
   void Release(const KeyRange& range, Fence fence, Time now);
--- a/tests/unit/ownership/model_world.h
+++ b/tests/unit/ownership/model_world.h
@@ -159,6 +159,8 @@
   std::vector<std::string> services_;
   ModelStore store_;
   Time store_down_until_ = absl::InfinitePast();
+  /// Calls that were sent while it was down may be done once it is not.
+  Time store_keeps_until_ = absl::InfinitePast();
   Time store_slow_until_ = absl::InfinitePast();
   Time store_loses_until_ = absl::InfinitePast();
   std::vector<ModelNode> nodes_;
