Tell the incarnations of a back end apart that keeps its id

Cause: a back end may start again under the id that it had, holding and knowing nothing; its row tells the start. Everything here that is kept by id (grants, holds, learned load, ejection, cold and drain state, connections) took the id for the incarnation.

Ways weighed: a start beside the id, compared in every place that keeps something by id; or an id of the incarnation made of both where the row is decoded. The second: what forgets an ended back end today forgets it then, with one place to get wrong; the name is taken out again where it goes on the wire. Ids of back ends that tell no start stay as they are.

What it does not give by itself: a grant that renews the earlier incarnation may reach the next one at the same address, which answers to the same name. So a restart at the old address is no proof that nothing is held: the keys are released first, with a higher fence, and granted then. A later start at another address is a proof. Forwarding sends nothing to an incarnation once a later one is registered.

Rows of other writers: a field that is missing (service, address, zone, slots, state) or of another type now refuses the whole row, which names no back end; before, slots, zone and the cold time were passed over.

--- a/src/core/catalog/catalog.h
+++ b/src/core/catalog/catalog.h
@@ -82,8 +82,10 @@
 
 /// One incarnation of a back end, as it registered itself.
 struct Backend {
-  /// Unique to this incarnation: a restarted back end has another.
+  /// Unique to this incarnation: a restarted back end has another. See IncarnationId.
   std::string id;
+  /// The Unix millisecond of its start; 0 when it does not tell.
+  uint64_t started_at_ms = 0;
   std::string service;
   Endpoint address;
   std::string zone;
--- a/src/core/forwarding/service_table.cc
+++ b/src/core/forwarding/service_table.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/catalog/incarnation_id.h"
+
 namespace ladderstream::forwarding {
 namespace {
 
@@ -51,6 +53,7 @@
     const auto known = backends_.find(backend.id);
     if (known == backends_.end()) {
       Register(backend);
+      EndEarlier(backend);
     } else {
       Update(backend, news, *known->second, now);
     }
@@ -86,6 +89,16 @@
   backends_.emplace(backend.id, std::move(state));
 }
 
+void ServiceTable::EndEarlier(const catalog::Backend& backend) {
+  const std::string_view instance = catalog::InstanceOf(backend.id);
+  for (const auto& [id, earlier] : backends_) {
+    if (id != backend.id && catalog::InstanceOf(id) == instance) {
+      StopNewWork(absl::InfinitePast(), absl::InfinitePast(), *earlier);
+      AddBelief(*earlier, "ended", absl::StrCat(backend.id, " has started in its place"));
+    }
+  }
+}
+
 void ServiceTable::Update(const catalog::Backend& backend, const RegistrationNews& news,
                           BackendState& state, Time now) {
   catalog::Backend previous = std::exchange(state.registration, backend);
--- a/src/core/forwarding/service_table.h
+++ b/src/core/forwarding/service_table.h
@@ -49,6 +49,8 @@
 
  private:
   void Register(const catalog::Backend& backend);
+  /// `backend` proves that earlier incarnations of it have ended.
+  void EndEarlier(const catalog::Backend& backend);
   void Update(const catalog::Backend& backend, const RegistrationNews& news, BackendState& state,
               Time now);
   /// `may_have_lapsed`: so many went at once that the store may have lost them by mistake.
--- a/src/core/ownership/backend_directory.cc
+++ b/src/core/ownership/backend_directory.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/catalog/incarnation_id.h"
+
 namespace ladderstream::ownership {
 namespace {
 
@@ -27,11 +29,13 @@
 RegistrationChanges BackendDirectory::Update(const std::vector<catalog::Backend>& backends,
                                              const std::set<std::string>& sharded) {
   std::map<Endpoint, std::string> newcomers;
+  std::map<std::string_view, const catalog::Backend*> started;
   std::set<std::string> registered;
   for (const catalog::Backend& backend : backends) {
     registered.insert(backend.id);
     if (!backends_.contains(backend.id)) {
       newcomers[backend.address] = backend.id;
+      started[catalog::InstanceOf(backend.id)] = &backend;
     }
   }
   RegistrationChanges changes;
@@ -40,7 +44,15 @@
     changes.any =
         changes.any || (known.registered != is_registered && sharded.contains(known.service));
     known.registered = is_registered;
-    if (!known.ended && newcomers.contains(known.address)) {
+    const std::string_view instance = catalog::InstanceOf(id);
+    const auto newcomer = newcomers.find(known.address);
+    const bool replaced =
+        newcomer != newcomers.end() && catalog::InstanceOf(newcomer->second) != instance;
+    const auto again = started.find(instance);
+    // An old row may be read late: only a later start proves that an earlier one ended.
+    const bool moved = again != started.end() && again->second->address != known.address &&
+                       catalog::StartOf(again->second->id) > catalog::StartOf(id);
+    if (!known.ended && (replaced || moved)) {
       known.ended = true;
       changes.ended.push_back(id);
     }
--- a/src/core/ownership/backend_directory.h
+++ b/src/core/ownership/backend_directory.h
@@ -44,7 +44,10 @@
 struct RegistrationChanges {
   /// Somebody of a sharded service came, left, or began to drain.
   bool any = false;
-  /// Proven to have ended: another incarnation registered newly at the address of a known one.
+  /// Proven to have ended: another back end registered newly at the address of a known one, or an
+  /// incarnation of the same one at another address. One that started again at its old address is
+  /// not among them: renewals that were meant for the earlier incarnation may have reached it, so
+  /// its keys are released, which it answers at once, before they are granted anew.
   std::vector<std::string> ended;
 };
 
--- a/src/gateway/http/backend_connection.cc
+++ b/src/gateway/http/backend_connection.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/catalog/incarnation_id.h"
 #include "gateway/http/text.h"
 
 namespace ladderstream::gateway {
@@ -114,7 +115,7 @@
 void BackendConnection::BuildHead(Duration left) {
   const CallerRequest& request = *exchange_.request;
   head_.assign(request.head);
-  AppendField(&head_, names_.expected_instance, backend_);
+  AppendField(&head_, names_.expected_instance, catalog::InstanceOf(backend_));
   if (left != absl::InfiniteDuration()) {
     AppendField(&head_, names_.deadline_ms, std::to_string(absl::ToInt64Milliseconds(left)));
   }
--- a/src/interfaces/platform_adapter.h
+++ b/src/interfaces/platform_adapter.h
@@ -90,9 +90,11 @@
   /// `previous` cannot be read.
   virtual std::string EncodeConfiguration(const catalog::Configuration& configuration,
                                           std::string_view previous) const = 0;
-  /// Throws Error(kMalformedMessage) naming the place when it lacks what nobody can do without;
-  /// what can be done without keeps its default, and a note is added. `id` is the row's key.
-  virtual catalog::Backend DecodeBackend(std::string_view id, std::string_view value,
+  /// Throws Error(kMalformedMessage) naming the place when the row is not a back end's own: bytes
+  /// that cannot be read, a field that is missing or of another type, an unknown state. A number
+  /// out of its range keeps its default, and a note is added. `instance` is the row's key, and the
+  /// id is that of the incarnation.
+  virtual catalog::Backend DecodeBackend(std::string_view instance, std::string_view value,
                                          ReadingNotes* notes) const = 0;
 };
 
--- /dev/null
+++ b/tests/unit/ownership/restart_test.cc
@@ -0,0 +1,79 @@
+// Owners that start again under their names: they hold nothing, and their keys get a fence above
+// all that were given to the earlier incarnation.
+#include <boost/test/unit_test.hpp>
+
+#include "coordinator_harness.h"
+#include "core/ownership/backend_directory.h"
+#include "core/ownership/belief_events.h"
+
+namespace ladderstream::ownership {
+namespace {
+
+struct Fixture {
+  Fixture() : node(&store, 1, 1, absl::FromUnixSeconds(1000)) {}
+
+  static catalog::Backend MakeBackend(const std::string& id, const std::string& host) {
+    catalog::Backend backend;
+    backend.id = id;
+    backend.service = Harness::kService;
+    backend.address = {host, 1};
+    return backend;
+  }
+  Fence HighestFence() const {
+    Fence highest = 0;
+    for (const At<GrantAction>& grant : node.grants) {
+      highest = std::max(highest, grant.sent.fence);
+    }
+    return highest;
+  }
+
+  ModelStore store;
+  Harness node;
+};
+
+BOOST_FIXTURE_TEST_SUITE(Restart, Fixture)
+
+BOOST_AUTO_TEST_CASE(KeysOfARestartedOwnerAreReleasedAndGrantedAnewAtOnce) {
+  node.RegisterBackends({MakeBackend("a@1", "a")});
+  node.Run(absl::Seconds(3));
+  BOOST_TEST(node.OwnerOf(7) == "a@1");
+  const Fence before = HighestFence();
+  const Time restarted = node.now;
+  node.RegisterBackends({MakeBackend("a@2", "a")});
+  node.Run(absl::Seconds(1));
+  BOOST_TEST(node.OwnerOf(7) == "a@2");
+  BOOST_TEST(!node.IsMoving(7));
+  // A renewal for the earlier one may have reached it, so that it is asked to release first.
+  BOOST_REQUIRE(!node.releases.empty());
+  BOOST_TEST(node.releases.back().sent.fence > before);
+  for (const At<GrantAction>& grant : node.GrantsSince(restarted)) {
+    BOOST_TEST(grant.sent.backend == "a@2");
+    BOOST_TEST(grant.sent.fence > before);
+  }
+  BOOST_TEST(!node.Believed(std::string(belief::kOwnerWaitedOut)));
+}
+
+BOOST_AUTO_TEST_CASE(ARestartAtAnotherAddressProvesTheEndOfTheEarlierOne) {
+  node.RegisterBackends({MakeBackend("a@1", "a")});
+  node.Run(absl::Seconds(3));
+  const Fence before = HighestFence();
+  node.RegisterBackends({MakeBackend("a@2", "b")});
+  node.Run(absl::Seconds(1));
+  BOOST_TEST(node.Believed(std::string(belief::kBackendEnded)));
+  BOOST_TEST(node.OwnerOf(7) == "a@2");
+  BOOST_TEST(node.grants.back().sent.fence > before);
+}
+
+BOOST_AUTO_TEST_CASE(ALateRowOfAnEarlierStartProvesNothing) {
+  BackendDirectory directory{CoordinatorSettings()};
+  directory.Update({MakeBackend("a@2", "a")}, {Harness::kService});
+  const RegistrationChanges changes =
+      directory.Update({MakeBackend("a@1", "b")}, {Harness::kService});
+  BOOST_TEST(changes.ended.empty());
+  BOOST_TEST(!directory.HasEnded("a@2"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace ladderstream::ownership
--- a/tests/unit/platform/configuration_codec_test.cc
+++ b/tests/unit/platform/configuration_codec_test.cc
@@ -231,8 +231,41 @@
                               "\"name.example:80\"", "\"10.128.0:80\"", "80"}) {
     check("/address", address);
   }
-  check("/service", "");
   check("/state", "\"gone\"");
+  for (const char* field : {"/service", "/address", "/zone", "/slots", "/state"}) {
+    check(field, "");
+    for (const char* value : {"null", "[]", "{}", "true"}) {
+      check(field, value);
+    }
+  }
+  check("/service", "\"\"");
+  check("/slots", "\"2\"");
+  check("/zone", "7");
+  check("/cold_left_s", "\"soon\"");
+  for (const char* value : {"\"1764720000000\"", "1.5", "0", "-1", "true", "[1764720000000]"}) {
+    check("/born", value);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(bytes_of_another_writer_are_no_registration) {
+  for (const char* bytes : {"", "\xff\xfe", "r7", "[]", "7", "{\"service\":", "{}"}) {
+    BOOST_TEST(BackendFault(bytes) != "none", bytes);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(each_start_of_a_back_end_is_another_incarnation) {
+  interfaces::ReadingNotes notes;
+  const auto read = [&notes](const std::string& born) {
+    return kAdapter->DecodeBackend("i-1", Replace(kBackend, "/born", born), &notes);
+  };
+  const catalog::Backend first = read("1764720000000");
+  const catalog::Backend second = read("1764720001500");
+  BOOST_TEST(first.started_at_ms == 1764720000000U);
+  BOOST_TEST(first.id != second.id);
+  ownership::GrantAction grant;
+  grant.backend = second.id;
+  BOOST_TEST(kAdapter->EncodeGrant(grant).headers.back().second == "i-1");
+  BOOST_TEST(notes.empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_registration_is_of_use_without_what_is_not_understood) {
@@ -248,8 +281,6 @@
   check("/slots", "-2");
   check("/slots", "4294967297");
   check("/cold_left_s", "-1");
-  check("/cold_left_s", "\"soon\"");
-  check("/zone", "7");
 }
 
 BOOST_AUTO_TEST_CASE(only_the_rows_of_evacuations_name_a_zone) {
