--- a/src/observability/belief_log.cc
+++ b/src/observability/belief_log.cc
@@ -45,7 +45,7 @@
 /// Whether the event is one of a back end's registration, which many back ends may have at once.
 bool IsOfRegistration(std::string_view event) {
   return event == "registered" || event == "draining" || event == "gone" || event == "evacuated" ||
-         event == "returned" || event == "cold";
+         event == "returned" || event == "cold" || event == "ended";
 }
 
 /// The part of `backends` that begins at `first`, for one line.
