Leave a holder time to renew its lease when the store is back

Ruled out: taking a process at the predecessor's address as proof that nothing of its lease is to be waited for; the one before it may still act and is covered by that lease only. Change: after a read that failed, a stale row is challenged 0.4 s after it could be read first, not at once; an ended holder's at once, as before. Test: ownership_test AHolderIsLeftTimeToRenewWhenTheStoreIsBack (written with the change; not run against the code before).

--- a/src/core/ownership/holder_watch.cc
+++ b/src/core/ownership/holder_watch.cc
@@ -1,6 +1,7 @@
 #include "core/ownership/holder_watch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ladderstream::ownership {
 namespace {
@@ -24,6 +25,11 @@
 constexpr Duration kFirstRetry = absl::Milliseconds(100);
 constexpr Duration kLastRetry = absl::Milliseconds(1600);
 
+/// A holder that could not renew, as nobody could, is left so long to do it when the store is back:
+/// it writes within 0.3 s, and knows how long each silent owner may hold, which a successor does
+/// not.
+constexpr Duration kReturnGrace = absl::Milliseconds(400);
+
 constexpr uint64_t kJitterSteps = 1024;
 
 /// Spreads nearby numbers (the finalizer of splitmix64).
@@ -129,8 +135,12 @@
     return true;
   }
   const Duration patience = settings_.heartbeat_timeout;
+  const bool was_away = std::exchange(store_was_away_, false);
   if (version == observed_version_ && now - observed_at_ >= patience) {
-    return true;
+    if (was_away) {
+      read_due_ = now + kReturnGrace + Reserve(kReturnGrace * kEndedSpread);
+    }
+    return !was_away;
   }
   if (!holder_ || holder_->incarnation != row->incarnation) {
     missing_since_ = now;
@@ -162,6 +172,7 @@
 }
 
 void HolderWatch::OnFailure(Time now) {
+  store_was_away_ = true;
   retry_delay_ = std::clamp(retry_delay_ * 2, kFirstRetry, kLastRetry);
   read_due_ = now + retry_delay_ + Jitter(retry_delay_);
   const Duration patience = settings_.unrenewed_patience;
--- a/src/core/ownership/holder_watch.h
+++ b/src/core/ownership/holder_watch.h
@@ -79,6 +79,8 @@
   /// When the rows are to be read although the holder is heard of.
   Time unrenewed_due_ = absl::InfiniteFuture();
   Duration retry_delay_ = absl::ZeroDuration();
+  /// The store could not be read lately, and perhaps not written by the holder either.
+  bool store_was_away_ = false;
 };
 
 }  // namespace ladderstream::ownership
--- a/tests/unit/ownership/outage_test.cc
+++ b/tests/unit/ownership/outage_test.cc
@@ -157,6 +157,25 @@
   BOOST_TEST(!holder.coordinator.Holds(holder.now));
 }
 
+/// All read in vain as long as the store is away; the first one that does not must not depose a
+/// holder that is about to renew.
+BOOST_AUTO_TEST_CASE(AHolderIsLeftTimeToRenewWhenTheStoreIsBack) {
+  const CoordinatorSettings settings;
+  HolderWatch watch(settings, {7, "node", {"node", 7}});
+  const LeaseRow row{3, 9, 1, {"node", 9}};
+  watch.OnHeartbeat({3, 9, {"node", 9}, 40}, kStart);
+  const Time away = kStart + absl::Seconds(5);
+  watch.OnFailure(away);
+  const Time back = away + absl::Seconds(1);
+  BOOST_TEST(!watch.OnRow(row, 40, back));
+  BOOST_TEST((watch.ReadDue() >= back + absl::Milliseconds(300)));
+  BOOST_TEST((watch.ReadDue() <= back + absl::Milliseconds(500)));
+  BOOST_TEST(watch.OnRow(row, 40, watch.ReadDue()));
+  watch.OnFailure(away);
+  watch.OnEnded(9, back);
+  BOOST_TEST(watch.OnRow(row, 40, back));
+}
+
 BOOST_AUTO_TEST_CASE(AStandbyAsksAStoreThatIsAwayRarelyWhileTheHolderIsHeardOf) {
   Holding holding;
   Harness standby(&holding.store, 2, 2, holding.node.now);
