Let through what an overloaded service bears, the urgent first

Cause: a service that is asked for more than it bears answers everybody late; nodes sent whatever they might, since what they know of a single back end is seconds old. Change: ServiceAdmission, per service: told queueing delay, answered over offered, floors by rank.

--- /dev/null
+++ b/src/core/admission/service_admission.cc
@@ -0,0 +1,154 @@
+#include "core/admission/service_admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ladderstream::admission {
+namespace {
+
+// Found by `bench forwarding` on examples/forwarding/seat-maps and stock-lookups at loads of 0.8 to
+// 1.6; docs/design/023 has the figures of the others.
+
+/// The share of the slack that a queue may take while requests are turned away, and the one beyond
+/// which that begins. With one for both, a service at 0.8 of its capacity turns away twice as many.
+constexpr double kKeptShare = 0.5;
+constexpr double kBeginShare = 0.75;
+/// How much more, or less, than is answered is let through where the queue is empty, or twice as
+/// long as it should be.
+constexpr double kGain = 0.6;
+/// At least this share of what is answered: queues work off the rest.
+constexpr double kLeastFactor = 0.3;
+/// A node among seventy sees some twenty answers of a service a second.
+constexpr Duration kRateMemory = absl::Seconds(1);
+constexpr Duration kDelayMemory = absl::Milliseconds(300);
+/// Without any news a delay is forgotten with this time constant, lest nothing is let through.
+constexpr Duration kSilentMemory = absl::Milliseconds(1200);
+/// The division is worked out no more often than this.
+constexpr Duration kInterval = absl::Milliseconds(20);
+/// A rank's shortest slack counts for so long.
+constexpr Duration kSlackMemory = absl::Seconds(2);
+/// Ranks with less than this share of the requests do not decide how long queues may be.
+constexpr double kMinorShare = 0.02;
+
+double Fade(Duration age, Duration memory) { return std::exp(-absl::FDivDuration(age, memory)); }
+
+}  // namespace
+
+void RecentRate::Add(Time now) {
+  count_ = at_ == absl::InfinitePast() ? 1 : count_ * Fade(now - at_, memory_) + 1;
+  at_ = now;
+}
+
+double RecentRate::Value(Time now) const {
+  if (at_ == absl::InfinitePast()) {
+    return 0;
+  }
+  return count_ * Fade(now - at_, memory_) / absl::ToDoubleSeconds(memory_);
+}
+
+ServiceAdmission::Rank::Rank() : offered(kRateMemory) {}
+
+ServiceAdmission::ServiceAdmission() : done_(kRateMemory) {}
+
+void ServiceAdmission::OnTold(const catalog::ToldLoad& told, Duration service_time, Time now) {
+  if (told.slots == 0) {
+    return;
+  }
+  const Duration sample = service_time * told.waiting / told.slots;
+  const double weight =
+      delay_at_ == absl::InfinitePast() ? 1 : 1 - Fade(now - delay_at_, kDelayMemory);
+  delay_ += (sample - delay_) * weight;
+  delay_at_ = now;
+}
+
+void ServiceAdmission::OnDone(Time now) { done_.Add(now); }
+
+Duration ServiceAdmission::Delay(Time now) const {
+  return delay_at_ == absl::InfinitePast() ? absl::ZeroDuration()
+                                           : delay_ * Fade(now - delay_at_, kSilentMemory);
+}
+
+double ServiceAdmission::Offered(Time now) const {
+  double all = 0;
+  for (const auto& [rank, state] : ranks_) {
+    all += state.offered.Value(now);
+  }
+  return all;
+}
+
+Duration ServiceAdmission::Slack(Time now) const {
+  const double least_rate = kMinorShare * Offered(now);
+  Duration slack = absl::InfiniteDuration();
+  for (const auto& [rank, state] : ranks_) {
+    if (state.offered.Value(now) >= least_rate) {
+      slack = std::min(slack, state.slack);
+    }
+  }
+  return slack;
+}
+
+Duration ServiceAdmission::TimeUntilRoom(Time now) const {
+  return limited_ ? std::max(Delay(now) - kKeptShare * Slack(now), absl::ZeroDuration())
+                  : absl::ZeroDuration();
+}
+
+void ServiceAdmission::Update(Time now) {
+  if (now - updated_at_ < kInterval) {
+    return;
+  }
+  updated_at_ = now;
+  const Duration slack = Slack(now);
+  const Duration delay = Delay(now);
+  if (!limited_ && delay <= kBeginShare * slack) {
+    return;
+  }
+  const double excess = absl::FDivDuration(delay, kKeptShare * slack) - 1;
+  const double factor = std::clamp(1 - kGain * excess, kLeastFactor, 1 + kGain);
+  const double offered = Offered(now);
+  const double admitted = done_.Value(now) * factor;
+  limited_ = admitted < offered;
+  Divide(offered, std::min(admitted, offered), now);
+}
+
+void ServiceAdmission::Divide(double offered, double admitted, Time now) {
+  share_ = limited_ ? admitted / offered : 1;
+  level_ = kNoLevel;
+  const double floor = std::min(floor_, share_);
+  double left = admitted - floor * offered;
+  for (auto& [rank, state] : ranks_) {
+    const double rate = state.offered.Value(now);
+    const double more = std::clamp(left, 0.0, (1 - floor) * rate);
+    left -= more;
+    state.share = limited_ && rate > 0 ? floor + more / rate : 1;
+    if (level_ == kNoLevel && state.share < 1) {
+      level_ = rank;
+    }
+  }
+}
+
+bool ServiceAdmission::Admit(uint32_t rank, Duration slack, Time now) {
+  Rank& state = ranks_[rank];
+  state.offered.Add(now);
+  if (slack <= state.slack || now - state.slack_at > kSlackMemory) {
+    state.slack = slack;
+    state.slack_at = now;
+  }
+  Update(now);
+  if (!limited_) {
+    state.owed = 0;
+    return true;
+  }
+  state.owed += state.share;
+  if (state.owed < 1) {
+    return false;
+  }
+  state.owed -= 1;
+  return true;
+}
+
+double ServiceAdmission::ShareOf(uint32_t rank) const {
+  const auto found = ranks_.find(rank);
+  return limited_ && found != ranks_.end() ? found->second.share : 1;
+}
+
+}  // namespace ladderstream::admission
--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -119,6 +119,7 @@
 void Dispatcher::Impl::LearnFromAnswer(const Attempt& attempt, const AttemptAnswer& answer,
                                        Time now) {
   BackendState& backend = *attempt.backend;
+  attempt.service->admission.OnTold(answer.load, backend.load.ServiceTime(now), now);
   const Duration elapsed = now - attempt.started;
   if (answer.status == kMisdirected) {
     return;
@@ -135,6 +136,7 @@
     return;
   }
   backend.outlier.OnSuccess();
+  attempt.service->admission.OnDone(now);
   if (answer.status >= kFirstCallerError) {
     return;
   }
--- a/src/core/forwarding/final_answer.cc
+++ b/src/core/forwarding/final_answer.cc
@@ -16,6 +16,8 @@
 constexpr Duration kNoMapRetryAfter = absl::Milliseconds(250);
 /// Callers that were refused together come back spread over this share of the time.
 constexpr double kRetryJitter = 0.25;
+/// Each rank below the highest is told to stay away for longer by this share.
+constexpr double kLaterPerRank = 0.5;
 
 const char* NameOfObstacle(Obstacle obstacle) {
   switch (obstacle) {
@@ -115,6 +117,12 @@
   return least;
 }
 
+/// Between 0 and 1.
+double Draw(std::mt19937_64& random) {
+  constexpr uint64_t kSteps = 1024;
+  return static_cast<double>(random() % kSteps) / kSteps;
+}
+
 Duration RetryAfter(const Request& request, ResultCode code, const BackendStatePtr& about,
                     std::mt19937_64& random, Time now) {
   Duration time = kOwnerRetryAfter;
@@ -122,11 +130,19 @@
     time = request.sharded && about != nullptr ? about->load.ExpectedWait(now)
                                                : LeastWait(*request.service, now);
   }
-  constexpr uint64_t kSteps = 1024;
-  const double jitter = kRetryJitter * static_cast<double>(random() % kSteps) / kSteps;
+  const double jitter = kRetryJitter * Draw(random);
   return std::clamp(time, kLeastRetryAfter, kMostRetryAfter) * (1 + jitter);
 }
 
+/// Of a request that admission turned away: when the queues are expected to be short enough, later
+/// for the less urgent. The wave that was turned away comes back spread over as much again.
+Duration RetryAfterShedding(const Request& request, std::mt19937_64& random, Time now) {
+  const Duration room = std::max(request.service->admission.TimeUntilRoom(now),
+                                 request.service->averages.ServiceTime() / 2);
+  const double later = 1 + kLaterPerRank * request.route->priority;
+  return std::clamp(room * later, kLeastRetryAfter, kMostRetryAfter) * (1 + Draw(random));
+}
+
 /// `owner`: it is asked for keys that it owns, so this node's limit there counts.
 std::string DescribeLoad(const BackendState& backend, bool owner, Time now) {
   const load::LoadEstimate& load = backend.load;
@@ -169,6 +185,10 @@
       return absl::StrCat("all ", request.route->max_attempts, " attempts are spent");
     case StopCause::kBudgetSpent:
       return "the retry budget is spent";
+    case StopCause::kNotAdmitted:
+      return absl::StrFormat("the service is overloaded: rank %u gets %.2f",
+                             request.route->priority,
+                             request.service->admission.ShareOf(request.route->priority));
     case StopCause::kTooManyWaiting:
       return absl::StrCat(NameOfObstacle(choice.obstacle), ", and too many wait already");
   }
@@ -215,6 +235,10 @@
   }
   const bool by_setback = request.setback.kind != SetbackKind::kNone &&
                           (cause != StopCause::kObstacle || choice.obstacle == Obstacle::kAllTried);
+  if (cause == StopCause::kNotAdmitted) {
+    return MakeAnswer(ResultCode::kOverloaded, RetryAfterShedding(request, random, now),
+                      std::move(reason));
+  }
   const ResultCode code =
       by_setback ? CodeOfSetback(request.setback.kind) : CodeOfObstacle(choice.obstacle);
   const Duration retry_after =
--- a/src/core/forwarding/final_answer.h
+++ b/src/core/forwarding/final_answer.h
@@ -19,6 +19,8 @@
   kAttemptsSpent,
   kBudgetSpent,
   kTooManyWaiting,
+  /// Its service is overloaded, and others go first.
+  kNotAdmitted,
 };
 
 /// The final answer of a request that nobody serves: 502 when it may have run, otherwise 503 with
--- a/src/core/forwarding/request_state.h
+++ b/src/core/forwarding/request_state.h
@@ -50,6 +50,8 @@
   Setback setback;
   SendCause next_cause = SendCause::kFirst;
 
+  /// Under overload, it was let through.
+  bool admitted = false;
   bool waiting = false;
   Time wait_until = absl::InfiniteFuture();
   Time hedge_at = absl::InfiniteFuture();
--- a/src/core/forwarding/service_table.h
+++ b/src/core/forwarding/service_table.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "core/admission/service_admission.h"
 #include "core/admission/wait_queue.h"
 #include "core/allowance/retry_budget.h"
 #include "core/forwarding/backend_state.h"
@@ -22,6 +23,7 @@
   allowance::RetryBudget budget;
   load::LoadCounter load;
   admission::WaitQueue waiting;
+  admission::ServiceAdmission admission;
   std::vector<BackendStatePtr> backends;
 };
 
