--- /dev/null
+++ b/tests/unit/forwarding/overload_test.cc
@@ -0,0 +1,85 @@
+// A service that is asked for more than it bears, through the dispatcher.
+#include <boost/test/unit_test.hpp>
+#include <deque>
+
+#include "dispatcher_harness.h"
+
+namespace ladderstream::forwarding {
+namespace {
+
+constexpr Duration kGap = absl::Milliseconds(10);
+constexpr Duration kWork = absl::Milliseconds(100);
+
+/// A request each 10 ms, each answered after 100 ms; every answer tells of `waiting` requests
+/// beside two slots.
+struct Flood : DispatcherHarness {
+  Flood() { AddBackends("cards", {"c-1", "c-2", "c-3", "c-4"}); }
+
+  /// The requests that were refused at once as the service is overloaded.
+  std::vector<AnswerDecision> Play(int requests, uint32_t waiting) {
+    std::vector<AnswerDecision> refused;
+    for (int i = 0; i < requests; ++i) {
+      Start("/cards/1");
+      for (const RequestDecision& decided : dispatcher.TakeDecisions()) {
+        Note(decided.decision, refused);
+      }
+      Advance(kGap);
+      while (!under_way.empty() && now - under_way.front().since >= kWork) {
+        const SendDecision send = under_way.front().send;
+        under_way.pop_front();
+        Answer(send, 200, 2, waiting);
+      }
+    }
+    return refused;
+  }
+
+  void Note(const Decision& decision, std::vector<AnswerDecision>& refused) {
+    if (const auto* send = std::get_if<SendDecision>(&decision)) {
+      Sent(*send);
+      under_way.push_back({*send, now});
+    } else if (const auto* answer = std::get_if<AnswerDecision>(&decision)) {
+      if (answer->reason.find("the service is overloaded") != std::string::npos) {
+        refused.push_back(*answer);
+      }
+    }
+  }
+
+  struct UnderWay {
+    SendDecision send;
+    Time since;
+  };
+  std::deque<UnderWay> under_way;
+};
+
+BOOST_FIXTURE_TEST_SUITE(overload, Flood)
+
+BOOST_AUTO_TEST_CASE(long_queues_turn_some_away_at_once_with_a_time_to_come_back) {
+  Play(100, 0);
+  const std::vector<AnswerDecision> refused = Play(100, 20);
+  BOOST_TEST(refused.size() > 10U);
+  for (const AnswerDecision& answer : refused) {
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST((answer.code == ResultCode::kOverloaded));
+    BOOST_TEST((answer.retry_after >= absl::Milliseconds(20)));
+    BOOST_TEST((answer.retry_after < absl::Milliseconds(200)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(short_queues_turn_nobody_away) { BOOST_TEST(Play(300, 1).empty()); }
+
+BOOST_AUTO_TEST_CASE(the_level_is_told_when_it_changes) {
+  Play(100, 20);
+  std::vector<std::string> events;
+  for (const BackendBelief& belief : dispatcher.TakeBeliefs()) {
+    if (belief.backend == "cards") {
+      events.push_back(belief.event);
+    }
+  }
+  BOOST_REQUIRE_EQUAL(events.size(), 1U);
+  BOOST_TEST(events[0] == "limited");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace ladderstream::forwarding
--- a/tests/unit/gateway_settings/node_settings_test.cc
+++ b/tests/unit/gateway_settings/node_settings_test.cc
@@ -103,6 +103,17 @@
   BOOST_TEST(shown.forwarding.admission_floor == defaults.forwarding.admission_floor);
 }
 
+BOOST_AUTO_TEST_CASE(a_floor_that_starves_a_rank_or_exceeds_all_is_refused) {
+  for (const char* floor : {"0", "1.5"}) {
+    std::vector<SettingOverride> overrides = kRequired;
+    overrides.push_back({"forwarding.admission_floor", floor});
+    const std::vector<SettingFault> faults = FaultsOf(kExample, overrides);
+    BOOST_REQUIRE_EQUAL(faults.size(), 1U);
+    BOOST_TEST(faults[0].key == "forwarding.admission_floor");
+  }
+  BOOST_TEST(LoadWith({{"forwarding.admission_floor", "1"}}).forwarding.admission_floor == 1);
+}
+
 BOOST_AUTO_TEST_CASE(other_nodes_are_told_where_to_reach_this_one) {
   const ListenAddresses direct = LoadWith({}).listen;
   BOOST_TEST((direct.own_peer_address() == direct.peers));
