--- a/src/core/forwarding/dispatch.cc
+++ b/src/core/forwarding/dispatch.cc
@@ -18,14 +18,6 @@
 /// Where work takes about as long as the target latency, queues may still take this share of it.
 constexpr double kLeastSlackShare = 0.1;
 
-/// Whether fresh news say that a request would find a free slot there. An owner may be idle while
-/// its service is overloaded; back ends that are all alike have their queues alike, and one that
-/// seems free to one node seems so to all.
-bool KnownFree(const BackendState& backend, Time now) {
-  const load::LoadEstimate& load = backend.load;
-  return load.ToldAge(now) < load.ServiceTime(now) && load.Occupancy(now) + 1 <= load.slots();
-}
-
 }  // namespace
 
 void Dispatcher::Impl::Dispatch(Request& request, Time now) {
@@ -47,7 +39,7 @@
     return;
   }
   const Choice choice = Choose(request, now);
-  if (choice.backend != nullptr && !Admitted(request, choice, now)) {
+  if (choice.backend != nullptr && !Admitted(request, now)) {
     FinishUnserved(request, choice, StopCause::kNotAdmitted, now);
   } else if (choice.backend != nullptr) {
     Send(request, choice, now);
@@ -66,17 +58,18 @@
   return request.sharded ? guarded_owner_.Choose(context) : guarded_least_wait_.Choose(context);
 }
 
-bool Dispatcher::Impl::Admitted(Request& request, const Choice& choice, Time now) {
-  if (!request.admitted) {
+bool Dispatcher::Impl::Admitted(Request& request, Time now) {
+  // What owners bear differs from owner to owner: by their mean, 0.37 of a kind was refused where
+  // 0.18 had been, and fewer were served in time (docs/design/023).
+  if (!request.admitted && !request.sharded) {
     ServiceState& service = *request.service;
     const Duration target = request.route->target_latency;
     const Duration slack =
         std::max(target - service.averages.ServiceTime(), target * kLeastSlackShare);
-    const bool within_share = service.admission.Admit(request.route->priority, slack, now);
+    request.admitted = service.admission.Admit(request.route->priority, slack, now);
     services_.NoteLevel(service, now);
-    request.admitted = within_share || (request.sharded && KnownFree(*choice.backend, now));
   }
-  return request.admitted;
+  return request.admitted || request.sharded;
 }
 
 bool Dispatcher::Impl::MayWait(const Request& request, const Choice& choice, Time now) const {
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -72,8 +72,9 @@
   // dispatch.cc: a request that has no attempt in flight is sent, waits, or is answered.
   void Dispatch(Request& request, Time now);
   Choice Choose(const Request& request, Time now);
-  /// Whether admission lets the request through that `choice` has a back end for.
-  bool Admitted(Request& request, const Choice& choice, Time now);
+  /// Whether admission lets the request through, for which there is a back end; owners of keys have
+  /// limits of their own.
+  bool Admitted(Request& request, Time now);
   bool MayWait(const Request& request, const Choice& choice, Time now) const;
   void Wait(Request& request, const Choice& choice, Time now);
   void StopWaiting(Request& request);
