Tell the retry budget that is left

Cause: ladderstream_retry_budget_left stood in the metrics, the operators' page and an alarm, but nothing set it: it was always 0.

Change: Dispatcher::RetriesLeft, the service with the fewest; the node sets the gauge from it.

--- a/src/core/allowance/retry_budget.cc
+++ b/src/core/allowance/retry_budget.cc
@@ -13,6 +13,12 @@
 /// the unit test fleet_retry_budget.
 constexpr double kKeptShare = 0.17;
 
+/// The slack that this process may use.
+double SlackNow(const RetryLimits& limits, Time now) {
+  const double age = absl::FDivDuration(now - limits.started, limits.window);
+  return limits.slack * std::clamp(age, 0.0, 1.0);
+}
+
 }  // namespace
 
 void RetryBudget::AddRequest(const RetryLimits& limits, Time now) {
@@ -40,12 +46,15 @@
   return std::max(slack - used, 0.0);
 }
 
-bool RetryBudget::Allows(const RetryLimits& limits, double share, Time now) {
+double RetryBudget::Left(const RetryLimits& limits, Time now) {
   Advance(limits, now);
-  const double age = absl::FDivDuration(now - limits.started, limits.window);
-  const double slack = limits.slack * std::clamp(age, 0.0, 1.0);
-  const double untouched = (1 - share) * (most_kept_ + slack);
-  return earned_ + SlackLeft(slack) - 1 >= untouched;
+  return earned_ + SlackLeft(SlackNow(limits, now));
+}
+
+bool RetryBudget::Allows(const RetryLimits& limits, double share, Time now) {
+  const double left = Left(limits, now);
+  const double untouched = (1 - share) * (most_kept_ + SlackNow(limits, now));
+  return left - 1 >= untouched;
 }
 
 void RetryBudget::Charge(Time now) {
--- a/src/core/allowance/retry_budget.h
+++ b/src/core/allowance/retry_budget.h
@@ -32,6 +32,8 @@
  public:
   void AddRequest(const RetryLimits& limits, Time now);
 
+  /// How many retries may be sent now.
+  double Left(const RetryLimits& limits, Time now);
   /// Whether a retry may be sent now that leaves all but this `share` of a full budget unspent.
   bool Allows(const RetryLimits& limits, double share, Time now);
   /// Charges a retry, to be called only when Allows().
--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -3,6 +3,8 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <utility>
 
 #include "core/forwarding/dispatcher_impl.h"
@@ -175,6 +177,14 @@
   return true;
 }
 
+double Dispatcher::Impl::RetriesLeft(Time now) {
+  double least = std::numeric_limits<double>::infinity();
+  for (ServiceState* service : services_.Services()) {
+    least = std::min(least, service->budget.Left(retry_limits_, now));
+  }
+  return std::isinf(least) ? 0 : least;
+}
+
 bool Dispatcher::Impl::ServiceCanServe(const std::string& name, Time now) const {
   const auto declared = routes_.configuration()->services.find(name);
   if (declared != routes_.configuration()->services.end() && declared->second.sharded) {
@@ -249,5 +259,6 @@
 std::vector<load::ServiceLoad> Dispatcher::TakeLoad() { return impl_->TakeLoad(); }
 std::vector<BackendBelief> Dispatcher::TakeBeliefs() { return impl_->TakeBeliefs(); }
 bool Dispatcher::CanServe(Time now) const { return impl_->CanServe(now); }
+double Dispatcher::RetriesLeft(Time now) { return impl_->RetriesLeft(now); }
 
 }  // namespace ladderstream::forwarding
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -242,6 +242,9 @@
   /// Whether every service that has a route has a back end or an owner to send to, and this node is
   /// not stopping.
   bool CanServe(Time now) const;
+  /// Attempts beyond the first that this node may make now, for the service with the fewest; zero
+  /// when no service is known.
+  double RetriesLeft(Time now);
 
  private:
   class Impl;
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -61,6 +61,7 @@
   std::vector<load::ServiceLoad> TakeLoad();
   std::vector<BackendBelief> TakeBeliefs() { return services_.TakeBeliefs(); }
   bool CanServe(Time now) const;
+  double RetriesLeft(Time now);
 
  private:
   // dispatcher.cc
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -177,6 +177,7 @@
 std::string Node::MetricsText() {
   observability::NodeState state;
   state.ready = IsReady();
+  state.retry_budget_left = dispatcher_.RetriesLeft(Now());
   state.requests_in_flight = data_path_.requests_in_flight();
   state.caller_connections = data_path_.caller_connection_count();
   state.backend_connections = data_path_.backend_connection_count();
--- a/tests/unit/forwarding/ill_back_end_replay.cc
+++ b/tests/unit/forwarding/ill_back_end_replay.cc
@@ -19,6 +19,7 @@
     configuration.version = 2;
     harness_.Configure(configuration);
     std::vector<std::string> ids;
+    ids.reserve(static_cast<size_t>(play.backends));
     for (int i = 0; i < play.backends; ++i) {
       ids.push_back(absl::StrCat("x-", i));
     }
--- a/tests/unit/forwarding/retry_budget_test.cc
+++ b/tests/unit/forwarding/retry_budget_test.cc
@@ -86,6 +86,24 @@
   harness.Only<SendDecision>();
 }
 
+BOOST_AUTO_TEST_CASE(what_is_left_is_told_for_the_service_with_the_fewest) {
+  DispatcherSettings settings = DispatcherHarness::DefaultSettings();
+  settings.budget_ratio = 0;
+  settings.budget_slack = 5;
+  DispatcherHarness harness(settings);
+  BOOST_TEST(harness.dispatcher.RetriesLeft(harness.now) == 0);
+  harness.AddBackends("cards", {"c-1", "c-2"});
+  harness.AddBackends("books", {"b-1"});
+  const SendDecision first = harness.StartAndSend("/cards/1");
+  BOOST_TEST(harness.dispatcher.RetriesLeft(harness.now) == 4);
+  harness.Sent(first);
+  harness.Refuse(first);
+  harness.Only<SendDecision>();
+  BOOST_TEST(harness.dispatcher.RetriesLeft(harness.now) == 3);
+  harness.Advance(absl::Seconds(11));
+  BOOST_TEST(harness.dispatcher.RetriesLeft(harness.now) == 4);
+}
+
 BOOST_AUTO_TEST_CASE(budget_belongs_to_one_service) {
   DispatcherSettings settings = DispatcherHarness::DefaultSettings();
   settings.budget_slack = 1.3;
