--- a/src/core/ownership/coordinator_moves.cc
+++ b/src/core/ownership/coordinator_moves.cc
@@ -167,10 +167,9 @@
 
 size_t Coordinator::Impl::CountPlannedMoves(const ServiceState& service) const {
   const std::vector<RangeState>& ranges = service.table.ranges();
-  return static_cast<size_t>(
-      std::count_if(ranges.begin(), ranges.end(), [this](const RangeState& state) {
-        return state.moving && directory_.Keeps(state.owner);
-      }));
+  return static_cast<size_t>(std::count_if(
+      ranges.begin(), ranges.end(),
+      [this](const RangeState& state) { return state.moving && directory_.Keeps(state.owner); }));
 }
 
 void Coordinator::Impl::ListMoves(const ServiceState& service, Assignments* view,
