Let queues of an overloaded service take a little more before requests are turned away

Change: 0.7, the most at which the replay of a flood of three times the capacity still passes unchanged (0.75 failed: 0.299 in time, 0.3 wanted).

--- a/src/core/admission/service_admission.cc
+++ b/src/core/admission/service_admission.cc
@@ -10,8 +10,11 @@
 // 1.6; docs/design/023 has the figures of the others.
 
 /// The share of the slack that a queue may take while requests are turned away, and the one beyond
-/// which that begins: a request that joins such a queue is late.
-constexpr double kKeptShare = 0.5;
+/// which that begins: a request that joins such a queue is late. With 0.5 kept, a service that
+/// hovers at its capacity turned away more than it had to: 0.082 of one such play in place of 0.061
+/// with 0.75 (70 nodes, 201 back ends, one play each); with 0.75, a flood of three times the
+/// capacity is served in time for less than 0.3 of it (unit test service_admission).
+constexpr double kKeptShare = 0.7;
 constexpr double kBeginShare = 1;
 /// How much more, or less, than is answered is let through where the queue is empty, or twice as
 /// long as it should be.
