Pass on between nodes what back ends told of their load

Cause: a node hears of one owner's load with its own answers only, some 6 s apart with 63 nodes and 158 owners, while all nodes together hear of it 13 times a second; its own limit at an owner then refuses while the owner has told others that it has room, and stays at a sixteenth for seconds.

Change: reports carry what back ends told since the last one, answers what the coordinator's board has that is newer than the last answer; only busy back ends, and those that came free, are told of. Times travel as ages, and the older bound is taken. A limit at an owner doubles each half second by itself, and does not refuse what fresh news say there is room for.

--- a/src/core/admission/owner_limit.cc
+++ b/src/core/admission/owner_limit.cc
@@ -1,6 +1,7 @@
 #include "core/admission/owner_limit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace ladderstream::admission {
 namespace {
@@ -17,22 +18,39 @@
 constexpr double kFirstLimit = 2;
 /// One request in this many times its own duration keeps an owner under observation.
 constexpr double kLeastLimit = 1.0 / 16;
+/// A limit doubles in this time by itself, so that the least one is back at one request in two
+/// seconds, in which a node with few requests there would see one answer or none.
+constexpr Duration kDoubling = absl::Milliseconds(500);
+/// No share below one request is spaced out further: it would outlast most overloads.
+constexpr Duration kLongestPause = absl::Milliseconds(500);
 /// An owner that nothing showed to be overloaded for so long is not limited.
 constexpr Duration kMemory = absl::Seconds(2);
 
 }  // namespace
 
+double OwnerLimit::LimitAt(Time now) const {
+  if (limit_ == kUnlimited) {
+    return kUnlimited;
+  }
+  return std::min(limit_ * std::exp2(absl::FDivDuration(now - changed_at_, kDoubling)), kUnlimited);
+}
+
+void OwnerLimit::SetLimit(double limit, Time now) {
+  limit_ = limit;
+  changed_at_ = now;
+}
+
 void OwnerLimit::Cut(double share, Time started, Time now) {
   if (started < cut_at_) {
     return;
   }
-  limit_ = std::max(std::min(limit_, kFirstLimit / share) * share, kLeastLimit);
+  SetLimit(std::max(std::min(LimitAt(now), kFirstLimit / share) * share, kLeastLimit), now);
   cut_at_ = now;
 }
 
 void OwnerLimit::SpaceOut(Duration elapsed, Time now) {
   if (limit_ < 1) {
-    next_send_ = now + elapsed * (1 / limit_ - 1);
+    next_send_ = now + std::min(elapsed * (1 / limit_ - 1), kLongestPause);
   }
 }
 
@@ -40,7 +58,7 @@
   if (!in_time) {
     Cut(kLateCut, started, now);
   } else if (limit_ != kUnlimited) {
-    limit_ = now - cut_at_ > kMemory ? kUnlimited : limit_ + kGrowth;
+    SetLimit(now - cut_at_ > kMemory ? kUnlimited : LimitAt(now) + kGrowth, now);
   }
   SpaceOut(now - started, now);
 }
@@ -51,8 +69,9 @@
 }
 
 bool OwnerLimit::Allows(uint32_t in_flight, Time now) const {
-  if (limit_ >= 1) {
-    return in_flight + 1 <= limit_;
+  const double limit = LimitAt(now);
+  if (limit >= 1) {
+    return in_flight + 1 <= limit;
   }
   return in_flight == 0 && now >= next_send_;
 }
--- a/src/core/admission/owner_limit.h
+++ b/src/core/admission/owner_limit.h
@@ -5,7 +5,9 @@
 // All nodes send to it without knowing of each other, so each adapts its own share: a little more
 // after each answer in time, a cut after a late one or one turned away (additive increase,
 // multiplicative decrease, as a transport's congestion window). With more nodes than the owner has
-// room for, a share falls below one request; then sends are spaced out.
+// room for, a share falls below one request; then sends are spaced out. What was found by a cut
+// fades with time: a node with few requests at an owner sees too few answers to find that it has
+// recovered.
 //
 // Pure and of one thread, like the rest of the library.
 #pragma once
@@ -27,18 +29,22 @@
   bool Allows(uint32_t in_flight, Time now) const;
   /// When a share below one request allows the next; in the past otherwise.
   Time next_send() const { return next_send_; }
-  /// The limit; kUnlimited until an owner was found to be overloaded.
+  /// The limit as of the last answer or loss; kUnlimited until an owner was found to be overloaded.
   double limit() const { return limit_; }
+  /// What it has grown to since.
+  double LimitAt(Time now) const;
 
   static constexpr double kUnlimited = 1e9;
 
  private:
   /// Cuts the limit, unless the attempt began before the last cut took effect.
   void Cut(double share, Time started, Time now);
+  void SetLimit(double limit, Time now);
   /// Leaves a pause after an attempt that took `elapsed`, so that a share below one is kept.
   void SpaceOut(Duration elapsed, Time now);
 
   double limit_ = kUnlimited;
+  Time changed_at_ = absl::InfinitePast();
   Time cut_at_ = absl::InfinitePast();
   Time next_send_ = absl::InfinitePast();
 };
--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -139,6 +139,7 @@
     return;
   }
   backend.load.OnServed(elapsed, answer.load, now);
+  PassOn(backend, answer.load, now);
   backend.owner_limit.OnAnswer(attempt.started, InTime(attempt, now), now);
   const bool told = answer.load.slots > 0;
   if (!told || (answer.load.waiting == 0 && answer.load.running <= answer.load.slots)) {
@@ -155,6 +156,7 @@
   } else {
     backend.load.OnTold(answer.load, now);
   }
+  PassOn(backend, answer.load, now);
   if (answer.load.slots > 0 && answer.load.running + answer.load.waiting < answer.load.slots) {
     NoteEjection(backend, "refuses though it has free slots", backend.outlier.OnFailure(now));
   }
--- a/src/core/forwarding/dispatch.cc
+++ b/src/core/forwarding/dispatch.cc
@@ -105,6 +105,7 @@
   send.answer_by = request.answer_by;
   send.cause = request.next_cause;
   send.expected_wait = choice.expected_wait;
+  send.told_age = backend.load.ToldAge(now);
   ++request.departures;
   ++request.sends;
   request.in_flight.push_back(send.attempt);
--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -248,6 +248,13 @@
 Time Dispatcher::NextWake() const { return impl_->NextWake(); }
 std::vector<load::ServiceLoad> Dispatcher::TakeLoad() { return impl_->TakeLoad(); }
 std::vector<BackendBelief> Dispatcher::TakeBeliefs() { return impl_->TakeBeliefs(); }
+std::vector<load::LoadNews> Dispatcher::TakeLoadNews(Time now) { return impl_->TakeLoadNews(now); }
+void Dispatcher::OnLoadNews(const std::vector<load::LoadNews>& news, Time now) {
+  impl_->OnLoadNews(news, now);
+}
+const load::LoadNewsCounts& Dispatcher::load_news_counts() const {
+  return impl_->load_news_counts();
+}
 bool Dispatcher::CanServe(Time now) const { return impl_->CanServe(now); }
 
 }  // namespace ladderstream::forwarding
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -16,6 +16,7 @@
 #include "core/catalog/catalog.h"
 #include "core/catalog/told_load.h"
 #include "core/load/load_counter.h"
+#include "core/load/load_news.h"
 #include "core/ownership/ownership_map.h"
 #include "core/partition/partitioner.h"
 #include "wire/result_code.h"
@@ -119,6 +120,8 @@
   SendCause cause = SendCause::kFirst;
   /// How long it is expected to wait for a slot there.
   Duration expected_wait;
+  /// For the metrics: how old the back end's word is that this rests on; infinite without one.
+  Duration told_age = absl::InfiniteDuration();
 };
 /// Drop this attempt: close its connection, and expect no event about it.
 struct CancelDecision {
@@ -238,6 +241,12 @@
   Time NextWake() const;
 
   std::vector<load::ServiceLoad> TakeLoad();
+  /// What back ends told this node since the last call and other nodes should know.
+  std::vector<load::LoadNews> TakeLoadNews(Time now);
+  /// What back ends told other nodes. Late, repeated or reordered news change nothing.
+  void OnLoadNews(const std::vector<load::LoadNews>& news, Time now);
+  /// What became of those news since the start.
+  const load::LoadNewsCounts& load_news_counts() const;
   std::vector<BackendBelief> TakeBeliefs();
   /// Whether every service that has a route has a back end or an owner to send to, and this node is
   /// not stopping.
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -23,6 +23,7 @@
 #include "core/forwarding/route_index.h"
 #include "core/forwarding/service_table.h"
 #include "core/forwarding/traffic_split.h"
+#include "core/load/load_news_collector.h"
 
 namespace ladderstream::forwarding {
 
@@ -59,6 +60,10 @@
   std::vector<RequestDecision> TakeDecisions() { return std::exchange(decisions_, {}); }
   Time NextWake() const;
   std::vector<load::ServiceLoad> TakeLoad();
+  // news_of_load.cc
+  std::vector<load::LoadNews> TakeLoadNews(Time now) { return news_collector_.Take(now); }
+  void OnLoadNews(const std::vector<load::LoadNews>& news, Time now);
+  const load::LoadNewsCounts& load_news_counts() const { return news_counts_; }
   std::vector<BackendBelief> TakeBeliefs() { return services_.TakeBeliefs(); }
   bool CanServe(Time now) const;
 
@@ -86,6 +91,12 @@
   void DispatchWaiting(ServiceState& service, Time now);
   void Emit(const Request& request, Decision decision);
 
+  // news_of_load.cc
+  /// The back end's word just came with an answer: other nodes should know.
+  void PassOn(const BackendState& backend, const catalog::ToldLoad& told, Time now);
+  /// Null when it changed nothing.
+  BackendStatePtr TakeNews(const load::LoadNews& news, Time now);
+
   // attempt_events.cc
   /// Takes the attempt out of the books of its back end and its request.
   Attempt EndAttempt(AttemptHandle handle);
@@ -118,6 +129,8 @@
   RouteIndex routes_;
   TrafficSplit splits_;
   ServiceTable services_;
+  load::LoadNewsCollector news_collector_;
+  load::LoadNewsCounts news_counts_;
   OwnershipView ownership_;
   allowance::ColdSenders cold_senders_;
   LeastWaitChoice least_wait_;
--- a/src/core/forwarding/final_answer.cc
+++ b/src/core/forwarding/final_answer.cc
@@ -130,7 +130,7 @@
 /// `owner`: it is asked for keys that it owns, so this node's limit there counts.
 std::string DescribeLoad(const BackendState& backend, bool owner, Time now) {
   const load::LoadEstimate& load = backend.load;
-  const double limit = backend.owner_limit.limit();
+  const double limit = backend.owner_limit.LimitAt(now);
   const std::string limited = owner && limit != admission::OwnerLimit::kUnlimited
                                   ? absl::StrFormat(", limit %.2f", limit)
                                   : "";
--- a/src/core/forwarding/owner_choice.cc
+++ b/src/core/forwarding/owner_choice.cc
@@ -84,7 +84,9 @@
   if (owner->load.Full(context.now)) {
     return Blocked(Obstacle::kOwnerFull, owner, owner->load.full_until());
   }
-  if (limit_owners_ && !owner->owner_limit.Allows(owner->load.in_flight(), context.now)) {
+  const bool allowed = !limit_owners_ || owner->load.KnownRoom(context.now) ||
+                       owner->owner_limit.Allows(owner->load.in_flight(), context.now);
+  if (!allowed) {
     return Blocked(Obstacle::kOwnerFull, owner, owner->owner_limit.next_send());
   }
   Choice choice;
--- a/src/core/forwarding/service_table.cc
+++ b/src/core/forwarding/service_table.cc
@@ -156,6 +156,7 @@
   for (auto& [name, service] : services_) {
     service->backends.clear();
   }
+  by_hash_.clear();
   for (auto entry = backends_.begin(); entry != backends_.end();) {
     const BackendStatePtr& state = entry->second;
     if (now - state->gone_at > kForgetAfter) {
@@ -163,6 +164,12 @@
       continue;
     }
     Service(state->registration.service).backends.push_back(state);
+    if (state->registered) {
+      const auto [same, is_new] = by_hash_.try_emplace(load::HashOf(state->registration), state);
+      if (!is_new) {
+        same->second = nullptr;
+      }
+    }
     ++entry;
   }
   for (auto& [name, service] : services_) {
@@ -192,6 +199,11 @@
   return backend == backends_.end() ? nullptr : backend->second;
 }
 
+BackendStatePtr ServiceTable::FindByHash(load::BackendHash hash) const {
+  const auto backend = by_hash_.find(hash);
+  return backend == by_hash_.end() ? nullptr : backend->second;
+}
+
 std::vector<ServiceState*> ServiceTable::Services() {
   std::vector<ServiceState*> services;
   services.reserve(services_.size());
--- a/src/core/forwarding/service_table.h
+++ b/src/core/forwarding/service_table.h
@@ -12,6 +12,7 @@
 #include "core/forwarding/backend_state.h"
 #include "core/forwarding/dispatcher.h"
 #include "core/load/load_counter.h"
+#include "core/load/load_news.h"
 
 namespace ladderstream::forwarding {
 
@@ -43,6 +44,9 @@
   /// Null when no such back end is known; also finds those that disappeared a short time ago.
   BackendStatePtr FindBackend(const std::string& id) const;
 
+  /// Null when no registered back end has this hash, or several have.
+  BackendStatePtr FindByHash(load::BackendHash hash) const;
+
   std::vector<ServiceState*> Services();
   std::vector<BackendBelief> TakeBeliefs();
   void AddBelief(const BackendState& backend, std::string event, std::string detail);
@@ -59,6 +63,8 @@
   const DispatcherSettings& settings_;
   absl::flat_hash_map<std::string, std::unique_ptr<ServiceState>> services_;
   absl::flat_hash_map<std::string, BackendStatePtr> backends_;
+  /// Of registered back ends; null where several share a hash.
+  absl::flat_hash_map<load::BackendHash, BackendStatePtr> by_hash_;
   std::vector<BackendBelief> beliefs_;
 };
 
--- a/src/core/load/load_estimate.cc
+++ b/src/core/load/load_estimate.cc
@@ -22,6 +22,9 @@
 /// After it turned a request away, its queue is taken as short again after so many slot intervals.
 constexpr int kLimitMemory = 4;
 constexpr Duration kLeastFull = absl::Milliseconds(5);
+/// What was told within this is fresh enough to send by although this node's own limit says no: 63
+/// nodes hear of a busy owner of keys each 0.3 s.
+constexpr Duration kFreshTold = absl::Milliseconds(500);
 
 void MoveTowards(double sample, double gain, double* average) {
   *average += gain * (sample - *average);
@@ -77,6 +80,22 @@
   averages_.AddForeign(told_foreign_, slots_);
 }
 
+bool LoadEstimate::OnNews(const ToldLoad& told, Time told_at, Time now) {
+  if (told.slots == 0 || told_at <= told_at_ || told_at > now) {
+    return false;
+  }
+  told_ = told;
+  told_at_ = told_at;
+  // What went there from here before is in the told figures; what went later is not.
+  const auto later = std::lower_bound(in_flight_.begin(), in_flight_.end(), told_at);
+  const auto own = static_cast<double>(later - in_flight_.begin());
+  told_foreign_ = std::max(0.0, static_cast<double>(told.running) + told.waiting - own);
+  if (KnownRoom(now)) {
+    full_until_ = absl::InfinitePast();
+  }
+  return true;
+}
+
 void LoadEstimate::OnServed(Duration elapsed, const ToldLoad& told, Time now) {
   averages_.NoteTold(told);
   ToldLoad others = told;
@@ -114,6 +133,7 @@
 
 void LoadEstimate::OnShed(const ToldLoad& told, Time now) {
   OnTold(told, now);
+  shed_at_ = now;
   const Duration interval = LearnedServiceTime(now) / slots_;
   full_until_ = now + std::max(interval, kLeastFull);
   if (told.slots > 0) {
@@ -161,6 +181,12 @@
          SmoothExcess(Occupancy(now), slots_);
 }
 
+bool LoadEstimate::KnownRoom(Time now) const {
+  const bool fresh = ToldAge(now) < kFreshTold && told_at_ > shed_at_;
+  const double taken = told_foreign_ + static_cast<double>(in_flight_.size());
+  return fresh && told_.waiting == 0 && taken + 1 <= slots_;
+}
+
 bool LoadEstimate::KnownBusy(Time now) const {
   const bool fresh = ToldAge(now) < kLimitMemory * LearnedServiceTime(now);
   return in_flight_.size() >= slots_ || (fresh && Occupancy(now) >= slots_);
--- a/src/core/load/load_estimate.h
+++ b/src/core/load/load_estimate.h
@@ -1,8 +1,8 @@
 // How busy one back end is believed to be, and how long a request sent to it now would take.
 //
-// Three sources are joined: what this node has in flight there (exact), what the back end told with
-// its latest answer (ages within a few service times, as other nodes send to it too), and averages
-// over its service.
+// Three sources are joined: what this node has in flight there (exact), what the back end told
+// last, with an answer to this node or to another one that passed it on (ages within a few service
+// times, as other nodes send to it too), and averages over its service.
 #pragma once
 
 #include <cstdint>
@@ -57,6 +57,11 @@
   void OnUnanswered(Duration elapsed, Time now);
   /// It told its load with another answer. After OnEnd.
   void OnTold(const ToldLoad& told, Time now);
+  /// Another node passed on what it told at `told_at`, without the request that it came with. False
+  /// when that is no newer than what is known; then nothing changes.
+  ///
+  /// Averages do not learn from it: only back ends that are busy are told of.
+  bool OnNews(const ToldLoad& told, Time told_at, Time now);
   /// It turned a request away since it is full; `told` may be empty. After OnEnd.
   void OnShed(const ToldLoad& told, Time now);
 
@@ -73,11 +78,17 @@
   Duration ExpectedWait(Time now) const;
   /// Whether fresh knowledge, not averages, says that all its slots are taken.
   bool KnownBusy(Time now) const;
+  /// Whether it told, to whomever and a short time ago, that nothing waits there, and a slot is
+  /// left for one request more than went there from here since. False once it turned a request
+  /// away.
+  bool KnownRoom(Time now) const;
 
   uint32_t in_flight() const { return static_cast<uint32_t>(in_flight_.size()); }
   uint32_t slots() const { return slots_; }
+  /// Without the answer's own request.
   const ToldLoad& told() const { return told_; }
-  /// How old what it told is; infinite when it told nothing.
+  Time told_at() const { return told_at_; }
+  /// How old what it told is, to whomever; infinite when it told nothing.
   Duration ToldAge(Time now) const { return now - told_at_; }
 
  private:
@@ -99,6 +110,7 @@
   Duration service_time_ = absl::ZeroDuration();
   Time service_time_at_ = absl::InfinitePast();
 
+  Time shed_at_ = absl::InfinitePast();
   Time full_until_ = absl::InfinitePast();
   Time limit_until_ = absl::InfinitePast();
   /// The occupancy at which it turned a request away.
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -5,6 +5,7 @@
 #include <type_traits>
 #include <utility>
 
+#include "core/membership/load_news_entries.h"
 #include "core/membership/load_sampling.h"
 
 namespace ladderstream::membership {
@@ -24,6 +25,12 @@
 /// between that it is alive.
 constexpr double kLongestHeartbeatGap = 1.5;
 
+/// News of load in a report are taken to have come at once when no more than this lies between the
+/// last answer that its sender got and their arrival: as many report intervals, one of which may
+/// have been lost, and no less than a loop that is behind for a moment.
+constexpr int kTrustedIntervals = 2;
+constexpr Duration kLeastTrustedGap = absl::Seconds(1);
+
 }  // namespace
 
 Membership::Membership(MembershipSettings settings, PeerIdentity self,
@@ -50,6 +57,7 @@
   const Destination back{report.sender.address, from.connection, members_.ScopeOf(report.sender)};
   if (IsCoordinator(now)) {
     relay_.AddToAnswer(report, now, &answer);
+    ExchangeLoadNews(report, now, &answer);
   }
   AddCopies(report, back, now, &answer);
   Send({back}, std::move(answer));
@@ -75,6 +83,26 @@
   members_.AddTo(report.members_version, answer);
 }
 
+void Membership::ExchangeLoadNews(const Report& report, Time now, Heartbeat* answer) {
+  const load::ReportOrigin origin{report.sender.incarnation, report.sequence, report.last_answered};
+  const Duration trusted_gap = std::max(kLeastTrustedGap, kTrustedIntervals * ReportInterval());
+  HearLoadNews(
+      load_board_.TakeReported(origin, ToLoadNews(report.load_news, now), trusted_gap, now));
+  answer->load_news = ToEntries(load_board_.AnswerTo(origin, now), now);
+}
+
+void Membership::HearLoadNews(std::vector<load::LoadNews> news) {
+  if (!news.empty()) {
+    actions_.emplace_back(LoadNewsHeardAction{std::move(news)});
+  }
+}
+
+void Membership::OnOwnLoadNews(const std::vector<load::LoadNews>& news, Time now) {
+  if (IsCoordinator(now)) {
+    load_board_.TakeOwn(news, now);
+  }
+}
+
 void Membership::SendWholeCopies(Time now) {
   if (!whole_copies_.Due(now)) {
     return;
@@ -103,6 +131,9 @@
   }
   if (report.has_value() && report->holder == heartbeat.sender) {
     identity_known_by_ = heartbeat.identity_wanted ? 0 : heartbeat.sender;
+    if (last_answered_.holder != report->holder || last_answered_.sequence < report->sequence) {
+      last_answered_ = *report;
+    }
   }
   if (members_.Adopt(heartbeat, now)) {
     actions_.emplace_back(MembersChangedAction{static_cast<uint32_t>(members().size())});
@@ -122,6 +153,10 @@
   }
   ConfirmBy(heartbeat, report, now);
   ConfirmMembersBy(heartbeat, report);
+  if (report.has_value()) {
+    // The answer was made after the report was sent, however long it was on the way.
+    HearLoadNews(ToLoadNews(heartbeat.load_news, report->sent));
+  }
   const bool pushed = heartbeat.answered_report == 0;
   if (pushed || report.has_value()) {
     relay_.OnCoordinatorHeard(heartbeat, pushed ? now : report->sent, !pushed, now);
@@ -211,6 +246,7 @@
     lease_until_ = absl::InfinitePast();
     whole_copies_.Clear();
     relay_.OnLeading(false);
+    load_board_.Clear();
   }
 }
 
@@ -293,6 +329,7 @@
   report.sequence = sent_reports_.Add(holder, now);
   report.map_version = maps_.version();
   report.members_version = members_.version();
+  report.last_answered = holder == last_answered_.holder ? last_answered_.sequence : 0;
   const HeldVersions held = snapshots_.Held();
   report.configuration_version = held.configuration;
   report.backends_version = held.backends;
@@ -300,7 +337,8 @@
 }
 
 void Membership::SendReport(std::vector<LoadReport> loads,
-                            std::vector<std::string> refused_backends, Time now) {
+                            std::vector<std::string> refused_backends, Time now,
+                            const std::vector<load::LoadNews>& news) {
   if (!holder_.has_value() || holder_->incarnation == self_.incarnation) {
     return;
   }
@@ -310,6 +348,7 @@
   }
   report.loads = std::move(loads);
   report.refused_backends = std::move(refused_backends);
+  report.load_news = ToEntries(news, now);
   Send({members_.At(holder_->peer_address)}, std::move(report));
 }
 
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/load/load_news_board.h"
 #include "core/membership/map_exchange.h"
 #include "core/membership/member_table.h"
 #include "core/membership/messages.h"
@@ -94,12 +95,16 @@
   std::vector<LoadReport> loads;
   std::vector<std::string> refused_backends;
 };
+/// What other nodes heard of back ends' load, each newer than what this node was told of it before.
+struct LoadNewsHeardAction {
+  std::vector<load::LoadNews> news;
+};
 /// Rows of another node went into a follower.
 struct TablesMergedAction {};
 using MembershipAction =
     std::variant<SendAction, ReportDueAction, HeartbeatHeardAction, CoordinatorEndedAction,
                  MapChangedAction, MapConfirmedAction, MembersChangedAction, MembersConfirmedAction,
-                 ReportReceivedAction, TablesMergedAction>;
+                 ReportReceivedAction, LoadNewsHeardAction, TablesMergedAction>;
 
 class Membership {
  public:
@@ -130,7 +135,9 @@
 
   /// Answers ReportDueAction.
   void SendReport(std::vector<LoadReport> loads, std::vector<std::string> refused_backends,
-                  Time now);
+                  Time now, const std::vector<load::LoadNews>& news = {});
+  /// At the coordinator: what back ends told its own data path.
+  void OnOwnLoadNews(const std::vector<load::LoadNews>& news, Time now);
   /// Replaces the addresses to ask when no other node is known.
   void SetSeeds(std::vector<Endpoint> seeds) { settings_.seeds = std::move(seeds); }
   /// To be called at or soon after NextWake().
@@ -146,6 +153,8 @@
   /// Null before any is known.
   const std::shared_ptr<const ownership::OwnershipMap>& map() const { return maps_.map(); }
   Time map_confirmed_until() const { return confirmed_until_; }
+  /// What became of what this node heard as the coordinator.
+  const load::LoadNewsCounts& load_news_counts() const { return load_board_.counts(); }
   const std::vector<PeerIdentity>& members() const { return members_.members(); }
 
  private:
@@ -163,6 +172,9 @@
   void ConfirmBy(const Heartbeat& heartbeat, const std::optional<SentReport>& report, Time now);
   void SetConfirmed(Time until);
   void ConfirmMembersBy(const Heartbeat& heartbeat, const std::optional<SentReport>& report);
+  /// Puts the report's news of load up, and what its node lacks into the answer.
+  void ExchangeLoadNews(const Report& report, Time now, Heartbeat* answer);
+  void HearLoadNews(std::vector<load::LoadNews> news);
   Report NewReport(uint64_t holder, Time now);
   size_t MostReportedCounts() const;
   /// Asks some other node who the coordinator is.
@@ -193,6 +205,8 @@
   TableRelay relay_;
   MapExchange maps_;
   WholeCopies whole_copies_;
+  /// At the coordinator.
+  load::LoadNewsBoard load_board_;
   std::mt19937_64 random_;
   std::vector<MembershipAction> actions_;
 
@@ -205,6 +219,8 @@
   Time confirmed_until_ = absl::InfinitePast();
 
   SentReports sent_reports_;
+  /// The newest report that was answered by whom it went to.
+  SentReport last_answered_;
   Time next_report_ = absl::InfinitePast();
   uint64_t seek_turn_;
 
--- a/src/core/membership/messages.h
+++ b/src/core/membership/messages.h
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/load/load_news.h"
 #include "core/ownership/coordinator.h"
 #include "core/ownership/map_changes.h"
 #include "core/ownership/ownership_map.h"
@@ -49,6 +50,19 @@
                        reported_share, denied_keys);
 };
 
+/// What one back end told of its load, without the answer's own request.
+struct LoadNewsEntry {
+  load::BackendHash backend = 0;
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  uint32_t slots = 0;
+  /// When the message was made, in milliseconds.
+  uint32_t age_ms = 0;
+  /// In hundredths; 0 when it was not told.
+  uint32_t slowdown_percent = 0;
+  MSGPACK_DEFINE_ARRAY(backend, running, waiting, slots, age_ms, slowdown_percent);
+};
+
 /// From a node to the coordinator. A node that does not know the coordinator sends it, without
 /// loads, to any other node.
 struct Report {
@@ -65,8 +79,13 @@
   std::vector<LoadReport> loads;
   /// Back ends whose connections were refused to this node lately.
   std::vector<std::string> refused_backends;
+  /// What back ends told the sender since its last report. A sender of the version before does not
+  /// tell, nor what follows.
+  std::vector<LoadNewsEntry> load_news;
+  /// The newest report that this coordinator's answer had come to; 0 for none.
+  uint64_t last_answered = 0;
   MSGPACK_DEFINE_ARRAY(sender, sequence, map_version, members_version, configuration_version,
-                       backends_version, loads, refused_backends);
+                       backends_version, loads, refused_backends, load_news, last_answered);
 };
 
 /// A row as the store holds it; `version` is the store's.
@@ -150,9 +169,12 @@
   bool identity_wanted = false;
   /// From the coordinator: incarnations of the nodes that are to watch the store besides it.
   std::vector<uint64_t> standbys;
+  /// From the coordinator, in an answer: what back ends told since the answer before. A sender of
+  /// the version before does not tell.
+  std::vector<LoadNewsEntry> load_news;
   MSGPACK_DEFINE_ARRAY(sender, answered_report, lease, lease_left_ms, map_version, map, map_changes,
                        members, members_version, configuration_version, backends_version, tables,
-                       member_changes, identity_wanted, standbys);
+                       member_changes, identity_wanted, standbys, load_news);
 };
 
 /// The sender gives up the lease it holds.
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -279,7 +279,7 @@
 
 void ControlPlane::Carry(const membership::ReportDueAction&) {
   membership_.SendReport(ToReports(listener_->TakeLoad(), catalog_.configuration().get()), {},
-                         Now());
+                         Now(), listener_->TakeLoadNews());
 }
 
 void ControlPlane::Carry(const membership::HeartbeatHeardAction& heard) {
@@ -318,6 +318,10 @@
   TellCoordinator(report.loads, Now(), &coordinator_);
 }
 
+void ControlPlane::Carry(const membership::LoadNewsHeardAction& heard) {
+  listener_->OnLoadNews(heard.news);
+}
+
 void ControlPlane::Carry(const membership::TablesMergedAction&) {}
 
 // The loop.
@@ -393,6 +397,7 @@
     next_own_load_ = now + kOwnLoadInterval;
     TellCoordinator(ToReports(listener_->TakeLoad(), catalog_.configuration().get()), now,
                     &coordinator_);
+    membership_.OnOwnLoadNews(listener_->TakeLoadNews(), now);
   }
 }
 
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -42,6 +42,10 @@
   virtual void OnMembersConfirmed(Time until) = 0;
   /// What the data path counted since the last call.
   virtual std::vector<load::ServiceLoad> TakeLoad() = 0;
+  /// What back ends told the data path since the last call and other nodes should know.
+  virtual std::vector<load::LoadNews> TakeLoadNews() = 0;
+  /// What back ends told other nodes.
+  virtual void OnLoadNews(const std::vector<load::LoadNews>& news) = 0;
 };
 
 class ControlPlane {
@@ -93,6 +97,7 @@
   void Carry(const membership::MembersChangedAction& changed);
   void Carry(const membership::MembersConfirmedAction& confirmed);
   void Carry(const membership::ReportReceivedAction& report);
+  void Carry(const membership::LoadNewsHeardAction& heard);
   void Carry(const membership::TablesMergedAction& merged);
 
   /// Runs everything that is due until nothing is left to do, then sets the timer.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -26,8 +26,9 @@
 constexpr double kLastStartShare = 0.5;
 
 constexpr Duration kHousekeepingInterval = absl::Seconds(1);
-/// How many turns of the housekeeping lie between two lines that tell the calls to the store.
-constexpr uint64_t kTurnsBetweenStoreCalls = 5;
+/// How many turns of the housekeeping lie between two lines that tell what was counted since the
+/// start.
+constexpr uint64_t kTurnsBetweenCounts = 5;
 constexpr Duration kLastFlush = absl::Milliseconds(50);
 
 /// The share of the machine's memory that bodies may take.
@@ -157,6 +158,18 @@
   return dispatcher_.TakeLoad();
 }
 
+std::vector<load::LoadNews> Node::TakeLoadNews() {
+  std::vector<load::LoadNews> news = dispatcher_.TakeLoadNews(Now());
+  load_news_sent_ += news.size();
+  return news;
+}
+
+void Node::OnLoadNews(const std::vector<load::LoadNews>& news) {
+  load_news_received_ += news.size();
+  dispatcher_.OnLoadNews(news, Now());
+  data_path_.Pump();
+}
+
 void Node::LogBeliefs() { beliefs_.OnBackendBeliefs(dispatcher_.TakeBeliefs()); }
 
 bool Node::IsReady() {
@@ -174,6 +187,13 @@
   return ready;
 }
 
+std::map<std::string, uint64_t> Node::LoadNewsCounts() const {
+  const load::LoadNewsCounts& counts = dispatcher_.load_news_counts();
+  return {{"sent", load_news_sent_},   {"received", load_news_received_},
+          {"used", counts.used},       {"not_newer", counts.not_newer},
+          {"too_old", counts.too_old}, {"unknown", counts.unknown}};
+}
+
 std::string Node::MetricsText() {
   observability::NodeState state;
   state.ready = IsReady();
@@ -183,6 +203,7 @@
   state.leave_bound =
       gateway::LeaveBoundOf(settings_.membership.relay, settings_.forwarding.connect_timeout)
           .Total();
+  state.load_news = LoadNewsCounts();
   control_plane_.Describe(&state);
   return metrics_.Text(state, log_.budget());
 }
@@ -190,8 +211,9 @@
 void Node::OnHousekeeping() {
   LogBeliefs();
   log_.OnTick(Now());
-  if (++housekeeping_turns_ % kTurnsBetweenStoreCalls == 0) {
+  if (++housekeeping_turns_ % kTurnsBetweenCounts == 0) {
     beliefs_.OnStoreCalls(control_plane_.StoreCalls());
+    beliefs_.OnLoadNews(LoadNewsCounts(), metrics_.ToldAges());
   }
   if (file_->HasChanged()) {
     Reload("file");
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -45,6 +46,8 @@
   void OnMembers(const std::vector<uint64_t>& members) override;
   void OnMembersConfirmed(Time until) override;
   std::vector<load::ServiceLoad> TakeLoad() override;
+  std::vector<load::LoadNews> TakeLoadNews() override;
+  void OnLoadNews(const std::vector<load::LoadNews>& news) override;
 
   /// Without the address, the node runs on without metrics.
   void ServeMetrics(const Endpoint& listen);
@@ -64,6 +67,8 @@
   /// Once a second: what changed without an event.
   void OnHousekeeping();
   void LogBeliefs();
+  /// Since the start, by what became of them.
+  std::map<std::string, uint64_t> LoadNewsCounts() const;
   std::string MetricsText();
   Time Now() const { return clock_.Now(); }
 
@@ -95,6 +100,8 @@
   bool drained_ = false;
   Time stop_began_;
   uint64_t housekeeping_turns_ = 0;
+  uint64_t load_news_sent_ = 0;
+  uint64_t load_news_received_ = 0;
   std::string stop_cause_;
 };
 
--- a/src/observability/belief_log.cc
+++ b/src/observability/belief_log.cc
@@ -48,6 +48,15 @@
          event == "returned" || event == "cold";
 }
 
+/// Names with their counts.
+std::string Listed(const std::map<std::string, uint64_t>& counts) {
+  std::string text;
+  for (const auto& [name, count] : counts) {
+    absl::StrAppend(&text, text.empty() ? "" : " ", name, " ", count);
+  }
+  return text;
+}
+
 /// The part of `backends` that begins at `first`, for one line.
 std::string ListFrom(const std::vector<std::string>& backends, size_t first) {
   std::string text = absl::StrCat(backends.size(), " back ends:");
@@ -200,11 +209,17 @@
     return;
   }
   store_calls_ = calls;
-  std::string detail;
-  for (const auto& [kind, count] : calls) {
-    absl::StrAppend(&detail, detail.empty() ? "" : " ", kind, " ", count);
+  log_->Write(EventName::kStoreCalls, {EventField(FieldName::kDetail, Listed(calls))});
+}
+
+void BeliefLog::OnLoadNews(const std::map<std::string, uint64_t>& news,
+                           std::string_view told_ages) {
+  if (news == load_news_) {
+    return;
   }
-  log_->Write(EventName::kStoreCalls, {EventField(FieldName::kDetail, detail)});
+  load_news_ = news;
+  const std::string detail = absl::StrCat(Listed(news), " told_age_ms ", std::string(told_ages));
+  log_->Write(EventName::kLoadNews, {EventField(FieldName::kDetail, detail)});
 }
 
 void BeliefLog::OnPeerLost(std::string_view name, const Endpoint& address, std::string_view zone,
--- a/src/observability/belief_log.h
+++ b/src/observability/belief_log.h
@@ -63,6 +63,9 @@
   bool store_is_lost() const { return store_lost_; }
   /// Calls to the store since the start, by kind. Writes a line only if there were any more.
   void OnStoreCalls(const std::map<std::string, uint64_t>& calls);
+  /// News of back ends' load since the start, by what became of them, and the ages of what sends
+  /// rested on (see NodeMetrics::ToldAges). Writes a line only if there were any more news.
+  void OnLoadNews(const std::map<std::string, uint64_t>& news, std::string_view told_ages);
 
   /// `silence`: for how long nothing was heard of the peer.
   void OnPeerLost(std::string_view name, const Endpoint& address, std::string_view zone,
@@ -95,6 +98,7 @@
   BeliefsInForce in_force_;
   absl::flat_hash_map<std::string, KnownBackend> backends_;
   std::map<std::string, uint64_t> store_calls_;
+  std::map<std::string, uint64_t> load_news_;
   bool store_lost_ = false;
   /// When the store was reached last.
   Time store_reached_ = absl::InfinitePast();
--- a/src/observability/event_list.h
+++ b/src/observability/event_list.h
@@ -42,6 +42,7 @@
   kStoreLost,
   kStoreRegained,
   kStoreCalls,
+  kLoadNews,
   kPeerLost,
   kPeerRegained,
   // Of the process.
--- a/src/observability/node_metrics.cc
+++ b/src/observability/node_metrics.cc
@@ -1,9 +1,11 @@
 #include "observability/node_metrics.h"
 
+#include <absl/strings/str_cat.h>
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -28,6 +30,16 @@
   return boundaries;
 }
 
+/// Around 0.3 s, within which news of load should come, up to the seconds between a node's own
+/// answers of one back end.
+const prometheus::Histogram::BucketBoundaries& ToldAgeSeconds() {
+  static const prometheus::Histogram::BucketBoundaries boundaries = {0.05, 0.1, 0.2, 0.3, 0.5, 0.8,
+                                                                     1.2,  2,   4,   8,   16};
+  return boundaries;
+}
+/// Stands for ages without end: sums stay finite.
+constexpr Duration kOldestTold = absl::Seconds(60);
+
 prometheus::Family<prometheus::Counter>& AddCounters(prometheus::Registry* registry,
                                                      const std::string& name,
                                                      const std::string& help) {
@@ -73,6 +85,11 @@
       store_calls_(
           AddCounters(&registry_, "ladderstream_store_calls_total",
                       "Calls to the metadata store by kind; unanswered ones count twice.")),
+      load_news_(AddCounters(&registry_, "ladderstream_load_news_total",
+                             "News of back ends' load by what became of them.")),
+      told_ages_(AddHistograms(&registry_, "ladderstream_told_load_age_seconds",
+                               "How old what its back end told was when a request was sent.")
+                     .Add({}, ToldAgeSeconds())),
       peer_messages_(AddCounters(&registry_, "ladderstream_peer_messages_total",
                                  "Messages to other nodes, by what they carry and their zone.")),
       peer_bytes_(AddCounters(&registry_, "ladderstream_peer_bytes_total",
@@ -150,6 +167,22 @@
   attempts_.at(static_cast<size_t>(purpose))->Increment();
 }
 
+void NodeMetrics::CountToldAge(Duration age) {
+  told_ages_.Observe(absl::ToDoubleSeconds(std::min(age, kOldestTold)));
+}
+
+std::string NodeMetrics::ToldAges() const {
+  constexpr double kMsPerSecond = 1000;
+  std::string text;
+  for (const auto& bucket : told_ages_.Collect().histogram.bucket) {
+    const std::string bound = std::isinf(bucket.upper_bound)
+                                  ? "all"
+                                  : absl::StrCat(std::lround(bucket.upper_bound * kMsPerSecond));
+    absl::StrAppend(&text, text.empty() ? "" : " ", bound, ":", bucket.cumulative_count);
+  }
+  return text;
+}
+
 void NodeMetrics::CountAttemptEnd(AttemptResult result) {
   attempt_ends_.at(static_cast<size_t>(result))->Increment();
 }
@@ -189,6 +222,9 @@
   for (const auto& [kind, count] : state.store_calls) {
     RaiseTo(static_cast<double>(count), &store_calls_.Add({{"kind", kind}}));
   }
+  for (const auto& [result, count] : state.load_news) {
+    RaiseTo(static_cast<double>(count), &load_news_.Add({{"result", result}}));
+  }
   SetOmissions(budget);
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/src/observability/node_metrics.h
+++ b/src/observability/node_metrics.h
@@ -97,6 +97,8 @@
   /// Since the start, by kind: "read", "watch", "transaction", and "unanswered" of them; a fixed
   /// set of names.
   std::map<std::string, uint64_t> store_calls;
+  /// Since the start, by what became of news of back ends' load; a fixed set of names.
+  std::map<std::string, uint64_t> load_news;
 };
 
 class NodeMetrics {
@@ -115,6 +117,11 @@
                     Duration elapsed);
   void CountStage(RequestStage stage, Duration elapsed);
   void CountAttempt(AttemptPurpose purpose);
+  /// A send rests on what its back end told so long ago, to this node or another; infinite when it
+  /// told nothing.
+  void CountToldAge(Duration age);
+  /// The sends so far by that age: "50:COUNT 100:COUNT ... all:COUNT", up to so many milliseconds.
+  std::string ToldAges() const;
   void CountAttemptEnd(AttemptResult result);
   /// A connection to a back end was opened ("opened") or closed, by its cause.
   void CountConnection(std::string_view event);
@@ -166,6 +173,8 @@
   prometheus::Family<prometheus::Gauge>& backends_;
   prometheus::Family<prometheus::Counter>& omitted_;
   prometheus::Family<prometheus::Counter>& store_calls_;
+  prometheus::Family<prometheus::Counter>& load_news_;
+  prometheus::Histogram& told_ages_;
   prometheus::Family<prometheus::Counter>& peer_messages_;
   prometheus::Family<prometheus::Counter>& peer_bytes_;
   std::vector<prometheus::Histogram*> stages_;
--- a/src/observability/request_observer.cc
+++ b/src/observability/request_observer.cc
@@ -45,6 +45,7 @@
 
 void RequestObserver::OnAttemptDecided(std::string_view request_id,
                                        const forwarding::SendDecision& send) {
+  metrics_->CountToldAge(send.told_age);
   RequestTrace* const trace = Find(request_id);
   if (trace != nullptr) {
     Begin(trace, send.backend, &send);
--- a/tests/unit/forwarding/owner_limit_test.cc
+++ b/tests/unit/forwarding/owner_limit_test.cc
@@ -52,6 +52,20 @@
   BOOST_TEST(limit.limit() == admission::OwnerLimit::kUnlimited);
 }
 
+/// A node with few requests at an owner sees too few answers to find out that it has recovered.
+BOOST_AUTO_TEST_CASE(a_limit_recovers_by_itself_within_seconds) {
+  admission::OwnerLimit limit;
+  Time now = kStart;
+  for (int i = 0; i < 40; ++i) {
+    limit.OnTurnedAway(now, absl::Seconds(1), now);
+    now += absl::Milliseconds(1);
+  }
+  BOOST_TEST(limit.LimitAt(now) < 0.1);
+  BOOST_TEST(!limit.Allows(0, now));
+  BOOST_TEST(limit.Allows(0, now + absl::Milliseconds(500)));
+  BOOST_TEST(limit.LimitAt(now + absl::Seconds(2)) >= 1);
+}
+
 struct Owned : DispatcherHarness {
   Owned() {
     AddBackends("scripts", {"s-1"});
--- a/tests/unit/membership/message_codec_test.cc
+++ b/tests/unit/membership/message_codec_test.cc
@@ -69,11 +69,30 @@
 BOOST_AUTO_TEST_CASE(HeartbeatsOfTheVersionBeforeAndOfTheNextAreTaken) {
   Heartbeat heartbeat = SoundHeartbeat();
   heartbeat.standbys = {2, 3};
+  heartbeat.load_news = {{77, 2, 5, 2, 30, 0}};
   const Message before = DecodeMessage(OfAnotherVersion(heartbeat, -1));
   BOOST_TEST((std::get<Heartbeat>(before).members == heartbeat.members));
-  BOOST_TEST(std::get<Heartbeat>(before).standbys.empty());
+  BOOST_TEST(std::get<Heartbeat>(before).standbys.size() == 2);
+  BOOST_TEST(std::get<Heartbeat>(before).load_news.empty());
+  const Message long_before = DecodeMessage(OfAnotherVersion(heartbeat, -2));
+  BOOST_TEST((std::get<Heartbeat>(long_before).members == heartbeat.members));
+  BOOST_TEST(std::get<Heartbeat>(long_before).standbys.empty());
   const Message next = DecodeMessage(OfAnotherVersion(heartbeat, 1));
   BOOST_TEST(std::get<Heartbeat>(next).standbys.size() == 2);
+  BOOST_TEST(std::get<Heartbeat>(next).load_news.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ReportsOfTheVersionBeforeAndOfTheNextAreTaken) {
+  Report report = SoundReport();
+  report.load_news = {{77, 2, 5, 2, 30, 0}};
+  report.last_answered = 6;
+  const Message before = DecodeMessage(OfAnotherVersion(report, -2));
+  BOOST_TEST(std::get<Report>(before).loads.size() == 1);
+  BOOST_TEST(std::get<Report>(before).load_news.empty());
+  BOOST_TEST(std::get<Report>(before).last_answered == 0);
+  const Message next = DecodeMessage(OfAnotherVersion(report, 1));
+  BOOST_TEST(std::get<Report>(next).load_news.front().waiting == 5);
+  BOOST_TEST(std::get<Report>(next).last_answered == 6);
 }
 
 /// TableNews of the version before.
--- a/tests/unit/observability/node_metrics_test.cc
+++ b/tests/unit/observability/node_metrics_test.cc
@@ -130,6 +130,21 @@
   BOOST_TEST(absl::StrContains(text, "ladderstream_store_calls_total{kind=\"watch\"} 7"));
 }
 
+BOOST_AUTO_TEST_CASE(news_of_load_are_counted_by_result_and_sends_by_the_age_of_told_load) {
+  NodeMetrics metrics;
+  const EventBudget budget(EventBudget::Default());
+  NodeState state = TestState();
+  state.load_news = {{"received", 9}, {"used", 7}};
+  metrics.CountToldAge(absl::Milliseconds(250));
+  metrics.CountToldAge(absl::InfiniteDuration());
+  const std::string text = metrics.Text(state, budget);
+  BOOST_TEST(absl::StrContains(text, "ladderstream_load_news_total{result=\"used\"} 7"));
+  BOOST_TEST(absl::StrContains(text, "ladderstream_told_load_age_seconds_bucket{le=\"0.3\"} 1"));
+  BOOST_TEST(absl::StrContains(text, "ladderstream_told_load_age_seconds_count 2"));
+  BOOST_TEST(absl::StrContains(metrics.ToldAges(), " 300:1 "));
+  BOOST_TEST(absl::StrContains(metrics.ToldAges(), " all:2"));
+}
+
 /// Every family that a scrape gives is explained on the page, and the page names no other.
 BOOST_AUTO_TEST_CASE(the_page_explains_exactly_the_metrics) {
   NodeMetrics metrics;
@@ -148,8 +163,9 @@
   families.insert({"ladderstream_requests_total", "ladderstream_request_seconds",
                    "ladderstream_calls_total", "ladderstream_beliefs_total",
                    "ladderstream_backend_connection_events_total", "ladderstream_store_calls_total",
-                   "ladderstream_peer_messages_total", "ladderstream_peer_bytes_total",
-                   "ladderstream_log_lines_omitted_total", "ladderstream_not_understood_total"});
+                   "ladderstream_load_news_total", "ladderstream_peer_messages_total",
+                   "ladderstream_peer_bytes_total", "ladderstream_log_lines_omitted_total",
+                   "ladderstream_not_understood_total"});
   std::set<std::string> explained;
   std::ifstream page(LADDERSTREAM_SOURCE_DIR "/docs/OPERATIONS.md");
   for (std::string line; std::getline(page, line);) {
--- a/tests/unit/observability/request_observer_test.cc
+++ b/tests/unit/observability/request_observer_test.cc
@@ -203,6 +203,7 @@
   beliefs.OnStoreMissed("no answer", test.clock.now);
   beliefs.OnStoreReached(100, test.clock.now);
   beliefs.OnStoreCalls({{"read", 3}, {"watch", 1}});
+  beliefs.OnLoadNews({{"received", 9}, {"used", 7}}, "50:1 all:2");
   beliefs.OnPeerLost("brest-1", {"10.0.1.2", 7000}, "brest", "no answer", absl::Seconds(2));
   beliefs.OnPeerRegained("brest-1", {"10.0.1.2", 7000}, "brest", absl::Seconds(3));
   beliefs.OnStarted("0.1.0", {"10.0.1.1", 8000}, "rennes");
