--- a/src/bench/forwarding_experiment.cc
+++ b/src/bench/forwarding_experiment.cc
@@ -18,6 +18,9 @@
 /// The half-width of a 95% interval in standard errors.
 constexpr double kConfidence = 1.96;
 
+/// Of the reports of up to 60 nodes.
+constexpr Duration kNewsInterval = absl::Milliseconds(300);
+
 struct Variant {
   std::string name;
   ForwardingPlay play;
@@ -37,6 +40,7 @@
   Variant variant{std::move(name), {}};
   variant.play.deployment = deployment;
   variant.play.policy = policy;
+  variant.play.news_interval = kNewsInterval;
   return variant;
 }
 
@@ -46,6 +50,8 @@
       Make(deployment, "in force", ForwardingPolicy::kInForce),
       Make(deployment, "without limit at owners", ForwardingPolicy::kInForce),
       Make(deployment, "without hedging", ForwardingPolicy::kInForce),
+      Make(deployment, "without news of load", ForwardingPolicy::kInForce),
+      Make(deployment, "bounded by the target", ForwardingPolicy::kInForce),
       Make(deployment, "random", ForwardingPolicy::kRandom),
       Make(deployment, "round robin", ForwardingPolicy::kRoundRobin),
       Make(deployment, "least of two", ForwardingPolicy::kLeastOfTwo),
@@ -53,6 +59,8 @@
       Make(deployment, "all-knowing", ForwardingPolicy::kAllKnowing)};
   variants[1].play.dispatcher.limit_owners = false;
   variants[2].play.dispatcher.hedge = false;
+  variants[3].play.news_interval = absl::ZeroDuration();
+  variants[4].play.dispatcher.overload_share = 1;
   std::erase_if(variants,
                 [&only](const Variant& variant) { return !only.empty() && variant.name != only; });
   return variants;
--- a/src/bench/forwarding_model.cc
+++ b/src/bench/forwarding_model.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "bench/event_queue.h"
+#include "core/load/load_news_board.h"
 
 namespace ladderstream::bench {
 namespace {
@@ -72,6 +73,7 @@
   std::vector<uint32_t> in_flight;
   size_t turn = 0;
   Time tick_at = absl::InfiniteFuture();
+  uint64_t reports = 0;
 };
 
 std::string IdOf(size_t server) { return absl::StrCat("b-", 10000 + server); }
@@ -86,6 +88,7 @@
   const ForwardingDeployment& spec() const { return play_.deployment; }
   Time now() const { return events_.now(); }
   double Uniform() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+  bool exchanges_news() const { return play_.news_interval > absl::ZeroDuration(); }
   bool in_force() const { return play_.policy == ForwardingPolicy::kInForce; }
 
   void MakeServers();
@@ -101,6 +104,9 @@
 
   void ScheduleArrival();
   void ScheduleDisturbance();
+  /// The node's next report to the one that keeps the board.
+  void ScheduleReport(size_t router, Duration wait);
+  void Report(size_t router);
   void Try(size_t caller);
   void TryInForce(size_t caller, size_t router);
   void TryBaseline(size_t caller, size_t router);
@@ -132,6 +138,7 @@
   Time end_;
   std::vector<Server> servers_;
   std::vector<Router> routers_;
+  load::LoadNewsBoard board_;
   std::vector<Caller> callers_;
   /// The last key of each back end's range.
   std::vector<ownership::Key> last_keys_;
@@ -286,6 +293,26 @@
   events_.At(now() + spec().disturbed_interval, [this] { ScheduleDisturbance(); });
 }
 
+void Model::ScheduleReport(size_t router, Duration wait) {
+  events_.At(now() + wait, [this, router] {
+    Report(router);
+    ScheduleReport(router, play_.news_interval);
+  });
+}
+
+void Model::Report(size_t index) {
+  Router& router = routers_[index];
+  const uint64_t sequence = ++router.reports;
+  const load::ReportOrigin origin{index + 1, sequence, sequence - 1};
+  events_.At(now() + kHop, [this, index, origin, news = router.dispatcher->TakeLoadNews(now())] {
+    board_.TakeReported(origin, news, 2 * play_.news_interval, now());
+    events_.At(now() + kHop, [this, index, answer = board_.AnswerTo(origin, now())] {
+      routers_[index].dispatcher->OnLoadNews(answer, now());
+      CarryDecisions(index);
+    });
+  });
+}
+
 void Model::Try(size_t caller) {
   const size_t router = random_() % routers_.size();
   switch (play_.policy) {
@@ -585,6 +612,10 @@
 ForwardingOutcome Model::Play() {
   events_.Run(start_ - now());
   ScheduleDisturbance();
+  for (size_t i = 0; in_force() && exchanges_news() && i < routers_.size(); ++i) {
+    const double place = static_cast<double>(i) / static_cast<double>(routers_.size());
+    ScheduleReport(i, play_.news_interval * place);
+  }
   ScheduleArrival();
   events_.Run(play_.length + spec().deadline + absl::Seconds(1));
   CloseBooks();
--- a/src/bench/forwarding_model.h
+++ b/src/bench/forwarding_model.h
@@ -35,6 +35,8 @@
   ForwardingPolicy policy = ForwardingPolicy::kInForce;
   /// Of kInForce.
   forwarding::DispatcherSettings dispatcher;
+  /// How often each node exchanges news of load with all others through one; zero: never.
+  Duration news_interval = absl::ZeroDuration();
   Duration length = absl::Seconds(12);
   uint64_t seed = 1;
 };
