--- a/src/core/forwarding/news_of_load.cc
+++ b/src/core/forwarding/news_of_load.cc
@@ -29,7 +29,7 @@
     ++news_counts_.too_old;
     return nullptr;
   }
-  const BackendStatePtr backend = services_.FindByHash(news.backend);
+  BackendStatePtr backend = services_.FindByHash(news.backend);
   if (backend == nullptr) {
     ++news_counts_.unknown;
     return nullptr;
