--- a/tests/unit/ownership/balance_during_waits_test.cc
+++ b/tests/unit/ownership/balance_during_waits_test.cc
@@ -8,21 +8,22 @@
 namespace ladderstream::ownership {
 namespace {
 
-constexpr int kBackends = 40;
+constexpr size_t kBackends = 40;
 /// More than may be moved for balance at a time, and fewer than half of all.
-constexpr int kSilent = 18;
+constexpr size_t kSilent = 18;
 
 BOOST_AUTO_TEST_CASE(KeysOfSilentOwnersDoNotKeepOthersFromMoving) {
   ModelStore store;
   Harness node(&store, 1, 1, absl::UnixEpoch());
-  BOOST_REQUIRE(kSilent > static_cast<int>(node.settings.partition_weights.max_moves));
+  BOOST_REQUIRE(kSilent > node.settings.partition_weights.max_moves);
   std::vector<std::string> ids;
-  for (int i = 0; i < kBackends; ++i) {
+  ids.reserve(kBackends);
+  for (size_t i = 0; i < kBackends; ++i) {
     ids.push_back(absl::StrCat("b", 10 + i));
   }
   node.Settle(ids);
   // Every other one: the published map joins neighbouring ranges that move.
-  for (int i = 0; i < kSilent; ++i) {
+  for (size_t i = 0; i < kSilent; ++i) {
     node.silent.insert(ids[2 * i]);
   }
   // Long enough to be taken as silent, and far from the end of their holds.
