Accept callers that wait together, and look for the end of a new connection before its first request is sent

Cause, by reading: one connection was accepted a turn of the loop, behind all other ready work, so with many new callers one may wait for seconds though no timer is late; the look for a caller that left behind its request was made only where timers were late. Ruled out: pipelined requests in calm (a read is always armed while one waits, so an end is seen). Change: up to 32 connections accepted a turn; the first request of each connection is preceded by one more read, which finds nothing in calm. Two tests that fail without: a request and its end waiting together on an idle loop (2 sends where 1 was wanted), 40 waiting connections (10 accepted in 10 turns).

--- a/src/gateway/http/caller_connection.cc
+++ b/src/gateway/http/caller_connection.cc
@@ -164,7 +164,11 @@
   CallerRequest request = reader_.Take();
   request.arrival = request_begin_;
   request_begin_ = last_read_;
-  if (resources_.lag.IsBehind(resources_.clock.Now()) && CallerHasLeft()) {
+  // The connection may have waited to be accepted for longer than its caller did, also where the
+  // loop's timers are in time.
+  const bool may_have_left = !read_a_request_ || resources_.lag.IsBehind(resources_.clock.Now());
+  read_a_request_ = true;
+  if (may_have_left && CallerHasLeft()) {
     owner_.OnCallerGoneUnread(request);
     Close();
     return false;
--- a/src/gateway/http/caller_connection.h
+++ b/src/gateway/http/caller_connection.h
@@ -127,6 +127,7 @@
   State state_ = State::kReading;
   bool read_armed_ = false;
   bool processing_ = false;
+  bool read_a_request_ = false;
   /// The request being read or answered is the last one of this connection.
   bool closing_ = false;
   ResultCode refuse_with_ = ResultCode::kOk;
--- a/src/gateway/http/caller_server.cc
+++ b/src/gateway/http/caller_server.cc
@@ -10,6 +10,9 @@
 
 /// Connections beyond the bound that still get a word of refusal.
 constexpr size_t kRefusedConnections = 64;
+/// Connections accepted at once before others get their turn. One a turn of the loop, callers that
+/// come together after a neighbour was lost waited behind all other work, and some left unseen.
+constexpr int kMaxAcceptsPerWake = 32;
 
 }  // namespace
 
@@ -67,10 +70,23 @@
   }
   if (!error) {
     Add(std::move(socket));
+    AcceptMore();
   }
   ArmAccept();
 }
 
+void CallerServer::AcceptMore() {
+  for (int accepted = 1; accepted < kMaxAcceptsPerWake; ++accepted) {
+    ErrorCode error;
+    Socket socket = acceptor_.accept(error);
+    if (error) {
+      // Nobody waits, or accepting fails for a reason that the next wait will tell.
+      return;
+    }
+    Add(std::move(socket));
+  }
+}
+
 void CallerServer::Add(Socket socket) {
   ErrorCode error;
   PrepareSocket(socket, error);
--- a/src/gateway/http/caller_server.h
+++ b/src/gateway/http/caller_server.h
@@ -56,6 +56,8 @@
 
   void ArmAccept();
   void OnAccepted(const ErrorCode& error, Socket socket);
+  /// Accepts what waits behind the connection that was just accepted.
+  void AcceptMore();
   void Add(Socket socket);
   /// Calls `act` for every connection of `connections`, which may move or leave meanwhile.
   template <typename Act>
--- a/tests/unit/gateway_http/gone_callers_test.cc
+++ b/tests/unit/gateway_http/gone_callers_test.cc
@@ -1,5 +1,6 @@
 // Callers that left while the loop stood still: nothing is sent to a back end for them.
 #include <string>
+#include <vector>
 
 #include "support.h"
 
@@ -46,6 +47,35 @@
   BOOST_TEST(node.backend.requests.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(
+    a_caller_that_left_while_its_connection_waited_is_not_served_by_a_loop_in_time) {
+  WarmNode node;
+  const auto caller = node.Connect();
+  caller->Send(Node::Get("1", "/order/x"));
+  caller->Close();
+  node.Ask(node.Connect(), "2");
+  node.WaitUntil([&] { return node.data_path.caller_connection_count() == 2; });
+  BOOST_TEST(node.backend.requests.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(connections_that_wait_are_accepted_together) {
+  constexpr size_t kWaiting = 40;
+  // Far fewer than one for each connection.
+  constexpr int kMostTurns = 10;
+  Node node;
+  std::vector<TestSocketPtr> callers;
+  callers.reserve(kWaiting);
+  for (size_t i = 0; i < kWaiting; ++i) {
+    callers.push_back(node.Connect());
+  }
+  int turns = 0;
+  while (turns < kMostTurns && node.data_path.caller_connection_count() < kWaiting) {
+    node.loop.run_one();
+    ++turns;
+  }
+  BOOST_TEST(node.data_path.caller_connection_count() == kWaiting);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_whose_caller_left_while_a_connection_came_up_is_not_sent) {
   Node node;
   const auto caller = node.Connect();
