--- a/src/core/admission/service_admission.cc
+++ b/src/core/admission/service_admission.cc
@@ -1,7 +1,8 @@
 #include "core/admission/service_admission.h"
 
 #include <algorithm>
-#include <cmath>
+
+#include "wire/exponential_decay.h"
 
 namespace ladderstream::admission {
 namespace {
@@ -41,12 +42,10 @@
 /// Ranks with less than this share of the requests do not decide how long queues may be.
 constexpr double kMinorShare = 0.02;
 
-double Fade(Duration age, Duration memory) { return std::exp(-absl::FDivDuration(age, memory)); }
-
 }  // namespace
 
 void RecentRate::Add(Time now) {
-  count_ = at_ == absl::InfinitePast() ? 1 : count_ * Fade(now - at_, memory_) + 1;
+  count_ = at_ == absl::InfinitePast() ? 1 : count_ * ExponentialDecay(now - at_, memory_) + 1;
   at_ = now;
 }
 
@@ -54,7 +53,7 @@
   if (at_ == absl::InfinitePast()) {
     return 0;
   }
-  return count_ * Fade(now - at_, memory_) / absl::ToDoubleSeconds(memory_);
+  return count_ * ExponentialDecay(now - at_, memory_) / absl::ToDoubleSeconds(memory_);
 }
 
 ServiceAdmission::Rank::Rank() : offered(kRateMemory) {}
@@ -66,8 +65,7 @@
     return;
   }
   const Duration sample = service_time * told.waiting / told.slots;
-  const double weight =
-      delay_at_ == absl::InfinitePast() ? 1 : 1 - Fade(now - delay_at_, kDelayMemory);
+  const double weight = 1 - ExponentialDecay(now - delay_at_, kDelayMemory);
   delay_ += (sample - delay_) * weight;
   delay_at_ = now;
 }
@@ -75,8 +73,9 @@
 void ServiceAdmission::OnDone(Time now) { done_.Add(now); }
 
 Duration ServiceAdmission::Delay(Time now) const {
-  return delay_at_ == absl::InfinitePast() ? absl::ZeroDuration()
-                                           : delay_ * Fade(now - delay_at_, kSilentMemory);
+  return delay_at_ == absl::InfinitePast()
+             ? absl::ZeroDuration()
+             : delay_ * ExponentialDecay(now - delay_at_, kSilentMemory);
 }
 
 double ServiceAdmission::Offered(Time now) const {
--- a/src/core/load/failure_evidence.cc
+++ b/src/core/load/failure_evidence.cc
@@ -1,6 +1,6 @@
 #include "core/load/failure_evidence.h"
 
-#include <cmath>
+#include "wire/exponential_decay.h"
 
 namespace ladderstream::load {
 namespace {
@@ -18,7 +18,7 @@
 }  // namespace
 
 double FailureEvidence::Faded(Time now) const {
-  return std::exp(-absl::FDivDuration(now - counted_at_, kMemory));
+  return ExponentialDecay(now - counted_at_, kMemory);
 }
 
 void FailureEvidence::Add(Time now, double* count) {
--- a/src/core/load/load_estimate.cc
+++ b/src/core/load/load_estimate.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "wire/exponential_decay.h"
+
 namespace ladderstream::load {
 namespace {
 
@@ -27,8 +29,6 @@
   *average += gain * (sample - *average);
 }
 
-double Fade(Duration age, Duration memory) { return std::exp(-absl::FDivDuration(age, memory)); }
-
 /// How many requests too many `occupancy` plus one is for `slots`; smooth around zero, as the
 /// occupancy is only known on average.
 double SmoothExcess(double occupancy, uint32_t slots) {
@@ -132,7 +132,7 @@
   const double usual = (usual_foreign_ + AverageForeign()) / 2;
   const Duration queue = told_.waiting * LearnedServiceTime(now) / slots_;
   const Duration memory = std::max(kToldMemory * LearnedServiceTime(now) + queue, kLeastToldMemory);
-  const double foreign = usual + (told_foreign_ - usual) * Fade(ToldAge(now), memory);
+  const double foreign = usual + (told_foreign_ - usual) * ExponentialDecay(ToldAge(now), memory);
   return foreign + static_cast<double>(in_flight_.size());
 }
 
@@ -141,7 +141,8 @@
   if (service_time_at_ == absl::InfinitePast()) {
     return average;
   }
-  return average + (service_time_ - average) * Fade(now - service_time_at_, kServiceTimeMemory);
+  return average +
+         (service_time_ - average) * ExponentialDecay(now - service_time_at_, kServiceTimeMemory);
 }
 
 Duration LoadEstimate::ServiceTime(Time now) const {
