Let an ill service with short queues alone: what ill back ends turn away counts as done

Admission lets through what is served over what is offered, times at most 1.6; where most are turned away for another reason than room that stays below 1, so a limit that began in a burst never ended. Ruled out: noise of the told delay. Change: an answer that tells of a fault, or of a refusal with room, counts as done. The test fails without.

--- a/src/core/admission/service_admission.h
+++ b/src/core/admission/service_admission.h
@@ -45,7 +45,8 @@
 
   /// A back end told its load with an answer; `service_time` is what it takes for one request.
   void OnTold(const catalog::ToldLoad& told, Duration service_time, Time now);
-  /// A back end has done a request.
+  /// A back end has done with a request: served it, or failed or refused it for another reason than
+  /// a lack of room.
   void OnDone(Time now);
   /// A request of this rank, 0 being the highest, would be sent. `slack`: how long it may wait in a
   /// queue and still be answered within its target latency; infinite when it has none. Whether it
--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -138,7 +138,14 @@
   if (answer.status == kMisdirected) {
     return;
   }
-  if (MeaningOf(answer) == AnswerMeaning::kRefused) {
+  const bool refused = MeaningOf(answer) == AnswerMeaning::kRefused;
+  if (!refused || HasRoom(answer.load)) {
+    // What an ill back end fails, or turns away with free slots, leaves no queue. Counting only
+    // what is served, a service whose back ends turned two of three away stayed limited with empty
+    // queues for as long as they were ill (unit test overload).
+    attempt.service->admission.OnDone(now);
+  }
+  if (refused) {
     LearnFromRefusal(attempt, answer, now);
     return;
   }
@@ -150,7 +157,6 @@
     return;
   }
   backend.outlier.OnSuccess(now);
-  attempt.service->admission.OnDone(now);
   if (answer.status >= kFirstCallerError) {
     return;
   }
--- a/tests/unit/forwarding/overload_test.cc
+++ b/tests/unit/forwarding/overload_test.cc
@@ -9,6 +9,8 @@
 
 constexpr Duration kGap = absl::Milliseconds(10);
 constexpr Duration kWork = absl::Milliseconds(100);
+/// Of so many requests, ill back ends serve one.
+constexpr uint64_t kIllServeOneOf = 3;
 
 /// A request each 10 ms, each answered after 100 ms; every answer tells of `waiting` requests
 /// beside two slots.
@@ -36,6 +38,14 @@
   void Note(const Decision& decision, std::vector<AnswerDecision>& refused) {
     if (const auto* send = std::get_if<SendDecision>(&decision)) {
       Sent(*send);
+      if (++sends % kIllServeOneOf != 0 && ill) {
+        // With free slots and no queue, by its own word.
+        Refuse(*send, 503, 0, 0);
+        for (const RequestDecision& decided : dispatcher.TakeDecisions()) {
+          Note(decided.decision, refused);
+        }
+        return;
+      }
       under_way.push_back({*send, now});
     } else if (const auto* answer = std::get_if<AnswerDecision>(&decision)) {
       if (answer->reason.find("the service is overloaded") != std::string::npos) {
@@ -49,6 +59,9 @@
     Time since;
   };
   std::deque<UnderWay> under_way;
+  uint64_t sends = 0;
+  /// Back ends turn most requests away though they have room.
+  bool ill = false;
 };
 
 BOOST_FIXTURE_TEST_SUITE(overload, Flood)
@@ -67,6 +80,14 @@
 
 BOOST_AUTO_TEST_CASE(short_queues_turn_nobody_away) { BOOST_TEST(Play(300, 1).empty()); }
 
+BOOST_AUTO_TEST_CASE(an_ill_service_whose_queues_are_short_is_let_alone) {
+  Play(100, 0);
+  BOOST_TEST(!Play(100, 20).empty());
+  ill = true;
+  Play(200, 0);
+  BOOST_TEST(Play(200, 0).empty());
+}
+
 BOOST_AUTO_TEST_CASE(the_level_is_told_when_it_changes) {
   Play(100, 20);
   std::vector<std::string> events;
