--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -185,6 +185,22 @@
   return std::isinf(least) ? 0 : least;
 }
 
+uint64_t Dispatcher::Impl::RequestsWaiting() {
+  uint64_t waiting = 0;
+  for (const ServiceState* service : services_.Services()) {
+    waiting += service->waiting.size();
+  }
+  return waiting;
+}
+
+double Dispatcher::Impl::LeastAdmissionShare() {
+  double least = 1;
+  for (const ServiceState* service : services_.Services()) {
+    least = std::min(least, service->admission.share());
+  }
+  return least;
+}
+
 bool Dispatcher::Impl::ServiceCanServe(const std::string& name, Time now) const {
   const auto declared = routes_.configuration()->services.find(name);
   if (declared != routes_.configuration()->services.end() && declared->second.sharded) {
@@ -260,5 +276,7 @@
 std::vector<BackendBelief> Dispatcher::TakeBeliefs() { return impl_->TakeBeliefs(); }
 bool Dispatcher::CanServe(Time now) const { return impl_->CanServe(now); }
 double Dispatcher::RetriesLeft(Time now) { return impl_->RetriesLeft(now); }
+uint64_t Dispatcher::RequestsWaiting() { return impl_->RequestsWaiting(); }
+double Dispatcher::LeastAdmissionShare() { return impl_->LeastAdmissionShare(); }
 
 }  // namespace ladderstream::forwarding
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -248,6 +248,11 @@
   /// Attempts beyond the first that this node may make now, for the service with the fewest; zero
   /// when no service is known.
   double RetriesLeft(Time now);
+  /// Requests that wait on this node for a back end or for keys that move.
+  uint64_t RequestsWaiting();
+  /// The share of its requests that the most limited service is let through; 1 when none is
+  /// limited.
+  double LeastAdmissionShare();
 
  private:
   class Impl;
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -62,6 +62,8 @@
   std::vector<BackendBelief> TakeBeliefs() { return services_.TakeBeliefs(); }
   bool CanServe(Time now) const;
   double RetriesLeft(Time now);
+  uint64_t RequestsWaiting();
+  double LeastAdmissionShare();
 
  private:
   // dispatcher.cc
--- a/src/gateway/http/data_path.h
+++ b/src/gateway/http/data_path.h
@@ -47,6 +47,8 @@
 
   Tcp::endpoint local_endpoint() const { return callers_.local_endpoint(); }
   size_t caller_connection_count() const { return callers_.connection_count(); }
+  /// How far the event loop is behind.
+  Duration loop_lag() const { return resources_.lag.At(resources_.clock.Now()); }
   size_t backend_connection_count() const { return backends_.connection_count(); }
   size_t requests_in_flight() const { return requests_.size(); }
   size_t held_bytes() const { return resources_.budget->used(); }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -178,6 +178,9 @@
   observability::NodeState state;
   state.ready = IsReady();
   state.retry_budget_left = dispatcher_.RetriesLeft(Now());
+  state.requests_queued = dispatcher_.RequestsWaiting();
+  state.least_admission_share = dispatcher_.LeastAdmissionShare();
+  state.loop_lag = data_path_.loop_lag();
   state.requests_in_flight = data_path_.requests_in_flight();
   state.caller_connections = data_path_.caller_connection_count();
   state.backend_connections = data_path_.backend_connection_count();
--- a/src/observability/node_metrics.cc
+++ b/src/observability/node_metrics.cc
@@ -239,6 +239,11 @@
            static_cast<double>(state.requests_queued));
   SetGauge("ladderstream_retry_budget_left", "Attempts beyond the first that are allowed now.",
            state.retry_budget_left);
+  SetGauge("ladderstream_least_admission_share",
+           "Share of its requests that the most limited service is let through.",
+           state.least_admission_share);
+  SetGauge("ladderstream_loop_lag_seconds", "How far the event loop is behind.",
+           absl::ToDoubleSeconds(state.loop_lag));
   SetGauge("ladderstream_caller_connections", "Open connections of callers.",
            static_cast<double>(state.caller_connections));
   SetGauge("ladderstream_backend_connections", "Open connections to back ends.",
--- a/src/observability/node_metrics.h
+++ b/src/observability/node_metrics.h
@@ -89,6 +89,10 @@
   uint64_t requests_in_flight = 0;
   uint64_t requests_queued = 0;
   double retry_budget_left = 0;
+  /// Of the service that is limited most; 1 when none is.
+  double least_admission_share = 1;
+  /// How far the event loop is behind.
+  Duration loop_lag;
   uint64_t caller_connections = 0;
   uint64_t backend_connections = 0;
   uint64_t peers = 0;
--- a/tests/unit/forwarding/overload_test.cc
+++ b/tests/unit/forwarding/overload_test.cc
@@ -89,7 +89,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(the_level_is_told_when_it_changes) {
+  BOOST_TEST(dispatcher.LeastAdmissionShare() == 1);
   Play(100, 20);
+  BOOST_TEST(dispatcher.LeastAdmissionShare() < 1);
   std::vector<std::string> events;
   for (const BackendBelief& belief : dispatcher.TakeBeliefs()) {
     if (belief.backend == "cards") {
--- a/tests/unit/forwarding/sharded_test.cc
+++ b/tests/unit/forwarding/sharded_test.cc
@@ -51,8 +51,10 @@
   Begin();
   Advance(absl::Milliseconds(30));
   BOOST_TEST(Quiet());
+  BOOST_TEST(dispatcher.RequestsWaiting() == 1U);
   Own("s-2");
   BOOST_TEST(Only<SendDecision>().backend == "s-2");
+  BOOST_TEST(dispatcher.RequestsWaiting() == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(moving_key_is_refused_when_patience_ends) {
