--- a/src/gateway/http/backend_connection.cc
+++ b/src/gateway/http/backend_connection.cc
@@ -66,7 +66,12 @@
   owner_.OnConnected(*this);
   // Meanwhile the back end may have left, and a loop that stood still sees the connection before it
   // sees that the time for it is over.
-  if (!listener_.MaySend(exchange_.attempt)) {
+  const bool may_send = listener_.MaySend(exchange_.attempt);
+  if (state_ != State::kConnecting) {
+    // Its caller was found to have left, and the attempt was cancelled.
+    return;
+  }
+  if (!may_send) {
     Fail(AttemptFailure::kNotSent, "the back end left while the connection came up");
     return;
   }
--- a/src/gateway/http/caller_connection.cc
+++ b/src/gateway/http/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "gateway/http/caller_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "gateway/http/refusal.h"
@@ -28,7 +29,8 @@
       reader_(names, limits, resources.budget) {}
 
 void CallerConnection::Start(Time now) {
-  last_progress_ = now;
+  // It may have waited to be accepted for as long as the loop is behind.
+  last_progress_ = resources_.lag.IsBehind(now) ? now - resources_.lag.At(now) : now;
   ArmRead();
 }
 
@@ -108,7 +110,7 @@
 
 void CallerConnection::OnBytes(std::string_view bytes) {
   if (pending_.empty() && !reader_.in_body()) {
-    request_begin_ = last_read_;
+    request_begin_ = EarliestArrival();
   }
   if (state_ == State::kLingering) {
     lingered_ += bytes.size();
@@ -162,6 +164,11 @@
   CallerRequest request = reader_.Take();
   request.arrival = request_begin_;
   request_begin_ = last_read_;
+  if (resources_.lag.IsBehind(resources_.clock.Now()) && CallerHasLeft()) {
+    owner_.OnCallerGoneUnread(request);
+    Close();
+    return false;
+  }
   closing_ = request.closing;
   if (refuse_with_ != ResultCode::kOk) {
     Refuse({refuse_with_, "too many connections"});
@@ -172,6 +179,41 @@
   return true;
 }
 
+void CallerConnection::CloseIfCallerLeft() {
+  if (state_ == State::kWaiting && resources_.lag.IsBehind(resources_.clock.Now()) &&
+      CallerHasLeft()) {
+    OnPeerClosed();
+  }
+}
+
+bool CallerConnection::CallerHasLeft() {
+  // While a read is armed, it may hold bytes that come before those in the socket.
+  while (!read_armed_ && pending_.size() < kMaxPendingBytes) {
+    ErrorCode error;
+    auto& buffer = resources_.shared_buffer;
+    const size_t size =
+        socket_.read_some(boost::asio::buffer(buffer, kMaxPendingBytes - pending_.size()), error);
+    if (error) {
+      return !WouldBlock(error);
+    }
+    pending_.append(buffer.data(), size);
+  }
+  char byte = 0;
+  ErrorCode error;
+  socket_.receive(boost::asio::buffer(&byte, 1), Socket::message_peek, error);
+  return error && !WouldBlock(error);
+}
+
+Time CallerConnection::EarliestArrival() const {
+  const Time now = last_read_;
+  const Duration lag = resources_.lag.At(now);
+  if (lag <= LoopLag::kTolerated) {
+    return now;
+  }
+  // Nothing came before the answer that was given last.
+  return std::clamp(now - lag, last_progress_, now);
+}
+
 void CallerConnection::SendContinue() {
   // Short enough for the socket's empty buffer; a caller that misses it sends its body anyway.
   ErrorCode ignored;
--- a/src/gateway/http/caller_connection.h
+++ b/src/gateway/http/caller_connection.h
@@ -39,6 +39,8 @@
   virtual void OnRequest(const CallerConnectionPtr& connection, CallerRequest request) = 0;
   /// The connection ended while a request was waiting for its answer.
   virtual void OnCallerGone(CallerConnection& connection) = 0;
+  /// A whole request was read, but its caller had left by then: it was dropped.
+  virtual void OnCallerGoneUnread(const CallerRequest& request) = 0;
   /// A request could not be read and was refused.
   virtual void OnRefused(const ReadFault& fault) = 0;
   /// The connection became idle or busy, or was closed.
@@ -69,6 +71,10 @@
   void Answer(CallerAnswer answer);
   /// Answers the next request that is read with `code`, instead of handing it over.
   void RefuseRequests(ResultCode code) { refuse_with_ = code; }
+  /// Looks whether the caller has left behind what was read from it, when the loop is so far behind
+  /// that its leaving may wait unseen. If so, closes, and tells the owner of a request that waits:
+  /// work for a caller that has left takes a slot from one that waits.
+  void CloseIfCallerLeft();
   /// Closes an idle connection unless a request has just arrived on it.
   void CloseIfIdle();
   /// Closes without any further word.
@@ -99,6 +105,10 @@
   void Process(std::string_view bytes, bool from_pending);
   /// True when a request was read whole.
   bool Consume(std::string_view bytes, bool from_pending);
+  /// Whether the caller's end of the connection is closed or reset. Takes up what it sent before.
+  bool CallerHasLeft();
+  /// When the request whose first byte was read just now may have arrived at the earliest.
+  Time EarliestArrival() const;
   void SendContinue();
   void Refuse(const ReadFault& fault);
   void StartAnswer(CallerAnswer answer);
--- a/src/gateway/http/caller_server.cc
+++ b/src/gateway/http/caller_server.cc
@@ -100,6 +100,10 @@
 
 void CallerServer::OnCallerGone(CallerConnection& connection) { handler_.OnCallerGone(connection); }
 
+void CallerServer::OnCallerGoneUnread(const CallerRequest& request) {
+  handler_.OnCallerGoneUnread(request);
+}
+
 void CallerServer::OnRefused(const ReadFault& fault) { handler_.OnRefused(fault); }
 
 void CallerServer::OnStateChange(CallerConnection& connection) {
--- a/src/gateway/http/caller_server.h
+++ b/src/gateway/http/caller_server.h
@@ -19,6 +19,7 @@
   /// See CallerConnectionOwner.
   virtual void OnRequest(const CallerConnectionPtr& connection, CallerRequest request) = 0;
   virtual void OnCallerGone(CallerConnection& connection) = 0;
+  virtual void OnCallerGoneUnread(const CallerRequest& request) = 0;
   virtual void OnRefused(const ReadFault& fault) = 0;
   /// While draining: the last request that was read, in whole or in part, has been answered.
   virtual void OnQuiet() = 0;
@@ -48,6 +49,7 @@
 
   void OnRequest(const CallerConnectionPtr& connection, CallerRequest request) override;
   void OnCallerGone(CallerConnection& connection) override;
+  void OnCallerGoneUnread(const CallerRequest& request) override;
   void OnRefused(const ReadFault& fault) override;
   void OnStateChange(CallerConnection& connection) override;
   bool IsStopping() const override { return draining_; }
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -162,8 +162,24 @@
   observer_->OnMalformed(fault.code, fault.detail);
 }
 
+void DataPath::OnCallerGoneUnread(const CallerRequest& request) {
+  observer_->OnCallerGone(request.request_id, resources_.clock.Now() - request.arrival);
+}
+
+bool DataPath::CallerIsThere(RequestHandle handle) {
+  const auto found = requests_.find(handle);
+  if (found == requests_.end()) {
+    return false;
+  }
+  const CallerConnectionPtr caller = found->second.caller;
+  caller->CloseIfCallerLeft();
+  return requests_.contains(handle);
+}
+
 bool DataPath::MaySend(AttemptHandle attempt) {
-  return dispatcher_.MaySend(attempt, resources_.clock.Now());
+  const auto found = attempts_.find(attempt);
+  return found != attempts_.end() && CallerIsThere(found->second.request) &&
+         dispatcher_.MaySend(attempt, resources_.clock.Now());
 }
 
 void DataPath::OnSent(AttemptHandle handle) {
@@ -220,11 +236,10 @@
 }
 
 void DataPath::Carry(RequestHandle handle, const forwarding::SendDecision& send) {
-  const auto found = requests_.find(handle);
-  if (found == requests_.end()) {
+  if (!CallerIsThere(handle)) {
     return;
   }
-  Request& request = found->second;
+  Request& request = requests_.at(handle);
   ++request.sends;
   request.attempts.push_back(send.attempt);
   const CallerRequestPtr message = request.message;
@@ -346,6 +361,7 @@
     return;
   }
   armed_for_ = next;
+  resources_.lag.OnTimerArmed(next);
   const Duration wait = std::max(next - resources_.clock.Now(), kShortestTimer);
   timer_.expires_after(absl::ToChronoNanoseconds(wait));
   timer_.async_wait([this, alive = std::weak_ptr<char>(alive_)](const ErrorCode& error) {
@@ -363,6 +379,7 @@
 void DataPath::OnTimer() {
   armed_for_ = absl::InfiniteFuture();
   const Time now = resources_.clock.Now();
+  resources_.lag.OnTimer(now);
   if (dispatcher_.NextWake() <= now) {
     dispatcher_.OnTick(now);
     Pump();
--- a/src/gateway/http/data_path.h
+++ b/src/gateway/http/data_path.h
@@ -80,6 +80,7 @@
   // RequestHandler
   void OnRequest(const CallerConnectionPtr& connection, CallerRequest request) override;
   void OnCallerGone(CallerConnection& connection) override;
+  void OnCallerGoneUnread(const CallerRequest& request) override;
   void OnRefused(const ReadFault& fault) override;
   void OnQuiet() override;
 
@@ -94,6 +95,8 @@
   void Carry(forwarding::RequestHandle handle, const forwarding::CancelDecision& cancel);
   void Carry(forwarding::RequestHandle handle, const forwarding::RelayDecision& relay);
   void Carry(forwarding::RequestHandle handle, const forwarding::AnswerDecision& answer);
+  /// Whether the caller of a request that is about to be sent is still there, as far as is known.
+  bool CallerIsThere(forwarding::RequestHandle handle);
   /// Answers from here.
   void Refuse(const Request& request, const forwarding::AnswerDecision& decision);
   /// Forgets a request that is answered or whose caller is gone. Attempts that the dispatcher did
--- a/src/gateway/http/event_loop.h
+++ b/src/gateway/http/event_loop.h
@@ -12,6 +12,7 @@
 #include <memory>
 
 #include "gateway/http/byte_budget.h"
+#include "gateway/http/loop_lag.h"
 #include "wire/identifiers.h"
 #include "wire/time.h"
 
@@ -42,6 +43,8 @@
   ByteBudgetPtr budget;
   /// Valid only until the next read of any connection.
   std::array<char, kSharedBufferBytes> shared_buffer;
+  /// Kept by whoever owns the loop's main timer.
+  LoopLag lag = {};
 };
 
 /// Throws Error(kInvalidSetting) when `endpoint.host` is no IP address.
