Tell what a back end asks for with its answer: rest, or that it is about to end

A third of all reads of one service was refused for nine seconds by owners that asked for rest, and no log line told that they asked for anything: the line of an answer held its status only. Without that the hypotheses (never read; read, but passed over for owners) cannot be told apart. Ruled out as enough: the ejections, which tell what this node concluded, not what it was asked.

The answer's reader takes Retry-After of a 503 and Server-Leaving, the line attempt_answered and the explanation of a request show them (rest_ms, leaving), and one that cannot be read is counted and told as not understood. No decision uses either yet.

--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -170,6 +170,10 @@
   catalog::ToldLoad load;
   /// For how long it is slow from a start, when it says so.
   std::optional<Duration> cold_left;
+  /// For how long it wants no requests from this node, when it said so while turning one away.
+  std::optional<Duration> rest;
+  /// It says that it is about to end.
+  bool leaving = false;
   /// It will take no more requests on this connection.
   bool closing = false;
 };
--- a/src/explain/cause.cc
+++ b/src/explain/cause.cc
@@ -60,6 +60,8 @@
     const bool not_executed = line.Field("not_executed") == "1";
     return absl::StrCat(head, "answered", Named("with", line, "status"),
                         not_executed ? ", and said that it did not run it" : "",
+                        Named("; it wants no requests for ms", line, "rest_ms"),
+                        line.Field("leaving") == "1" ? "; it is about to end" : "",
                         Named("; running", line, "running"), Named("waiting", line, "waiting"),
                         Named("slots", line, "slots"));
   }
--- a/src/gateway/http/answer_reader.cc
+++ b/src/gateway/http/answer_reader.cc
@@ -19,6 +19,8 @@
 constexpr int kMaxInterimAnswers = 16;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
+constexpr std::string_view kYes = "1";
 constexpr int kLowestStatus = 100;
 constexpr int kHighestStatus = 599;
 /// What is shown of a header that was not understood, in bytes.
@@ -164,6 +166,8 @@
   const interfaces::HeaderNames& names = adapter_.headers();
   if (field == HeaderField::keep_alive) {
     answer_.keep_alive = ParseKeepAliveTimeout(value);
+  } else if (field == HeaderField::retry_after) {
+    TakeRetryAfter(name, value);
   } else if (field != HeaderField::unknown) {
     return;
   } else if (EqualsIgnoreCase(name, names.not_executed)) {
@@ -177,6 +181,22 @@
     if (!answer_.cold_left.has_value()) {
       NoteNotUnderstood(name, value);
     }
+  } else if (EqualsIgnoreCase(name, names.leaving)) {
+    answer_.leaving = value == kYes;
+    if (!answer_.leaving) {
+      NoteNotUnderstood(name, value);
+    }
+  }
+}
+
+void AnswerReader::TakeRetryAfter(std::string_view name, std::string_view value) {
+  if (answer_.status != kUnavailable) {
+    // With another status it is for the caller.
+    return;
+  }
+  answer_.rest = ParseRetryAfter(value);
+  if (!answer_.rest.has_value()) {
+    NoteNotUnderstood(name, value);
   }
 }
 
--- a/src/gateway/http/answer_reader.h
+++ b/src/gateway/http/answer_reader.h
@@ -28,6 +28,10 @@
   interfaces::ToldLoad load;
   /// For how long the back end is slow from a start, when it said so.
   std::optional<Duration> cold_left;
+  /// For how long the back end wants no requests from this node, when it said so with a 503.
+  std::optional<Duration> rest;
+  /// The back end says that it is about to end.
+  bool leaving = false;
   /// The last header that was understood in part or not at all, as "name: value", cut short.
   std::string not_understood;
   /// The connection may carry another request.
@@ -70,6 +74,7 @@
   ReadStatus CheckOwner();
   void BuildHead();
   void TakeField(HeaderField field, std::string_view name, std::string_view value);
+  void TakeRetryAfter(std::string_view name, std::string_view value);
   void NoteNotUnderstood(std::string_view name, std::string_view value);
   ReadStatus Fail(std::string detail);
   void DropMessage();
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -209,11 +209,13 @@
   told.not_executed = answer.not_executed;
   told.load = answer.load;
   told.cold_left = answer.cold_left;
+  told.rest = answer.rest;
+  told.leaving = answer.leaving;
   told.closing = !answer.keeps_open;
   attempt.connection = nullptr;
   attempt.duration = now - attempt.sent;
-  observer_->OnAttemptAnswered(attempt.message->request_id, attempt.backend, answer.status,
-                               answer.not_executed, attempt.duration);
+  observer_->OnAttemptAnswered(attempt.message->request_id, attempt.backend, told,
+                               attempt.duration);
   if (requests_.contains(attempt.request)) {
     attempt.answer = std::move(answer);
   } else {
--- a/src/gateway/http/data_path_observer.h
+++ b/src/gateway/http/data_path_observer.h
@@ -43,9 +43,10 @@
   virtual void OnAttemptDecided(std::string_view /*request_id*/,
                                 const forwarding::SendDecision& /*send*/) {}
   virtual void OnAttemptSent(std::string_view /*request_id*/, std::string_view /*backend*/) {}
-  /// The attempt brought a whole answer, of this status.
+  /// The attempt brought a whole answer.
   virtual void OnAttemptAnswered(std::string_view /*request_id*/, std::string_view /*backend*/,
-                                 int /*status*/, bool /*not_executed*/, Duration /*duration*/) {}
+                                 const forwarding::AttemptAnswer& /*answer*/,
+                                 Duration /*duration*/) {}
   virtual void OnAttemptFailed(std::string_view /*request_id*/, std::string_view /*backend*/,
                                forwarding::AttemptFailure /*failure*/, std::string_view /*cause*/) {
   }
--- a/src/gateway/http/header_rules.cc
+++ b/src/gateway/http/header_rules.cc
@@ -90,6 +90,14 @@
   return absl::Milliseconds(milliseconds);
 }
 
+std::optional<Duration> ParseRetryAfter(std::string_view text) {
+  double seconds = 0;
+  if (!absl::SimpleAtod(ToAbsl(text), &seconds) || !std::isfinite(seconds) || seconds < 0) {
+    return std::nullopt;
+  }
+  return absl::Seconds(seconds);
+}
+
 std::optional<ownership::Key> ParseKey(std::string_view text) {
   ownership::Key key = 0;
   if (!IsDigits(text) || !absl::SimpleAtoi(ToAbsl(text), &key) || key > ownership::kLastKey) {
--- a/src/gateway/http/header_rules.h
+++ b/src/gateway/http/header_rules.h
@@ -39,6 +39,10 @@
 /// How long a sender waits, from a number of milliseconds; nothing when `text` is no such number.
 std::optional<Duration> ParseTimeLeft(std::string_view text);
 
+/// The time that a Retry-After header gives as a number of seconds, which may have a fraction;
+/// nothing when it is a date or no time.
+std::optional<Duration> ParseRetryAfter(std::string_view text);
+
 /// Nothing when `text` is no key.
 std::optional<ownership::Key> ParseKey(std::string_view text);
 
--- a/src/interfaces/platform_adapter.h
+++ b/src/interfaces/platform_adapter.h
@@ -35,6 +35,8 @@
   std::string server_load;
   /// In answers of back ends: for how many milliseconds more they are slow from a start.
   std::string cold_left_ms;
+  /// In answers of back ends: "1" when the back end is about to end.
+  std::string leaving;
   /// In requests to sharded services: the key.
   std::string shard_key;
 };
--- a/src/observability/event_list.cc
+++ b/src/observability/event_list.cc
@@ -33,7 +33,7 @@
      Severity::kInfo,
      EventKind::kFailedRequest,
      "The back end answered.",
-     {kRequest, kAttempt, kBackend, kStatus, kNotExecuted, kElapsedMs}},
+     {kRequest, kAttempt, kBackend, kStatus, kNotExecuted, kRestMs, kLeaving, kElapsedMs}},
     {"attempt_failed",
      Part::kData,
      Severity::kWarning,
@@ -200,13 +200,14 @@
 }};
 
 constexpr std::array<std::string_view, kFieldCount> kFieldNames = {
-    "request",     "route",         "service", "key",        "host",     "target",
-    "deadline_ms", "configuration", "map",     "map_age_ms", "attempt",  "backend",
-    "address",     "send_cause",    "wait_ms", "answer_ms",  "sent",     "failure",
-    "status",      "not_executed",  "code",    "reason",     "attempts", "queue_ms",
-    "backend_ms",  "elapsed_ms",    "age_ms",  "cause",      "belief",   "detail",
-    "routes",      "services",      "ranges",  "moving",     "ready",    "draining",
-    "peer",        "zone",          "version", "running",    "kind",     "count",
+    "request",     "route",         "service",    "key",        "host",    "target",
+    "deadline_ms", "configuration", "map",        "map_age_ms", "attempt", "backend",
+    "address",     "send_cause",    "wait_ms",    "answer_ms",  "sent",    "failure",
+    "status",      "not_executed",  "rest_ms",    "leaving",    "code",    "reason",
+    "attempts",    "queue_ms",      "backend_ms", "elapsed_ms", "age_ms",  "cause",
+    "belief",      "detail",        "routes",     "services",   "ranges",  "moving",
+    "ready",       "draining",      "peer",       "zone",       "version", "running",
+    "kind",        "count",
 };
 
 constexpr std::array<std::string_view, kEventKindCount> kKindNames = {
--- a/src/observability/event_list.h
+++ b/src/observability/event_list.h
@@ -98,6 +98,8 @@
   kFailure,
   kStatus,
   kNotExecuted,
+  kRestMs,
+  kLeaving,
   kCode,
   kReason,
   kAttempts,
--- a/src/observability/request_observer.cc
+++ b/src/observability/request_observer.cc
@@ -59,19 +59,26 @@
 }
 
 void RequestObserver::OnAttemptAnswered(std::string_view request_id, std::string_view backend,
-                                        int status, bool not_executed, Duration duration) {
+                                        const forwarding::AttemptAnswer& answer,
+                                        Duration duration) {
   metrics_->CountStage(RequestStage::kBackend, duration);
-  EndAttempt(request_id, backend,
-             not_executed ? AttemptResult::kNotExecuted : AttemptResult::kAnswered, status, {});
+  RequestTrace::Attempt* const attempt =
+      EndAttempt(request_id, backend,
+                 answer.not_executed ? AttemptResult::kNotExecuted : AttemptResult::kAnswered, {});
+  if (attempt != nullptr) {
+    attempt->status = answer.status;
+    attempt->rest = answer.rest;
+    attempt->leaving = answer.leaving;
+  }
 }
 
 void RequestObserver::OnAttemptFailed(std::string_view request_id, std::string_view backend,
                                       forwarding::AttemptFailure failure, std::string_view cause) {
-  EndAttempt(request_id, backend, ResultOf(failure), 0, cause);
+  EndAttempt(request_id, backend, ResultOf(failure), cause);
 }
 
 void RequestObserver::OnAttemptCancelled(std::string_view request_id, std::string_view backend) {
-  EndAttempt(request_id, backend, AttemptResult::kCancelled, 0, {});
+  EndAttempt(request_id, backend, AttemptResult::kCancelled, {});
 }
 
 void RequestObserver::OnAnswered(const gateway::AnsweredRequest& request) {
@@ -141,18 +148,19 @@
   return attempt;
 }
 
-void RequestObserver::EndAttempt(std::string_view request_id, std::string_view backend,
-                                 AttemptResult result, int status, std::string_view cause) {
+RequestTrace::Attempt* RequestObserver::EndAttempt(std::string_view request_id,
+                                                   std::string_view backend, AttemptResult result,
+                                                   std::string_view cause) {
   RequestTrace* const trace = Find(request_id);
   if (trace == nullptr) {
-    return;
+    return nullptr;
   }
   RequestTrace::Attempt& attempt = Running(trace, backend);
   attempt.ended = log_->Now();
   attempt.result = result;
-  attempt.status = status;
   attempt.cause = std::string(CutFieldValue(cause));
   metrics_->CountAttemptEnd(result);
+  return &attempt;
 }
 
 void RequestObserver::EndRunning(RequestTrace* trace) {
--- a/src/observability/request_observer.h
+++ b/src/observability/request_observer.h
@@ -30,8 +30,8 @@
   void OnRequestDescribed(const forwarding::IncomingRequest& request) override;
   void OnAttemptDecided(std::string_view request_id, const forwarding::SendDecision& send) override;
   void OnAttemptSent(std::string_view request_id, std::string_view backend) override;
-  void OnAttemptAnswered(std::string_view request_id, std::string_view backend, int status,
-                         bool not_executed, Duration duration) override;
+  void OnAttemptAnswered(std::string_view request_id, std::string_view backend,
+                         const forwarding::AttemptAnswer& answer, Duration duration) override;
   void OnAttemptFailed(std::string_view request_id, std::string_view backend,
                        forwarding::AttemptFailure failure, std::string_view cause) override;
   void OnAttemptCancelled(std::string_view request_id, std::string_view backend) override;
@@ -51,8 +51,9 @@
   RequestTrace::Attempt& Running(RequestTrace* trace, std::string_view backend);
   RequestTrace::Attempt& Begin(RequestTrace* trace, std::string_view backend,
                                const forwarding::SendDecision* send);
-  void EndAttempt(std::string_view request_id, std::string_view backend, AttemptResult result,
-                  int status, std::string_view cause);
+  /// Null when the request is not followed.
+  RequestTrace::Attempt* EndAttempt(std::string_view request_id, std::string_view backend,
+                                    AttemptResult result, std::string_view cause);
   void EndRunning(RequestTrace* trace);
   /// Writes all lines of a request that was not answered by a back end.
   void WriteFailure(std::string_view request_id, const RequestTrace* trace, PendingLine last);
--- a/src/observability/request_trace.cc
+++ b/src/observability/request_trace.cc
@@ -105,6 +105,12 @@
     line.fields.emplace_back(FieldName::kStatus, attempt.status);
     line.fields.emplace_back(FieldName::kNotExecuted,
                              attempt.result == AttemptResult::kNotExecuted ? 1 : 0);
+    if (attempt.rest.has_value()) {
+      line.fields.emplace_back(FieldName::kRestMs, *attempt.rest);
+    }
+    if (attempt.leaving) {
+      line.fields.emplace_back(FieldName::kLeaving, 1);
+    }
   } else {
     if (line.event == EventName::kAttemptFailed) {
       line.fields.emplace_back(FieldName::kFailure, NameOf(attempt.result));
--- a/src/observability/request_trace.h
+++ b/src/observability/request_trace.h
@@ -61,6 +61,9 @@
     /// Of an attempt that ended.
     AttemptResult result = AttemptResult::kLeftBehind;
     int status = 0;
+    /// What the back end asked for with its answer.
+    std::optional<Duration> rest;
+    bool leaving = false;
     std::string cause;
   };
 
--- a/tests/fuzz/backend_answer_fuzz.cc
+++ b/tests/fuzz/backend_answer_fuzz.cc
@@ -55,6 +55,7 @@
   Require(one.status == other.status && one.head == other.head, "same status and head");
   Require(one.body == other.body, "same body");
   Require(one.not_executed == other.not_executed, "same promise");
+  Require(one.rest == other.rest && one.leaving == other.leaving, "same wishes");
   Require(one.keeps_open == other.keeps_open, "same future of the connection");
 }
 
--- a/tests/unit/gateway_http/request_reader_test.cc
+++ b/tests/unit/gateway_http/request_reader_test.cc
@@ -99,6 +99,33 @@
   BOOST_TEST(!not_executed("503 Full", ""));
 }
 
+BOOST_AUTO_TEST_CASE(what_a_back_end_asks_for_with_its_answer_is_read) {
+  const TestAdapter adapter;
+  const auto budget = std::make_shared<ByteBudget>(1000);
+  const auto read = [&](const std::string& status, const std::string& fields) {
+    AnswerReader reader(adapter, 1000, budget);
+    reader.Begin({"1", false, false});
+    std::string rest;
+    const std::string bytes = "HTTP/1.1 " + status + "\r\nT-Request-Id: 1\r\nT-Stamp: s\r\n" +
+                              fields + "Content-Length: 0\r\n\r\n";
+    BOOST_TEST((Feed(reader, bytes, bytes.size(), &rest) == ReadStatus::kComplete));
+    return reader.Take();
+  };
+  BOOST_TEST((read("503 Full", "Retry-After: 3\r\n").rest == absl::Seconds(3)));
+  BOOST_TEST((read("503 Full", "retry-after: 0.25\r\n").rest == absl::Milliseconds(250)));
+  BOOST_TEST(!read("503 Full", "").rest.has_value());
+  // Of another status it is a word to the caller.
+  BOOST_TEST(!read("429 Slow down", "Retry-After: 3\r\n").rest.has_value());
+  for (const std::string value : {"Thu, 19 Mar 2026 01:52:12 GMT", "-1", "inf", "soon"}) {
+    const BackendAnswer answer = read("503 Full", "Retry-After: " + value + "\r\n");
+    BOOST_TEST(!answer.rest.has_value());
+    BOOST_TEST(answer.not_understood == "Retry-After: " + value);
+  }
+  BOOST_TEST(read("200 OK", "T-Leaving: 1\r\n").leaving);
+  BOOST_TEST(!read("200 OK", "").leaving);
+  BOOST_TEST(read("200 OK", "T-Leaving: maybe\r\n").not_understood == "T-Leaving: maybe");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/unit/gateway_http/support.h
+++ b/tests/unit/gateway_http/support.h
@@ -42,9 +42,9 @@
                                  interfaces::ReadingNotes*) const override;
 
  private:
-  interfaces::HeaderNames names_{"T-Request-Id", "T-Deadline-Ms", "T-Stamp",
-                                 "T-Expected",   "T-Instance-Id", "T-Not-Executed",
-                                 "T-Load",       "T-Cold-Ms",     "T-Key"};
+  interfaces::HeaderNames names_{"T-Request-Id",  "T-Deadline-Ms",  "T-Stamp", "T-Expected",
+                                 "T-Instance-Id", "T-Not-Executed", "T-Load",  "T-Cold-Ms",
+                                 "T-Leaving",     "T-Key"};
 };
 
 /// Runs the loop until `done`; fails the test when that takes too long.
--- a/tests/unit/observability/request_observer_test.cc
+++ b/tests/unit/observability/request_observer_test.cc
@@ -16,6 +16,13 @@
 
 constexpr char kId[] = "9c41d07be2a35f68";
 
+forwarding::AttemptAnswer Answered(int status, bool not_executed) {
+  forwarding::AttemptAnswer answer;
+  answer.status = status;
+  answer.not_executed = not_executed;
+  return answer;
+}
+
 struct ObserverTest {
   ObserverTest() { beliefs.OnMapConfirmed(test.clock.now); }
 
@@ -73,7 +80,7 @@
   Start();
   Decide("b-1", forwarding::SendCause::kFirst);
   observer.OnAttemptSent(kId, "b-1");
-  observer.OnAttemptAnswered(kId, "b-1", 200, false, absl::Milliseconds(60));
+  observer.OnAttemptAnswered(kId, "b-1", Answered(200, false), absl::Milliseconds(60));
   Finish(200, ResultCode::kOk);
   BOOST_TEST(TakeNames() == Names({"request_answered"}), boost::test_tools::per_element());
   BOOST_TEST(observer.traces() == 0U);
@@ -114,13 +121,28 @@
 BOOST_AUTO_TEST_CASE(a_back_ends_own_failure_gets_all_lines) {
   Start();
   Decide("b-1", forwarding::SendCause::kFirst);
-  observer.OnAttemptAnswered(kId, "b-1", 500, false, absl::Milliseconds(60));
+  observer.OnAttemptAnswered(kId, "b-1", Answered(500, false), absl::Milliseconds(60));
   Finish(500, ResultCode::kOk);
   BOOST_TEST(TakeNames() == Names({"request_received", "request_sent", "attempt_answered",
                                    "request_answered"}),
              boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(what_a_back_end_asks_for_with_its_refusal_is_told) {
+  Start();
+  Decide("b-1", forwarding::SendCause::kFirst);
+  forwarding::AttemptAnswer answer = Answered(503, true);
+  answer.rest = absl::Seconds(3);
+  answer.leaving = true;
+  observer.OnAttemptAnswered(kId, "b-1", answer, absl::Milliseconds(1));
+  Finish(503, ResultCode::kBackendShed);
+  const std::vector<explain::LogLine> events = test.TakeEvents();
+  BOOST_TEST_REQUIRE(events.size() == 4U);
+  BOOST_TEST(events[2].event == "attempt_answered");
+  BOOST_TEST(events[2].Field("rest_ms") == "3000.0");
+  BOOST_TEST(events[2].Field("leaving") == "1");
+}
+
 BOOST_AUTO_TEST_CASE(what_runs_on_when_the_caller_leaves_is_told) {
   Start();
   Decide("b-1", forwarding::SendCause::kFirst);
@@ -150,7 +172,8 @@
   constexpr int kAttempts = 1000;
   for (int i = 0; i < kAttempts; ++i) {
     Decide(absl::StrCat("b-", i), forwarding::SendCause::kAfterRefusal);
-    observer.OnAttemptAnswered(kId, absl::StrCat("b-", i), 503, true, absl::ZeroDuration());
+    observer.OnAttemptAnswered(kId, absl::StrCat("b-", i), Answered(503, true),
+                               absl::ZeroDuration());
   }
   Finish(503, ResultCode::kBackendShed);
   const std::vector<explain::LogLine> events = test.TakeEvents();
@@ -216,7 +239,7 @@
   observer.OnMalformed(ResultCode::kMalformedRequest, "no host");
   Start();
   Decide("b-1", forwarding::SendCause::kFirst);
-  observer.OnAttemptAnswered(kId, "b-1", 503, true, absl::ZeroDuration());
+  observer.OnAttemptAnswered(kId, "b-1", Answered(503, true), absl::ZeroDuration());
   Decide("b-2", forwarding::SendCause::kAfterRefusal);
   observer.OnAttemptFailed(kId, "b-2", forwarding::AttemptFailure::kLost, "reset");
   Finish(502, ResultCode::kConnectionLost);
