Send nothing more to a back end that says with its answers that it leaves

What callers would see: requests sent to a back end that has said with each of its answers that it is about to end, until it has ended under them. A node that had passed such an answer on went on sending there for as long as the registration stood.

Cause: the same as of the requests to resting back ends: what an answer asks for was not read. Only the registration told of leaving, and it is late or says nothing when the store is slow, when the back end is cut off from it, or when the back end never says so there.

An answer of 421 does not count: another back end may be at the address by then.

--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -114,6 +114,10 @@
   if (answer.cold_left.has_value()) {
     services_.NoteCold(*answer.cold_left, *attempt.backend, now);
   }
+  // Who answers 421 may be another back end at the same address.
+  if (answer.leaving && answer.status != kMisdirected) {
+    services_.NoteLeaving(*attempt.backend, now);
+  }
   if (answer.rest.has_value()) {
     services_.NoteRest(*answer.rest, *attempt.backend, now);
   }
--- a/src/core/forwarding/backend_state.h
+++ b/src/core/forwarding/backend_state.h
@@ -29,6 +29,8 @@
   Time usable_until = absl::InfiniteFuture();
   /// Requests for keys that it owns go here only before this.
   Time owner_usable_until = absl::InfiniteFuture();
+  /// It said itself that it is about to end. Never taken back: the next one is another incarnation.
+  bool said_leaving = false;
   /// It said itself that it is cold until then.
   Time said_cold_until = absl::InfinitePast();
   /// While it is cold, this node may send the next request then.
--- a/src/core/forwarding/service_table.cc
+++ b/src/core/forwarding/service_table.cc
@@ -14,6 +14,9 @@
 
 /// A back end that disappeared is forgotten after this.
 constexpr Duration kForgetAfter = absl::Seconds(30);
+/// One that had said itself that it leaves is remembered for longer, since its registration may
+/// come back after a long outage of the store and says nothing of it.
+constexpr Duration kRememberLeaving = absl::Minutes(10);
 /// A request reaches the back end chosen for it within this: 1.4 ms of way between zones, and room
 /// for a packet that is sent again after 200 ms, or for a loop that is behind. A connection that is
 /// not up when the back end may no longer be used carries nothing.
@@ -126,8 +129,12 @@
   state.load.SetSlots(backend.slots);
   state.outlier.Reset();
   if (!backend.Leaves()) {
-    state.usable_until = absl::InfiniteFuture();
-    state.owner_usable_until = absl::InfiniteFuture();
+    // A registration that is late, or back after an outage of the store, takes back nothing that
+    // the back end itself has said.
+    if (!state.said_leaving) {
+      state.usable_until = absl::InfiniteFuture();
+      state.owner_usable_until = absl::InfiniteFuture();
+    }
     AddBelief(state, was_serving ? "changed" : "returned", FormatEndpoint(backend.address));
     return;
   }
@@ -156,6 +163,16 @@
   AddBelief(state, "cold", absl::StrCat("for ", absl::FormatDuration(time_left), ", as it says"));
 }
 
+void ServiceTable::NoteLeaving(BackendState& state, Time now) {
+  if (std::exchange(state.said_leaving, true)) {
+    return;
+  }
+  const Time last = now + settings_.drain_time - kWayReserve;
+  StopNewWork(std::min(now + settings_.drain_grace, last),
+              std::min(now + settings_.drain_serving, last), state);
+  AddBelief(state, "draining", "it says so with its answers");
+}
+
 void ServiceTable::NoteRest(Duration time, BackendState& state, Time now) {
   const Time until = now + std::min(time, kLongestRest);
   if (until <= state.rest_until) {
@@ -193,7 +210,8 @@
   }
   for (auto entry = backends_.begin(); entry != backends_.end();) {
     const BackendStatePtr& state = entry->second;
-    if (now - state->gone_at > kForgetAfter && !state->Rests(now)) {
+    const Duration remembered = state->said_leaving ? kRememberLeaving : kForgetAfter;
+    if (now - state->gone_at > remembered && !state->Rests(now)) {
       backends_.erase(entry++);
       continue;
     }
--- a/src/core/forwarding/service_table.h
+++ b/src/core/forwarding/service_table.h
@@ -45,6 +45,8 @@
   void NoteCold(Duration time_left, BackendState& state, Time now);
   /// The back end itself asked this node to send it nothing for `time` from now on.
   void NoteRest(Duration time, BackendState& state, Time now);
+  /// The back end itself said that it is about to end.
+  void NoteLeaving(BackendState& state, Time now);
   /// The state of a service, made when it is not known yet. Stays where it is.
   ServiceState& Service(const std::string& name);
   /// Null when no such service is known.
