Let back ends of the soak ask for rest and say that they leave, and judge what nodes send them then

The unit tests of rest and leaving take a node's decisions alone. In the soak, real nodes now meet back ends that turn all requests away with Retry-After: 3 for some seconds, and every back end that drains says so with its answers; the judge counts what a node sent within a rest (more than two requests from half a second after the wish on) and what callers sent later than drain_time after the node had been told. A restart, pause or cut of that node excuses it.

--- a/src/standin/fleet/backend.cc
+++ b/src/standin/fleet/backend.cc
@@ -122,6 +122,10 @@
     Refuse(exchange, job->arrival, refusal);
     return;
   }
+  if (Chance(faults_.turned_away)) {
+    Refuse(exchange, job->arrival, kUnavailable, faults_.rest);
+    return;
+  }
   Enqueue(job);
 }
 
@@ -236,6 +240,7 @@
   if (job->arrival != nullptr) {
     job->arrival->ended = EventLoop::Now();
     job->arrival->status = status;
+    job->arrival->said_leaving = state_ == State::kDraining;
     AnswerRun(job);
   } else {
     const bool well = state_ == State::kServing;
@@ -260,11 +265,18 @@
   StartNext();
 }
 
-void Backend::Refuse(const ExchangePtr& exchange, Arrival* arrival, int status) {
+void Backend::Refuse(const ExchangePtr& exchange, Arrival* arrival, int status, Duration rest) {
   if (arrival != nullptr) {
     arrival->refused = status;
+    arrival->rest = rest;
+    arrival->said_leaving = state_ == State::kDraining;
+    arrival->ended = EventLoop::Now();
   }
   Answer answer = MakeAnswer(exchange, status);
+  if (rest > absl::ZeroDuration()) {
+    answer.headers.emplace_back(wire::kRetryAfter,
+                                absl::StrFormat("%.3f", absl::ToDoubleSeconds(rest)));
+  }
   answer.headers.emplace_back(wire::kNotExecuted, "1");
   exchange->Respond(answer);
 }
--- a/src/standin/fleet/backend.h
+++ b/src/standin/fleet/backend.h
@@ -45,6 +45,9 @@
   double lost_answers = 0;
   /// Lost answers show as a reset.
   bool lost_by_reset = false;
+  /// Of the requests that arrive: turned away at once, with the wish for `rest`.
+  double turned_away = 0;
+  Duration rest = absl::ZeroDuration();
   /// The answer ends in its middle.
   double cut_answers = 0;
   /// Bytes that are no answer.
@@ -132,7 +135,8 @@
   void WatchHold(const JobPtr& job);
   void Finish(const JobPtr& job, int status);
   void Remove(const JobPtr& job);
-  void Refuse(const ExchangePtr& exchange, Arrival* arrival, int status);
+  void Refuse(const ExchangePtr& exchange, Arrival* arrival, int status,
+              Duration rest = absl::ZeroDuration());
   Duration DrawServiceTime(const JobPtr& job) const;
   bool IsFull() const;
 
--- a/src/standin/fleet/backend_answers.cc
+++ b/src/standin/fleet/backend_answers.cc
@@ -26,6 +26,9 @@
   if (!request_id.empty()) {
     answer.headers.emplace_back(wire::kRequestId, request_id);
   }
+  if (state_ == State::kDraining) {
+    answer.headers.emplace_back(wire::kServerLeaving, "1");
+  }
   answer.close = state_ != State::kServing;
   return answer;
 }
--- a/src/standin/fleet/history.h
+++ b/src/standin/fleet/history.h
@@ -30,6 +30,10 @@
   size_t digest = 0;
   /// The status with which it was refused; 0 when it ran or its connection ended first.
   int refused = 0;
+  /// For how long the refusal asked its node for rest.
+  Duration rest = absl::ZeroDuration();
+  /// Its answer said that the back end leaves.
+  bool said_leaving = false;
   /// When it began to run; infinite when it did not.
   Time begun = absl::InfiniteFuture();
   Time ended = absl::InfiniteFuture();
--- a/src/standin/fleet/judge.cc
+++ b/src/standin/fleet/judge.cc
@@ -11,6 +11,7 @@
 
 #include "standin/fleet/judge_budget.h"
 #include "standin/fleet/judge_ownership.h"
+#include "standin/fleet/judge_wishes.h"
 
 namespace ladderstream::fleet {
 namespace {
@@ -404,6 +405,7 @@
   EvidenceJudge(history, bounds, &verdict).JudgeAll();
   JudgeOwnership(history, &verdict);
   JudgeBudget(history, bounds, &verdict);
+  JudgeWishes(history, bounds, &verdict);
   return verdict;
 }
 
--- a/src/standin/fleet/judge.h
+++ b/src/standin/fleet/judge.h
@@ -69,13 +69,13 @@
   Violations two_owners;
   /// Keys that passed on under a fence that did not rise.
   Violations fences;
-  /// Work given to a back end that had left.
+  /// Work given to a back end that had left, or had said with an answer that it leaves.
   Violations after_drain;
   /// Work that no caller asked for, or changed on the way.
   Violations unasked;
   /// Run by a service, or refused as unknown, against every configuration that may be in force.
   Violations misrouted;
-  /// Sent to more back ends than allowed, or beyond the retry budget.
+  /// Sent to more back ends than allowed, beyond the retry budget, or to one that wanted rest.
   Violations over_budget;
   /// Given more time than the caller had left.
   Violations overtime;
--- a/src/standin/fleet/main/soak_main.cc
+++ b/src/standin/fleet/main/soak_main.cc
@@ -19,7 +19,9 @@
 
 DEFINE_string(deployment, "small", "small, bretagne or tirol");
 DEFINE_uint32(nodes, 3, "how many nodes run");
-DEFINE_string(faults, "single", "single, or series: many of them in series that overlap");
+DEFINE_string(
+    faults, "single",
+    "single; series: many of them in series that overlap; rests: back ends that ask for rest");
 DEFINE_double(seconds, 30, "how long faults strike");
 DEFINE_uint64(seed, 1, "of the faults and the load");
 DEFINE_string(schedule, "", "a file with the faults; empty: drawn by the seed");
@@ -38,6 +40,9 @@
 std::vector<SoakFault> ReadSchedule() {
   if (FLAGS_schedule.empty()) {
     const Duration length = absl::Seconds(FLAGS_seconds);
+    if (FLAGS_faults == "rests") {
+      return DrawRests(FLAGS_seed, length);
+    }
     return FLAGS_faults == "series" ? DrawSeries(FLAGS_seed, length)
                                     : DrawSchedule(FLAGS_seed, length);
   }
@@ -54,8 +59,8 @@
   standin::FlagChecks checks;
   checks.Require(FLAGS_nodes >= 1 && FLAGS_nodes <= kMostNodes, "nodes",
                  std::to_string(FLAGS_nodes), "1 to 300");
-  checks.Require(FLAGS_faults == "single" || FLAGS_faults == "series", "faults", FLAGS_faults,
-                 "single or series");
+  checks.Require(FLAGS_faults == "single" || FLAGS_faults == "series" || FLAGS_faults == "rests",
+                 "faults", FLAGS_faults, "single or series");
   checks.Require(FLAGS_seconds > 0 && FLAGS_seconds <= kMostSeconds, "seconds",
                  std::to_string(FLAGS_seconds), "more than 0, at most 3600");
   checks.ExitOnFaults();
--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -30,6 +30,8 @@
 constexpr Duration kReviveInterval = absl::Milliseconds(200);
 constexpr double kShare = 0.3;
 constexpr double kSlowdown = 60;
+/// Asked for with each refusal; over the times of ejections.
+constexpr Duration kRest = absl::Seconds(3);
 constexpr Duration kLinkDelay = absl::Milliseconds(250);
 constexpr double kHotShare = 0.35;
 
@@ -247,6 +249,10 @@
   static BackendFaults FaultsOf(FaultKind kind) {
     BackendFaults faults;
     switch (kind) {
+      case FaultKind::kBackendRests:
+        faults.turned_away = 1;
+        faults.rest = kRest;
+        break;
       case FaultKind::kOrdersLate:
         faults.late_orders = kShare;
         break;
--- a/src/standin/fleet/soak_schedule.cc
+++ b/src/standin/fleet/soak_schedule.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <random>
+#include <span>
 
 #include "wire/result_code.h"
 
@@ -15,12 +16,13 @@
 
 constexpr size_t kKinds = static_cast<size_t>(FaultKind::kCount);
 
-/// Kinds that came after seeds had been kept: DrawSchedule leaves them out, so that these draw what
-/// they drew.
+/// Kinds that came after seeds had been kept: single faults leave them out, so that these seeds
+/// draw what they drew.
 constexpr bool IsOfSeriesOnly(FaultKind kind) {
-  return kind == FaultKind::kNodeReloads || kind == FaultKind::kStoreConnectionsSilent;
+  return kind == FaultKind::kNodeReloads || kind == FaultKind::kStoreConnectionsSilent ||
+         kind == FaultKind::kBackendRests;
 }
-constexpr size_t kSingleKinds = kKinds - 2;
+constexpr size_t kSingleKinds = kKinds - 3;
 constexpr std::array<FaultKind, kSingleKinds> SingleKinds() {
   std::array<FaultKind, kSingleKinds> kinds = {};
   size_t count = 0;
@@ -39,21 +41,21 @@
 constexpr uint64_t kTargets = 1000;
 
 constexpr std::array<std::string_view, kKinds> kNames = {
-    "node_killed",          "coordinator_killed",
-    "node_paused",          "node_stopped",
-    "all_nodes_killed",     "node_reloads",
-    "links_delayed",        "links_cut",
-    "links_silent",         "links_one_way",
-    "store_unavailable",    "store_silent",
-    "store_silent_for_one", "store_slow",
-    "store_loses_answers",  "store_writes_late",
-    "store_forgets",        "store_connections_silent",
-    "backend_crashes",      "backend_freezes",
-    "backend_drains",       "backend_cut_from_store",
-    "address_reused",       "orders_late",
-    "orders_unanswered",    "answers_lost",
-    "answers_damaged",      "configuration_changes",
-    "other_keys_hot",
+    "node_killed",           "coordinator_killed",
+    "node_paused",           "node_stopped",
+    "all_nodes_killed",      "node_reloads",
+    "links_delayed",         "links_cut",
+    "links_silent",          "links_one_way",
+    "store_unavailable",     "store_silent",
+    "store_silent_for_one",  "store_slow",
+    "store_loses_answers",   "store_writes_late",
+    "store_forgets",         "store_connections_silent",
+    "backend_crashes",       "backend_freezes",
+    "backend_drains",        "backend_cut_from_store",
+    "backend_rests",         "address_reused",
+    "orders_late",           "orders_unanswered",
+    "answers_lost",          "answers_damaged",
+    "configuration_changes", "other_keys_hot",
 };
 
 /// Faults of one kind that follow each other, with targets in turn.
@@ -73,6 +75,13 @@
     {FaultKind::kStoreConnectionsSilent, 3, 400, 0},
     {FaultKind::kNodeKilled, 3, 300, 600},
 }};
+constexpr std::array<Series, 5> kRestSeries = {{
+    {FaultKind::kBackendRests, 4, 200, 3000},
+    {FaultKind::kBackendRests, 2, 1500, 5000},
+    {FaultKind::kBackendDrains, 8, 250, 1500},
+    {FaultKind::kBackendCutFromStore, 3, 300, 4000},
+    {FaultKind::kNodeKilled, 3, 300, 600},
+}};
 /// Of the draws, so many in ten begin a series; the others are single faults.
 constexpr uint64_t kSeriesInTen = 6;
 constexpr uint64_t kTenths = 10;
@@ -146,14 +155,16 @@
   return schedule;
 }
 
-std::vector<SoakFault> DrawSeries(uint64_t seed, Duration length) {
+namespace {
+
+std::vector<SoakFault> DrawSeriesOf(std::span<const Series> all, uint64_t seed, Duration length) {
   Draw draw(seed);
   std::vector<SoakFault> schedule;
   draw.AtMoments(length, [&](int64_t at, int64_t end) {
     const uint64_t target = draw.Below(kTargets);
     Series series = {draw.SingleKind(), 1, 0, draw.Between(kShortestMs, kLongestMs)};
     if (draw.Below(kTenths) < kSeriesInTen) {
-      series = kSeries.at(draw.Below(kSeries.size()));
+      series = all[draw.Below(all.size())];
     }
     for (uint64_t step = 0; step < series.steps; ++step) {
       const int64_t begins = at + static_cast<int64_t>(step) * series.gap_ms;
@@ -169,6 +180,16 @@
   return schedule;
 }
 
+}  // namespace
+
+std::vector<SoakFault> DrawSeries(uint64_t seed, Duration length) {
+  return DrawSeriesOf(kSeries, seed, length);
+}
+
+std::vector<SoakFault> DrawRests(uint64_t seed, Duration length) {
+  return DrawSeriesOf(kRestSeries, seed, length);
+}
+
 std::string FormatSchedule(const std::vector<SoakFault>& schedule) {
   std::string text;
   for (const SoakFault& fault : schedule) {
--- a/src/standin/fleet/soak_schedule.h
+++ b/src/standin/fleet/soak_schedule.h
@@ -40,6 +40,7 @@
   kBackendFreezes,
   kBackendDrains,
   kBackendCutFromStore,
+  kBackendRests,
   kAddressReused,
   kOrdersLate,
   kOrdersUnanswered,
@@ -70,6 +71,10 @@
 /// succession, watches of the store fall silent.
 std::vector<SoakFault> DrawSeries(uint64_t seed, Duration length);
 
+/// As DrawSeries, but most are back ends that turn all requests away and ask for rest, beside
+/// others that leave or are cut off from the store and nodes that are killed.
+std::vector<SoakFault> DrawRests(uint64_t seed, Duration length);
+
 /// One line a fault: its kind, milliseconds from the start, how many it lasts, its target.
 std::string FormatSchedule(const std::vector<SoakFault>& schedule);
 /// Throws Error(kMalformedMessage) that names the line.
--- a/src/standin/fleet/wire_names.h
+++ b/src/standin/fleet/wire_names.h
@@ -16,6 +16,7 @@
 inline constexpr char kShardKey[] = "X-Ladderstream-Shard-Key";
 inline constexpr char kHandover[] = "X-Ladderstream-Handover";
 inline constexpr char kRetryAfter[] = "Retry-After";
+inline constexpr char kServerLeaving[] = "Server-Leaving";
 inline constexpr char kKeepAlive[] = "Keep-Alive";
 inline constexpr char kConnection[] = "Connection";
 
--- a/tests/unit/gateway_http/relay_test.cc
+++ b/tests/unit/gateway_http/relay_test.cc
@@ -21,6 +21,20 @@
   BOOST_TEST(node.backend.connections.size() == 1U);
 }
 
+// What requested_rest_test shows of the decisions, over real sockets: the header is heard.
+BOOST_AUTO_TEST_CASE(a_back_end_that_asked_for_rest_gets_nothing) {
+  Node node;
+  node.backend.on_request = [](TestSocket& socket, const std::string& request) {
+    socket.Send("HTTP/1.1 503 Shed\r\nT-Request-Id: " + HeaderOf(request, "T-Request-Id") +
+                "\r\nT-Not-Executed: 1\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n");
+  };
+  const auto caller = node.Connect();
+  for (const char* id : {"1", "2", "3"}) {
+    BOOST_TEST(node.Ask(caller, id).starts_with("HTTP/1.1 503 "));
+  }
+  BOOST_TEST(node.backend.requests.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_arrives_as_it_was_sent) {
   Node node;
   const auto caller = node.Connect();
--- a/tests/unit/standin_fleet/judge_test.cc
+++ b/tests/unit/standin_fleet/judge_test.cc
@@ -130,6 +130,47 @@
   BOOST_TEST(Judged().misrouted.count == 6U);
 }
 
+BOOST_AUTO_TEST_CASE(sees_requests_within_a_rest_that_was_asked_for) {
+  const auto refused = [this](const std::string& id, Duration after) -> Arrival& {
+    Tell(id, 503);
+    Arrival& arrival = Run(id, "b1");
+    arrival.begun = absl::InfiniteFuture();
+    arrival.status = 0;
+    arrival.refused = 503;
+    arrival.at = arrival.ended = kStart + after;
+    return arrival;
+  };
+  refused("1", absl::ZeroDuration()).rest = absl::Seconds(3);
+  // On its way when the wish was told, and after the rest.
+  refused("2", absl::Milliseconds(400));
+  refused("3", absl::Milliseconds(3100));
+  refused("4", absl::Milliseconds(1000));
+  refused("5", absl::Milliseconds(2000));
+  BOOST_TEST(Judged().over_budget.count == 0U);
+  refused("6", absl::Milliseconds(2900));
+  BOOST_TEST(Judged().over_budget.count == 1U);
+  history.attempts.back().node = 1;
+  BOOST_TEST(Judged().over_budget.count == 0U);
+  history.attempts.back().node = 0;
+  history.disturbances.push_back({.from = kStart + absl::Milliseconds(500),
+                                  .until = kStart + absl::Milliseconds(600),
+                                  .node = 0});
+  BOOST_TEST(Judged().over_budget.count == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(sees_requests_to_one_that_said_it_leaves) {
+  Served("1");
+  history.arrivals.back().said_leaving = true;
+  Attempt& later = Served("2");
+  later.sent = kStart + absl::Milliseconds(1900);
+  history.arrivals.back().at = kStart + absl::Seconds(3);
+  BOOST_TEST(Judged().after_drain.count == 0U);
+  history.attempts.back().sent = kStart + absl::Milliseconds(2100);
+  BOOST_TEST(Judged().after_drain.count == 1U);
+  history.arrivals.back().backend = "b2";
+  BOOST_TEST(Judged().after_drain.count == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(sees_two_holders_at_work_however_short) {
   Grant("b1", 1, kStart, absl::Milliseconds(200));
   Grant("b2", 2, kStart + absl::Milliseconds(100), absl::Seconds(4));
