Count and tell headers by which back ends tell nodes something that nobody reads

The class of the incident: something is said on the wire, and is overheard in silence. A header of a back end's answer that is named as the platform names what is meant for nodes, and is none that is known, is now counted and told once in 10 s (ladderstream_not_understood_total, not_understood). Both spellings of the leaving header are read.

--- a/src/gateway/http/answer_reader.cc
+++ b/src/gateway/http/answer_reader.cc
@@ -1,5 +1,6 @@
 #include "gateway/http/answer_reader.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <limits>
@@ -181,11 +182,17 @@
     if (!answer_.cold_left.has_value()) {
       NoteNotUnderstood(name, value);
     }
-  } else if (EqualsIgnoreCase(name, names.leaving)) {
+  } else if (std::any_of(
+                 names.leaving.begin(), names.leaving.end(),
+                 [name](std::string_view leaving) { return EqualsIgnoreCase(name, leaving); })) {
     answer_.leaving = value == kYes;
     if (!answer_.leaving) {
       NoteNotUnderstood(name, value);
     }
+  } else if (adapter_.IsUnheardHeader(name)) {
+    // A wish that nobody reads shows in no other way: requests went on to back ends that had asked
+    // for rest, and loads were unknown for a whole release.
+    NoteNotUnderstood(name, value);
   }
 }
 
--- a/src/interfaces/platform_adapter.h
+++ b/src/interfaces/platform_adapter.h
@@ -35,8 +35,8 @@
   std::string server_load;
   /// In answers of back ends: for how many milliseconds more they are slow from a start.
   std::string cold_left_ms;
-  /// In answers of back ends: "1" when the back end is about to end.
-  std::string leaving;
+  /// In answers of back ends, under any of these names: "1" when the back end is about to end.
+  std::vector<std::string> leaving;
   /// In requests to sharded services: the key.
   std::string shard_key;
 };
@@ -62,6 +62,9 @@
   virtual ~PlatformAdapter() = default;
 
   virtual const HeaderNames& headers() const = 0;
+  /// Whether a header of a back end's answer has a name as the platform gives to what it tells nodes,
+  /// and is none that is known here: something is said that nobody hears.
+  virtual bool IsUnheardHeader(std::string_view name) const = 0;
   /// The path of the readiness question.
   virtual std::string_view ready_path() const = 0;
   /// Leaves `load` as it is when nothing of `text` is understood.
--- a/tests/unit/gateway_http/request_reader_test.cc
+++ b/tests/unit/gateway_http/request_reader_test.cc
@@ -123,6 +123,8 @@
   }
   BOOST_TEST(read("200 OK", "T-Leaving: 1\r\n").leaving);
   BOOST_TEST(!read("200 OK", "").leaving);
+  BOOST_TEST(read("200 OK", "T-New: 7\r\n").not_understood == "T-New: 7");
+  BOOST_TEST(read("200 OK", "X-Other: 7\r\n").not_understood.empty());
   BOOST_TEST(read("200 OK", "T-Leaving: maybe\r\n").not_understood == "T-Leaving: maybe");
 }
 
--- a/tests/unit/gateway_http/support.h
+++ b/tests/unit/gateway_http/support.h
@@ -20,6 +20,7 @@
 class TestAdapter : public interfaces::PlatformAdapter {
  public:
   const interfaces::HeaderNames& headers() const override { return names_; }
+  bool IsUnheardHeader(std::string_view name) const override { return name == "T-New"; }
   std::string_view ready_path() const override { return "/ready"; }
   interfaces::Understood ParseToldLoad(std::string_view text,
                                        interfaces::ToldLoad* load) const override;
@@ -44,7 +45,7 @@
  private:
   interfaces::HeaderNames names_{"T-Request-Id",  "T-Deadline-Ms",  "T-Stamp", "T-Expected",
                                  "T-Instance-Id", "T-Not-Executed", "T-Load",  "T-Cold-Ms",
-                                 "T-Leaving",     "T-Key"};
+                                 {"T-Leaving"},   "T-Key"};
 };
 
 /// Runs the loop until `done`; fails the test when that takes too long.
--- a/tests/unit/gateway_store/store_client_test.cc
+++ b/tests/unit/gateway_store/store_client_test.cc
@@ -63,6 +63,7 @@
   }
 
   const interfaces::HeaderNames& headers() const override { return names_; }
+  bool IsUnheardHeader(std::string_view) const override { return false; }
   std::string_view ready_path() const override { return {}; }
   interfaces::Understood ParseToldLoad(std::string_view /*text*/,
                                        interfaces::ToldLoad* /*load*/) const override {
--- a/tests/unit/platform/grant_codec_test.cc
+++ b/tests/unit/platform/grant_codec_test.cc
@@ -106,6 +106,18 @@
   }
 }
 
+// Rest and leaving were asked for with headers that nobody read, and nothing told of it.
+BOOST_AUTO_TEST_CASE(a_header_of_the_platform_that_nobody_reads_is_unheard) {
+  for (const char* name : {"X-Ladderstream-Server-Mood", "server-mood"}) {
+    BOOST_TEST(kAdapter->IsUnheardHeader(name), name);
+  }
+  for (const char* name :
+       {"X-Ladderstream-Server-Load", "x-ladderstream-request-id", "Server-Leaving",
+        "X-Ladderstream-Server-Leaving", "X-Ladderstream-Handover", "X-Mood", "Server", "Date"}) {
+    BOOST_TEST(!kAdapter->IsUnheardHeader(name), name);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(what_is_no_load_changes_nothing) {
   interfaces::ToldLoad load{1, 2, 3, 4};
   for (const char* text :
