Let no grant leave that was decided before a suspension

What callers would see: two owners of a key. A coordinator that is suspended between deciding a renewal and writing it, or while the connection to the owner comes up, would write it after waking, when its lease may be over and a successor has moved the key.

Cause: the time was read when the order was decided, and not again before its first byte.

A grant now says until when it may leave: the end of the lease, and no longer than an order may take from its decision. The client reads the clock right before it writes, also on a connection at hand, and tells such a call as not sent; the coordinator takes it for one without an answer. Commits need none of it (their condition is the lease's row), nor do releases (the next fence).

gateway_http_test what_has_run_out_before_it_could_leave_is_not_sent; ownership_test unchanged.

--- a/src/core/ownership/coordinator.h
+++ b/src/core/ownership/coordinator.h
@@ -111,6 +111,8 @@
   Duration hold;
   /// Empty when the last holder gave none.
   std::string handover;
+  /// It must not leave later: then it is no longer known that this node holds the lease.
+  Time send_by = absl::InfiniteFuture();
 };
 struct ReleaseAction {
   CallId call = 0;
--- a/src/core/ownership/coordinator_orders.cc
+++ b/src/core/ownership/coordinator_orders.cc
@@ -199,7 +199,8 @@
   orders_.Add(
       {call, Order::Kind::kGrant, service.name, state.owner, state.range, state.fence, now, false});
   actions_.emplace_back(GrantAction{call, state.owner, address, state.range, state.fence,
-                                    HoldOf(now), state.handover});
+                                    HoldOf(now), state.handover,
+                                    std::min(LeaseUntil(), now + settings_.order_timeout)});
 }
 
 void Coordinator::Impl::SendRelease(ServiceState& service, const std::string& backend,
--- a/src/gateway/http/http_client.cc
+++ b/src/gateway/http/http_client.cc
@@ -40,14 +40,14 @@
 }
 
 HttpCallId HttpClient::Call(const Endpoint& to, const interfaces::HttpRequest& request,
-                            Duration answer_timeout, CallCallback callback) {
+                            const CallTiming& timing, CallCallback callback) {
   const HttpCallId call = ++last_call_;
   ConnectionPtr connection = TakeIdle(to);
   if (connection == nullptr) {
     connection = std::make_shared<HttpClientConnection>(*this, to);
   }
   calls_.emplace(call, connection);
-  connection->Start(call, Serialize(to, request), request.method == "HEAD", answer_timeout,
+  connection->Start(call, Serialize(to, request), request.method == "HEAD", timing,
                     std::move(callback));
   return call;
 }
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -45,6 +45,13 @@
   std::string detail;
 };
 
+struct CallTiming {
+  /// Counts from the moment the connection is up.
+  Duration answer_timeout;
+  /// Nothing is sent later, as what was decided may not hold any more.
+  Time send_by = absl::InfiniteFuture();
+};
+
 using CallCallback = std::function<void(CallResult)>;
 using HttpCallId = uint64_t;
 
@@ -57,10 +64,10 @@
   /// Ends all calls without calling back.
   ~HttpClient();
 
-  /// `callback` is called once from the event loop, never from in here. `answer_timeout` counts
-  /// from the moment the connection is up. A connection on which an answer is late is closed.
+  /// `callback` is called once from the event loop, never from in here. A connection on which an
+  /// answer is late is closed.
   HttpCallId Call(const Endpoint& to, const interfaces::HttpRequest& request,
-                  Duration answer_timeout, CallCallback callback);
+                  const CallTiming& timing, CallCallback callback);
   /// Ends the call without calling back; it may have been done all the same.
   void Cancel(HttpCallId call);
 
--- a/src/gateway/http/http_client_connection.cc
+++ b/src/gateway/http/http_client_connection.cc
@@ -37,11 +37,11 @@
 }
 
 void HttpClientConnection::Start(HttpCallId call, std::string message, bool is_head_method,
-                                 Duration answer_timeout, CallCallback callback) {
+                                 const CallTiming& timing, CallCallback callback) {
   call_ = call;
   message_ = std::move(message);
   is_head_method_ = is_head_method;
-  answer_timeout_ = answer_timeout;
+  timing_ = timing;
   callback_ = std::move(callback);
   if (state_ == State::kIdle) {
     Send();
@@ -76,12 +76,7 @@
     BoundSilence(socket_, client_.settings_.user_timeout, error);
   }
   if (error) {
-    // Not from within the caller's own call.
-    boost::asio::post(client_.loop_, [self = shared_from_this(), call = call_] {
-      if (self->state_ == State::kConnecting && self->call_ == call) {
-        self->Fail(CallOutcome::kNotConnected, "no socket");
-      }
-    });
+    FailSoon("no socket");
     return;
   }
   SetTimer(client_.settings_.connect_timeout);
@@ -90,6 +85,14 @@
   });
 }
 
+void HttpClientConnection::FailSoon(const char* detail) {
+  boost::asio::post(client_.loop_, [self = shared_from_this(), call = call_, detail] {
+    if (self->state_ != State::kClosed && self->call_ == call) {
+      self->Fail(CallOutcome::kNotConnected, detail);
+    }
+  });
+}
+
 void HttpClientConnection::OnConnect(const ErrorCode& error) {
   if (state_ != State::kConnecting) {
     return;
@@ -104,9 +107,15 @@
 }
 
 void HttpClientConnection::Send() {
+  // The machine may have been suspended since the call was decided: an order of a coordinator whose
+  // lease is over must not leave.
+  if (client_.clock_.Now() >= timing_.send_by) {
+    FailSoon("too late to be sent");
+    return;
+  }
   state_ = State::kBusy;
   BeginAnswer();
-  SetTimer(answer_timeout_);
+  SetTimer(timing_.answer_timeout);
   boost::asio::async_write(
       socket_, boost::asio::buffer(message_),
       [self = shared_from_this(), call = call_](const ErrorCode& error, size_t /*size*/) {
--- a/src/gateway/http/http_client_connection.h
+++ b/src/gateway/http/http_client_connection.h
@@ -25,7 +25,7 @@
   bool IsSound();
 
   /// Makes one call, on a connection that is new or idle.
-  void Start(HttpCallId call, std::string message, bool is_head_method, Duration answer_timeout,
+  void Start(HttpCallId call, std::string message, bool is_head_method, const CallTiming& timing,
              CallCallback callback);
   /// Closes without calling back.
   void Close();
@@ -46,6 +46,8 @@
   void Finish();
   void Fail(CallOutcome outcome, std::string detail);
   void SetTimer(Duration timeout);
+  /// Fails the call, but not from within the caller's own.
+  void FailSoon(const char* detail);
   interfaces::HttpResponse TakeResponse();
 
   HttpClient& client_;
@@ -57,7 +59,7 @@
   HttpCallId call_ = 0;
   std::string message_;
   bool is_head_method_ = false;
-  Duration answer_timeout_;
+  CallTiming timing_;
   CallCallback callback_;
   std::optional<Parser> parser_;
   /// Bytes read and not yet taken.
--- a/src/node/http_client_exchanger.cc
+++ b/src/node/http_client_exchanger.cc
@@ -23,7 +23,7 @@
 interfaces::ExchangeId HttpClientExchanger::Exchange(const Endpoint& to,
                                                      const interfaces::HttpRequest& request,
                                                      Duration timeout, Callback callback) {
-  return client_->Call(to, request, timeout,
+  return client_->Call(to, request, {timeout},
                        [callback = std::move(callback)](gateway::CallResult result) {
                          callback({StatusOf(result.outcome), std::move(result.response)});
                        });
--- a/src/node/order_sender.cc
+++ b/src/node/order_sender.cc
@@ -13,16 +13,16 @@
       on_reply_(std::move(on_reply)) {}
 
 void OrderSender::Send(const ownership::GrantAction& grant) {
-  Call(grant.call, grant.address, adapter_->EncodeGrant(grant), timeout_);
+  Call(grant.call, grant.address, adapter_->EncodeGrant(grant), {timeout_, grant.send_by});
 }
 
 void OrderSender::Send(const ownership::ReleaseAction& release) {
-  Call(release.call, release.address, adapter_->EncodeRelease(release), release_timeout_);
+  Call(release.call, release.address, adapter_->EncodeRelease(release), {release_timeout_});
 }
 
 void OrderSender::Call(ownership::CallId call, const Endpoint& address,
-                       const interfaces::HttpRequest& request, Duration timeout) {
-  client_->Call(address, request, timeout, [this, call](const gateway::CallResult& result) {
+                       const interfaces::HttpRequest& request, const gateway::CallTiming& timing) {
+  client_->Call(address, request, timing, [this, call](const gateway::CallResult& result) {
     on_reply_(call, ReplyOf(result));
   });
 }
--- a/src/node/order_sender.h
+++ b/src/node/order_sender.h
@@ -26,7 +26,7 @@
 
  private:
   void Call(ownership::CallId call, const Endpoint& address, const interfaces::HttpRequest& request,
-            Duration timeout);
+            const gateway::CallTiming& timing);
   ownership::OrderReply ReplyOf(const gateway::CallResult& result) const;
 
   gateway::HttpClient* const client_;
--- a/tests/unit/gateway_http/http_client_test.cc
+++ b/tests/unit/gateway_http/http_client_test.cc
@@ -26,13 +26,14 @@
     interfaces::HttpRequest request;
     request.method = "GET";
     request.target = target;
-    client.Call(backend.address(), request, timeout, [&](const CallResult& got) { result = got; });
+    client.Call(backend.address(), request, {timeout},
+                [&](const CallResult& got) { result = got; });
     RunUntil(loop, [&] { return result.has_value(); });
     return *result;
   }
 
   EventLoop loop{1};
-  BootTimeSource clock;
+  JumpingClock clock;
   TestBackend backend{loop};
   HttpClientSettings settings;
   HttpClient client{loop, clock, settings};
@@ -93,12 +94,43 @@
   interfaces::HttpRequest request;
   request.method = "GET";
   request.target = "/";
-  client.Call(gone, request, absl::Seconds(5), [&](const CallResult& got) { result = got; });
+  client.Call(gone, request, {absl::Seconds(5)}, [&](const CallResult& got) { result = got; });
   BOOST_TEST(!result.has_value());
   RunUntil(loop, [&] { return result.has_value(); });
   BOOST_TEST((result->outcome == CallOutcome::kRefused));
 }
 
+// A machine that is suspended between a decision and the first byte, or while the connection comes
+// up, would send a grant of a lease that is over. Found in reading.
+BOOST_AUTO_TEST_CASE(what_has_run_out_before_it_could_leave_is_not_sent) {
+  const auto call_across_a_jump = [this] {
+    std::optional<CallResult> result;
+    interfaces::HttpRequest request;
+    request.method = "GET";
+    request.target = "/late";
+    const Time send_by = clock.Now() + absl::Seconds(1);
+    client.Call(backend.address(), request, {absl::Seconds(5), send_by},
+                [&](const CallResult& got) { result = got; });
+    clock.ahead += absl::Seconds(5);
+    RunUntil(loop, [&] { return result.has_value(); });
+    return result->outcome;
+  };
+  BOOST_TEST((call_across_a_jump() == CallOutcome::kNotConnected));
+  BOOST_TEST(backend.requests.empty());
+  // Also when a connection is at hand.
+  BOOST_TEST((Call("/first").outcome == CallOutcome::kAnswered));
+  std::optional<CallResult> result;
+  interfaces::HttpRequest request;
+  request.method = "GET";
+  request.target = "/late";
+  client.Call(backend.address(), request, {absl::Seconds(5), clock.Now()},
+              [&](const CallResult& got) { result = got; });
+  BOOST_TEST(!result.has_value());
+  RunUntil(loop, [&] { return result.has_value(); });
+  BOOST_TEST((result->outcome == CallOutcome::kNotConnected));
+  BOOST_TEST(backend.requests.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_cut_short_is_no_answer) {
   backend.on_request = [](TestSocket& socket, const std::string&) {
     socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
@@ -113,7 +145,7 @@
   interfaces::HttpRequest request;
   request.method = "GET";
   request.target = "/";
-  const HttpCallId call = client.Call(backend.address(), request, absl::Seconds(5),
+  const HttpCallId call = client.Call(backend.address(), request, {absl::Seconds(5)},
                                       [&](const CallResult&) { called = true; });
   RunUntil(loop, [&] { return backend.requests.size() == 1; });
   client.Cancel(call);
