Tell that the machine was suspended, and trust no answer that lay waiting meanwhile

What callers could see: a request sent to a back end seconds longer than allowed after it left, by a node that slept. Whoever is on call saw nothing of a suspension at all.

Cause: an answer to a watch that lay in its connection while the machine slept was taken for one that had come within a second of the change (up to one second is what a loop may be behind).

Two clocks that differ by the time asleep show a suspension at the next turn: the line node_resumed tells how long it was, news count as made after the last answered call until the store has answered again, and a coordinator sends its watches anew.

membership_test WhatAnAnswerTellsAfterASuspensionMayBeAsOldAsTheSuspension is red without it.

--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -131,6 +131,7 @@
   void OnMap(const ownership::OwnershipMap& map, Time now);
   /// The store answered a call that this node's coordinator part had sent then.
   void OnStoreAnswered(Time sent) { relay_.OnStoreAnswered(sent); }
+  void OnResumed() { relay_.OnResumed(); }
   void OnStoreUnanswered() { relay_.OnStoreUnanswered(); }
 
   /// Answers ReportDueAction.
--- a/src/core/membership/table_relay.cc
+++ b/src/core/membership/table_relay.cc
@@ -88,6 +88,15 @@
   }
 }
 
+void TableRelay::OnResumed() {
+  for (store::TableFollower* follower : followers_) {
+    follower->OnResumed();
+    if (leading_) {
+      follower->WatchAnew();
+    }
+  }
+}
+
 void TableRelay::OnStoreAnswered(Time sent) {
   // The watches may have been lost as the other call was. With a lease that outlasts the silence
   // nothing else shows it, and a change was told up to 6 s late.
--- a/src/core/membership/table_relay.h
+++ b/src/core/membership/table_relay.h
@@ -40,6 +40,8 @@
   void OnLeading(bool leading);
   /// The store answered a call of this node, other than the followers', that was sent then.
   void OnStoreAnswered(Time sent);
+  /// The machine was suspended.
+  void OnResumed();
   /// Another call of this node got no answer.
   void OnStoreUnanswered() { store_silent_ = true; }
 
--- a/src/core/store/table_follower.h
+++ b/src/core/store/table_follower.h
@@ -117,6 +117,9 @@
   /// The same for a copy that other nodes rely on from now on: without any pause after the first
   /// reading, and with a new watch in place of one that is on its way.
   void ResumeAtOnce();
+  /// The process has not run for a while: an answer may have waited for it, and says of no change
+  /// that it happened just now.
+  void OnResumed() { deaf_ = true; }
   /// Sends a new watch in place of one that is on its way, which may never be answered.
   void WatchAnew();
   bool Suspended(Time now) const { return now < suspended_until_; }
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -338,6 +338,11 @@
 }
 
 void ControlPlane::Pump() {
+  const Duration suspended = suspension_.Check();
+  if (suspended > absl::ZeroDuration()) {
+    beliefs_->OnResumed(suspended);
+    membership_.OnResumed();
+  }
   const Time now = Now();
   coordinator_.OnTick(now);
   membership_.OnTick(now);
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -18,6 +18,7 @@
 #include "gateway/peer/peer_transport.h"
 #include "gateway/settings/node_settings.h"
 #include "gateway/store/store_client.h"
+#include "gateway/suspension_watch.h"
 #include "interfaces/platform_adapter.h"
 #include "node/catalog_tables.h"
 #include "node/http_client_exchanger.h"
@@ -136,6 +137,7 @@
   uint64_t known_holder_ = 0;
   Time next_own_load_ = absl::InfinitePast();
 
+  gateway::SuspensionWatch suspension_;
   gateway::Timer timer_;
   Time armed_for_ = absl::InfiniteFuture();
   bool pump_posted_ = false;
--- a/src/observability/belief_log.cc
+++ b/src/observability/belief_log.cc
@@ -251,6 +251,10 @@
                EventField(FieldName::kElapsedMs, elapsed)});
 }
 
+void BeliefLog::OnResumed(Duration suspended) {
+  log_->Write(EventName::kNodeResumed, {EventField(FieldName::kElapsedMs, suspended)});
+}
+
 void BeliefLog::OnSettingsReloaded(std::string_view cause, std::string_view detail) {
   log_->Write(EventName::kSettingsReloaded,
               {EventField(FieldName::kCause, cause), EventField(FieldName::kDetail, detail)});
--- a/src/observability/belief_log.h
+++ b/src/observability/belief_log.h
@@ -76,6 +76,8 @@
   /// `running`: requests without an answer.
   void OnStopping(std::string_view cause, uint64_t running);
   void OnStopped(std::string_view cause, uint64_t running, Duration elapsed);
+  /// The machine was suspended for so long.
+  void OnResumed(Duration suspended);
   void OnSettingsReloaded(std::string_view cause, std::string_view detail);
   void OnSettingsRejected(std::string_view cause, std::string_view reason);
 
--- a/src/observability/event_list.h
+++ b/src/observability/event_list.h
@@ -50,6 +50,7 @@
   kNodeNotReady,
   kNodeStopping,
   kNodeStopped,
+  kNodeResumed,
   kSettingsReloaded,
   kSettingsRejected,
   kLinesOmitted,
--- a/tests/unit/gateway_http/suspension_test.cc
+++ b/tests/unit/gateway_http/suspension_test.cc
@@ -7,6 +7,7 @@
 #include <type_traits>
 
 #include "gateway/http/boot_timer.h"
+#include "gateway/suspension_watch.h"
 #include "support.h"
 
 namespace ladderstream::gateway {
@@ -48,6 +49,18 @@
   RunUntil(loop, [&fired] { return fired; });
 }
 
+BOOST_AUTO_TEST_CASE(a_suspension_is_found_by_two_clocks) {
+  SuspensionWatch watch;
+  const Time start = absl::UnixEpoch() + absl::Hours(9);
+  BOOST_TEST((watch.OnReadings(start, absl::Hours(4)) == absl::ZeroDuration()));
+  const Duration awake = absl::Hours(4) + absl::Seconds(1);
+  // The process had to wait between the two readings.
+  BOOST_TEST((watch.OnReadings(start + absl::Milliseconds(1040), awake) == absl::ZeroDuration()));
+  BOOST_TEST((watch.OnReadings(start + absl::Seconds(6), awake) == absl::Seconds(5)));
+  BOOST_TEST((watch.OnReadings(start + absl::Seconds(7), awake + absl::Seconds(1)) ==
+              absl::ZeroDuration()));
+}
+
 BOOST_AUTO_TEST_CASE(a_timer_does_not_go_off_early) {
   EventLoop loop{1};
   ClockTimer<SleepingMachineClock> timer(loop.get_executor());
--- a/tests/unit/membership/table_relay_test.cc
+++ b/tests/unit/membership/table_relay_test.cc
@@ -112,6 +112,20 @@
   BOOST_TEST(node.Watch().empty());
 }
 
+// A machine slept for 5 s with a watch on its way; the answer lay in its connection meanwhile, and
+// was taken for one that had come within a second of the change.
+BOOST_AUTO_TEST_CASE(WhatAnAnswerTellsAfterASuspensionMayBeAsOldAsTheSuspension) {
+  WatchingRelay node;
+  const Time asked = node.now;
+  const std::vector<uint64_t> watches = node.Watch();
+  node.now += absl::Seconds(7);
+  node.relay.OnResumed();
+  const store::Row row{{"backends", "", "new"}, "value", 101, false};
+  node.backends.OnReply(watches.back(), {store::StoreStatus::kDone, {row}, false, 101, ""},
+                        node.now);
+  BOOST_TEST((node.backends.rows().at("new").changed_after <= asked));
+}
+
 BOOST_AUTO_TEST_CASE(ANodeThatNobodyReliesOnKeepsItsWatches) {
   WatchingRelay node;
   node.Watch();
--- a/tests/unit/observability/request_observer_test.cc
+++ b/tests/unit/observability/request_observer_test.cc
@@ -234,6 +234,7 @@
   beliefs.OnReady(false, "no configuration");
   beliefs.OnStopping("SIGTERM", 3);
   beliefs.OnStopped("SIGTERM", 0, absl::Seconds(1));
+  beliefs.OnResumed(absl::Seconds(5));
   beliefs.OnSettingsReloaded("SIGHUP", "log.level");
   beliefs.OnSettingsRejected("SIGHUP", "unknown setting");
   observer.OnMalformed(ResultCode::kMalformedRequest, "no host");
