--- a/tests/unit/ownership/lease_test.cc
+++ b/tests/unit/ownership/lease_test.cc
@@ -43,6 +43,59 @@
   BOOST_TEST(!chain.Valid(kStart + settings.lease));
 }
 
+// A machine slept through its lease; what reaches the process first after waking may be anything.
+BOOST_AUTO_TEST_CASE(AHolderThatSleptThroughItsLeaseGrantsNothingWhateverComesFirst) {
+  enum class First { kTick, kStoreReply, kOrderReply, kLoad, kCatalog };
+  for (const First first :
+       {First::kTick, First::kStoreReply, First::kOrderReply, First::kLoad, First::kCatalog}) {
+    ModelStore store;
+    Harness node(&store, 1, 1, kStart);
+    node.Settle({"a", "b"});
+    node.store_answers = false;
+    node.silent = {"a", "b"};
+    node.Run(node.settings.lease_renewal + node.settings.hold_renewal);
+    const At<CommitAction> commit = node.commits.back();
+    const At<GrantAction> grant = node.grants.back();
+    const store::StoreReply reply = store.Apply(commit.sent.transaction);
+    node.now += node.settings.lease + absl::Seconds(1);
+    const Time woken = node.now;
+    switch (first) {
+      case First::kTick:
+        node.coordinator.OnTick(node.now);
+        break;
+      case First::kStoreReply:
+        node.coordinator.OnStoreReply(commit.sent.call, reply, node.now);
+        break;
+      case First::kOrderReply:
+        node.coordinator.OnOrderReply(grant.sent.call, {OrderStatus::kDone, ""}, node.now);
+        break;
+      case First::kLoad:
+        node.coordinator.OnLoad(Harness::kService, {{7, 1000.0}}, {}, node.now);
+        break;
+      case First::kCatalog:
+        node.Register({"a"});
+        break;
+    }
+    node.Drain();
+    BOOST_TEST(!node.coordinator.Holds(node.now));
+    BOOST_TEST(node.GrantsSince(woken).empty());
+    const bool released = std::any_of(node.releases.begin(), node.releases.end(),
+                                      [woken](const auto& release) { return release.at >= woken; });
+    BOOST_TEST(!released);
+  }
+}
+
+// A grant may lie between its decision and its first byte while the machine sleeps.
+BOOST_AUTO_TEST_CASE(AGrantSaysUntilWhenItMayLeave) {
+  ModelStore store;
+  Harness node(&store, 1, 1, kStart);
+  node.Settle({"a"});
+  for (const At<GrantAction>& grant : node.grants) {
+    BOOST_TEST((grant.sent.send_by > grant.at));
+    BOOST_TEST((grant.sent.send_by <= grant.at + node.settings.lease));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ASlowAnswerDoesNotLengthenTheLease) {
   ModelStore store;
   CoordinatorSettings settings;
