Let an operator release a request that is held

Held for five minutes or more, a request that was held by mistake had no way out but time. A setting names one by its fingerprint, as the belief "held" shows it; it takes effect at the reload of any one node, which tells the others as if the request had been served. Anything but 32 hexadecimal digits is refused with its place.

--- a/src/core/quarantine/crash_suspects.h
+++ b/src/core/quarantine/crash_suspects.h
@@ -89,6 +89,9 @@
   /// A back end has answered the request.
   void OnServed(const Fingerprint& request, Time now);
 
+  /// An operator lets it go; as if it had been served.
+  void Release(const Fingerprint& request, Time now) { OnServed(request, now); }
+
   /// Back ends to connect to now, for OnRefused or OnConnected.
   std::vector<std::string> TakeProbes(Time now);
   Time NextProbe() const;
--- a/src/core/quarantine/fingerprint.h
+++ b/src/core/quarantine/fingerprint.h
@@ -1,11 +1,15 @@
 // Names a request by what it asks and who asks it.
 #pragma once
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 
 namespace ladderstream::quarantine {
 
@@ -28,4 +32,17 @@
   return absl::StrFormat("%016x%016x", fingerprint.high, fingerprint.low);
 }
 
+/// Reads what Format gives; nothing when `text` is no fingerprint.
+inline std::optional<Fingerprint> ParseFingerprint(std::string_view text) {
+  constexpr size_t kDigits = 16;
+  Fingerprint fingerprint;
+  const absl::string_view digits(text.data(), text.size());
+  if (text.size() != 2 * kDigits ||
+      !absl::SimpleHexAtoi(digits.substr(0, kDigits), &fingerprint.high) ||
+      !absl::SimpleHexAtoi(digits.substr(kDigits), &fingerprint.low)) {
+    return std::nullopt;
+  }
+  return fingerprint;
+}
+
 }  // namespace ladderstream::quarantine
--- a/src/gateway/settings/node_settings.cc
+++ b/src/gateway/settings/node_settings.cc
@@ -1,5 +1,7 @@
 #include "gateway/settings/node_settings.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -196,6 +198,17 @@
   reader->ReadDuration("forwarding.answer_margin", kOptional, kLong, &forwarding->answer_margin);
 }
 
+void ReadReleasedRequest(SettingsReader* reader, NodeSettings* settings) {
+  constexpr char kName[] = "forwarding.released_request";
+  std::string text;
+  reader->ReadText(kName, kOptional, &text);
+  settings->released_request = quarantine::ParseFingerprint(text);
+  if (!text.empty() && !settings->released_request.has_value()) {
+    reader->AddInconsistency(absl::StrCat(kName, " = \"", text, "\""),
+                             "32 hexadecimal digits, as the belief \"held\" names the request");
+  }
+}
+
 }  // namespace
 
 NodeSettings LoadNodeSettings(const std::string& path,
@@ -215,6 +228,7 @@
   settings.membership.members_lease_reserve =
       settings.ownership.lease - settings.ownership.unrenewed_patience;
   ReadForwarding(&reader, settings, &settings.forwarding);
+  ReadReleasedRequest(&reader, &settings);
   CheckNodeSettings(settings, &reader);
   settings.written = reader.Written();
   reader.Finish();
--- a/src/gateway/settings/node_settings.h
+++ b/src/gateway/settings/node_settings.h
@@ -104,6 +104,8 @@
   /// `zone`, the budget and `drain_serving`, `evacuation_serving` and the cold bounds follow from
   /// the settings above; `node_count` is left at 1.
   forwarding::DispatcherSettings forwarding;
+  /// A request that is held since back ends crashed is let go when this is set or changed.
+  std::optional<quarantine::Fingerprint> released_request;
 };
 
 /// Reads and checks the settings. An empty `path` reads no file. Throws settings::SettingsError
--- a/src/gateway/settings/settings_file.cc
+++ b/src/gateway/settings/settings_file.cc
@@ -12,8 +12,9 @@
 namespace ladderstream::gateway {
 namespace {
 
-constexpr std::array<std::string_view, 9> kReloadable = {
+constexpr std::array<std::string_view, 10> kReloadable = {
     "node.log_level",
+    "forwarding.released_request",
     "store.writes_per_second",
     "store.reads_per_second",
     "store.partition_writes_per_second",
--- a/tests/unit/gateway_settings/settings_file_test.cc
+++ b/tests/unit/gateway_settings/settings_file_test.cc
@@ -62,6 +62,19 @@
              "in force: bounds.stop_grace, node.log_level; from the next start: listen.callers");
 }
 
+BOOST_AUTO_TEST_CASE(a_request_is_released_by_its_fingerprint_only) {
+  const std::string fingerprint = "00000000000000010000000000000002";
+  const auto load = [](const std::string& text) {
+    const TemporaryFile file(Content("info", "10.0.0.1:1") + "[forwarding]\nreleased_request = \"" +
+                             text + "\"\n");
+    return SettingsFile(file.path()).Load().released_request;
+  };
+  BOOST_TEST((load(fingerprint) == quarantine::Fingerprint{1, 2}));
+  BOOST_TEST(!load("").has_value());
+  BOOST_CHECK_THROW(load("/gofi710/8366/65e8"), settings::SettingsError);
+  BOOST_TEST(IsReloadable("forwarding.released_request"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/unit/quarantine/crash_suspects_test.cc
+++ b/tests/unit/quarantine/crash_suspects_test.cc
@@ -131,6 +131,25 @@
   BOOST_TEST((table.Judge(kGuilty, now).held_until - now > 1.9 * first));
 }
 
+BOOST_AUTO_TEST_CASE(an_operator_lets_it_go_at_all_nodes) {
+  for (const char* backend : {"b-1", "b-2", "b-3"}) {
+    Crash(backend, {kGuilty});
+  }
+  Suspects other;
+  other.now = now;
+  other.table.Merge(table.Shared(now), now);
+  BOOST_TEST(other.Held(kGuilty));
+  const std::optional<Fingerprint> named = ParseFingerprint(Format(kGuilty));
+  BOOST_TEST_REQUIRE(named.has_value());
+  table.Release(*named, now);
+  BOOST_TEST(!Held(kGuilty));
+  BOOST_TEST(table.TakeNews());
+  other.table.Merge(table.Shared(now), now);
+  BOOST_TEST(!other.Held(kGuilty));
+  BOOST_TEST(!ParseFingerprint("b-1").has_value());
+  BOOST_TEST(!ParseFingerprint(std::string(32, 'x')).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_single_accusation_is_forgotten) {
   Crash("b-1", {kGuilty});
   now += absl::Minutes(2);
