--- a/src/gateway/settings/node_settings.cc
+++ b/src/gateway/settings/node_settings.cc
@@ -200,12 +200,14 @@
 
 void ReadReleasedRequest(SettingsReader* reader, NodeSettings* settings) {
   constexpr char kName[] = "forwarding.released_request";
-  std::string text;
+  constexpr char kNone[] = "none";
+  std::string text = kNone;
   reader->ReadText(kName, kOptional, &text);
   settings->released_request = quarantine::ParseFingerprint(text);
-  if (!text.empty() && !settings->released_request.has_value()) {
-    reader->AddInconsistency(absl::StrCat(kName, " = \"", text, "\""),
-                             "32 hexadecimal digits, as the belief \"held\" names the request");
+  if (text != kNone && !settings->released_request.has_value()) {
+    reader->AddInconsistency(
+        absl::StrCat(kName, " = \"", text, "\""),
+        "none, or 32 hexadecimal digits, as the belief \"held\" names the request");
   }
 }
 
