Give the keys of an owner that turns requests away with free slots to others

Four of 14 owners served nobody for nine seconds and kept the keys of a third of all reads.

Cause: a node leaves such an owner alone, and nobody told the coordinator, which moves keys for load, leaving and silence only.

A node reports who turned it away with free slots, once for each rest. At the second such report within some three seconds that four answers each do not outweigh, the coordinator gives that owner's keys to others and gives it none for five seconds, doubled while it goes on, up to a minute, for a third of a service at most. A full owner is not meant: it is relieved by its load.

--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -119,7 +119,11 @@
     services_.NoteLeaving(*attempt.backend, now);
   }
   if (answer.rest.has_value()) {
+    const bool rested = attempt.backend->Rests(now);
     services_.NoteRest(*answer.rest, *attempt.backend, now);
+    if (!rested && HasRoom(answer.load)) {
+      attempt.service->load.AddDeclined(attempt.backend->registration.id, *answer.rest);
+    }
   }
   LearnFromAnswer(attempt, answer, now);
   suspects_.OnConnected(attempt.backend->registration.id);
@@ -200,7 +204,11 @@
   }
   // One that says when it may be asked again is not ill, and is used as before from then on.
   if (has_room && !answer.rest.has_value()) {
-    NoteEjection(backend, "refuses though it has free slots", backend.outlier.OnFailure(now));
+    const Duration ejected = backend.outlier.OnFailure(now);
+    NoteEjection(backend, "refuses though it has free slots", ejected);
+    if (ejected > absl::ZeroDuration()) {
+      attempt.service->load.AddDeclined(backend.registration.id, ejected);
+    }
   }
 }
 
--- a/src/core/load/load_counter.cc
+++ b/src/core/load/load_counter.cc
@@ -28,6 +28,7 @@
     load.samples.push_back(std::move(sample));
   }
   load.denied_key = std::exchange(denied_, std::nullopt);
+  load.declined = std::exchange(declined_, {});
   keys_.clear();
   samples_.clear();
   return load;
--- a/src/core/load/load_counter.h
+++ b/src/core/load/load_counter.h
@@ -13,6 +13,13 @@
 
 namespace ladderstream::load {
 
+/// A back end that turned a request away though it had free slots, and for how long it is left
+/// alone.
+struct Declined {
+  std::string backend;
+  Duration rest;
+};
+
 /// What a node saw of one service since it told this last, for the coordinator.
 struct ServiceLoad {
   std::string service;
@@ -20,6 +27,7 @@
   std::vector<partition::ServiceTimeSample> samples;
   /// A key whose owner said that it does not own it.
   std::optional<ownership::Key> denied_key;
+  std::vector<Declined> declined;
 };
 
 class LoadCounter {
@@ -30,14 +38,25 @@
   void AddServiceTime(const std::string& backend, Duration elapsed, bool includes_wait);
   void SetDenied(ownership::Key key) { denied_ = key; }
 
-  bool empty() const { return keys_.empty() && samples_.empty() && !denied_; }
+  /// Once for each rest, not for each request.
+  void AddDeclined(const std::string& backend, Duration rest) {
+    if (declined_.size() < kMostDeclined) {
+      declined_.push_back({backend, rest});
+    }
+  }
+
+  bool empty() const { return keys_.empty() && samples_.empty() && !denied_ && declined_.empty(); }
   /// What was counted since the last Take.
   ServiceLoad Take(const std::string& service);
 
  private:
+  /// Of one report.
+  static constexpr size_t kMostDeclined = 32;
+
   absl::flat_hash_map<ownership::Key, uint32_t> keys_;
   absl::flat_hash_map<std::string, partition::ServiceTimeSample> samples_;
   std::optional<ownership::Key> denied_;
+  std::vector<Declined> declined_;
 };
 
 }  // namespace ladderstream::load
--- a/src/core/membership/message_codec.cc
+++ b/src/core/membership/message_codec.cc
@@ -53,6 +53,8 @@
   Require(backends == load.answers.size() && backends == load.busy_us.size() &&
               backends == load.includes_wait.size(),
           "loads: back ends and their figures differ in number");
+  Require(load.declined_by.size() == load.rest_ms.size(),
+          "loads: back ends that declined and their rests differ in number");
   Require(load.reported_share > 0 && load.reported_share <= 1,
           "loads: the reported share is not between 0 and 1");
   for (const uint32_t key : load.keys) {
--- a/src/core/membership/messages.h
+++ b/src/core/membership/messages.h
@@ -45,8 +45,12 @@
   /// The share of the sender's back ends that this report tells of.
   double reported_share = 1;
   std::vector<uint32_t> denied_keys;
+  /// Back ends that turned requests away though they had free slots, and for how long the sender
+  /// leaves each alone, in milliseconds.
+  std::vector<std::string> declined_by;
+  std::vector<uint32_t> rest_ms;
   MSGPACK_DEFINE_ARRAY(service, keys, counts, backends, answers, busy_us, includes_wait,
-                       reported_share, denied_keys);
+                       reported_share, denied_keys, declined_by, rest_ms);
 };
 
 /// Of an age that the sender does not tell.
--- a/src/core/ownership/backend_directory.cc
+++ b/src/core/ownership/backend_directory.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/catalog/incarnation_id.h"
+#include "wire/exponential_decay.h"
 
 namespace ladderstream::ownership {
 namespace {
@@ -15,6 +16,20 @@
 constexpr Duration kFirstDistrust = absl::Seconds(3);
 constexpr Duration kLastDistrust = absl::Seconds(30);
 
+/// Counts of rests and answers fade with this time constant: that of the reports of a few turns.
+constexpr Duration kDeclinedMemory = absl::Seconds(3);
+/// One rest may be chance; so may be some beside so many answers.
+constexpr double kDeclinedToAvoid = 1.5;
+constexpr double kDeclinedShare = 0.25;
+/// A back end that goes on declining gets no keys for twice as long each time, as every change of
+/// owner is paid for; a minute after it was given some again that is forgotten.
+constexpr Duration kShortestAvoidance = absl::Seconds(5);
+constexpr Duration kLongestAvoidance = absl::Minutes(1);
+constexpr Duration kForgetAvoidance = absl::Minutes(1);
+/// Where more of a service are ill, or all are overloaded, moving keys only moves the trouble:
+/// deployments are made to bear the loss of one zone of three.
+constexpr double kMostAvoided = 1.0 / 3;
+
 /// Back ends that have gone are forgotten only above this many: the row of one that is known may
 /// come back late without passing for a newcomer at its address.
 constexpr size_t kMostRemembered = 2048;
@@ -24,6 +39,59 @@
 
 }  // namespace
 
+namespace {
+
+void FadeCounts(KnownBackend* backend, Time now) {
+  const double left = ExponentialDecay(now - backend->counted_at, kDeclinedMemory);
+  backend->declined *= left;
+  backend->served *= left;
+  backend->counted_at = now;
+}
+
+}  // namespace
+
+bool BackendDirectory::RecordDeclined(const std::string& id, Duration rest, Time now) {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) {
+    return false;
+  }
+  KnownBackend& known = found->second;
+  FadeCounts(&known, now);
+  known.declined += 1;
+  if (now < known.avoided_until || known.declined < kDeclinedToAvoid ||
+      known.declined < kDeclinedShare * known.served) {
+    return false;
+  }
+  const bool again = now - known.avoided_until < kForgetAvoidance;
+  known.avoidance = std::clamp(again ? std::max(rest, 2 * known.avoidance) : rest,
+                               kShortestAvoidance, kLongestAvoidance);
+  known.avoided_until = now + known.avoidance;
+  return true;
+}
+
+void BackendDirectory::RecordServed(const std::string& id, uint32_t answers, Time now) {
+  const auto found = backends_.find(id);
+  if (found != backends_.end()) {
+    FadeCounts(&found->second, now);
+    found->second.served += answers;
+  }
+}
+
+bool BackendDirectory::IsAvoided(const KnownBackend& backend, Time now) const {
+  if (now >= backend.avoided_until) {
+    return false;
+  }
+  size_t accepting = 0;
+  size_t avoided = 0;
+  for (const auto& [id, known] : backends_) {
+    if (known.service == backend.service && Accepts(id)) {
+      ++accepting;
+      avoided += now < known.avoided_until ? 1 : 0;
+    }
+  }
+  return static_cast<double>(avoided) <= kMostAvoided * static_cast<double>(accepting);
+}
+
 BackendDirectory::BackendDirectory(const CoordinatorSettings& settings) : settings_(settings) {}
 
 RegistrationChanges BackendDirectory::Update(const std::vector<catalog::Backend>& backends,
@@ -232,7 +300,7 @@
     backend.id = id;
     backend.zone = known.zone;
     backend.slots = known.slots;
-    const bool avoided = avoid_cold && IsBoundedByCold(known, now);
+    const bool avoided = (avoid_cold && IsBoundedByCold(known, now)) || IsAvoided(known, now);
     backend.accepts = Accepts(id) && !avoided;
     backend.keeps = Keeps(id) && !avoided;
     backend.cold_left = std::max(known.cold_until - now, absl::ZeroDuration());
--- a/src/core/ownership/backend_directory.h
+++ b/src/core/ownership/backend_directory.h
@@ -29,6 +29,14 @@
   Time cold_until = absl::InfinitePast();
   bool bounded_by_cold = false;
 
+  /// Rests that nodes keep for it, and requests that it served, both fading since `counted_at`.
+  double declined = 0;
+  double served = 0;
+  Time counted_at = absl::InfinitePast();
+  /// It turns requests away though it has room, and gets no keys before.
+  Time avoided_until = absl::InfinitePast();
+  Duration avoidance = absl::ZeroDuration();
+
   /// Grants in a row that were not confirmed.
   uint32_t failures = 0;
   /// Every one of them was a refused connection.
@@ -69,6 +77,11 @@
   bool RecordAnswer(const std::string& id);
   /// A grant was not confirmed; `refused`: nothing listened at its address.
   void RecordFailure(const std::string& id, bool refused, Time sent, Time now);
+  /// A node leaves it alone for `rest`, since it turned a request away with free slots. Gives
+  /// whether its keys are to go elsewhere from now on.
+  bool RecordDeclined(const std::string& id, Duration rest, Time now);
+  /// It served so many requests.
+  void RecordServed(const std::string& id, uint32_t answers, Time now);
   /// It left a release unanswered: if it is silent, it stays so for a while longer.
   void RecordUnansweredRelease(const std::string& id, Time now);
   /// Gives those that turned silent since the last call.
@@ -95,6 +108,8 @@
   static bool IsBoundedByCold(const KnownBackend& backend, Time now) {
     return backend.bounded_by_cold && now < backend.cold_until;
   }
+  /// Whether it is avoided, and so few of its service are that the others can take over.
+  bool IsAvoided(const KnownBackend& backend, Time now) const;
   /// Whether some back end of the service may be given keys and bears any rate of requests.
   bool AnyWarmAccepts(const std::string& service, Time now) const;
   /// Most of a service's back ends are silent: more likely this node is cut off.
--- a/src/core/ownership/belief_events.h
+++ b/src/core/ownership/belief_events.h
@@ -51,6 +51,7 @@
 
 /// A back end leaves orders unanswered: it gets no keys for a while, and loses those it has.
 inline constexpr char kOwnerSilent[] = "owner_silent";
+inline constexpr char kOwnerDeclines[] = "owner_declines";
 /// A silent back end answered again.
 inline constexpr char kOwnerAnswers[] = "owner_answers";
 /// It is proven that a back end has ended.
--- a/src/core/ownership/coordinator.cc
+++ b/src/core/ownership/coordinator.cc
@@ -108,6 +108,21 @@
   }
   state->partitioner->AddLoad(counts, now);
   state->partitioner->AddServiceTimes(samples, now);
+  for (const partition::ServiceTimeSample& sample : samples) {
+    directory_.RecordServed(sample.backend, sample.answers, now);
+  }
+}
+
+void Coordinator::Impl::OnOwnerDeclined(const std::string& service, const std::string& backend,
+                                        Duration rest, Time now) {
+  ServiceState* state = FindService(service);
+  if (state == nullptr || !directory_.RecordDeclined(backend, rest, now)) {
+    return;
+  }
+  Believe(belief::kOwnerDeclines,
+          absl::StrCat(backend, " of ", service, " for ", absl::FormatDuration(rest)));
+  AskSoon(*state, now);
+  AdvanceSoon(now);
 }
 
 void Coordinator::Impl::OnOwnerDenied(const std::string& service, Key key, Time now) {
@@ -320,6 +335,11 @@
   impl_->OnLoad(service, counts, samples, now);
 }
 
+void Coordinator::OnOwnerDeclined(const std::string& service, const std::string& backend,
+                                  Duration rest, Time now) {
+  impl_->OnOwnerDeclined(service, backend, rest, now);
+}
+
 void Coordinator::OnOwnerDenied(const std::string& service, Key key, Time now) {
   impl_->OnOwnerDenied(service, key, now);
 }
--- a/src/core/ownership/coordinator.h
+++ b/src/core/ownership/coordinator.h
@@ -169,6 +169,10 @@
   /// What all nodes counted for one service.
   void OnLoad(const std::string& service, const std::vector<partition::KeyCount>& counts,
               const std::vector<partition::ServiceTimeSample>& samples, Time now);
+  /// A back end turned a node's request away though it had free slots, and is left alone by that
+  /// node for `rest`.
+  void OnOwnerDeclined(const std::string& service, const std::string& backend, Duration rest,
+                       Time now);
   /// A node got "does not own the key" from an owner of the map in force: check its grant.
   void OnOwnerDenied(const std::string& service, Key key, Time now);
   /// It is proven that this incarnation of a back end has ended, and so holds nothing.
--- a/src/core/ownership/coordinator_impl.h
+++ b/src/core/ownership/coordinator_impl.h
@@ -35,6 +35,8 @@
   void OnCoordinatorEnded(uint64_t incarnation, Time now);
   void OnLoad(const std::string& service, const std::vector<partition::KeyCount>& counts,
               const std::vector<partition::ServiceTimeSample>& samples, Time now);
+  void OnOwnerDeclined(const std::string& service, const std::string& backend, Duration rest,
+                       Time now);
   void OnOwnerDenied(const std::string& service, Key key, Time now);
   void OnBackendEnded(const std::string& backend, Time now);
   void OnStoreReply(CallId call, const store::StoreReply& reply, Time now);
--- a/src/core/quarantine/crash_suspects.cc
+++ b/src/core/quarantine/crash_suspects.cc
@@ -151,7 +151,8 @@
   const auto old = std::erase_if(record->crashes,
                                  [served_at](const Crash& crash) { return crash.at <= served_at; });
   if (old > 0 && notes_.size() < kMostNotes) {
-    notes_.push_back({record->request, "cleared", "a back end has served it, or an operator has released it"});
+    notes_.push_back(
+        {record->request, "cleared", "a back end has served it, or an operator has released it"});
   }
   return old > 0;
 }
--- a/src/interfaces/platform_adapter.h
+++ b/src/interfaces/platform_adapter.h
@@ -62,8 +62,8 @@
   virtual ~PlatformAdapter() = default;
 
   virtual const HeaderNames& headers() const = 0;
-  /// Whether a header of a back end's answer has a name as the platform gives to what it tells nodes,
-  /// and is none that is known here: something is said that nobody hears.
+  /// Whether a header of a back end's answer has a name as the platform gives to what it tells
+  /// nodes, and is none that is known here: something is said that nobody hears.
   virtual bool IsUnheardHeader(std::string_view name) const = 0;
   /// The path of the readiness question.
   virtual std::string_view ready_path() const = 0;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -256,8 +256,7 @@
   dispatcher_.SetRetryBudget(fresh.bounds.retry_budget_ratio, fresh.bounds.retry_budget_slack,
                              fresh.bounds.retry_budget_window);
   control_plane_.Apply(fresh);
-  if (fresh.released_request.has_value() &&
-      fresh.released_request != settings_.released_request) {
+  if (fresh.released_request.has_value() && fresh.released_request != settings_.released_request) {
     dispatcher_.suspects().Release(*fresh.released_request, Now());
     data_path_.Pump();
   }
--- a/tests/unit/membership/message_codec_test.cc
+++ b/tests/unit/membership/message_codec_test.cc
@@ -24,7 +24,8 @@
 Report SoundReport() {
   Report report;
   report.sender = MakeIdentity(1);
-  report.loads.push_back({"scripts", {7}, {3.5F}, {"backend-1"}, {4}, {900}, {1}, 0.5, {8}});
+  report.loads.push_back(
+      {"scripts", {7}, {3.5F}, {"backend-1"}, {4}, {900}, {1}, 0.5, {8}, {"backend-2"}, {3000}});
   return report;
 }
 
--- a/tests/unit/node/load_exchange_test.cc
+++ b/tests/unit/node/load_exchange_test.cc
@@ -9,6 +9,7 @@
   load::ServiceLoad load;
   load.service = service;
   load.samples.push_back({"backend-1", 2, absl::Milliseconds(90)});
+  load.declined.push_back({"backend-2", absl::Seconds(3)});
   return load;
 }
 
@@ -22,6 +23,8 @@
   BOOST_TEST_REQUIRE(reports.size() == 1);
   BOOST_TEST(reports.front().service == "keyed");
   BOOST_TEST(reports.front().busy_us.front() == 90'000);
+  BOOST_TEST(reports.front().declined_by.front() == "backend-2");
+  BOOST_TEST(reports.front().rest_ms.front() == 3000);
   BOOST_TEST(ToReports(loads, nullptr).empty());
 }
 
--- a/tests/unit/ownership/backend_directory_test.cc
+++ b/tests/unit/ownership/backend_directory_test.cc
@@ -66,6 +66,87 @@
   BOOST_TEST(directory.Keeps("a"));
 }
 
+// Owners of the keys of a third of all reads turned every request away with free slots for nine
+// seconds, and kept their keys: 0.044 of the requests were refused on such a day, and 0.012 with
+// the keys moved.
+struct DecliningOwners {
+  explicit DecliningOwners(int count) : directory(CoordinatorSettings{}) {
+    for (int i = 0; i < count; ++i) {
+      catalog::Backend backend;
+      backend.id = "b-" + std::to_string(i);
+      backend.service = "books";
+      backend.address = {"10.0.0.1", static_cast<uint16_t>(100 + i)};
+      backends.push_back(backend);
+    }
+    directory.Update(backends, {"books"});
+  }
+  bool Decline(const std::string& id) {
+    return directory.RecordDeclined(id, absl::Seconds(3), now);
+  }
+  bool Keeps(const std::string& id) const {
+    for (const partition::PartitionBackend& backend : directory.ForPartitioner("books", {}, now)) {
+      if (backend.id == id) {
+        return backend.keeps && backend.accepts;
+      }
+    }
+    return false;
+  }
+
+  Time now = absl::FromUnixSeconds(1000);
+  BackendDirectory directory;
+  std::vector<catalog::Backend> backends;
+};
+
+BOOST_AUTO_TEST_CASE(an_owner_that_declines_with_free_slots_gives_its_keys_up) {
+  DecliningOwners owners(6);
+  BOOST_TEST(!owners.Decline("b-0"));
+  BOOST_TEST(owners.Keeps("b-0"));
+  BOOST_TEST(owners.Decline("b-0"));
+  BOOST_TEST(!owners.Keeps("b-0"));
+  BOOST_TEST(owners.Keeps("b-1"));
+  // Told once.
+  BOOST_TEST(!owners.Decline("b-0"));
+  owners.now += absl::Seconds(5);
+  BOOST_TEST(owners.Keeps("b-0"));
+}
+
+BOOST_AUTO_TEST_CASE(one_that_goes_on_declining_is_left_alone_for_longer) {
+  DecliningOwners owners(6);
+  owners.Decline("b-0");
+  owners.Decline("b-0");
+  owners.now += absl::Seconds(6);
+  owners.Decline("b-0");
+  owners.Decline("b-0");
+  owners.now += absl::Seconds(9);
+  BOOST_TEST(!owners.Keeps("b-0"));
+  owners.now += absl::Seconds(2);
+  BOOST_TEST(owners.Keeps("b-0"));
+}
+
+BOOST_AUTO_TEST_CASE(one_that_serves_most_of_what_it_gets_keeps_its_keys) {
+  DecliningOwners owners(6);
+  owners.directory.RecordServed("b-0", 40, owners.now);
+  for (int i = 0; i < 5; ++i) {
+    BOOST_TEST(!owners.Decline("b-0"));
+  }
+  BOOST_TEST(owners.Keeps("b-0"));
+}
+
+// Where most of a service decline, moving keys only moves the trouble.
+BOOST_AUTO_TEST_CASE(a_third_of_a_service_gives_keys_up_at_most) {
+  DecliningOwners owners(6);
+  for (const char* id : {"b-0", "b-1"}) {
+    owners.Decline(id);
+    owners.Decline(id);
+    BOOST_TEST(!owners.Keeps(id));
+  }
+  owners.Decline("b-2");
+  owners.Decline("b-2");
+  for (const char* id : {"b-0", "b-1", "b-2"}) {
+    BOOST_TEST(owners.Keeps(id));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/unit/requested_rest/requested_rest_test.cc
+++ b/tests/unit/requested_rest/requested_rest_test.cc
@@ -191,6 +191,35 @@
   BOOST_TEST(sends["b"] > 10);
 }
 
+// So that the coordinator gives its keys to another owner. One that is full has to be relieved by
+// its load, not emptied.
+BOOST_AUTO_TEST_CASE(the_coordinator_hears_of_rest_that_was_asked_for_with_free_slots) {
+  AddBackends("scripts", {"owner"});
+  Own("owner");
+  const SendDecision one = StartAndSend("/scripts/x", absl::Seconds(2), 7);
+  const SendDecision other = StartAndSend("/scripts/x", absl::Seconds(2), 8);
+  dispatcher.TakeLoad();
+  RefuseForRest(one);
+  RefuseForRest(other);
+  const std::vector<load::ServiceLoad> loads = dispatcher.TakeLoad();
+  BOOST_TEST_REQUIRE(loads.size() == 1U);
+  BOOST_TEST_REQUIRE(loads.front().declined.size() == 1U);
+  BOOST_TEST(loads.front().declined.front().backend == "owner");
+  BOOST_TEST((loads.front().declined.front().rest == kRest));
+  Advance(kRest);
+  dispatcher.TakeDecisions();
+  const SendDecision full = StartAndSend("/scripts/x", absl::Seconds(2), 7);
+  AttemptAnswer answer;
+  answer.status = 503;
+  answer.not_executed = true;
+  answer.load = {.running = 2, .waiting = 8, .slots = 2};
+  answer.rest = kRest;
+  dispatcher.OnAttemptAnswer(full.attempt, answer, now);
+  for (const load::ServiceLoad& load : dispatcher.TakeLoad()) {
+    BOOST_TEST(load.declined.empty());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(the_rest_is_told) {
   AddBackends("scripts", {"owner"});
   Own("owner");
