--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -233,11 +233,11 @@
   /// Every attempt ends with one OnAttemptAnswer or OnAttemptFailure, unless it was cancelled; also
   /// one whose request has got its final answer already.
   ///
-  /// The connection is up and the request is about to be written to it. To be called before the
-  /// first byte is handed over: until then the attempt counts as one that never left.
   /// Whether an attempt that was decided on earlier may still go to its back end, which may have
   /// left or asked for rest since.
   bool MaySend(AttemptHandle attempt, Time now) const;
+  /// The connection is up and the request is about to be written to it. To be called before the
+  /// first byte is handed over: until then the attempt counts as one that never left.
   void OnSent(AttemptHandle attempt, Time now);
   void OnAttemptAnswer(AttemptHandle attempt, const AttemptAnswer& answer, Time now);
   void OnAttemptFailure(AttemptHandle attempt, AttemptFailure failure, Time now);
--- a/src/core/ownership/backend_directory.cc
+++ b/src/core/ownership/backend_directory.cc
@@ -37,10 +37,6 @@
 /// With fewer back ends, nothing is concluded from most of them being silent.
 constexpr size_t kFewestForMajority = 3;
 
-}  // namespace
-
-namespace {
-
 void FadeCounts(KnownBackend* backend, Time now) {
   const double left = ExponentialDecay(now - backend->counted_at, kDeclinedMemory);
   backend->declined *= left;
@@ -50,48 +46,6 @@
 
 }  // namespace
 
-bool BackendDirectory::RecordDeclined(const std::string& id, Duration rest, Time now) {
-  const auto found = backends_.find(id);
-  if (found == backends_.end()) {
-    return false;
-  }
-  KnownBackend& known = found->second;
-  FadeCounts(&known, now);
-  known.declined += 1;
-  if (now < known.avoided_until || known.declined < kDeclinedToAvoid ||
-      known.declined < kDeclinedShare * known.served) {
-    return false;
-  }
-  const bool again = now - known.avoided_until < kForgetAvoidance;
-  known.avoidance = std::clamp(again ? std::max(rest, 2 * known.avoidance) : rest,
-                               kShortestAvoidance, kLongestAvoidance);
-  known.avoided_until = now + known.avoidance;
-  return true;
-}
-
-void BackendDirectory::RecordServed(const std::string& id, uint32_t answers, Time now) {
-  const auto found = backends_.find(id);
-  if (found != backends_.end()) {
-    FadeCounts(&found->second, now);
-    found->second.served += answers;
-  }
-}
-
-bool BackendDirectory::IsAvoided(const KnownBackend& backend, Time now) const {
-  if (now >= backend.avoided_until) {
-    return false;
-  }
-  size_t accepting = 0;
-  size_t avoided = 0;
-  for (const auto& [id, known] : backends_) {
-    if (known.service == backend.service && Accepts(id)) {
-      ++accepting;
-      avoided += now < known.avoided_until ? 1 : 0;
-    }
-  }
-  return static_cast<double>(avoided) <= kMostAvoided * static_cast<double>(accepting);
-}
-
 BackendDirectory::BackendDirectory(const CoordinatorSettings& settings) : settings_(settings) {}
 
 RegistrationChanges BackendDirectory::Update(const std::vector<catalog::Backend>& backends,
@@ -191,6 +145,48 @@
   known.failing_since = std::min(known.failing_since, noticed);
 }
 
+bool BackendDirectory::RecordDeclined(const std::string& id, Duration rest, Time now) {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) {
+    return false;
+  }
+  KnownBackend& known = found->second;
+  FadeCounts(&known, now);
+  known.declined += 1;
+  if (now < known.avoided_until || known.declined < kDeclinedToAvoid ||
+      known.declined < kDeclinedShare * known.served) {
+    return false;
+  }
+  const bool again = now - known.avoided_until < kForgetAvoidance;
+  known.avoidance = std::clamp(again ? std::max(rest, 2 * known.avoidance) : rest,
+                               kShortestAvoidance, kLongestAvoidance);
+  known.avoided_until = now + known.avoidance;
+  return true;
+}
+
+void BackendDirectory::RecordServed(const std::string& id, uint32_t answers, Time now) {
+  const auto found = backends_.find(id);
+  if (found != backends_.end()) {
+    FadeCounts(&found->second, now);
+    found->second.served += answers;
+  }
+}
+
+bool BackendDirectory::IsAvoided(const KnownBackend& backend, Time now) const {
+  if (now >= backend.avoided_until) {
+    return false;
+  }
+  size_t accepting = 0;
+  size_t avoided = 0;
+  for (const auto& [id, known] : backends_) {
+    if (known.service == backend.service && Accepts(id)) {
+      ++accepting;
+      avoided += now < known.avoided_until ? 1 : 0;
+    }
+  }
+  return static_cast<double>(avoided) <= kMostAvoided * static_cast<double>(accepting);
+}
+
 void BackendDirectory::RecordUnansweredRelease(const std::string& id, Time now) {
   const auto found = backends_.find(id);
   if (found != backends_.end() && found->second.silent) {
--- a/src/standin/fleet/soak_schedule.cc
+++ b/src/standin/fleet/soak_schedule.cc
@@ -137,26 +137,6 @@
   return fault;
 }
 
-}  // namespace
-
-std::string_view NameOf(FaultKind kind) { return kNames.at(static_cast<size_t>(kind)); }
-
-std::vector<SoakFault> DrawSchedule(uint64_t seed, Duration length) {
-  Draw draw(seed);
-  std::vector<SoakFault> schedule;
-  draw.AtMoments(length, [&](int64_t at, int64_t end) {
-    SoakFault fault;
-    fault.kind = draw.SingleKind();
-    fault.at = absl::Milliseconds(at);
-    fault.lasts = absl::Milliseconds(std::min(draw.Between(kShortestMs, kLongestMs), end - at));
-    fault.target = draw.Below(kTargets);
-    schedule.push_back(fault);
-  });
-  return schedule;
-}
-
-namespace {
-
 std::vector<SoakFault> DrawSeriesOf(std::span<const Series> all, uint64_t seed, Duration length) {
   Draw draw(seed);
   std::vector<SoakFault> schedule;
@@ -182,6 +162,22 @@
 
 }  // namespace
 
+std::string_view NameOf(FaultKind kind) { return kNames.at(static_cast<size_t>(kind)); }
+
+std::vector<SoakFault> DrawSchedule(uint64_t seed, Duration length) {
+  Draw draw(seed);
+  std::vector<SoakFault> schedule;
+  draw.AtMoments(length, [&](int64_t at, int64_t end) {
+    SoakFault fault;
+    fault.kind = draw.SingleKind();
+    fault.at = absl::Milliseconds(at);
+    fault.lasts = absl::Milliseconds(std::min(draw.Between(kShortestMs, kLongestMs), end - at));
+    fault.target = draw.Below(kTargets);
+    schedule.push_back(fault);
+  });
+  return schedule;
+}
+
 std::vector<SoakFault> DrawSeries(uint64_t seed, Duration length) {
   return DrawSeriesOf(kSeries, seed, length);
 }
