--- a/tests/unit/gateway_http/suspension_test.cc
+++ b/tests/unit/gateway_http/suspension_test.cc
@@ -19,7 +19,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<SleepingMachineClock>;
-  static constexpr bool is_steady = true;
   static inline duration asleep{};
 
   static time_point now() noexcept {
