--- a/src/gateway/http/event_loop.h
+++ b/src/gateway/http/event_loop.h
@@ -5,12 +5,11 @@
 #include <array>
 #include <boost/asio/basic_socket_acceptor.hpp>
 #include <boost/asio/basic_stream_socket.hpp>
-#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <chrono>
 #include <memory>
 
+#include "gateway/http/boot_timer.h"
 #include "gateway/http/byte_budget.h"
 #include "gateway/http/loop_lag.h"
 #include "wire/identifiers.h"
@@ -23,9 +22,6 @@
 using ErrorCode = boost::system::error_code;
 using Socket = boost::asio::basic_stream_socket<Tcp, EventLoop::executor_type>;
 using Acceptor = boost::asio::basic_socket_acceptor<Tcp, EventLoop::executor_type>;
-using Timer = boost::asio::basic_waitable_timer<std::chrono::steady_clock,
-                                                boost::asio::wait_traits<std::chrono::steady_clock>,
-                                                EventLoop::executor_type>;
 
 /// Bytes that a connection reads with one pending operation. Heads and short bodies fit.
 constexpr size_t kReadBufferBytes = 4096;
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -441,7 +441,7 @@
   wake = std::min(wake, configuration_follower_.NextWake());
   wake = std::min(wake, backend_follower_.NextWake());
   wake = std::min(wake, coordinator_.Holds(Now()) ? next_own_load_ : absl::InfiniteFuture());
-  if (wake == armed_for_ && timer_.expiry() > std::chrono::steady_clock::now()) {
+  if (wake == armed_for_ && timer_.expiry() > BootClock::now()) {
     return;
   }
   armed_for_ = wake;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,7 +12,6 @@
 #include "gateway/http/readiness_server.h"
 #include "gateway/settings/node_settings.h"
 #include "gateway/settings/settings_file.h"
-#include "gateway/steady_clock.h"
 #include "interfaces/platform_adapter.h"
 #include "node/control_plane.h"
 #include "observability/belief_log.h"
@@ -20,6 +19,7 @@
 #include "observability/log_output.h"
 #include "observability/node_metrics.h"
 #include "observability/request_observer.h"
+#include "wire/boot_clock.h"
 
 namespace ladderstream::node {
 
@@ -67,7 +67,7 @@
   std::string MetricsText();
   Time Now() const { return clock_.Now(); }
 
-  gateway::SteadyClock clock_;
+  BootTimeSource clock_;
   gateway::EventLoop loop_{1};
   gateway::NodeSettings settings_;
   const interfaces::PlatformAdapterPtr adapter_;
--- a/src/operator_service/change_runner.cc
+++ b/src/operator_service/change_runner.cc
@@ -2,11 +2,12 @@
 
 #include <absl/time/clock.h>
 #include <absl/time/time.h>
-#include <time.h>
 
 #include <utility>
 #include <variant>
 
+#include "wire/boot_clock.h"
+
 namespace ladderstream::operator_service {
 namespace {
 
@@ -16,12 +17,6 @@
 using changes::SubmissionOutcome;
 using changes::WriteRows;
 
-Time SteadyNow() {
-  timespec reading{};
-  clock_gettime(CLOCK_MONOTONIC, &reading);
-  return absl::TimeFromTimespec(reading);
-}
-
 class PlatformFormat final : public changes::ConfigurationFormat {
  public:
   PlatformFormat(interfaces::PlatformAdapterPtr adapter, size_t max_value_bytes)
@@ -56,7 +51,7 @@
 SubmissionOutcome RunChange(const changes::SubmissionRequest& request,
                             const changes::ConfigurationFormatPtr& format,
                             const changes::SubmissionTiming& timing, BlockingStore* store) {
-  ChangeSubmission submission(request, format, timing, SteadyNow());
+  ChangeSubmission submission(request, format, timing, BootTimeNow());
   SubmissionAction action = submission.Start();
   while (!std::holds_alternative<SubmissionOutcome>(action)) {
     if (const auto* const read = std::get_if<ReadRow>(&action)) {
@@ -65,13 +60,13 @@
                                                    .partition = read->key.partition,
                                                    .from_key = read->key.key,
                                                    .most_rows = 1});
-      action = submission.OnRead(reply, SteadyNow());
+      action = submission.OnRead(reply, BootTimeNow());
       continue;
     }
     const auto& write = std::get<WriteRows>(action);
     absl::SleepFor(write.delay);
     const store::StoreReply reply = store->Execute(write.transaction);
-    action = submission.OnWrite(reply, SteadyNow());
+    action = submission.OnWrite(reply, BootTimeNow());
   }
   return std::get<SubmissionOutcome>(action);
 }
--- a/src/standin/fleet/event_loop.cc
+++ b/src/standin/fleet/event_loop.cc
@@ -6,7 +6,7 @@
 #include <memory>
 #include <utility>
 
-#include "standin/support/boot_time.h"
+#include "wire/boot_clock.h"
 
 namespace ladderstream::fleet {
 namespace {
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-Time EventLoop::Now() { return standin::BootTimeNow(); }
+Time EventLoop::Now() { return BootTimeNow(); }
 
 void EventLoop::After(Duration delay, std::function<void()> action) {
   auto timer = std::make_shared<boost::asio::steady_timer>(context_);
