--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -122,10 +122,14 @@
     services_.NoteRest(*answer.rest, *attempt.backend, now);
   }
   LearnFromAnswer(attempt, answer, now);
+  suspects_.OnConnected(attempt.backend->registration.id);
   Request* request = FindRequest(attempt.request);
   if (request != nullptr) {
     switch (MeaningOf(answer)) {
       case AnswerMeaning::kFinal:
+        if (request->fingerprint.has_value() && answer.status < kFirstServerError) {
+          suspects_.OnServed(*request->fingerprint, now);
+        }
         Finish(*request, RelayDecision{handle}, now);
         break;
       case AnswerMeaning::kRefused:
@@ -247,10 +251,40 @@
   DispatchWaiting(*attempt.service, now);
 }
 
+void Dispatcher::Impl::OnRequestLost(AttemptHandle handle,
+                                     const quarantine::Fingerprint& fingerprint, Time now) {
+  const auto found = attempts_.find(handle);
+  if (found == attempts_.end() || !found->second.sent) {
+    return;
+  }
+  const Attempt& attempt = found->second;
+  suspects_.OnLost(fingerprint, attempt.backend->registration.id, now);
+  Request* request = FindRequest(attempt.request);
+  if (request == nullptr) {
+    return;
+  }
+  request->fingerprint = fingerprint;
+  const auto& known = request->lost_with;
+  if (std::find(known.begin(), known.end(), attempt.backend) == known.end()) {
+    request->lost_with.push_back(attempt.backend);
+  }
+}
+
+bool Dispatcher::Impl::MayCrashAnother(const Request& request, Time now) const {
+  if (!request.fingerprint.has_value()) {
+    return false;
+  }
+  // Its own losses are counted before it is known that the back ends have crashed: a third one
+  // would be gone by then.
+  return request.lost_with.size() >= quarantine::kCrashesToStopRetries ||
+         suspects_.Judge(*request.fingerprint, now).crashes >= quarantine::kCrashesToStopRetries;
+}
+
 void Dispatcher::Impl::LearnFromFailure(const Attempt& attempt, AttemptFailure failure, Time now) {
   BackendState& backend = *attempt.backend;
   switch (failure) {
     case AttemptFailure::kConnectRefused:
+      suspects_.OnRefused(backend.registration.id, now);
       NoteEjection(backend, "refused a connection", backend.outlier.OnConnectRefused(now));
       break;
     case AttemptFailure::kConnectTimeout:
@@ -309,11 +343,10 @@
   if (!request.sharded) {
     request.failed.push_back(attempt.backend);
   }
-  if (!request.repeatable()) {
-    Finish(request,
-           AnswerUnserved(request, Choice(), StopCause::kNotRepeatable, ownership_.map(), random_,
-                          now),
-           now);
+  const bool spares_others = MayCrashAnother(request, now);
+  if (!request.repeatable() || spares_others) {
+    const StopCause cause = spares_others ? StopCause::kMayCrashAnother : StopCause::kNotRepeatable;
+    Finish(request, AnswerUnserved(request, Choice(), cause, ownership_.map(), random_, now), now);
     return;
   }
   Continue(request, SendCause::kAfterLoss, now);
--- a/src/core/forwarding/deadlines.cc
+++ b/src/core/forwarding/deadlines.cc
@@ -41,7 +41,8 @@
 }
 
 Time Dispatcher::Impl::NextWake() const {
-  return timers_.empty() ? absl::InfiniteFuture() : timers_.begin()->first;
+  const Time next = timers_.empty() ? absl::InfiniteFuture() : timers_.begin()->first;
+  return std::min(next, suspects_.NextProbe());
 }
 
 void Dispatcher::Impl::OnTick(Time now) {
--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -115,6 +115,16 @@
     return refuse(ResultCode::kShuttingDown, kStoppingRetryAfter,
                   absl::StrCat(request.service->name, ": this node ends before the request might"));
   }
+  request.fingerprint = incoming.fingerprint;
+  if (request.fingerprint.has_value()) {
+    const quarantine::Judgement judgement = suspects_.Judge(*request.fingerprint, now);
+    if (judgement.Held(now)) {
+      return refuse(ResultCode::kQuarantined, judgement.held_until - now,
+                    absl::StrCat(request.service->name, ": it was at work at ", judgement.crashes,
+                                 " back ends as they crashed (", judgement.backends, "), request ",
+                                 quarantine::Format(*request.fingerprint)));
+    }
+  }
   request.service->budget.AddRequest(retry_limits_, now);
   if (request.sharded) {
     if (!request.key || *request.key > ownership::kLastKey) {
@@ -161,6 +171,20 @@
   return loads;
 }
 
+std::vector<BackendBelief> Dispatcher::Impl::TakeBeliefs() {
+  std::vector<BackendBelief> beliefs = services_.TakeBeliefs();
+  for (quarantine::SuspectNote& note : suspects_.TakeNotes()) {
+    beliefs.push_back(
+        {quarantine::Format(note.request), std::move(note.event), std::move(note.detail)});
+  }
+  return beliefs;
+}
+
+const Endpoint* Dispatcher::Impl::AddressOf(const std::string& backend) const {
+  const BackendStatePtr state = services_.FindBackend(backend);
+  return state == nullptr ? nullptr : &state->registration.address;
+}
+
 bool Dispatcher::Impl::CanServe(Time now) const {
   const auto& configuration = routes_.configuration();
   if (configuration == nullptr || stopping_) {
@@ -269,6 +293,14 @@
 void Dispatcher::OnAttemptFailure(AttemptHandle attempt, AttemptFailure failure, Time now) {
   impl_->OnAttemptFailure(attempt, failure, now);
 }
+void Dispatcher::OnRequestLost(AttemptHandle attempt, const quarantine::Fingerprint& request,
+                               Time now) {
+  impl_->OnRequestLost(attempt, request, now);
+}
+quarantine::CrashSuspects& Dispatcher::suspects() { return impl_->suspects(); }
+const Endpoint* Dispatcher::AddressOf(const std::string& backend) const {
+  return impl_->AddressOf(backend);
+}
 void Dispatcher::OnTick(Time now) { impl_->OnTick(now); }
 std::vector<RequestDecision> Dispatcher::TakeDecisions() { return impl_->TakeDecisions(); }
 Time Dispatcher::NextWake() const { return impl_->NextWake(); }
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -18,6 +18,7 @@
 #include "core/load/load_counter.h"
 #include "core/ownership/ownership_map.h"
 #include "core/partition/partitioner.h"
+#include "core/quarantine/crash_suspects.h"
 #include "wire/result_code.h"
 #include "wire/time.h"
 
@@ -94,6 +95,8 @@
   Time arrival;
   /// When the caller stops waiting; infinite when it did not say.
   Time deadline;
+  /// Needed while something is known of suspects (see Dispatcher::suspects).
+  std::optional<quarantine::Fingerprint> fingerprint = std::nullopt;
 };
 
 /// Why an attempt is made.
@@ -238,12 +241,20 @@
   void OnSent(AttemptHandle attempt, Time now);
   void OnAttemptAnswer(AttemptHandle attempt, const AttemptAnswer& answer, Time now);
   void OnAttemptFailure(AttemptHandle attempt, AttemptFailure failure, Time now);
+  /// To be called before OnAttemptFailure with kLost: which request it was.
+  void OnRequestLost(AttemptHandle attempt, const quarantine::Fingerprint& request, Time now);
   /// To be called at or soon after NextWake().
   void OnTick(Time now);
 
   std::vector<RequestDecision> TakeDecisions();
   Time NextWake() const;
 
+  /// Requests that may crash back ends. Whoever owns the dispatcher makes the probes and exchanges
+  /// what is known with the other nodes.
+  quarantine::CrashSuspects& suspects();
+  /// Where a known back end is; null when it is not known.
+  const Endpoint* AddressOf(const std::string& backend) const;
+
   std::vector<load::ServiceLoad> TakeLoad();
   std::vector<BackendBelief> TakeBeliefs();
   /// Whether every service that has a route has a back end or an owner to send to, and this node is
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -54,12 +54,15 @@
   void OnSent(AttemptHandle handle, Time now);
   void OnAttemptAnswer(AttemptHandle handle, const AttemptAnswer& answer, Time now);
   void OnAttemptFailure(AttemptHandle handle, AttemptFailure failure, Time now);
+  void OnRequestLost(AttemptHandle handle, const quarantine::Fingerprint& fingerprint, Time now);
   void OnTick(Time now);
+  quarantine::CrashSuspects& suspects() { return suspects_; }
+  const Endpoint* AddressOf(const std::string& backend) const;
 
   std::vector<RequestDecision> TakeDecisions() { return std::exchange(decisions_, {}); }
   Time NextWake() const;
   std::vector<load::ServiceLoad> TakeLoad();
-  std::vector<BackendBelief> TakeBeliefs() { return services_.TakeBeliefs(); }
+  std::vector<BackendBelief> TakeBeliefs();
   bool CanServe(Time now) const;
   double RetriesLeft(Time now);
   uint64_t RequestsWaiting();
@@ -104,6 +107,8 @@
   void OnUnclear(Request& request, const Attempt& attempt, const AttemptAnswer& answer, Time now);
   void OnNeverLeft(Request& request, const Attempt& attempt, AttemptFailure failure, Time now);
   void OnLost(Request& request, const Attempt& attempt, SetbackKind kind, int status, Time now);
+  /// Whether it has been lost with so many back ends that one more is not to be risked.
+  bool MayCrashAnother(const Request& request, Time now) const;
   /// The attempt failed: sends the request again, or leaves it to another attempt in flight.
   void Continue(Request& request, SendCause cause, Time now);
 
@@ -126,6 +131,7 @@
   ServiceTable services_;
   OwnershipView ownership_;
   allowance::ColdSenders cold_senders_;
+  quarantine::CrashSuspects suspects_;
   LeastWaitChoice least_wait_;
   OwnerChoice owner_;
   OverloadGuard guarded_least_wait_;
--- a/src/core/forwarding/final_answer.cc
+++ b/src/core/forwarding/final_answer.cc
@@ -205,6 +205,8 @@
       return absl::StrFormat("the service is overloaded: rank %u gets %.2f",
                              request.route->priority,
                              request.service->admission.ShareOf(request.route->priority));
+    case StopCause::kMayCrashAnother:
+      return "it may crash one more back end";
     case StopCause::kTooManyWaiting:
       return absl::StrCat(NameOfObstacle(choice.obstacle), ", and too many wait already");
   }
--- a/src/core/forwarding/final_answer.h
+++ b/src/core/forwarding/final_answer.h
@@ -21,6 +21,8 @@
   kTooManyWaiting,
   /// Its service is overloaded, and others go first.
   kNotAdmitted,
+  /// It was lost with so many back ends that it may have crashed them.
+  kMayCrashAnother,
 };
 
 /// The final answer of a request that nobody serves: 502 when it may have run, otherwise 503 with
--- a/src/core/forwarding/request_state.h
+++ b/src/core/forwarding/request_state.h
@@ -46,6 +46,9 @@
   uint32_t sends = 0;
   std::vector<AttemptHandle> in_flight;
   std::vector<BackendStatePtr> failed;
+  /// Different back ends whose connection ended while it was at work there.
+  std::vector<BackendStatePtr> lost_with;
+  std::optional<quarantine::Fingerprint> fingerprint;
   std::optional<DeniedAssignment> denied;
   Setback setback;
   SendCause next_cause = SendCause::kFirst;
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -43,6 +43,7 @@
 
 void Membership::Handle(const Destination& from, Report report, Time now) {
   const std::optional<PeerIdentity> sender = members_.OnReport(report.sender, from.connection, now);
+  HearSuspects(report.suspects, now);
   Heartbeat answer = NewHeartbeat(now);
   answer.answered_report = report.sequence;
   answer.identity_wanted = !sender.has_value();
@@ -88,6 +89,7 @@
 
 void Membership::Handle(const Destination& from, Heartbeat heartbeat, Time now) {
   const std::optional<SentReport> report = sent_reports_.Take(heartbeat.answered_report);
+  HearSuspects(heartbeat.suspects, now);
   if (relay_.TakeRows(heartbeat, now)) {
     actions_.emplace_back(TablesMergedAction{});
   }
@@ -144,6 +146,22 @@
   }
 }
 
+void Membership::OnSuspects(std::vector<quarantine::SuspectRecord> suspects, bool own, Time now) {
+  suspects_.Set(std::move(suspects), own, now);
+  if (IsCoordinator(now)) {
+    push_wanted_ = true;
+  } else if (own) {
+    next_report_ =
+        std::min(next_report_, std::max(now, sent_reports_.last_sent() + kLossReportPause));
+  }
+}
+
+void Membership::HearSuspects(const std::vector<SharedSuspect>& suspects, Time now) {
+  if (!suspects.empty()) {
+    actions_.emplace_back(SuspectsHeardAction{SuspectExchange::Heard(suspects, now)});
+  }
+}
+
 void Membership::OnConnectFailed(const Endpoint& address, bool refused, Time /*now*/) {
   const bool of_holder = holder_.has_value() && holder_->peer_address == address &&
                          holder_->incarnation != self_.incarnation;
@@ -171,6 +189,7 @@
   }
   if (!holder_.has_value() || lease.epoch > holder_->epoch) {
     holder_ = lease;
+    suspects_.OnNewHolder(now);
     // All nodes learn it at much the same time; their first reports are spread a little.
     next_report_ = now + ReportSpread() * RandomShare();
     if (lease.incarnation != self_.incarnation) {
@@ -299,6 +318,7 @@
   const HeldVersions held = snapshots_.Held();
   report.configuration_version = held.configuration;
   report.backends_version = held.backends;
+  report.suspects = suspects_.ForReport(now);
   return report;
 }
 
@@ -349,6 +369,7 @@
   const HeldVersions held = snapshots_.Held();
   heartbeat.configuration_version = held.configuration;
   heartbeat.backends_version = held.backends;
+  heartbeat.suspects = suspects_.ForHeartbeat(now);
   return heartbeat;
 }
 
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -17,6 +17,7 @@
 #include "core/membership/messages.h"
 #include "core/membership/sent_reports.h"
 #include "core/membership/snapshot_exchange.h"
+#include "core/membership/suspect_exchange.h"
 #include "core/membership/table_relay.h"
 #include "core/membership/whole_copies.h"
 #include "core/store/table_follower.h"
@@ -98,12 +99,16 @@
   std::vector<LoadReport> loads;
   std::vector<std::string> refused_backends;
 };
+/// Another node knows of requests that crash back ends: for CrashSuspects::Merge.
+struct SuspectsHeardAction {
+  std::vector<quarantine::SuspectRecord> suspects;
+};
 /// Rows of another node went into a follower.
 struct TablesMergedAction {};
 using MembershipAction =
     std::variant<SendAction, ReportDueAction, HeartbeatHeardAction, CoordinatorEndedAction,
                  MapChangedAction, MapConfirmedAction, MembersChangedAction, MembersConfirmedAction,
-                 ReportReceivedAction, TablesMergedAction>;
+                 ReportReceivedAction, SuspectsHeardAction, TablesMergedAction>;
 
 class Membership {
  public:
@@ -131,6 +136,9 @@
   void OnMap(const ownership::OwnershipMap& map, Time now);
   /// The store answered a call that this node's coordinator part had sent then.
   void OnStoreAnswered(Time sent) { relay_.OnStoreAnswered(sent); }
+  /// What this node knows of requests that crash back ends. `own`: learned here, and told at once;
+  /// otherwise heard of.
+  void OnSuspects(std::vector<quarantine::SuspectRecord> suspects, bool own, Time now);
   void OnResumed() { relay_.OnResumed(); }
   void OnStoreUnanswered() { relay_.OnStoreUnanswered(); }
 
@@ -161,6 +169,7 @@
   void Handle(const Destination& from, const SnapshotRequest& request, Time now);
   void Handle(const Destination& from, const Snapshot& snapshot, Time now);
 
+  void HearSuspects(const std::vector<SharedSuspect>& suspects, Time now);
   void EndLeading();
   /// False when a holder of a later epoch is known.
   bool LearnHolder(const ownership::LeaseView& lease, Time now);
@@ -199,6 +208,7 @@
   TableRelay relay_;
   MapExchange maps_;
   WholeCopies whole_copies_;
+  SuspectExchange suspects_;
   std::mt19937_64 random_;
   std::vector<MembershipAction> actions_;
 
--- a/src/core/membership/message_codec.cc
+++ b/src/core/membership/message_codec.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <variant>
 
+#include "core/quarantine/crash_suspects.h"
 #include "wire/codec.h"
 #include "wire/result_code.h"
 
@@ -111,14 +112,25 @@
   }
 }
 
+void Check(const std::vector<SharedSuspect>& suspects) {
+  Require(suspects.size() <= quarantine::CrashSuspects::kMostShared, "suspects: too many");
+  for (const SharedSuspect& suspect : suspects) {
+    Require(suspect.backends.size() == suspect.ages_ms.size(),
+            "suspects: back ends and their ages differ in number");
+    Require(suspect.backends.size() <= quarantine::kMostCrashes, "suspects: too many back ends");
+  }
+}
+
 void Check(const Report& report) {
   Require(report.sender.incarnation != 0, "report: no sender");
+  Check(report.suspects);
   for (const LoadReport& load : report.loads) {
     Check(load);
   }
 }
 
 void Check(const Heartbeat& heartbeat) {
+  Check(heartbeat.suspects);
   Require(heartbeat.map.size() <= 1, "heartbeat: more than one map");
   for (const ownership::OwnershipMap& map : heartbeat.map) {
     Require(map.version == heartbeat.map_version, "heartbeat: a map of another version");
--- a/src/core/membership/messages.h
+++ b/src/core/membership/messages.h
@@ -49,6 +49,22 @@
                        reported_share, denied_keys);
 };
 
+/// Of an age that the sender does not tell.
+constexpr uint32_t kUnknownAge = std::numeric_limits<uint32_t>::max();
+
+/// A request that was at work at back ends as they crashed.
+struct SharedSuspect {
+  /// Its fingerprint.
+  uint64_t high = 0;
+  uint64_t low = 0;
+  /// Incarnations of the back ends, and how long ago each was lost, in milliseconds.
+  std::vector<std::string> backends;
+  std::vector<uint32_t> ages_ms;
+  /// How long ago it was last served, in milliseconds.
+  uint32_t served_age_ms = kUnknownAge;
+  MSGPACK_DEFINE_ARRAY(high, low, backends, ages_ms, served_age_ms);
+};
+
 /// From a node to the coordinator. A node that does not know the coordinator sends it, without
 /// loads, to any other node.
 struct Report {
@@ -65,8 +81,9 @@
   std::vector<LoadReport> loads;
   /// Back ends whose connections were refused to this node lately.
   std::vector<std::string> refused_backends;
+  std::vector<SharedSuspect> suspects;
   MSGPACK_DEFINE_ARRAY(sender, sequence, map_version, members_version, configuration_version,
-                       backends_version, loads, refused_backends);
+                       backends_version, loads, refused_backends, suspects);
 };
 
 /// A row as the store holds it; `version` is the store's.
@@ -84,9 +101,6 @@
   MSGPACK_DEFINE_ARRAY(key, version);
 };
 
-/// Of an age that the sender does not tell.
-constexpr uint32_t kUnknownAge = std::numeric_limits<uint32_t>::max();
-
 /// What a copy of one table that is whole up to `base` lacks to be whole up to `version`.
 struct TableNews {
   uint64_t base = 0;
@@ -150,9 +164,10 @@
   bool identity_wanted = false;
   /// From the coordinator: incarnations of the nodes that are to watch the store besides it.
   std::vector<uint64_t> standbys;
+  std::vector<SharedSuspect> suspects;
   MSGPACK_DEFINE_ARRAY(sender, answered_report, lease, lease_left_ms, map_version, map, map_changes,
                        members, members_version, configuration_version, backends_version, tables,
-                       member_changes, identity_wanted, standbys);
+                       member_changes, identity_wanted, standbys, suspects);
 };
 
 /// The sender gives up the lease it holds.
--- /dev/null
+++ b/src/gateway/http/backend_probes.cc
@@ -0,0 +1,64 @@
+#include "gateway/http/backend_probes.h"
+
+#include <utility>
+
+namespace ladderstream::gateway {
+namespace {
+
+/// Neither taken nor refused by then: the back end is cut off or silent, which is no crash.
+constexpr std::chrono::milliseconds kPatience{300};
+
+}  // namespace
+
+struct BackendProbes::Probe {
+  explicit Probe(EventLoop& loop) : socket(loop.get_executor()), timer(loop.get_executor()) {}
+
+  Socket socket;
+  Timer timer;
+  bool ended = false;
+};
+
+BackendProbes::BackendProbes(EventLoop& loop, Callback on_result)
+    : loop_(loop), on_result_(std::move(on_result)) {}
+
+BackendProbes::~BackendProbes() {
+  for (const auto& [backend, probe] : probes_) {
+    probe->ended = true;
+    ErrorCode ignored;
+    probe->socket.close(ignored);
+    probe->timer.cancel();
+  }
+}
+
+void BackendProbes::Start(const std::string& backend, const Endpoint& address) {
+  if (probes_.contains(backend)) {
+    return;
+  }
+  auto probe = std::make_shared<Probe>(loop_);
+  probes_.emplace(backend, probe);
+  const auto end = [this, probe, backend](const ErrorCode& error) {
+    if (!probe->ended) {
+      End(backend, error);
+    }
+  };
+  probe->timer.expires_after(kPatience);
+  probe->timer.async_wait([end](const ErrorCode& error) {
+    if (!error) {
+      end(boost::asio::error::timed_out);
+    }
+  });
+  probe->socket.async_connect(ToTcpEndpoint(address), end);
+}
+
+void BackendProbes::End(const std::string& backend, const ErrorCode& error) {
+  const auto probe = std::move(probes_.extract(backend).mapped());
+  probe->ended = true;
+  ErrorCode ignored;
+  probe->socket.close(ignored);
+  probe->timer.cancel();
+  if (!error || error == boost::asio::error::connection_refused) {
+    on_result_(backend, error == boost::asio::error::connection_refused);
+  }
+}
+
+}  // namespace ladderstream::gateway
--- a/src/gateway/http/caller_server.cc
+++ b/src/gateway/http/caller_server.cc
@@ -47,13 +47,13 @@
     return;
   }
   accept_armed_ = true;
-  acceptor_.async_accept(
-      [this, alive = std::weak_ptr<char>(alive_)](const ErrorCode& error, Socket socket) {
-        if (!alive.expired()) {
-          accept_armed_ = false;
-          OnAccepted(error, std::move(socket));
-        }
-      });
+  acceptor_.async_accept(caller_address_, [this, alive = std::weak_ptr<char>(alive_)](
+                                              const ErrorCode& error, Socket socket) {
+    if (!alive.expired()) {
+      accept_armed_ = false;
+      OnAccepted(error, std::move(socket));
+    }
+  });
 }
 
 void CallerServer::OnAccepted(const ErrorCode& error, Socket socket) {
@@ -69,7 +69,7 @@
     return;
   }
   if (!error) {
-    Add(std::move(socket));
+    Add(std::move(socket), caller_address_);
     AcceptMore();
   }
   ArmAccept();
@@ -78,16 +78,17 @@
 void CallerServer::AcceptMore() {
   for (int accepted = 1; accepted < kMaxAcceptsPerWake; ++accepted) {
     ErrorCode error;
-    Socket socket = acceptor_.accept(error);
+    Tcp::endpoint address;
+    Socket socket = acceptor_.accept(address, error);
     if (error) {
       // Nobody waits, or accepting fails for a reason that the next wait will tell.
       return;
     }
-    Add(std::move(socket));
+    Add(std::move(socket), address);
   }
 }
 
-void CallerServer::Add(Socket socket) {
+void CallerServer::Add(Socket socket, const Tcp::endpoint& address) {
   ErrorCode error;
   PrepareSocket(socket, error);
   if (error) {
@@ -103,6 +104,7 @@
   }
   auto connection = std::make_shared<CallerConnection>(
       std::move(socket), resources_, names_, limits_, static_cast<CallerConnectionOwner&>(*this));
+  connection->set_caller(address.address().to_string());
   if (too_many) {
     connection->RefuseRequests(ResultCode::kTooManyConnections);
   }
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "gateway/http/refusal.h"
+#include "gateway/http/request_fingerprint.h"
 
 namespace ladderstream::gateway {
 
@@ -34,6 +35,16 @@
       observer_(observer != nullptr ? observer : &no_observer_),
       timer_(loop.get_executor()),
       next_sweep_(clock.Now() + settings.sweep_interval),
+      probes_(loop,
+              [this](const std::string& backend, bool refused) {
+                quarantine::CrashSuspects& suspects = dispatcher_.suspects();
+                if (refused) {
+                  suspects.OnRefused(backend, resources_.clock.Now());
+                } else {
+                  suspects.OnConnected(backend);
+                }
+                Pump();
+              }),
       backends_(resources_, adapter, settings.backends, *this, observer),
       callers_(resources_, adapter.headers(), settings.callers, *this) {
   Arm();
@@ -113,9 +124,26 @@
     }
   }
   pumping_ = false;
+  FollowSuspects();
   Arm();
 }
 
+void DataPath::FollowSuspects() {
+  quarantine::CrashSuspects& suspects = dispatcher_.suspects();
+  const Time now = resources_.clock.Now();
+  if (suspects.NextProbe() <= now) {
+    for (const std::string& backend : suspects.TakeProbes(now)) {
+      const Endpoint* const address = dispatcher_.AddressOf(backend);
+      if (address != nullptr) {
+        probes_.Start(backend, *address);
+      }
+    }
+  }
+  if (suspects.TakeNews()) {
+    suspect_news_();
+  }
+}
+
 void DataPath::OnRequest(const CallerConnectionPtr& connection, CallerRequest incoming) {
   const Time now = resources_.clock.Now();
   const auto message = std::make_shared<const CallerRequest>(std::move(incoming));
@@ -136,6 +164,9 @@
   described.key = message->key;
   described.arrival = message->arrival;
   described.deadline = deadline;
+  if (!dispatcher_.suspects().empty()) {
+    described.fingerprint = FingerprintOf(*message);
+  }
   observer_->OnRequestDescribed(described);
   const RequestHandle handle = dispatcher_.Start(described, now);
   connection->set_request_handle(handle);
@@ -232,8 +263,13 @@
   }
   observer_->OnAttemptFailed(found->second.message->request_id, found->second.backend, failure,
                              cause);
+  const CallerRequestPtr message = found->second.message;
   attempts_.erase(found);
-  dispatcher_.OnAttemptFailure(handle, failure, resources_.clock.Now());
+  const Time now = resources_.clock.Now();
+  if (failure == AttemptFailure::kLost) {
+    dispatcher_.OnRequestLost(handle, FingerprintOf(*message), now);
+  }
+  dispatcher_.OnAttemptFailure(handle, failure, now);
   Pump();
 }
 
--- a/src/gateway/http/data_path.h
+++ b/src/gateway/http/data_path.h
@@ -12,6 +12,7 @@
 
 #include "core/forwarding/dispatcher.h"
 #include "gateway/http/backend_pool.h"
+#include "gateway/http/backend_probes.h"
 #include "gateway/http/caller_server.h"
 #include "gateway/http/data_path_observer.h"
 #include "gateway/http/data_path_settings.h"
@@ -39,6 +40,10 @@
   /// dispatcher something.
   void Pump();
 
+  /// `heard` is called, from the event loop, when something was learned here of requests that crash
+  /// back ends (Dispatcher::suspects).
+  void SetSuspectNews(std::function<void()> heard) { suspect_news_ = std::move(heard); }
+
   /// Takes no new connections.
   void StopAccepting() { callers_.StopAccepting(); }
   /// Serves on, but sends callers elsewhere: closes idle connections, and every other one after the
@@ -111,6 +116,8 @@
   void Arm();
   void OnTimer();
   void EndLateAttempts(Time now);
+  /// Makes the probes that are due, and tells what was learned of suspects.
+  void FollowSuspects();
 
   LoopResources resources_;
   forwarding::Dispatcher& dispatcher_;
@@ -131,6 +138,8 @@
   std::function<void()> drained_;
   bool quiet_posted_ = false;
   std::shared_ptr<char> alive_ = std::make_shared<char>();
+  std::function<void()> suspect_news_ = [] {};
+  BackendProbes probes_;
   BackendPool backends_;
   CallerServer callers_;
 };
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -316,6 +316,15 @@
   listener_->OnMembersConfirmed(confirmed.until);
 }
 
+void ControlPlane::Carry(const membership::SuspectsHeardAction& heard) {
+  listener_->OnSuspects(heard.suspects);
+}
+
+void ControlPlane::TellSuspects(std::vector<quarantine::SuspectRecord> suspects, bool own) {
+  membership_.OnSuspects(std::move(suspects), own, Now());
+  PumpSoon();
+}
+
 void ControlPlane::Carry(const membership::ReportReceivedAction& report) {
   TellCoordinator(report.loads, Now(), &coordinator_);
 }
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -41,6 +41,8 @@
   /// All nodes that take part, this one included, by incarnation.
   virtual void OnMembers(const std::vector<uint64_t>& members) = 0;
   virtual void OnMembersConfirmed(Time until) = 0;
+  /// Another node knows of requests that crash back ends.
+  virtual void OnSuspects(const std::vector<quarantine::SuspectRecord>& suspects) = 0;
   /// What the data path counted since the last call.
   virtual std::vector<load::ServiceLoad> TakeLoad() = 0;
 };
@@ -58,6 +60,9 @@
   void Start();
   /// Settings that may change while the process runs.
   void Apply(const gateway::NodeSettings& fresh);
+  /// What this node knows of requests that crash back ends, for the others; see
+  /// membership::Membership::OnSuspects.
+  void TellSuspects(std::vector<quarantine::SuspectRecord> suspects, bool own);
   /// A planned stop: gives the lease up, if this node holds it.
   void Resign();
   /// Whether the lease, if this node held it, has been given up.
@@ -94,6 +99,7 @@
   void Carry(const membership::MembersChangedAction& changed);
   void Carry(const membership::MembersConfirmedAction& confirmed);
   void Carry(const membership::ReportReceivedAction& report);
+  void Carry(const membership::SuspectsHeardAction& heard);
   void Carry(const membership::TablesMergedAction& merged);
 
   /// Runs everything that is due until nothing is left to do, then sets the timer.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -91,6 +91,7 @@
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       housekeeping_(loop_),
       stop_timer_(loop_) {
+  data_path_.SetSuspectNews([this] { TellSuspects(/*own=*/true); });
   readiness_ = std::make_unique<gateway::ReadinessServer>(
       loop_, settings.listen.readiness, adapter_->ready_path(), [this] { return IsReady(); });
   if (settings.listen.metrics) {
@@ -152,6 +153,17 @@
 
 void Node::OnMembersConfirmed(Time until) { dispatcher_.SetMembersConfirmed(until); }
 
+void Node::OnSuspects(const std::vector<quarantine::SuspectRecord>& suspects) {
+  if (dispatcher_.suspects().Merge(suspects, Now())) {
+    TellSuspects(/*own=*/false);
+  }
+}
+
+void Node::TellSuspects(bool own) {
+  control_plane_.TellSuspects(dispatcher_.suspects().Shared(Now()), own);
+  LogBeliefs();
+}
+
 std::vector<load::ServiceLoad> Node::TakeLoad() {
   LogBeliefs();
   return dispatcher_.TakeLoad();
@@ -180,6 +192,7 @@
   state.retry_budget_left = dispatcher_.RetriesLeft(Now());
   state.requests_queued = dispatcher_.RequestsWaiting();
   state.least_admission_share = dispatcher_.LeastAdmissionShare();
+  state.requests_held = dispatcher_.suspects().CountHeld(Now());
   state.loop_lag = data_path_.loop_lag();
   state.requests_in_flight = data_path_.requests_in_flight();
   state.caller_connections = data_path_.caller_connection_count();
@@ -192,6 +205,7 @@
 }
 
 void Node::OnHousekeeping() {
+  dispatcher_.suspects().Forget(Now());
   LogBeliefs();
   log_.OnTick(Now());
   if (++housekeeping_turns_ % kTurnsBetweenStoreCalls == 0) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -44,6 +44,7 @@
   void OnMapConfirmed(Time until) override;
   void OnMembers(const std::vector<uint64_t>& members) override;
   void OnMembersConfirmed(Time until) override;
+  void OnSuspects(const std::vector<quarantine::SuspectRecord>& suspects) override;
   std::vector<load::ServiceLoad> TakeLoad() override;
 
   /// Without the address, the node runs on without metrics.
@@ -63,6 +64,8 @@
   bool IsReady();
   /// Once a second: what changed without an event.
   void OnHousekeeping();
+  /// Tells the other nodes what is known here of requests that crash back ends.
+  void TellSuspects(bool own);
   void LogBeliefs();
   std::string MetricsText();
   Time Now() const { return clock_.Now(); }
--- a/src/observability/node_metrics.cc
+++ b/src/observability/node_metrics.cc
@@ -242,6 +242,8 @@
   SetGauge("ladderstream_least_admission_share",
            "Share of its requests that the most limited service is let through.",
            state.least_admission_share);
+  SetGauge("ladderstream_requests_held", "Requests that are refused since they crashed back ends.",
+           static_cast<double>(state.requests_held));
   SetGauge("ladderstream_loop_lag_seconds", "How far the event loop is behind.",
            absl::ToDoubleSeconds(state.loop_lag));
   SetGauge("ladderstream_caller_connections", "Open connections of callers.",
--- a/src/observability/node_metrics.h
+++ b/src/observability/node_metrics.h
@@ -91,6 +91,8 @@
   double retry_budget_left = 0;
   /// Of the service that is limited most; 1 when none is.
   double least_admission_share = 1;
+  /// Requests that are refused since they crashed back ends.
+  uint64_t requests_held = 0;
   /// How far the event loop is behind.
   Duration loop_lag;
   uint64_t caller_connections = 0;
--- a/src/wire/result_code.h
+++ b/src/wire/result_code.h
@@ -25,6 +25,7 @@
   kBackendShed = 1008,
   kCancelled = 1009,
   kTooManyConnections = 1010,
+  kQuarantined = 1011,
 
   // 2xxx: the outcome is unknown. Only a request declared repeatable may be sent again.
   kConnectionLost = 2001,
--- a/tests/unit/gateway_http/backend_faults_test.cc
+++ b/tests/unit/gateway_http/backend_faults_test.cc
@@ -1,6 +1,7 @@
 // What a faulty back end does must not reach a caller as an answer.
 #include <string>
 
+#include "gateway/http/request_fingerprint.h"
 #include "support.h"
 
 namespace ladderstream::gateway {
@@ -212,6 +213,62 @@
   BOOST_TEST((node.clock.Now() - begin < absl::Seconds(1)));
 }
 
+// What quarantine_test shows of the decisions, over real sockets: a back end that goes down under a
+// request and stays down is found to have crashed, and one that only loses the answer is not.
+BOOST_AUTO_TEST_CASE(a_crash_is_told_from_a_lost_answer) {
+  Node crashing;
+  crashing.backend.on_request = [&](TestSocket& socket, const std::string&) {
+    crashing.backend.StopListening();
+    socket.Reset();
+  };
+  bool told = false;
+  crashing.data_path.SetSuspectNews([&told] { told = true; });
+  BOOST_TEST(IsLost(crashing.Ask(crashing.Connect(), "1", "/order/x")));
+  crashing.WaitUntil([&told] { return told; });
+  BOOST_TEST(crashing.dispatcher.suspects().Shared(crashing.clock.Now()).size() == 1U);
+
+  Node losing;
+  losing.backend.on_request = [](TestSocket& socket, const std::string&) { socket.Reset(); };
+  BOOST_TEST(IsLost(losing.Ask(losing.Connect(), "1", "/order/x")));
+  losing.WaitUntil(
+      [&losing] { return losing.dispatcher.suspects().NextProbe() == absl::InfiniteFuture(); });
+  BOOST_TEST(losing.dispatcher.suspects().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_request_is_known_again_by_what_it_asks_and_who_asks) {
+  const auto make = [] {
+    CallerRequest request;
+    request.head = "GET /work/x HTTP/1.1\r\nT-Request-Id: 1\r\n";
+    request.host = "a.example";
+    request.target = "/work/x";
+    request.caller = "10.0.0.1";
+    request.body = "abc";
+    return request;
+  };
+  const quarantine::Fingerprint first = FingerprintOf(make());
+  CallerRequest again = make();
+  // Another try has another id and less time.
+  again.head = "GET /work/x HTTP/1.1\r\nT-Request-Id: 2\r\nT-Deadline-Ms: 9\r\n";
+  again.request_id = "2";
+  BOOST_TEST((FingerprintOf(again) == first));
+  const auto differs = [&](const std::function<void(CallerRequest&)>& change) {
+    CallerRequest other = make();
+    change(other);
+    return FingerprintOf(other) != first;
+  };
+  BOOST_TEST(differs([](CallerRequest& other) { other.head = "PUT /work/x HTTP/1.1\r\n"; }));
+  BOOST_TEST(differs([](CallerRequest& other) { other.host = "b.example"; }));
+  BOOST_TEST(differs([](CallerRequest& other) { other.target = "/work/y"; }));
+  BOOST_TEST(differs([](CallerRequest& other) { other.caller = "10.0.0.2"; }));
+  BOOST_TEST(differs([](CallerRequest& other) { other.key = 7; }));
+  BOOST_TEST(differs([](CallerRequest& other) { other.body = "abd"; }));
+  // No two lists of parts run together to the same.
+  BOOST_TEST(differs([](CallerRequest& other) {
+    other.host = "a.example/";
+    other.target = "work/x";
+  }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/unit/gateway_http/support.cc
+++ b/tests/unit/gateway_http/support.cc
@@ -140,6 +140,11 @@
 
 Endpoint TestBackend::address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
 
+void TestBackend::StopListening() {
+  ErrorCode ignored;
+  acceptor_.close(ignored);
+}
+
 void TestBackend::Accept() {
   acceptor_.async_accept([this](const ErrorCode& error, Socket accepted) {
     if (error) {
--- a/tests/unit/gateway_http/support.h
+++ b/tests/unit/gateway_http/support.h
@@ -93,6 +93,8 @@
   explicit TestBackend(EventLoop& loop);
 
   Endpoint address() const;
+  /// Connections are refused from now on.
+  void StopListening();
   Script on_request;
   /// Every request that came, in order.
   std::vector<std::string> requests;
--- a/tests/unit/membership/relay_world.h
+++ b/tests/unit/membership/relay_world.h
@@ -147,6 +147,9 @@
   WorldStore store;
   std::map<uint64_t, std::unique_ptr<WorldNode>> nodes;
   Time now = kStart;
+  /// A node has heard of requests that crash back ends.
+  std::function<void(uint64_t, const std::vector<quarantine::SuspectRecord>&)> on_suspects =
+      [](uint64_t, const auto&) {};
 
  private:
   void StepNode(uint64_t number, WorldNode* node) {
@@ -190,6 +193,9 @@
       if (std::holds_alternative<ReportDueAction>(action)) {
         node->membership.SendReport({}, {}, now);
       }
+      if (const auto* heard = std::get_if<SuspectsHeardAction>(&action)) {
+        on_suspects(number, heard->suspects);
+      }
       if (auto* send = std::get_if<SendAction>(&action)) {
         Deliver(number, *send);
       }
