Read the limit that a back end names with its answers, and tell it with each attempt

Callers saw nothing yet: back ends in need were sent two to four times what they had named. Whether nodes overheard the limit or kept it each for itself could not be told from what a node logs of a request: attempt_answered knew nothing of it.

Either name of the header is read, once, in platform/; named twice, the lower counts; what is no number is counted as not understood and costs nothing else of the answer. attempt_answered and ladderstream_explain show it as limit_per_s. No decision changes.

Ruled out by reading: that a proxy or another header carried it. Tests: request_reader_test, grant_codec_test, request_observer_test, each failing before.

--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "core/catalog/catalog.h"
+#include "core/catalog/told_limit.h"
 #include "core/catalog/told_load.h"
 #include "core/load/load_counter.h"
 #include "core/ownership/ownership_map.h"
@@ -177,6 +178,8 @@
   std::optional<Duration> rest;
   /// It says that it is about to end.
   bool leaving = false;
+  /// What it says of a limit on the requests that it takes from all nodes together.
+  catalog::ToldLimit limit;
   /// It will take no more requests on this connection.
   bool closing = false;
 };
--- a/src/explain/cause.cc
+++ b/src/explain/cause.cc
@@ -58,12 +58,14 @@
                                         line.Field("backend"), ", ", At(entry), ": ");
   if (line.event == "attempt_answered") {
     const bool not_executed = line.Field("not_executed") == "1";
-    return absl::StrCat(head, "answered", Named("with", line, "status"),
-                        not_executed ? ", and said that it did not run it" : "",
-                        Named("; it wants no requests for ms", line, "rest_ms"),
-                        line.Field("leaving") == "1" ? "; it is about to end" : "",
-                        Named("; running", line, "running"), Named("waiting", line, "waiting"),
-                        Named("slots", line, "slots"));
+    return absl::StrCat(
+        head, "answered", Named("with", line, "status"),
+        not_executed ? ", and said that it did not run it" : "",
+        Named("; it wants no requests for ms", line, "rest_ms"),
+        line.Field("leaving") == "1" ? "; it is about to end" : "",
+        Named("; requests a second that it takes from all nodes:", line, "limit_per_s"),
+        Named("; running", line, "running"), Named("waiting", line, "waiting"),
+        Named("slots", line, "slots"));
   }
   return absl::StrCat(head, line.event == "attempt_failed" ? "failed:" : "cancelled",
                       Named("", line, "failure"), Named("after ms", line, "elapsed_ms"));
--- a/src/gateway/http/answer_reader.cc
+++ b/src/gateway/http/answer_reader.cc
@@ -27,6 +27,11 @@
 /// What is shown of a header that was not understood, in bytes.
 constexpr size_t kLongestExample = 64;
 
+bool IsOneOf(std::string_view name, const std::vector<std::string>& names) {
+  return std::any_of(names.begin(), names.end(),
+                     [name](std::string_view one) { return EqualsIgnoreCase(name, one); });
+}
+
 bool IsInterim(int status) { return status / 100 == 1; }
 bool IsSuccess(int status) { return status / 100 == 2; }
 
@@ -182,9 +187,9 @@
     if (!answer_.cold_left.has_value()) {
       NoteNotUnderstood(name, value);
     }
-  } else if (std::any_of(
-                 names.leaving.begin(), names.leaving.end(),
-                 [name](std::string_view leaving) { return EqualsIgnoreCase(name, leaving); })) {
+  } else if (IsOneOf(name, names.rate_limit)) {
+    TakeLimit(name, value);
+  } else if (IsOneOf(name, names.leaving)) {
     answer_.leaving = value == kYes;
     if (!answer_.leaving) {
       NoteNotUnderstood(name, value);
@@ -196,6 +201,17 @@
   }
 }
 
+void AnswerReader::TakeLimit(std::string_view name, std::string_view value) {
+  const std::optional<double> rate = ParseRate(value);
+  if (!rate.has_value()) {
+    answer_.limit.unreadable = true;
+    NoteNotUnderstood(name, value);
+    return;
+  }
+  // Named twice, the lower one is safe for the back end.
+  answer_.limit.rate = std::min(answer_.limit.rate.value_or(*rate), *rate);
+}
+
 void AnswerReader::TakeRetryAfter(std::string_view name, std::string_view value) {
   if (answer_.status != kUnavailable) {
     // With another status it is for the caller.
--- a/src/gateway/http/answer_reader.h
+++ b/src/gateway/http/answer_reader.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/catalog/told_limit.h"
 #include "gateway/http/byte_budget.h"
 #include "gateway/http/head_scanner.h"
 #include "gateway/http/request_reader.h"
@@ -32,6 +33,8 @@
   std::optional<Duration> rest;
   /// The back end says that it is about to end.
   bool leaving = false;
+  /// What the back end says of a limit on the requests that it takes.
+  catalog::ToldLimit limit;
   /// The last header that was understood in part or not at all, as "name: value", cut short.
   std::string not_understood;
   /// The connection may carry another request.
@@ -74,6 +77,7 @@
   ReadStatus CheckOwner();
   void BuildHead();
   void TakeField(HeaderField field, std::string_view name, std::string_view value);
+  void TakeLimit(std::string_view name, std::string_view value);
   void TakeRetryAfter(std::string_view name, std::string_view value);
   void NoteNotUnderstood(std::string_view name, std::string_view value);
   ReadStatus Fail(std::string detail);
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -242,6 +242,7 @@
   told.cold_left = answer.cold_left;
   told.rest = answer.rest;
   told.leaving = answer.leaving;
+  told.limit = answer.limit;
   told.closing = !answer.keeps_open;
   attempt.connection = nullptr;
   attempt.duration = now - attempt.sent;
--- a/src/gateway/http/header_rules.cc
+++ b/src/gateway/http/header_rules.cc
@@ -98,6 +98,14 @@
   return absl::Seconds(seconds);
 }
 
+std::optional<double> ParseRate(std::string_view text) {
+  double rate = 0;
+  if (!absl::SimpleAtod(ToAbsl(text), &rate) || !std::isfinite(rate) || rate < 0) {
+    return std::nullopt;
+  }
+  return rate;
+}
+
 std::optional<ownership::Key> ParseKey(std::string_view text) {
   ownership::Key key = 0;
   if (!IsDigits(text) || !absl::SimpleAtoi(ToAbsl(text), &key) || key > ownership::kLastKey) {
--- a/src/gateway/http/header_rules.h
+++ b/src/gateway/http/header_rules.h
@@ -39,6 +39,9 @@
 /// How long a sender waits, from a number of milliseconds; nothing when `text` is no such number.
 std::optional<Duration> ParseTimeLeft(std::string_view text);
 
+/// A rate of requests a second, zero or above; nothing when it is no decimal number.
+std::optional<double> ParseRate(std::string_view text);
+
 /// The time that a Retry-After header gives as a number of seconds, which may have a fraction;
 /// nothing when it is a date or no time.
 std::optional<Duration> ParseRetryAfter(std::string_view text);
--- a/src/interfaces/platform_adapter.h
+++ b/src/interfaces/platform_adapter.h
@@ -37,6 +37,9 @@
   std::string cold_left_ms;
   /// In answers of back ends, under any of these names: "1" when the back end is about to end.
   std::vector<std::string> leaving;
+  /// In answers of back ends, under any of these names: how many requests a second the back end
+  /// takes from all nodes together, as long as its answers say so.
+  std::vector<std::string> rate_limit;
   /// In requests to sharded services: the key.
   std::string shard_key;
 };
--- a/src/observability/event_list.cc
+++ b/src/observability/event_list.cc
@@ -33,7 +33,8 @@
      Severity::kInfo,
      EventKind::kFailedRequest,
      "The back end answered.",
-     {kRequest, kAttempt, kBackend, kStatus, kNotExecuted, kRestMs, kLeaving, kElapsedMs}},
+     {kRequest, kAttempt, kBackend, kStatus, kNotExecuted, kRestMs, kLeaving, kLimitPerS,
+      kElapsedMs}},
     {"attempt_failed",
      Part::kData,
      Severity::kWarning,
@@ -206,14 +207,14 @@
 }};
 
 constexpr std::array<std::string_view, kFieldCount> kFieldNames = {
-    "request",     "route",         "service",    "key",        "host",    "target",
-    "deadline_ms", "configuration", "map",        "map_age_ms", "attempt", "backend",
-    "address",     "send_cause",    "wait_ms",    "answer_ms",  "sent",    "failure",
-    "status",      "not_executed",  "rest_ms",    "leaving",    "code",    "reason",
-    "attempts",    "queue_ms",      "backend_ms", "elapsed_ms", "age_ms",  "cause",
-    "belief",      "detail",        "routes",     "services",   "ranges",  "moving",
-    "ready",       "draining",      "peer",       "zone",       "version", "running",
-    "kind",        "count",
+    "request",     "route",         "service",  "key",        "host",        "target",
+    "deadline_ms", "configuration", "map",      "map_age_ms", "attempt",     "backend",
+    "address",     "send_cause",    "wait_ms",  "answer_ms",  "sent",        "failure",
+    "status",      "not_executed",  "rest_ms",  "leaving",    "limit_per_s", "code",
+    "reason",      "attempts",      "queue_ms", "backend_ms", "elapsed_ms",  "age_ms",
+    "cause",       "belief",        "detail",   "routes",     "services",    "ranges",
+    "moving",      "ready",         "draining", "peer",       "zone",        "version",
+    "running",     "kind",          "count",
 };
 
 constexpr std::array<std::string_view, kEventKindCount> kKindNames = {
--- a/src/observability/event_list.h
+++ b/src/observability/event_list.h
@@ -101,6 +101,7 @@
   kNotExecuted,
   kRestMs,
   kLeaving,
+  kLimitPerS,
   kCode,
   kReason,
   kAttempts,
--- a/src/observability/request_observer.cc
+++ b/src/observability/request_observer.cc
@@ -69,6 +69,7 @@
     attempt->status = answer.status;
     attempt->rest = answer.rest;
     attempt->leaving = answer.leaving;
+    attempt->limit_per_second = answer.limit.rate;
   }
 }
 
--- a/src/observability/request_trace.cc
+++ b/src/observability/request_trace.cc
@@ -111,6 +111,9 @@
     if (attempt.leaving) {
       line.fields.emplace_back(FieldName::kLeaving, 1);
     }
+    if (attempt.limit_per_second.has_value()) {
+      line.fields.emplace_back(FieldName::kLimitPerS, absl::StrCat(*attempt.limit_per_second));
+    }
   } else {
     if (line.event == EventName::kAttemptFailed) {
       line.fields.emplace_back(FieldName::kFailure, NameOf(attempt.result));
--- a/src/observability/request_trace.h
+++ b/src/observability/request_trace.h
@@ -64,6 +64,8 @@
     /// What the back end asked for with its answer.
     std::optional<Duration> rest;
     bool leaving = false;
+    /// Requests a second that it takes from all nodes together, if it named a limit.
+    std::optional<double> limit_per_second;
     std::string cause;
   };
 
--- a/tests/unit/gateway_http/request_reader_test.cc
+++ b/tests/unit/gateway_http/request_reader_test.cc
@@ -123,6 +123,17 @@
   }
   BOOST_TEST(read("200 OK", "T-Leaving: 1\r\n").leaving);
   BOOST_TEST(!read("200 OK", "").leaving);
+  BOOST_TEST(*read("200 OK", "T-Limit: 3.4\r\n").limit.rate == 3.4);
+  BOOST_TEST(*read("503 Full", "T-Limit: 0\r\n").limit.rate == 0.0);
+  BOOST_TEST(*read("200 OK", "T-Limit: 9\r\nT-Limit: 0.3\r\n").limit.rate == 0.3);
+  BOOST_TEST(!read("200 OK", "").limit.rate.has_value());
+  for (const std::string value : {"few", "-1", "inf", "nan", "3,4"}) {
+    const BackendAnswer answer = read("200 OK", "T-Limit: " + value + "\r\nT-Leaving: 1\r\n");
+    BOOST_TEST(!answer.limit.rate.has_value());
+    BOOST_TEST(answer.limit.unreadable);
+    BOOST_TEST(answer.leaving);
+    BOOST_TEST(answer.not_understood == "T-Limit: " + value);
+  }
   BOOST_TEST(read("200 OK", "T-New: 7\r\n").not_understood == "T-New: 7");
   BOOST_TEST(read("200 OK", "X-Other: 7\r\n").not_understood.empty());
   BOOST_TEST(read("200 OK", "T-Leaving: maybe\r\n").not_understood == "T-Leaving: maybe");
--- a/tests/unit/gateway_http/support.h
+++ b/tests/unit/gateway_http/support.h
@@ -45,7 +45,7 @@
  private:
   interfaces::HeaderNames names_{"T-Request-Id",  "T-Deadline-Ms",  "T-Stamp", "T-Expected",
                                  "T-Instance-Id", "T-Not-Executed", "T-Load",  "T-Cold-Ms",
-                                 {"T-Leaving"},   "T-Key"};
+                                 {"T-Leaving"},   {"T-Limit"},      "T-Key"};
 };
 
 /// Runs the loop until `done`; fails the test when that takes too long.
--- a/tests/unit/observability/request_observer_test.cc
+++ b/tests/unit/observability/request_observer_test.cc
@@ -134,6 +134,7 @@
   forwarding::AttemptAnswer answer = Answered(503, true);
   answer.rest = absl::Seconds(3);
   answer.leaving = true;
+  answer.limit.rate = 3.4;
   observer.OnAttemptAnswered(kId, "b-1", answer, absl::Milliseconds(1));
   Finish(503, ResultCode::kBackendShed);
   const std::vector<explain::LogLine> events = test.TakeEvents();
@@ -141,6 +142,7 @@
   BOOST_TEST(events[2].event == "attempt_answered");
   BOOST_TEST(events[2].Field("rest_ms") == "3000.0");
   BOOST_TEST(events[2].Field("leaving") == "1");
+  BOOST_TEST(events[2].Field("limit_per_s") == "3.4");
 }
 
 BOOST_AUTO_TEST_CASE(what_runs_on_when_the_caller_leaves_is_told) {
--- a/tests/unit/platform/grant_codec_test.cc
+++ b/tests/unit/platform/grant_codec_test.cc
@@ -113,7 +113,8 @@
   }
   for (const char* name :
        {"X-Ladderstream-Server-Load", "x-ladderstream-request-id", "Server-Leaving",
-        "X-Ladderstream-Server-Leaving", "X-Ladderstream-Handover", "X-Mood", "Server", "Date"}) {
+        "X-Ladderstream-Server-Leaving", "Server-Limit", "x-ladderstream-server-limit",
+        "X-Ladderstream-Handover", "X-Mood", "Server", "Date"}) {
     BOOST_TEST(!kAdapter->IsUnheardHeader(name), name);
   }
 }
