Keep which nodes have a part for a back end apart from what they do there

ColdSenders keeps what is its own: how many senders there are, and how fast each sends. No decision changes; unit tests cold_start, choice_test and cold_test as before.

--- a/src/bench/cold_start_model.cc
+++ b/src/bench/cold_start_model.cc
@@ -35,6 +35,7 @@
   Time next_demand;
   Time next_send = absl::InfinitePast();
   size_t known_members = 0;
+  std::unique_ptr<allowance::ChosenNodes> chosen;
   std::unique_ptr<allowance::ColdSenders> senders;
 };
 
@@ -85,7 +86,9 @@
   node.next_report = now_ + ReportInterval() * Random();
   node.last_report = absl::InfinitePast();
   node.next_demand = now_ + start_.demand * Random();
-  node.senders = std::make_unique<allowance::ColdSenders>(node.id, start_.overshoot, start_.slack);
+  node.chosen = std::make_unique<allowance::ChosenNodes>(node.id);
+  node.senders =
+      std::make_unique<allowance::ColdSenders>(*node.chosen, start_.overshoot, start_.slack);
   nodes_.push_back(std::move(node));
 }
 
@@ -157,9 +160,9 @@
   if (held_versions_[node.id] != version_) {
     held_versions_[node.id] = version_;
     node.known_members = published_.size();
-    node.senders->SetMembers(published_, now_);
+    node.chosen->SetMembers(published_, now_);
   }
-  node.senders->SetConfirmed(now_ + allowance::ColdSenders::kListLifetime);
+  node.chosen->SetConfirmed(now_ + allowance::ChosenNodes::kListLifetime);
 }
 
 bool Fleet::MaySend(const Node& node) const {
