Keep to the rate of requests that a back end in need takes from all nodes together

What callers saw: nothing at first. Back ends that had named 3.4 to 7.7 requests a second were sent 8 to 19, as before, and served them; what is wrong with a back end that asks for less shows when it fails.

Cause: the header was counted as not understood. Nothing held a node back, for such a back end turns nothing away, and nothing binds what nodes that do not know of each other send together.

Two nodes, drawn for each back end, issue permits at half of its rate each; whoever has a request for it asks for one. A permit lasts 200 ms from the question and is one send, whatever its cause. Without an issuer, its answer or a confirmed list of members there is none, so the bound holds whoever is lost, paused, restarted or joins. News of limits go to all by the coordinator. What is beyond the limit is refused at once, BACKEND_LIMITED with the time to the next permit.

Ruled out: requests on their way as the news came; they were decided seconds later.

--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -88,7 +88,9 @@
   const bool by_key = request != requests_.end() && request->second->sharded;
   const bool usable =
       by_key ? attempt.backend->UsableAsOwner(now) : attempt.backend->UsableForAny(now);
-  return usable && !attempt.backend->Rests(now);
+  // A limit that was named after this attempt was decided on binds it too.
+  const bool permitted = attempt.permitted || !rates_.IsLimited(attempt.backend->registration.id);
+  return usable && permitted && !attempt.backend->Rests(now);
 }
 
 void Dispatcher::Impl::OnSent(AttemptHandle handle, Time now) {
@@ -111,20 +113,7 @@
     return;
   }
   const Attempt attempt = EndAttempt(handle);
-  if (answer.cold_left.has_value()) {
-    services_.NoteCold(*answer.cold_left, *attempt.backend, now);
-  }
-  // Who answers 421 may be another back end at the same address.
-  if (answer.leaving && answer.status != kMisdirected) {
-    services_.NoteLeaving(*attempt.backend, now);
-  }
-  if (answer.rest.has_value()) {
-    const bool rested = attempt.backend->Rests(now);
-    services_.NoteRest(*answer.rest, *attempt.backend, now);
-    if (!rested && HasRoom(answer.load)) {
-      attempt.service->load.AddDeclined(attempt.backend->registration.id, *answer.rest);
-    }
-  }
+  LearnWishes(attempt, answer, now);
   LearnFromAnswer(attempt, answer, now);
   suspects_.OnConnected(attempt.backend->registration.id);
   Request* request = FindRequest(attempt.request);
@@ -147,6 +136,28 @@
   DispatchWaiting(*attempt.service, now);
 }
 
+void Dispatcher::Impl::LearnWishes(const Attempt& attempt, const AttemptAnswer& answer, Time now) {
+  BackendState& backend = *attempt.backend;
+  if (answer.cold_left.has_value()) {
+    services_.NoteCold(*answer.cold_left, backend, now);
+  }
+  if (answer.rest.has_value()) {
+    const bool rested = backend.Rests(now);
+    services_.NoteRest(*answer.rest, backend, now);
+    if (!rested && HasRoom(answer.load)) {
+      attempt.service->load.AddDeclined(backend.registration.id, *answer.rest);
+    }
+  }
+  if (answer.status == kMisdirected) {
+    // Who answers so may be another back end at the same address.
+    return;
+  }
+  if (answer.leaving) {
+    services_.NoteLeaving(backend, now);
+  }
+  rates_.limits().OnAnswer(backend.registration.id, answer.limit, attempt.started, now);
+}
+
 void Dispatcher::Impl::LearnFromAnswer(const Attempt& attempt, const AttemptAnswer& answer,
                                        Time now) {
   BackendState& backend = *attempt.backend;
--- a/src/core/forwarding/backend_choice.cc
+++ b/src/core/forwarding/backend_choice.cc
@@ -35,6 +35,11 @@
   const BackendStatePtr* cold = nullptr;
   /// The one whose rest ends first.
   const BackendStatePtr* resting = nullptr;
+  /// One with a limit, of which this node may ask for a permit first.
+  const BackendStatePtr* limited = nullptr;
+  Time limited_until = absl::InfiniteFuture();
+  /// One with a limit, for which this node holds a permit.
+  const BackendStatePtr* permitted = nullptr;
 };
 
 bool ColdAllows(const BackendState& backend, const allowance::ColdSenders& senders, Time now) {
@@ -62,7 +67,10 @@
     return Explain(scan);
   }
   Choice choice;
-  choice.backend = Draw();
+  // Asked for ahead: the back end's rate is there to be used, and its next answer tells when its
+  // limit has ended. A permit that is held would be lost soon.
+  choice.wants_permit = scan.limited == nullptr ? nullptr : *scan.limited;
+  choice.backend = scan.permitted == nullptr ? Draw() : *scan.permitted;
   choice.expected_wait = choice.backend->load.ExpectedWait(context.now);
   return choice;
 }
@@ -83,6 +91,14 @@
     }
     return;
   }
+  if (!rates_.Allows(backend->registration.id, context.now)) {
+    const Time again = rates_.TryAgain(backend->registration.id, context.now);
+    if (again < scan.limited_until) {
+      scan.limited_until = again;
+      scan.limited = &backend;
+    }
+    return;
+  }
   ++scan.usable;
   if (Contains(context.failed, backend)) {
     ++scan.failed;
@@ -105,6 +121,9 @@
     scan.suspects.push_back(&backend);
     return;
   }
+  if (rates_.IsLimited(backend->registration.id)) {
+    scan.permitted = &backend;
+  }
   AddCandidate(backend, context.now);
 }
 
@@ -155,6 +174,15 @@
     choice.may_pass = true;
     return choice;
   }
+  if (scan.limited != nullptr) {
+    choice.obstacle = Obstacle::kAllLimited;
+    choice.about = *scan.limited;
+    choice.wants_permit = choice.about;
+    choice.limit = rates_.limits().Find(choice.about->registration.id);
+    choice.try_again = scan.limited_until;
+    choice.may_pass = true;
+    return choice;
+  }
   if (scan.resting != nullptr) {
     choice.obstacle = Obstacle::kAllResting;
     choice.about = *scan.resting;
--- a/src/core/forwarding/backend_choice.h
+++ b/src/core/forwarding/backend_choice.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/allowance/cold_senders.h"
+#include "core/allowance/shared_rates.h"
 #include "core/forwarding/backend_state.h"
 #include "core/forwarding/service_table.h"
 #include "core/ownership/ownership_map.h"
@@ -23,6 +24,8 @@
   kAllFull,
   /// Those that could take it asked this node for rest.
   kAllResting,
+  /// Those that could take it named limits, and this node has no permit for any.
+  kAllLimited,
   /// Those that could take it are cold, and it is not this node's turn to send there.
   kAllCold,
   /// The queue is longer than the time left.
@@ -41,6 +44,8 @@
   kOwnerFull,
   /// The owner asked this node for rest.
   kOwnerResting,
+  /// The owner named a limit, and this node has no permit.
+  kOwnerLimited,
   /// The owner is cold, and it is not this node's turn to send there.
   kOwnerCold,
 };
@@ -75,6 +80,10 @@
   BackendStatePtr about;
   /// When another look is worth it, unless something changes before.
   Time try_again = absl::InfiniteFuture();
+  /// The limit that is the obstacle.
+  std::optional<allowance::LimitRecord> limit;
+  /// A back end with a limit for which a permit is to be asked; may be null.
+  BackendStatePtr wants_permit;
   /// Whether the obstacle may vanish within a short time.
   bool may_pass = false;
 };
@@ -92,8 +101,8 @@
  public:
   /// All must outlive the choice.
   LeastWaitChoice(const DispatcherSettings& settings, const allowance::ColdSenders& cold_senders,
-                  std::mt19937_64& random)
-      : settings_(settings), cold_senders_(cold_senders), random_(random) {}
+                  const allowance::SharedRates& rates, std::mt19937_64& random)
+      : settings_(settings), cold_senders_(cold_senders), rates_(rates), random_(random) {}
 
   Choice Choose(const ChoiceContext& context) override;
 
@@ -113,6 +122,7 @@
 
   const DispatcherSettings& settings_;
   const allowance::ColdSenders& cold_senders_;
+  const allowance::SharedRates& rates_;
   std::mt19937_64& random_;
   /// Of the choice being made; kept for its memory.
   std::vector<Candidate> candidates_;
--- a/src/core/forwarding/dispatch.cc
+++ b/src/core/forwarding/dispatch.cc
@@ -53,6 +53,17 @@
 }
 
 Choice Dispatcher::Impl::Choose(const Request& request, Time now) {
+  const Choice choice = ChooseOnce(request, now);
+  if (choice.wants_permit == nullptr) {
+    return choice;
+  }
+  // This node may itself be an issuer: then the permit is there at once. Otherwise the answer is
+  // waited for, and TryAgain says when it is due.
+  rates_.Ask(choice.wants_permit->registration.id, now);
+  return choice.backend == nullptr ? ChooseOnce(request, now) : choice;
+}
+
+Choice Dispatcher::Impl::ChooseOnce(const Request& request, Time now) {
   const ChoiceContext context{*request.service, request.key,      request.failed,
                               request.denied,   request.start_by, now};
   return request.sharded ? guarded_owner_.Choose(context) : guarded_least_wait_.Choose(context);
@@ -74,9 +85,11 @@
 
 bool Dispatcher::Impl::MayWait(const Request& request, const Choice& choice, Time now) const {
   const Duration needed = request.service->averages.ServiceTime();
-  const bool rest =
-      choice.obstacle == Obstacle::kOwnerResting || choice.obstacle == Obstacle::kAllResting;
-  if (rest && choice.try_again > request.patience_until) {
+  const bool is_timed =
+      choice.obstacle == Obstacle::kOwnerResting || choice.obstacle == Obstacle::kAllResting ||
+      ((choice.obstacle == Obstacle::kOwnerLimited || choice.obstacle == Obstacle::kAllLimited) &&
+       !rates_.AwaitsReply(choice.about->registration.id, now));
+  if (is_timed && choice.try_again > request.patience_until) {
     // It is known that waiting here is for nothing.
     return false;
   }
@@ -116,6 +129,7 @@
   }
   BackendState& backend = *choice.backend;
   backend.load.OnSend(now);
+  attempt.permitted = rates_.Use(backend.registration.id, now);
   if (backend.registration.BoundedByCold(now)) {
     backend.next_cold_send =
         now + cold_senders_.Interval(backend.registration.cold_requests_per_second);
--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -38,9 +38,11 @@
       random_(settings.seed),
       splits_(random_),
       services_(settings_),
-      cold_senders_(settings_.node, settings_.cold_overshoot, settings_.cold_slack),
-      least_wait_(settings_, cold_senders_, random_),
-      owner_(ownership_, services_, cold_senders_, settings_.limit_owners),
+      chosen_nodes_(settings_.node),
+      cold_senders_(chosen_nodes_, settings_.cold_overshoot, settings_.cold_slack),
+      rates_(chosen_nodes_),
+      least_wait_(settings_, cold_senders_, rates_, random_),
+      owner_(ownership_, services_, cold_senders_, rates_, settings_.limit_owners),
       guarded_least_wait_(least_wait_),
       guarded_owner_(owner_) {
   SetNodeCount(settings.node_count);
@@ -177,9 +179,34 @@
     beliefs.push_back(
         {quarantine::Format(note.request), std::move(note.event), std::move(note.detail)});
   }
+  for (const allowance::LimitNote& note : rates_.limits().TakeNotes()) {
+    const std::string_view by = note.from_other ? "told by another node" : "told by itself";
+    beliefs.push_back({note.backend, note.rate.has_value() ? "rate_limited" : "rate_limit_ended",
+                       note.rate.has_value()
+                           ? absl::StrCat(*note.rate, " requests a second from all nodes, ",
+                                          absl::string_view(by.data(), by.size()))
+                           : std::string(by)});
+  }
   return beliefs;
 }
 
+bool Dispatcher::Impl::OnLimitsHeard(const std::vector<allowance::LimitRecord>& records, Time now) {
+  const bool news = rates_.limits().Merge(records, now);
+  if (news) {
+    for (ServiceState* service : services_.Services()) {
+      DispatchWaiting(*service, now);
+    }
+  }
+  return news;
+}
+
+void Dispatcher::Impl::OnPermitReply(const allowance::PermitReply& reply, Time now) {
+  const BackendStatePtr backend = services_.FindBackend(rates_.OnReply(reply, now));
+  if (backend != nullptr) {
+    DispatchWaiting(services_.Service(backend->registration.service), now);
+  }
+}
+
 const Endpoint* Dispatcher::Impl::AddressOf(const std::string& backend) const {
   const BackendStatePtr state = services_.FindBackend(backend);
   return state == nullptr ? nullptr : &state->registration.address;
@@ -297,6 +324,22 @@
                                Time now) {
   impl_->OnRequestLost(attempt, request, now);
 }
+const allowance::SharedRates& Dispatcher::rates() const { return impl_->rates(); }
+bool Dispatcher::OnLimitsHeard(const std::vector<allowance::LimitRecord>& records, Time now) {
+  return impl_->OnLimitsHeard(records, now);
+}
+bool Dispatcher::TakeLimitNews() { return impl_->TakeLimitNews(); }
+std::vector<allowance::PermitQuestion> Dispatcher::TakePermitQuestions() {
+  return impl_->TakePermitQuestions();
+}
+allowance::PermitReply Dispatcher::OnPermitQuestion(const allowance::PermitQuestion& question,
+                                                    Time now) {
+  return impl_->OnPermitQuestion(question, now);
+}
+void Dispatcher::OnPermitReply(const allowance::PermitReply& reply, Time now) {
+  impl_->OnPermitReply(reply, now);
+}
+void Dispatcher::ForgetLimits(Time now) { impl_->ForgetLimits(now); }
 quarantine::CrashSuspects& Dispatcher::suspects() { return impl_->suspects(); }
 const Endpoint* Dispatcher::AddressOf(const std::string& backend) const {
   return impl_->AddressOf(backend);
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/allowance/shared_rates.h"
 #include "core/catalog/catalog.h"
 #include "core/catalog/told_limit.h"
 #include "core/catalog/told_load.h"
@@ -255,6 +256,19 @@
   /// Requests that may crash back ends. Whoever owns the dispatcher makes the probes and exchanges
   /// what is known with the other nodes.
   quarantine::CrashSuspects& suspects();
+  /// What back ends in need take from all nodes together. Whoever owns the dispatcher exchanges
+  /// limits and permits with the other nodes: what changed, when TakeLimitNews says so, to all, and
+  /// questions for permits to the node that each names.
+  const allowance::SharedRates& rates() const;
+  /// Gives whether any of it was news.
+  bool OnLimitsHeard(const std::vector<allowance::LimitRecord>& records, Time now);
+  bool TakeLimitNews();
+  std::vector<allowance::PermitQuestion> TakePermitQuestions();
+  allowance::PermitReply OnPermitQuestion(const allowance::PermitQuestion& question, Time now);
+  /// TakeDecisions may give something afterwards.
+  void OnPermitReply(const allowance::PermitReply& reply, Time now);
+  /// To be called now and then: drops what has lapsed.
+  void ForgetLimits(Time now);
   /// Where a known back end is; null when it is not known.
   const Endpoint* AddressOf(const std::string& backend) const;
 
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -15,6 +15,7 @@
 
 #include "core/allowance/cold_senders.h"
 #include "core/allowance/retry_budget.h"
+#include "core/allowance/shared_rates.h"
 #include "core/forwarding/backend_choice.h"
 #include "core/forwarding/dispatcher.h"
 #include "core/forwarding/final_answer.h"
@@ -37,9 +38,9 @@
   void SetMapConfirmed(Time until) { ownership_.SetConfirmed(until); }
   void SetNodeCount(uint32_t node_count);
   void SetMembers(const std::vector<uint64_t>& members, Time now) {
-    cold_senders_.SetMembers(members, now);
+    chosen_nodes_.SetMembers(members, now);
   }
-  void SetMembersConfirmed(Time until) { cold_senders_.SetConfirmed(until); }
+  void SetMembersConfirmed(Time until) { chosen_nodes_.SetConfirmed(until); }
   void SetRetryBudget(double ratio, double slack, Duration window);
   void SetStopping() { stopping_ = true; }
   void SetEnd(Time last_start, Time end) {
@@ -57,6 +58,15 @@
   void OnRequestLost(AttemptHandle handle, const quarantine::Fingerprint& fingerprint, Time now);
   void OnTick(Time now);
   quarantine::CrashSuspects& suspects() { return suspects_; }
+  const allowance::SharedRates& rates() const { return rates_; }
+  bool OnLimitsHeard(const std::vector<allowance::LimitRecord>& records, Time now);
+  bool TakeLimitNews() { return rates_.limits().TakeNews(); }
+  std::vector<allowance::PermitQuestion> TakePermitQuestions() { return rates_.TakeQuestions(); }
+  allowance::PermitReply OnPermitQuestion(const allowance::PermitQuestion& question, Time now) {
+    return rates_.Answer(question, now);
+  }
+  void OnPermitReply(const allowance::PermitReply& reply, Time now);
+  void ForgetLimits(Time now) { rates_.Forget(now); }
   const Endpoint* AddressOf(const std::string& backend) const;
 
   std::vector<RequestDecision> TakeDecisions() { return std::exchange(decisions_, {}); }
@@ -78,6 +88,7 @@
   // dispatch.cc: a request that has no attempt in flight is sent, waits, or is answered.
   void Dispatch(Request& request, Time now);
   Choice Choose(const Request& request, Time now);
+  Choice ChooseOnce(const Request& request, Time now);
   /// Whether admission lets the request through, for which there is a back end; owners of keys have
   /// limits of their own.
   bool Admitted(Request& request, Time now);
@@ -100,6 +111,8 @@
   Attempt EndAttempt(AttemptHandle handle);
   Request* FindRequest(RequestHandle handle);
   void LearnFromAnswer(const Attempt& attempt, const AttemptAnswer& answer, Time now);
+  /// Takes in what the back end says that it wants of this node.
+  void LearnWishes(const Attempt& attempt, const AttemptAnswer& answer, Time now);
   void LearnFromRefusal(const Attempt& attempt, const AttemptAnswer& answer, Time now);
   void LearnFromFailure(const Attempt& attempt, AttemptFailure failure, Time now);
   void NoteEjection(const BackendState& backend, const std::string& cause, Duration time);
@@ -130,7 +143,9 @@
   TrafficSplit splits_;
   ServiceTable services_;
   OwnershipView ownership_;
+  allowance::ChosenNodes chosen_nodes_;
   allowance::ColdSenders cold_senders_;
+  allowance::SharedRates rates_;
   quarantine::CrashSuspects suspects_;
   LeastWaitChoice least_wait_;
   OwnerChoice owner_;
--- a/src/core/forwarding/final_answer.cc
+++ b/src/core/forwarding/final_answer.cc
@@ -35,6 +35,8 @@
       return "all back ends are full";
     case Obstacle::kAllResting:
       return "all back ends asked for rest";
+    case Obstacle::kAllLimited:
+      return "the limits of the back ends left are used up";
     case Obstacle::kAllCold:
       return "the back ends left are cold";
     case Obstacle::kOverloaded:
@@ -55,6 +57,8 @@
       return "the owner is full";
     case Obstacle::kOwnerResting:
       return "the owner asked for rest";
+    case Obstacle::kOwnerLimited:
+      return "the owner's limit is used up";
     case Obstacle::kOwnerCold:
       return "the owner is cold";
   }
@@ -90,6 +94,9 @@
     case Obstacle::kMoving:
     case Obstacle::kOwnerDenied:
       return ResultCode::kOwnerChanged;
+    case Obstacle::kAllLimited:
+    case Obstacle::kOwnerLimited:
+      return ResultCode::kBackendLimited;
     case Obstacle::kAllFull:
     case Obstacle::kAllResting:
     case Obstacle::kAllCold:
@@ -159,6 +166,12 @@
   return std::clamp(room * later, kLeastRetryAfter, kMostRetryAfter) * (1 + Draw(random));
 }
 
+/// Of a request that a used-up limit turned away: when permits are there again. All nodes turn away
+/// what is beyond it, so that callers come back spread over as much again.
+Duration RetryAfterLimit(const Choice& choice, std::mt19937_64& random, Time now) {
+  return std::clamp(choice.try_again - now, kLeastRetryAfter, kMostRetryAfter) * (1 + Draw(random));
+}
+
 /// `owner`: it is asked for keys that it owns, so this node's limit there counts.
 std::string DescribeLoad(const BackendState& backend, bool owner, Time now) {
   const load::LoadEstimate& load = backend.load;
@@ -218,7 +231,13 @@
   std::string text =
       absl::StrCat(request.service->name, ": ", DescribeCause(request, choice, cause));
   if (choice.about != nullptr) {
-    absl::StrAppend(&text, " (", DescribeLoad(*choice.about, request.sharded, now), ")");
+    absl::StrAppend(&text, " (", DescribeLoad(*choice.about, request.sharded, now));
+    if (choice.limit.has_value()) {
+      absl::StrAppendFormat(&text, ", %.3g requests a second from all nodes, told %.0f ms ago",
+                            choice.limit->rate.value_or(0),
+                            absl::ToDoubleMilliseconds(now - choice.limit->heard));
+    }
+    text += ")";
   }
   if (request.sharded) {
     absl::StrAppend(
@@ -257,6 +276,10 @@
     return MakeAnswer(ResultCode::kOverloaded, RetryAfterShedding(request, random, now),
                       std::move(reason));
   }
+  if (!by_setback && choice.limit.has_value()) {
+    return MakeAnswer(ResultCode::kBackendLimited, RetryAfterLimit(choice, random, now),
+                      std::move(reason));
+  }
   const ResultCode code =
       by_setback ? CodeOfSetback(request.setback.kind) : CodeOfObstacle(choice.obstacle);
   const Duration retry_after =
--- a/src/core/forwarding/owner_choice.cc
+++ b/src/core/forwarding/owner_choice.cc
@@ -90,6 +90,13 @@
   if (limit_owners_ && !owner->owner_limit.Allows(owner->load.in_flight(), context.now)) {
     return Blocked(Obstacle::kOwnerFull, owner, owner->owner_limit.next_send());
   }
+  if (!rates_.Allows(owner->registration.id, context.now)) {
+    Choice choice = Blocked(Obstacle::kOwnerLimited, owner,
+                            rates_.TryAgain(owner->registration.id, context.now));
+    choice.wants_permit = owner;
+    choice.limit = rates_.limits().Find(owner->registration.id);
+    return choice;
+  }
   Choice choice;
   choice.backend = owner;
   choice.fence = assignment.fence;
--- a/src/core/forwarding/owner_choice.h
+++ b/src/core/forwarding/owner_choice.h
@@ -32,10 +32,12 @@
  public:
   /// All must outlive the choice.
   OwnerChoice(const OwnershipView& ownership, const ServiceTable& services,
-              const allowance::ColdSenders& cold_senders, bool limit_owners)
+              const allowance::ColdSenders& cold_senders, const allowance::SharedRates& rates,
+              bool limit_owners)
       : ownership_(ownership),
         services_(services),
         cold_senders_(cold_senders),
+        rates_(rates),
         limit_owners_(limit_owners) {}
 
   Choice Choose(const ChoiceContext& context) override;
@@ -46,6 +48,7 @@
   const OwnershipView& ownership_;
   const ServiceTable& services_;
   const allowance::ColdSenders& cold_senders_;
+  const allowance::SharedRates& rates_;
   const bool limit_owners_;
 };
 
--- a/src/core/forwarding/request_state.h
+++ b/src/core/forwarding/request_state.h
@@ -75,6 +75,8 @@
   /// An answer that takes longer is late, whatever its request waited for before.
   Duration timely = absl::InfiniteDuration();
   bool sent = false;
+  /// It used up a permit of the back end's limit.
+  bool permitted = false;
   /// It was charged to the retry budget when it was started.
   bool charged = false;
 };
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -44,6 +44,7 @@
 void Membership::Handle(const Destination& from, Report report, Time now) {
   const std::optional<PeerIdentity> sender = members_.OnReport(report.sender, from.connection, now);
   HearSuspects(report.suspects, now);
+  HearLimits(report.limits, now);
   Heartbeat answer = NewHeartbeat(now);
   answer.answered_report = report.sequence;
   answer.identity_wanted = !sender.has_value();
@@ -90,6 +91,7 @@
 void Membership::Handle(const Destination& from, Heartbeat heartbeat, Time now) {
   const std::optional<SentReport> report = sent_reports_.Take(heartbeat.answered_report);
   HearSuspects(heartbeat.suspects, now);
+  HearLimits(heartbeat.limits, now);
   if (relay_.TakeRows(heartbeat, now)) {
     actions_.emplace_back(TablesMergedAction{});
   }
@@ -148,6 +150,16 @@
 
 void Membership::OnSuspects(std::vector<quarantine::SuspectRecord> suspects, bool own, Time now) {
   suspects_.Set(std::move(suspects), own, now);
+  TellSoon(own, now);
+}
+
+void Membership::OnLimits(std::vector<allowance::LimitRecord> own_limits,
+                          std::vector<allowance::LimitRecord> all, bool own, Time now) {
+  limits_.Set(std::move(own_limits), std::move(all), now);
+  TellSoon(own, now);
+}
+
+void Membership::TellSoon(bool own, Time now) {
   if (IsCoordinator(now)) {
     push_wanted_ = true;
   } else if (own) {
@@ -162,6 +174,37 @@
   }
 }
 
+void Membership::HearLimits(const std::vector<SharedLimit>& limits, Time now) {
+  if (!limits.empty()) {
+    actions_.emplace_back(LimitsHeardAction{LimitExchange::Heard(limits, now)});
+  }
+}
+
+void Membership::Handle(const Destination& from, const PermitRequest& request, Time /*now*/) {
+  actions_.emplace_back(PermitAskedAction{
+      from, {self_.incarnation, request.sequence, request.backend, request.rate, request.wanted}});
+}
+
+void Membership::Handle(const Destination& /*from*/, const PermitAnswer& answer, Time /*now*/) {
+  actions_.emplace_back(
+      PermitAnsweredAction{{answer.sequence, answer.granted, absl::Milliseconds(answer.retry_ms)}});
+}
+
+void Membership::SendPermitQuestion(const allowance::PermitQuestion& question) {
+  const auto member =
+      std::find_if(members().begin(), members().end(),
+                   [&](const PeerIdentity& one) { return one.incarnation == question.to; });
+  if (member != members().end()) {
+    Send({members_.At(member->address)},
+         PermitRequest{question.sequence, question.backend, question.rate, question.wanted});
+  }
+}
+
+void Membership::SendPermitAnswer(const Destination& to, const allowance::PermitReply& reply) {
+  Send({to}, PermitAnswer{reply.sequence, reply.granted,
+                          static_cast<uint32_t>(absl::ToInt64Milliseconds(reply.retry_in))});
+}
+
 void Membership::OnConnectFailed(const Endpoint& address, bool refused, Time /*now*/) {
   const bool of_holder = holder_.has_value() && holder_->peer_address == address &&
                          holder_->incarnation != self_.incarnation;
@@ -319,6 +362,7 @@
   report.configuration_version = held.configuration;
   report.backends_version = held.backends;
   report.suspects = suspects_.ForReport(now);
+  report.limits = limits_.ForReport(now);
   return report;
 }
 
@@ -370,6 +414,7 @@
   heartbeat.configuration_version = held.configuration;
   heartbeat.backends_version = held.backends;
   heartbeat.suspects = suspects_.ForHeartbeat(now);
+  heartbeat.limits = limits_.ForHeartbeat(now);
   return heartbeat;
 }
 
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -12,6 +12,8 @@
 #include <variant>
 #include <vector>
 
+#include "core/allowance/permits.h"
+#include "core/membership/limit_exchange.h"
 #include "core/membership/map_exchange.h"
 #include "core/membership/member_table.h"
 #include "core/membership/messages.h"
@@ -103,12 +105,26 @@
 struct SuspectsHeardAction {
   std::vector<quarantine::SuspectRecord> suspects;
 };
+/// Another node knows of limits of back ends: for Dispatcher::OnLimitsHeard.
+struct LimitsHeardAction {
+  std::vector<allowance::LimitRecord> limits;
+};
+/// Another node asks for permits: to be answered with SendPermitAnswer.
+struct PermitAskedAction {
+  Destination from;
+  allowance::PermitQuestion question;
+};
+/// The answer to a question of this node.
+struct PermitAnsweredAction {
+  allowance::PermitReply reply;
+};
 /// Rows of another node went into a follower.
 struct TablesMergedAction {};
 using MembershipAction =
     std::variant<SendAction, ReportDueAction, HeartbeatHeardAction, CoordinatorEndedAction,
                  MapChangedAction, MapConfirmedAction, MembersChangedAction, MembersConfirmedAction,
-                 ReportReceivedAction, SuspectsHeardAction, TablesMergedAction>;
+                 ReportReceivedAction, SuspectsHeardAction, LimitsHeardAction, PermitAskedAction,
+                 PermitAnsweredAction, TablesMergedAction>;
 
 class Membership {
  public:
@@ -139,6 +155,13 @@
   /// What this node knows of requests that crash back ends. `own`: learned here, and told at once;
   /// otherwise heard of.
   void OnSuspects(std::vector<quarantine::SuspectRecord> suspects, bool own, Time now);
+  /// Limits of back ends that changed lately: heard by this node itself, and by anybody. `own`: the
+  /// last one was heard here, and is told at once.
+  void OnLimits(std::vector<allowance::LimitRecord> own_limits,
+                std::vector<allowance::LimitRecord> all, bool own, Time now);
+  /// Dropped when the node that it is for is no member.
+  void SendPermitQuestion(const allowance::PermitQuestion& question);
+  void SendPermitAnswer(const Destination& to, const allowance::PermitReply& reply);
   void OnResumed() { relay_.OnResumed(); }
   void OnStoreUnanswered() { relay_.OnStoreUnanswered(); }
 
@@ -168,8 +191,13 @@
   void Handle(const Destination& from, const Resignation& resignation, Time now);
   void Handle(const Destination& from, const SnapshotRequest& request, Time now);
   void Handle(const Destination& from, const Snapshot& snapshot, Time now);
+  void Handle(const Destination& from, const PermitRequest& request, Time now);
+  void Handle(const Destination& from, const PermitAnswer& answer, Time now);
 
   void HearSuspects(const std::vector<SharedSuspect>& suspects, Time now);
+  void HearLimits(const std::vector<SharedLimit>& limits, Time now);
+  /// This node learned something that others are to hear soon.
+  void TellSoon(bool own, Time now);
   void EndLeading();
   /// False when a holder of a later epoch is known.
   bool LearnHolder(const ownership::LeaseView& lease, Time now);
@@ -209,6 +237,7 @@
   MapExchange maps_;
   WholeCopies whole_copies_;
   SuspectExchange suspects_;
+  LimitExchange limits_;
   std::mt19937_64 random_;
   std::vector<MembershipAction> actions_;
 
--- a/src/core/membership/message_codec.cc
+++ b/src/core/membership/message_codec.cc
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <variant>
 
+#include "core/allowance/permits.h"
+#include "core/allowance/told_limits.h"
 #include "core/quarantine/crash_suspects.h"
 #include "wire/codec.h"
 #include "wire/result_code.h"
@@ -123,9 +125,19 @@
   }
 }
 
+bool IsRate(double rate) { return std::isfinite(rate); }
+
+void Check(const std::vector<SharedLimit>& limits) {
+  Require(limits.size() <= allowance::ToldLimits::kMostShared, "limits: too many");
+  for (const SharedLimit& limit : limits) {
+    Require(IsRate(limit.rate), "limits: a rate that is no number");
+  }
+}
+
 void Check(const Report& report) {
   Require(report.sender.incarnation != 0, "report: no sender");
   Check(report.suspects);
+  Check(report.limits);
   for (const LoadReport& load : report.loads) {
     Check(load);
   }
@@ -133,6 +145,7 @@
 
 void Check(const Heartbeat& heartbeat) {
   Check(heartbeat.suspects);
+  Check(heartbeat.limits);
   Require(heartbeat.map.size() <= 1, "heartbeat: more than one map");
   for (const ownership::OwnershipMap& map : heartbeat.map) {
     Require(map.version == heartbeat.map_version, "heartbeat: a map of another version");
@@ -170,6 +183,15 @@
   }
 }
 
+void Check(const PermitRequest& request) {
+  Require(request.wanted <= allowance::kMostPermitsAsked, "permit: too many are wanted");
+  Require(IsRate(request.rate) && request.rate >= 0, "permit: a limit that is no rate");
+}
+
+void Check(const PermitAnswer& answer) {
+  Require(answer.granted <= allowance::kMostPermitsAsked, "permit: too many are granted");
+}
+
 Message Parse(std::string_view bytes) {
   ValueCounter counter;
   size_t offset = 0;
--- a/src/core/membership/message_kind.cc
+++ b/src/core/membership/message_kind.cc
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<size_t>(MessageKind::kCount)> kKindNames = {
-    "report",      "heartbeat",        "map",     "map_changes", "members", "rows",
-    "resignation", "snapshot_request", "snapshot"};
+    "report",      "heartbeat",        "map",      "map_changes", "members", "rows",
+    "resignation", "snapshot_request", "snapshot", "permit"};
 
 constexpr std::array<std::string_view, static_cast<size_t>(ZoneScope::kCount)> kScopeNames = {
     "unknown", "own", "other"};
@@ -38,6 +38,10 @@
 
 MessageKind KindOfBody(const Snapshot& /*snapshot*/) { return MessageKind::kSnapshot; }
 
+MessageKind KindOfBody(const PermitRequest& /*request*/) { return MessageKind::kPermit; }
+
+MessageKind KindOfBody(const PermitAnswer& /*answer*/) { return MessageKind::kPermit; }
+
 }  // namespace
 
 MessageKind KindOf(const Message& message) {
--- a/src/core/membership/message_kind.h
+++ b/src/core/membership/message_kind.h
@@ -20,6 +20,7 @@
   kResignation,
   kSnapshotRequest,
   kSnapshot,
+  kPermit,
   kCount,
 };
 
--- a/src/core/membership/messages.h
+++ b/src/core/membership/messages.h
@@ -69,6 +69,16 @@
   MSGPACK_DEFINE_ARRAY(high, low, backends, ages_ms, served_age_ms);
 };
 
+/// What a back end takes from all nodes together (allowance::LimitRecord).
+struct SharedLimit {
+  std::string backend;
+  /// Requests a second; below zero: it has no limit any more.
+  double rate = 0;
+  /// How long ago it said so, in milliseconds.
+  uint32_t age_ms = 0;
+  MSGPACK_DEFINE_ARRAY(backend, rate, age_ms);
+};
+
 /// From a node to the coordinator. A node that does not know the coordinator sends it, without
 /// loads, to any other node.
 struct Report {
@@ -86,8 +96,9 @@
   /// Back ends whose connections were refused to this node lately.
   std::vector<std::string> refused_backends;
   std::vector<SharedSuspect> suspects;
+  std::vector<SharedLimit> limits;
   MSGPACK_DEFINE_ARRAY(sender, sequence, map_version, members_version, configuration_version,
-                       backends_version, loads, refused_backends, suspects);
+                       backends_version, loads, refused_backends, suspects, limits);
 };
 
 /// A row as the store holds it; `version` is the store's.
@@ -169,9 +180,10 @@
   /// From the coordinator: incarnations of the nodes that are to watch the store besides it.
   std::vector<uint64_t> standbys;
   std::vector<SharedSuspect> suspects;
+  std::vector<SharedLimit> limits;
   MSGPACK_DEFINE_ARRAY(sender, answered_report, lease, lease_left_ms, map_version, map, map_changes,
                        members, members_version, configuration_version, backends_version, tables,
-                       member_changes, identity_wanted, standbys, suspects);
+                       member_changes, identity_wanted, standbys, suspects, limits);
 };
 
 /// The sender gives up the lease it holds.
@@ -206,6 +218,26 @@
                        answered_request);
 };
 
-using Message = std::variant<Report, Heartbeat, Resignation, SnapshotRequest, Snapshot>;
+/// To a node that issues permits for a back end: how many requests may I send it now?
+struct PermitRequest {
+  /// Counts the sender's questions from 1; the answer names it.
+  uint64_t sequence = 0;
+  std::string backend;
+  /// The back end's limit as the sender knows it, in requests a second.
+  double rate = 0;
+  uint32_t wanted = 0;
+  MSGPACK_DEFINE_ARRAY(sequence, backend, rate, wanted);
+};
+
+struct PermitAnswer {
+  uint64_t sequence = 0;
+  uint32_t granted = 0;
+  /// When another question is worth it, in milliseconds.
+  uint32_t retry_ms = 0;
+  MSGPACK_DEFINE_ARRAY(sequence, granted, retry_ms);
+};
+
+using Message = std::variant<Report, Heartbeat, Resignation, SnapshotRequest, Snapshot,
+                             PermitRequest, PermitAnswer>;
 
 }  // namespace ladderstream::membership
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -125,6 +125,7 @@
   }
   pumping_ = false;
   FollowSuspects();
+  pumped_();
   Arm();
 }
 
--- a/src/gateway/http/data_path.h
+++ b/src/gateway/http/data_path.h
@@ -44,6 +44,10 @@
   /// back ends (Dispatcher::suspects).
   void SetSuspectNews(std::function<void()> heard) { suspect_news_ = std::move(heard); }
 
+  /// `pumped` is called, from the event loop, whenever the dispatcher's decisions have been carried
+  /// out. It must not call Pump().
+  void SetPumped(std::function<void()> pumped) { pumped_ = std::move(pumped); }
+
   /// Takes no new connections.
   void StopAccepting() { callers_.StopAccepting(); }
   /// Serves on, but sends callers elsewhere: closes idle connections, and every other one after the
@@ -139,6 +143,7 @@
   bool quiet_posted_ = false;
   std::shared_ptr<char> alive_ = std::make_shared<char>();
   std::function<void()> suspect_news_ = [] {};
+  std::function<void()> pumped_ = [] {};
   BackendProbes probes_;
   BackendPool backends_;
   CallerServer callers_;
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -325,6 +325,31 @@
   PumpSoon();
 }
 
+void ControlPlane::Carry(const membership::LimitsHeardAction& heard) {
+  listener_->OnLimits(heard.limits);
+}
+
+void ControlPlane::Carry(const membership::PermitAskedAction& asked) {
+  membership_.SendPermitAnswer(asked.from, listener_->OnPermitQuestion(asked.question));
+}
+
+void ControlPlane::Carry(const membership::PermitAnsweredAction& answered) {
+  listener_->OnPermitReply(answered.reply);
+}
+
+void ControlPlane::TellLimits(std::vector<allowance::LimitRecord> own_limits,
+                              std::vector<allowance::LimitRecord> all, bool own) {
+  membership_.OnLimits(std::move(own_limits), std::move(all), own, Now());
+  PumpSoon();
+}
+
+void ControlPlane::AskPermits(const std::vector<allowance::PermitQuestion>& questions) {
+  for (const allowance::PermitQuestion& question : questions) {
+    membership_.SendPermitQuestion(question);
+  }
+  PumpSoon();
+}
+
 void ControlPlane::Carry(const membership::ReportReceivedAction& report) {
   TellCoordinator(report.loads, Now(), &coordinator_);
 }
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -43,6 +43,13 @@
   virtual void OnMembersConfirmed(Time until) = 0;
   /// Another node knows of requests that crash back ends.
   virtual void OnSuspects(const std::vector<quarantine::SuspectRecord>& suspects) = 0;
+  /// Another node knows of limits of back ends.
+  virtual void OnLimits(const std::vector<allowance::LimitRecord>& limits) = 0;
+  /// All limits of back ends that this node knows of.
+  virtual std::map<std::string, double> LimitsInForce() = 0;
+  /// Another node asks for permits.
+  virtual allowance::PermitReply OnPermitQuestion(const allowance::PermitQuestion& question) = 0;
+  virtual void OnPermitReply(const allowance::PermitReply& reply) = 0;
   /// What the data path counted since the last call.
   virtual std::vector<load::ServiceLoad> TakeLoad() = 0;
 };
@@ -63,6 +70,10 @@
   /// What this node knows of requests that crash back ends, for the others; see
   /// membership::Membership::OnSuspects.
   void TellSuspects(std::vector<quarantine::SuspectRecord> suspects, bool own);
+  /// Limits of back ends that changed lately; see membership::Membership::OnLimits.
+  void TellLimits(std::vector<allowance::LimitRecord> own_limits,
+                  std::vector<allowance::LimitRecord> all, bool own);
+  void AskPermits(const std::vector<allowance::PermitQuestion>& questions);
   /// A planned stop: gives the lease up, if this node holds it.
   void Resign();
   /// Whether the lease, if this node held it, has been given up.
@@ -100,6 +111,9 @@
   void Carry(const membership::MembersConfirmedAction& confirmed);
   void Carry(const membership::ReportReceivedAction& report);
   void Carry(const membership::SuspectsHeardAction& heard);
+  void Carry(const membership::LimitsHeardAction& heard);
+  void Carry(const membership::PermitAskedAction& asked);
+  void Carry(const membership::PermitAnsweredAction& answered);
   void Carry(const membership::TablesMergedAction& merged);
 
   /// Runs everything that is due until nothing is left to do, then sets the timer.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -92,6 +92,7 @@
       housekeeping_(loop_),
       stop_timer_(loop_) {
   data_path_.SetSuspectNews([this] { TellSuspects(/*own=*/true); });
+  data_path_.SetPumped([this] { FollowLimits(); });
   readiness_ = std::make_unique<gateway::ReadinessServer>(
       loop_, settings.listen.readiness, adapter_->ready_path(), [this] { return IsReady(); });
   if (settings.listen.metrics) {
@@ -164,6 +165,47 @@
   LogBeliefs();
 }
 
+void Node::OnLimits(const std::vector<allowance::LimitRecord>& limits) {
+  if (dispatcher_.OnLimitsHeard(limits, Now())) {
+    TellLimits(/*own=*/false);
+    data_path_.Pump();
+  }
+}
+
+std::map<std::string, double> Node::LimitsInForce() {
+  std::map<std::string, double> limits;
+  for (const allowance::LimitRecord& record : dispatcher_.rates().limits().InForce()) {
+    limits[record.backend] = record.rate.value_or(0);
+  }
+  return limits;
+}
+
+allowance::PermitReply Node::OnPermitQuestion(const allowance::PermitQuestion& question) {
+  return dispatcher_.OnPermitQuestion(question, Now());
+}
+
+void Node::OnPermitReply(const allowance::PermitReply& reply) {
+  dispatcher_.OnPermitReply(reply, Now());
+  data_path_.Pump();
+}
+
+void Node::FollowLimits() {
+  if (dispatcher_.TakeLimitNews()) {
+    TellLimits(/*own=*/true);
+  }
+  const std::vector<allowance::PermitQuestion> questions = dispatcher_.TakePermitQuestions();
+  if (!questions.empty()) {
+    control_plane_.AskPermits(questions);
+  }
+}
+
+void Node::TellLimits(bool own) {
+  const allowance::ToldLimits& limits = dispatcher_.rates().limits();
+  control_plane_.TellLimits(limits.Changed(/*own_only=*/true, Now()),
+                            limits.Changed(/*own_only=*/false, Now()), own);
+  LogBeliefs();
+}
+
 std::vector<load::ServiceLoad> Node::TakeLoad() {
   LogBeliefs();
   return dispatcher_.TakeLoad();
@@ -193,6 +235,12 @@
   state.requests_queued = dispatcher_.RequestsWaiting();
   state.least_admission_share = dispatcher_.LeastAdmissionShare();
   state.requests_held = dispatcher_.suspects().CountHeld(Now());
+  for (const auto& [backend, rate] : LimitsInForce()) {
+    ++state.backends_limited;
+    state.limits_per_second += rate;
+  }
+  state.permits_granted = dispatcher_.rates().issuer().granted();
+  state.permits_denied = dispatcher_.rates().issuer().denied();
   state.loop_lag = data_path_.loop_lag();
   state.requests_in_flight = data_path_.requests_in_flight();
   state.caller_connections = data_path_.caller_connection_count();
@@ -206,6 +254,7 @@
 
 void Node::OnHousekeeping() {
   dispatcher_.suspects().Forget(Now());
+  dispatcher_.ForgetLimits(Now());
   LogBeliefs();
   log_.OnTick(Now());
   if (++housekeeping_turns_ % kTurnsBetweenStoreCalls == 0) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -45,6 +45,10 @@
   void OnMembers(const std::vector<uint64_t>& members) override;
   void OnMembersConfirmed(Time until) override;
   void OnSuspects(const std::vector<quarantine::SuspectRecord>& suspects) override;
+  void OnLimits(const std::vector<allowance::LimitRecord>& limits) override;
+  std::map<std::string, double> LimitsInForce() override;
+  allowance::PermitReply OnPermitQuestion(const allowance::PermitQuestion& question) override;
+  void OnPermitReply(const allowance::PermitReply& reply) override;
   std::vector<load::ServiceLoad> TakeLoad() override;
 
   /// Without the address, the node runs on without metrics.
@@ -66,6 +70,9 @@
   void OnHousekeeping();
   /// Tells the other nodes what is known here of requests that crash back ends.
   void TellSuspects(bool own);
+  /// Takes to other nodes what the dispatcher learned of limits, and asks for permits.
+  void FollowLimits();
+  void TellLimits(bool own);
   void LogBeliefs();
   std::string MetricsText();
   Time Now() const { return clock_.Now(); }
--- a/src/observability/node_metrics.cc
+++ b/src/observability/node_metrics.cc
@@ -75,6 +75,8 @@
                       "Calls to the metadata store by kind; unanswered ones count twice.")),
       peer_messages_(AddCounters(&registry_, "ladderstream_peer_messages_total",
                                  "Messages to other nodes, by what they carry and their zone.")),
+      permits_(AddCounters(&registry_, "ladderstream_permits_total",
+                           "Permits for back ends with limits that this node was asked for.")),
       peer_bytes_(AddCounters(&registry_, "ladderstream_peer_bytes_total",
                               "Bytes of the messages to other nodes.")),
       not_understood_(&AddCounters(&registry_, "ladderstream_not_understood_total",
@@ -244,6 +246,12 @@
            state.least_admission_share);
   SetGauge("ladderstream_requests_held", "Requests that are refused since they crashed back ends.",
            static_cast<double>(state.requests_held));
+  SetGauge("ladderstream_backends_limited", "Back ends that have named a limit.",
+           static_cast<double>(state.backends_limited));
+  SetGauge("ladderstream_limits_per_second", "Requests a second that these take together.",
+           state.limits_per_second);
+  RaiseTo(static_cast<double>(state.permits_granted), &permits_.Add({{"result", "granted"}}));
+  RaiseTo(static_cast<double>(state.permits_denied), &permits_.Add({{"result", "denied"}}));
   SetGauge("ladderstream_loop_lag_seconds", "How far the event loop is behind.",
            absl::ToDoubleSeconds(state.loop_lag));
   SetGauge("ladderstream_caller_connections", "Open connections of callers.",
--- a/src/observability/node_metrics.h
+++ b/src/observability/node_metrics.h
@@ -93,6 +93,12 @@
   double least_admission_share = 1;
   /// Requests that are refused since they crashed back ends.
   uint64_t requests_held = 0;
+  /// Back ends that have named a limit, and what they take together, in requests a second.
+  uint64_t backends_limited = 0;
+  double limits_per_second = 0;
+  /// Since the start: permits that this node issued, and those that it was asked for in vain.
+  uint64_t permits_granted = 0;
+  uint64_t permits_denied = 0;
   /// How far the event loop is behind.
   Duration loop_lag;
   uint64_t caller_connections = 0;
@@ -173,6 +179,7 @@
   prometheus::Family<prometheus::Counter>& omitted_;
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Family<prometheus::Counter>& peer_messages_;
+  prometheus::Family<prometheus::Counter>& permits_;
   prometheus::Family<prometheus::Counter>& peer_bytes_;
   std::vector<prometheus::Histogram*> stages_;
   std::vector<prometheus::Counter*> attempts_;
--- a/src/wire/result_code.h
+++ b/src/wire/result_code.h
@@ -26,6 +26,7 @@
   kCancelled = 1009,
   kTooManyConnections = 1010,
   kQuarantined = 1011,
+  kBackendLimited = 1012,
 
   // 2xxx: the outcome is unknown. Only a request declared repeatable may be sent again.
   kConnectionLost = 2001,
--- a/tests/unit/membership/message_codec_test.cc
+++ b/tests/unit/membership/message_codec_test.cc
@@ -71,10 +71,12 @@
   Heartbeat heartbeat = SoundHeartbeat();
   heartbeat.standbys = {2, 3};
   heartbeat.suspects = {{1, 2, {"backend-1"}, {30}, 40}};
+  heartbeat.limits = {{"backend-1", 3.4, 30}};
   const Message before = DecodeMessage(OfAnotherVersion(heartbeat, -1));
   BOOST_TEST((std::get<Heartbeat>(before).members == heartbeat.members));
   BOOST_TEST(std::get<Heartbeat>(before).standbys.size() == 2);
-  BOOST_TEST(std::get<Heartbeat>(before).suspects.empty());
+  BOOST_TEST(std::get<Heartbeat>(before).suspects.size() == 1);
+  BOOST_TEST(std::get<Heartbeat>(before).limits.empty());
   const Message next = DecodeMessage(OfAnotherVersion(heartbeat, 1));
   BOOST_TEST(std::get<Heartbeat>(next).standbys.size() == 2);
 }
