Give the keys of an owner that named a limit to others, as far as these have room

Cause: the partitioner reckons what an owner bears from its slots and service times.

A limit caps it, at 0.7 of the limit, so that the keys asked for most go first and the owner keeps what it takes.

--- a/src/core/ownership/backend_directory.cc
+++ b/src/core/ownership/backend_directory.cc
@@ -164,6 +164,13 @@
   return true;
 }
 
+void BackendDirectory::SetRateLimits(const std::map<std::string, double>& limits) {
+  for (auto& [id, known] : backends_) {
+    const auto limit = limits.find(id);
+    known.rate_limit = limit == limits.end() ? std::nullopt : std::optional(limit->second);
+  }
+}
+
 void BackendDirectory::RecordServed(const std::string& id, uint32_t answers, Time now) {
   const auto found = backends_.find(id);
   if (found != backends_.end()) {
@@ -296,6 +303,7 @@
     backend.id = id;
     backend.zone = known.zone;
     backend.slots = known.slots;
+    backend.rate_limit = known.rate_limit;
     const bool avoided = (avoid_cold && IsBoundedByCold(known, now)) || IsAvoided(known, now);
     backend.accepts = Accepts(id) && !avoided;
     backend.keeps = Keeps(id) && !avoided;
--- a/src/core/ownership/backend_directory.h
+++ b/src/core/ownership/backend_directory.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -37,6 +38,9 @@
   Time avoided_until = absl::InfinitePast();
   Duration avoidance = absl::ZeroDuration();
 
+  /// Requests a second that it takes from all nodes together, as it says.
+  std::optional<double> rate_limit;
+
   /// Grants in a row that were not confirmed.
   uint32_t failures = 0;
   /// Every one of them was a refused connection.
@@ -80,6 +84,8 @@
   /// A node leaves it alone for `rest`, since it turned a request away with free slots. Gives
   /// whether its keys are to go elsewhere from now on.
   bool RecordDeclined(const std::string& id, Duration rest, Time now);
+  /// The limits that back ends have named, in requests a second; all others have none.
+  void SetRateLimits(const std::map<std::string, double>& limits);
   /// It served so many requests.
   void RecordServed(const std::string& id, uint32_t answers, Time now);
   /// It left a release unanswered: if it is silent, it stays so for a while longer.
--- a/src/core/partition/fleet.cc
+++ b/src/core/partition/fleet.cc
@@ -15,6 +15,10 @@
 constexpr double kColdFactor = 2;
 /// Without any service time known, back ends are taken to be used this much.
 constexpr double kAssumedPressure = 0.5;
+/// Of a back end's limit, what its keys may be asked for on average: requests come unevenly.
+constexpr double kLimitShare = 0.7;
+/// In requests per second; keeps a limit of zero from dividing by it.
+constexpr double kLeastLimit = 0.1;
 
 bool Overlap(const KeyRange& a, const KeyRange& b) {
   return a.first <= b.last && b.first <= a.last;
@@ -42,9 +46,13 @@
       members_[*holding.member].variance += rate.variance;
     }
   }
-  if (service_times.Known()) {
-    return;
+  if (!service_times.Known()) {
+    ScaleToLoad(total);
   }
+  CapByLimits(total);
+}
+
+void Fleet::ScaleToLoad(double total) {
   double comfortable = 0;
   for (const Member& member : members_) {
     comfortable += member.accepts ? member.comfortable : 0;
@@ -55,6 +63,25 @@
   }
 }
 
+void Fleet::CapByLimits(double total) {
+  std::vector<double> capped;
+  double sum = 0;
+  for (const Member& member : members_) {
+    const double most = member.rate_limit.has_value()
+                            ? kLimitShare * std::max(*member.rate_limit, kLeastLimit)
+                            : member.comfortable;
+    capped.push_back(std::min(member.comfortable, most));
+    sum += member.accepts ? capped.back() : 0;
+  }
+  if (sum < total) {
+    // Whoever has the keys, as much is beyond the limits: moving them would only cost.
+    return;
+  }
+  for (size_t i = 0; i < members_.size(); ++i) {
+    members_[i].comfortable = capped[i];
+  }
+}
+
 void Fleet::BuildMembers(const std::vector<PartitionBackend>& backends,
                          const ServiceTimes& service_times) {
   const bool known = service_times.Known();
@@ -66,6 +93,7 @@
     member.id = backend.id;
     member.accepts = backend.accepts && backend.keeps;
     member.keeps = backend.keeps;
+    member.rate_limit = backend.rate_limit;
     member.comfortable = ComfortableLoad(backend.slots, service_time, late_after);
     members_.push_back(std::move(member));
   }
--- a/src/core/partition/fleet.h
+++ b/src/core/partition/fleet.h
@@ -19,6 +19,8 @@
   bool keeps = false;
   /// Load that it bears well, in requests per second.
   double comfortable = 1;
+  /// Requests per second that it takes at most, as it says.
+  std::optional<double> rate_limit;
   /// Requests per second, and the variance of this as an estimate.
   double load = 0;
   double variance = 0;
@@ -75,6 +77,11 @@
  private:
   void BuildMembers(const std::vector<PartitionBackend>& backends,
                     const ServiceTimes& service_times);
+  /// Without any service time known: takes back ends to be used evenly by `total` requests a
+  /// second.
+  void ScaleToLoad(double total);
+  /// Lowers what back ends with limits bear, as far as the others have room for `total`.
+  void CapByLimits(double total);
   void BuildHoldings(const FleetInput& input, Time now);
   Holding HoldingAt(const FleetInput& input, const ownership::Assignment& assignment, Key key,
                     Time now) const;
--- a/src/core/partition/partitioner.h
+++ b/src/core/partition/partitioner.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,8 @@
   bool keeps = true;
   /// Still slow from its start for this long.
   Duration cold_left = absl::ZeroDuration();
+  /// Requests a second that it takes from all nodes together; empty when it named no limit.
+  std::optional<double> rate_limit = std::nullopt;
 };
 
 /// Requests that nodes were asked for in the last interval, answered or not.
--- a/tests/unit/partition/partitioner_test.cc
+++ b/tests/unit/partition/partitioner_test.cc
@@ -119,6 +119,28 @@
   BOOST_TEST(service.Loads(flows)[slow] < before / 2);
 }
 
+BOOST_AUTO_TEST_CASE(ABackendWithALimitGivesItsKeysAwayAsFarAsOthersHaveRoom) {
+  ServiceFixture service(kBackends);
+  const std::vector<Flow> flows = Even(190);
+  service.Run(flows, kSettling);
+  PartitionBackend& needy = service.backends[4];
+  needy.rate_limit = service.Loads(flows)[needy.id] / 3;
+  service.Run(flows, absl::Seconds(8));
+  BOOST_TEST(service.Loads(flows)[needy.id] < *needy.rate_limit);
+  BOOST_TEST(service.Loads(flows)[needy.id] > 0);
+}
+
+// Whoever has the keys then, as much is refused.
+BOOST_AUTO_TEST_CASE(LimitsThatLeaveNoRoomForWhatIsAskedMoveNothing) {
+  ServiceFixture service(kBackends);
+  const std::vector<Flow> flows = Even(190);
+  service.Run(flows, kSettling);
+  for (PartitionBackend& backend : service.backends) {
+    backend.rate_limit = 190.0 / kBackends / 4;
+  }
+  BOOST_TEST(KeysOf(service.Run(flows, absl::Seconds(8))) < 0.05);
+}
+
 BOOST_AUTO_TEST_CASE(AFreshBackendTakesLoadFromTheBusiest) {
   ServiceFixture service(kBackends);
   const std::vector<Flow> flows = Even(340);
