--- a/src/standin/fleet/backend.cc
+++ b/src/standin/fleet/backend.cc
@@ -241,6 +241,7 @@
     job->arrival->ended = EventLoop::Now();
     job->arrival->status = status;
     job->arrival->said_leaving = state_ == State::kDraining;
+    job->arrival->named_limit = faults_.limit;
     AnswerRun(job);
   } else {
     const bool well = state_ == State::kServing;
@@ -270,6 +271,7 @@
     arrival->refused = status;
     arrival->rest = rest;
     arrival->said_leaving = state_ == State::kDraining;
+    arrival->named_limit = faults_.limit;
     arrival->ended = EventLoop::Now();
   }
   Answer answer = MakeAnswer(exchange, status);
--- a/src/standin/fleet/backend.h
+++ b/src/standin/fleet/backend.h
@@ -48,6 +48,8 @@
   /// Of the requests that arrive: turned away at once, with the wish for `rest`.
   double turned_away = 0;
   Duration rest = absl::ZeroDuration();
+  /// The requests a second from all nodes that its answers name; below zero: none.
+  double limit = kNoLimit;
   /// The answer ends in its middle.
   double cut_answers = 0;
   /// Bytes that are no answer.
--- a/src/standin/fleet/backend_answers.cc
+++ b/src/standin/fleet/backend_answers.cc
@@ -29,6 +29,9 @@
   if (state_ == State::kDraining) {
     answer.headers.emplace_back(wire::kServerLeaving, "1");
   }
+  if (faults_.limit >= 0) {
+    answer.headers.emplace_back(wire::kServerLimit, absl::StrCat(faults_.limit));
+  }
   answer.close = state_ != State::kServing;
   return answer;
 }
--- a/src/standin/fleet/history.h
+++ b/src/standin/fleet/history.h
@@ -14,6 +14,9 @@
 
 namespace ladderstream::fleet {
 
+/// Of a back end that names no limit.
+inline constexpr double kNoLimit = -1;
+
 /// A request that reached a back end; orders and health checks are none.
 struct Arrival {
   std::string request_id;
@@ -34,6 +37,8 @@
   Duration rest = absl::ZeroDuration();
   /// Its answer said that the back end leaves.
   bool said_leaving = false;
+  /// The requests a second from all nodes that its answer named.
+  double named_limit = kNoLimit;
   /// When it began to run; infinite when it did not.
   Time begun = absl::InfiniteFuture();
   Time ended = absl::InfiniteFuture();
--- a/src/standin/fleet/judge_wishes.cc
+++ b/src/standin/fleet/judge_wishes.cc
@@ -17,6 +17,13 @@
 /// So many requests may come within a time of rest.
 constexpr size_t kAllowedInRest = 2;
 
+/// From so long after a back end first named its limit, it may get in any window so many times what
+/// that allows and some requests more, from nodes that had heard of it in time.
+constexpr Duration kLimitBindsAfter = absl::Seconds(3);
+constexpr Duration kLimitWindow = absl::Seconds(4);
+constexpr double kLimitOvershoot = 1.5;
+constexpr double kLimitSlack = 5;
+
 /// A request, by the node that a caller gave it to.
 struct Sending {
   const Arrival* arrival = nullptr;
@@ -109,12 +116,94 @@
   Verdict* verdict_;
 };
 
+/// Judges what all nodes together sent to one back end that named a limit.
+class LimitJudge {
+ public:
+  LimitJudge(const History& history, Verdict* verdict) : history_(history), verdict_(verdict) {}
+
+  /// `sent`: of all nodes, in order of arrival; each with its node.
+  void Judge(const std::vector<std::pair<size_t, Sending>>& sent) {
+    FindSpan(sent);
+    if (until_ <= from_ + kLimitBindsAfter) {
+      return;
+    }
+    std::vector<Time> counted;
+    for (const auto& [node, sending] : sent) {
+      if (sending.arrival->at <= until_ && HadHeard(sent, node, sending.arrival->at)) {
+        counted.push_back(sending.arrival->at);
+      }
+    }
+    const double allowed =
+        kLimitOvershoot * highest_ * absl::ToDoubleSeconds(kLimitWindow) + kLimitSlack;
+    for (auto last = counted.begin(); last != counted.end(); ++last) {
+      const auto first = std::upper_bound(counted.begin(), last, *last - kLimitWindow);
+      const auto count = std::distance(first, last) + 1;
+      if (*last >= from_ + kLimitBindsAfter && static_cast<double>(count) > allowed) {
+        verdict_->over_budget.Add(absl::StrCat(
+            sent.front().second.arrival->backend, ": got ", count, " requests in ",
+            absl::FormatDuration(kLimitWindow), " from nodes that it had told its limit of ",
+            highest_, " a second, the last ", absl::FormatDuration(*last - from_),
+            " after it first did"));
+        return;
+      }
+    }
+  }
+
+ private:
+  /// From the first answer with a limit to the first without one, or the last.
+  void FindSpan(const std::vector<std::pair<size_t, Sending>>& sent) {
+    from_ = absl::InfiniteFuture();
+    until_ = absl::InfinitePast();
+    highest_ = 0;
+    for (const auto& [node, sending] : sent) {
+      const Arrival& arrival = *sending.arrival;
+      if (arrival.named_limit >= 0) {
+        from_ = std::min(from_, arrival.ended);
+        until_ = std::max(until_, arrival.ended);
+        highest_ = std::max(highest_, arrival.named_limit);
+      }
+    }
+    for (const auto& [node, sending] : sent) {
+      const Arrival& arrival = *sending.arrival;
+      const bool was_answered = arrival.status != 0 || arrival.refused != 0;
+      if (arrival.named_limit < 0 && was_answered && arrival.ended > from_) {
+        until_ = std::min(until_, arrival.ended);
+      }
+    }
+  }
+
+  /// The node passed on an answer with the limit in time, and nothing befell it since.
+  bool HadHeard(const std::vector<std::pair<size_t, Sending>>& sent, size_t node, Time at) const {
+    return std::any_of(sent.begin(), sent.end(), [&](const auto& other) {
+      const Arrival& arrival = *other.second.arrival;
+      return other.first == node && arrival.named_limit >= 0 &&
+             arrival.ended + kHeardWithin <= at && !IsExcused(history_, node, arrival.ended, at);
+    });
+  }
+
+  const History& history_;
+  Verdict* verdict_;
+  Time from_;
+  Time until_;
+  double highest_ = 0;
+};
+
 }  // namespace
 
 void JudgeWishes(const History& history, const JudgeBounds& bounds, Verdict* verdict) {
   WishJudge judge(history, bounds, verdict);
+  std::map<std::string, std::vector<std::pair<size_t, Sending>>> by_backend;
   for (const auto& [who, sent] : Collect(history)) {
     judge.Judge(who.first, sent);
+    for (const Sending& sending : sent) {
+      by_backend[who.second].emplace_back(who.first, sending);
+    }
+  }
+  for (auto& [backend, sent] : by_backend) {
+    std::stable_sort(sent.begin(), sent.end(), [](const auto& a, const auto& b) {
+      return a.second.arrival->at < b.second.arrival->at;
+    });
+    LimitJudge(history, verdict).Judge(sent);
   }
 }
 
--- a/src/standin/fleet/judge_wishes.h
+++ b/src/standin/fleet/judge_wishes.h
@@ -6,7 +6,8 @@
 namespace ladderstream::fleet {
 
 /// Adds work that a node gave a back end after its wish to Verdict::over_budget (rest) and
-/// Verdict::after_drain (leaving).
+/// Verdict::after_drain (leaving), and what all nodes together sent beyond a limit to
+/// Verdict::over_budget.
 void JudgeWishes(const History& history, const JudgeBounds& bounds, Verdict* verdict);
 
 }  // namespace ladderstream::fleet
--- a/src/standin/fleet/main/soak_main.cc
+++ b/src/standin/fleet/main/soak_main.cc
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <set>
 #include <sstream>
 
 #include "standin/fleet/node_processes.h"
@@ -21,7 +22,8 @@
 DEFINE_uint32(nodes, 3, "how many nodes run");
 DEFINE_string(
     faults, "single",
-    "single; series: many of them in series that overlap; rests: back ends that ask for rest");
+    "single; series: many of them in series that overlap; rests: back ends that ask for rest; "
+    "limits: back ends that name limits");
 DEFINE_double(seconds, 30, "how long faults strike");
 DEFINE_uint64(seed, 1, "of the faults and the load");
 DEFINE_string(schedule, "", "a file with the faults; empty: drawn by the seed");
@@ -43,6 +45,9 @@
     if (FLAGS_faults == "rests") {
       return DrawRests(FLAGS_seed, length);
     }
+    if (FLAGS_faults == "limits") {
+      return DrawLimits(FLAGS_seed, length);
+    }
     return FLAGS_faults == "series" ? DrawSeries(FLAGS_seed, length)
                                     : DrawSchedule(FLAGS_seed, length);
   }
@@ -59,8 +64,9 @@
   standin::FlagChecks checks;
   checks.Require(FLAGS_nodes >= 1 && FLAGS_nodes <= kMostNodes, "nodes",
                  std::to_string(FLAGS_nodes), "1 to 300");
-  checks.Require(FLAGS_faults == "single" || FLAGS_faults == "series" || FLAGS_faults == "rests",
-                 "faults", FLAGS_faults, "single or series");
+  const std::set<std::string> faults = {"single", "series", "rests", "limits"};
+  checks.Require(faults.contains(FLAGS_faults), "faults", FLAGS_faults,
+                 "single, series, rests or limits");
   checks.Require(FLAGS_seconds > 0 && FLAGS_seconds <= kMostSeconds, "seconds",
                  std::to_string(FLAGS_seconds), "more than 0, at most 3600");
   checks.ExitOnFaults();
--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -32,6 +32,8 @@
 constexpr double kSlowdown = 60;
 /// Asked for with each refusal; over the times of ejections.
 constexpr Duration kRest = absl::Seconds(3);
+/// Requests a second; few enough that more is asked for.
+constexpr double kLimit = 3;
 constexpr Duration kLinkDelay = absl::Milliseconds(250);
 constexpr double kHotShare = 0.35;
 
@@ -253,6 +255,9 @@
         faults.turned_away = 1;
         faults.rest = kRest;
         break;
+      case FaultKind::kBackendLimits:
+        faults.limit = kLimit;
+        break;
       case FaultKind::kOrdersLate:
         faults.late_orders = kShare;
         break;
--- a/src/standin/fleet/soak_schedule.cc
+++ b/src/standin/fleet/soak_schedule.cc
@@ -20,9 +20,9 @@
 /// draw what they drew.
 constexpr bool IsOfSeriesOnly(FaultKind kind) {
   return kind == FaultKind::kNodeReloads || kind == FaultKind::kStoreConnectionsSilent ||
-         kind == FaultKind::kBackendRests;
+         kind == FaultKind::kBackendRests || kind == FaultKind::kBackendLimits;
 }
-constexpr size_t kSingleKinds = kKinds - 3;
+constexpr size_t kSingleKinds = kKinds - 4;
 constexpr std::array<FaultKind, kSingleKinds> SingleKinds() {
   std::array<FaultKind, kSingleKinds> kinds = {};
   size_t count = 0;
@@ -41,21 +41,22 @@
 constexpr uint64_t kTargets = 1000;
 
 constexpr std::array<std::string_view, kKinds> kNames = {
-    "node_killed",           "coordinator_killed",
-    "node_paused",           "node_stopped",
-    "all_nodes_killed",      "node_reloads",
-    "links_delayed",         "links_cut",
-    "links_silent",          "links_one_way",
-    "store_unavailable",     "store_silent",
-    "store_silent_for_one",  "store_slow",
-    "store_loses_answers",   "store_writes_late",
-    "store_forgets",         "store_connections_silent",
-    "backend_crashes",       "backend_freezes",
-    "backend_drains",        "backend_cut_from_store",
-    "backend_rests",         "address_reused",
-    "orders_late",           "orders_unanswered",
-    "answers_lost",          "answers_damaged",
-    "configuration_changes", "other_keys_hot",
+    "node_killed",          "coordinator_killed",
+    "node_paused",          "node_stopped",
+    "all_nodes_killed",     "node_reloads",
+    "links_delayed",        "links_cut",
+    "links_silent",         "links_one_way",
+    "store_unavailable",    "store_silent",
+    "store_silent_for_one", "store_slow",
+    "store_loses_answers",  "store_writes_late",
+    "store_forgets",        "store_connections_silent",
+    "backend_crashes",      "backend_freezes",
+    "backend_drains",       "backend_cut_from_store",
+    "backend_rests",        "backend_limits",
+    "address_reused",       "orders_late",
+    "orders_unanswered",    "answers_lost",
+    "answers_damaged",      "configuration_changes",
+    "other_keys_hot",
 };
 
 /// Faults of one kind that follow each other, with targets in turn.
@@ -82,6 +83,14 @@
     {FaultKind::kBackendCutFromStore, 3, 300, 4000},
     {FaultKind::kNodeKilled, 3, 300, 600},
 }};
+constexpr std::array<Series, 6> kLimitSeries = {{
+    {FaultKind::kBackendLimits, 4, 100, 8000},
+    {FaultKind::kBackendLimits, 8, 50, 6000},
+    {FaultKind::kBackendRests, 2, 1500, 5000},
+    {FaultKind::kBackendDrains, 8, 250, 1500},
+    {FaultKind::kCoordinatorKilled, 2, 2500, 600},
+    {FaultKind::kNodeKilled, 3, 300, 600},
+}};
 /// Of the draws, so many in ten begin a series; the others are single faults.
 constexpr uint64_t kSeriesInTen = 6;
 constexpr uint64_t kTenths = 10;
@@ -186,6 +195,10 @@
   return DrawSeriesOf(kRestSeries, seed, length);
 }
 
+std::vector<SoakFault> DrawLimits(uint64_t seed, Duration length) {
+  return DrawSeriesOf(kLimitSeries, seed, length);
+}
+
 std::string FormatSchedule(const std::vector<SoakFault>& schedule) {
   std::string text;
   for (const SoakFault& fault : schedule) {
--- a/src/standin/fleet/soak_schedule.h
+++ b/src/standin/fleet/soak_schedule.h
@@ -41,6 +41,7 @@
   kBackendDrains,
   kBackendCutFromStore,
   kBackendRests,
+  kBackendLimits,
   kAddressReused,
   kOrdersLate,
   kOrdersUnanswered,
@@ -75,6 +76,10 @@
 /// others that leave or are cut off from the store and nodes that are killed.
 std::vector<SoakFault> DrawRests(uint64_t seed, Duration length);
 
+/// As DrawSeries, but most are back ends that name a limit on the requests that they take, several
+/// at once, beside others that leave or ask for rest and coordinators and nodes that are killed.
+std::vector<SoakFault> DrawLimits(uint64_t seed, Duration length);
+
 /// One line a fault: its kind, milliseconds from the start, how many it lasts, its target.
 std::string FormatSchedule(const std::vector<SoakFault>& schedule);
 /// Throws Error(kMalformedMessage) that names the line.
--- a/src/standin/fleet/wire_names.h
+++ b/src/standin/fleet/wire_names.h
@@ -17,6 +17,7 @@
 inline constexpr char kHandover[] = "X-Ladderstream-Handover";
 inline constexpr char kRetryAfter[] = "Retry-After";
 inline constexpr char kServerLeaving[] = "Server-Leaving";
+inline constexpr char kServerLimit[] = "Server-Limit";
 inline constexpr char kKeepAlive[] = "Keep-Alive";
 inline constexpr char kConnection[] = "Connection";
 
--- a/tests/unit/standin_fleet/judge_test.cc
+++ b/tests/unit/standin_fleet/judge_test.cc
@@ -130,6 +130,35 @@
   BOOST_TEST(Judged().misrouted.count == 6U);
 }
 
+BOOST_AUTO_TEST_CASE(sees_requests_of_all_nodes_beyond_a_limit) {
+  const auto arrive = [this](int number, Duration after, double limit) {
+    Tell(std::to_string(number), 200).node = static_cast<size_t>(number % 2);
+    Arrival& arrival = Run(std::to_string(number), "b1");
+    arrival.at = arrival.begun = arrival.ended = kStart + after;
+    arrival.named_limit = limit;
+  };
+  constexpr double kLimit = 2;
+  constexpr int kAllowed = 17;
+  arrive(0, absl::ZeroDuration(), kLimit);
+  arrive(1, absl::ZeroDuration(), kLimit);
+  for (int i = 2; i <= kAllowed + 1; ++i) {
+    arrive(i, absl::Milliseconds(600 + 150 * i), kLimit);
+  }
+  arrive(kAllowed + 2, absl::Seconds(5), kLimit);
+  BOOST_TEST(Judged().over_budget.count == 0U);
+  arrive(kAllowed + 3, absl::Milliseconds(3100), kLimit);
+  BOOST_TEST(Judged().over_budget.count == 1U);
+  // A node that was restarted meanwhile has not heard of the limit.
+  history.disturbances.push_back({.from = kStart + absl::Milliseconds(100),
+                                  .until = kStart + absl::Milliseconds(200),
+                                  .node = 0});
+  BOOST_TEST(Judged().over_budget.count == 0U);
+  history.disturbances.clear();
+  // The limit had ended.
+  arrive(kAllowed + 4, absl::Milliseconds(2000), kNoLimit);
+  BOOST_TEST(Judged().over_budget.count == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(sees_requests_within_a_rest_that_was_asked_for) {
   const auto refused = [this](const std::string& id, Duration after) -> Arrival& {
     Tell(id, 503);
