--- a/src/core/allowance/told_limits.cc
+++ b/src/core/allowance/told_limits.cc
@@ -120,6 +120,7 @@
     changed.resize(kMostShared);
   }
   std::vector<LimitRecord> records;
+  records.reserve(changed.size());
   for (auto& [at, record] : changed) {
     records.push_back(std::move(record));
   }
--- a/src/core/forwarding/dispatch.cc
+++ b/src/core/forwarding/dispatch.cc
@@ -53,7 +53,7 @@
 }
 
 Choice Dispatcher::Impl::Choose(const Request& request, Time now) {
-  const Choice choice = ChooseOnce(request, now);
+  Choice choice = ChooseOnce(request, now);
   if (choice.wants_permit == nullptr) {
     return choice;
   }
--- a/tests/unit/rate_limit/rate_limit_test.cc
+++ b/tests/unit/rate_limit/rate_limit_test.cc
@@ -1,7 +1,9 @@
 // Back ends that owned keys named a limit with their answers, "Server-Limit: 3.4", and eleven nodes
 // together went on sending them 10 to 19 requests a second: 39 in four seconds where 25 are
-// allowed. Nothing is turned away over such a limit, so that no refusal, no queue and no late
-// answer held any node back. What settled it, of one node and the back ends' own counts:
+// allowed. The header was counted as not understood and read by nobody. Nothing is turned away over
+// such a limit, so that no refusal, no queue and no late answer held any node back either; and a
+// node that had read it could not have known what the other ten sent. What settled it, of one node
+// and the back ends' own counts:
 //
 //   up=16.09 not_understood kind=answer_header detail="Server-Limit: 3.4"
 //   up=18.45 request_answered backend=i-dd30e13173 status=200 elapsed_ms=67.3
