--- a/tests/unit/membership/relay_world.h
+++ b/tests/unit/membership/relay_world.h
@@ -150,6 +150,9 @@
   /// A node has heard of requests that crash back ends.
   std::function<void(uint64_t, const std::vector<quarantine::SuspectRecord>&)> on_suspects =
       [](uint64_t, const auto&) {};
+  /// A node has heard of limits of back ends.
+  std::function<void(uint64_t, const std::vector<allowance::LimitRecord>&)> on_limits =
+      [](uint64_t, const auto&) {};
 
  private:
   void StepNode(uint64_t number, WorldNode* node) {
@@ -196,6 +199,9 @@
       if (const auto* heard = std::get_if<SuspectsHeardAction>(&action)) {
         on_suspects(number, heard->suspects);
       }
+      if (const auto* heard = std::get_if<LimitsHeardAction>(&action)) {
+        on_limits(number, heard->limits);
+      }
       if (auto* send = std::get_if<SendAction>(&action)) {
         Deliver(number, *send);
       }
