Keep a limit that no answer names for ten minutes

By reading: with hundreds of nodes each sends to one back end less than once a minute, so that each would have forgotten the limit in between, and sent a request without a permit again and again: 5 a second of 300 nodes. A limit that ended is told to all, and the next answer tells it too.

--- a/src/core/allowance/told_limits.h
+++ b/src/core/allowance/told_limits.h
@@ -40,8 +40,9 @@
 
 class ToldLimits {
  public:
-  /// A limit that no answer named for so long lapses.
-  static constexpr Duration kLifetime = absl::Minutes(1);
+  /// A limit that no answer named for so long lapses. Where many nodes send to a back end rarely,
+  /// each that forgets its limit sends one request without a permit.
+  static constexpr Duration kLifetime = absl::Minutes(10);
   /// Changes are told for so long: two of the longest intervals between nodes' reports.
   static constexpr Duration kTellFor = absl::Seconds(3);
   /// Records in one message at most; of more, the newest are told, and nodes hear of the others by
