Take up the limits of a service once they have settled

Cause: its back ends say so one after the other, within half a second. Those that had not yet said so looked as if they had room, and took keys for which they had none a moment later; as the limits ended, the same the other way round.

The partitioner hears of a service's limits when none came or went for a second, three seconds after the first at the latest, so it sees the service as a whole.

--- a/src/core/ownership/backend_directory.cc
+++ b/src/core/ownership/backend_directory.cc
@@ -30,6 +30,12 @@
 /// deployments are made to bear the loss of one zone of three.
 constexpr double kMostAvoided = 1.0 / 3;
 
+/// Where a whole service comes to have limits, or to have none any more, its back ends say so one
+/// after the other: keys would go from those that did to those that are about to. Limits are taken
+/// up when none came or went for kLimitsSettle, and kLimitsTakenUp after the first at the latest.
+constexpr Duration kLimitsSettle = absl::Seconds(1);
+constexpr Duration kLimitsTakenUp = absl::Seconds(3);
+
 /// Back ends that have gone are forgotten only above this many: the row of one that is known may
 /// come back late without passing for a newcomer at its address.
 constexpr size_t kMostRemembered = 2048;
@@ -164,11 +170,30 @@
   return true;
 }
 
-void BackendDirectory::SetRateLimits(const std::map<std::string, double>& limits) {
+bool BackendDirectory::HaveSettled(const LimitChanges& changes, Time now) {
+  return now - changes.last >= kLimitsSettle || now - changes.first >= kLimitsTakenUp;
+}
+
+void BackendDirectory::SetRateLimits(const std::map<std::string, double>& limits, Time now) {
   for (auto& [id, known] : backends_) {
     const auto limit = limits.find(id);
-    known.rate_limit = limit == limits.end() ? std::nullopt : std::optional(limit->second);
+    const auto told = limit == limits.end() ? std::nullopt : std::optional(limit->second);
+    if (told.has_value() != known.told_limit.has_value()) {
+      LimitChanges& changes = limit_changes_[known.service];
+      changes.first = std::min(changes.first, now);
+      changes.last = now;
+    }
+    known.told_limit = told;
+  }
+  for (auto& [id, known] : backends_) {
+    const auto changes = limit_changes_.find(known.service);
+    const bool settled = changes == limit_changes_.end() || HaveSettled(changes->second, now);
+    if (settled || (known.rate_limit.has_value() && known.told_limit.has_value())) {
+      known.rate_limit = known.told_limit;
+    }
   }
+  std::erase_if(limit_changes_,
+                [now](const auto& entry) { return HaveSettled(entry.second, now); });
 }
 
 void BackendDirectory::RecordServed(const std::string& id, uint32_t answers, Time now) {
--- a/src/core/ownership/backend_directory.h
+++ b/src/core/ownership/backend_directory.h
@@ -38,7 +38,9 @@
   Time avoided_until = absl::InfinitePast();
   Duration avoidance = absl::ZeroDuration();
 
-  /// Requests a second that it takes from all nodes together, as it says.
+  /// Requests a second that it takes from all nodes together, as it last said, and as partitioning
+  /// takes it.
+  std::optional<double> told_limit;
   std::optional<double> rate_limit;
 
   /// Grants in a row that were not confirmed.
@@ -84,8 +86,9 @@
   /// A node leaves it alone for `rest`, since it turned a request away with free slots. Gives
   /// whether its keys are to go elsewhere from now on.
   bool RecordDeclined(const std::string& id, Duration rest, Time now);
-  /// The limits that back ends have named, in requests a second; all others have none.
-  void SetRateLimits(const std::map<std::string, double>& limits);
+  /// The limits that back ends have named, in requests a second; all others have none. Taken up
+  /// once the service's limits have settled.
+  void SetRateLimits(const std::map<std::string, double>& limits, Time now);
   /// It served so many requests.
   void RecordServed(const std::string& id, uint32_t answers, Time now);
   /// It left a release unanswered: if it is silent, it stays so for a while longer.
@@ -121,8 +124,18 @@
   /// Most of a service's back ends are silent: more likely this node is cut off.
   bool MostAreSilent(const std::string& service) const;
 
+  /// Back ends of one service that came to have a limit, or to have none any more.
+  struct LimitChanges {
+    /// Of those that were not taken up; infinite when there are none.
+    Time first = absl::InfiniteFuture();
+    Time last = absl::InfinitePast();
+  };
+  static bool HaveSettled(const LimitChanges& changes, Time now);
+
   const CoordinatorSettings settings_;
   std::map<std::string, KnownBackend> backends_;
+  /// By service.
+  std::map<std::string, LimitChanges> limit_changes_;
 };
 
 }  // namespace ladderstream::ownership
--- a/src/core/ownership/coordinator.cc
+++ b/src/core/ownership/coordinator.cc
@@ -340,8 +340,8 @@
   impl_->OnOwnerDeclined(service, backend, rest, now);
 }
 
-void Coordinator::SetRateLimits(const std::map<std::string, double>& limits) {
-  impl_->SetRateLimits(limits);
+void Coordinator::SetRateLimits(const std::map<std::string, double>& limits, Time now) {
+  impl_->SetRateLimits(limits, now);
 }
 void Coordinator::OnOwnerDenied(const std::string& service, Key key, Time now) {
   impl_->OnOwnerDenied(service, key, now);
--- a/src/core/ownership/coordinator.h
+++ b/src/core/ownership/coordinator.h
@@ -174,7 +174,7 @@
   void OnOwnerDeclined(const std::string& service, const std::string& backend, Duration rest,
                        Time now);
   /// All limits in force that back ends have named, in requests a second from all nodes together.
-  void SetRateLimits(const std::map<std::string, double>& limits);
+  void SetRateLimits(const std::map<std::string, double>& limits, Time now);
   /// A node got "does not own the key" from an owner of the map in force: check its grant.
   void OnOwnerDenied(const std::string& service, Key key, Time now);
   /// It is proven that this incarnation of a back end has ended, and so holds nothing.
--- a/src/core/ownership/coordinator_impl.h
+++ b/src/core/ownership/coordinator_impl.h
@@ -37,8 +37,8 @@
               const std::vector<partition::ServiceTimeSample>& samples, Time now);
   void OnOwnerDeclined(const std::string& service, const std::string& backend, Duration rest,
                        Time now);
-  void SetRateLimits(const std::map<std::string, double>& limits) {
-    directory_.SetRateLimits(limits);
+  void SetRateLimits(const std::map<std::string, double>& limits, Time now) {
+    directory_.SetRateLimits(limits, now);
   }
   void OnOwnerDenied(const std::string& service, Key key, Time now);
   void OnBackendEnded(const std::string& backend, Time now);
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -432,7 +432,7 @@
   }
   if (now >= next_own_load_) {
     next_own_load_ = now + kOwnLoadInterval;
-    coordinator_.SetRateLimits(listener_->LimitsInForce());
+    coordinator_.SetRateLimits(listener_->LimitsInForce(), now);
     TellCoordinator(ToReports(listener_->TakeLoad(), catalog_.configuration().get()), now,
                     &coordinator_);
   }
