--- a/src/bench/coordination_model.cc
+++ b/src/bench/coordination_model.cc
@@ -208,8 +208,8 @@
   catalog::Service service;
   service.name = kService;
   service.sharded = true;
-  events_.At(now(), [this, service] {
-    Turn([this, service] { coordinator_->OnCatalog({service}, backends_, now()); },
+  events_.At(now(), [this, service, changes = registered_.Replace(backends_)] {
+    Turn([this, service, changes] { coordinator_->OnCatalog({service}, changes, now()); },
          absl::ZeroDuration());
   });
 }
--- a/src/bench/coordination_model.h
+++ b/src/bench/coordination_model.h
@@ -95,6 +95,8 @@
   std::unique_ptr<ownership::Coordinator> coordinator_;
   ownership::OwnershipMap map_;
   std::vector<catalog::Backend> backends_;
+  /// What the coordinator was told.
+  catalog::BackendSet registered_;
   std::set<std::string> silent_;
   std::map<std::string, Time> confirmed_;
   size_t last_backend_ = 0;
--- a/src/bench/forwarding_model.cc
+++ b/src/bench/forwarding_model.cc
@@ -245,7 +245,7 @@
       settings.seed = random_();
       router.dispatcher = std::make_unique<Dispatcher>(settings);
       router.dispatcher->SetConfiguration(configuration, now());
-      router.dispatcher->SetBackends(backends, {}, now());
+      router.dispatcher->ChangeBackends({backends, {}}, {}, now());
       router.dispatcher->SetMapConfirmed(absl::InfiniteFuture());
       router.dispatcher->SetOwnership(map, now());
     }
--- a/src/core/catalog/backend_registry.h
+++ b/src/core/catalog/backend_registry.h
@@ -9,7 +9,6 @@
 
 #include <set>
 #include <string>
-#include <vector>
 
 #include "core/catalog/catalog.h"
 #include "wire/time.h"
@@ -21,14 +20,16 @@
 
 class BackendRegistry {
  public:
-  /// Takes all registrations of now, as decoded, and completes them. `configuration` may be null.
+  /// Completes a registration, as decoded. `configuration` may be null.
   ///
   /// A back end is cold for the time that its registration says, counted from when that was first
   /// seen. Where an evacuation ends, it is taken to be cold for its service's cold time: its
   /// registration tells of a new cold time up to a heartbeat and the store's delay later, and in
   /// that time a warm one's share of requests would be several times what it bears.
-  std::vector<Backend> Complete(std::vector<Backend> registrations, const EvacuatedZones& evacuated,
-                                const Configuration* configuration, Time now);
+  Backend Complete(Backend backend, const EvacuatedZones& evacuated,
+                   const Configuration* configuration, Time now);
+  /// Its registration went.
+  void Forget(const std::string& id);
 
  private:
   struct Seen {
--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -61,9 +61,9 @@
   splits_.SetRoutes(routes_.configuration()->routes);
 }
 
-void Dispatcher::Impl::SetBackends(const std::vector<catalog::Backend>& backends,
-                                   const RegistrationNews& news, Time now) {
-  services_.SetBackends(backends, news, now);
+void Dispatcher::Impl::ChangeBackends(const catalog::BackendChanges& changes,
+                                      const RegistrationNews& news, Time now) {
+  services_.ChangeBackends(changes, news, now);
   for (ServiceState* service : services_.Services()) {
     DispatchWaiting(*service, now);
   }
@@ -283,9 +283,9 @@
                                   Time now) {
   impl_->SetConfiguration(std::move(configuration), now);
 }
-void Dispatcher::SetBackends(const std::vector<catalog::Backend>& backends,
-                             const RegistrationNews& news, Time now) {
-  impl_->SetBackends(backends, news, now);
+void Dispatcher::ChangeBackends(const catalog::BackendChanges& changes,
+                                const RegistrationNews& news, Time now) {
+  impl_->ChangeBackends(changes, news, now);
 }
 void Dispatcher::SetOwnership(std::shared_ptr<const ownership::OwnershipMap> map, Time now) {
   impl_->SetOwnership(std::move(map), now);
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "core/allowance/shared_rates.h"
+#include "core/catalog/backend_set.h"
 #include "core/catalog/catalog.h"
 #include "core/catalog/told_limit.h"
 #include "core/catalog/told_load.h"
@@ -206,9 +207,10 @@
   ~Dispatcher();
 
   void SetConfiguration(std::shared_ptr<const catalog::Configuration> configuration, Time now);
-  /// All registered back ends, whenever one changes.
-  void SetBackends(const std::vector<catalog::Backend>& backends, const RegistrationNews& news,
-                   Time now);
+  /// What changed in the registered back ends. Also to be called after a change of the
+  /// configuration.
+  void ChangeBackends(const catalog::BackendChanges& changes, const RegistrationNews& news,
+                      Time now);
   /// Null or stale (see SetMapConfirmed) maps make keyed requests fail with kNoOwner.
   void SetOwnership(std::shared_ptr<const ownership::OwnershipMap> map, Time now);
   /// The map in force is known to be the newest as of `now`; it may be used until `until`.
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -32,8 +32,8 @@
   explicit Impl(const DispatcherSettings& settings);
 
   void SetConfiguration(std::shared_ptr<const catalog::Configuration> configuration, Time now);
-  void SetBackends(const std::vector<catalog::Backend>& backends, const RegistrationNews& news,
-                   Time now);
+  void ChangeBackends(const catalog::BackendChanges& changes, const RegistrationNews& news,
+                      Time now);
   void SetOwnership(std::shared_ptr<const ownership::OwnershipMap> map, Time now);
   void SetMapConfirmed(Time until) { ownership_.SetConfirmed(until); }
   void SetNodeCount(uint32_t node_count);
--- a/src/core/forwarding/service_table.cc
+++ b/src/core/forwarding/service_table.cc
@@ -1,6 +1,5 @@
 #include "core/forwarding/service_table.h"
 
-#include <absl/container/flat_hash_set.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
@@ -32,6 +31,9 @@
 /// More beliefs than this are not kept until the next TakeBeliefs.
 constexpr size_t kMaxBeliefs = 1000;
 
+/// Fewer than this are put in their places one by one; more are merged.
+constexpr size_t kInsertedSingly = 16;
+
 const char* NameOfState(const catalog::Backend& backend) {
   if (backend.draining) {
     return "draining";
@@ -47,6 +49,10 @@
              : absl::StrCat(", at most ", absl::ToInt64Milliseconds(age), " ms ago");
 }
 
+bool ById(const BackendStatePtr& one, const BackendStatePtr& other) {
+  return one->registration.id < other->registration.id;
+}
+
 void StopNewWork(Time usable_until, Time owner_usable_until, BackendState& state) {
   state.usable_until = std::min(state.usable_until, usable_until);
   state.owner_usable_until = std::min(state.owner_usable_until, owner_usable_until);
@@ -54,37 +60,39 @@
 
 }  // namespace
 
-void ServiceTable::SetBackends(const std::vector<catalog::Backend>& backends,
-                               const RegistrationNews& news, Time now) {
-  absl::flat_hash_set<std::string> registered;
-  for (const catalog::Backend& backend : backends) {
-    registered.insert(backend.id);
+void ServiceTable::ChangeBackends(const catalog::BackendChanges& changes,
+                                  const RegistrationNews& news, Time now) {
+  const size_t registered_before = registered_count_;
+  std::vector<BackendStatePtr> added;
+  looked_at_ += changes.set.size() + changes.gone.size();
+  for (const catalog::Backend& backend : changes.set) {
     const auto known = backends_.find(backend.id);
     if (known == backends_.end()) {
-      Register(backend);
-      EndEarlier(backend);
-    } else {
-      Update(backend, news, *known->second, now);
+      added.push_back(Register(backend));
+      continue;
     }
-  }
-  std::vector<BackendStatePtr> gone;
-  size_t registered_before = 0;
-  for (const auto& [id, state] : backends_) {
-    registered_before += state->registered ? 1 : 0;
-    if (state->registered && !registered.contains(id)) {
-      gone.push_back(state);
+    const BackendStatePtr state = known->second;
+    if (state->registration.service != backend.service) {
+      Unlist(state);
+      added.push_back(state);
     }
+    Update(backend, news, *state, now);
   }
+  const double gone_share = static_cast<double>(changes.gone.size());
   const bool may_have_lapsed =
-      news.store_troubled &&
-      static_cast<double>(gone.size()) >= kLapsedShare * static_cast<double>(registered_before);
-  for (const BackendStatePtr& state : gone) {
-    MarkGone(news, may_have_lapsed, *state, now);
+      news.store_troubled && gone_share >= kLapsedShare * static_cast<double>(registered_before);
+  for (const std::string& id : changes.gone) {
+    const auto known = backends_.find(id);
+    if (known != backends_.end() && known->second->registered) {
+      MarkGone(news, may_have_lapsed, *known->second, now);
+      gone_.emplace(ForgetDue(*known->second), known->second);
+    }
   }
-  Rebuild(now);
+  List(added);
+  ForgetGone(now);
 }
 
-void ServiceTable::Register(const catalog::Backend& backend) {
+BackendStatePtr ServiceTable::Register(const catalog::Backend& backend) {
   auto state = std::make_shared<BackendState>(backend, Service(backend.service).averages);
   state->load.SetColdUntil(backend.cold_until);
   if (backend.Leaves()) {
@@ -95,16 +103,22 @@
   AddBelief(*state, "registered",
             absl::StrCat(backend.service, " at ", FormatEndpoint(backend.address), ", ",
                          NameOfState(backend)));
-  backends_.emplace(backend.id, std::move(state));
+  EndEarlier(backend);
+  incarnations_[std::string(catalog::InstanceOf(backend.id))].push_back(state);
+  backends_.emplace(backend.id, state);
+  ++registered_count_;
+  return state;
 }
 
 void ServiceTable::EndEarlier(const catalog::Backend& backend) {
-  const std::string_view instance = catalog::InstanceOf(backend.id);
-  for (const auto& [id, earlier] : backends_) {
-    if (id != backend.id && catalog::InstanceOf(id) == instance) {
-      StopNewWork(absl::InfinitePast(), absl::InfinitePast(), *earlier);
-      AddBelief(*earlier, "ended", absl::StrCat(backend.id, " has started in its place"));
-    }
+  const auto known = incarnations_.find(std::string(catalog::InstanceOf(backend.id)));
+  if (known == incarnations_.end()) {
+    return;
+  }
+  looked_at_ += known->second.size();
+  for (const BackendStatePtr& earlier : known->second) {
+    StopNewWork(absl::InfinitePast(), absl::InfinitePast(), *earlier);
+    AddBelief(*earlier, "ended", absl::StrCat(backend.id, " has started in its place"));
   }
 }
 
@@ -124,6 +138,7 @@
     return;
   }
   const bool was_serving = state.registered && !previous.Leaves();
+  registered_count_ += state.registered ? 0 : 1;
   state.registered = true;
   state.gone_at = absl::InfiniteFuture();
   state.load.SetSlots(backend.slots);
@@ -192,6 +207,7 @@
 void ServiceTable::MarkGone(const RegistrationNews& news, bool may_have_lapsed, BackendState& state,
                             Time now) {
   state.registered = false;
+  --registered_count_;
   state.gone_at = now;
   const Duration grace = news.store_troubled ? settings_.lapse_grace : settings_.drain_grace;
   const Time last = may_have_lapsed ? absl::InfiniteFuture()
@@ -204,26 +220,67 @@
                    news.store_troubled ? " while the store was troubled" : "", AgeOf(news, now)));
 }
 
-void ServiceTable::Rebuild(Time now) {
-  for (auto& [name, service] : services_) {
-    service->backends.clear();
+void ServiceTable::List(const std::vector<BackendStatePtr>& added) {
+  absl::flat_hash_map<std::string, std::vector<BackendStatePtr>> by_service;
+  for (const BackendStatePtr& state : added) {
+    by_service[state->registration.service].push_back(state);
   }
-  for (auto entry = backends_.begin(); entry != backends_.end();) {
-    const BackendStatePtr& state = entry->second;
-    const Duration remembered = state->said_leaving ? kRememberLeaving : kForgetAfter;
-    if (now - state->gone_at > remembered && !state->Rests(now)) {
-      backends_.erase(entry++);
+  for (auto& [name, fresh] : by_service) {
+    std::vector<BackendStatePtr>& listed = Service(name).backends;
+    std::sort(fresh.begin(), fresh.end(), ById);
+    if (fresh.size() <= kInsertedSingly) {
+      for (BackendStatePtr& state : fresh) {
+        listed.insert(std::upper_bound(listed.begin(), listed.end(), state, ById), state);
+      }
       continue;
     }
-    Service(state->registration.service).backends.push_back(state);
-    ++entry;
+    const auto middle = static_cast<std::ptrdiff_t>(listed.size());
+    listed.insert(listed.end(), fresh.begin(), fresh.end());
+    std::inplace_merge(listed.begin(), listed.begin() + middle, listed.end(), ById);
   }
-  for (auto& [name, service] : services_) {
-    std::sort(service->backends.begin(), service->backends.end(),
-              [](const BackendStatePtr& a, const BackendStatePtr& b) {
-                return a->registration.id < b->registration.id;
-              });
+}
+
+Time ServiceTable::ForgetDue(const BackendState& state) {
+  const Duration remembered = state.said_leaving ? kRememberLeaving : kForgetAfter;
+  return std::max(state.gone_at + remembered, state.rest_until);
+}
+
+void ServiceTable::ForgetGone(Time now) {
+  while (!gone_.empty() && gone_.begin()->first < now) {
+    const BackendStatePtr state = gone_.begin()->second;
+    gone_.erase(gone_.begin());
+    ++looked_at_;
+    if (state->registered) {
+      continue;
+    }
+    const Time due = ForgetDue(*state);
+    if (due >= now) {
+      gone_.emplace(due, state);
+    } else if (FindBackend(state->registration.id) == state) {
+      Forget(state);
+    }
+  }
+}
+
+void ServiceTable::Unlist(const BackendStatePtr& state) {
+  std::vector<BackendStatePtr>& listed = Service(state->registration.service).backends;
+  const auto place = std::lower_bound(listed.begin(), listed.end(), state, ById);
+  if (place != listed.end() && *place == state) {
+    listed.erase(place);
+  }
+}
+
+void ServiceTable::Forget(const BackendStatePtr& state) {
+  Unlist(state);
+  const std::string id = state->registration.id;
+  const auto known = incarnations_.find(std::string(catalog::InstanceOf(id)));
+  if (known != incarnations_.end()) {
+    std::erase(known->second, state);
+    if (known->second.empty()) {
+      incarnations_.erase(known);
+    }
   }
+  backends_.erase(id);
 }
 
 ServiceState& ServiceTable::Service(const std::string& name) {
--- a/src/core/forwarding/service_table.h
+++ b/src/core/forwarding/service_table.h
@@ -3,6 +3,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -37,9 +38,9 @@
   /// `settings` must outlive the table.
   explicit ServiceTable(const DispatcherSettings& settings) : settings_(settings) {}
 
-  /// Takes over all registrations of now; see Dispatcher::SetBackends.
-  void SetBackends(const std::vector<catalog::Backend>& backends, const RegistrationNews& news,
-                   Time now);
+  /// See Dispatcher::ChangeBackends.
+  void ChangeBackends(const catalog::BackendChanges& changes, const RegistrationNews& news,
+                      Time now);
 
   /// The back end itself said that it is cold for `time_left` from now on.
   void NoteCold(Duration time_left, BackendState& state, Time now);
@@ -55,26 +56,42 @@
   BackendStatePtr FindBackend(const std::string& id) const;
 
   std::vector<ServiceState*> Services();
+  /// Back ends looked at by all changes of registrations so far.
+  uint64_t looked_at() const { return looked_at_; }
   std::vector<BackendBelief> TakeBeliefs();
   void AddBelief(const BackendState& backend, std::string event, std::string detail);
   /// Tells when another rank of the service begins to be turned away; not with every wave.
   void NoteLevel(ServiceState& service, Time now);
 
  private:
-  void Register(const catalog::Backend& backend);
+  BackendStatePtr Register(const catalog::Backend& backend);
   /// `backend` proves that earlier incarnations of it have ended.
   void EndEarlier(const catalog::Backend& backend);
   void Update(const catalog::Backend& backend, const RegistrationNews& news, BackendState& state,
               Time now);
   /// `may_have_lapsed`: so many went at once that the store may have lost them by mistake.
   void MarkGone(const RegistrationNews& news, bool may_have_lapsed, BackendState& state, Time now);
-  /// Drops back ends that disappeared long ago, and lists the others by service.
-  void Rebuild(Time now);
+  /// Puts the new ones into the lists of their services.
+  void List(const std::vector<BackendStatePtr>& added);
+  /// Drops back ends that disappeared long ago.
+  void ForgetGone(Time now);
+  /// When a back end that is gone is forgotten.
+  static Time ForgetDue(const BackendState& state);
+  void Forget(const BackendStatePtr& state);
+  /// Takes it out of its service's list.
+  void Unlist(const BackendStatePtr& state);
 
   const DispatcherSettings& settings_;
   absl::flat_hash_map<std::string, std::unique_ptr<ServiceState>> services_;
   absl::flat_hash_map<std::string, BackendStatePtr> backends_;
+  /// The incarnations in `backends_` of each back end, by the name that it gives itself.
+  absl::flat_hash_map<std::string, std::vector<BackendStatePtr>> incarnations_;
+  size_t registered_count_ = 0;
+  /// Those in `backends_` that are not registered, by when to look whether they are forgotten;
+  /// some also that are registered again.
+  std::multimap<Time, BackendStatePtr> gone_;
   std::vector<BackendBelief> beliefs_;
+  uint64_t looked_at_ = 0;
 };
 
 }  // namespace ladderstream::forwarding
--- a/src/core/ownership/backend_directory.cc
+++ b/src/core/ownership/backend_directory.cc
@@ -36,10 +36,6 @@
 constexpr Duration kLimitsSettle = absl::Seconds(1);
 constexpr Duration kLimitsTakenUp = absl::Seconds(3);
 
-/// Back ends that have gone are forgotten only above this many: the row of one that is known may
-/// come back late without passing for a newcomer at its address.
-constexpr size_t kMostRemembered = 2048;
-
 /// With fewer back ends, nothing is concluded from most of them being silent.
 constexpr size_t kFewestForMajority = 3;
 
@@ -54,42 +50,95 @@
 
 BackendDirectory::BackendDirectory(const CoordinatorSettings& settings) : settings_(settings) {}
 
-RegistrationChanges BackendDirectory::Update(const std::vector<catalog::Backend>& backends,
+void BackendDirectory::Index(const std::string& id, const KnownBackend& known) {
+  by_address_[known.address].insert(id);
+  by_instance_[std::string(catalog::InstanceOf(id))].insert(id);
+}
+
+void BackendDirectory::Unindex(const std::string& id, const KnownBackend& known) {
+  const auto erase = [&id](auto* index, const auto& key) {
+    const auto entry = index->find(key);
+    if (entry != index->end() && entry->second.erase(id) > 0 && entry->second.empty()) {
+      index->erase(entry);
+    }
+  };
+  erase(&by_address_, known.address);
+  erase(&by_instance_, catalog::InstanceOf(id));
+}
+
+void BackendDirectory::FindEnded(const catalog::Backend& newcomer,
+                                 std::vector<std::string>* ended) const {
+  const std::string_view instance = catalog::InstanceOf(newcomer.id);
+  const auto note = [&](const std::string& id) {
+    if (!backends_.at(id).ended) {
+      ended->push_back(id);
+    }
+  };
+  const auto there = by_address_.find(newcomer.address);
+  if (there != by_address_.end()) {
+    for (const std::string& id : there->second) {
+      if (catalog::InstanceOf(id) != instance) {
+        note(id);
+      }
+    }
+  }
+  const auto same = by_instance_.find(instance);
+  if (same != by_instance_.end()) {
+    for (const std::string& id : same->second) {
+      // An old row may be read late: only a later start proves that an earlier one ended.
+      if (backends_.at(id).address != newcomer.address &&
+          catalog::StartOf(newcomer.id) > catalog::StartOf(id)) {
+        note(id);
+      }
+    }
+  }
+}
+
+void BackendDirectory::Count(const KnownBackend& known, int by) {
+  if (!known.registered || known.ended) {
+    return;
+  }
+  ServiceCounts& counts = counts_[known.service];
+  counts.registered += static_cast<size_t>(by);
+  counts.silent += known.silent ? static_cast<size_t>(by) : 0;
+}
+
+void BackendDirectory::SetSilent(KnownBackend* known, bool silent) {
+  Count(*known, -1);
+  known->silent = silent;
+  Count(*known, 1);
+}
+
+RegistrationChanges BackendDirectory::Update(const catalog::BackendChanges& changes,
                                              const std::set<std::string>& sharded) {
-  std::map<Endpoint, std::string> newcomers;
-  std::map<std::string_view, const catalog::Backend*> started;
-  std::set<std::string> registered;
-  for (const catalog::Backend& backend : backends) {
-    registered.insert(backend.id);
+  RegistrationChanges found;
+  for (const catalog::Backend& backend : changes.set) {
     if (!backends_.contains(backend.id)) {
-      newcomers[backend.address] = backend.id;
-      started[catalog::InstanceOf(backend.id)] = &backend;
+      FindEnded(backend, &found.ended);
     }
   }
-  RegistrationChanges changes;
-  for (auto& [id, known] : backends_) {
-    const bool is_registered = registered.contains(id);
-    changes.any =
-        changes.any || (known.registered != is_registered && sharded.contains(known.service));
-    known.registered = is_registered;
-    const std::string_view instance = catalog::InstanceOf(id);
-    const auto newcomer = newcomers.find(known.address);
-    const bool replaced =
-        newcomer != newcomers.end() && catalog::InstanceOf(newcomer->second) != instance;
-    const auto again = started.find(instance);
-    // An old row may be read late: only a later start proves that an earlier one ended.
-    const bool moved = again != started.end() && again->second->address != known.address &&
-                       catalog::StartOf(again->second->id) > catalog::StartOf(id);
-    if (!known.ended && (replaced || moved)) {
-      known.ended = true;
-      changes.ended.push_back(id);
+  for (const std::string& id : found.ended) {
+    MarkEnded(id);
+  }
+  for (const std::string& id : changes.gone) {
+    const auto known = backends_.find(id);
+    if (known != backends_.end() && known->second.registered) {
+      found.any = found.any || sharded.contains(known->second.service);
+      Count(known->second, -1);
+      known->second.registered = false;
+      --registered_count_;
     }
   }
-  for (const catalog::Backend& backend : backends) {
+  for (const catalog::Backend& backend : changes.set) {
     const auto [place, is_new] = backends_.try_emplace(backend.id);
     KnownBackend& known = place->second;
-    const bool differs = is_new || known.leaving != backend.Leaves();
-    changes.any = changes.any || (differs && sharded.contains(backend.service));
+    const bool differs = is_new || !known.registered || known.leaving != backend.Leaves();
+    found.any = found.any || (differs && sharded.contains(backend.service));
+    if (!is_new) {
+      Unindex(backend.id, known);
+    }
+    Count(known, -1);
+    registered_count_ += known.registered ? 0 : 1;
     known.service = backend.service;
     known.address = backend.address;
     known.zone = backend.zone;
@@ -98,30 +147,48 @@
     known.leaving = backend.Leaves();
     known.cold_until = backend.cold_until;
     known.bounded_by_cold = backend.cold_requests_per_second > 0;
+    Count(known, 1);
+    Index(backend.id, known);
   }
-  return changes;
+  return found;
 }
 
 void BackendDirectory::Remember(const std::string& id, const std::string& service,
                                 const Endpoint& address) {
   const auto [place, is_new] = backends_.try_emplace(id);
-  if (is_new || place->second.service.empty()) {
-    place->second.service = service;
-    place->second.address = address;
+  KnownBackend& known = place->second;
+  if (!is_new && !known.service.empty()) {
+    return;
+  }
+  if (!is_new) {
+    Unindex(id, known);
   }
+  known.service = service;
+  known.address = address;
+  Index(id, known);
 }
 
 void BackendDirectory::ForgetUnneeded(const std::set<std::string>& needed) {
-  if (backends_.size() <= kMostRemembered) {
-    return;
+  for (auto entry = backends_.begin(); entry != backends_.end();) {
+    const auto& [id, known] = *entry;
+    if (known.registered || needed.contains(id)) {
+      ++entry;
+      continue;
+    }
+    Unindex(id, known);
+    failing_.erase(id);
+    entry = backends_.erase(entry);
   }
-  std::erase_if(backends_, [&](const auto& entry) {
-    const auto& [id, known] = entry;
-    return !known.registered && !needed.contains(id);
-  });
 }
 
-void BackendDirectory::MarkEnded(const std::string& id) { backends_[id].ended = true; }
+void BackendDirectory::MarkEnded(const std::string& id) {
+  const auto [place, is_new] = backends_.try_emplace(id);
+  if (is_new) {
+    Index(id, place->second);
+  }
+  Count(place->second, -1);
+  place->second.ended = true;
+}
 
 bool BackendDirectory::RecordAnswer(const std::string& id) {
   const auto found = backends_.find(id);
@@ -133,8 +200,11 @@
   known.failures = 0;
   known.only_refused = true;
   known.failing_since = absl::InfiniteFuture();
-  known.silent = false;
+  if (was_silent) {
+    SetSilent(&known, false);
+  }
   known.distrust = absl::ZeroDuration();
+  failing_.erase(id);
   return was_silent;
 }
 
@@ -149,6 +219,7 @@
   // A pause of this process is no silence of the back end.
   const Time noticed = std::max(sent, now - settings_.order_timeout);
   known.failing_since = std::min(known.failing_since, noticed);
+  failing_.insert(id);
 }
 
 bool BackendDirectory::RecordDeclined(const std::string& id, Duration rest, Time now) {
@@ -175,6 +246,10 @@
 }
 
 void BackendDirectory::SetRateLimits(const std::map<std::string, double>& limits, Time now) {
+  if (limits.empty() && !any_limited_ && limit_changes_.empty()) {
+    return;
+  }
+  any_limited_ = !limits.empty();
   for (auto& [id, known] : backends_) {
     const auto limit = limits.find(id);
     const auto told = limit == limits.end() ? std::nullopt : std::optional(limit->second);
@@ -229,29 +304,33 @@
 
 std::vector<std::string> BackendDirectory::TakeSilent(Time now) {
   std::vector<std::string> turned_silent;
-  for (auto& [id, known] : backends_) {
+  std::erase_if(failing_, [&](const std::string& id) {
+    KnownBackend& known = backends_.at(id);
     if (known.silent && now >= known.distrusted_until) {
-      known.silent = false;
+      SetSilent(&known, false);
       known.failures = 0;
       known.only_refused = true;
       known.failing_since = absl::InfiniteFuture();
+      return true;
     }
     const Duration patience =
         known.only_refused ? settings_.refusal_patience : settings_.silence_patience;
     if (known.silent || known.failures < kSilentFailures || now - known.failing_since < patience) {
-      continue;
+      return false;
     }
-    known.silent = true;
+    SetSilent(&known, true);
     known.distrust = std::clamp(known.distrust * 2, kFirstDistrust, kLastDistrust);
     known.distrusted_until = now + known.distrust;
     turned_silent.push_back(id);
-  }
+    return false;
+  });
   return turned_silent;
 }
 
 Time BackendDirectory::NextSilence() const {
   Time next = absl::InfiniteFuture();
-  for (const auto& [id, known] : backends_) {
+  for (const std::string& id : failing_) {
+    const KnownBackend& known = backends_.at(id);
     if (known.silent) {
       next = std::min(next, known.distrusted_until);
     } else if (known.failures >= kSilentFailures) {
@@ -304,15 +383,9 @@
 }
 
 bool BackendDirectory::MostAreSilent(const std::string& service) const {
-  size_t registered = 0;
-  size_t silent = 0;
-  for (const auto& [id, known] : backends_) {
-    if (known.service == service && known.registered && !known.ended) {
-      ++registered;
-      silent += known.silent ? 1 : 0;
-    }
-  }
-  return registered >= kFewestForMajority && silent * 2 > registered;
+  const auto counts = counts_.find(service);
+  return counts != counts_.end() && counts->second.registered >= kFewestForMajority &&
+         counts->second.silent * 2 > counts->second.registered;
 }
 
 std::vector<partition::PartitionBackend> BackendDirectory::ForPartitioner(
--- a/src/core/ownership/backend_directory.h
+++ b/src/core/ownership/backend_directory.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/catalog/backend_set.h"
 #include "core/catalog/catalog.h"
 #include "core/ownership/coordinator.h"
 #include "core/partition/partitioner.h"
@@ -69,13 +70,15 @@
  public:
   explicit BackendDirectory(const CoordinatorSettings& settings);
 
-  /// All back ends that are registered now; those of other services than the `sharded` ones only
+  /// What changed in the registered back ends; those of other services than the `sharded` ones only
   /// show that whoever had their addresses before has ended.
-  RegistrationChanges Update(const std::vector<catalog::Backend>& backends,
+  RegistrationChanges Update(const catalog::BackendChanges& changes,
                              const std::set<std::string>& sharded);
   /// An owner that a row of the store names, and its address.
   void Remember(const std::string& id, const std::string& service, const Endpoint& address);
-  /// When very many are known, forgets those that are neither registered nor in `needed`.
+  /// Very many are known that are not registered.
+  bool RemembersMany() const { return backends_.size() - registered_count_ > kMostRemembered; }
+  /// Forgets those that are neither registered nor in `needed`.
   void ForgetUnneeded(const std::set<std::string>& needed);
 
   void MarkEnded(const std::string& id);
@@ -114,6 +117,26 @@
                                                           Time now) const;
 
  private:
+  /// Back ends that have gone are forgotten only above this many: the row of one that is known may
+  /// come back late without passing for a newcomer at its address.
+  static constexpr size_t kMostRemembered = 2048;
+
+  /// Those of one service that are registered and have not ended.
+  struct ServiceCounts {
+    size_t registered = 0;
+    size_t silent = 0;
+  };
+
+  /// Adds a back end that is not known to the indexes, or takes it out.
+  void Index(const std::string& id, const KnownBackend& known);
+  void Unindex(const std::string& id, const KnownBackend& known);
+  /// Ids of known ones that a newcomer proves to have ended, appended to `ended`.
+  void FindEnded(const catalog::Backend& newcomer, std::vector<std::string>* ended) const;
+  /// Counts it in its service, or takes that back (`by` -1), as it stands now.
+  void Count(const KnownBackend& known, int by);
+  /// Sets whether it is silent.
+  void SetSilent(KnownBackend* known, bool silent);
+
   static bool IsBoundedByCold(const KnownBackend& backend, Time now) {
     return backend.bounded_by_cold && now < backend.cold_until;
   }
@@ -134,8 +157,17 @@
 
   const CoordinatorSettings settings_;
   std::map<std::string, KnownBackend> backends_;
+  std::map<Endpoint, std::set<std::string>> by_address_;
+  /// By the name that a back end gives itself.
+  std::map<std::string, std::set<std::string>, std::less<>> by_instance_;
+  size_t registered_count_ = 0;
+  std::map<std::string, ServiceCounts> counts_;
+  /// Those that failed lately or are silent; all others confirmed their last grant.
+  std::set<std::string> failing_;
   /// By service.
   std::map<std::string, LimitChanges> limit_changes_;
+  /// Some had a limit when limits were last set.
+  bool any_limited_ = false;
 };
 
 }  // namespace ladderstream::ownership
--- a/src/core/ownership/coordinator.cc
+++ b/src/core/ownership/coordinator.cc
@@ -36,26 +36,21 @@
 }
 
 void Coordinator::Impl::OnCatalog(const std::vector<catalog::Service>& sharded_services,
-                                  const std::vector<catalog::Backend>& backends, Time now) {
+                                  const catalog::BackendChanges& changes, Time now) {
   std::set<std::string> listed;
   for (const catalog::Service& service : sharded_services) {
     listed.insert(service.name);
   }
   map_changed_ = map_changed_ || listed != listed_;
   listed_ = std::move(listed);
-  const RegistrationChanges changes = directory_.Update(backends, listed_);
-  for (const std::string& ended : changes.ended) {
+  const RegistrationChanges found = directory_.Update(changes, listed_);
+  for (const std::string& ended : found.ended) {
     Believe(belief::kBackendEnded, absl::StrCat(ended, " by a newer one at its address"));
   }
-  std::set<std::string> needed;
-  for (const auto& [name, service] : services_) {
-    needed.merge(OwnersOf(service));
-    for (const LingeringRelease& release : service.lingering) {
-      needed.insert(release.backend);
-    }
+  if (directory_.RemembersMany()) {
+    ForgetUnneededBackends();
   }
-  directory_.ForgetUnneeded(needed);
-  if (changes.any) {
+  if (found.any) {
     backends_changed_at_ = now;
     AskAllSoon(now);
   }
@@ -66,6 +61,17 @@
   Advance(now);
 }
 
+void Coordinator::Impl::ForgetUnneededBackends() {
+  std::set<std::string> needed;
+  for (const auto& [name, service] : services_) {
+    needed.merge(OwnersOf(service));
+    for (const LingeringRelease& release : service.lingering) {
+      needed.insert(release.backend);
+    }
+  }
+  directory_.ForgetUnneeded(needed);
+}
+
 void Coordinator::Impl::OnHeartbeat(const LeaseView& view, Time now) {
   if (role_ == Role::kResigned || (role_ == Role::kHolder && view.epoch <= epoch_)) {
     return;
@@ -321,8 +327,8 @@
 Coordinator::~Coordinator() = default;
 
 void Coordinator::OnCatalog(const std::vector<catalog::Service>& sharded_services,
-                            const std::vector<catalog::Backend>& backends, Time now) {
-  impl_->OnCatalog(sharded_services, backends, now);
+                            const catalog::BackendChanges& changes, Time now) {
+  impl_->OnCatalog(sharded_services, changes, now);
 }
 
 void Coordinator::OnHeartbeat(const LeaseView& view, Time now) { impl_->OnHeartbeat(view, now); }
--- a/src/core/ownership/coordinator.h
+++ b/src/core/ownership/coordinator.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/catalog/backend_set.h"
 #include "core/catalog/catalog.h"
 #include "core/ownership/commit_limits.h"
 #include "core/ownership/ownership_map.h"
@@ -160,11 +161,10 @@
   Coordinator(const CoordinatorSettings& settings, const NodeIdentity& self);
   ~Coordinator();
 
-  /// The sharded services and all registered back ends, whenever either changes. A back end that is
-  /// missing is gone. One of any service at the address of an earlier one proves that this has
-  /// ended.
+  /// The sharded services, and what changed in the registered back ends. One of any service at the
+  /// address of an earlier one proves that this has ended.
   void OnCatalog(const std::vector<catalog::Service>& sharded_services,
-                 const std::vector<catalog::Backend>& backends, Time now);
+                 const catalog::BackendChanges& changes, Time now);
   /// Another node's heartbeat as holder of the lease arrived.
   void OnHeartbeat(const LeaseView& view, Time now);
   /// The holder said that it gives the lease up, or its process surely ended.
--- a/src/core/ownership/coordinator_commits.cc
+++ b/src/core/ownership/coordinator_commits.cc
@@ -129,10 +129,8 @@
   if (service == nullptr) {
     return;
   }
-  for (RangeState& state : service->table.ranges()) {
-    if (Overlap(state.range, change.range)) {
-      state.commit_not_before = now + kSetAsideFor;
-    }
+  for (RangeState& state : service->table.Overlapping(change.range)) {
+    state.commit_not_before = now + kSetAsideFor;
   }
 }
 
--- a/src/core/ownership/coordinator_impl.h
+++ b/src/core/ownership/coordinator_impl.h
@@ -31,7 +31,7 @@
   Impl(const CoordinatorSettings& settings, const NodeIdentity& self);
 
   void OnCatalog(const std::vector<catalog::Service>& sharded_services,
-                 const std::vector<catalog::Backend>& backends, Time now);
+                 const catalog::BackendChanges& changes, Time now);
   void OnHeartbeat(const LeaseView& view, Time now);
   void OnCoordinatorEnded(uint64_t incarnation, Time now);
   void OnLoad(const std::string& service, const std::vector<partition::KeyCount>& counts,
@@ -113,6 +113,7 @@
   /// Advances before actions are taken next. Many answers come in one turn of the event loop, and a
   /// look at all ranges for each would cost more than the machine has.
   void AdvanceSoon(Time now) { advance_due_ = now; }
+  void ForgetUnneededBackends();
   void HolderStep(Time now);
   void HoldAndMove(Time now);
   void PublishIfChanged();
--- a/src/core/ownership/coordinator_orders.cc
+++ b/src/core/ownership/coordinator_orders.cc
@@ -251,8 +251,8 @@
 }
 
 void Coordinator::Impl::OnGrantDone(ServiceState& service, const Order& order, Time now) {
-  for (RangeState& state : service.table.ranges()) {
-    if (state.owner != order.backend || !Overlap(state.range, order.range)) {
+  for (RangeState& state : service.table.Overlapping(order.range)) {
+    if (state.owner != order.backend) {
       continue;
     }
     // Taken at some time between its send and now.
@@ -285,9 +285,9 @@
 }
 
 void Coordinator::Impl::OnGrantFenced(ServiceState& service, const Order& order, Time now) {
-  for (RangeState& state : service.table.ranges()) {
+  for (RangeState& state : service.table.Overlapping(order.range)) {
     if (state.phase != RangePhase::kOwned || state.owner != order.backend ||
-        state.fence != order.fence || !Overlap(state.range, order.range)) {
+        state.fence != order.fence) {
       continue;
     }
     if (Covers(order.range, state.range) && state.range != order.range) {
@@ -313,8 +313,8 @@
   const bool refused = status == OrderStatus::kUnreachable;
   directory_.RecordFailure(order.backend, refused, order.sent, now);
   const Duration pause = refused ? settings_.order_timeout / 2 : settings_.order_timeout;
-  for (RangeState& state : service.table.ranges()) {
-    if (state.owner != order.backend || !Overlap(state.range, order.range)) {
+  for (RangeState& state : service.table.Overlapping(order.range)) {
+    if (state.owner != order.backend) {
       continue;
     }
     if (status == OrderStatus::kNoAnswer) {
@@ -336,7 +336,7 @@
     return;
   }
   NoteAnswer(order.backend, now);
-  for (RangeState& state : service->table.ranges()) {
+  for (RangeState& state : service->table.Overlapping(order.range)) {
     if (state.phase == RangePhase::kReleasing && state.owner == order.backend &&
         state.next_fence == order.fence && Covers(order.range, state.range)) {
       state.handover = reply.handover;
--- a/src/core/ownership/range_table.cc
+++ b/src/core/ownership/range_table.cc
@@ -46,6 +46,16 @@
                                [key](const RangeState& state) { return state.range.last < key; });
 }
 
+std::span<RangeState> RangeTable::Overlapping(const KeyRange& range) {
+  const auto begin = std::partition_point(
+      ranges_.begin(), ranges_.end(),
+      [&range](const RangeState& state) { return state.range.last < range.first; });
+  const auto end = std::partition_point(begin, ranges_.end(), [&range](const RangeState& state) {
+    return state.range.first <= range.last;
+  });
+  return {begin, end};
+}
+
 void RangeTable::SplitAt(Key first) {
   if (first > kLastKey) {
     return;
--- a/src/core/ownership/range_table.h
+++ b/src/core/ownership/range_table.h
@@ -2,6 +2,7 @@
 // it.
 #pragma once
 
+#include <span>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,8 @@
 
   /// The range that holds `key`.
   RangeState& At(Key key);
+  /// Those that share keys with `range`, in order.
+  std::span<RangeState> Overlapping(const KeyRange& range);
   /// Cuts the range that holds `first`, so that one begins there; not one that is being released,
   /// committed or given another fence.
   void SplitAt(Key first);
--- a/src/gateway/http/backend_pool.cc
+++ b/src/gateway/http/backend_pool.cc
@@ -32,15 +32,17 @@
   }
 }
 
-void BackendPool::SetConnectionLimits(std::unordered_map<std::string, uint32_t> limits) {
-  limits_ = std::move(limits);
-  std::vector<BackendConnectionPtr> unlisted;
-  for (const auto& [backend, entry] : entries_) {
-    if (!limits_.contains(backend)) {
-      unlisted.insert(unlisted.end(), entry.idle.begin(), entry.idle.end());
-    }
+void BackendPool::SetConnectionLimit(const std::string& backend, uint32_t limit) {
+  limits_[backend] = limit;
+}
+
+void BackendPool::Unlist(const std::string& backend) {
+  limits_.erase(backend);
+  const auto entry = entries_.find(backend);
+  if (entry != entries_.end()) {
+    // Closing takes them out of the entry.
+    CloseAll(std::vector<BackendConnectionPtr>(entry->second.idle), "the back end is gone");
   }
-  CloseAll(unlisted, "the back end is gone");
 }
 
 uint32_t BackendPool::MaxOpen(const std::string& backend) const {
--- a/src/gateway/http/backend_pool.h
+++ b/src/gateway/http/backend_pool.h
@@ -21,9 +21,10 @@
   ~BackendPool() override;
 
   void SetNodeCount(uint32_t node_count) { node_count_ = node_count; }
-  /// What a back end takes from all nodes together, in connections; 0 when unknown. Idle
-  /// connections to back ends that are not listed are closed.
-  void SetConnectionLimits(std::unordered_map<std::string, uint32_t> limits);
+  /// What a back end takes from all nodes together, in connections; 0 when unknown.
+  void SetConnectionLimit(const std::string& backend, uint32_t limit);
+  /// The back end is gone: idle connections to it are closed, and none is kept.
+  void Unlist(const std::string& backend);
 
   /// Starts an exchange on an idle connection or on a new one; null when there is no room for a
   /// connection. The exchange may be over when this returns.
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -60,14 +60,17 @@
   Pump();
 }
 
-void DataPath::SetBackends(const std::vector<catalog::Backend>& backends,
-                           const forwarding::RegistrationNews& news) {
-  services_.clear();
-  for (const catalog::Backend& backend : backends) {
+void DataPath::ChangeBackends(const catalog::BackendChanges& changes,
+                              const forwarding::RegistrationNews& news) {
+  for (const catalog::Backend& backend : changes.set) {
     services_[backend.id] = backend.service;
+    backends_.SetConnectionLimit(backend.id, ConnectionLimitOf(backend.service));
   }
-  ApplyConnectionLimits();
-  dispatcher_.SetBackends(backends, news, resources_.clock.Now());
+  for (const std::string& id : changes.gone) {
+    services_.erase(id);
+    backends_.Unlist(id);
+  }
+  dispatcher_.ChangeBackends(changes, news, resources_.clock.Now());
   Pump();
 }
 
@@ -77,15 +80,17 @@
 }
 
 void DataPath::ApplyConnectionLimits() {
-  std::unordered_map<std::string, uint32_t> limits;
   for (const auto& [backend, service] : services_) {
-    uint32_t& limit = limits[backend];
-    if (configuration_ != nullptr) {
-      const auto declared = configuration_->services.find(service);
-      limit = declared == configuration_->services.end() ? 0 : declared->second.max_connections;
-    }
+    backends_.SetConnectionLimit(backend, ConnectionLimitOf(service));
+  }
+}
+
+uint32_t DataPath::ConnectionLimitOf(const std::string& service) const {
+  if (configuration_ == nullptr) {
+    return 0;
   }
-  backends_.SetConnectionLimits(std::move(limits));
+  const auto declared = configuration_->services.find(service);
+  return declared == configuration_->services.end() ? 0 : declared->second.max_connections;
 }
 
 void DataPath::BeginDrain(std::function<void()> drained) {
--- a/src/gateway/http/data_path.h
+++ b/src/gateway/http/data_path.h
@@ -32,8 +32,8 @@
 
   /// These also tell the dispatcher.
   void SetConfiguration(std::shared_ptr<const catalog::Configuration> configuration);
-  void SetBackends(const std::vector<catalog::Backend>& backends,
-                   const forwarding::RegistrationNews& news);
+  void ChangeBackends(const catalog::BackendChanges& changes,
+                      const forwarding::RegistrationNews& news);
   void SetNodeCount(uint32_t node_count);
 
   /// Carries out what the dispatcher has decided. To be called after anybody else has told the
@@ -115,6 +115,8 @@
   Request Forget(forwarding::RequestHandle handle);
   void Tell(const Request& request, AnsweredRequest answered);
   void ApplyConnectionLimits();
+  /// 0 when there is none.
+  uint32_t ConnectionLimitOf(const std::string& service) const;
   /// Whether the attempt has not ended.
   bool IsRunning(forwarding::AttemptHandle handle) const;
   void Arm();
--- a/src/node/catalog_tables.cc
+++ b/src/node/catalog_tables.cc
@@ -44,6 +44,7 @@
   beliefs_->OnConfiguration(*configuration_, now - changed_after,
                             SourceOf(*configuration_follower_, now));
   handlers_.on_configuration(configuration_);
+  CompleteAll(now);
   TellBackends(changed_after, now);
 }
 
@@ -79,23 +80,18 @@
   evacuated_zones_ = std::move(zones);
   beliefs_->OnEvacuations(evacuated_zones_, configuration_follower_->as_of(),
                           SourceOf(*configuration_follower_, now));
+  CompleteAll(now);
   TellBackends(changed_after, now);
 }
 
 void CatalogTables::TakeBackends(Time now) {
   const Time changed_after = backend_follower_->changed_after();
-  if (backend_follower_->TakeChangedKeys().empty()) {
+  const std::vector<std::string> changed = backend_follower_->TakeChangedKeys();
+  if (changed.empty()) {
     return;
   }
-  registrations_.clear();
-  for (const auto& [id, row] : backend_follower_->rows()) {
-    try {
-      interfaces::ReadingNotes notes;
-      registrations_.push_back(adapter_->DecodeBackend(id, row.value, &notes));
-      beliefs_->OnRowNotUnderstood(id, notes);
-    } catch (const Error& error) {
-      beliefs_->OnRowNotUnderstood(id, {error.what()});
-    }
+  for (const std::string& key : changed) {
+    TakeBackend(key, now);
   }
   if (changed_after != absl::InfinitePast()) {
     backend_news_age_ = now - changed_after;
@@ -103,15 +99,56 @@
   TellBackends(changed_after, now);
 }
 
+void CatalogTables::TakeBackend(const std::string& key, Time now) {
+  const auto previous = registrations_.find(key);
+  const std::string previous_id = previous == registrations_.end() ? "" : previous->second.id;
+  const std::optional<catalog::Backend> registration = DecodeRow(key);
+  if (registration) {
+    registrations_[key] = *registration;
+    backends_.Set(
+        backend_registry_.Complete(*registration, evacuated_zones_, configuration_.get(), now));
+  } else {
+    registrations_.erase(key);
+  }
+  // The row may tell of another incarnation now.
+  if (!previous_id.empty() && (!registration || registration->id != previous_id)) {
+    backend_registry_.Forget(previous_id);
+    backends_.Remove(previous_id);
+  }
+}
+
+std::optional<catalog::Backend> CatalogTables::DecodeRow(const std::string& key) {
+  const auto row = backend_follower_->rows().find(key);
+  if (row == backend_follower_->rows().end()) {
+    return std::nullopt;
+  }
+  ++decoded_rows_;
+  try {
+    interfaces::ReadingNotes notes;
+    catalog::Backend backend = adapter_->DecodeBackend(key, row->second.value, &notes);
+    beliefs_->OnRowNotUnderstood(key, notes);
+    return backend;
+  } catch (const Error& error) {
+    beliefs_->OnRowNotUnderstood(key, {error.what()});
+    return std::nullopt;
+  }
+}
+
+void CatalogTables::CompleteAll(Time now) {
+  for (const auto& [key, registration] : registrations_) {
+    backends_.Set(
+        backend_registry_.Complete(registration, evacuated_zones_, configuration_.get(), now));
+  }
+}
+
 void CatalogTables::TellBackends(Time changed_after, Time now) {
   if (!backend_follower_->known()) {
     return;
   }
-  backends_ =
-      backend_registry_.Complete(registrations_, evacuated_zones_, configuration_.get(), now);
-  beliefs_->OnBackends(backends_, backend_follower_->as_of(), now - changed_after,
+  const catalog::BackendChanges changes = backends_.TakeChanges();
+  beliefs_->OnBackends(changes, backend_follower_->as_of(), now - changed_after,
                        SourceOf(*backend_follower_, now));
-  handlers_.on_backends(backends_, {backend_follower_->Troubled(now), changed_after});
+  handlers_.on_backends(changes, {backend_follower_->Troubled(now), changed_after});
 }
 
 }  // namespace ladderstream::node
--- a/src/node/catalog_tables.h
+++ b/src/node/catalog_tables.h
@@ -2,11 +2,15 @@
 // tells of each change with how old it may be. One thread; makes no call.
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
-#include <vector>
+#include <optional>
+#include <string>
 
 #include "core/catalog/backend_registry.h"
+#include "core/catalog/backend_set.h"
 #include "core/catalog/catalog.h"
 #include "core/forwarding/dispatcher.h"
 #include "core/store/table_follower.h"
@@ -23,7 +27,8 @@
   /// Who hears of changes.
   struct Handlers {
     std::function<void(const ConfigurationPtr&)> on_configuration;
-    std::function<void(const std::vector<catalog::Backend>&, const forwarding::RegistrationNews&)>
+    /// Also called with no changes, when what the configuration says of their services may have.
+    std::function<void(const catalog::BackendChanges&, const forwarding::RegistrationNews&)>
         on_backends;
   };
 
@@ -38,7 +43,9 @@
   /// Null before any is known.
   const ConfigurationPtr& configuration() const { return configuration_; }
   /// Every registered back end, with what the configuration and evacuations say of it.
-  const std::vector<catalog::Backend>& backends() const { return backends_; }
+  const catalog::BackendSet& backends() const { return backends_; }
+  /// Registrations decoded since the start.
+  uint64_t decoded_rows() const { return decoded_rows_; }
   /// How old the last change of registrations may have been when it was heard; the first reading
   /// tells none.
   Duration backend_news_age() const { return backend_news_age_; }
@@ -49,8 +56,12 @@
   bool ReadConfiguration();
   void TakeEvacuations(Time changed_after, Time now);
   void TakeBackends(Time now);
-  /// Joins the registrations with the rest that is known of them. What differs from what was told
-  /// before changed after `changed_after`.
+  void TakeBackend(const std::string& key, Time now);
+  /// The registration of a row; none when the row is gone or cannot be read.
+  std::optional<catalog::Backend> DecodeRow(const std::string& key);
+  /// The configuration or evacuations changed, which may concern any back end.
+  void CompleteAll(Time now);
+  /// Tells what changed among the back ends; it changed after `changed_after`.
   void TellBackends(Time changed_after, Time now);
 
   const interfaces::PlatformAdapter* const adapter_;
@@ -62,9 +73,10 @@
   ConfigurationPtr configuration_;
   catalog::EvacuatedZones evacuated_zones_;
   catalog::BackendRegistry backend_registry_;
-  /// As decoded from the registrations, and as completed.
-  std::vector<catalog::Backend> registrations_;
-  std::vector<catalog::Backend> backends_;
+  /// As decoded from the registrations, by the keys of their rows, and as completed.
+  std::map<std::string, catalog::Backend> registrations_;
+  catalog::BackendSet backends_;
+  uint64_t decoded_rows_ = 0;
   Duration backend_news_age_;
 };
 
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -163,10 +163,10 @@
                {[this](const ConfigurationPtr& configuration) {
                   listener_->OnConfiguration(configuration);
                 },
-                [this](const std::vector<catalog::Backend>& backends,
+                [this](const catalog::BackendChanges& changes,
                        const forwarding::RegistrationNews& news) {
-                  listener_->OnBackends(backends, news);
-                  TellCatalog();
+                  listener_->OnBackends(changes, news);
+                  TellCatalog(changes);
                 }}),
       coordinator_(settings.ownership, CoordinatorIdentityOf(settings, incarnation)),
       membership_(MembershipSettingsOf(settings, incarnation + kMembershipSeed),
@@ -211,7 +211,7 @@
   state->peers = membership_.members().size();
   state->peer_messages = CountsOf(peers_.traffic().queued);
   state->store_calls = StoreCalls();
-  for (const catalog::Backend& backend : catalog_.backends()) {
+  for (const auto& [id, backend] : catalog_.backends().all()) {
     ++state->backends[backend.draining ? "draining" : "ready"];
     state->backends["evacuated"] += backend.evacuated ? 1 : 0;
     state->backends["cold"] += now < backend.cold_until ? 1 : 0;
@@ -411,7 +411,7 @@
   }
 }
 
-void ControlPlane::TellCatalog() {
+void ControlPlane::TellCatalog(const catalog::BackendChanges& changes) {
   if (!catalog_.configuration()) {
     return;
   }
@@ -421,7 +421,16 @@
       sharded.push_back(service);
     }
   }
-  coordinator_.OnCatalog(sharded, catalog_.backends(), Now());
+  if (std::exchange(catalog_told_, true)) {
+    coordinator_.OnCatalog(sharded, changes, Now());
+    return;
+  }
+  // What came before the configuration was not told.
+  catalog::BackendChanges all;
+  for (const auto& [id, backend] : catalog_.backends().all()) {
+    all.set.push_back(backend);
+  }
+  coordinator_.OnCatalog(sharded, all, Now());
 }
 
 void ControlPlane::TellOwnLoad() {
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/catalog/backend_set.h"
 #include "core/catalog/catalog.h"
 #include "core/forwarding/dispatcher.h"
 #include "core/membership/membership.h"
@@ -34,7 +35,7 @@
   virtual ~ControlPlaneListener() = default;
 
   virtual void OnConfiguration(std::shared_ptr<const catalog::Configuration> configuration) = 0;
-  virtual void OnBackends(const std::vector<catalog::Backend>& backends,
+  virtual void OnBackends(const catalog::BackendChanges& changes,
                           const forwarding::RegistrationNews& news) = 0;
   virtual void OnOwnership(std::shared_ptr<const ownership::OwnershipMap> map) = 0;
   virtual void OnMapConfirmed(Time until) = 0;
@@ -122,7 +123,7 @@
   void PumpSoon();
   void PollFollower(store::TableFollower* follower);
   /// Tells the coordinator, once there is a configuration.
-  void TellCatalog();
+  void TellCatalog(const catalog::BackendChanges& changes);
   void TellOwnLoad();
   void ShareLease();
   /// Fits this node's calls into its share of what the store takes.
@@ -147,6 +148,8 @@
   store::TableFollower configuration_follower_;
   store::TableFollower backend_follower_;
   CatalogTables catalog_;
+  /// The coordinator knows all back ends but those that changed since.
+  bool catalog_told_ = false;
   ownership::Coordinator coordinator_;
   membership::Membership membership_;
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -133,9 +133,9 @@
   LogBeliefs();
 }
 
-void Node::OnBackends(const std::vector<catalog::Backend>& backends,
+void Node::OnBackends(const catalog::BackendChanges& changes,
                       const forwarding::RegistrationNews& news) {
-  data_path_.SetBackends(backends, news);
+  data_path_.ChangeBackends(changes, news);
   LogBeliefs();
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -38,7 +38,7 @@
  private:
   // ControlPlaneListener
   void OnConfiguration(std::shared_ptr<const catalog::Configuration> configuration) override;
-  void OnBackends(const std::vector<catalog::Backend>& backends,
+  void OnBackends(const catalog::BackendChanges& changes,
                   const forwarding::RegistrationNews& news) override;
   void OnOwnership(std::shared_ptr<const ownership::OwnershipMap> map) override;
   void OnMapConfirmed(Time until) override;
--- a/src/observability/belief_log.cc
+++ b/src/observability/belief_log.cc
@@ -113,23 +113,31 @@
   }
 }
 
-void BeliefLog::OnBackends(const std::vector<catalog::Backend>& backends, uint64_t store_version,
+void BeliefLog::OnBackends(const catalog::BackendChanges& changes, uint64_t store_version,
                            Duration age, std::string_view source) {
-  absl::flat_hash_map<std::string, KnownBackend> known;
-  for (const catalog::Backend& backend : backends) {
-    known[backend.id] = {backend.service, backend.draining};
+  bool differs = false;
+  for (const catalog::Backend& backend : changes.set) {
+    const KnownBackend fresh = {backend.service, backend.draining};
+    KnownBackend& known = backends_[backend.id];
+    differs = differs || known != fresh;
+    draining_ += static_cast<int64_t>(fresh.draining) - static_cast<int64_t>(known.draining);
+    known = fresh;
   }
-  if (known == backends_) {
+  for (const std::string& id : changes.gone) {
+    const auto known = backends_.find(id);
+    if (known != backends_.end()) {
+      differs = true;
+      draining_ -= static_cast<int64_t>(known->second.draining);
+      backends_.erase(known);
+    }
+  }
+  if (!differs) {
     return;
   }
-  backends_ = std::move(known);
-  const auto draining =
-      std::count_if(backends.begin(), backends.end(),
-                    [](const catalog::Backend& backend) { return backend.draining; });
   log_->Write(
       EventName::kBackendsChanged,
-      {EventField(FieldName::kReady, static_cast<int64_t>(backends.size()) - draining),
-       EventField(FieldName::kDraining, draining), EventField(FieldName::kVersion, store_version),
+      {EventField(FieldName::kReady, static_cast<int64_t>(backends_.size()) - draining_),
+       EventField(FieldName::kDraining, draining_), EventField(FieldName::kVersion, store_version),
        EventField(FieldName::kAgeMs, age), EventField(FieldName::kCause, source)});
 }
 
--- a/src/observability/belief_log.h
+++ b/src/observability/belief_log.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/catalog/backend_registry.h"
+#include "core/catalog/backend_set.h"
 #include "core/catalog/catalog.h"
 #include "core/forwarding/dispatcher.h"
 #include "core/ownership/coordinator.h"
@@ -50,8 +51,8 @@
   void OnRowNotUnderstood(std::string_view row, const std::vector<std::string>& notes);
 
   /// The registrations changed. Writes a line only if their ids or states did.
-  void OnBackends(const std::vector<catalog::Backend>& backends, uint64_t store_version,
-                  Duration age, std::string_view source);
+  void OnBackends(const catalog::BackendChanges& changes, uint64_t store_version, Duration age,
+                  std::string_view source);
   void OnBackendBelief(const forwarding::BackendBelief& belief);
   /// Those that changed together; many registrations make one line.
   void OnBackendBeliefs(const std::vector<forwarding::BackendBelief>& beliefs);
@@ -96,6 +97,8 @@
   NotUnderstoodLog not_understood_;
   BeliefsInForce in_force_;
   absl::flat_hash_map<std::string, KnownBackend> backends_;
+  /// How many of them drain.
+  int64_t draining_ = 0;
   std::map<std::string, uint64_t> store_calls_;
   bool store_lost_ = false;
   /// When the store was reached last.
--- a/tests/replay/replayed_nodes.cc
+++ b/tests/replay/replayed_nodes.cc
@@ -38,6 +38,7 @@
       settings_, ownership::NodeIdentity{.incarnation = node.incarnation,
                                          .name = absl::StrCat("node-", index),
                                          .peer_address = {"10.0.0.2", port}});
+  node.registered = {};
   TellCatalog(index);
 }
 
@@ -246,7 +247,7 @@
     }
   }
   ToNode(index, nodes_[index].incarnation, [this, index, services, listed] {
-    nodes_[index].coordinator->OnCatalog(services, listed, now_);
+    nodes_[index].coordinator->OnCatalog(services, nodes_[index].registered.Replace(listed), now_);
   });
 }
 
--- a/tests/replay/replayer.h
+++ b/tests/replay/replayer.h
@@ -56,6 +56,8 @@
     uint64_t incarnation = 0;
     /// Null while the process is down.
     std::unique_ptr<ownership::Coordinator> coordinator;
+    /// What the coordinator was told.
+    catalog::BackendSet registered;
     Time frozen_until = absl::InfinitePast();
     /// What reached it while it was frozen.
     std::deque<Event> inbox;
--- a/tests/unit/catalog/backend_registry_test.cc
+++ b/tests/unit/catalog/backend_registry_test.cc
@@ -16,7 +16,7 @@
   }
 
   Backend Complete(const EvacuatedZones& evacuated = {}) {
-    return registry.Complete({registration}, evacuated, &configuration, now).front();
+    return registry.Complete(registration, evacuated, &configuration, now);
   }
 
   Time now = absl::FromUnixSeconds(1000);
@@ -69,7 +69,7 @@
   configuration.services["books"].cold_requests_per_second = 0;
   registration.cold_left = absl::Seconds(2);
   BOOST_TEST(!Complete().BoundedByCold(now));
-  const Backend alone = registry.Complete({registration}, {}, nullptr, now).front();
+  const Backend alone = registry.Complete(registration, {}, nullptr, now);
   BOOST_TEST(!alone.BoundedByCold(now));
 }
 
--- a/tests/unit/drain_bound/late_news_test.cc
+++ b/tests/unit/drain_bound/late_news_test.cc
@@ -30,7 +30,7 @@
   AddBackends("scripts", {"s-1", "s-2"});
   Own("s-1");
   backends.front().evacuated = true;
-  dispatcher.SetBackends(backends, {false, now - absl::Seconds(4)}, now);
+  dispatcher.ChangeBackends(registered.Replace(backends), {false, now - absl::Seconds(4)}, now);
   Advance(absl::Seconds(1));
   Start("/scripts/1", absl::Seconds(2), 7);
   BOOST_TEST(All<SendDecision>().empty());
@@ -48,7 +48,7 @@
 BOOST_AUTO_TEST_CASE(many_that_go_at_once_while_the_store_is_troubled_may_have_lapsed) {
   AddBackends("cards", {"c-1", "c-2"});
   backends.clear();
-  dispatcher.SetBackends(backends, {true, now - absl::Seconds(6)}, now);
+  dispatcher.ChangeBackends(registered.Replace(backends), {true, now - absl::Seconds(6)}, now);
   Advance(absl::Seconds(1));
   BOOST_TEST(!StartAndSend("/cards/1").backend.empty());
 }
--- a/tests/unit/drain_bound/leaving_owner_test.cc
+++ b/tests/unit/drain_bound/leaving_owner_test.cc
@@ -86,7 +86,8 @@
     for (const auto& [key, row] : node.backends.rows()) {
       backends.push_back(DispatcherHarness::MakeBackend(key, "scripts"));
     }
-    router->SetBackends(backends, {node.backends.Troubled(world_.now), changed_after}, world_.now);
+    router->ChangeBackends(told_[router].Replace(backends),
+                           {node.backends.Troubled(world_.now), changed_after}, world_.now);
   }
 
   /// Whether the node sends a request for a key to the owner now; it is answered at once.
@@ -110,6 +111,8 @@
   }
 
   World world_;
+  /// What each of the routers was told.
+  std::map<const Dispatcher*, catalog::BackendSet> told_;
   std::map<uint64_t, std::unique_ptr<Dispatcher>> routers_;
   Time left_;
 };
--- a/tests/unit/forwarding/dispatcher_harness.cc
+++ b/tests/unit/forwarding/dispatcher_harness.cc
@@ -69,7 +69,7 @@
 void DispatcherHarness::AddBackend(const catalog::Backend& backend) {
   std::erase_if(backends, [&](const catalog::Backend& known) { return known.id == backend.id; });
   backends.push_back(backend);
-  dispatcher.SetBackends(backends, {false, now}, now);
+  dispatcher.ChangeBackends(registered.Replace(backends), {false, now}, now);
 }
 
 void DispatcherHarness::AddBackends(const std::string& service,
@@ -81,14 +81,14 @@
 
 void DispatcherHarness::RemoveBackend(const std::string& id, bool store_troubled, Duration age) {
   std::erase_if(backends, [&](const catalog::Backend& known) { return known.id == id; });
-  dispatcher.SetBackends(backends, {store_troubled, now - age}, now);
+  dispatcher.ChangeBackends(registered.Replace(backends), {store_troubled, now - age}, now);
 }
 
 void DispatcherHarness::Drain(const std::string& id, Duration age) {
   for (catalog::Backend& backend : backends) {
     backend.draining = backend.draining || backend.id == id;
   }
-  dispatcher.SetBackends(backends, {false, now - age}, now);
+  dispatcher.ChangeBackends(registered.Replace(backends), {false, now - age}, now);
 }
 
 void DispatcherHarness::Own(const std::string& owner, std::vector<ownership::KeyRange> moving) {
--- a/tests/unit/forwarding/dispatcher_harness.h
+++ b/tests/unit/forwarding/dispatcher_harness.h
@@ -79,6 +79,8 @@
   Time now = absl::FromUnixSeconds(1000);
   Dispatcher dispatcher;
   std::vector<catalog::Backend> backends;
+  /// What the dispatcher was told.
+  catalog::BackendSet registered;
   RequestHandle last = 0;
   /// Runs after each tick.
   std::function<void()> after_tick = [] {};
--- a/tests/unit/forwarding/drain_test.cc
+++ b/tests/unit/forwarding/drain_test.cc
@@ -72,7 +72,7 @@
   Advance(absl::Milliseconds(1400));
   BOOST_TEST(StartAndSend("/cards/1").backend == "c-1");
   // A second look at the same gap does not start the time anew.
-  dispatcher.SetBackends({}, {true, now}, now);
+  dispatcher.ChangeBackends(registered.Replace({}), {true, now}, now);
   Advance(absl::Milliseconds(101));
   Start("/cards/1");
   BOOST_TEST(All<SendDecision>().empty());
--- a/tests/unit/gateway_http/backend_faults_test.cc
+++ b/tests/unit/gateway_http/backend_faults_test.cc
@@ -140,7 +140,7 @@
   const TestSocketPtr caller = node.Connect();
   caller->Send(Node::Get("1"));
   node.WaitUntil([&] { return node.data_path.backend_connection_count() == 1; });
-  node.data_path.SetBackends({}, {});
+  node.data_path.ChangeBackends({{}, {"backend-1"}}, {});
   BOOST_TEST(node.WaitForAnswer(caller).starts_with("HTTP/1.1 503 "));
   BOOST_TEST(node.backend.requests.empty());
 }
--- a/tests/unit/gateway_http/support.cc
+++ b/tests/unit/gateway_http/support.cc
@@ -181,7 +181,7 @@
   registered.service = "service";
   registered.address = backend.address();
   registered.slots = 4;
-  data_path.SetBackends({registered}, {});
+  data_path.ChangeBackends({{registered}, {}}, {});
   Configure(catalog::Limits());
 }
 
--- /dev/null
+++ b/tests/unit/node/catalog_tables_test.cc
@@ -0,0 +1,123 @@
+// A node of 9,998 back ends decoded every registration again at each change of any of them: second
+// in the profile of a start, and first once ServiceTable::EndEarlier was gone from it.
+#include "node/catalog_tables.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "../observability/test_log.h"
+#include "platform/adapter.h"
+
+namespace ladderstream::node {
+namespace {
+
+constexpr size_t kBackends = 10'000;
+
+std::string NameOf(size_t number) { return absl::StrCat("i-", 100'000 + number); }
+
+std::string RegistrationOf(size_t number, const std::string& state, size_t sequence,
+                           uint64_t born = 1) {
+  return absl::StrCat(R"({"service":"cards","address":"10.0.0.1:)", 1000 + number,
+                      R"(","zone":"a","version":"1","slots":2,"state":")", state,
+                      R"(","cold_left_s":0,"born":)", born, R"(,"seq":)", sequence, "}");
+}
+
+struct Tables {
+  Tables() {
+    std::vector<store::Row> rows;
+    for (size_t i = 0; i < kBackends; ++i) {
+      rows.push_back(RowOf(i, "ready", 1, 1));
+    }
+    backend_follower.Merge(rows, 1, now, now);
+    tables.Take(now);
+  }
+  store::Row RowOf(size_t number, const std::string& state, size_t sequence,
+                   store::RowVersion version) const {
+    return {{std::string(adapter->backend_table()), "", NameOf(number)},
+            RegistrationOf(number, state, sequence),
+            version,
+            false};
+  }
+  /// Gives how many registrations were decoded.
+  uint64_t Change(const store::Row& row) {
+    const uint64_t before = tables.decoded_rows();
+    told = {};
+    store::TableChanges changes;
+    changes.base = row.version - 1;
+    changes.version = row.version;
+    changes.newest_change = row.version;
+    changes.rows = {row};
+    backend_follower.Apply(changes, now);
+    tables.Take(now);
+    return tables.decoded_rows() - before;
+  }
+
+  Time now = absl::FromUnixSeconds(1000);
+  interfaces::PlatformAdapterPtr adapter = platform::MakeAdapter();
+  observability::TestLog test;
+  observability::NodeMetrics metrics;
+  observability::BeliefLog beliefs{&test.log, &metrics};
+  store::TableFollower configuration_follower{
+      {.table = std::string(adapter->configuration_table()), .partition = ""}};
+  store::TableFollower backend_follower{
+      {.table = std::string(adapter->backend_table()), .partition = ""}};
+  catalog::BackendChanges told;
+  CatalogTables tables{adapter.get(),
+                       &beliefs,
+                       &configuration_follower,
+                       &backend_follower,
+                       {[](const ConfigurationPtr& /*configuration*/) {},
+                        [this](const catalog::BackendChanges& changes,
+                               const forwarding::RegistrationNews& /*news*/) { told = changes; }}};
+};
+
+BOOST_FIXTURE_TEST_SUITE(catalog_tables, Tables)
+
+BOOST_AUTO_TEST_CASE(a_start_decodes_each_registration_once) {
+  BOOST_TEST(tables.decoded_rows() == kBackends);
+  BOOST_TEST(told.set.size() == kBackends);
+}
+
+BOOST_AUTO_TEST_CASE(one_changed_registration_decodes_and_tells_one) {
+  BOOST_TEST(Change(RowOf(7, "draining", 2, 2)) == 1U);
+  BOOST_REQUIRE(told.set.size() == 1U);
+  BOOST_TEST(told.set.front().draining);
+  BOOST_TEST(told.gone.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_that_changes_nothing_else_tells_nothing) {
+  BOOST_TEST(Change(RowOf(7, "ready", 2, 2)) == 1U);
+  BOOST_TEST(told.Empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_back_end_that_starts_again_replaces_its_earlier_incarnation) {
+  store::Row row = RowOf(7, "ready", 1, 2);
+  row.value = RegistrationOf(7, "ready", 1, 2);
+  Change(row);
+  BOOST_REQUIRE(told.set.size() == 1U);
+  BOOST_REQUIRE(told.gone.size() == 1U);
+  BOOST_TEST(told.set.front().id != told.gone.front());
+  BOOST_TEST(tables.backends().all().size() == kBackends);
+}
+
+BOOST_AUTO_TEST_CASE(a_registration_that_turns_unreadable_is_gone_and_others_stay) {
+  store::Row row = RowOf(7, "ready", 2, 2);
+  row.value = "no registration";
+  Change(row);
+  BOOST_TEST(told.set.empty());
+  BOOST_TEST(told.gone.size() == 1U);
+  BOOST_TEST(tables.backends().all().size() == kBackends - 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_removed_registration_is_told_alone) {
+  store::Row row = RowOf(7, "ready", 2, 2);
+  row.removed = true;
+  BOOST_TEST(Change(row) == 0U);
+  BOOST_TEST(told.gone.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace ladderstream::node
--- a/tests/unit/observability/request_observer_test.cc
+++ b/tests/unit/observability/request_observer_test.cc
@@ -218,7 +218,7 @@
   catalog::Backend backend;
   backend.id = "b-1";
   backend.service = "pupitre";
-  beliefs.OnBackends({backend}, 99, absl::ZeroDuration(), "store");
+  beliefs.OnBackends({{backend}, {}}, 99, absl::ZeroDuration(), "store");
   beliefs.OnEvacuations({"rennes-a"}, 99, "store");
   beliefs.OnRowNotUnderstood("b-1", {"/slots: want a whole number"});
   beliefs.OnBackendBelief({"b-1", "ejected", "5 failures"});
--- a/tests/unit/ownership/backend_directory_test.cc
+++ b/tests/unit/ownership/backend_directory_test.cc
@@ -18,7 +18,7 @@
     backend.cold_requests_per_second = 4;
     backend.evacuated = evacuated;
     backends.push_back(backend);
-    directory.Update(backends, {"books"});
+    directory.Update(registered.Replace(backends), {"books"});
   }
   partition::PartitionBackend Find(const std::string& id) const {
     for (const partition::PartitionBackend& backend : directory.ForPartitioner("books", {}, now)) {
@@ -31,6 +31,7 @@
 
   Time now = absl::FromUnixSeconds(1000);
   std::vector<catalog::Backend> backends;
+  catalog::BackendSet registered;
   BackendDirectory directory;
 };
 
@@ -58,11 +59,11 @@
 BOOST_AUTO_TEST_CASE(an_evacuation_is_a_change_of_the_back_ends) {
   Add("a", absl::ZeroDuration());
   backends.front().evacuated = true;
-  BOOST_TEST(directory.Update(backends, {"books"}).any);
-  BOOST_TEST(!directory.Update(backends, {"books"}).any);
+  BOOST_TEST(directory.Update(registered.Replace(backends), {"books"}).any);
+  BOOST_TEST(!directory.Update(registered.Replace(backends), {"books"}).any);
   BOOST_TEST(!directory.Accepts("a"));
   backends.front().evacuated = false;
-  BOOST_TEST(directory.Update(backends, {"books"}).any);
+  BOOST_TEST(directory.Update(registered.Replace(backends), {"books"}).any);
   BOOST_TEST(directory.Keeps("a"));
 }
 
@@ -78,7 +79,7 @@
       backend.address = {"10.0.0.1", static_cast<uint16_t>(100 + i)};
       backends.push_back(backend);
     }
-    directory.Update(backends, {"books"});
+    directory.Update({backends, {}}, {"books"});
   }
   bool Decline(const std::string& id) {
     return directory.RecordDeclined(id, absl::Seconds(3), now);
--- a/tests/unit/ownership/coordinator_harness.cc
+++ b/tests/unit/ownership/coordinator_harness.cc
@@ -33,14 +33,14 @@
     backend.address = address;
     backends.push_back(backend);
   }
-  coordinator.OnCatalog({service}, backends, now);
+  coordinator.OnCatalog({service}, registered.Replace(backends), now);
   Drain();
 }
 
 void Harness::RegisterBackends(const std::vector<catalog::Backend>& backends) {
   catalog::Service service;
   service.name = kService;
-  coordinator.OnCatalog({service}, backends, now);
+  coordinator.OnCatalog({service}, registered.Replace(backends), now);
   Drain();
 }
 
--- a/tests/unit/ownership/coordinator_harness.h
+++ b/tests/unit/ownership/coordinator_harness.h
@@ -49,6 +49,8 @@
   ModelStore* store;
   Time now;
   Coordinator coordinator;
+  /// What the coordinator was told.
+  catalog::BackendSet registered;
   /// The store takes calls and answers.
   bool store_answers = true;
   /// The store answers at once that it does nothing.
--- a/tests/unit/ownership/model_nodes.cc
+++ b/tests/unit/ownership/model_nodes.cc
@@ -36,6 +36,7 @@
   node.stopping = false;
   NodeIdentity self{node.incarnation, absl::StrCat("node-", index), node.address};
   node.coordinator = std::make_unique<Coordinator>(settings_, self);
+  node.registered = {};
   Trace(absl::StrCat("node ", index, " starts"));
   ToNode(index, node.incarnation, [this, index] { TellCatalog(nodes_[index]); });
 }
@@ -393,7 +394,7 @@
       backends.push_back(listed);
     }
   }
-  node.coordinator->OnCatalog(services, backends, now_);
+  node.coordinator->OnCatalog(services, node.registered.Replace(backends), now_);
 }
 
 void ModelWorld::TellCatalogToAll() {
--- a/tests/unit/ownership/model_world.h
+++ b/tests/unit/ownership/model_world.h
@@ -29,6 +29,8 @@
   Endpoint address;
   /// Null while the process is down.
   std::unique_ptr<Coordinator> coordinator;
+  /// What the coordinator was told.
+  catalog::BackendSet registered;
   /// Frozen until then; what reaches it meanwhile waits in `inbox`.
   Time frozen_until = absl::InfinitePast();
   std::deque<std::function<void()>> inbox;
--- a/tests/unit/ownership/restart_test.cc
+++ b/tests/unit/ownership/restart_test.cc
@@ -66,9 +66,9 @@
 
 BOOST_AUTO_TEST_CASE(ALateRowOfAnEarlierStartProvesNothing) {
   BackendDirectory directory{CoordinatorSettings()};
-  directory.Update({MakeBackend("a@2", "a")}, {Harness::kService});
+  directory.Update({{MakeBackend("a@2", "a")}, {}}, {Harness::kService});
   const RegistrationChanges changes =
-      directory.Update({MakeBackend("a@1", "b")}, {Harness::kService});
+      directory.Update({{MakeBackend("a@1", "b")}, {}}, {Harness::kService});
   BOOST_TEST(changes.ended.empty());
   BOOST_TEST(!directory.HasEnded("a@2"));
 }
