Find the rows that a node lacks by their versions

A follower that tells another node what changed walked all of its rows for each such question: with 984 nodes and 9,998 back ends ten million rows for one change. An index by version finds just those.

Tests: the unit tests of the store and of membership (unchanged).

--- a/src/core/store/table_follower.cc
+++ b/src/core/store/table_follower.cc
@@ -243,12 +243,11 @@
       changes.changed_after = std::min(changes.changed_after, removal.changed_after);
     }
   }
-  for (const auto& [key, row] : rows_) {
-    if (row.version > base) {
-      changes.rows.push_back(
-          {{settings_.table, settings_.partition, key}, row.value, row.version, false});
-      changes.changed_after = std::min(changes.changed_after, row.changed_after);
-    }
+  for (auto entry = by_version_.upper_bound(base); entry != by_version_.end(); ++entry) {
+    const auto& [key, row] = *entry->second;
+    changes.rows.push_back(
+        {{settings_.table, settings_.partition, key}, row.value, row.version, false});
+    changes.changed_after = std::min(changes.changed_after, row.changed_after);
   }
   return changes;
 }
@@ -366,7 +365,7 @@
     // When it went is not known, only that it was by now.
     newest_change_ = std::max(newest_change_, version);
     removals_.Add(held->first, version, changed_after);
-    held = rows_.erase(held);
+    held = Erase(held);
   }
   as_of_ = std::max(as_of_, version);
   known_ = true;
@@ -392,7 +391,11 @@
   if (held != rows_.end() && row.version <= held->second.version) {
     return;
   }
-  rows_.insert_or_assign(row.key.key, VersionedValue{row.value, row.version, changed_after});
+  if (held != rows_.end()) {
+    ForgetVersion(held);
+  }
+  const VersionedValue value{row.value, row.version, changed_after};
+  by_version_.emplace(row.version, rows_.insert_or_assign(row.key.key, value).first);
   NoteChange(row.key.key, changed_after);
 }
 
@@ -403,10 +406,25 @@
   if (held == rows_.end() || row.version < held->second.version) {
     return;
   }
-  rows_.erase(held);
+  Erase(held);
   NoteChange(row.key.key, changed_after);
 }
 
+TableRows::iterator TableFollower::Erase(TableRows::iterator row) {
+  ForgetVersion(row);
+  return rows_.erase(row);
+}
+
+void TableFollower::ForgetVersion(TableRows::iterator row) {
+  auto [entry, end] = by_version_.equal_range(row->second.version);
+  while (entry != end && entry->second != row) {
+    ++entry;
+  }
+  if (entry != end) {
+    by_version_.erase(entry);
+  }
+}
+
 RowVersion TableFollower::content_version() const { return std::min(newest_change_, as_of_); }
 
 RowVersion TableFollower::settled_version() const {
--- a/src/core/store/table_follower.h
+++ b/src/core/store/table_follower.h
@@ -93,6 +93,8 @@
 class TableFollower {
  public:
   explicit TableFollower(FollowerSettings settings);
+  TableFollower(const TableFollower&) = delete;
+  TableFollower& operator=(const TableFollower&) = delete;
 
   /// The call to make now, if one is due. An outstanding call that is overdue counts as failed; its
   /// late reply is ignored.
@@ -189,6 +191,9 @@
   /// this is the first reading.
   void NoteGap(RowVersion version);
   void Put(const Row& row, Time changed_after);
+  /// Gives the row behind it.
+  TableRows::iterator Erase(TableRows::iterator row);
+  void ForgetVersion(TableRows::iterator row);
   void Remove(const Row& row, Time changed_after);
   void NoteChange(const std::string& key, Time changed_after);
   void StartReading();
@@ -198,6 +203,8 @@
   FollowerSettings settings_;
   BackOff back_off_;
   TableRows rows_;
+  /// `rows_` by version, so that telling a change does not look at all rows.
+  std::multimap<RowVersion, TableRows::iterator> by_version_;
   std::set<std::string> changed_keys_;
   Time changed_after_ = absl::InfiniteFuture();
   bool known_ = false;
