Index the ranges of a coordinator by what is to be done with them

Seen: ./scripts/bench coordination-scale, extended to 1,200 and 4,272 owners: at 4,272 a coordinator on half a core was busy 100% of the time in every phase, with turns of 763, 1,161 and 1,805 ms, and lost its lease twice in 6 s of calm.

Cause: every answer of a back end and every step of the coordinator walked all ranges of its service about a dozen times: orders due, changes ready, releases, neighbours to join, the next wake. Cutting a range moved all behind it, so a first partition was quadratic.

Ruled out: the order book and the directory (indexed already, by back end and by address). Handing out every unsettled range for change and indexing it again was tried first: worse than before (385 owners busy 100%, their answers late, all taken for silent), as a takeover has all ranges unconfirmed.

Change: RangeTable keeps ranges in a map, with indexes of those that something is under way with, of those not confirmed and of the times of orders. What is handed out to be changed is indexed again before the next question. Planned moves are counted once a proposal, not once a move.

One coordinator does not carry 4,272 owners; parts of the key space are what is left.

Why it holds: a step without work looks at no range, an answer at its own (range_table_test counts).

--- a/src/bench/coordination_experiment.cc
+++ b/src/bench/coordination_experiment.cc
@@ -24,7 +24,7 @@
   size_t ranges;
 };
 
-constexpr Size kSizes[] = {{33, 100}, {99, 300}, {385, 1182}};
+constexpr Size kSizes[] = {{33, 100}, {99, 300}, {385, 1182}, {1200, 1200}, {4272, 4272}};
 
 std::vector<std::string> Row(const Size& size, const std::string& phase,
                              const CoordinationModel& model, Duration length) {
--- a/src/core/ownership/coordinator.cc
+++ b/src/core/ownership/coordinator.cc
@@ -304,14 +304,13 @@
       wake = std::min(wake, due);
     }
   };
-  for (const RangeState& state : service.table.ranges()) {
-    if (state.phase == RangePhase::kOwned) {
-      consider(state.order_due);
-      consider(state.commit_not_before);
-      consider(state.next_fence == 0 ? absl::InfinitePast() : state.refence_due);
-    } else if (state.phase == RangePhase::kReleasing) {
-      consider(state.order_due);
-      consider(WaitOutEnd(state));
+  consider(service.table.NextDue(now));
+  for (const RangeState* state : service.table.Busy()) {
+    consider(state->commit_not_before);
+    if (state->phase == RangePhase::kOwned) {
+      consider(state->next_fence == 0 ? absl::InfinitePast() : state->refence_due);
+    } else if (state->phase == RangePhase::kReleasing) {
+      consider(WaitOutEnd(*state));
     }
   }
   for (const LingeringRelease& release : service.lingering) {
--- a/src/core/ownership/coordinator_commits.cc
+++ b/src/core/ownership/coordinator_commits.cc
@@ -39,8 +39,8 @@
     if (!IsListed(name)) {
       continue;
     }
-    for (const RangeState& state : service.table.ranges()) {
-      if (IsReady(service, state, now)) {
+    for (const RangeState* state : service.table.Busy()) {
+      if (IsReady(service, *state, now)) {
         return true;
       }
     }
@@ -66,23 +66,19 @@
 
 void Coordinator::Impl::CollectChanges(ServiceState& service, Time now,
                                        std::vector<OwnershipChange>* changes) {
-  // The table grows when a range is cut.
-  for (size_t i = 0; i < service.table.ranges().size(); ++i) {
+  for (const RangeState* state : service.table.Busy()) {
     if (changes->size() >= commit_limits_.changes) {
       return;
     }
-    const KeyRange whole = service.table.ranges()[i].range;
-    if (!IsReady(service, service.table.ranges()[i], now)) {
+    if (!IsReady(service, *state, now)) {
       continue;
     }
-    const Key last = service.rows.LastWithin(whole, commit_limits_.RowsOfChange());
-    if (last < whole.last) {
-      service.table.CutBehind(i, last);
-    }
-    const RangeState& state = service.table.ranges()[i];
-    const bool to_other = state.phase == RangePhase::kCommitting;
-    changes->push_back(
-        {service.name, state.range, to_other ? state.next_owner : state.owner, state.next_fence});
+    const bool to_other = state->phase == RangePhase::kCommitting;
+    OwnershipChange change{service.name, state->range, to_other ? state->next_owner : state->owner,
+                           state->next_fence};
+    change.range.last = service.rows.LastWithin(change.range, commit_limits_.RowsOfChange());
+    service.table.CutBehind(change.range.last);
+    changes->push_back(std::move(change));
   }
 }
 
@@ -129,8 +125,8 @@
   if (service == nullptr) {
     return;
   }
-  for (RangeState& state : service->table.Overlapping(change.range)) {
-    state.commit_not_before = now + kSetAsideFor;
+  for (RangeState* state : service->table.Overlapping(change.range)) {
+    state->commit_not_before = now + kSetAsideFor;
   }
 }
 
@@ -177,15 +173,14 @@
 }
 
 bool Coordinator::Impl::IsCalm(const ServiceState& service, Time now) const {
-  if (resign_by_ || !chain_.attempts().empty() || StoreTroubled(now)) {
-    return false;
-  }
-  for (const RangeState& state : service.table.ranges()) {
-    if (!state.Calm() || !state.confirmed || !directory_.Keeps(state.owner)) {
-      return false;
-    }
-  }
-  return true;
+  return !resign_by_ && chain_.attempts().empty() && !StoreTroubled(now) &&
+         service.table.Busy().empty() && service.table.Unconfirmed().empty();
+}
+
+bool Coordinator::Impl::KeepsAllOwners(const ServiceState& service) const {
+  const RangeTable::Ranges& ranges = service.table.ranges();
+  return std::all_of(ranges.begin(), ranges.end(),
+                     [this](const auto& entry) { return directory_.Keeps(entry.second.owner); });
 }
 
 void Coordinator::Impl::MergeFencesIfCalm(ServiceState& service, Time now) {
@@ -193,19 +188,27 @@
     return;
   }
   service.merge_due = now + kMergeInterval;
-  std::vector<RangeState>& ranges = service.table.ranges();
-  for (size_t i = 1; i < ranges.size(); ++i) {
-    if (ranges[i - 1].owner != ranges[i].owner || ranges[i - 1].fence == ranges[i].fence) {
-      continue;
+  if (!KeepsAllOwners(service)) {
+    return;
+  }
+  std::vector<KeyRange> joined;
+  const RangeState* previous = nullptr;
+  for (const auto& [first, state] : service.table.ranges()) {
+    if (previous != nullptr && previous->owner == state.owner && previous->fence != state.fence) {
+      joined.push_back({previous->range.first, state.range.last});
     }
-    if (ranges[i - 1].next_fence == 0) {
-      ranges[i - 1].next_fence = NextFence();
-      ranges[i - 1].refence_due = now;
+    previous = &state;
+  }
+  for (const KeyRange& neighbours : joined) {
+    const std::vector<RangeState*> pair = service.table.Overlapping(neighbours);
+    if (pair.front()->next_fence == 0) {
+      pair.front()->next_fence = NextFence();
+      pair.front()->refence_due = now;
     }
-    ranges[i].next_fence = ranges[i - 1].next_fence;
-    ranges[i].refence_due = now;
-    Believe(belief::kRangesMerged,
-            absl::StrCat(service.name, " at key ", ranges[i].range.first, " of ", ranges[i].owner));
+    pair.back()->next_fence = pair.front()->next_fence;
+    pair.back()->refence_due = now;
+    Believe(belief::kRangesMerged, absl::StrCat(service.name, " at key ", pair.back()->range.first,
+                                                " of ", pair.back()->owner));
   }
 }
 
--- a/src/core/ownership/coordinator_impl.h
+++ b/src/core/ownership/coordinator_impl.h
@@ -102,7 +102,7 @@
     Time due;
     ServiceState* service = nullptr;
     /// Null for a lingering release, which then is `lingering`.
-    RangeState* state = nullptr;
+    const RangeState* state = nullptr;
     LingeringRelease* lingering = nullptr;
   };
 
@@ -170,6 +170,7 @@
   void ApplyChange(ServiceState& service, const OwnershipChange& change, Time now);
   void MergeFencesIfCalm(ServiceState& service, Time now);
   bool IsCalm(const ServiceState& service, Time now) const;
+  bool KeepsAllOwners(const ServiceState& service) const;
 
   // coordinator_moves.cc
 
@@ -181,7 +182,9 @@
   /// No back end holds the range any more.
   void Released(ServiceState& service, RangeState& state, Time now);
   void AskPartitioner(ServiceState& service, Time now);
-  void ApplyProposal(ServiceState& service, const partition::ProposedMove& move, Time now);
+  /// `under_way` counts the planned moves.
+  void ApplyProposal(ServiceState& service, const partition::ProposedMove& move, Time now,
+                     size_t* under_way);
   void StartMove(ServiceState& service, RangeState& state, const std::string& to, Time now);
   void MarkMoving(RangeState& state, Time now);
   bool IsBusy(const RangeState& state) const;
--- a/src/core/ownership/coordinator_lease.cc
+++ b/src/core/ownership/coordinator_lease.cc
@@ -281,14 +281,12 @@
 void Coordinator::Impl::WaitOutUnreadable(ServiceState& service, const KeyRange& range, Time now) {
   service.table.SplitAt(range.first);
   service.table.SplitAt(range.last + 1);
-  for (RangeState& state : service.table.ranges()) {
-    if (Covers(range, state.range)) {
-      state.phase = RangePhase::kReleasing;
-      state.last_grant = predecessor_until_;
-      state.moving = true;
-      state.moving_since = now;
-      state.next_fence = NextFence();
-    }
+  for (RangeState* state : service.table.Overlapping(range)) {
+    state->phase = RangePhase::kReleasing;
+    state->last_grant = predecessor_until_;
+    state->moving = true;
+    state->moving_since = now;
+    state->next_fence = NextFence();
   }
 }
 
--- a/src/core/ownership/coordinator_moves.cc
+++ b/src/core/ownership/coordinator_moves.cc
@@ -82,23 +82,24 @@
 }
 
 void Coordinator::Impl::FinishReleases(ServiceState& service, Time now) {
-  for (RangeState& state : service.table.ranges()) {
-    if (state.phase == RangePhase::kCommitting && !directory_.Accepts(state.next_owner) &&
-        !chain_.Commits(service.name, state.next_fence)) {
-      Released(service, state, now);
+  for (const RangeState* state : service.table.Busy()) {
+    const Key first = state->range.first;
+    if (state->phase == RangePhase::kCommitting && !directory_.Accepts(state->next_owner) &&
+        !chain_.Commits(service.name, state->next_fence)) {
+      Released(service, service.table.At(first), now);
     }
-    if (state.phase != RangePhase::kReleasing) {
+    if (state->phase != RangePhase::kReleasing) {
       continue;
     }
-    if (directory_.HasEnded(state.owner)) {
-      Released(service, state, now);
-    } else if (now >= WaitOutEnd(state)) {
-      Believe(belief::kOwnerWaitedOut, absl::StrCat(service.name, " ", Describe(state)));
-      if (!state.owner.empty()) {
+    if (directory_.HasEnded(state->owner)) {
+      Released(service, service.table.At(first), now);
+    } else if (now >= WaitOutEnd(*state)) {
+      Believe(belief::kOwnerWaitedOut, absl::StrCat(service.name, " ", Describe(*state)));
+      if (!state->owner.empty()) {
         service.lingering.push_back(
-            {state.owner, state.range, state.next_fence, now, now + kLingering});
+            {state->owner, state->range, state->next_fence, now, now + kLingering});
       }
-      Released(service, state, now);
+      Released(service, service.table.At(first), now);
     }
   }
   std::erase_if(service.lingering,
@@ -158,21 +159,21 @@
 }
 
 size_t Coordinator::Impl::CountMoves(const ServiceState& service) const {
-  const std::vector<RangeState>& ranges = service.table.ranges();
+  const std::vector<const RangeState*> ranges = service.table.Busy();
   return static_cast<size_t>(std::count_if(ranges.begin(), ranges.end(),
-                                           [](const RangeState& state) { return state.moving; }));
+                                           [](const RangeState* state) { return state->moving; }));
 }
 
 size_t Coordinator::Impl::CountPlannedMoves(const ServiceState& service) const {
-  const std::vector<RangeState>& ranges = service.table.ranges();
+  const std::vector<const RangeState*> ranges = service.table.Busy();
   return static_cast<size_t>(std::count_if(
       ranges.begin(), ranges.end(),
-      [this](const RangeState& state) { return state.moving && directory_.Keeps(state.owner); }));
+      [this](const RangeState* state) { return state->moving && directory_.Keeps(state->owner); }));
 }
 
 void Coordinator::Impl::ListMoves(const ServiceState& service, Assignments* view,
                                   std::vector<KeyRange>* busy) const {
-  for (const RangeState& state : service.table.ranges()) {
+  for (const auto& [first, state] : service.table.ranges()) {
     switch (state.phase) {
       case RangePhase::kOwned:
       case RangePhase::kReleasing:
@@ -218,7 +219,7 @@
     }
     moves = service.partitioner->Initial(backends);
     service.unpartitioned = moves.empty();
-    service.table.ranges().front().next_fence = NextFence();
+    service.table.At(0).next_fence = NextFence();
     Believe(belief::kServicePartitioned, absl::StrCat(service.name, " in ", moves.size()));
   } else {
     Assignments view;
@@ -226,44 +227,44 @@
     ListMoves(service, &view, &busy);
     moves = service.partitioner->Propose(view, busy, backends, now);
   }
+  size_t under_way = CountPlannedMoves(service);
   for (const partition::ProposedMove& move : moves) {
-    ApplyProposal(service, move, now);
+    ApplyProposal(service, move, now, &under_way);
   }
 }
 
 void Coordinator::Impl::ApplyProposal(ServiceState& service, const partition::ProposedMove& move,
-                                      Time now) {
+                                      Time now, size_t* under_way) {
   if (move.range.last < move.range.first || move.range.last > kLastKey ||
       !directory_.Accepts(move.to)) {
     return;
   }
   service.table.SplitAt(move.range.first);
   service.table.SplitAt(move.range.last + 1);
-  size_t under_way = CountPlannedMoves(service);
-  for (RangeState& state : service.table.ranges()) {
-    if (!Covers(move.range, state.range) || IsBusy(state)) {
+  for (RangeState* state : service.table.Overlapping(move.range)) {
+    if (!Covers(move.range, state->range) || IsBusy(*state)) {
       continue;
     }
-    if (state.phase == RangePhase::kReleased) {
-      state.next_owner = move.to;
+    if (state->phase == RangePhase::kReleased) {
+      state->next_owner = move.to;
       // To its old owner, repeated releases under next_fence may still be on their way.
-      if (state.next_fence == 0 || move.to == state.owner) {
-        state.next_fence = NextFence();
+      if (state->next_fence == 0 || move.to == state->owner) {
+        state->next_fence = NextFence();
       }
-      state.phase = RangePhase::kCommitting;
+      state->phase = RangePhase::kCommitting;
       continue;
     }
-    const bool must = !directory_.Keeps(state.owner);
-    const bool may = must || under_way < settings_.partition_weights.max_moves;
-    if (state.owner == move.to || !may) {
+    const bool must = !directory_.Keeps(state->owner);
+    const bool may = must || *under_way < settings_.partition_weights.max_moves;
+    if (state->owner == move.to || !may) {
       continue;
     }
     if (!must && CommitsInDoubt(now)) {
       NoteMovesPutOff(now);
       continue;
     }
-    StartMove(service, state, move.to, now);
-    under_way += must ? 0 : 1;
+    StartMove(service, *state, move.to, now);
+    *under_way += must ? 0 : 1;
   }
 }
 
@@ -288,7 +289,7 @@
 
 std::set<std::string> Coordinator::Impl::OwnersOf(const ServiceState& service) const {
   std::set<std::string> owners;
-  for (const RangeState& state : service.table.ranges()) {
+  for (const auto& [first, state] : service.table.ranges()) {
     for (const std::string& owner : {state.owner, state.next_owner}) {
       if (!owner.empty()) {
         owners.insert(owner);
--- a/src/core/ownership/coordinator_orders.cc
+++ b/src/core/ownership/coordinator_orders.cc
@@ -52,7 +52,7 @@
 size_t Coordinator::Impl::CountRanges() const {
   size_t ranges = 0;
   for (const auto& [name, service] : services_) {
-    ranges += service.table.ranges().size();
+    ranges += service.table.size();
   }
   return ranges;
 }
@@ -83,19 +83,19 @@
   if (now >= took_over_at_ + kRenewsFirst) {
     return false;
   }
-  const std::vector<RangeState>& ranges = service.table.ranges();
-  return std::any_of(ranges.begin(), ranges.end(), [this](const RangeState& state) {
-    const KnownBackend* owner = directory_.Find(state.owner);
-    return state.phase == RangePhase::kOwned && !state.confirmed && MayGrant(state) &&
+  const std::vector<const RangeState*> ranges = service.table.Unconfirmed();
+  return std::any_of(ranges.begin(), ranges.end(), [this](const RangeState* state) {
+    const KnownBackend* owner = directory_.Find(state->owner);
+    return state->phase == RangePhase::kOwned && !state->confirmed && MayGrant(*state) &&
            owner != nullptr && owner->failures == 0;
   });
 }
 
 void Coordinator::Impl::RenewAll(Time now) {
   for (auto& [name, service] : services_) {
-    for (RangeState& state : service.table.ranges()) {
-      if (state.phase == RangePhase::kOwned) {
-        state.order_due = std::min(state.order_due, now);
+    for (RangeState* state : service.table.All()) {
+      if (state->phase == RangePhase::kOwned) {
+        state->order_due = std::min(state->order_due, now);
       }
     }
   }
@@ -119,20 +119,17 @@
 
 void Coordinator::Impl::CollectOrders(ServiceState& service, Time now,
                                       std::vector<OrderCandidate>* candidates) {
-  for (RangeState& state : service.table.ranges()) {
-    if (state.order_due > now) {
-      continue;
-    }
-    if (state.phase == RangePhase::kReleasing) {
-      candidates->push_back({kMove, state.order_due, &service, &state, nullptr});
-    } else if (state.phase == RangePhase::kOwned && MayGrant(state)) {
+  for (const RangeState* state : service.table.Due(now)) {
+    if (state->phase == RangePhase::kReleasing) {
+      candidates->push_back({kMove, state->order_due, &service, state, nullptr});
+    } else if (MayGrant(*state)) {
       int urgency = kRenew;
-      if (state.moving) {
+      if (state->moving) {
         urgency = kMove;
-      } else if (!state.confirmed || now - state.last_grant > settings_.hold / 2) {
+      } else if (!state->confirmed || now - state->last_grant > settings_.hold / 2) {
         urgency = kRenewLate;
       }
-      candidates->push_back({urgency, state.order_due, &service, &state, nullptr});
+      candidates->push_back({urgency, state->order_due, &service, state, nullptr});
     }
   }
   for (LingeringRelease& release : service.lingering) {
@@ -183,10 +180,10 @@
     candidate.lingering->due = now + kLingeringInterval;
     SendRelease(service, backend, known->address, range, candidate.lingering->fence, now);
   } else if (candidate.state->phase == RangePhase::kReleasing) {
-    candidate.state->order_due = now + settings_.order_timeout;
+    service.table.At(range.first).order_due = now + settings_.order_timeout;
     SendRelease(service, backend, known->address, range, candidate.state->next_fence, now);
   } else {
-    SendGrant(service, *candidate.state, known->address, now);
+    SendGrant(service, service.table.At(range.first), known->address, now);
   }
   return true;
 }
@@ -251,7 +248,8 @@
 }
 
 void Coordinator::Impl::OnGrantDone(ServiceState& service, const Order& order, Time now) {
-  for (RangeState& state : service.table.Overlapping(order.range)) {
+  for (RangeState* found : service.table.Overlapping(order.range)) {
+    RangeState& state = *found;
     if (state.owner != order.backend) {
       continue;
     }
@@ -285,7 +283,8 @@
 }
 
 void Coordinator::Impl::OnGrantFenced(ServiceState& service, const Order& order, Time now) {
-  for (RangeState& state : service.table.Overlapping(order.range)) {
+  for (RangeState* found : service.table.Overlapping(order.range)) {
+    RangeState& state = *found;
     if (state.phase != RangePhase::kOwned || state.owner != order.backend ||
         state.fence != order.fence) {
       continue;
@@ -313,7 +312,8 @@
   const bool refused = status == OrderStatus::kUnreachable;
   directory_.RecordFailure(order.backend, refused, order.sent, now);
   const Duration pause = refused ? settings_.order_timeout / 2 : settings_.order_timeout;
-  for (RangeState& state : service.table.Overlapping(order.range)) {
+  for (RangeState* found : service.table.Overlapping(order.range)) {
+    RangeState& state = *found;
     if (state.owner != order.backend) {
       continue;
     }
@@ -336,7 +336,8 @@
     return;
   }
   NoteAnswer(order.backend, now);
-  for (RangeState& state : service->table.Overlapping(order.range)) {
+  for (RangeState* found : service->table.Overlapping(order.range)) {
+    RangeState& state = *found;
     if (state.phase == RangePhase::kReleasing && state.owner == order.backend &&
         state.next_fence == order.fence && Covers(order.range, state.range)) {
       state.handover = reply.handover;
--- a/src/core/ownership/range_table.cc
+++ b/src/core/ownership/range_table.cc
@@ -1,6 +1,7 @@
 #include "core/ownership/range_table.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "core/ownership/assignments.h"
@@ -22,7 +23,7 @@
   everything.range = {0, kLastKey};
   everything.phase = RangePhase::kReleased;
   everything.moving = true;
-  ranges_.push_back(everything);
+  Touch(ranges_.emplace(0, std::move(everything)).first);
 }
 
 RangeTable::RangeTable(const Assignments& committed, Time last_grant) {
@@ -37,73 +38,169 @@
     } else {
       state.last_grant = last_grant;
     }
-    ranges_.push_back(std::move(state));
+    Touch(ranges_.emplace_hint(ranges_.end(), assignment.range.first, std::move(state)));
   }
 }
 
-RangeState& RangeTable::At(Key key) {
-  return *std::partition_point(ranges_.begin(), ranges_.end(),
-                               [key](const RangeState& state) { return state.range.last < key; });
+RangeTable::Ranges::iterator RangeTable::Find(Key key) {
+  return std::prev(ranges_.upper_bound(key));
 }
 
-std::span<RangeState> RangeTable::Overlapping(const KeyRange& range) {
-  const auto begin = std::partition_point(
-      ranges_.begin(), ranges_.end(),
-      [&range](const RangeState& state) { return state.range.last < range.first; });
-  const auto end = std::partition_point(begin, ranges_.end(), [&range](const RangeState& state) {
-    return state.range.first <= range.last;
-  });
-  return {begin, end};
+RangeState& RangeTable::Touch(Ranges::iterator entry) {
+  touched_.insert(entry->first);
+  unmerged_.insert(entry->first);
+  return entry->second;
+}
+
+RangeState& RangeTable::At(Key key) { return Touch(Find(key)); }
+
+std::vector<RangeState*> RangeTable::Overlapping(const KeyRange& range) {
+  std::vector<RangeState*> found;
+  for (auto entry = Find(range.first); entry != ranges_.end() && entry->first <= range.last;
+       ++entry) {
+    found.push_back(&Touch(entry));
+  }
+  return found;
+}
+
+RangeTable::Indexed RangeTable::IndexedOf(const RangeState& state) {
+  const bool ordered = state.phase == RangePhase::kOwned || state.phase == RangePhase::kReleasing;
+  return {!state.Calm(), !state.confirmed, ordered ? state.order_due : absl::InfiniteFuture()};
+}
+
+void RangeTable::Replace(Key first, const Indexed* entry) const {
+  const auto held = index_.find(first);
+  if (held != index_.end()) {
+    if (entry != nullptr && held->second == *entry) {
+      return;
+    }
+    busy_.erase(first);
+    unconfirmed_.erase(first);
+    due_.erase({held->second.due, first});
+    index_.erase(held);
+  }
+  if (entry == nullptr) {
+    return;
+  }
+  index_.emplace(first, *entry);
+  if (entry->busy) {
+    busy_.insert(first);
+  }
+  if (entry->unconfirmed) {
+    unconfirmed_.insert(first);
+  }
+  if (entry->due != absl::InfiniteFuture()) {
+    due_.emplace(entry->due, first);
+  }
+}
+
+void RangeTable::Reindex() const {
+  indexed_ += touched_.size();
+  for (const Key first : std::exchange(touched_, {})) {
+    const auto entry = ranges_.find(first);
+    if (entry == ranges_.end()) {
+      Replace(first, nullptr);
+    } else {
+      const Indexed indexed = IndexedOf(entry->second);
+      Replace(first, &indexed);
+    }
+  }
+}
+
+std::vector<const RangeState*> RangeTable::Find(const Keys& keys) const {
+  std::vector<const RangeState*> found;
+  found.reserve(keys.size());
+  for (const Key first : keys) {
+    found.push_back(&ranges_.at(first));
+  }
+  return found;
+}
+
+std::vector<const RangeState*> RangeTable::Busy() const {
+  Reindex();
+  return Find(busy_);
+}
+
+std::vector<const RangeState*> RangeTable::Unconfirmed() const {
+  Reindex();
+  return Find(unconfirmed_);
+}
+
+std::vector<const RangeState*> RangeTable::Due(Time now) const {
+  Reindex();
+  std::vector<const RangeState*> found;
+  for (auto entry = due_.begin(); entry != due_.end() && entry->first <= now; ++entry) {
+    found.push_back(&ranges_.at(entry->second));
+  }
+  return found;
+}
+
+Time RangeTable::NextDue(Time now) const {
+  Reindex();
+  const auto next = due_.upper_bound({now, kLastKey + 1});
+  return next == due_.end() ? absl::InfiniteFuture() : next->first;
+}
+
+void RangeTable::CutAt(Key first) {
+  const auto found = Find(first);
+  RangeState tail = Touch(found);
+  tail.range.first = first;
+  found->second.range.last = first - 1;
+  Touch(ranges_.emplace_hint(std::next(found), first, std::move(tail)));
 }
 
 void RangeTable::SplitAt(Key first) {
   if (first > kLastKey) {
     return;
   }
-  const auto found =
-      std::partition_point(ranges_.begin(), ranges_.end(),
-                           [first](const RangeState& state) { return state.range.last < first; });
-  const bool can_split = found->phase == RangePhase::kReleased ||
-                         (found->phase == RangePhase::kOwned && found->next_fence == 0);
-  if (found->range.first == first || !can_split) {
-    return;
+  const RangeState& found = Find(first)->second;
+  const bool can_split = found.phase == RangePhase::kReleased ||
+                         (found.phase == RangePhase::kOwned && found.next_fence == 0);
+  if (found.range.first != first && can_split) {
+    CutAt(first);
   }
-  RangeState head = *found;
-  head.range.last = first - 1;
-  found->range.first = first;
-  ranges_.insert(found, std::move(head));
 }
 
-void RangeTable::CutBehind(size_t place, Key last) {
-  RangeState tail = ranges_[place];
-  tail.range.first = last + 1;
-  ranges_[place].range.last = last;
-  ranges_.insert(ranges_.begin() + static_cast<std::ptrdiff_t>(place) + 1, std::move(tail));
+void RangeTable::CutBehind(Key last) {
+  if (Find(last)->second.range.last != last) {
+    CutAt(last + 1);
+  }
+}
+
+bool RangeTable::MergeWithNext(Ranges::iterator entry) {
+  const auto next = std::next(entry);
+  if (next == ranges_.end() || !CanMerge(entry->second, next->second)) {
+    return false;
+  }
+  RangeState& merged = Touch(entry);
+  const RangeState& other = Touch(next);
+  merged.range.last = other.range.last;
+  merged.last_grant = std::max(merged.last_grant, other.last_grant);
+  merged.order_due = std::min(merged.order_due, other.order_due);
+  merged.refence_due = std::max(merged.refence_due, other.refence_due);
+  merged.moving_since = std::max(merged.moving_since, other.moving_since);
+  ranges_.erase(next);
+  return true;
 }
 
 void RangeTable::MergeNeighbours() {
-  size_t kept = 0;
-  for (size_t i = 1; i < ranges_.size(); ++i) {
-    if (CanMerge(ranges_[kept], ranges_[i])) {
-      RangeState& merged = ranges_[kept];
-      merged.range.last = ranges_[i].range.last;
-      merged.last_grant = std::max(merged.last_grant, ranges_[i].last_grant);
-      merged.order_due = std::min(merged.order_due, ranges_[i].order_due);
-      merged.refence_due = std::max(merged.refence_due, ranges_[i].refence_due);
-      merged.moving_since = std::max(merged.moving_since, ranges_[i].moving_since);
+  for (const Key first : std::exchange(unmerged_, {})) {
+    auto entry = ranges_.find(first);
+    if (entry == ranges_.end()) {
       continue;
     }
-    ++kept;
-    if (kept != i) {
-      ranges_[kept] = std::move(ranges_[i]);
+    while (MergeWithNext(entry)) {
+    }
+    if (entry != ranges_.begin()) {
+      MergeWithNext(std::prev(entry));
     }
   }
-  ranges_.resize(kept + 1);
+  unmerged_.clear();
 }
 
 ServiceOwnership RangeTable::Ownership() const {
   ServiceOwnership ownership;
-  for (const RangeState& state : ranges_) {
+  for (const auto& [first, state] : ranges_) {
     AppendCoalesced({state.range, state.owner, state.fence}, &ownership.assignments);
     if (!state.moving) {
       continue;
--- a/src/core/ownership/range_table.h
+++ b/src/core/ownership/range_table.h
@@ -2,8 +2,11 @@
 // it.
 #pragma once
 
-#include <span>
+#include <cstdint>
+#include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/ownership/ownership_map.h"
@@ -60,33 +63,88 @@
   bool Calm() const { return phase == RangePhase::kOwned && !moving && next_fence == 0; }
 };
 
+/// Ranges by key, with indexes over those that something is under way with and over the times at
+/// which orders are due, so that a step of the coordinator costs what is to be done in it.
+///
+/// Pointers to ranges that may be changed are valid until the next cut or join. What is changed
+/// through one is indexed before the table is asked for anything that an index answers.
 class RangeTable {
  public:
+  using Ranges = std::map<Key, RangeState>;
+
   /// Every key is free and was never held.
   RangeTable();
   /// Every range is owned as committed; its owner may have been granted it until `last_grant`.
   RangeTable(const Assignments& committed, Time last_grant);
 
-  std::vector<RangeState>& ranges() { return ranges_; }
-  const std::vector<RangeState>& ranges() const { return ranges_; }
+  /// By the first key.
+  const Ranges& ranges() const { return ranges_; }
+  size_t size() const { return ranges_.size(); }
 
-  /// The range that holds `key`.
+  /// The range that holds `key`, to be changed.
   RangeState& At(Key key);
-  /// Those that share keys with `range`, in order.
-  std::span<RangeState> Overlapping(const KeyRange& range);
+  /// Those that share keys with `range`, in order, to be changed.
+  std::vector<RangeState*> Overlapping(const KeyRange& range);
+  /// All of them, to be changed.
+  std::vector<RangeState*> All() { return Overlapping({0, kLastKey}); }
+
+  /// Those that something is under way with, in order.
+  std::vector<const RangeState*> Busy() const;
+  /// Those whose owner has not confirmed them, in order.
+  std::vector<const RangeState*> Unconfirmed() const;
+  /// Those whose grant or release is due, in order of the times.
+  std::vector<const RangeState*> Due(Time now) const;
+  /// When the next grant or release after `now` is due.
+  Time NextDue(Time now) const;
+
   /// Cuts the range that holds `first`, so that one begins there; not one that is being released,
   /// committed or given another fence.
   void SplitAt(Key first);
-  /// Cuts the range at this place, so that it ends with `last`, whatever its phase. Both parts go
-  /// on as the whole did.
-  void CutBehind(size_t place, Key last);
+  /// Cuts the range that holds `last`, so that one ends there, whatever its phase. Both parts go on
+  /// as the whole did.
+  void CutBehind(Key last);
   /// Joins neighbours that agree in everything that matters.
   void MergeNeighbours();
   /// Owners and fences as routing sees them.
   ServiceOwnership Ownership() const;
 
+  /// Ranges put into the indexes anew so far.
+  uint64_t indexed() const { return indexed_; }
+
  private:
-  std::vector<RangeState> ranges_;
+  struct Indexed {
+    bool busy = false;
+    bool unconfirmed = false;
+    /// Infinite when no order is due.
+    Time due = absl::InfiniteFuture();
+    bool operator==(const Indexed&) const = default;
+  };
+  using Keys = std::set<Key>;
+
+  static Indexed IndexedOf(const RangeState& state);
+  std::vector<const RangeState*> Find(const Keys& keys) const;
+
+  Ranges::iterator Find(Key key);
+  /// Notes that the range is about to be changed.
+  RangeState& Touch(Ranges::iterator entry);
+  void CutAt(Key first);
+  /// Brings the indexes up to date with what was changed.
+  void Reindex() const;
+  /// Puts a range's entry, null for none, in the place of the one that the indexes hold.
+  void Replace(Key first, const Indexed* entry) const;
+  /// Joins the range with the one behind it if they agree. Gives whether it did.
+  bool MergeWithNext(Ranges::iterator entry);
+
+  Ranges ranges_;
+  /// First keys of ranges that may have changed since they were indexed.
+  mutable Keys touched_;
+  /// The same since neighbours were last joined.
+  Keys unmerged_;
+  mutable std::map<Key, Indexed> index_;
+  mutable Keys busy_;
+  mutable Keys unconfirmed_;
+  mutable std::set<std::pair<Time, Key>> due_;
+  mutable uint64_t indexed_ = 0;
 };
 
 /// Whether two ranges share a key.
