--- a/src/core/admission/owner_limit.cc
+++ b/src/core/admission/owner_limit.cc
@@ -5,10 +5,9 @@
 namespace ladderstream::admission {
 namespace {
 
-// Estimates, meant for a node that sees some ten answers a second of such an owner. Only kGrowth
-// was measured against another figure (docs/design/018).
+// For a node that sees some ten answers a second of such an owner (docs/design/018).
 
-/// Added to the limit by each answer in time. 0.2 made no difference.
+/// Added to the limit by each answer in time.
 constexpr double kGrowth = 0.1;
 /// What a late answer, and one turned away, leave of the limit.
 constexpr double kLateCut = 0.85;
--- a/src/core/admission/service_admission.cc
+++ b/src/core/admission/service_admission.cc
@@ -7,14 +7,11 @@
 namespace ladderstream::admission {
 namespace {
 
-// Found by `bench forwarding` on examples/forwarding/seat-maps and stock-lookups at loads of 0.8 to
-// 1.6; docs/design/023 has the figures of the others.
+// docs/design/023 tells how they were weighed.
 
 /// The share of the slack that a queue may take while requests are turned away, and the one beyond
-/// which that begins: a request that joins such a queue is late. With 0.5 kept, a service that
-/// hovers at its capacity turned away more than it had to: 0.082 of one such play in place of 0.061
-/// with 0.75 (70 nodes, 201 back ends, one play each); with 0.75, a flood of three times the
-/// capacity is served in time for less than 0.3 of it (unit test service_admission).
+/// which that begins: a request that joins such a queue is late. Less kept turns away more than it
+/// has to at a service that hovers at its capacity; more lets a flood make most answers late.
 constexpr double kKeptShare = 0.7;
 constexpr double kBeginShare = 1;
 /// How much more, or less, than is answered is let through where the queue is empty, or twice as
@@ -23,8 +20,7 @@
 /// At least this share of what is answered: queues work off the rest.
 constexpr double kLeastFactor = 0.6;
 /// Ranks above the least urgent are let through up to this share of what is answered, however long
-/// the queues are: a burst of the less urgent is worked off at its own cost (of 0.4 of the capacity
-/// that is urgent, beside 1.6 that is not, 0.91 was let through without this).
+/// the queues are: a burst of the less urgent is worked off at its own cost.
 constexpr double kUrgentFactor = 0.85;
 /// A node among seventy sees some twenty answers of a service a second.
 constexpr Duration kRateMemory = absl::Seconds(1);
--- a/src/core/forwarding/dispatch.cc
+++ b/src/core/forwarding/dispatch.cc
@@ -11,7 +11,7 @@
 /// Requests of one service that may wait at a time.
 constexpr size_t kMaxWaiting = 64;
 /// The share of the target latency that an attempt may take; the rest is for waiting here and for
-/// the way to the caller. 0.6 measured worse, 0.9 the same (docs/design/018).
+/// the way to the caller. docs/design/018 weighs it.
 constexpr double kTimelyShare = 0.75;
 /// A waiting request is not looked at more often than this without cause.
 constexpr Duration kLeastWait = absl::Milliseconds(5);
--- a/src/core/forwarding/final_answer.cc
+++ b/src/core/forwarding/final_answer.cc
@@ -17,8 +17,7 @@
 /// Callers that were refused together come back spread over this share of the time.
 constexpr double kRetryJitter = 0.25;
 /// Of the time in which an answer can still be got in time, who is turned away stays away for this
-/// share at most. With half a service time or more, whatever was left, callers at 1.3 of the
-/// capacity got 0.554 of their credit in place of 0.593 (bench forwarding, seat-maps).
+/// share at most: who stays away for longer comes back too late to be served in time.
 constexpr double kReturnShare = 0.2;
 /// Each rank below the highest is told to stay away for longer by this share.
 constexpr double kLaterPerRank = 0.5;
--- a/src/core/forwarding/service_table.cc
+++ b/src/core/forwarding/service_table.cc
@@ -16,12 +16,12 @@
 /// One that had said itself that it leaves is remembered for longer, since its registration may
 /// come back after a long outage of the store and says nothing of it.
 constexpr Duration kRememberLeaving = absl::Minutes(10);
-/// A request reaches the back end chosen for it within this: 1.4 ms of way between zones, and room
-/// for a packet that is sent again after 200 ms, or for a loop that is behind. A connection that is
-/// not up when the back end may no longer be used carries nothing.
+/// A request reaches the back end chosen for it within this: the way between zones, and room for a
+/// packet that is sent again, or for a loop that is behind. A connection that is not up when the
+/// back end may no longer be used carries nothing.
 constexpr Duration kWayReserve = absl::Milliseconds(200);
 /// An outage of the store lets nearly all registrations lapse together; a release or a scale-in
-/// takes a few at a time (29 of 1,826 at once at most, in one run). Between the two, not measured.
+/// takes a few at a time.
 constexpr double kLapsedShare = 1.0 / 3;
 /// No back end is left alone for longer by its own word, so that a wrong one (seconds that were
 /// meant as milliseconds, say) does not end its use for good.
@@ -153,8 +153,7 @@
     AddBelief(state, was_serving ? "changed" : "returned", FormatEndpoint(backend.address));
     return;
   }
-  // What is allowed from hearing on adds up with how late that was: requests reached an owner 3.06
-  // s after it had said that it leaves, with 3 s allowed.
+  // What is allowed from hearing on would add up with how late that was.
   if (backend.draining) {
     const Time last = news.changed_after + settings_.drain_time - kWayReserve;
     StopNewWork(std::min(now + settings_.drain_grace, last),
--- a/src/gateway/settings/node_settings.cc
+++ b/src/gateway/settings/node_settings.cc
@@ -48,8 +48,7 @@
 constexpr double kEvacuationServingShare = 0.4;
 
 /// Of the time in which news must have come, so much may pass before a node watches itself; and
-/// before that so much is left for the watch, its pause and the way. With bounds of 2 s this makes
-/// 1.5 s and 0.7 s, which were chosen by measurement (design note 014).
+/// before that so much is left for the watch, its pause and the way (design note 014).
 constexpr double kFreshnessShare = 0.75;
 constexpr Duration kOwnWatchReserve = absl::Milliseconds(800);
 /// With less, the coordinator's word would hardly outlast its own renewals. Shorter bounds of the
