Assign ranges in one place, and state the store's bounds once

AssignRange did for lists what AssignmentTable does for the committed assignment, and copied the list for each range of a map's change: a change of all ranges was quadratic at every node. The stand-in of the store had the platform's bounds beside store::StoreBounds. A count was named a share, and an Error was made only to print its code.

--- a/src/core/forwarding/service_table.cc
+++ b/src/core/forwarding/service_table.cc
@@ -78,9 +78,9 @@
     }
     Update(backend, news, *state, now);
   }
-  const double gone_share = static_cast<double>(changes.gone.size());
+  const auto gone_count = static_cast<double>(changes.gone.size());
   const bool may_have_lapsed =
-      news.store_troubled && gone_share >= kLapsedShare * static_cast<double>(registered_before);
+      news.store_troubled && gone_count >= kLapsedShare * static_cast<double>(registered_before);
   for (const std::string& id : changes.gone) {
     const auto known = backends_.find(id);
     if (known != backends_.end() && known->second->registered) {
--- a/src/core/ownership/assignments.cc
+++ b/src/core/ownership/assignments.cc
@@ -14,8 +14,6 @@
   return &*found;
 }
 
-Assignments Unowned() { return {Assignment{KeyRange{0, kLastKey}, "", 0}}; }
-
 void AppendCoalesced(const Assignment& assignment, Assignments* assignments) {
   if (!assignments->empty() && assignments->back().owner == assignment.owner &&
       assignments->back().fence == assignment.fence) {
@@ -25,30 +23,6 @@
   assignments->push_back(assignment);
 }
 
-void AssignRange(const KeyRange& range, const std::string& owner, Fence fence,
-                 Assignments* assignments) {
-  Assignments changed;
-  changed.reserve(assignments->size() + 2);
-  bool assigned = false;
-  for (const Assignment& assignment : *assignments) {
-    if (assignment.range.first < range.first) {
-      const Key last = std::min(assignment.range.last, range.first - 1);
-      AppendCoalesced({{assignment.range.first, last}, assignment.owner, assignment.fence},
-                      &changed);
-    }
-    if (!assigned && assignment.range.last >= range.first) {
-      AppendCoalesced({range, owner, fence}, &changed);
-      assigned = true;
-    }
-    if (assignment.range.last > range.last) {
-      const Key first = std::max(assignment.range.first, range.last + 1);
-      AppendCoalesced({{first, assignment.range.last}, assignment.owner, assignment.fence},
-                      &changed);
-    }
-  }
-  *assignments = std::move(changed);
-}
-
 bool CoversAllKeys(const Assignments& assignments) {
   Key next = 0;
   for (const Assignment& assignment : assignments) {
--- a/src/core/ownership/assignments.h
+++ b/src/core/ownership/assignments.h
@@ -7,14 +7,6 @@
 
 namespace ladderstream::ownership {
 
-/// The whole key space, owned by nobody.
-Assignments Unowned();
-
-/// Gives `range` to `owner` under `fence`, cutting what it overlaps; neighbours that agree in owner
-/// and fence become one. `assignments` covers the whole key space.
-void AssignRange(const KeyRange& range, const std::string& owner, Fence fence,
-                 Assignments* assignments);
-
 /// Adds `assignment`, which begins behind the last one; extends the last one if both agree in owner
 /// and fence.
 void AppendCoalesced(const Assignment& assignment, Assignments* assignments);
--- a/src/core/ownership/coordinator_commits.cc
+++ b/src/core/ownership/coordinator_commits.cc
@@ -104,14 +104,12 @@
 
 void Coordinator::Impl::OnCommitRejected(const LeaseAttempt& attempt, const std::string& detail,
                                          Time now) {
-  const Error error(
-      ResultCode::kStoreRejectedWrite,
-      absl::StrCat(attempt.changes.size(), " changes in ", attempt.rows.size(), " rows: ", detail));
   commit_limits_.Tighten(attempt.changes.size());
   const bool smaller = attempt.changes.size() > 1 || EncodeRows(attempt.changes) != attempt.rows;
   Believe(belief::kCommitRejected,
-          absl::StrCat("code ", static_cast<uint32_t>(error.code()), ": ", error.what(),
-                       smaller ? ", tried again in parts" : ", set aside"));
+          absl::StrCat("code ", static_cast<uint32_t>(ResultCode::kStoreRejectedWrite), ": ",
+                       attempt.changes.size(), " changes in ", attempt.rows.size(),
+                       " rows: ", detail, smaller ? ", tried again in parts" : ", set aside"));
   if (smaller) {
     return;
   }
--- a/src/core/ownership/map_changes.cc
+++ b/src/core/ownership/map_changes.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/ownership/assignment_table.h"
 #include "core/ownership/assignments.h"
 
 namespace ladderstream::ownership {
@@ -70,10 +71,14 @@
       return std::nullopt;
     }
     ServiceOwnership& target = map.services[name];
-    target.assignments = before == held.services.end() ? Unowned() : before->second.assignments;
+    AssignmentTable table;
+    if (before != held.services.end()) {
+      table = AssignmentTable(before->second.assignments);
+    }
     for (const Assignment& assignment : service.assignments) {
-      AssignRange(assignment.range, assignment.owner, assignment.fence, &target.assignments);
+      table.Assign(assignment.range, assignment.owner, assignment.fence);
     }
+    target.assignments = table.Slice({0, kLastKey});
     target.moving = service.moving;
   }
   return map;
--- a/src/standin/fleet/store_codec.cc
+++ b/src/standin/fleet/store_codec.cc
@@ -8,6 +8,7 @@
 
 #include <set>
 
+#include "core/store/store_bounds.h"
 #include "wire/result_code.h"
 
 namespace ladderstream::fleet {
@@ -16,10 +17,7 @@
 using nlohmann::json;
 using store::RowKey;
 
-constexpr size_t kMostEntries = 100;
-constexpr size_t kMostBodyBytes = 1'000'000;
-constexpr size_t kMostRowBytes = 65536;
-constexpr size_t kMostNameBytes = 200;
+constexpr store::StoreBounds kBounds;
 
 [[noreturn]] void Refuse(const std::string& what) {
   throw Error(ResultCode::kMalformedMessage, what);
@@ -30,7 +28,7 @@
              .partition = entry.value("part", ""),
              .key = entry.at("key").get<std::string>()};
   for (const std::string* text : {&key.table, &key.partition, &key.key}) {
-    if (text->size() > kMostNameBytes) {
+    if (text->size() > kBounds.key_bytes) {
       Refuse("a name is too long");
     }
   }
@@ -78,7 +76,7 @@
     RefuseUnknownFields(entry, {"table", "part", "key", "value"});
     std::string value;
     if (!absl::Base64Unescape(entry.at("value").get<std::string>(), &value) ||
-        value.size() > kMostRowBytes) {
+        value.size() > kBounds.row_bytes) {
       Refuse("a value is not base64 or too long");
     }
     transaction.puts.push_back({.key = note(DecodeKey(entry)), .value = std::move(value)});
@@ -109,14 +107,14 @@
 }
 
 store::Transaction DecodeTransaction(const std::string& body) {
-  if (body.size() > kMostBodyBytes) {
+  if (body.size() > kBounds.transaction_bytes) {
     Refuse("the body is too long");
   }
   try {
     store::Transaction transaction = DecodeEntries(json::parse(body));
     const size_t entries =
         transaction.conditions.size() + transaction.puts.size() + transaction.removals.size();
-    if (entries > kMostEntries) {
+    if (entries > kBounds.transaction_entries) {
       Refuse("too many entries");
     }
     return transaction;
--- a/tests/unit/membership/map_changes_test.cc
+++ b/tests/unit/membership/map_changes_test.cc
@@ -7,6 +7,7 @@
 #include <random>
 #include <vector>
 
+#include "core/ownership/assignment_table.h"
 #include "core/ownership/assignments.h"
 
 namespace ladderstream::ownership {
@@ -19,13 +20,15 @@
   OwnershipMap next = map;
   ++next.version.sequence;
   Assignments& assignments = next.services["boards"].assignments;
-  if (assignments.empty()) {
-    assignments = Unowned();
+  AssignmentTable table;
+  if (!assignments.empty()) {
+    table = AssignmentTable(assignments);
   }
   const Key first = (*random)() % (kLastKey + 1);
   const Key last = first + (*random)() % (kLastKey + 1 - first);
   const std::string owner = absl::StrCat("b", (*random)() % kOwners);
-  AssignRange({first, last}, owner, next.version.sequence, &assignments);
+  table.Assign({first, last}, owner, next.version.sequence);
+  assignments = table.Slice({0, kLastKey});
   next.services["boards"].moving = {{first, last}};
   return next;
 }
@@ -125,7 +128,9 @@
   }
   OwnershipMap next = map;
   ++next.version.sequence;
-  AssignRange({100, 200}, "b9", 9999, &next.services["boards"].assignments);
+  AssignmentTable table(next.services["boards"].assignments);
+  table.Assign({100, 200}, "b9", 9999);
+  next.services["boards"].assignments = table.Slice({0, kLastKey});
   BOOST_TEST(ChangesBetween(map, next).services.at("boards").assignments.size() <= 3U);
 }
 
--- a/tests/unit/ownership/ownership_test.cc
+++ b/tests/unit/ownership/ownership_test.cc
@@ -23,8 +23,10 @@
 };
 
 BOOST_AUTO_TEST_CASE(AnAssignedRangeCutsWhatItOverlapsAndJoinsItsLike) {
-  Assignments assignments = {{{0, 99}, "a", 1}, {{100, kLastKey}, "b", 2}};
-  AssignRange({50, 149}, "b", 2, &assignments);
+  const Assignments before = {{{0, 99}, "a", 1}, {{100, kLastKey}, "b", 2}};
+  AssignmentTable table(before);
+  table.Assign({50, 149}, "b", 2);
+  const Assignments assignments = table.Slice({0, kLastKey});
   const Assignments expected = {{{0, 49}, "a", 1}, {{50, kLastKey}, "b", 2}};
   BOOST_TEST((assignments == expected));
   BOOST_TEST(FindAssignment(assignments, 49)->owner == "a");
@@ -32,21 +34,19 @@
   BOOST_TEST((FindAssignment({}, 0) == nullptr));
 }
 
-BOOST_AUTO_TEST_CASE(ATableOfAssignmentsHoldsWhatTheListHolds) {
-  Assignments list = {{{0, 99}, "a", 1}, {{100, kLastKey}, "b", 2}};
-  AssignmentTable table(list);
-  const auto assign = [&](const KeyRange& range, const std::string& owner, Fence fence) {
-    AssignRange(range, owner, fence, &list);
-    table.Assign(range, owner, fence);
-    BOOST_TEST((table.Slice({0, kLastKey}) == list));
-  };
-  assign({50, 149}, "b", 2);
-  assign({0, 0}, "c", 3);
-  assign({kLastKey, kLastKey}, "c", 4);
-  assign({20, kLastKey - 1}, "d", 5);
-  assign({0, kLastKey}, "e", 6);
-  assign({7, 8}, "f", 7);
+BOOST_AUTO_TEST_CASE(ARangeIsAssignedAtBothEndsOfAllKeysAndInTheMiddle) {
+  AssignmentTable table;
+  table.Assign({0, 0}, "c", 3);
+  table.Assign({kLastKey, kLastKey}, "c", 4);
+  const Assignments ends = {
+      {{0, 0}, "c", 3}, {{1, kLastKey - 1}, "", 0}, {{kLastKey, kLastKey}, "c", 4}};
+  BOOST_TEST((table.Slice({0, kLastKey}) == ends));
+  table.Assign({0, kLastKey}, "e", 6);
+  BOOST_TEST((table.Slice({0, kLastKey}) == Assignments{{{0, kLastKey}, "e", 6}}));
+  table.Assign({7, 8}, "f", 7);
   BOOST_TEST((table.Slice({8, 9}) == Assignments{{{8, 8}, "f", 7}, {{9, 9}, "e", 6}}));
+  const Assignments middle = {{{0, 6}, "e", 6}, {{7, 8}, "f", 7}, {{9, kLastKey}, "e", 6}};
+  BOOST_TEST((table.Slice({0, kLastKey}) == middle));
 }
 
 BOOST_AUTO_TEST_CASE(TheFirstOwnersAreCommittedThenGrantedWithoutAWait) {
