--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -13,8 +13,8 @@
 /// How often the coordinator looks for silent members.
 constexpr Duration kRefreshInterval = absl::Milliseconds(500);
 
-/// At least so long after a report before a lost connection brings the next one.
-constexpr Duration kLossReportPause = absl::Milliseconds(50);
+/// At least so long after a report before a lost connection, or news, brings the next one.
+constexpr Duration kShortestReportPause = absl::Milliseconds(50);
 
 /// Reports of many nodes must not fall into step: their interval varies by this share, downwards.
 constexpr double kReportJitter = 0.1;
@@ -148,63 +148,6 @@
   }
 }
 
-void Membership::OnSuspects(std::vector<quarantine::SuspectRecord> suspects, bool own, Time now) {
-  suspects_.Set(std::move(suspects), own, now);
-  TellSoon(own, now);
-}
-
-void Membership::OnLimits(std::vector<allowance::LimitRecord> own_limits,
-                          std::vector<allowance::LimitRecord> all, bool own, Time now) {
-  limits_.Set(std::move(own_limits), std::move(all), now);
-  TellSoon(own, now);
-}
-
-void Membership::TellSoon(bool own, Time now) {
-  if (IsCoordinator(now)) {
-    push_wanted_ = true;
-  } else if (own) {
-    next_report_ =
-        std::min(next_report_, std::max(now, sent_reports_.last_sent() + kLossReportPause));
-  }
-}
-
-void Membership::HearSuspects(const std::vector<SharedSuspect>& suspects, Time now) {
-  if (!suspects.empty()) {
-    actions_.emplace_back(SuspectsHeardAction{SuspectExchange::Heard(suspects, now)});
-  }
-}
-
-void Membership::HearLimits(const std::vector<SharedLimit>& limits, Time now) {
-  if (!limits.empty()) {
-    actions_.emplace_back(LimitsHeardAction{LimitExchange::Heard(limits, now)});
-  }
-}
-
-void Membership::Handle(const Destination& from, const PermitRequest& request, Time /*now*/) {
-  actions_.emplace_back(PermitAskedAction{
-      from, {self_.incarnation, request.sequence, request.backend, request.rate, request.wanted}});
-}
-
-void Membership::Handle(const Destination& /*from*/, const PermitAnswer& answer, Time /*now*/) {
-  actions_.emplace_back(
-      PermitAnsweredAction{{answer.sequence, answer.granted, absl::Milliseconds(answer.retry_ms)}});
-}
-
-void Membership::SendPermitQuestion(const allowance::PermitQuestion& question) {
-  const auto member =
-      std::find_if(members().begin(), members().end(),
-                   [&](const PeerIdentity& one) { return one.incarnation == question.to; });
-  if (member != members().end()) {
-    Send({members_.At(member->address)},
-         PermitRequest{question.sequence, question.backend, question.rate, question.wanted});
-  }
-}
-
-void Membership::SendPermitAnswer(const Destination& to, const allowance::PermitReply& reply) {
-  Send({to}, PermitAnswer{reply.sequence, reply.granted,
-                          static_cast<uint32_t>(absl::ToInt64Milliseconds(reply.retry_in))});
-}
-
 void Membership::OnConnectFailed(const Endpoint& address, bool refused, Time /*now*/) {
   const bool of_holder = holder_.has_value() && holder_->peer_address == address &&
                          holder_->incarnation != self_.incarnation;
@@ -213,12 +156,16 @@
   }
 }
 
+void Membership::ReportSoon(Time now) {
+  next_report_ =
+      std::min(next_report_, std::max(now, sent_reports_.last_sent() + kShortestReportPause));
+}
+
 void Membership::OnConnectionLost(const Endpoint& address, Time now) {
   const bool of_holder = holder_.has_value() && holder_->peer_address == address;
   if (of_holder) {
     // A report at once shows whether anybody still listens there.
-    next_report_ =
-        std::min(next_report_, std::max(now, sent_reports_.last_sent() + kLossReportPause));
+    ReportSoon(now);
   }
 }
 
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -197,6 +197,8 @@
   void HearSuspects(const std::vector<SharedSuspect>& suspects, Time now);
   void HearLimits(const std::vector<SharedLimit>& limits, Time now);
   /// This node learned something that others are to hear soon.
+  /// Brings the next report forward.
+  void ReportSoon(Time now);
   void TellSoon(bool own, Time now);
   void EndLeading();
   /// False when a holder of a later epoch is known.
--- /dev/null
+++ b/src/core/membership/membership_news.cc
@@ -0,0 +1,66 @@
+// What nodes tell each other of back ends beside registrations: suspects, limits and permits.
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "core/membership/membership.h"
+
+namespace ladderstream::membership {
+
+void Membership::OnSuspects(std::vector<quarantine::SuspectRecord> suspects, bool own, Time now) {
+  suspects_.Set(std::move(suspects), own, now);
+  TellSoon(own, now);
+}
+
+void Membership::OnLimits(std::vector<allowance::LimitRecord> own_limits,
+                          std::vector<allowance::LimitRecord> all, bool own, Time now) {
+  limits_.Set(std::move(own_limits), std::move(all), now);
+  TellSoon(own, now);
+}
+
+void Membership::TellSoon(bool own, Time now) {
+  if (IsCoordinator(now)) {
+    push_wanted_ = true;
+  } else if (own) {
+    ReportSoon(now);
+  }
+}
+
+void Membership::HearSuspects(const std::vector<SharedSuspect>& suspects, Time now) {
+  if (!suspects.empty()) {
+    actions_.emplace_back(SuspectsHeardAction{SuspectExchange::Heard(suspects, now)});
+  }
+}
+
+void Membership::HearLimits(const std::vector<SharedLimit>& limits, Time now) {
+  if (!limits.empty()) {
+    actions_.emplace_back(LimitsHeardAction{LimitExchange::Heard(limits, now)});
+  }
+}
+
+void Membership::Handle(const Destination& from, const PermitRequest& request, Time /*now*/) {
+  actions_.emplace_back(PermitAskedAction{
+      from, {self_.incarnation, request.sequence, request.backend, request.rate, request.wanted}});
+}
+
+void Membership::Handle(const Destination& /*from*/, const PermitAnswer& answer, Time /*now*/) {
+  actions_.emplace_back(
+      PermitAnsweredAction{{answer.sequence, answer.granted, absl::Milliseconds(answer.retry_ms)}});
+}
+
+void Membership::SendPermitQuestion(const allowance::PermitQuestion& question) {
+  const auto member =
+      std::find_if(members().begin(), members().end(),
+                   [&](const PeerIdentity& one) { return one.incarnation == question.to; });
+  if (member != members().end()) {
+    Send({members_.At(member->address)},
+         PermitRequest{question.sequence, question.backend, question.rate, question.wanted});
+  }
+}
+
+void Membership::SendPermitAnswer(const Destination& to, const allowance::PermitReply& reply) {
+  Send({to}, PermitAnswer{reply.sequence, reply.granted,
+                          static_cast<uint32_t>(absl::ToInt64Milliseconds(reply.retry_in))});
+}
+
+}  // namespace ladderstream::membership
