Explain refusals by rejected commits too, and keep the platform's words at its edge

ladderstream_explain took a write that failed for a cause that concerns every key, and not one that the store rejects.

--- a/src/core/ownership/commit_limits.h
+++ b/src/core/ownership/commit_limits.h
@@ -23,7 +23,7 @@
 
 inline void CommitLimits::Tighten(size_t change_count) {
   constexpr size_t kLeastRowBytes = 512;
-  /// A row that is cut in two, the head row, and one to spare.
+  // A row that is cut in two, the head row, and one to spare.
   constexpr size_t kLeastRows = 4;
   row_bytes = std::max(row_bytes / 2, kLeastRowBytes);
   rows = std::max(rows / 2, kLeastRows);
@@ -31,7 +31,7 @@
 }
 
 inline size_t CommitLimits::RowsOfChange() const {
-  /// More parts than one change makes of a row.
+  // More parts than one change makes of a row.
   constexpr size_t kPartsOfRow = 8;
   return std::max<size_t>(rows / kPartsOfRow, 1);
 }
--- a/src/explain/explanation.cc
+++ b/src/explain/explanation.cc
@@ -121,8 +121,9 @@
 /// Who coordinates matters to every key; what the coordinator does, to the keys that it is about.
 bool CoordinationConcerns(const LogLine& line, const Subject& subject) {
   static const std::set<std::string_view> about_the_lease = {
-      "holder_changed", "lease_challenged", "lease_acquired", "lease_lapsed",
-      "lease_regained", "lease_lost",       "resigned",       "store_write_failed"};
+      "holder_changed", "lease_challenged",   "lease_acquired",
+      "lease_lapsed",   "lease_regained",     "lease_lost",
+      "resigned",       "store_write_failed", "commit_rejected"};
   return about_the_lease.contains(line.Field("belief")) ||
          (subject.Names(line) && subject.MayHoldKey(line));
 }
--- a/tests/unit/node/catalog_tables_test.cc
+++ b/tests/unit/node/catalog_tables_test.cc
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "../observability/test_log.h"
+#include "../platform/registration_row.h"
 #include "platform/adapter.h"
 
 namespace ladderstream::node {
@@ -16,13 +17,6 @@
 
 std::string NameOf(size_t number) { return absl::StrCat("i-", 100'000 + number); }
 
-std::string RegistrationOf(size_t number, const std::string& state, size_t sequence,
-                           uint64_t born = 1) {
-  return absl::StrCat(R"({"service":"cards","address":"10.0.0.1:)", 1000 + number,
-                      R"(","zone":"a","version":"1","slots":2,"state":")", state,
-                      R"(","cold_left_s":0,"born":)", born, R"(,"seq":)", sequence, "}");
-}
-
 struct Tables {
   Tables() {
     std::vector<store::Row> rows;
@@ -35,7 +29,7 @@
   store::Row RowOf(size_t number, const std::string& state, size_t sequence,
                    store::RowVersion version) const {
     return {{std::string(adapter->backend_table()), "", NameOf(number)},
-            RegistrationOf(number, state, sequence),
+            platform::RegistrationRow(1000 + number, state, sequence, 1),
             version,
             false};
   }
@@ -93,7 +87,7 @@
 
 BOOST_AUTO_TEST_CASE(a_back_end_that_starts_again_replaces_its_earlier_incarnation) {
   store::Row row = RowOf(7, "ready", 1, 2);
-  row.value = RegistrationOf(7, "ready", 1, 2);
+  row.value = platform::RegistrationRow(1007, "ready", 1, 2);
   Change(row);
   BOOST_REQUIRE(told.set.size() == 1U);
   BOOST_REQUIRE(told.gone.size() == 1U);
