Swap routes in the soak and judge every rule of the configuration by node

The soak's changes altered a time-out only, never a route, and its judge allowed old versions while anything at all was disturbed, so no soak could see a change that comes into force late.

Every node is asked for these routes on connections that it keeps until its process is gone, and all of them just after a version has to be in force. judge_configuration checks each rule: in force in time by node, with the bounds of a stable and of an unstable store, no return to an older version within one process, added routes served, time-outs, splits. New faults: a store that turns some nodes away, one that forgets its history after a second without news, open connections that fall silent.

A SIGTERM is a disturbance at its moment and at the next start, no longer until long after it: nodes that stop are bound again 3 s later.

--- a/src/standin/fault_proxy/fault_proxy.cc
+++ b/src/standin/fault_proxy/fault_proxy.cc
@@ -111,6 +111,20 @@
   return changed;
 }
 
+void FaultProxy::SilenceOpenSessions(const std::string& link) {
+  RunOnEventThread([&] {
+    const auto found = links_.find(link);
+    if (found == links_.end()) {
+      return;
+    }
+    for (const std::weak_ptr<ProxySession>& session : found->second->sessions) {
+      if (const auto open = session.lock()) {
+        open->Silence();
+      }
+    }
+  });
+}
+
 std::vector<LinkSettings> FaultProxy::links() {
   std::vector<LinkSettings> list;
   RunOnEventThread([&] {
--- a/src/standin/fault_proxy/fault_proxy.h
+++ b/src/standin/fault_proxy/fault_proxy.h
@@ -42,6 +42,9 @@
   /// addresses that start with `from`. Gives how many links that were.
   size_t SetFaults(const std::string& link, const std::string& from, const LinkFaults& faults);
 
+  /// The connections of a link that are open now pass nothing on any more; new ones work.
+  void SilenceOpenSessions(const std::string& link);
+
   /// The links, with the addresses they listen on.
   std::vector<LinkSettings> links();
 
--- a/src/standin/fault_proxy/proxy_session.cc
+++ b/src/standin/fault_proxy/proxy_session.cc
@@ -81,6 +81,12 @@
     Close();
     return;
   }
+  if (silent_) {
+    if (!failed) {
+      Read(pipe);
+    }
+    return;
+  }
   if (failed) {
     pipe.ended = true;
   } else {
--- a/src/standin/fault_proxy/proxy_session.h
+++ b/src/standin/fault_proxy/proxy_session.h
@@ -26,6 +26,9 @@
   /// Closes the session if a cut is in force; called after the rules have changed.
   void ApplyRules();
 
+  /// From now on takes bytes from both sides and passes nothing on.
+  void Silence() { silent_ = true; }
+
  private:
   using Socket = boost::asio::ip::tcp::socket;
   using ErrorCode = boost::system::error_code;
@@ -74,6 +77,7 @@
   Pipe forward_;
   Pipe backward_;
   uint64_t answered_bytes_ = 0;
+  bool silent_ = false;
 };
 
 }  // namespace ladderstream::standin
--- a/src/standin/fleet/callers.cc
+++ b/src/standin/fleet/callers.cc
@@ -49,6 +49,18 @@
 
 }  // namespace
 
+void RecordEnd(const CallResult& result, Attempt* attempt) {
+  const interfaces::HttpResponse& response = result.response;
+  attempt->ended = EventLoop::Now();
+  attempt->end = result.end;
+  attempt->status = response.status;
+  attempt->stamp = FindHeader(response.headers, wire::kServerStamp);
+  attempt->body_bytes = response.body.size();
+  attempt->body_matches = response.body == BodyOf(attempt->stamp, response.body.size());
+  const std::string id = FindHeader(response.headers, wire::kRequestId);
+  attempt->id_matches = id.empty() || id == attempt->request_id;
+}
+
 struct Callers::Call {
   RequestClass request_class;
   uint64_t number = 0;
@@ -191,15 +203,7 @@
 
 void Callers::OnResult(const CallPtr& call, Attempt* attempt,
                        const HttpClientConnectionPtr& connection, const CallResult& result) {
-  const interfaces::HttpResponse& response = result.response;
-  attempt->ended = EventLoop::Now();
-  attempt->end = result.end;
-  attempt->status = response.status;
-  attempt->stamp = FindHeader(response.headers, wire::kServerStamp);
-  attempt->body_bytes = response.body.size();
-  attempt->body_matches = response.body == BodyOf(attempt->stamp, response.body.size());
-  const std::string id = FindHeader(response.headers, wire::kRequestId);
-  attempt->id_matches = id.empty() || id == attempt->request_id;
+  RecordEnd(result, attempt);
   if (result.reusable && !call->request_class.fresh_connections) {
     idle_.emplace_back(call->last_node, connection);
   } else {
--- a/src/standin/fleet/callers.h
+++ b/src/standin/fleet/callers.h
@@ -43,6 +43,9 @@
   uint32_t hot_keys = 200;
 };
 
+/// Fills in how an attempt ended.
+void RecordEnd(const CallResult& result, Attempt* attempt);
+
 class Callers {
  public:
   Callers(EventLoop* loop, std::mt19937_64* random, NodePool* nodes, History* history);
--- a/src/standin/fleet/fleet.cc
+++ b/src/standin/fleet/fleet.cc
@@ -95,9 +95,9 @@
   history_.disturbances.push_back({.from = EventLoop::Now(), .until = absl::InfiniteFuture()});
 }
 
-void Fleet::DisturbFor(Duration time, std::optional<size_t> node) {
+void Fleet::DisturbFor(Duration time, std::optional<size_t> node, DisturbanceKind kind) {
   const Time now = EventLoop::Now();
-  history_.disturbances.push_back({.from = now, .until = now + time, .node = node});
+  history_.disturbances.push_back({.from = now, .until = now + time, .node = node, .kind = kind});
 }
 
 void Fleet::Calm() {
--- a/src/standin/fleet/fleet.h
+++ b/src/standin/fleet/fleet.h
@@ -60,7 +60,10 @@
   /// From now until Calm(), bounds of time do not bind.
   void Disturb();
   /// The same for a time, for one node or, if empty, for all.
-  void DisturbFor(Duration time, std::optional<size_t> node);
+  void DisturbFor(Duration time, std::optional<size_t> node,
+                  DisturbanceKind kind = DisturbanceKind::kNode);
+  /// A process of a node starts now.
+  void NoteStart(size_t node) { history_.starts.push_back({node, EventLoop::Now()}); }
   void Calm();
 
   /// Stops the callers and waits for the calls under way.
--- a/src/standin/fleet/history.h
+++ b/src/standin/fleet/history.h
@@ -81,12 +81,29 @@
   Time acknowledged;
 };
 
+/// How a disturbance affects the time in which a change of the configuration has to be in force.
+enum class DisturbanceKind {
+  /// A node, its connections or its access to the store.
+  kNode,
+  /// The store is down, slow or loses answers: no bound of time holds.
+  kStoreFailing,
+  /// The store is disturbed in another way: the bound is longer.
+  kStoreUnstable,
+};
+
 /// A time during which nodes or the store were disturbed, so that bounds of time do not bind.
 struct Disturbance {
   Time from;
   Time until = absl::InfiniteFuture();
   /// Only this node was; empty: the store, or all nodes.
   std::optional<size_t> node = std::nullopt;
+  DisturbanceKind kind = DisturbanceKind::kNode;
+};
+
+/// A process of a node started.
+struct NodeStart {
+  size_t node = 0;
+  Time at;
 };
 
 /// One try of a call, under a request id of its own.
@@ -126,6 +143,7 @@
   std::vector<LeaveEvent> leaves;
   std::vector<ConfigurationEvent> configurations;
   std::vector<Disturbance> disturbances;
+  std::vector<NodeStart> starts;
   std::deque<Attempt> attempts;
   std::deque<CallRecord> calls;
   /// Bytes that came to a caller while no request waited.
--- a/src/standin/fleet/judge.cc
+++ b/src/standin/fleet/judge.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "standin/fleet/judge_budget.h"
+#include "standin/fleet/judge_configuration.h"
 #include "standin/fleet/judge_ownership.h"
 #include "standin/fleet/judge_wishes.h"
 
@@ -303,19 +304,6 @@
     return versions;
   }
 
-  static const catalog::Route* FindRoute(const catalog::Configuration& configuration,
-                                         const Attempt& attempt) {
-    const catalog::Route* best = nullptr;
-    for (const catalog::Route& route : configuration.routes) {
-      const bool matches =
-          route.host == attempt.host && absl::StartsWith(attempt.target, route.path_prefix);
-      if (matches && (best == nullptr || best->path_prefix.size() < route.path_prefix.size())) {
-        best = &route;
-      }
-    }
-    return best;
-  }
-
   const catalog::Route* NewestRoute(const Attempt& attempt) const {
     for (auto at = history_.configurations.rbegin(); at != history_.configurations.rend(); ++at) {
       const catalog::Route* route = FindRoute(at->configuration, attempt);
@@ -378,11 +366,22 @@
 }
 
 std::vector<std::pair<std::string, const Violations*>> Verdict::All() const {
-  return {
-      {"wrong", &wrong},           {"doubled", &doubled},     {"broken_promises", &broken_promises},
-      {"two_owners", &two_owners}, {"fences", &fences},       {"after_drain", &after_drain},
-      {"unasked", &unasked},       {"misrouted", &misrouted}, {"over_budget", &over_budget},
-      {"overtime", &overtime},     {"lingering", &lingering}};
+  return {{"wrong", &wrong},
+          {"doubled", &doubled},
+          {"broken_promises", &broken_promises},
+          {"two_owners", &two_owners},
+          {"fences", &fences},
+          {"after_drain", &after_drain},
+          {"unasked", &unasked},
+          {"misrouted", &misrouted},
+          {"over_budget", &over_budget},
+          {"overtime", &overtime},
+          {"lingering", &lingering},
+          {"outdated", &outdated},
+          {"regressed", &regressed},
+          {"past_timeout", &past_timeout},
+          {"off_split", &off_split},
+          {"unserved_routes", &unserved_routes}};
 }
 
 bool Verdict::IsClean() const {
@@ -406,6 +405,7 @@
   JudgeOwnership(history, &verdict);
   JudgeBudget(history, bounds, &verdict);
   JudgeWishes(history, bounds, &verdict);
+  JudgeConfiguration(history, bounds, &verdict);
   return verdict;
 }
 
--- a/src/standin/fleet/judge.h
+++ b/src/standin/fleet/judge.h
@@ -26,6 +26,12 @@
   Duration drain = absl::Seconds(2);
   /// Old versions of the configuration may be in force for this long.
   Duration config_apply = absl::Seconds(2);
+  /// What an unstable store that answers may add to it.
+  Duration max_skew = absl::Seconds(5);
+  /// After a node was seen to use a version, it may still use older ones for this long.
+  Duration rollback_slack = absl::Milliseconds(250);
+  /// The same, in multiples, for a disturbed node.
+  double disturbed_rollback_factor = 8;
   /// Bounds of time bind again this long after a disturbance.
   Duration contact = absl::Seconds(3);
   double retry_budget_ratio = 0.2;
@@ -75,6 +81,16 @@
   Violations unasked;
   /// Run by a service, or refused as unknown, against every configuration that may be in force.
   Violations misrouted;
+  /// Handled as only a version allows that had to be out of force by then.
+  Violations outdated;
+  /// Handled as only a version allows that is older than one that the same process had used.
+  Violations regressed;
+  /// Routes added later that are served far less often than the first ones.
+  Violations unserved_routes;
+  /// Requests held past the time-out of their route.
+  Violations past_timeout;
+  /// Traffic splits whose parts are far off their weights.
+  Violations off_split;
   /// Sent to more back ends than allowed, beyond the retry budget, or to one that wanted rest.
   Violations over_budget;
   /// Given more time than the caller had left.
--- a/src/standin/fleet/main/soak_main.cc
+++ b/src/standin/fleet/main/soak_main.cc
@@ -12,6 +12,7 @@
 #include <set>
 #include <sstream>
 
+#include "standin/fleet/configuration_prober.h"
 #include "standin/fleet/node_processes.h"
 #include "standin/fleet/report.h"
 #include "standin/fleet/soak.h"
@@ -23,7 +24,7 @@
 DEFINE_string(
     faults, "single",
     "single; series: many of them in series that overlap; rests: back ends that ask for rest; "
-    "limits: back ends that name limits");
+    "limits: back ends that name limits; changes: routes that change");
 DEFINE_double(seconds, 30, "how long faults strike");
 DEFINE_uint64(seed, 1, "of the faults and the load");
 DEFINE_string(schedule, "", "a file with the faults; empty: drawn by the seed");
@@ -48,6 +49,9 @@
     if (FLAGS_faults == "limits") {
       return DrawLimits(FLAGS_seed, length);
     }
+    if (FLAGS_faults == "changes") {
+      return DrawChanges(FLAGS_seed, length);
+    }
     return FLAGS_faults == "series" ? DrawSeries(FLAGS_seed, length)
                                     : DrawSchedule(FLAGS_seed, length);
   }
@@ -64,9 +68,9 @@
   standin::FlagChecks checks;
   checks.Require(FLAGS_nodes >= 1 && FLAGS_nodes <= kMostNodes, "nodes",
                  std::to_string(FLAGS_nodes), "1 to 300");
-  const std::set<std::string> faults = {"single", "series", "rests", "limits"};
+  const std::set<std::string> faults = {"single", "series", "rests", "limits", "changes"};
   checks.Require(faults.contains(FLAGS_faults), "faults", FLAGS_faults,
-                 "single, series, rests or limits");
+                 "single, series, rests, limits or changes");
   checks.Require(FLAGS_seconds > 0 && FLAGS_seconds <= kMostSeconds, "seconds",
                  std::to_string(FLAGS_seconds), "more than 0, at most 3600");
   checks.ExitOnFaults();
@@ -74,6 +78,10 @@
   settings.deployment = FindDeployment(FLAGS_deployment);
   settings.deployment.fleet.seed = FLAGS_seed;
   settings.deployment.fleet.store.entrances = EntrancesFor(FLAGS_nodes);
+  settings.probes_configuration = FLAGS_faults == "changes";
+  if (settings.probes_configuration) {
+    AddProbeRoutes(&settings.deployment.fleet.configuration);
+  }
   settings.node_program = NodeProgramOr(FLAGS_node_program);
   settings.nodes = FLAGS_nodes;
   settings.length = absl::Seconds(FLAGS_seconds);
--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "standin/fault_proxy/fault_proxy.h"
+#include "standin/fleet/configuration_prober.h"
 #include "standin/fleet/node_processes.h"
 #include "standin/fleet/report.h"
 #include "standin/processes/ports.h"
@@ -36,6 +37,10 @@
 constexpr double kLimit = 3;
 constexpr Duration kLinkDelay = absl::Milliseconds(250);
 constexpr double kHotShare = 0.35;
+/// Watches hear nothing for this long before the store forgets its history.
+constexpr Duration kCompaction = absl::Seconds(1);
+/// Of the nodes, those that the store turns away.
+constexpr size_t kRefusedOneIn = 3;
 
 class Soak {
  public:
@@ -44,6 +49,7 @@
         out_(out),
         fleet_(settings.deployment.fleet),
         nodes_(&fleet_, settings.node_program, settings.nodes),
+        prober_(&fleet_, settings.deployment.fleet.seed),
         away_until_(settings.nodes, absl::InfinitePast()) {
     for (size_t node = 0; node < nodes_.count(); ++node) {
       const standin::LinkSettings link = {.name = nodes_.nodes()[node].name,
@@ -61,6 +67,9 @@
     for (const RequestClass& request_class : settings_.deployment.load) {
       fleet_.callers().Start(request_class);
     }
+    if (settings_.probes_configuration) {
+      prober_.Start();
+    }
     fleet_.loop().Every(kReviveInterval, [this] { ReviveNodes(); });
     for (const SoakFault& fault : settings_.schedule) {
       fleet_.loop().After(fault.at, [this, &fault] { Strike(fault); });
@@ -69,6 +78,7 @@
     Heal();
     SoakResult result;
     result.not_recovered = AwaitRecovery();
+    prober_.Stop();
     fleet_.FinishCalls();
     result.verdict = fleet_.Judge();
     if (!result.Passed()) {
@@ -84,7 +94,9 @@
                              std::string(NameOf(fault.kind)), absl::ToDoubleSeconds(fault.lasts),
                              fault.target)
           << std::endl;
-    if (fault.kind <= FaultKind::kNodeReloads) {
+    if (fault.kind >= FaultKind::kRouteChanges) {
+      StrikeConfiguration(fault);
+    } else if (fault.kind <= FaultKind::kNodeReloads) {
       StrikeNodes(fault);
     } else if (fault.kind <= FaultKind::kLinksOneWay) {
       StrikeLinks(fault);
@@ -112,7 +124,7 @@
         Later(fault.lasts, [this, node] { SignalIfRunning(node, SIGCONT); });
         break;
       case FaultKind::kNodeStopped:
-        fleet_.DisturbFor(fault.lasts + kStopTime, node);
+        fleet_.DisturbFor(absl::ZeroDuration(), node);
         SignalIfRunning(node, SIGTERM);
         away_until_[node] = EventLoop::Now() + fault.lasts;
         break;
@@ -144,6 +156,8 @@
   void ReviveNodes() {
     for (size_t node = 0; node < nodes_.count(); ++node) {
       if (EventLoop::Now() >= away_until_[node] && !nodes_.IsRunning(node)) {
+        fleet_.NoteStart(node);
+        fleet_.DisturbFor(absl::ZeroDuration(), node);
         nodes_.Restart(node);
       }
     }
@@ -161,10 +175,50 @@
     Later(fault.lasts, [this, link] { proxy_.SetFaults(link, "", {}); });
   }
 
+  /// Faults that strike while routes change, and these changes.
+  void StrikeConfiguration(const SoakFault& fault) {
+    switch (fault.kind) {
+      case FaultKind::kStoreRefusesSome:
+        RefuseSome(fault);
+        break;
+      case FaultKind::kStoreCompacts:
+        fleet_.DisturbFor(kCompaction, std::nullopt, DisturbanceKind::kStoreUnstable);
+        fleet_.store().Compact(kCompaction);
+        break;
+      case FaultKind::kConnectionsSilent:
+        SilenceConnections();
+        break;
+      default:
+        prober_.ChangeRoute(fault.target);
+    }
+  }
+
+  void RefuseSome(const SoakFault& fault) {
+    constexpr StoreOutage kOutages[] = {StoreOutage::kSilent, StoreOutage::kReset,
+                                        StoreOutage::kUnavailable, StoreOutage::kThrottled};
+    const StoreFaults faults = {.outage = kOutages[fault.target % std::size(kOutages)]};
+    const size_t count = std::max<size_t>(1, nodes_.count() / kRefusedOneIn);
+    for (size_t i = 0; i < count; ++i) {
+      const size_t node = (fault.target + i * kRefusedOneIn) % nodes_.count();
+      fleet_.DisturbFor(fault.lasts, node);
+      fleet_.store().SetFaultsAt(node, faults);
+      Later(fault.lasts, [this, node] { fleet_.store().SetFaultsAt(node, {}); });
+    }
+  }
+
+  /// Open connections say nothing more; new ones work.
+  void SilenceConnections() {
+    fleet_.DisturbFor(absl::ZeroDuration(), std::nullopt);
+    for (size_t node = 0; node < nodes_.count(); ++node) {
+      fleet_.store().SilenceWatchesAt(node);
+      proxy_.SilenceOpenSessions(nodes_.nodes()[node].name);
+    }
+  }
+
   void StrikeStore(const SoakFault& fault) {
     const size_t node = fault.target % nodes_.count();
     if (fault.kind == FaultKind::kStoreForgets) {
-      fleet_.DisturbFor(absl::ZeroDuration(), std::nullopt);
+      fleet_.DisturbFor(absl::ZeroDuration(), std::nullopt, DisturbanceKind::kStoreUnstable);
       fleet_.store().ForgetHistory();
       return;
     }
@@ -195,7 +249,7 @@
       fleet_.store().SetFaultsAt(node, faults);
       Later(fault.lasts, [this, node] { fleet_.store().SetFaultsAt(node, {}); });
     } else {
-      fleet_.DisturbFor(fault.lasts, std::nullopt);
+      fleet_.DisturbFor(fault.lasts, std::nullopt, DisturbanceKind::kStoreFailing);
       fleet_.store().SetFaults(faults);
       Later(fault.lasts, [this] { fleet_.store().SetFaults({}); });
     }
@@ -356,6 +410,7 @@
   standin::FaultProxy proxy_;
   Fleet fleet_;
   NodeProcesses nodes_;
+  ConfigurationProber prober_;
   /// Nodes are not started again before.
   std::vector<Time> away_until_;
   bool healed_ = false;
--- a/src/standin/fleet/soak.h
+++ b/src/standin/fleet/soak.h
@@ -20,6 +20,8 @@
   std::vector<SoakFault> schedule;
   /// The last fault ends before.
   Duration length = absl::Seconds(30);
+  /// Whether every node is asked for routes that change; needs AddProbeRoutes.
+  bool probes_configuration = false;
   /// Where the logs of the nodes and the schedule are kept when something failed.
   std::string keep_in;
 };
--- a/src/standin/fleet/soak_schedule.cc
+++ b/src/standin/fleet/soak_schedule.cc
@@ -20,9 +20,10 @@
 /// draw what they drew.
 constexpr bool IsOfSeriesOnly(FaultKind kind) {
   return kind == FaultKind::kNodeReloads || kind == FaultKind::kStoreConnectionsSilent ||
-         kind == FaultKind::kBackendRests || kind == FaultKind::kBackendLimits;
+         kind == FaultKind::kBackendRests || kind == FaultKind::kBackendLimits ||
+         kind >= FaultKind::kRouteChanges;
 }
-constexpr size_t kSingleKinds = kKinds - 4;
+constexpr size_t kSingleKinds = kKinds - 8;
 constexpr std::array<FaultKind, kSingleKinds> SingleKinds() {
   std::array<FaultKind, kSingleKinds> kinds = {};
   size_t count = 0;
@@ -56,7 +57,9 @@
     "address_reused",       "orders_late",
     "orders_unanswered",    "answers_lost",
     "answers_damaged",      "configuration_changes",
-    "other_keys_hot",
+    "other_keys_hot",       "route_changes",
+    "store_refuses_some",   "store_compacts",
+    "connections_silent",
 };
 
 /// Faults of one kind that follow each other, with targets in turn.
@@ -91,6 +94,25 @@
     {FaultKind::kCoordinatorKilled, 2, 2500, 600},
     {FaultKind::kNodeKilled, 3, 300, 600},
 }};
+/// Changes of routes are a third of the draws: the others are to overlap with them.
+constexpr std::array<Series, 16> kChangeSeries = {{
+    {FaultKind::kRouteChanges, 1, 0, 0},
+    {FaultKind::kRouteChanges, 6, 120, 0},
+    {FaultKind::kRouteChanges, 5, 400, 0},
+    {FaultKind::kRouteChanges, 3, 900, 0},
+    {FaultKind::kRouteChanges, 2, 30, 0},
+    {FaultKind::kNodeStopped, 4, 700, 400},
+    {FaultKind::kNodeReloads, 6, 150, 0},
+    {FaultKind::kNodeKilled, 3, 300, 600},
+    {FaultKind::kCoordinatorKilled, 2, 1500, 400},
+    {FaultKind::kStoreRefusesSome, 1, 0, 7000},
+    {FaultKind::kStoreCompacts, 1, 0, 0},
+    {FaultKind::kStoreLosesAnswers, 1, 0, 3000},
+    {FaultKind::kStoreSilentForOne, 2, 500, 4000},
+    {FaultKind::kStoreConnectionsSilent, 3, 400, 0},
+    {FaultKind::kConnectionsSilent, 1, 0, 0},
+    {FaultKind::kLinksSilent, 3, 200, 3000},
+}};
 /// Of the draws, so many in ten begin a series; the others are single faults.
 constexpr uint64_t kSeriesInTen = 6;
 constexpr uint64_t kTenths = 10;
@@ -199,6 +221,10 @@
   return DrawSeriesOf(kLimitSeries, seed, length);
 }
 
+std::vector<SoakFault> DrawChanges(uint64_t seed, Duration length) {
+  return DrawSeriesOf(kChangeSeries, seed, length);
+}
+
 std::string FormatSchedule(const std::vector<SoakFault>& schedule) {
   std::string text;
   for (const SoakFault& fault : schedule) {
--- a/src/standin/fleet/soak_schedule.h
+++ b/src/standin/fleet/soak_schedule.h
@@ -50,6 +50,15 @@
   // Of what is asked for.
   kConfigurationChanges,
   kOtherKeysHot,
+  // Drawn by DrawChanges only.
+  /// A route that ConfigurationProber asks for changes.
+  kRouteChanges,
+  /// The store turns some nodes away and serves the others.
+  kStoreRefusesSome,
+  /// Watches hear nothing while changes are made, then the store forgets its history.
+  kStoreCompacts,
+  /// The connections of all nodes to the store and between nodes fall silent.
+  kConnectionsSilent,
   kCount,
 };
 
@@ -80,6 +89,10 @@
 /// at once, beside others that leave or ask for rest and coordinators and nodes that are killed.
 std::vector<SoakFault> DrawLimits(uint64_t seed, Duration length);
 
+/// As DrawSeries, but most are changes of routes, beside nodes that are killed, stopped and told to
+/// reload, and faults of the store.
+std::vector<SoakFault> DrawChanges(uint64_t seed, Duration length);
+
 /// One line a fault: its kind, milliseconds from the start, how many it lasts, its target.
 std::string FormatSchedule(const std::vector<SoakFault>& schedule);
 /// Throws Error(kMalformedMessage) that names the line.
--- a/src/standin/fleet/store_server.cc
+++ b/src/standin/fleet/store_server.cc
@@ -102,6 +102,14 @@
   });
 }
 
+void StoreServer::Compact(Duration time) {
+  feeds_held_until_ = EventLoop::Now() + time;
+  loop_->After(time, [this] {
+    rows_.ForgetChanges(EventLoop::Now());
+    WakeFeeds();
+  });
+}
+
 void StoreServer::Heal() {
   faults_at_.clear();
   SetFaults({});
@@ -234,7 +242,8 @@
                    .after = target.GetNumber("after", 0),
                    .entrance = entrance,
                    .number = ++next_feed_};
-  if (AnswerFeed(feed, /*even_if_empty=*/false)) {
+  const bool held = EventLoop::Now() < feeds_held_until_;
+  if (!held && AnswerFeed(feed, /*even_if_empty=*/false)) {
     return;
   }
   const uint64_t wait_ms = std::min(target.GetNumber("wait_ms", 0), kLongestWaitMs);
@@ -264,6 +273,9 @@
 }
 
 void StoreServer::WakeFeeds() {
+  if (EventLoop::Now() < feeds_held_until_) {
+    return;
+  }
   feeds_.remove_if(
       [this](const WaitingFeed& feed) { return AnswerFeed(feed, /*even_if_empty=*/false); });
 }
--- a/src/standin/fleet/store_server.h
+++ b/src/standin/fleet/store_server.h
@@ -76,6 +76,8 @@
   void SetFaultsAt(size_t entrance, const StoreFaults& faults);
   /// The watches that wait there never get an answer; other calls and new watches do.
   void SilenceWatchesAt(size_t entrance);
+  /// For `time` no watch is answered while changes are made; then the history is dropped.
+  void Compact(Duration time);
   /// Ends all faults.
   void Heal();
 
@@ -130,6 +132,8 @@
   Allowance reads_;
   std::list<WaitingFeed> feeds_;
   uint64_t next_feed_ = 0;
+  /// Watches are not answered before.
+  Time feeds_held_until_ = absl::InfinitePast();
   std::optional<size_t> last_conditional_writer_;
   Time started_ = EventLoop::Now();
   Time sound_since_ = EventLoop::Now();
