--- a/src/core/store/table_follower.cc
+++ b/src/core/store/table_follower.cc
@@ -135,6 +135,7 @@
   if (!known_) {
     first_watch_due_ = now + settings_.first_watch_pause;
   }
+  watch_age_at_change_ = absl::ZeroDuration();
   // Pages are read at different versions; only the first page's version holds for all of them.
   if (version >= as_of_) {
     Install(rows, version);
@@ -155,6 +156,7 @@
   // since.
   const RowVersion held = request.after < as_of_ ? as_of_ : 0;
   const Time changed_after = CompleteUntil(request, now);
+  watch_age_at_change_ = reply.rows.empty() ? watch_age_at_change_ : now - request.sent;
   for (const Row& row : reply.rows) {
     if (row.key.partition != settings_.partition || row.version <= held) {
       continue;
@@ -300,6 +302,11 @@
   return waits ? std::max(watched_until(), now - settings_.watch_delivery) : watched_until();
 }
 
+Duration TableFollower::WatchAge(Time now) const {
+  return outstanding_.has_value() && outstanding_->is_watch ? now - outstanding_->sent
+                                                            : absl::ZeroDuration();
+}
+
 void TableFollower::RecordChange(const std::string& key, Time changed_after) {
   changed_keys_.insert(key);
   changed_after_ = std::min(changed_after_, changed_after);
--- a/src/core/store/table_follower.h
+++ b/src/core/store/table_follower.h
@@ -156,6 +156,11 @@
   /// As last_confirmed(), but a working watch also counts as confirmation while the store answers
   /// other calls.
   Time watched_until() const { return std::max(watched_until_, last_confirmed_); }
+  /// Returns how long the outstanding watch has been waiting; zero when there is none.
+  Duration WatchAge(Time now) const;
+  /// As WatchAge(), when the newest change arrived from any source: a long wait shows that the
+  /// watch should have reported the change before.
+  Duration watch_age_at_change() const { return watch_age_at_change_; }
   /// Whether a call failed within the failure window.
   bool RecentlyFailed(Time now) const;
   /// Returns since when the store has not answered: the first of the consecutive failures, or the
@@ -214,6 +219,7 @@
   std::multimap<RowVersion, TableRows::iterator> by_version_;
   std::set<std::string> changed_keys_;
   Time changed_after_ = absl::InfiniteFuture();
+  Duration watch_age_at_change_;
   bool known_ = false;
   RowVersion as_of_ = 0;
   RowVersion newest_change_ = 0;
--- a/src/core/store/table_follower_sharing.cc
+++ b/src/core/store/table_follower_sharing.cc
@@ -12,6 +12,7 @@
     return false;
   }
   ExpectVersion(version, now);
+  watch_age_at_change_ = WatchAge(now);
   Install(rows, version);
   newest_change_ = std::max(newest_change_, version);
   last_confirmed_ = std::max(last_confirmed_, confirmed);
@@ -78,6 +79,7 @@
     }
   }
   if (newest > held) {
+    watch_age_at_change_ = WatchAge(now);
     ExpectVersion(std::min(newest, changes.version), now);
     if (Suspended(now) && outstanding_.has_value() && outstanding_->is_watch) {
       // The reply of the watch is no longer needed.
--- a/src/node/catalog_tables.cc
+++ b/src/node/catalog_tables.cc
@@ -41,13 +41,20 @@
   if (!ReadConfiguration()) {
     return;
   }
-  beliefs_->OnConfiguration(*configuration_, now - changed_after,
-                            SourceOf(*configuration_follower_, now));
+  beliefs_->OnConfiguration(*configuration_,
+                            {now - changed_after, configuration_follower_->watch_age_at_change(),
+                             SourceOf(*configuration_follower_, now)});
   handlers_.on_configuration(configuration_);
   CompleteRegistrations(now);
   ReportBackends(changed_after, now);
 }
 
+void CatalogTables::LogConfigurationAge(Time now) {
+  beliefs_->OnConfigurationAge({now - configuration_follower_->watched_until(),
+                                configuration_follower_->WatchAge(now),
+                                SourceOf(*configuration_follower_, now)});
+}
+
 bool CatalogTables::ReadConfiguration() {
   const auto row = configuration_follower_->rows().find(std::string(adapter_->configuration_key()));
   if (row == configuration_follower_->rows().end()) {
--- a/src/node/catalog_tables.h
+++ b/src/node/catalog_tables.h
@@ -41,6 +41,8 @@
 
   /// Applies the changes of the tables since the last call.
   void ApplyUpdates(Time now);
+  /// Logs when the configuration has not been confirmed for long, and when it is again.
+  void LogConfigurationAge(Time now);
 
   /// Null until a configuration is known.
   const ConfigurationPtr& configuration() const { return configuration_; }
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -199,6 +199,7 @@
   const Time now = Now();
   state->configuration_version = catalog_.configuration() ? catalog_.configuration()->version : 0;
   state->configuration_age = now - configuration_follower_.last_confirmed();
+  state->configuration_watch_age = configuration_follower_.WatchAge(now);
   state->backend_news_age = catalog_.backend_update_age();
   if (const auto& map = membership_.map()) {
     state->map_epoch = map->version.epoch;
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -83,6 +83,8 @@
   /// Returns the number of store calls since the start, by kind.
   std::map<std::string, uint64_t> StoreCalls() const;
   bool HasConfiguration() const { return catalog_.configuration() != nullptr; }
+  /// See CatalogTables::LogConfigurationAge.
+  void LogConfigurationAge() { catalog_.LogConfigurationAge(Now()); }
   /// Fills in the control plane's part of the metrics.
   void Describe(observability::NodeState* state) const;
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -256,6 +256,7 @@
   dispatcher_.suspects().Forget(Now());
   dispatcher_.ExpireLimits(Now());
   LogBeliefs();
+  control_plane_.LogConfigurationAge();
   log_.OnTick(Now());
   if (++housekeeping_turns_ % kHousekeepingTurnsPerStoreCallsLine == 0) {
     beliefs_.OnStoreCalls(control_plane_.StoreCalls());
--- a/src/observability/belief_log.cc
+++ b/src/observability/belief_log.cc
@@ -34,6 +34,9 @@
   return services;
 }
 
+/// Longer than a copy that is kept current stays without a confirmation.
+constexpr Duration kUnconfirmedAfter = absl::Seconds(3);
+
 /// Registrations that change together share lines when they are more than this many: with 901 back
 /// ends and 295 nodes, a line each is most of a day's log.
 constexpr size_t kMostTellSingly = 3;
@@ -63,8 +66,8 @@
 
 }  // namespace
 
-void BeliefLog::OnConfiguration(const catalog::Configuration& configuration, Duration age,
-                                std::string_view source) {
+void BeliefLog::OnConfiguration(const catalog::Configuration& configuration,
+                                const CopyState& copy) {
   in_force_.configuration_version = configuration.version;
   std::vector<std::string> names;
   RouteServices services;
@@ -74,11 +77,30 @@
   }
   metrics_->SetRoutes(names);
   in_force_.routes = std::make_shared<const RouteServices>(std::move(services));
-  log_->Write(EventName::kConfigurationApplied,
-              {EventField(FieldName::kConfiguration, configuration.version),
-               EventField(FieldName::kRoutes, configuration.routes.size()),
-               EventField(FieldName::kServices, configuration.services.size()),
-               EventField(FieldName::kAgeMs, age), EventField(FieldName::kCause, source)});
+  log_->Write(
+      EventName::kConfigurationApplied,
+      {EventField(FieldName::kConfiguration, configuration.version),
+       EventField(FieldName::kRoutes, configuration.routes.size()),
+       EventField(FieldName::kServices, configuration.services.size()),
+       EventField(FieldName::kAgeMs, copy.age), EventField(FieldName::kWatchMs, copy.watch_age),
+       EventField(FieldName::kCause, copy.source)});
+}
+
+void BeliefLog::OnConfigurationAge(const CopyState& copy) {
+  const bool unconfirmed = copy.age > kUnconfirmedAfter;
+  if (in_force_.configuration_version == 0 || unconfirmed == configuration_unconfirmed_) {
+    return;
+  }
+  configuration_unconfirmed_ = unconfirmed;
+  std::vector<EventField> fields = {
+      EventField(FieldName::kConfiguration, in_force_.configuration_version),
+      EventField(FieldName::kAgeMs, copy.age), EventField(FieldName::kCause, copy.source)};
+  if (unconfirmed) {
+    fields.emplace_back(FieldName::kWatchMs, copy.watch_age);
+  }
+  log_->Write(
+      unconfirmed ? EventName::kConfigurationUnconfirmed : EventName::kConfigurationConfirmed,
+      fields);
 }
 
 void BeliefLog::OnConfigurationRejected(std::string_view version, std::string_view reason) {
--- a/src/observability/belief_log.h
+++ b/src/observability/belief_log.h
@@ -32,10 +32,23 @@
 
   const BeliefsInForce& in_force() const { return in_force_; }
 
-  /// A configuration comes into force. `age`: since its source was sure that it is the newest;
-  /// `source`: "store" or another node's name.
-  void OnConfiguration(const catalog::Configuration& configuration, Duration age,
-                       std::string_view source);
+  /// Where a table's copy comes from and how far it is known to be current.
+  struct CopyState {
+    /// Since the copy was last known to be current.
+    Duration age;
+    /// How long the node's own watch has been waiting, or had been as the last change arrived; zero
+    /// when there is none.
+    Duration watch_age;
+    /// "store" or "coordinator".
+    std::string_view source;
+  };
+
+  /// A configuration comes into force. The age counts from when the previous one was last known to
+  /// be the newest.
+  void OnConfiguration(const catalog::Configuration& configuration, const CopyState& copy);
+  /// Reports how far the configuration in force is confirmed. Writes a line when it has not been
+  /// for long, and when it is again.
+  void OnConfigurationAge(const CopyState& copy);
   /// `version` as the source gave it; the one in force stays.
   void OnConfigurationRejected(std::string_view version, std::string_view reason);
 
@@ -101,6 +114,7 @@
   int64_t draining_ = 0;
   std::map<std::string, uint64_t> store_calls_;
   bool store_lost_ = false;
+  bool configuration_unconfirmed_ = false;
   /// When the store was reached last.
   Time store_reached_ = absl::InfinitePast();
   Time store_lost_since_ = absl::InfinitePast();
--- a/src/observability/event_list.h
+++ b/src/observability/event_list.h
@@ -34,6 +34,8 @@
   // Of what the node believes.
   kConfigurationApplied,
   kConfigurationRejected,
+  kConfigurationUnconfirmed,
+  kConfigurationConfirmed,
   kMapApplied,
   kBackendsChanged,
   kEvacuationsChanged,
@@ -110,6 +112,7 @@
   kElapsedMs,
   // Of beliefs and the process.
   kAgeMs,
+  kWatchMs,
   kCause,
   kBelief,
   kDetail,
--- a/src/observability/node_metrics.cc
+++ b/src/observability/node_metrics.cc
@@ -217,6 +217,9 @@
   SetGauge("ladderstream_configuration_age_seconds",
            "Since the configuration was last known to be the newest.",
            absl::ToDoubleSeconds(state.configuration_age));
+  SetGauge("ladderstream_configuration_watch_age_seconds",
+           "How long this node's own watch of the configuration has been waiting; 0: none is open.",
+           absl::ToDoubleSeconds(state.configuration_watch_age));
   SetGauge("ladderstream_backend_news_age_seconds",
            "How old the last change of registrations may have been when it was heard.",
            absl::ToDoubleSeconds(state.backend_news_age));
--- a/src/observability/node_metrics.h
+++ b/src/observability/node_metrics.h
@@ -77,6 +77,8 @@
   /// Since the map was last known to be the newest.
   Duration map_age;
   Duration configuration_age;
+  /// How long the node's own watch of the configuration has been waiting.
+  Duration configuration_watch_age;
   /// How old the last change of the registrations may have been when this node heard of it.
   Duration backend_news_age;
   /// How late a request may reach a back end that leaves, by the settings.
--- a/tests/unit/observability/request_observer_test.cc
+++ b/tests/unit/observability/request_observer_test.cc
@@ -206,12 +206,16 @@
 /// The fields that a line has are those that the list allows for its event.
 BOOST_AUTO_TEST_CASE(every_line_keeps_to_the_list) {
   catalog::Configuration configuration;
+  configuration.version = 12;
   catalog::Route route;
   route.name = "scripts";
   route.targets.push_back({"pupitre"});
   configuration.routes.push_back(route);
-  beliefs.OnConfiguration(configuration, absl::ZeroDuration(), "store");
+  beliefs.OnConfiguration(configuration, {absl::ZeroDuration(), absl::ZeroDuration(), "store"});
   beliefs.OnConfigurationRejected("r13", "routes[0]: no service");
+  beliefs.OnConfigurationAge({absl::Seconds(4), absl::Seconds(4), "store"});
+  beliefs.OnConfigurationAge({absl::Seconds(5), absl::Seconds(5), "store"});
+  beliefs.OnConfigurationAge({absl::Seconds(1), absl::ZeroDuration(), "coordinator"});
   ownership::OwnershipMap map;
   map.version = {3, 17};
   beliefs.OnMap(map, absl::ZeroDuration(), "brest-1");
