--- /dev/null
+++ b/tests/unit/configuration_bound/main_test.cc
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE configuration_bound
+#include <boost/test/unit_test.hpp>
--- a/tests/unit/membership/relay_world.h
+++ b/tests/unit/membership/relay_world.h
@@ -30,6 +30,8 @@
   void Watch(const store::WatchQuery& query, Time now, Reply reply) {
     watches_.push_back({query, now + query.wait, std::move(reply)});
   }
+  /// The watches that wait now are never answered.
+  void LoseWatches() { watches_.clear(); }
   store::StoreReply Read(const store::ReadQuery& query) const {
     std::map<std::string, store::Row> rows;
     for (const store::Row& row : history_) {
@@ -79,6 +81,8 @@
   bool cut = false;
   bool watches_dropped = false;
   bool frozen = false;
+  /// No message reaches this node or leaves it.
+  bool isolated = false;
   uint32_t calls = 0;
   std::deque<std::pair<uint64_t, Message>> inbox;
 };
@@ -215,7 +219,9 @@
   void Deliver(uint64_t from, const SendAction& send) {
     for (const Destination& to : send.to) {
       for (auto& [number, node] : nodes) {
-        if (to.connection == number || (to.connection == 0 && to.address == node->self.address)) {
+        const bool meant =
+            to.connection == number || (to.connection == 0 && to.address == node->self.address);
+        if (meant && !node->isolated && !nodes.at(from)->isolated) {
           node->inbox.emplace_back(from, send.message);
         }
       }
