Wait no more than a second for a watch that may never be answered

Callers saw requests handled by a version of the configuration that had to be out of force, for up to 21 s.

Cause: a node waits for an open watch of the store up to 20 s, the coordinator up to 5 s, and 1 s more, and silence means "nothing changed". A watch whose connection has gone silent, or that was sent while the store answered nothing, says the same. While the coordinator's is dead, the renewals of its lease go on to confirm its copy to all nodes; a node that no other node reaches has nothing but its own watch.

A watch is now held for 1 s by the store, at the coordinator too, so that with the grace of 1 s a dead one is replaced within 2.1 s: before the bound holds again, 3 s after connections were disturbed. Where the node's share of store calls does not allow that, the wait is as long as the share requires.

The fixture of table_follower_test names the wait of 20 s that its cases count with.

--- a/src/core/membership/table_relay.cc
+++ b/src/core/membership/table_relay.cc
@@ -67,10 +67,7 @@
 
 TableRelay::TableRelay(const RelaySettings& settings, uint64_t self,
                        store::TableFollower* configuration, store::TableFollower* backends)
-    : settings_(settings),
-      self_(self),
-      followers_{configuration, backends},
-      own_watch_wait_(configuration->settings().watch_wait) {}
+    : settings_(settings), self_(self), followers_{configuration, backends} {}
 
 void TableRelay::OnLeading(bool leading) {
   if (!settings_.enabled) {
@@ -83,8 +80,6 @@
     } else {
       follower->Resume();
     }
-    follower->SetWatchWait(leading ? std::min(settings_.coordinator_watch_wait, own_watch_wait_)
-                                   : own_watch_wait_);
   }
 }
 
--- a/src/core/membership/table_relay.h
+++ b/src/core/membership/table_relay.h
@@ -26,8 +26,6 @@
   /// send of the report; a pushed heartbeat, whose age is unknown, has a shorter limit.
   Duration max_heartbeat_age = absl::Milliseconds(700);
   Duration max_pushed_heartbeat_age = absl::Milliseconds(600);
-  /// How long the store holds the coordinator's watches.
-  Duration coordinator_watch_wait = absl::Seconds(5);
 };
 
 class TableRelay {
@@ -82,7 +80,6 @@
   uint64_t self_;
   /// In the order of a heartbeat's tables.
   std::array<store::TableFollower*, kTables> followers_;
-  Duration own_watch_wait_;
   bool leading_ = false;
   /// A call got no answer, and no later call has been answered.
   bool store_unresponsive_ = false;
--- a/src/core/store/table_follower.h
+++ b/src/core/store/table_follower.h
@@ -27,8 +27,9 @@
 struct FollowerSettings {
   std::string table;
   std::string partition;
-  /// How long the store holds a watch open when nothing changes.
-  Duration watch_wait = absl::Seconds(20);
+  /// How long the store holds a watch open when nothing changes. A connection that has gone silent
+  /// cannot be told from a store without changes any sooner than `watch_grace` after that.
+  Duration watch_wait = absl::Seconds(1);
   /// A watch fails when it has no reply this long after `watch_wait`, or this long after the
   /// follower learned of a change that the watch should have reported.
   Duration watch_grace = absl::Seconds(1);
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -28,6 +28,9 @@
 constexpr Duration kMinFollowerBatchPause = absl::Milliseconds(250);
 constexpr Duration kMaxFollowerBatchPause = absl::Milliseconds(700);
 constexpr uint32_t kFollowedTables = 2;
+/// With the watch grace, shorter than the time in which a node must use a new configuration after
+/// its connections were disturbed. Longer only where the node's share of store calls requires it.
+constexpr Duration kMinWatchWait = absl::Seconds(1);
 /// After its start, a node that is not the coordinator delays its own watches by this time. A
 /// starting fleet of 295 nodes has a coordinator after 1.2 s; the tightest known bound is 2 s.
 constexpr Duration kFirstWatchPause = absl::Milliseconds(1500);
@@ -353,9 +356,11 @@
       holds_lease_
           ? kMinCoordinatorBatchPause
           : std::clamp(nodes * kBatchPausePerNode, kMinFollowerBatchPause, kMaxFollowerBatchPause);
-  const Duration pause = std::max(min_pause, store_.PauseBetweenReads(kFollowedTables));
-  configuration_follower_.SetBatchPause(pause);
-  backend_follower_.SetBatchPause(pause);
+  const Duration read_pause = store_.PauseBetweenReads(kFollowedTables);
+  for (store::TableFollower* follower : {&configuration_follower_, &backend_follower_}) {
+    follower->SetBatchPause(std::max(min_pause, read_pause));
+    follower->SetWatchWait(std::max(kMinWatchWait, read_pause));
+  }
 }
 
 void ControlPlane::PublishLease() {
--- a/src/standin/fleet/judge_configuration.cc
+++ b/src/standin/fleet/judge_configuration.cc
@@ -275,7 +275,11 @@
       }
       ++past;
       if (attempt.ended > timeout + kPastTimeout) {
-        held.push_back(absl::StrCat(attempt.request_id, " at node ", attempt.node));
+        held.push_back(absl::StrCat(
+            attempt.request_id, " ", attempt.request_class, " at node ", attempt.node, ", sent ",
+            absl::FormatDuration(attempt.sent - history_.configurations.front().acknowledged),
+            " after the first version, ended after ",
+            absl::FormatDuration(attempt.ended - attempt.sent)));
       }
     }
     const double share =
--- a/tests/unit/membership/table_relay_test.cc
+++ b/tests/unit/membership/table_relay_test.cc
@@ -301,9 +301,9 @@
   node.membership.OnLeaseHeld(MakeLease(4, 2), kStart + absl::Seconds(2), kStart);
   const auto watch = node.backends.Poll(kStart);
   BOOST_REQUIRE(watch.has_value());
-  BOOST_TEST((std::get<store::WatchQuery>(watch->query).wait == absl::Seconds(5)));
+  BOOST_TEST((std::get<store::WatchQuery>(watch->query).wait == absl::Seconds(1)));
   node.membership.OnLeaseLost(kStart);
-  BOOST_TEST((node.backends.settings().watch_wait == absl::Seconds(20)));
+  BOOST_TEST((node.backends.settings().watch_wait == absl::Seconds(1)));
 }
 
 BOOST_AUTO_TEST_CASE(KeepAlivesConfirmCopies) {
--- a/tests/unit/store/table_follower_test.cc
+++ b/tests/unit/store/table_follower_test.cc
@@ -19,7 +19,7 @@
 
 /// A follower and its simulated time.
 struct Fixture {
-  Fixture() : follower({.table = kTable, .partition = "", .seed = 7}) {}
+  Fixture() : follower({.table = kTable, .partition = "", .watch_wait = kWait, .seed = 7}) {}
 
   /// Advances the time to the next call and returns it.
   FollowerCall NextCall() {
