Replace a connection to another node that answers no report

Callers were refused for 20 s and more by nodes without a confirmed map, and such nodes learned of changes from the store alone.

A node reports on its open connection to the coordinator, and to others as it looks for a successor, as long as the connection is open. One that has gone silent behind something that acknowledges bytes is open for ever: neither unacknowledged bytes nor a keep-alive of TCP end it.

Every report is answered, so an outgoing connection on which a report has been unanswered for 2 s is closed, and the next report opens another. 2 s is longer than an overloaded node was seen to take (0.85 s).

--- a/src/gateway/peer/peer_connection.cc
+++ b/src/gateway/peer/peer_connection.cc
@@ -39,6 +39,9 @@
     ++traffic_->frames_dropped;
     return;
   }
+  if (rank == FrameRank::kReport) {
+    unanswered_since_ = std::min(unanswered_since_, resources_->clock.Now());
+  }
   queued_bytes_ += frame->size();
   queue_.push_back({std::move(frame), rank, 0});
   DropUntilBounded();
@@ -118,6 +121,7 @@
       return false;
     }
     ++traffic_->frames_received;
+    unanswered_since_ = absl::InfiniteFuture();
     on_message_(std::move(message));
   }
   return false;
--- a/src/gateway/peer/peer_connection.h
+++ b/src/gateway/peer/peer_connection.h
@@ -39,6 +39,8 @@
   void Write(FramePtr frame, FrameRank rank);
   /// Drops what waits and closes.
   void Close();
+  /// Whether the peer has said nothing for the answer timeout since a report was queued.
+  bool IsUnanswered(Time now) const { return now - unanswered_since_ > settings_->answer_timeout; }
 
   Socket& socket() { return socket_; }
   bool is_started() const { return started_; }
@@ -71,6 +73,8 @@
   FrameReader reader_;
   std::deque<QueuedFrame> queue_;
   size_t queued_bytes_ = 0;
+  /// When the first report since the last message from the peer was queued.
+  Time unanswered_since_ = absl::InfiniteFuture();
   bool open_ = true;
   bool started_ = false;
   bool waits_for_room_ = false;
--- a/src/gateway/peer/peer_settings.h
+++ b/src/gateway/peer/peer_settings.h
@@ -22,6 +22,9 @@
   /// A connection is given up when bytes stay unacknowledged this long.
   Duration user_timeout = absl::Milliseconds(1500);
   Duration connect_timeout = absl::Milliseconds(300);
+  /// A connection is replaced when a report has been unanswered for this long: acknowledged bytes
+  /// do not show that they arrived. Longer than an overloaded node takes to answer.
+  Duration answer_timeout = absl::Seconds(2);
   /// After a failed connection nothing is sent to that address for this long.
   Duration shortest_back_off = absl::Milliseconds(50);
   Duration longest_back_off = absl::Milliseconds(500);
@@ -56,6 +59,8 @@
   uint64_t malformed_frames = 0;
   uint64_t connections_opened = 0;
   uint64_t connect_failures = 0;
+  /// Closed for want of an answer to a report.
+  uint64_t connections_unanswered = 0;
 };
 
 }  // namespace ladderstream::gateway
--- a/src/gateway/peer/peer_transport.cc
+++ b/src/gateway/peer/peer_transport.cc
@@ -152,6 +152,7 @@
                                  settings_->seed + to.address.port));
   Outgoing& outgoing = entry->second;
   outgoing.last_used = now;
+  CloseIfUnanswered(to.address, outgoing.connection, now);
   if (const PeerConnectionPtr connection = Find(outgoing.connection)) {
     connection->Write(frame, rank);
     return;
@@ -166,6 +167,15 @@
   }
 }
 
+void PeerTransport::CloseIfUnanswered(const Endpoint& address, uint64_t connection, Time now) {
+  const PeerConnectionPtr peer = Find(connection);
+  if (peer != nullptr && peer->is_started() && peer->IsUnanswered(now)) {
+    ++traffic_->connections_unanswered;
+    peer->Close();
+    OnClosed(connection, address, "no answer to a report");
+  }
+}
+
 void PeerTransport::Connect(const Endpoint& address, Outgoing* outgoing) {
   MakeRoom(address);
   ErrorCode error;
--- a/src/gateway/peer/peer_transport.h
+++ b/src/gateway/peer/peer_transport.h
@@ -66,6 +66,8 @@
   void AcceptNext();
   void OnAccepted(Socket socket);
   void SendTo(const membership::Destination& to, const FramePtr& frame, FrameRank rank);
+  /// Closes an outgoing connection whose peer answers no reports.
+  void CloseIfUnanswered(const Endpoint& address, uint64_t connection, Time now);
   void Connect(const Endpoint& address, Outgoing* outgoing);
   void OnConnected(const Endpoint& address, uint64_t connection, const ErrorCode& error);
   void OnClosed(uint64_t connection, const Endpoint& address, const std::string& reason);
--- a/tests/unit/gateway_peer/peer_transport_test.cc
+++ b/tests/unit/gateway_peer/peer_transport_test.cc
@@ -221,6 +221,32 @@
   BOOST_TEST(sender.transport.connection_count() == 0);
 }
 
+// Guards against a node that reports for ever on a connection that has gone silent, and so is told
+// of no map and no change.
+BOOST_FIXTURE_TEST_CASE(ConnectionThatAnswersNoReportIsReplaced, Fixture) {
+  PeerSettings settings;
+  settings.answer_timeout = absl::ZeroDuration();
+  settings.shortest_back_off = absl::ZeroDuration();
+  settings.longest_back_off = absl::ZeroDuration();
+  Peer& sender = AddPeer(settings);
+  Peer& receiver = AddPeer();
+  const Destination to = receiver.address();
+  sender.transport.Send({to}, MakeReport(1));
+  RunUntil([&] { return receiver.messages.size() == 1; });
+  receiver.transport.Send({{{}, receiver.last_connection}}, Resignation{2});
+  RunUntil([&] { return sender.messages.size() == 1; });
+  sender.transport.Send({to}, MakeReport(2));
+  RunUntil([&] { return receiver.messages.size() == 2; });
+  BOOST_TEST(sender.transport.traffic().connections_opened == 1);
+  // Lost: a connection that ended so soon is not replaced at the same moment.
+  sender.transport.Send({to}, MakeReport(3));
+  sender.transport.Send({to}, MakeReport(4));
+  RunUntil([&] { return receiver.messages.size() == 3; });
+  BOOST_TEST(sender.transport.traffic().connections_opened == 2);
+  BOOST_TEST(sender.transport.traffic().connections_unanswered == 1);
+  BOOST_TEST(sender.lost.size() == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(TooManyConnectionsGiveWay, Fixture) {
   PeerSettings settings;
   settings.max_connections = 1;
