Close idle connections to a server that left a call unanswered

What callers may see: a change, a lease or a map that is late by a time-out for each idle connection.

Connections to the store that have all gone silent are taken from the pool one after the other: each call, a watch of 2 s or a renewal of 0.6 s, waits for its whole time-out before the next idle one is tried.

A call that gets no answer in time now closes the idle connections to that server with its own, so that the next one opens a new connection. That costs at most as many new connections as were idle.

The new case fails before (three connections, none of them new) and passes.

--- a/src/gateway/http/http_client.cc
+++ b/src/gateway/http/http_client.cc
@@ -82,6 +82,18 @@
   return nullptr;
 }
 
+void HttpClient::CloseIdle(const Endpoint& peer) {
+  const auto found = idle_.find(peer);
+  if (found == idle_.end()) {
+    return;
+  }
+  const std::vector<ConnectionPtr> connections = std::move(found->second);
+  idle_.erase(found);
+  for (const ConnectionPtr& connection : connections) {
+    connection->Close();
+  }
+}
+
 void HttpClient::OnIdle(const ConnectionPtr& connection) {
   idle_[connection->peer()].push_back(connection);
 }
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -76,6 +76,8 @@
   using ConnectionPtr = std::shared_ptr<HttpClientConnection>;
 
   ConnectionPtr TakeIdle(const Endpoint& to);
+  /// Closes the idle connections to `peer`.
+  void CloseIdle(const Endpoint& peer);
   void OnIdle(const ConnectionPtr& connection);
   void OnClosed(const ConnectionPtr& connection);
 
--- a/src/gateway/http/http_client_connection.cc
+++ b/src/gateway/http/http_client_connection.cc
@@ -59,6 +59,9 @@
     if (self->state_ == State::kConnecting) {
       self->Fail(CallOutcome::kNotConnected, "no connection in time");
     } else if (self->state_ == State::kBusy) {
+      // What silenced this connection may have silenced the idle ones, which would take as long to
+      // show it.
+      self->client_.CloseIdle(self->peer_);
       self->Fail(CallOutcome::kNoAnswer, "no answer in time");
     }
   });
--- a/tests/unit/gateway_http/http_client_test.cc
+++ b/tests/unit/gateway_http/http_client_test.cc
@@ -63,6 +63,24 @@
   BOOST_TEST(backend.connections.size() == 2U);
 }
 
+// Guards against calls that are lost one after the other on connections that have all gone silent.
+BOOST_AUTO_TEST_CASE(a_late_answer_closes_the_idle_connections_to_that_server) {
+  std::vector<CallResult> results;
+  interfaces::HttpRequest request;
+  request.method = "GET";
+  request.target = "/";
+  for (int i = 0; i < 3; ++i) {
+    client.Call(backend.address(), request, {absl::Seconds(5)},
+                [&](const CallResult& got) { results.push_back(got); });
+  }
+  RunUntil(loop, [&] { return results.size() == 3; });
+  answers = false;
+  BOOST_TEST((Call("/lost", absl::Milliseconds(30)).outcome == CallOutcome::kNoAnswer));
+  answers = true;
+  BOOST_TEST((Call("/next").outcome == CallOutcome::kAnswered));
+  BOOST_TEST(backend.connections.size() == 4U);
+}
+
 // Without it, a watch of the store on a connection that carries nothing any more is waited for as
 // long as the store may hold it.
 BOOST_AUTO_TEST_CASE(an_idle_connection_asks_whether_the_other_side_is_there) {
