--- a/src/standin/fleet/configuration_prober.cc
+++ b/src/standin/fleet/configuration_prober.cc
@@ -82,6 +82,11 @@
   fleet_->loop().Every(kInterval, [this] { AskInTurn(); });
 }
 
+void ConfigurationProber::Finish() {
+  stopped_ = true;
+  fleet_->loop().RunUntil([this] { return pending_ == 0; }, kConnectWithin + kDeadline);
+}
+
 void ConfigurationProber::AskInTurn() {
   for (size_t node = turn_ % kIntervalsPerTurn; node < idle_.size(); node += kIntervalsPerTurn) {
     Ask(node, random_() % kRoutes);
@@ -140,9 +145,11 @@
   attempt->digest = DigestOf(request.method, request.target, request.body);
   attempt->sent = EventLoop::Now();
   attempt->deadline = kDeadline;
+  ++pending_;
   const HttpClientConnectionPtr connection = TakeConnection(node);
   connection->Call(request, kConnectWithin, kDeadline,
                    [this, node, attempt, connection](const CallResult& result) {
+                     --pending_;
                      RecordEnd(result, attempt);
                      if (result.reusable) {
                        idle_[node].push_back(connection);
--- a/src/standin/fleet/configuration_prober.h
+++ b/src/standin/fleet/configuration_prober.h
@@ -20,9 +20,10 @@
   /// `fleet` outlives the prober.
   ConfigurationProber(Fleet* fleet, uint64_t seed);
 
-  /// Asks each node for one route at a time from now on, until Stop().
+  /// Asks each node for one route at a time from now on, until Finish().
   void Start();
-  void Stop() { stopped_ = true; }
+  /// Sends nothing more and waits for the answers that are due.
+  void Finish();
 
   /// Writes a version in which `target` chooses one route and whether it moves to another service,
   /// is split, removed or added again; has each node asked for all routes when that version has to
@@ -41,6 +42,7 @@
   std::vector<std::vector<HttpClientConnectionPtr>> idle_;
   size_t turn_ = 0;
   uint64_t requests_ = 0;
+  uint64_t pending_ = 0;
   bool stopped_ = false;
 };
 
--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -78,7 +78,7 @@
     Heal();
     SoakResult result;
     result.not_recovered = AwaitRecovery();
-    prober_.Stop();
+    prober_.Finish();
     fleet_.FinishCalls();
     result.verdict = fleet_.Judge();
     if (!result.Passed()) {
