Rely on a copy again only after a restarted watch was answered

What callers may see: requests to a back end long after it left, and a configuration that nobody confirmed taken for current.

Cause: a watch that may be dead is replaced when the store answers a call again, and at that very moment the copy counts as confirmed, by the call that showed the watch to be dead. News that the new watch then brings is taken for as fresh as that call, so a back end that left during the outage is given its whole time from the return of the store on.

A replaced watch makes the copy unreliable until its successor is answered, and the successor is sent without a wait, so that the store answers it at once; the same after any failure of a watch.

--- a/src/core/store/table_follower.cc
+++ b/src/core/store/table_follower.cc
@@ -67,13 +67,11 @@
 }
 
 FollowerCall TableFollower::IssueWatch(Time now) {
-  FollowerCall call{
-      ++last_call_,
-      WatchQuery{settings_.table, as_of_, settings_.watch_wait},
-      settings_.watch_wait + settings_.watch_grace,
-  };
-  outstanding_ =
-      Outstanding{call.call, true, as_of_, settings_.watch_wait, now, now + call.timeout};
+  // The reply shows that the connection works before the copy is relied on again.
+  const Duration wait = watch_unreliable_ ? absl::ZeroDuration() : settings_.watch_wait;
+  FollowerCall call{++last_call_, WatchQuery{settings_.table, as_of_, wait},
+                    wait + settings_.watch_grace};
+  outstanding_ = Outstanding{call.call, true, as_of_, wait, now, now + call.timeout};
   return call;
 }
 
@@ -230,12 +228,14 @@
 void TableFollower::RestartWatch() {
   if (outstanding_.has_value() && outstanding_->is_watch) {
     outstanding_.reset();
+    watch_unreliable_ = true;
     next_call_ = absl::InfinitePast();
   }
 }
 
 void TableFollower::OnStoreAnswered(Time sent) {
-  if (!known_ || reading_ || sent < suspended_until_ || expected_version_ > as_of_) {
+  if (!known_ || reading_ || watch_unreliable_ || sent < suspended_until_ ||
+      expected_version_ > as_of_) {
     return;
   }
   const bool watching =
--- a/src/core/store/table_follower.h
+++ b/src/core/store/table_follower.h
@@ -127,7 +127,8 @@
   /// Records that the process was suspended. A reply may have been waiting since, so it is no
   /// evidence that the changes in it are recent.
   void OnResumed() { watch_unreliable_ = true; }
-  /// Replaces an outstanding watch, which may never be answered, by a new one.
+  /// Replaces an outstanding watch, which may never be answered, by a new one. The copy counts as
+  /// current again once that is answered, which the store does at once.
   void RestartWatch();
   bool Suspended(Time now) const { return now < suspended_until_; }
   /// Records that the store answered another call of this node, sent at `sent`. Changes that a
@@ -250,8 +251,8 @@
   /// Number of kHistoryGone replies since a watch last succeeded.
   uint32_t history_losses_ = 0;
 
-  /// The last call failed or its history was gone: the previous watch may have reported nothing for
-  /// an unknown time.
+  /// The last call failed, its history was gone or its watch was replaced: the previous watch may
+  /// have reported nothing for an unknown time.
   bool watch_unreliable_ = false;
   std::optional<Time> failing_since_;
   Time last_failure_ = absl::InfinitePast();
--- a/tests/unit/store/changed_after_test.cc
+++ b/tests/unit/store/changed_after_test.cc
@@ -58,6 +58,21 @@
   BOOST_TEST((follower.changed_after() == kStart));
 }
 
+// Guards against the time in which a dead watch was trusted being taken for confirmed: a back end
+// that had left long ago was given the whole time of one that leaves now.
+BOOST_FIXTURE_TEST_CASE(RestartedWatchConfirmsNothingBeforeItsReply, Watching) {
+  follower.RestartWatch();
+  follower.OnStoreAnswered(kStart + absl::Seconds(3));
+  BOOST_TEST((follower.watched_until() == kStart));
+  const auto next = follower.Poll(kStart + absl::Seconds(3));
+  BOOST_TEST_REQUIRE(next.has_value());
+  BOOST_TEST((std::get<WatchQuery>(next->query).wait == absl::ZeroDuration()));
+  follower.OnReply(next->call, Done({Removed("a", 11)}, 11), kStart + absl::Seconds(3));
+  BOOST_TEST((follower.changed_after() == kStart));
+  follower.OnStoreAnswered(kStart + absl::Seconds(4));
+  BOOST_TEST((follower.watched_until() == kStart + absl::Seconds(4)));
+}
+
 BOOST_FIXTURE_TEST_CASE(OldestOfSeveralChangesDeterminesChangedAfter, Watching) {
   const Time first = kStart + absl::Seconds(5);
   follower.OnReply(watch->call, Done({MakeRow("c", 11)}, 11), first);
