Hold watches for long where something else reveals what they miss

Cause: with the wait of 1 s for all watches, three nodes called the store once a second and table; calls are priced.

Only the configuration's watch bounds CONFIG, and only at the coordinator and at nodes that no coordinator confirms: it is held for 1.5 s there (2.6 s until a dead one is replaced, of 3 s). A standby's is held for 20 s while heartbeats arrive; without them for 1.5 s it is replaced. Watches of the back ends are held as long as before (5 s at the coordinator, 20 s elsewhere).

--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -381,6 +381,7 @@
 }
 
 void Membership::OnTick(Time now) {
+  relay_.OnTick(now);
   RequestSnapshot(now);
   if (lease_until_ != absl::InfinitePast() && !IsCoordinator(now)) {
     OnLeaseLost(now);
--- a/src/core/membership/table_relay.cc
+++ b/src/core/membership/table_relay.cc
@@ -67,13 +67,19 @@
 
 TableRelay::TableRelay(const RelaySettings& settings, uint64_t self,
                        store::TableFollower* configuration, store::TableFollower* backends)
-    : settings_(settings), self_(self), followers_{configuration, backends} {}
+    : settings_(settings),
+      self_(self),
+      followers_{configuration, backends},
+      own_watch_wait_(configuration->settings().watch_wait) {
+  SetWatchWaits(/*standby=*/false);
+}
 
 void TableRelay::OnLeading(bool leading) {
   if (!settings_.enabled) {
     return;
   }
   leading_ = leading;
+  standby_until_ = absl::InfinitePast();
   for (store::TableFollower* follower : followers_) {
     if (leading) {
       follower->ResumeImmediately();
@@ -81,6 +87,16 @@
       follower->Resume();
     }
   }
+  SetWatchWaits(/*standby=*/false);
+}
+
+void TableRelay::OnTick(Time now) { SetWatchWaits(now < standby_until_); }
+
+void TableRelay::SetWatchWaits(bool standby) {
+  followers_[kConfigurationTable]->SetWatchWait(
+      standby ? std::max(own_watch_wait_, settings_.standby_watch_wait) : own_watch_wait_);
+  followers_[kBackendTable]->SetWatchWait(leading_ ? settings_.coordinator_backend_watch_wait
+                                                   : settings_.backend_watch_wait);
 }
 
 void TableRelay::OnResumed() {
@@ -181,8 +197,10 @@
 
 void TableRelay::OnCoordinatorHeartbeat(const Heartbeat& heartbeat, Time made, bool answers,
                                         Time now) {
-  const bool confirmed =
-      settings_.enabled && heartbeat.tables.size() == kTables && !IsStandby(heartbeat);
+  const bool standby = settings_.enabled && IsStandby(heartbeat);
+  const bool confirmed = settings_.enabled && heartbeat.tables.size() == kTables && !standby;
+  standby_until_ = standby ? made + settings_.freshness : absl::InfinitePast();
+  SetWatchWaits(standby);
   for (size_t table = 0; table < kTables; ++table) {
     store::TableFollower* const follower = followers_[table];
     if (!confirmed || !Reaches(*follower, heartbeat.tables[table])) {
--- a/src/core/membership/table_relay.h
+++ b/src/core/membership/table_relay.h
@@ -26,6 +26,12 @@
   /// send of the report; a pushed heartbeat, whose age is unknown, has a shorter limit.
   Duration max_heartbeat_age = absl::Milliseconds(700);
   Duration max_pushed_heartbeat_age = absl::Milliseconds(600);
+  /// How long the store holds watches. A standby's watch of the configuration is held for long only
+  /// while the coordinator's heartbeats arrive, which reveal a change that a dead watch does not
+  /// report; otherwise the node's own, shorter wait bounds how long a dead watch is trusted.
+  Duration standby_watch_wait = absl::Seconds(20);
+  Duration coordinator_backend_watch_wait = absl::Seconds(5);
+  Duration backend_watch_wait = absl::Seconds(20);
 };
 
 class TableRelay {
@@ -36,6 +42,10 @@
 
   /// Records whether this node coordinates.
   void OnLeading(bool leading);
+  /// Sets how long the store holds this node's watch of the configuration while it coordinates or
+  /// no coordinator confirms its copy.
+  void SetOwnWatchWait(Duration wait) { own_watch_wait_ = wait; }
+  void OnTick(Time now);
   /// Records that the store answered a call of this node, other than the followers', sent at
   /// `sent`.
   void OnStoreAnswered(Time sent);
@@ -64,6 +74,8 @@
   std::vector<uint64_t> ChooseStandbys(std::vector<uint64_t> others) const;
 
  private:
+  static constexpr size_t kConfigurationTable = 0;
+  static constexpr size_t kBackendTable = 1;
   static constexpr size_t kTables = 2;
 
   /// Whether both tables are known; updates are never sent for one table alone.
@@ -71,6 +83,7 @@
   /// Adds what a copy that is complete up to `base` lacks; when those changes are no longer known,
   /// the changes since the last push.
   void Add(size_t table, store::RowVersion base, Time now, Heartbeat* heartbeat) const;
+  void SetWatchWaits(bool standby);
   /// Whether the heartbeat names this node as a standby.
   bool IsStandby(const Heartbeat& heartbeat) const;
   /// Whether a copy that has applied the update is as complete as the coordinator's.
@@ -80,7 +93,10 @@
   uint64_t self_;
   /// In the order of a heartbeat's tables.
   std::array<store::TableFollower*, kTables> followers_;
+  Duration own_watch_wait_;
   bool leading_ = false;
+  /// This node is a standby whose copies the coordinator's heartbeats confirm until then.
+  Time standby_until_ = absl::InfinitePast();
   /// A call got no answer, and no later call has been answered.
   bool store_unresponsive_ = false;
   Time watch_restarted_at_ = absl::InfinitePast();
--- a/src/core/store/table_follower.cc
+++ b/src/core/store/table_follower.cc
@@ -233,6 +233,13 @@
   }
 }
 
+void TableFollower::SetWatchWait(Duration wait) {
+  settings_.watch_wait = wait;
+  if (outstanding_.has_value() && outstanding_->is_watch && outstanding_->wait > wait) {
+    RestartWatch();
+  }
+}
+
 void TableFollower::OnStoreAnswered(Time sent) {
   if (!known_ || reading_ || watch_unreliable_ || sent < suspended_until_ ||
       expected_version_ > as_of_) {
--- a/src/core/store/table_follower.h
+++ b/src/core/store/table_follower.h
@@ -29,7 +29,7 @@
   std::string partition;
   /// How long the store holds a watch open when nothing changes. A connection that has gone silent
   /// cannot be told from a store without changes any sooner than `watch_grace` after that.
-  Duration watch_wait = absl::Seconds(1);
+  Duration watch_wait = absl::Milliseconds(1500);
   /// A watch fails when it has no reply this long after `watch_wait`, or this long after the
   /// follower learned of a change that the watch should have reported.
   Duration watch_grace = absl::Seconds(1);
@@ -136,8 +136,8 @@
   void OnStoreAnswered(Time sent);
   /// Sets the batch pause, so that each of many nodes can call the store less often.
   void SetBatchPause(Duration pause) { settings_.batch_pause = pause; }
-  /// Sets the watch wait, from the next watch on.
-  void SetWatchWait(Duration wait) { settings_.watch_wait = wait; }
+  /// Sets the watch wait. An outstanding watch that would wait longer is replaced.
+  void SetWatchWait(Duration wait);
   /// Records that another node knows of a change at `version`. An outstanding watch that does not
   /// report it within the watch grace fails.
   void ExpectVersion(RowVersion version, Time now);
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -30,7 +30,7 @@
 constexpr uint32_t kFollowedTables = 2;
 /// With the watch grace, shorter than the time in which a node must use a new configuration after
 /// its connections were disturbed. Longer only where the node's share of store calls requires it.
-constexpr Duration kMinWatchWait = absl::Seconds(1);
+constexpr Duration kMinWatchWait = absl::Milliseconds(1500);
 /// After its start, a node that is not the coordinator delays its own watches by this time. A
 /// starting fleet of 295 nodes has a coordinator after 1.2 s; the tightest known bound is 2 s.
 constexpr Duration kFirstWatchPause = absl::Milliseconds(1500);
@@ -357,10 +357,9 @@
           ? kMinCoordinatorBatchPause
           : std::clamp(nodes * kBatchPausePerNode, kMinFollowerBatchPause, kMaxFollowerBatchPause);
   const Duration read_pause = store_.PauseBetweenReads(kFollowedTables);
-  for (store::TableFollower* follower : {&configuration_follower_, &backend_follower_}) {
-    follower->SetBatchPause(std::max(min_pause, read_pause));
-    follower->SetWatchWait(std::max(kMinWatchWait, read_pause));
-  }
+  configuration_follower_.SetBatchPause(std::max(min_pause, read_pause));
+  backend_follower_.SetBatchPause(std::max(min_pause, read_pause));
+  membership_.SetOwnWatchWait(std::max(kMinWatchWait, read_pause));
 }
 
 void ControlPlane::PublishLease() {
