Replace a watch only if it would be waited for longer than a new one

The wait of a node's own watch follows its share of store calls, which changes with the number of members: each change downwards replaced the open watch and cost two calls. Found in reading. The relay is told the time at which a node begins or ends to coordinate.

--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -183,7 +183,7 @@
     // All nodes learn of the new holder at about the same time; spread their first reports.
     next_report_ = now + ReportSpread() * RandomShare();
     if (lease.incarnation != self_.incarnation) {
-      EndLeading();
+      EndLeading(now);
     }
     return true;
   }
@@ -204,7 +204,7 @@
   // The same limit as on nodes whose map it confirms at the end of its lease.
   SetConfirmed(until + settings_.confirmation - settings_.confirmation_margin);
   if (took_over) {
-    relay_.OnLeading(true);
+    relay_.OnLeading(true, now);
     // The predecessor brought the other nodes to this list.
     pushed_members_ = members_.version();
     members_.TakeOver(lease.epoch, now);
@@ -216,16 +216,16 @@
   }
 }
 
-void Membership::EndLeading() {
+void Membership::EndLeading(Time now) {
   if (lease_until_ != absl::InfinitePast()) {
     lease_until_ = absl::InfinitePast();
     full_copies_.Clear();
-    relay_.OnLeading(false);
+    relay_.OnLeading(false, now);
   }
 }
 
 void Membership::OnLeaseLost(Time now) {
-  EndLeading();
+  EndLeading(now);
   push_wanted_ = false;
   next_report_ = now;
 }
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -202,7 +202,7 @@
   void ReportSoon(Time now);
   /// Schedules a push at the coordinator; elsewhere an early report of an `own` change.
   void PublishSoon(bool own, Time now);
-  void EndLeading();
+  void EndLeading(Time now);
   /// Returns false when a holder of a later epoch is known.
   bool UpdateHolder(const ownership::LeaseView& lease, Time now);
   /// Processes the content of a heartbeat from a coordinator that holds its lease.
--- a/src/core/membership/table_relay.cc
+++ b/src/core/membership/table_relay.cc
@@ -71,10 +71,10 @@
       self_(self),
       followers_{configuration, backends},
       own_watch_wait_(configuration->settings().watch_wait) {
-  SetWatchWaits(/*standby=*/false);
+  SetWatchWaits(absl::InfinitePast());
 }
 
-void TableRelay::OnLeading(bool leading) {
+void TableRelay::OnLeading(bool leading, Time now) {
   if (!settings_.enabled) {
     return;
   }
@@ -87,16 +87,17 @@
       follower->Resume();
     }
   }
-  SetWatchWaits(/*standby=*/false);
+  SetWatchWaits(now);
 }
 
-void TableRelay::OnTick(Time now) { SetWatchWaits(now < standby_until_); }
+void TableRelay::OnTick(Time now) { SetWatchWaits(now); }
 
-void TableRelay::SetWatchWaits(bool standby) {
+void TableRelay::SetWatchWaits(Time now) {
+  const bool standby = now < standby_until_;
   followers_[kConfigurationTable]->SetWatchWait(
-      standby ? std::max(own_watch_wait_, settings_.standby_watch_wait) : own_watch_wait_);
-  followers_[kBackendTable]->SetWatchWait(leading_ ? settings_.coordinator_backend_watch_wait
-                                                   : settings_.backend_watch_wait);
+      standby ? std::max(own_watch_wait_, settings_.standby_watch_wait) : own_watch_wait_, now);
+  followers_[kBackendTable]->SetWatchWait(
+      leading_ ? settings_.coordinator_backend_watch_wait : settings_.backend_watch_wait, now);
 }
 
 void TableRelay::OnResumed() {
@@ -200,7 +201,7 @@
   const bool standby = settings_.enabled && IsStandby(heartbeat);
   const bool confirmed = settings_.enabled && heartbeat.tables.size() == kTables && !standby;
   standby_until_ = standby ? made + settings_.freshness : absl::InfinitePast();
-  SetWatchWaits(standby);
+  SetWatchWaits(now);
   for (size_t table = 0; table < kTables; ++table) {
     store::TableFollower* const follower = followers_[table];
     if (!confirmed || !Reaches(*follower, heartbeat.tables[table])) {
--- a/src/core/membership/table_relay.h
+++ b/src/core/membership/table_relay.h
@@ -41,7 +41,7 @@
              store::TableFollower* backends);
 
   /// Records whether this node coordinates.
-  void OnLeading(bool leading);
+  void OnLeading(bool leading, Time now);
   /// Sets how long the store holds this node's watch of the configuration while it coordinates or
   /// no coordinator confirms its copy.
   void SetOwnWatchWait(Duration wait) { own_watch_wait_ = wait; }
@@ -83,7 +83,7 @@
   /// Adds what a copy that is complete up to `base` lacks; when those changes are no longer known,
   /// the changes since the last push.
   void Add(size_t table, store::RowVersion base, Time now, Heartbeat* heartbeat) const;
-  void SetWatchWaits(bool standby);
+  void SetWatchWaits(Time now);
   /// Whether the heartbeat names this node as a standby.
   bool IsStandby(const Heartbeat& heartbeat) const;
   /// Whether a copy that has applied the update is as complete as the coordinator's.
--- a/src/core/store/table_follower.cc
+++ b/src/core/store/table_follower.cc
@@ -233,9 +233,9 @@
   }
 }
 
-void TableFollower::SetWatchWait(Duration wait) {
+void TableFollower::SetWatchWait(Duration wait, Time now) {
   settings_.watch_wait = wait;
-  if (outstanding_.has_value() && outstanding_->is_watch && outstanding_->wait > wait) {
+  if (outstanding_.has_value() && outstanding_->answer_by > now + wait + settings_.watch_grace) {
     RestartWatch();
   }
 }
--- a/src/core/store/table_follower.h
+++ b/src/core/store/table_follower.h
@@ -136,8 +136,9 @@
   void OnStoreAnswered(Time sent);
   /// Sets the batch pause, so that each of many nodes can call the store less often.
   void SetBatchPause(Duration pause) { settings_.batch_pause = pause; }
-  /// Sets the watch wait. An outstanding watch that would wait longer is replaced.
-  void SetWatchWait(Duration wait);
+  /// Sets the watch wait. Replaces an outstanding watch that would be waited for longer than one
+  /// that is sent now.
+  void SetWatchWait(Duration wait, Time now);
   /// Records that another node knows of a change at `version`. An outstanding watch that does not
   /// report it within the watch grace fails.
   void ExpectVersion(RowVersion version, Time now);
--- a/tests/unit/membership/table_relay_test.cc
+++ b/tests/unit/membership/table_relay_test.cc
@@ -81,7 +81,7 @@
   WatchingRelay node;
   const std::vector<uint64_t> lost = node.Watch();
   node.now += absl::Seconds(2);
-  node.relay.OnLeading(true);
+  node.relay.OnLeading(true, node.now);
   BOOST_TEST(node.Watch().size() == 2U);
   // A late reply to an old watch is not taken for the reply to the new one.
   node.backends.OnReply(lost.back(), {store::StoreStatus::kUnknown, {}, false, 0, ""}, node.now);
@@ -92,7 +92,7 @@
 // calls and would be waited for up to 6 s.
 BOOST_AUTO_TEST_CASE(LeaseHolderRestartsWatchesAfterUnansweredCall) {
   WatchingRelay node;
-  node.relay.OnLeading(true);
+  node.relay.OnLeading(true, node.now);
   node.Watch();
   node.now += absl::Seconds(1);
   node.relay.OnStoreAnswered(node.now);
@@ -183,7 +183,7 @@
     for (Node* each : {&coordinator, &node}) {
       each->LoadTables({{"config", "r12", 40}}, {{"i-1", "ready", 50}}, 60, kStart);
     }
-    from.OnLeading(true);
+    from.OnLeading(true, kStart);
     Heartbeat first;
     from.AddToPush(kStart, &first);
   }
