--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -14,6 +14,7 @@
 #include "standin/fleet/configuration_prober.h"
 #include "standin/fleet/node_processes.h"
 #include "standin/fleet/report.h"
+#include "standin/fleet/soak_backends.h"
 #include "standin/processes/ports.h"
 #include "wire/result_code.h"
 
@@ -31,10 +32,6 @@
 constexpr Duration kReviveInterval = absl::Milliseconds(200);
 constexpr double kShare = 0.3;
 constexpr double kSlowdown = 60;
-/// Asked for with each refusal; over the times of ejections.
-constexpr Duration kRest = absl::Seconds(3);
-/// Requests a second; few enough that more is asked for.
-constexpr double kLimit = 3;
 constexpr Duration kLinkDelay = absl::Milliseconds(250);
 constexpr double kHotShare = 0.35;
 /// Watches hear nothing for this long before the store forgets its history.
@@ -50,6 +47,9 @@
         fleet_(settings.deployment.fleet),
         nodes_(&fleet_, settings.node_program, settings.nodes),
         prober_(&fleet_, settings.deployment.fleet.seed),
+        backend_faults_(
+            &fleet_,
+            [this](Duration delay, std::function<void()> step) { Later(delay, std::move(step)); }),
         away_until_(settings.nodes, absl::InfinitePast()) {
     for (size_t node = 0; node < nodes_.count(); ++node) {
       const standin::LinkSettings link = {.name = nodes_.nodes()[node].name,
@@ -103,7 +103,7 @@
     } else if (fault.kind <= FaultKind::kStoreConnectionsSilent) {
       StrikeStore(fault);
     } else if (fault.kind <= FaultKind::kAnswersDamaged) {
-      StrikeBackend(fault);
+      backend_faults_.Strike(fault);
     } else {
       ChangeWhatIsAsked(fault);
     }
@@ -255,81 +255,6 @@
     }
   }
 
-  Backend* Pick(const SoakFault& fault) {
-    const auto& services = fleet_.settings().services;
-    std::vector<Backend*> backends = fleet_.backends(services[fault.target % services.size()].name);
-    std::erase_if(backends, [](const Backend* backend) { return !backend->serving(); });
-    return backends.size() < 2 ? nullptr : backends[fault.target % backends.size()];
-  }
-
-  void StrikeBackend(const SoakFault& fault) {
-    Backend* const backend = Pick(fault);
-    if (backend == nullptr) {
-      return;
-    }
-    switch (fault.kind) {
-      case FaultKind::kBackendCrashes:
-        backend->Crash();
-        Later(fault.lasts, [this, backend] { fleet_.Replace(*backend, backend->service()); });
-        return;
-      case FaultKind::kAddressReused:
-        backend->Crash();
-        Later(fault.lasts, [this, backend, &fault] {
-          const auto& services = fleet_.settings().services;
-          fleet_.Replace(*backend, services[(fault.target + 1) % services.size()].name);
-          fleet_.AddBackend(backend->service(), backend->zone());
-        });
-        return;
-      case FaultKind::kBackendFreezes:
-        backend->Freeze();
-        Later(fault.lasts, [backend] {
-          if (!backend->ended()) {
-            backend->Thaw();
-          }
-        });
-        return;
-      case FaultKind::kBackendDrains:
-        backend->Drain(fleet_.settings().bounds.drain + fault.lasts, fault.target % 3 != 0);
-        fleet_.AddBackend(backend->service(), backend->zone());
-        return;
-      case FaultKind::kBackendCutFromStore:
-        backend->CutFromStore(true);
-        Later(fault.lasts, [backend] { backend->CutFromStore(false); });
-        return;
-      default:
-        backend->SetFaults(FaultsOf(fault.kind));
-        Later(fault.lasts, [backend] { backend->SetFaults({}); });
-    }
-  }
-
-  static BackendFaults FaultsOf(FaultKind kind) {
-    BackendFaults faults;
-    switch (kind) {
-      case FaultKind::kBackendRests:
-        faults.turned_away = 1;
-        faults.rest = kRest;
-        break;
-      case FaultKind::kBackendLimits:
-        faults.limit = kLimit;
-        break;
-      case FaultKind::kOrdersLate:
-        faults.late_orders = kShare;
-        break;
-      case FaultKind::kOrdersUnanswered:
-        faults.unanswered_orders = kShare;
-        break;
-      case FaultKind::kAnswersLost:
-        faults.lost_answers = kShare;
-        faults.lost_by_reset = true;
-        break;
-      default:
-        faults.cut_answers = kShare / 2;
-        faults.surplus_answers = kShare / 2;
-        faults.late_answers = kShare / 2;
-    }
-    return faults;
-  }
-
   void ChangeWhatIsAsked(const SoakFault& fault) {
     if (fault.kind == FaultKind::kOtherKeysHot) {
       const auto first = static_cast<ownership::Key>(fault.target * 60);
@@ -411,6 +336,7 @@
   Fleet fleet_;
   NodeProcesses nodes_;
   ConfigurationProber prober_;
+  BackendFaultInjector backend_faults_;
   /// Nodes are not started again before.
   std::vector<Time> away_until_;
   bool healed_ = false;
