--- a/src/standin/fleet/configuration_prober.cc
+++ b/src/standin/fleet/configuration_prober.cc
@@ -160,7 +160,7 @@
 HttpClientConnectionPtr ConfigurationProber::TakeConnection(size_t node) {
   std::vector<HttpClientConnectionPtr>& idle = idle_[node];
   while (!idle.empty()) {
-    const HttpClientConnectionPtr connection = idle.back();
+    HttpClientConnectionPtr connection = idle.back();
     idle.pop_back();
     if (connection->open()) {
       return connection;
--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -26,8 +26,6 @@
 /// (4.9 s), a takeover, and a back end's distrust of 3 s, with room for a busy machine.
 constexpr Duration kRecoveryBound = absl::Seconds(20);
 constexpr uint64_t kServedAfterwards = 200;
-/// A node that is asked to stop has ended within this.
-constexpr Duration kStopTime = absl::Seconds(6);
 constexpr Duration kRestartDelay = absl::Milliseconds(300);
 constexpr Duration kReviveInterval = absl::Milliseconds(200);
 constexpr double kShare = 0.3;
