--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -163,7 +163,7 @@
   void SendPermitRequest(const allowance::PermitQuestion& question);
   void SendPermitAnswer(const Destination& to, const allowance::PermitReply& reply);
   void OnResumed() { relay_.OnResumed(); }
-  /// Sets how long the store holds this node's watches while no coordinator confirms its copies.
+  /// See TableRelay::SetOwnWatchWait.
   void SetOwnWatchWait(Duration wait) { relay_.SetOwnWatchWait(wait); }
   void OnStoreUnanswered() { relay_.OnStoreUnanswered(); }
 
--- a/src/core/membership/table_relay.h
+++ b/src/core/membership/table_relay.h
@@ -45,6 +45,7 @@
   /// Sets how long the store holds this node's watch of the configuration while it coordinates or
   /// no coordinator confirms its copy.
   void SetOwnWatchWait(Duration wait) { own_watch_wait_ = wait; }
+  /// Shortens the waits of a standby that the coordinator's heartbeats no longer reach.
   void OnTick(Time now);
   /// Records that the store answered a call of this node, other than the followers', sent at
   /// `sent`.
@@ -83,6 +84,7 @@
   /// Adds what a copy that is complete up to `base` lacks; when those changes are no longer known,
   /// the changes since the last push.
   void Add(size_t table, store::RowVersion base, Time now, Heartbeat* heartbeat) const;
+  /// Sets the waits that the role of this node calls for.
   void SetWatchWaits(Time now);
   /// Whether the heartbeat names this node as a standby.
   bool IsStandby(const Heartbeat& heartbeat) const;
