Judge a soak only once everything it asked for has ended

Cause: the run, not the nodes.

The same cause elsewhere, mended here: a run of a back end that ends with its caller counted as lingering when judged within the 0.5 s that it has; a request refused with a promise was not watched for a later run. And a request that still has no end when it is judged now fails the run in words of its own, so that neither side is blamed unseen. How late the loop of callers and back ends was is printed: their times are late by as much.

--- a/src/standin/fleet/fleet.cc
+++ b/src/standin/fleet/fleet.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Duration kLongestCall = absl::Seconds(10);
+/// A run of a back end takes no longer, but for one that is frozen.
+constexpr Duration kLongestRun = absl::Seconds(2);
 constexpr ownership::Key kKeyStep = 64;
 
 }  // namespace
@@ -109,6 +111,7 @@
 void Fleet::FinishCalls() {
   callers_->Stop();
   loop_.RunUntil([this] { return callers_->pending() == 0; }, kLongestCall);
+  loop_.RunUntil([this] { return CountUnfinished(history_) == 0; }, kLongestRun);
 }
 
 }  // namespace ladderstream::fleet
--- a/src/standin/fleet/fleet.h
+++ b/src/standin/fleet/fleet.h
@@ -66,7 +66,8 @@
   void NoteStart(size_t node) { history_.starts.push_back({node, EventLoop::Now()}); }
   void Calm();
 
-  /// Stops the callers and waits for the calls under way.
+  /// Stops the callers and waits for the calls under way, and then for the work of back ends: what
+  /// is judged before may still be answered, or end, in time.
   void FinishCalls();
   Verdict Judge() const { return fleet::Judge(history_, settings_.bounds); }
 
--- a/src/standin/fleet/history.cc
+++ b/src/standin/fleet/history.cc
@@ -2,10 +2,22 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <functional>
 
 namespace ladderstream::fleet {
 
+size_t CountUnfinished(const History& history) {
+  const auto attempts =
+      std::count_if(history.attempts.begin(), history.attempts.end(),
+                    [](const Attempt& attempt) { return attempt.ended == absl::InfiniteFuture(); });
+  const auto runs =
+      std::count_if(history.arrivals.begin(), history.arrivals.end(), [](const Arrival& arrival) {
+        return arrival.ran() && arrival.ended == absl::InfiniteFuture();
+      });
+  return static_cast<size_t>(attempts + runs);
+}
+
 size_t DigestOf(const std::string& method, const std::string& target, const std::string& body) {
   return std::hash<std::string>()(absl::StrCat(method, "\n", target, "\n", body));
 }
--- a/src/standin/fleet/history.h
+++ b/src/standin/fleet/history.h
@@ -150,6 +150,9 @@
   uint64_t unasked_answers = 0;
 };
 
+/// The requests of callers and the runs of back ends that have begun and have not ended.
+size_t CountUnfinished(const History& history);
+
 /// Compares what was sent with what arrived.
 size_t DigestOf(const std::string& method, const std::string& target, const std::string& body);
 
--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -26,6 +26,9 @@
 /// (4.9 s), a takeover, and a back end's distrust of 3 s, with room for a busy machine.
 constexpr Duration kRecoveryBound = absl::Seconds(20);
 constexpr uint64_t kServedAfterwards = 200;
+/// Requests that were refused with a promise not to run are watched for a run this long.
+constexpr Duration kWatchedAfterwards = absl::Seconds(1);
+constexpr Duration kLagInterval = absl::Milliseconds(50);
 constexpr Duration kRestartDelay = absl::Milliseconds(300);
 constexpr Duration kReviveInterval = absl::Milliseconds(200);
 constexpr double kShare = 0.3;
@@ -69,6 +72,8 @@
       prober_.Start();
     }
     fleet_.loop().Every(kReviveInterval, [this] { ReviveNodes(); });
+    last_lag_check_ = EventLoop::Now();
+    fleet_.loop().Every(kLagInterval, [this] { MeasureLag(); });
     for (const SoakFault& fault : settings_.schedule) {
       fleet_.loop().After(fault.at, [this, &fault] { Strike(fault); });
     }
@@ -76,8 +81,7 @@
     Heal();
     SoakResult result;
     result.not_recovered = AwaitRecovery();
-    prober_.Finish();
-    fleet_.FinishCalls();
+    Settle(&result);
     result.verdict = fleet_.Judge();
     if (!result.Passed()) {
       Keep(result);
@@ -86,6 +90,27 @@
   }
 
  private:
+  /// Waits until everything that was asked for has its answer.
+  void Settle(SoakResult* result) {
+    prober_.Finish();
+    fleet_.FinishCalls();
+    fleet_.loop().RunFor(kWatchedAfterwards);
+    const size_t unfinished = CountUnfinished(fleet_.history());
+    if (unfinished > 0) {
+      absl::StrAppend(&result->not_recovered, unfinished, " requests had no end when judged");
+    }
+    *out_ << "the loop of callers and back ends was up to "
+          << absl::FormatDuration(absl::Trunc(longest_lag_, absl::Milliseconds(1))) << " late"
+          << std::endl;
+  }
+
+  /// What callers and back ends note is late by as much as the loop that plays them.
+  void MeasureLag() {
+    const Time now = EventLoop::Now();
+    longest_lag_ = std::max(longest_lag_, now - last_lag_check_ - kLagInterval);
+    last_lag_check_ = now;
+  }
+
   void Strike(const SoakFault& fault) {
     *out_ << absl::StrFormat("%6.1f s  %s for %.1f s, target %d",
                              absl::ToDoubleSeconds(EventLoop::Now() - started_),
@@ -339,6 +364,8 @@
   std::vector<Time> away_until_;
   bool healed_ = false;
   Time started_ = EventLoop::Now();
+  Time last_lag_check_ = EventLoop::Now();
+  Duration longest_lag_;
 };
 
 }  // namespace
