Take lost answers for a full owner only where its answers come late, too

Cause: each loss cut the node's limit at the owner to 0.6, as if a full owner had dropped the request; each timely answer added 0.1. With three losses in ten the limit stays below one request.

Why this works: a full owner has a queue, so its answers are late. While the last answer, at most 2 s old, was in time, a request lost after half of a service time is no sign of fullness. The first late answer ends that.

Test: owner_that_loses_answers_and_answers_others_in_time_is_not_full failed before (a request was not sent).

--- a/src/core/admission/owner_limit.cc
+++ b/src/core/admission/owner_limit.cc
@@ -18,6 +18,8 @@
 /// The lowest limit, as requests per request duration: the node keeps sending to the owner, so that
 /// it notices a recovery.
 constexpr double kMinLimit = 1.0 / 16;
+/// A timely answer shows for this long that the owner has no queue.
+constexpr Duration kTimelyFor = absl::Seconds(2);
 /// A timely answer removes the limit if the last cut is longer ago than this.
 constexpr Duration kLimitExpiry = absl::Seconds(2);
 
@@ -38,6 +40,7 @@
 }
 
 void OwnerLimit::OnAnswer(Time started, bool in_time, Time now) {
+  answered_in_time_at_ = in_time ? now : absl::InfinitePast();
   if (!in_time) {
     Cut(kLateFactor, started, now);
   } else if (limit_ != kUnlimited) {
@@ -51,6 +54,12 @@
   SpaceOut(std::max(service_time, now - started), now);
 }
 
+void OwnerLimit::OnLost(Time started, Duration service_time, Time now) {
+  if (now - answered_in_time_at_ > kTimelyFor) {
+    OnRejected(started, service_time, now);
+  }
+}
+
 bool OwnerLimit::Allows(uint32_t in_flight, Time now) const {
   if (limit_ >= 1) {
     return in_flight + 1 <= limit_;
--- a/src/core/admission/owner_limit.h
+++ b/src/core/admission/owner_limit.h
@@ -23,6 +23,9 @@
   /// Records that the owner rejected or lost a request, as overloaded owners do. `service_time`:
   /// the owner's usual time for one request.
   void OnRejected(Time started, Duration service_time, Time now);
+  /// Records that the owner lost a request that it may have run. Without effect while it answers in
+  /// time: a full owner has a queue and answers late, and one that only loses answers has not.
+  void OnLost(Time started, Duration service_time, Time now);
 
   /// Returns whether another request may be sent while `in_flight` are unanswered.
   bool Allows(uint32_t in_flight, Time now) const;
@@ -41,6 +44,8 @@
   void SpaceOut(Duration elapsed, Time now);
 
   double limit_ = kUnlimited;
+  /// When the last answer came, if it was in time.
+  Time answered_in_time_at_ = absl::InfinitePast();
   Time cut_at_ = absl::InfinitePast();
   Time next_send_ = absl::InfinitePast();
 };
--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -306,6 +306,19 @@
          suspects_.Judge(*request.fingerprint, now).crashes >= quarantine::kCrashesToStopRetries;
 }
 
+void Dispatcher::Impl::UpdateFromLoss(const Attempt& attempt, Time now) {
+  BackendState& backend = *attempt.backend;
+  if (!MayBeFull(backend.load, now)) {
+    return;
+  }
+  const Duration service_time = backend.load.ServiceTime(now);
+  if (EndedImmediately(attempt, now)) {
+    backend.owner_limit.OnRejected(attempt.started, service_time, now);
+  } else {
+    backend.owner_limit.OnLost(attempt.started, service_time, now);
+  }
+}
+
 void Dispatcher::Impl::UpdateFromFailure(const Attempt& attempt, AttemptFailure failure, Time now) {
   BackendState& backend = *attempt.backend;
   switch (failure) {
@@ -324,9 +337,7 @@
       if (EndedImmediately(attempt, now)) {
         backend.load.OnShed({}, now);
       }
-      if (MayBeFull(backend.load, now)) {
-        backend.owner_limit.OnRejected(attempt.started, backend.load.ServiceTime(now), now);
-      }
+      UpdateFromLoss(attempt, now);
       RecordEjection(backend, "connection lost during a request", backend.outlier.OnFailure(now));
       break;
     case AttemptFailure::kTimedOut:
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -114,6 +114,8 @@
   /// Applies the signals in a back end's answer: slow start, back-off, shutdown and rate limit.
   void ApplyBackendSignals(const Attempt& attempt, const AttemptAnswer& answer, Time now);
   void UpdateFromRefusal(const Attempt& attempt, const AttemptAnswer& answer, Time now);
+  /// Updates the limit of an owner from an attempt whose connection was lost.
+  void UpdateFromLoss(const Attempt& attempt, Time now);
   void UpdateFromFailure(const Attempt& attempt, AttemptFailure failure, Time now);
   void RecordEjection(const BackendState& backend, const std::string& cause, Duration time);
   void OnRefused(Request& request, const Attempt& attempt, const AttemptAnswer& answer, Time now);
--- a/tests/unit/forwarding/owner_limit_test.cc
+++ b/tests/unit/forwarding/owner_limit_test.cc
@@ -59,6 +59,12 @@
     Own("s-1");
   }
   SendDecision Send() { return StartAndSend("/scripts/1", absl::Seconds(2), 77); }
+  /// Answers without telling the owner's load.
+  void AnswerOnly(const SendDecision& send) {
+    AttemptAnswer answer;
+    answer.status = 200;
+    dispatcher.OnAttemptAnswer(send.attempt, answer, now);
+  }
 };
 
 /// A full owner may reset a connection long after the request arrived, without reporting its load.
@@ -90,6 +96,28 @@
   }
 }
 
+/// Guards against refusals, "the owner is full", at an owner without a queue whose answers are
+/// lost.
+BOOST_FIXTURE_TEST_CASE(owner_that_loses_answers_and_answers_others_in_time_is_not_full, Owned) {
+  for (int round = 0; round < 20; ++round) {
+    std::vector<SendDecision> sent = {Send(), Send(), Send()};
+    for (const SendDecision& send : sent) {
+      Sent(send);
+    }
+    Advance(kServiceTime);
+    AnswerOnly(sent[0]);
+    Fail(sent[1], AttemptFailure::kLost);
+    AnswerOnly(sent[2]);
+    // The lost request is sent again.
+    for (const SendDecision& again : All<SendDecision>()) {
+      Sent(again);
+      Advance(kServiceTime);
+      AnswerOnly(again);
+    }
+    dispatcher.TakeDecisions();
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
