Close the idle connections to a back end that left a request unanswered

What callers saw, by a test: after the open connections to a back end had gone silent, requests waited until their time-out one after the other, as many as there were idle connections.

Cause: only the connection of the unanswered request was closed; the next request took the next dead one.

Why this works: what silenced one connection may have silenced all that carried nothing since. Those are closed with it, and the next request opens a new one. Connections that have carried an answer since stay.

Test: only_the_first_request_waits_on_connections_gone_silent failed before (504 for the second request).

--- a/src/gateway/http/backend_connection.cc
+++ b/src/gateway/http/backend_connection.cc
@@ -261,6 +261,7 @@
   const bool whole_request_sent = written_ == message_size();
   exchange_ = Exchange();
   pending_.clear();
+  answered_at_ = resources_.clock.Now();
   if (surplus) {
     Close("bytes or the end behind an answer");
   } else if (!whole_request_sent) {
@@ -272,7 +273,7 @@
     const Duration usable = answer.keep_alive.has_value()
                                 ? std::min(*answer.keep_alive, kLongestIdle) - settings_.idle_margin
                                 : settings_.idle_timeout;
-    usable_until_ = resources_.clock.Now() + usable;
+    usable_until_ = answered_at_ + usable;
     owner_.OnReusable(self);
   }
   // The next request on this connection may start in here: it finds the connection's true state,
--- a/src/gateway/http/backend_connection.h
+++ b/src/gateway/http/backend_connection.h
@@ -74,6 +74,8 @@
   bool is_open() const { return state_ != State::kClosed; }
   /// An idle connection is not used after this.
   Time usable_until() const { return usable_until_; }
+  /// When it last carried a whole answer.
+  Time answered_at() const { return answered_at_; }
 
  private:
   enum class State { kNew, kConnecting, kIdle, kBusy, kClosed };
@@ -111,6 +113,7 @@
   /// Bytes read and not yet taken.
   std::string pending_;
   Time usable_until_;
+  Time answered_at_ = absl::InfinitePast();
   ReadBuffer buffer_;
 };
 
--- a/src/gateway/http/backend_pool.cc
+++ b/src/gateway/http/backend_pool.cc
@@ -122,6 +122,18 @@
   }
 }
 
+void BackendPool::CloseIdleSince(const std::string& backend, Time sent) {
+  const auto entry = entries_.find(backend);
+  if (entry == entries_.end()) {
+    return;
+  }
+  std::vector<BackendConnectionPtr> old;
+  std::copy_if(
+      entry->second.idle.begin(), entry->second.idle.end(), std::back_inserter(old),
+      [sent](const BackendConnectionPtr& connection) { return connection->answered_at() < sent; });
+  CloseAll(old, "idle while a request got no answer");
+}
+
 void BackendPool::Sweep(Time now) {
   std::vector<BackendConnectionPtr> old;
   for (auto position = entries_.begin(); position != entries_.end();) {
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -17,6 +17,8 @@
 
 namespace {
 
+/// Of an attempt that is cancelled; longer than most requests wait and run at a back end.
+constexpr Duration kSilence = absl::Milliseconds(500);
 /// The timer is never set shorter, so that the loop cannot spin on a time-out that stays due.
 constexpr Duration kShortestTimer = absl::Milliseconds(1);
 constexpr int kNoContent = 204;
@@ -324,6 +326,9 @@
   }
   observer_->OnAttemptCancelled(found->second.message->request_id, found->second.backend);
   const BackendConnectionPtr connection = std::move(found->second.connection);
+  if (resources_.clock.Now() - found->second.sent >= kSilence) {
+    CloseSilent(found->second);
+  }
   attempts_.erase(found);
   if (connection != nullptr) {
     connection->Close("the attempt was cancelled");
@@ -438,6 +443,14 @@
   Arm();
 }
 
+void DataPath::CloseSilent(const Attempt& attempt) {
+  if (attempt.sent != absl::InfiniteFuture()) {
+    // What silenced its connection may have silenced these, each of which would cost another
+    // request its whole time.
+    backends_.CloseIdleSince(attempt.backend, attempt.sent);
+  }
+}
+
 void DataPath::EndLateAttempts(Time now) {
   while (!timeouts_.empty() && timeouts_.top().due <= now) {
     const AttemptHandle handle = timeouts_.top().attempt;
@@ -452,6 +465,7 @@
       continue;
     }
     const BackendConnectionPtr connection = attempt.connection;
+    CloseSilent(attempt);
     connection->Close("no answer in time");
     OnFailure(handle, connecting ? AttemptFailure::kConnectTimeout : AttemptFailure::kTimedOut,
               "time-out");
--- a/src/gateway/http/data_path.h
+++ b/src/gateway/http/data_path.h
@@ -78,7 +78,7 @@
     BackendConnectionPtr connection;
     Time connect_by;
     Time answer_by;
-    Time sent;
+    Time sent = absl::InfiniteFuture();
     std::optional<BackendAnswer> answer;
     Duration duration;
   };
@@ -122,6 +122,8 @@
   void Arm();
   void OnTimer();
   void EndLateAttempts(Time now);
+  /// Closes the idle connections to the back end that left the attempt without an answer.
+  void CloseSilent(const Attempt& attempt);
   /// Makes the probes that are due, and tells what was learned of suspects.
   void FollowSuspects();
 
--- a/tests/unit/gateway_http/backend_faults_test.cc
+++ b/tests/unit/gateway_http/backend_faults_test.cc
@@ -156,6 +156,42 @@
   BOOST_TEST(node.backend.connections.size() == 2U);
 }
 
+// Guards against requests that wait out their time one after the other on connections that have all
+// gone silent.
+BOOST_AUTO_TEST_CASE(only_the_first_request_waits_on_connections_gone_silent) {
+  Node node;
+  std::vector<TestSocketPtr> callers;
+  for (const char* id : {"1", "2", "3"}) {
+    callers.push_back(node.Connect());
+    callers.back()->Send(Node::Get(id));
+  }
+  // All three are with the back end at once, on a connection each.
+  const auto answer = node.backend.on_request;
+  std::vector<std::pair<TestSocket*, std::string>> held;
+  node.backend.on_request = [&held](TestSocket& socket, const std::string& request) {
+    held.emplace_back(&socket, request);
+  };
+  node.WaitUntil([&held] { return held.size() == 3; });
+  for (const auto& [socket, request] : held) {
+    answer(*socket, request);
+  }
+  for (const TestSocketPtr& caller : callers) {
+    node.WaitForAnswer(caller);
+  }
+  BOOST_TEST(node.data_path.backend_connection_count() == 3U);
+  node.backend.on_request = [&](TestSocket& socket, const std::string& request) {
+    const bool silent = std::any_of(held.begin(), held.end(),
+                                    [&socket](const auto& one) { return one.first == &socket; });
+    if (!silent) {
+      answer(socket, request);
+    }
+  };
+  const std::string deadline = "T-Deadline-Ms: 200\r\n";
+  BOOST_TEST(node.Ask(callers[0], "4", "/order/x", deadline).starts_with("HTTP/1.1 504 "));
+  BOOST_TEST(BodyOf(node.Ask(callers[1], "5", "/order/x", deadline)) == "done");
+  BOOST_TEST(node.backend.connections.size() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(a_lost_request_runs_again_only_where_it_may) {
   Node node;
   int resets = 0;
