Leave the lease to fast machines after an outage in which its holder ended

Cause: the delay of slow machines did not apply to the challenge of a holder known to have ended: the first read that succeeded after the outage challenged, at whichever machine.

Why this works: a slow machine's first successful read after failed ones only schedules a second one, after its delay; a fast machine that reads meanwhile has taken the lease by then.

Test: SlowMachineLeavesTheLeaseToFastOnesAfterAnOutage failed before (it challenged at once).

--- a/src/core/ownership/holder_watch.cc
+++ b/src/core/ownership/holder_watch.cc
@@ -128,12 +128,18 @@
 }
 
 bool HolderWatch::OnRow(const std::optional<LeaseRow>& row, store::RowVersion version, Time now) {
+  const bool was_unavailable = std::exchange(store_was_unavailable_, false);
   if (!row || row->incarnation == self_.incarnation || row->peer_address == self_.peer_address ||
       HasEnded(row->incarnation)) {
-    return true;
+    // The first read after an outage succeeds at a random time, at a slow machine as at a fast one.
+    const bool leaves_to_others =
+        was_unavailable && settings_.challenge_delay > absl::ZeroDuration();
+    if (leaves_to_others) {
+      read_due_ = now + settings_.challenge_delay;
+    }
+    return !leaves_to_others;
   }
   const Duration timeout = settings_.heartbeat_timeout;
-  const bool was_unavailable = std::exchange(store_was_unavailable_, false);
   if (version == observed_version_ && now - observed_at_ >= timeout) {
     if (was_unavailable) {
       read_due_ = now + kStoreRecoveryGrace + ChallengeDelay(kStoreRecoveryGrace * kEndedSpread);
--- a/tests/unit/ownership/outage_test.cc
+++ b/tests/unit/ownership/outage_test.cc
@@ -176,6 +176,22 @@
   BOOST_TEST(watch.OnRow(row, 40, recovered));
 }
 
+/// Guards against a slow machine that takes the lease because its read was the first to succeed
+/// after an outage in which the holder's process ended.
+BOOST_AUTO_TEST_CASE(SlowMachineLeavesTheLeaseToFastOnesAfterAnOutage) {
+  CoordinatorSettings settings;
+  settings.challenge_delay = absl::Milliseconds(400);
+  HolderWatch watch(settings, {7, "node", {"node", 7}});
+  const LeaseRow row{3, 9, 1, {"node", 9}};
+  watch.OnHeartbeat({3, 9, {"node", 9}, 40}, kStart);
+  watch.OnEnded(9, kStart);
+  watch.OnFailure(kStart + absl::Seconds(1));
+  const Time recovered = kStart + absl::Seconds(2);
+  BOOST_TEST(!watch.OnRow(row, 40, recovered));
+  BOOST_TEST((watch.ReadDue() == recovered + settings.challenge_delay));
+  BOOST_TEST(watch.OnRow(row, 40, watch.ReadDue()));
+}
+
 BOOST_AUTO_TEST_CASE(StandbysReadRarelyDuringAnOutageWhileHeartbeatsArrive) {
   Holding holding;
   Harness standby(&holding.store, 2, 2, holding.node.now);
