Confirm copies by the store's version instead of by any answer of the store

What callers saw, by drain_bound_test: with watches that had fallen silent, requests reached an owner for 4.18 s after it had left, where 3 s are allowed: a dead watch of the back ends was trusted for 6 s at the coordinator, whose renewals of the lease went on to confirm the copy to all nodes.

Cause: an answer of the store to any call counted as a sign that a waiting watch had nothing to report.

Why this works: transactions are numbered one after the other. The coordinator knows its own numbers and those of the changes that its watches report; only an answer up to whose number all are explained confirms the copies, and an unexplained one that is not reported within 0.3 s sends the watches anew. Nothing false is confirmed, so watches may wait for 20 s again.

Tests: an_owner_that_leaves_while_the_watches_are_dead_gets_nothing_late failed before (4.18 s).

--- a/src/bench/membership_fleet.cc
+++ b/src/bench/membership_fleet.cc
@@ -253,7 +253,8 @@
   Visit(holder, [this, holder] {
     membership::Membership& core = nodes_[holder]->membership;
     core.OnLeaseHeld(Lease(), now() + kLease - settings_.store_delay, now());
-    core.OnStoreAnswered(now() - settings_.store_delay);
+    const store::RowVersion version = store_->Put("ownership", "lease", "");
+    core.OnStoreAnswered({now() - settings_.store_delay, version, /*wrote=*/true}, now());
   });
   events_.At(now() + kRenewal, [this, holder] {
     if (holder == coordinator_) {
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -382,6 +382,9 @@
 
 void Membership::OnTick(Time now) {
   relay_.OnTick(now);
+  if (relay_.TakeMissedChange()) {
+    actions_.emplace_back(WatchesRestartedAction{});
+  }
   RequestSnapshot(now);
   if (lease_until_ != absl::InfinitePast() && !IsCoordinator(now)) {
     OnLeaseLost(now);
@@ -422,7 +425,7 @@
   }
   const Time next_push = push_wanted_ ? next_push_ : absl::InfiniteFuture();
   return std::min({lease_until_, next_push, next_keep_alive_, next_refresh_,
-                   full_copies_.NextWake(), snapshots_.NextWake()});
+                   full_copies_.NextWake(), snapshots_.NextWake(), relay_.NextWake()});
 }
 
 void Membership::SendKeepAlive(Time now) {
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -120,11 +120,15 @@
 };
 /// Rows of another node were merged into a follower.
 struct TablesMergedAction {};
+/// At the coordinator: watches had not reported a change that the store's version showed, and are
+/// sent anew.
+struct WatchesRestartedAction {};
 using MembershipAction =
     std::variant<SendAction, ReportDueAction, HeartbeatReceivedAction, CoordinatorEndedAction,
                  MapChangedAction, MapConfirmedAction, MembersChangedAction, MembersConfirmedAction,
                  ReportReceivedAction, SuspectsReceivedAction, LimitsReceivedAction,
-                 PermitRequestedAction, PermitAnsweredAction, TablesMergedAction>;
+                 PermitRequestedAction, PermitAnsweredAction, TablesMergedAction,
+                 WatchesRestartedAction>;
 
 class Membership {
  public:
@@ -150,8 +154,10 @@
   void OnResigned(Time now);
   /// Reports a map that this node committed or read; the coordinator sends it to all nodes.
   void OnMap(const ownership::OwnershipMap& map, Time now);
-  /// Reports that the store answered a call of this node's Coordinator, sent at `sent`.
-  void OnStoreAnswered(Time sent) { relay_.OnStoreAnswered(sent); }
+  /// Reports that the store answered a call of this node's Coordinator.
+  void OnStoreAnswered(const store::StoreAnswer& answer, Time now) {
+    relay_.OnStoreAnswered(answer, now);
+  }
   /// Sets the known requests that crash back ends. `own`: the change was observed by this node and
   /// is reported at once; otherwise it was received from another node.
   void OnSuspects(std::vector<quarantine::SuspectRecord> suspects, bool own, Time now);
--- a/src/core/membership/table_relay.cc
+++ b/src/core/membership/table_relay.cc
@@ -79,6 +79,7 @@
     return;
   }
   leading_ = leading;
+  unexplained_.reset();
   standby_until_ = absl::InfinitePast();
   for (store::TableFollower* follower : followers_) {
     if (leading) {
@@ -90,14 +91,70 @@
   SetWatchWaits(now);
 }
 
-void TableRelay::OnTick(Time now) { SetWatchWaits(now); }
+void TableRelay::OnTick(Time now) {
+  SetWatchWaits(now);
+  Audit();
+  if (!unexplained_.has_value()) {
+    return;
+  }
+  if (unexplained_->answer.version <= audit_.explained()) {
+    ConfirmByVersion(unexplained_->answer, now);
+  } else if (now >= NextWake()) {
+    RestartSilentWatches(now);
+  }
+}
+
+Time TableRelay::NextWake() const {
+  if (!unexplained_.has_value()) {
+    return absl::InfiniteFuture();
+  }
+  return std::max(unexplained_->seen + settings_.report_grace,
+                  watch_restarted_at_ + std::max(own_watch_wait_, kMinWatchRestartInterval));
+}
 
 void TableRelay::SetWatchWaits(Time now) {
-  const bool standby = now < standby_until_;
+  const bool long_wait = leading_ || now < standby_until_;
   followers_[kConfigurationTable]->SetWatchWait(
-      standby ? std::max(own_watch_wait_, settings_.standby_watch_wait) : own_watch_wait_, now);
-  followers_[kBackendTable]->SetWatchWait(
-      leading_ ? settings_.coordinator_backend_watch_wait : settings_.backend_watch_wait, now);
+      long_wait ? std::max(own_watch_wait_, settings_.long_watch_wait) : own_watch_wait_, now);
+  followers_[kBackendTable]->SetWatchWait(settings_.backend_watch_wait, now);
+}
+
+void TableRelay::Audit() {
+  for (store::TableFollower* follower : followers_) {
+    for (const store::RowVersion version : follower->TakeChangedVersions()) {
+      audit_.Add(version);
+    }
+  }
+  if (AllKnown()) {
+    audit_.CompleteUpTo(
+        std::min(followers_[kConfigurationTable]->as_of(), followers_[kBackendTable]->as_of()));
+  }
+}
+
+void TableRelay::ConfirmByVersion(const store::StoreAnswer& answer, Time now) {
+  if (answer.version > audit_.explained()) {
+    if (!unexplained_.has_value()) {
+      unexplained_ = Unexplained{answer, now};
+    }
+    return;
+  }
+  unexplained_.reset();
+  for (store::TableFollower* follower : followers_) {
+    follower->Confirm(answer.sent);
+  }
+}
+
+void TableRelay::RestartSilentWatches(Time now) {
+  const Duration silent = now - unexplained_->seen;
+  unexplained_.reset();
+  watch_restarted_at_ = now;
+  for (store::TableFollower* follower : followers_) {
+    // A younger watch was sent after the change and has only not been answered yet.
+    if (follower->WatchAge(now) >= silent) {
+      follower->RestartWatch();
+      missed_change_ = true;
+    }
+  }
 }
 
 void TableRelay::OnResumed() {
@@ -109,19 +166,26 @@
   }
 }
 
-void TableRelay::OnStoreAnswered(Time sent) {
-  // The watches may have been lost like the other call. When the lease outlasts the outage nothing
-  // else reveals it, and a change was reported up to 6 s late.
+void TableRelay::OnStoreAnswered(const store::StoreAnswer& answer, Time now) {
+  // The watches may have been lost like the other call.
   const bool anew = std::exchange(store_unresponsive_, false) && leading_ &&
-                    sent - watch_restarted_at_ >= kMinWatchRestartInterval;
+                    answer.sent - watch_restarted_at_ >= kMinWatchRestartInterval;
   if (anew) {
-    watch_restarted_at_ = sent;
+    watch_restarted_at_ = answer.sent;
     for (store::TableFollower* follower : followers_) {
       follower->RestartWatch();
     }
   }
-  for (store::TableFollower* follower : followers_) {
-    follower->OnStoreAnswered(sent);
+  if (answer.wrote) {
+    audit_.Add(answer.version);
+  }
+  if (!leading_) {
+    for (store::TableFollower* follower : followers_) {
+      follower->OnStoreAnswered(answer.sent);
+    }
+  } else if (answer.version != 0) {
+    Audit();
+    ConfirmByVersion(answer, now);
   }
 }
 
--- a/src/core/membership/table_relay.h
+++ b/src/core/membership/table_relay.h
@@ -8,10 +8,13 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include "core/membership/messages.h"
 #include "core/store/table_follower.h"
+#include "core/store/version_audit.h"
 #include "wire/time.h"
 
 namespace ladderstream::membership {
@@ -26,12 +29,15 @@
   /// send of the report; a pushed heartbeat, whose age is unknown, has a shorter limit.
   Duration max_heartbeat_age = absl::Milliseconds(700);
   Duration max_pushed_heartbeat_age = absl::Milliseconds(600);
-  /// How long the store holds watches. A standby's watch of the configuration is held for long only
-  /// while the coordinator's heartbeats arrive, which reveal a change that a dead watch does not
-  /// report; otherwise the node's own, shorter wait bounds how long a dead watch is trusted.
-  Duration standby_watch_wait = absl::Seconds(20);
-  Duration coordinator_backend_watch_wait = absl::Seconds(5);
+  /// How long the store holds watches for which another sign reveals a change that a dead watch
+  /// does not report: a standby's while the coordinator's heartbeats arrive, and the coordinator's,
+  /// whose transactions tell it the store's version (VersionAudit). Otherwise the node's own,
+  /// shorter wait bounds how long a dead watch is trusted.
+  Duration long_watch_wait = absl::Seconds(20);
   Duration backend_watch_wait = absl::Seconds(20);
+  /// A watch that has not reported a change this long after the store's version showed one is sent
+  /// anew.
+  Duration report_grace = absl::Milliseconds(300);
 };
 
 class TableRelay {
@@ -42,14 +48,18 @@
 
   /// Records whether this node coordinates.
   void OnLeading(bool leading, Time now);
-  /// Sets how long the store holds this node's watch of the configuration while it coordinates or
-  /// no coordinator confirms its copy.
+  /// Sets how long the store holds this node's watch of the configuration while no coordinator
+  /// confirms its copy, and the shortest time between two watches that are sent anew by the audit.
   void SetOwnWatchWait(Duration wait) { own_watch_wait_ = wait; }
-  /// Shortens the waits of a standby that the coordinator's heartbeats no longer reach.
+  /// Shortens the waits of a standby that the coordinator's heartbeats no longer reach, and sends
+  /// watches anew that have missed a change.
   void OnTick(Time now);
-  /// Records that the store answered a call of this node, other than the followers', sent at
-  /// `sent`.
-  void OnStoreAnswered(Time sent);
+  /// Returns when OnTick is due.
+  Time NextWake() const;
+  /// Records that the store answered a call of this node, other than the followers'.
+  void OnStoreAnswered(const store::StoreAnswer& answer, Time now);
+  /// Returns whether watches were sent anew since the last call because they had missed a change.
+  bool TakeMissedChange() { return std::exchange(missed_change_, false); }
   /// Records that the machine was suspended.
   void OnResumed();
   /// Records that another call of this node got no answer.
@@ -79,6 +89,11 @@
   static constexpr size_t kBackendTable = 1;
   static constexpr size_t kTables = 2;
 
+  /// Updates the audit from what the copies hold.
+  void Audit();
+  /// At the coordinator: confirms the copies if they hold every change up to the answer's version.
+  void ConfirmByVersion(const store::StoreAnswer& answer, Time now);
+  void RestartSilentWatches(Time now);
   /// Whether both tables are known; updates are never sent for one table alone.
   bool AllKnown() const;
   /// Adds what a copy that is complete up to `base` lacks; when those changes are no longer known,
@@ -102,6 +117,14 @@
   /// A call got no answer, and no later call has been answered.
   bool store_unresponsive_ = false;
   Time watch_restarted_at_ = absl::InfinitePast();
+  store::VersionAudit audit_;
+  /// An answer at a version that the copies and this node's transactions do not explain.
+  struct Unexplained {
+    store::StoreAnswer answer;
+    Time seen;
+  };
+  std::optional<Unexplained> unexplained_;
+  bool missed_change_ = false;
   /// The versions that the last push brought all copies to.
   std::array<store::RowVersion, kTables> pushed_ = {};
 };
--- a/src/core/store/store_types.h
+++ b/src/core/store/store_types.h
@@ -91,4 +91,13 @@
   std::string detail;
 };
 
+/// What the answer to a call shows of the store beside its outcome.
+struct StoreAnswer {
+  Time sent;
+  /// As StoreReply::version; 0 when the answer does not tell it.
+  RowVersion version = 0;
+  /// The call was a transaction, and `version` is that of its changes.
+  bool wrote = false;
+};
+
 }  // namespace ladderstream::store
--- a/src/core/store/table_follower.cc
+++ b/src/core/store/table_follower.cc
@@ -10,6 +10,8 @@
 
 /// Rows kept of one read before it fails as endless.
 constexpr size_t kMaxRowsRead = 100'000;
+/// Changed versions kept for the next TakeChangedVersions().
+constexpr size_t kMaxChangedVersions = 1024;
 
 const char* NameOfStatus(StoreStatus status) {
   switch (status) {
@@ -314,6 +316,18 @@
                                                             : absl::ZeroDuration();
 }
 
+void TableFollower::Confirm(Time when) {
+  if (known_ && !reading_ && expected_version_ <= as_of_) {
+    last_confirmed_ = std::max(last_confirmed_, when);
+  }
+}
+
+void TableFollower::RecordVersion(RowVersion version) {
+  if (changed_versions_.size() < kMaxChangedVersions) {
+    changed_versions_.push_back(version);
+  }
+}
+
 void TableFollower::RecordChange(const std::string& key, Time changed_after) {
   changed_keys_.insert(key);
   changed_after_ = std::min(changed_after_, changed_after);
@@ -328,6 +342,7 @@
   if (held != rows_.end()) {
     ForgetVersion(held);
   }
+  RecordVersion(row.version);
   const VersionedValue value{row.value, row.version, changed_after};
   by_version_.emplace(row.version, rows_.insert_or_assign(row.key.key, value).first);
   RecordChange(row.key.key, changed_after);
@@ -336,6 +351,7 @@
 void TableFollower::Remove(const Row& row, Time changed_after) {
   newest_change_ = std::max(newest_change_, row.version);
   removals_.Add(row.key.key, row.version, changed_after);
+  RecordVersion(row.version);
   const auto held = rows_.find(row.key.key);
   if (held == rows_.end() || row.version < held->second.version) {
     return;
--- a/src/core/store/table_follower.h
+++ b/src/core/store/table_follower.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -134,6 +135,8 @@
   /// Records that the store answered another call of this node, sent at `sent`. Changes that a
   /// working watch has not reported by then have most likely not happened.
   void OnStoreAnswered(Time sent);
+  /// Records that this copy is known to hold every change that the store had made by `when`.
+  void Confirm(Time when);
   /// Sets the batch pause, so that each of many nodes can call the store less often.
   void SetBatchPause(Duration pause) { settings_.batch_pause = pause; }
   /// Sets the watch wait. Replaces an outstanding watch that would be waited for longer than one
@@ -172,6 +175,9 @@
   /// The reason of the last failed call, for logs.
   const std::string& last_failure() const { return last_failure_detail_; }
 
+  /// Returns the versions of the changes that reached this copy since the last call, without most
+  /// of those that a full read brought.
+  std::vector<RowVersion> TakeChangedVersions() { return std::exchange(changed_versions_, {}); }
   /// Returns the keys whose rows were added, changed or removed since the last call.
   std::vector<std::string> TakeChangedKeys();
   /// None of the changes that the next TakeChangedKeys returns happened before this time; infinite
@@ -211,6 +217,7 @@
   void ForgetVersion(TableRows::iterator row);
   void Remove(const Row& row, Time changed_after);
   void RecordChange(const std::string& key, Time changed_after);
+  void RecordVersion(RowVersion version);
   void StartReading();
   /// Ends a read that was overtaken: the copy has become newer from another source and is complete.
   void OvertakeReading();
@@ -221,6 +228,7 @@
   /// `rows_` by version, so that ChangesSince() does not scan all rows.
   std::multimap<RowVersion, TableRows::iterator> by_version_;
   std::set<std::string> changed_keys_;
+  std::vector<RowVersion> changed_versions_;
   Time changed_after_ = absl::InfiniteFuture();
   Duration watch_age_at_change_;
   bool known_ = false;
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -231,9 +231,10 @@
 
 // Events.
 
-void ControlPlane::OnStoreReply(ownership::CallId call, Time sent, const store::StoreReply& reply) {
+void ControlPlane::OnStoreReply(ownership::CallId call, const store::StoreAnswer& answer,
+                                const store::StoreReply& reply) {
   if (WasAnswered(reply)) {
-    membership_.OnStoreAnswered(sent);
+    membership_.OnStoreAnswered(answer, Now());
   } else if (reply.status == store::StoreStatus::kUnknown) {
     membership_.OnStoreUnanswered();
   }
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -90,7 +90,8 @@
 
  private:
   // Events.
-  void OnStoreReply(ownership::CallId call, Time sent, const store::StoreReply& reply);
+  void OnStoreReply(ownership::CallId call, const store::StoreAnswer& answer,
+                    const store::StoreReply& reply);
   void OnOrderReply(ownership::CallId call, const ownership::OrderReply& reply);
   void OnFollowerReply(store::TableFollower* follower, uint64_t call,
                        const store::StoreReply& reply);
@@ -120,6 +121,7 @@
   void Execute(const membership::PermitRequestedAction& request);
   void Execute(const membership::PermitAnsweredAction& answered);
   void Execute(const membership::TablesMergedAction& merged);
+  void Execute(const membership::WatchesRestartedAction& restarted);
 
   /// Runs all due work until no actions are left, then arms the timer.
   void Pump();
--- a/src/node/control_plane_actions.cc
+++ b/src/node/control_plane_actions.cc
@@ -13,14 +13,15 @@
 void ControlPlane::Execute(const ownership::CommitAction& commit) {
   store_.Execute(commit.transaction, settings_.ownership.store_timeout,
                  [this, call = commit.call, sent = Now()](const store::StoreReply& reply) {
-                   OnStoreReply(call, sent, reply);
+                   const bool wrote = reply.status == store::StoreStatus::kDone;
+                   OnStoreReply(call, {sent, reply.version, wrote}, reply);
                  });
 }
 
 void ControlPlane::Execute(const ownership::ReadAction& read) {
   store_.Read(read.query, settings_.ownership.store_timeout,
               [this, call = read.call, sent = Now()](const store::StoreReply& reply) {
-                OnStoreReply(call, sent, reply);
+                OnStoreReply(call, {sent, reply.version, /*wrote=*/false}, reply);
               });
 }
 
@@ -111,4 +112,8 @@
 
 void ControlPlane::Execute(const membership::TablesMergedAction&) {}
 
+void ControlPlane::Execute(const membership::WatchesRestartedAction&) {
+  beliefs_->OnWatchesRestarted(configuration_follower_.as_of(), backend_follower_.as_of());
+}
+
 }  // namespace ladderstream::node
--- a/src/observability/belief_log.cc
+++ b/src/observability/belief_log.cc
@@ -216,6 +216,13 @@
   store_reached_ = now;
 }
 
+void BeliefLog::OnWatchesRestarted(uint64_t configuration_version, uint64_t backends_version) {
+  log_->Write(EventName::kWatchesRestarted,
+              {EventField(FieldName::kDetail,
+                          absl::StrCat("configuration complete up to ", configuration_version,
+                                       ", back ends up to ", backends_version))});
+}
+
 void BeliefLog::OnStoreMissed(std::string_view reason, Time now) {
   if (std::exchange(store_lost_, true)) {
     return;
--- a/src/observability/belief_log.h
+++ b/src/observability/belief_log.h
@@ -73,6 +73,8 @@
 
   /// Each call of the store tells whether it was reached; lines are written when that changes.
   void OnStoreReached(uint64_t store_version, Time now);
+  /// The versions up to which the copies of both tables were complete.
+  void OnWatchesRestarted(uint64_t configuration_version, uint64_t backends_version);
   void OnStoreMissed(std::string_view reason, Time now);
   bool store_is_lost() const { return store_lost_; }
   /// Calls to the store since the start, by kind. Writes a line only if there were any more.
--- a/src/observability/event_list.h
+++ b/src/observability/event_list.h
@@ -43,6 +43,7 @@
   kCoordinatorBelief,
   kStoreLost,
   kStoreRegained,
+  kWatchesRestarted,
   kStoreCalls,
   kPeerLost,
   kPeerRegained,
--- a/tests/unit/drain_bound/leaving_owner_test.cc
+++ b/tests/unit/drain_bound/leaving_owner_test.cc
@@ -28,6 +28,8 @@
 constexpr char kOwner[] = "owner";
 /// What the settings of the harness allow.
 constexpr Duration kDrainTime = absl::Seconds(2);
+/// Bounds of time hold again this long after open connections fell silent.
+constexpr Duration kContact = absl::Seconds(3);
 
 /// Nodes that hear of back ends from the coordinator and choose owners by what they heard.
 class Fleet {
@@ -139,6 +141,16 @@
   BOOST_TEST((fleet.LastSend(absl::Seconds(3)) < absl::ZeroDuration()));
 }
 
+// Guards against a coordinator that confirms to all nodes, by renewals of its lease, a copy that a
+// dead watch keeps from changing.
+BOOST_AUTO_TEST_CASE(an_owner_that_leaves_while_the_watches_are_dead_gets_nothing_late) {
+  Fleet fleet;
+  fleet.world().store.LoseWatches();
+  fleet.OwnerLeaves();
+  const Duration last = fleet.LastSend(absl::Seconds(8));
+  BOOST_TEST((last <= kContact), "last request after " << absl::FormatDuration(last));
+}
+
 BOOST_AUTO_TEST_CASE(an_owner_that_leaves_in_calm_serves_on_while_its_keys_move) {
   Fleet fleet;
   fleet.OwnerLeaves();
--- a/tests/unit/observability/request_observer_test.cc
+++ b/tests/unit/observability/request_observer_test.cc
@@ -231,6 +231,7 @@
   beliefs.OnStoreMissed("no answer", test.clock.now);
   beliefs.OnStoreMissed("no answer", test.clock.now);
   beliefs.OnStoreReached(100, test.clock.now);
+  beliefs.OnWatchesRestarted(7, 8);
   beliefs.OnStoreCalls({{"read", 3}, {"watch", 1}});
   beliefs.OnPeerLost("brest-1", {"10.0.1.2", 7000}, "brest", "no answer", absl::Seconds(2));
   beliefs.OnPeerRegained("brest-1", {"10.0.1.2", 7000}, "brest", absl::Seconds(3));
