Send the back ends' watch anew when the configuration's had gone dead

What callers saw, by a simulation: a node that no other node reaches learned 20.2 s late of a back end, after its open watches had fallen silent.

Cause: the configuration's watch is trusted for 2.5 s there, the back ends' for 21 s, and nothing that showed the first one to be dead was taken for a sign about the other.

Why this works: open connections mostly fall silent together. Once the configuration's watch is answered again after a failure, the back ends' is replaced if it was sent before. Not earlier: in an outage it would only fail, too.

Test: ChangeOfBackEndsReachesIsolatedNodeAfterItsWatchFellSilent failed before (20.2 s of 3 s).

--- a/src/core/membership/table_relay.cc
+++ b/src/core/membership/table_relay.cc
@@ -93,6 +93,7 @@
 
 void TableRelay::OnTick(Time now) {
   SetWatchWaits(now);
+  RestartAfterFailure(now);
   Audit();
   if (!unexplained_.has_value()) {
     return;
@@ -112,6 +113,19 @@
                   watch_restarted_at_ + std::max(own_watch_wait_, kMinWatchRestartInterval));
 }
 
+void TableRelay::RestartAfterFailure(Time now) {
+  const store::TableFollower& configuration = *followers_[kConfigurationTable];
+  const Time failed = configuration.last_failed();
+  if (failed <= handled_failure_ || configuration.UnansweredSince().has_value()) {
+    return;
+  }
+  handled_failure_ = failed;
+  store::TableFollower& backends = *followers_[kBackendTable];
+  if (now - backends.WatchAge(now) < failed) {
+    backends.RestartWatch();
+  }
+}
+
 void TableRelay::SetWatchWaits(Time now) {
   const bool long_wait = leading_ || now < standby_until_;
   followers_[kConfigurationTable]->SetWatchWait(
--- a/src/core/membership/table_relay.h
+++ b/src/core/membership/table_relay.h
@@ -94,6 +94,9 @@
   /// At the coordinator: confirms the copies if they hold every change up to the answer's version.
   void ConfirmByVersion(const store::StoreAnswer& answer, Time now);
   void RestartSilentWatches(Time now);
+  /// Sends the watch of the back ends anew once the configuration's is answered again after it had
+  /// failed: what silenced one may have silenced the other, which is waited for much longer.
+  void RestartAfterFailure(Time now);
   /// Whether both tables are known; updates are never sent for one table alone.
   bool AllKnown() const;
   /// Adds what a copy that is complete up to `base` lacks; when those changes are no longer known,
@@ -125,6 +128,8 @@
   };
   std::optional<Unexplained> unexplained_;
   bool missed_change_ = false;
+  /// The failure of the configuration's follower that was handled last.
+  Time handled_failure_ = absl::InfinitePast();
   /// The versions that the last push brought all copies to.
   std::array<store::RowVersion, kTables> pushed_ = {};
 };
--- a/src/core/store/table_follower.h
+++ b/src/core/store/table_follower.h
@@ -167,6 +167,8 @@
   /// As WatchAge(), when the newest change arrived from any source: a long wait shows that the
   /// watch should have reported the change before.
   Duration watch_age_at_change() const { return watch_age_at_change_; }
+  /// When a call last failed; infinite past when none has.
+  Time last_failed() const { return last_failure_; }
   /// Whether a call failed within the failure window.
   bool RecentlyFailed(Time now) const;
   /// Returns since when the store has not answered: the first of the consecutive failures, or the
--- a/tests/unit/configuration_bound/silent_watch_test.cc
+++ b/tests/unit/configuration_bound/silent_watch_test.cc
@@ -39,5 +39,20 @@
   BOOST_TEST(world.RunUntil(HoldsNew, absl::Seconds(30)) < kContact);
 }
 
+// Guards against a node that no other node reaches and that learns of a back end that left from a
+// dead watch, which it waits for much longer than for that of the configuration.
+BOOST_AUTO_TEST_CASE(ChangeOfBackEndsReachesIsolatedNodeAfterItsWatchFellSilent) {
+  constexpr uint64_t kIsolated = 7;
+  World world(kNodes, {});
+  world.nodes.at(kIsolated)->isolated = true;
+  world.Run(absl::Seconds(2));
+  world.store.Put("backends", "first");
+  Settle(&world);
+  world.store.LoseWatches();
+  world.store.Put("backends", "new");
+  const auto holds_new = [](const WorldNode& node) { return node.backends.rows().contains("new"); };
+  BOOST_TEST(world.RunUntil(holds_new, absl::Seconds(30)) < kContact);
+}
+
 }  // namespace
 }  // namespace ladderstream::membership
