--- a/src/core/admission/owner_limit.cc
+++ b/src/core/admission/owner_limit.cc
@@ -18,8 +18,8 @@
 /// The lowest limit, as requests per request duration: the node keeps sending to the owner, so that
 /// it notices a recovery.
 constexpr double kMinLimit = 1.0 / 16;
-/// A timely answer shows for this long that the owner has no queue.
-constexpr Duration kTimelyFor = absl::Seconds(2);
+/// For this long after a timely answer, the owner is taken to have no queue.
+constexpr Duration kTimelyAnswerLifetime = absl::Seconds(2);
 /// A timely answer removes the limit if the last cut is longer ago than this.
 constexpr Duration kLimitExpiry = absl::Seconds(2);
 
@@ -55,7 +55,7 @@
 }
 
 void OwnerLimit::OnLost(Time started, Duration service_time, Time now) {
-  if (now - answered_in_time_at_ > kTimelyFor) {
+  if (now - answered_in_time_at_ > kTimelyAnswerLifetime) {
     OnRejected(started, service_time, now);
   }
 }
--- a/src/core/admission/owner_limit.h
+++ b/src/core/admission/owner_limit.h
@@ -23,8 +23,8 @@
   /// Records that the owner rejected or lost a request, as overloaded owners do. `service_time`:
   /// the owner's usual time for one request.
   void OnRejected(Time started, Duration service_time, Time now);
-  /// Records that the owner lost a request that it may have run. Without effect while it answers in
-  /// time: a full owner has a queue and answers late, and one that only loses answers has not.
+  /// Records that the owner lost a request that it may have run. Has no effect while the owner
+  /// answers in time: a full owner has a queue, so its answers are late.
   void OnLost(Time started, Duration service_time, Time now);
 
   /// Returns whether another request may be sent while `in_flight` are unanswered.
@@ -44,7 +44,7 @@
   void SpaceOut(Duration elapsed, Time now);
 
   double limit_ = kUnlimited;
-  /// When the last answer came, if it was in time.
+  /// When the last answer arrived, if it was in time; infinite past otherwise.
   Time answered_in_time_at_ = absl::InfinitePast();
   Time cut_at_ = absl::InfinitePast();
   Time next_send_ = absl::InfinitePast();
--- a/src/core/membership/table_relay.cc
+++ b/src/core/membership/table_relay.cc
@@ -181,7 +181,8 @@
 }
 
 void TableRelay::OnStoreAnswered(const store::StoreAnswer& answer, Time now) {
-  // The watches may have been lost like the other call.
+  // The watches may have been lost like the other call, and the store's version would reveal it
+  // only at the next change. A change was once reported 6 s late.
   const bool anew = std::exchange(store_unresponsive_, false) && leading_ &&
                     answer.sent - watch_restarted_at_ >= kMinWatchRestartInterval;
   if (anew) {
--- a/src/core/store/table_follower.h
+++ b/src/core/store/table_follower.h
@@ -177,8 +177,8 @@
   /// The reason of the last failed call, for logs.
   const std::string& last_failure() const { return last_failure_detail_; }
 
-  /// Returns the versions of the changes that reached this copy since the last call, without most
-  /// of those that a full read brought.
+  /// Returns the versions of the changes that reached this copy since the last call; after a full
+  /// read, not all of them.
   std::vector<RowVersion> TakeChangedVersions() { return std::exchange(changed_versions_, {}); }
   /// Returns the keys whose rows were added, changed or removed since the last call.
   std::vector<std::string> TakeChangedKeys();
--- a/src/core/store/version_audit.cc
+++ b/src/core/store/version_audit.cc
@@ -3,7 +3,7 @@
 namespace ladderstream::store {
 namespace {
 
-/// The lowest versions beyond are forgotten, and then explained by CompleteUpTo() only.
+/// Beyond this many, the lowest versions are dropped; only CompleteUpTo() explains them then.
 constexpr size_t kMaxKnown = 4096;
 
 }  // namespace
--- a/src/gateway/http/backend_connection.h
+++ b/src/gateway/http/backend_connection.h
@@ -74,7 +74,7 @@
   bool is_open() const { return state_ != State::kClosed; }
   /// An idle connection is not used after this.
   Time usable_until() const { return usable_until_; }
-  /// When it last carried a whole answer.
+  /// When it last carried a complete answer; infinite past when it has not.
   Time answered_at() const { return answered_at_; }
 
  private:
--- a/src/gateway/http/backend_pool.h
+++ b/src/gateway/http/backend_pool.h
@@ -30,8 +30,8 @@
   /// connection. The exchange may be over when this returns.
   BackendConnectionPtr Start(const std::string& backend, const Endpoint& address,
                              Exchange exchange);
-  /// Closes the idle connections to a back end that left a request of `sent` without an answer, but
-  /// for those that have carried an answer since.
+  /// Closes the idle connections to a back end that left a request sent at `sent` unanswered,
+  /// except those that have carried an answer since.
   void CloseIdleSince(const std::string& backend, Time sent);
   /// Closes idle connections that are too old.
   void Sweep(Time now);
