--- a/src/gateway/http/backend_connection.cc
+++ b/src/gateway/http/backend_connection.cc
@@ -44,6 +44,9 @@
   if (!error) {
     BoundSilence(socket_, settings_.user_timeout, error);
   }
+  if (!error) {
+    BindSource(socket_, settings_.source_host, error);
+  }
   if (error) {
     Fail(AttemptFailure::kNotSent, "no socket");
     return;
--- a/src/gateway/http/backend_probes.cc
+++ b/src/gateway/http/backend_probes.cc
@@ -18,8 +18,8 @@
   bool ended = false;
 };
 
-BackendProbes::BackendProbes(EventLoop& loop, Callback on_result)
-    : loop_(loop), on_result_(std::move(on_result)) {}
+BackendProbes::BackendProbes(EventLoop& loop, std::string source_host, Callback on_result)
+    : loop_(loop), source_host_(std::move(source_host)), on_result_(std::move(on_result)) {}
 
 BackendProbes::~BackendProbes() {
   for (const auto& [backend, probe] : probes_) {
@@ -47,7 +47,11 @@
       end(boost::asio::error::timed_out);
     }
   });
-  probe->socket.async_connect(ToTcpEndpoint(address), end);
+  const Tcp::endpoint endpoint = ToTcpEndpoint(address);
+  ErrorCode ignored;
+  probe->socket.open(endpoint.protocol(), ignored);
+  BindSource(probe->socket, source_host_, ignored);
+  probe->socket.async_connect(endpoint, end);
 }
 
 void BackendProbes::End(const std::string& backend, const ErrorCode& error) {
--- a/src/gateway/http/backend_probes.h
+++ b/src/gateway/http/backend_probes.h
@@ -18,7 +18,8 @@
   /// Whether the connection was refused; not told when neither came in time.
   using Callback = std::function<void(const std::string& backend, bool refused)>;
 
-  BackendProbes(EventLoop& loop, Callback on_result);
+  /// `source_host`: see BindSource.
+  BackendProbes(EventLoop& loop, std::string source_host, Callback on_result);
   /// Ends all probes without a word.
   ~BackendProbes();
 
@@ -30,6 +31,7 @@
   void End(const std::string& backend, const ErrorCode& error);
 
   EventLoop& loop_;
+  const std::string source_host_;
   Callback on_result_;
   std::map<std::string, std::shared_ptr<Probe>> probes_;
 };
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -37,7 +37,7 @@
       observer_(observer != nullptr ? observer : &no_observer_),
       timer_(loop.get_executor()),
       next_sweep_(clock.Now() + settings.sweep_interval),
-      probes_(loop,
+      probes_(loop, settings.backends.source_host,
               [this](const std::string& backend, bool refused) {
                 quarantine::CrashSuspects& suspects = dispatcher_.suspects();
                 if (refused) {
--- a/src/gateway/http/data_path_settings.h
+++ b/src/gateway/http/data_path_settings.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 #include "wire/identifiers.h"
 #include "wire/time.h"
@@ -24,6 +25,8 @@
   Duration user_timeout = absl::Seconds(2);
   /// The longest body of an answer, in bytes.
   size_t max_answer_bytes = 64U << 20U;
+  /// See BindSource.
+  std::string source_host;
 };
 
 struct CallerServerSettings {
--- a/src/gateway/http/event_loop.cc
+++ b/src/gateway/http/event_loop.cc
@@ -21,6 +21,8 @@
 using KeepAliveIdle = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
 using KeepAliveInterval = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
 using KeepAliveCount = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+using BindAddressOnly =
+    boost::asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>;
 using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 }  // namespace
@@ -42,6 +44,20 @@
   }
 }
 
+void BindSource(Socket& socket, const std::string& host, ErrorCode& error) {
+  if (host.empty()) {
+    return;
+  }
+  const auto address = boost::asio::ip::make_address(host, error);
+  if (!error) {
+    // Leaves the port to the connect, which may share ports between destinations.
+    socket.set_option(BindAddressOnly(true), error);
+  }
+  if (!error) {
+    socket.bind({address, 0}, error);
+  }
+}
+
 void BoundSilence(Socket& socket, Duration timeout, ErrorCode& error) {
   socket.set_option(UserTimeout(static_cast<int>(absl::ToInt64Milliseconds(timeout))), error);
   const auto set = [&](const auto& option) {
--- a/src/gateway/http/event_loop.h
+++ b/src/gateway/http/event_loop.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
+#include <string>
 
 #include "gateway/http/boot_timer.h"
 #include "gateway/http/byte_budget.h"
@@ -49,6 +50,10 @@
 /// Sends small writes at once and makes every call return at once.
 void PrepareSocket(Socket& socket, ErrorCode& error);
 
+/// Makes the connection come from this IP address; leaves the choice to the system when it is
+/// empty.
+void BindSource(Socket& socket, const std::string& host, ErrorCode& error);
+
 /// Gives a connection up when bytes stay unacknowledged for `timeout`, also while connecting, and
 /// when nothing at all comes back any more, also while it is idle.
 void BoundSilence(Socket& socket, Duration timeout, ErrorCode& error);
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -25,6 +25,8 @@
   Duration user_timeout = absl::Seconds(2);
   /// The longest body of an answer, in bytes.
   size_t max_answer_bytes = 16U << 20U;
+  /// See BindSource.
+  std::string source_host;
 };
 
 enum class CallOutcome {
--- a/src/gateway/http/http_client_connection.cc
+++ b/src/gateway/http/http_client_connection.cc
@@ -78,6 +78,9 @@
   if (!error) {
     BoundSilence(socket_, client_.settings_.user_timeout, error);
   }
+  if (!error) {
+    BindSource(socket_, client_.settings_.source_host, error);
+  }
   if (error) {
     FailSoon("no socket");
     return;
--- a/src/gateway/settings/node_settings.cc
+++ b/src/gateway/settings/node_settings.cc
@@ -61,6 +61,7 @@
   reader->ReadText("node.name", kRequired, &settings->name);
   reader->ReadText("node.zone", kRequired, &settings->zone);
   reader->ReadText("node.region", kOptional, &settings->region);
+  reader->ReadText("node.source_host", kOptional, &settings->source_host);
   reader->ReadChoice("node.log_level", kOptional, {"debug", "info", "warning", "error"},
                      &settings->log_level);
   reader->ReadEndpoint("listen.callers", kRequired, &settings->listen.callers);
--- a/src/gateway/settings/node_settings.h
+++ b/src/gateway/settings/node_settings.h
@@ -89,6 +89,9 @@
   std::string name;
   std::string zone;
   std::string region;
+  /// IP address that connections to back ends and to the store are made from; chosen by the system
+  /// when empty.
+  std::string source_host;
   /// "debug", "info", "warning" or "error".
   std::string log_level = "info";
   ListenAddresses listen;
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -88,6 +88,12 @@
   return peers;
 }
 
+gateway::HttpClientSettings HttpClientSettingsOf(const gateway::NodeSettings& settings) {
+  gateway::HttpClientSettings client;
+  client.source_host = settings.source_host;
+  return client;
+}
+
 membership::MembershipSettings MembershipSettingsOf(const gateway::NodeSettings& settings,
                                                     uint64_t seed) {
   membership::MembershipSettings membership = settings.membership;
@@ -138,7 +144,7 @@
       beliefs_(beliefs),
       metrics_(metrics),
       listener_(listener),
-      client_(resources->loop, resources->clock, {}),
+      client_(resources->loop, resources->clock, HttpClientSettingsOf(settings)),
       exchanger_(&client_),
       store_(resources, &exchanger_, adapter_, StoreSettingsOf(settings)),
       orders_(&client_, adapter_.get(), settings.ownership.order_timeout, kReleaseTimeout,
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -46,6 +46,7 @@
 gateway::DataPathSettings DataPathSettingsOf(const gateway::NodeSettings& settings) {
   gateway::DataPathSettings data_path;
   data_path.callers.listen = settings.listen.callers;
+  data_path.backends.source_host = settings.source_host;
   const uint32_t descriptors = settings.limits.descriptors;
   data_path.callers.max_connections =
       descriptors > 2 * kReservedDescriptors ? descriptors - kReservedDescriptors : descriptors / 2;
--- a/src/standin/fleet/backend.h
+++ b/src/standin/fleet/backend.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -99,6 +100,8 @@
   /// Stays silent on every connection, old and new; sends no heartbeat.
   void Freeze();
   void Thaw();
+  /// Cuts off the clients at these addresses; see HttpServer::CutOff.
+  void CutOff(const std::set<std::string>& sources, CutMode mode) { server_.CutOff(sources, mode); }
   /// Keeps serving, and its heartbeats do not reach the store.
   void CutFromStore(bool cut) { cut_from_store_ = cut; }
   /// Announces (or, if not, just signs off) that it leaves, serves on for `serve_on` after the
--- a/src/standin/fleet/fleet.cc
+++ b/src/standin/fleet/fleet.cc
@@ -58,9 +58,39 @@
   context.random = &random_;
   backends_.push_back(
       std::make_unique<Backend>(context, Spec(service), &ledgers_[service], zone, listen));
+  if (!cut_sources_.empty()) {
+    backends_.back()->CutOff(cut_sources_, cut_mode_);
+  }
   return *backends_.back();
 }
 
+void Fleet::CutOffFromBackends(const std::set<size_t>& nodes, CutMode mode) {
+  const Time now = EventLoop::Now();
+  for (PathCut& cut : history_.path_cuts) {
+    cut.until = std::min(cut.until, now);
+  }
+  if (!nodes.empty()) {
+    history_.path_cuts.push_back({.nodes = nodes, .from = now});
+  }
+  for (Disturbance& disturbance : history_.disturbances) {
+    if (disturbance.kind == DisturbanceKind::kBackendPath) {
+      disturbance.until = std::min(disturbance.until, now);
+    }
+  }
+  cut_sources_.clear();
+  for (const size_t node : nodes) {
+    history_.disturbances.push_back(
+        {.from = now, .node = node, .kind = DisturbanceKind::kBackendPath});
+    cut_sources_.insert(sources_.at(node));
+  }
+  cut_mode_ = mode;
+  for (const auto& backend : backends_) {
+    if (!backend->ended()) {
+      backend->CutOff(cut_sources_, mode);
+    }
+  }
+}
+
 Backend& Fleet::Replace(const Backend& ended, const std::string& service) {
   return AddBackend(service, ended.zone(), ended.address());
 }
--- a/src/standin/fleet/fleet.h
+++ b/src/standin/fleet/fleet.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,11 @@
   /// Whether every key of every sharded service is held by somebody.
   bool AllKeysHeld();
 
+  /// Sets the source address of a node's connections to back ends.
+  void SetSource(size_t node, const std::string& source) { sources_[node] = source; }
+  /// Cuts these nodes off from all back ends, and no others; an empty set ends that.
+  void CutOffFromBackends(const std::set<size_t>& nodes, CutMode mode);
+
   /// From now until Calm(), bounds of time do not bind.
   void Disturb();
   /// The same for a time, for one node or, if empty, for all.
@@ -84,6 +90,10 @@
   std::unique_ptr<NodePool> nodes_;
   std::unique_ptr<Callers> callers_;
   std::map<std::string, HandoverLedger> ledgers_;
+  std::map<size_t, std::string> sources_;
+  /// Of the nodes that are cut off.
+  std::set<std::string> cut_sources_;
+  CutMode cut_mode_ = CutMode::kSilent;
   /// Ended ones stay: the loop may still call them.
   std::vector<std::unique_ptr<Backend>> backends_;
 };
--- a/src/standin/fleet/history.h
+++ b/src/standin/fleet/history.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,8 @@
   kStoreFailing,
   /// The store is disturbed in another way: the bound is longer.
   kStoreUnstable,
+  /// A node does not reach the back ends.
+  kBackendPath,
 };
 
 /// A time during which nodes or the store were disturbed, so that bounds of time do not bind.
@@ -100,6 +103,14 @@
   DisturbanceKind kind = DisturbanceKind::kNode;
 };
 
+/// A time during which nodes did not reach any back end, while callers, the store and the other
+/// nodes reached them.
+struct PathCut {
+  std::set<size_t> nodes;
+  Time from;
+  Time until = absl::InfiniteFuture();
+};
+
 /// A process of a node started.
 struct NodeStart {
   size_t node = 0;
@@ -143,6 +154,7 @@
   std::vector<LeaveEvent> leaves;
   std::vector<ConfigurationEvent> configurations;
   std::vector<Disturbance> disturbances;
+  std::vector<PathCut> path_cuts;
   std::vector<NodeStart> starts;
   std::deque<Attempt> attempts;
   std::deque<CallRecord> calls;
--- a/src/standin/fleet/http_server.cc
+++ b/src/standin/fleet/http_server.cc
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "standin/fleet/packet_filter.h"
 #include "wire/result_code.h"
 
 namespace ladderstream::fleet {
@@ -74,6 +75,9 @@
   size_t most_connections = SIZE_MAX;
   Duration idle_timeout = absl::InfiniteDuration();
   uint64_t accepted = 0;
+  /// Clients at these addresses are cut off, and whether their open connections live on.
+  std::set<std::string> cut_sources;
+  bool cut_spares_open = false;
   bool paused = false;
   bool leaving = false;
   bool accepting = false;
@@ -121,8 +125,22 @@
     Read();
   }
 
+  /// Follows a change of the sources that are cut off.
+  void UpdateCut(CutMode mode) {
+    if (mode == CutMode::kReset && IsCutOff()) {
+      Reset();
+      return;
+    }
+    DropPacketsFrom(socket_.native_handle(), mode == CutMode::kNewConnections
+                                                 ? std::set<std::string>()
+                                                 : server_->cut_sources);
+    if (!IsCutOff() && !server_->paused) {
+      Resume();
+    }
+  }
+
   void Write(std::string bytes) {
-    if (server_->paused) {
+    if (server_->paused || IsCutOff()) {
       held_writes_.push_back(std::move(bytes));
       return;
     }
@@ -160,6 +178,10 @@
     }
   }
 
+  bool IsCutOff() const {
+    return !server_->cut_spares_open && server_->cut_sources.contains(source_);
+  }
+
   bool idle() const { return exchange_ == nullptr && held_ == nullptr && outgoing_.empty(); }
 
  private:
@@ -321,6 +343,9 @@
   }
   state_->endpoint.port = state_->acceptor.local_endpoint().port();
   state_->leaving = false;
+  if (!state_->cut_sources.empty()) {
+    DropPacketsFrom(state_->acceptor.native_handle(), state_->cut_sources);
+  }
   Accept();
 }
 
@@ -387,6 +412,18 @@
   state_->loop->After(absl::ZeroDuration(), [this] { Accept(); });
 }
 
+void HttpServer::CutOff(const std::set<std::string>& sources, CutMode mode) {
+  state_->cut_sources = sources;
+  state_->cut_spares_open = mode == CutMode::kNewConnections;
+  if (state_->acceptor.is_open()) {
+    DropPacketsFrom(state_->acceptor.native_handle(), sources);
+  }
+  const auto connections = state_->connections;
+  for (const auto& connection : connections) {
+    connection->UpdateCut(mode);
+  }
+}
+
 void HttpServer::LimitConnections(size_t most) { state_->most_connections = most; }
 
 void HttpServer::SetIdleTimeout(Duration timeout) { state_->idle_timeout = timeout; }
--- a/src/standin/fleet/http_server.h
+++ b/src/standin/fleet/http_server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -15,6 +16,17 @@
 
 class ServerConnection;
 
+/// How clients at some addresses are cut off from a server. In each way, new connections do not
+/// come up.
+enum class CutMode : uint8_t {
+  /// Open connections say nothing more.
+  kSilent,
+  /// Open connections are reset.
+  kReset,
+  /// Open connections live on.
+  kNewConnections,
+};
+
 /// A request that waits for its answer. At most one of the answering functions is called.
 class Exchange {
  public:
@@ -65,6 +77,8 @@
   /// While paused: connections come up, yet nothing is accepted, read or answered.
   void Pause();
   void Resume();
+  /// Cuts off the clients at these IPv4 addresses, and no others; an empty set ends that.
+  void CutOff(const std::set<std::string>& sources, CutMode mode);
   /// Connections above this many are reset.
   void LimitConnections(size_t most);
   /// Idle connections are closed after this.
--- a/src/standin/fleet/judge.cc
+++ b/src/standin/fleet/judge.cc
@@ -12,6 +12,7 @@
 #include "standin/fleet/judge_budget.h"
 #include "standin/fleet/judge_configuration.h"
 #include "standin/fleet/judge_ownership.h"
+#include "standin/fleet/judge_paths.h"
 #include "standin/fleet/judge_wishes.h"
 
 namespace ladderstream::fleet {
@@ -377,6 +378,7 @@
           {"over_budget", &over_budget},
           {"overtime", &overtime},
           {"lingering", &lingering},
+          {"unserved_when_cut", &unserved_when_cut},
           {"outdated", &outdated},
           {"regressed", &regressed},
           {"past_timeout", &past_timeout},
@@ -406,6 +408,7 @@
   JudgeBudget(history, bounds, &verdict);
   JudgeWishes(history, bounds, &verdict);
   JudgeConfiguration(history, bounds, &verdict);
+  JudgePaths(history, bounds, &verdict);
   return verdict;
 }
 
--- a/src/standin/fleet/judge.h
+++ b/src/standin/fleet/judge.h
@@ -97,6 +97,8 @@
   Violations overtime;
   /// Gone on with after its caller had gone.
   Violations lingering;
+  /// Not served at nodes that were cut off from all back ends while the others served.
+  Violations unserved_when_cut;
 
   /// Whether nothing happened that must never happen.
   bool IsClean() const;
--- a/src/standin/fleet/main/soak_main.cc
+++ b/src/standin/fleet/main/soak_main.cc
@@ -24,7 +24,8 @@
 DEFINE_string(
     faults, "single",
     "single; series: many of them in series that overlap; rests: back ends that ask for rest; "
-    "limits: back ends that name limits; changes: routes that change");
+    "limits: back ends that name limits; changes: routes that change; paths: nodes that lose the "
+    "path to back ends");
 DEFINE_double(seconds, 30, "how long faults strike");
 DEFINE_uint64(seed, 1, "of the faults and the load");
 DEFINE_string(schedule, "", "a file with the faults; empty: drawn by the seed");
@@ -49,6 +50,9 @@
     if (FLAGS_faults == "limits") {
       return DrawLimits(FLAGS_seed, length);
     }
+    if (FLAGS_faults == "paths") {
+      return DrawPathCuts(FLAGS_seed, length);
+    }
     if (FLAGS_faults == "changes") {
       return DrawChanges(FLAGS_seed, length);
     }
@@ -68,9 +72,9 @@
   standin::FlagChecks checks;
   checks.Require(FLAGS_nodes >= 1 && FLAGS_nodes <= kMostNodes, "nodes",
                  std::to_string(FLAGS_nodes), "1 to 300");
-  const std::set<std::string> faults = {"single", "series", "rests", "limits", "changes"};
+  const std::set<std::string> faults = {"single", "series", "rests", "limits", "changes", "paths"};
   checks.Require(faults.contains(FLAGS_faults), "faults", FLAGS_faults,
-                 "single, series, rests, limits or changes");
+                 "single, series, rests, limits, changes or paths");
   checks.Require(FLAGS_seconds > 0 && FLAGS_seconds <= kMostSeconds, "seconds",
                  std::to_string(FLAGS_seconds), "more than 0, at most 3600");
   checks.ExitOnFaults();
--- a/src/standin/fleet/node_processes.cc
+++ b/src/standin/fleet/node_processes.cc
@@ -23,6 +23,12 @@
   return Quoted(absl::StrCat(absl::ToInt64Milliseconds(duration), "ms"));
 }
 
+/// An address of the loopback network of its own.
+std::string SourceOf(size_t index) {
+  constexpr size_t kHosts = 250;
+  return absl::StrCat("127.1.", 1 + index / kHosts, ".", 1 + index % kHosts);
+}
+
 }  // namespace
 
 std::string NodeProgramOr(const std::string& given) {
@@ -51,6 +57,8 @@
     node.peers = standin::FreeEndpoint();
     node.peers_advertised = node.peers;
     node.metrics = standin::FreeEndpoint();
+    node.source = SourceOf(index);
+    fleet->SetSource(index, node.source);
     nodes_.push_back(node);
   }
 }
@@ -64,6 +72,7 @@
   }
   return absl::StrCat(
       "[node]\nname = ", Quoted(node.name), "\nzone = ", Quoted(node.zone),
+      "\nsource_host = ", Quoted(node.source),
       "\n\n[listen]\ncallers = ", Quoted(node.address.front),
       "\nreadiness = ", Quoted(node.address.readiness), "\npeers = ", Quoted(node.peers),
       "\npeers_advertised = ", Quoted(node.peers_advertised), "\nmetrics = ", Quoted(node.metrics),
--- a/src/standin/fleet/node_processes.h
+++ b/src/standin/fleet/node_processes.h
@@ -19,6 +19,8 @@
   /// Where other nodes are told to reach it.
   Endpoint peers_advertised;
   Endpoint metrics;
+  /// The IP address that its connections to back ends come from.
+  std::string source;
 };
 
 class NodeProcesses {
--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -3,10 +3,12 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
+#include <cmath>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -39,6 +41,9 @@
 constexpr Duration kCompaction = absl::Seconds(1);
 /// Of the nodes, those that the store turns away.
 constexpr size_t kRefusedOneIn = 3;
+/// Of the nodes, those that lose the path to the back ends.
+constexpr double kHalf = 0.5;
+constexpr double kCutShares[] = {0.3, 0.6, 0.9};
 
 class Soak {
  public:
@@ -117,7 +122,9 @@
                              std::string(NameOf(fault.kind)), absl::ToDoubleSeconds(fault.lasts),
                              fault.target)
           << std::endl;
-    if (fault.kind >= FaultKind::kRouteChanges) {
+    if (fault.kind >= FaultKind::kNodesCutOff) {
+      StrikePaths(fault);
+    } else if (fault.kind >= FaultKind::kRouteChanges) {
       StrikeConfiguration(fault);
     } else if (fault.kind <= FaultKind::kNodeReloads) {
       StrikeNodes(fault);
@@ -216,6 +223,46 @@
     }
   }
 
+  void StrikePaths(const SoakFault& fault) {
+    constexpr CutMode kModes[] = {CutMode::kSilent, CutMode::kReset, CutMode::kNewConnections};
+    const std::set<size_t> nodes = NodesToCut(fault);
+    cut_mode_ = kModes[fault.target % std::size(kModes)];
+    cut_nodes_.insert(nodes.begin(), nodes.end());
+    ApplyCuts();
+    Later(fault.lasts, [this, nodes] {
+      for (const size_t node : nodes) {
+        cut_nodes_.erase(cut_nodes_.find(node));
+      }
+      ApplyCuts();
+    });
+  }
+
+  /// At least one node is spared.
+  std::set<size_t> NodesToCut(const SoakFault& fault) {
+    const size_t count = nodes_.count();
+    std::set<size_t> nodes;
+    if (fault.kind == FaultKind::kZoneCutOff) {
+      const size_t zones = fleet_.settings().zones.size();
+      for (size_t node = fault.target % zones; node < count; node += zones) {
+        nodes.insert(node);
+      }
+      return nodes;
+    }
+    const bool with_coordinator = fault.kind == FaultKind::kCoordinatorCutOff;
+    const size_t first = with_coordinator
+                             ? fleet_.store().last_conditional_writer().value_or(0) % count
+                             : fault.target % count;
+    const double share =
+        with_coordinator ? kHalf : kCutShares[fault.target % std::size(kCutShares)];
+    const auto wanted = static_cast<size_t>(std::ceil(share * static_cast<double>(count)));
+    for (size_t i = 0; i < std::min(wanted, count - 1); ++i) {
+      nodes.insert((first + i) % count);
+    }
+    return nodes;
+  }
+
+  void ApplyCuts() { fleet_.CutOffFromBackends({cut_nodes_.begin(), cut_nodes_.end()}, cut_mode_); }
+
   void RefuseSome(const SoakFault& fault) {
     constexpr StoreOutage kOutages[] = {StoreOutage::kSilent, StoreOutage::kReset,
                                         StoreOutage::kUnavailable, StoreOutage::kThrottled};
@@ -301,6 +348,8 @@
   void Heal() {
     healed_ = true;
     proxy_.SetFaults("", "", {});
+    cut_nodes_.clear();
+    ApplyCuts();
     fleet_.store().Heal();
     for (size_t node = 0; node < nodes_.count(); ++node) {
       away_until_[node] = absl::InfinitePast();
@@ -362,6 +411,9 @@
   BackendFaultInjector backend_faults_;
   /// Nodes are not started again before.
   std::vector<Time> away_until_;
+  /// Nodes without a path to back ends, once for each cut that has not ended.
+  std::multiset<size_t> cut_nodes_;
+  CutMode cut_mode_ = CutMode::kSilent;
   bool healed_ = false;
   Time started_ = EventLoop::Now();
   Time last_lag_check_ = EventLoop::Now();
--- a/src/standin/fleet/soak_schedule.cc
+++ b/src/standin/fleet/soak_schedule.cc
@@ -23,7 +23,7 @@
          kind == FaultKind::kBackendRests || kind == FaultKind::kBackendLimits ||
          kind >= FaultKind::kRouteChanges;
 }
-constexpr size_t kSingleKinds = kKinds - 8;
+constexpr size_t kSingleKinds = kKinds - 11;
 constexpr std::array<FaultKind, kSingleKinds> SingleKinds() {
   std::array<FaultKind, kSingleKinds> kinds = {};
   size_t count = 0;
@@ -59,7 +59,8 @@
     "answers_damaged",      "configuration_changes",
     "other_keys_hot",       "route_changes",
     "store_refuses_some",   "store_compacts",
-    "connections_silent",
+    "connections_silent",   "nodes_cut_off",
+    "coordinator_cut_off",  "zone_cut_off",
 };
 
 /// Faults of one kind that follow each other, with targets in turn.
@@ -113,6 +114,17 @@
     {FaultKind::kConnectionsSilent, 1, 0, 0},
     {FaultKind::kLinksSilent, 3, 200, 3000},
 }};
+/// Cuts last longer than a hold.
+constexpr std::array<Series, 8> kPathSeries = {{
+    {FaultKind::kNodesCutOff, 1, 0, 9000},
+    {FaultKind::kNodesCutOff, 1, 0, 6000},
+    {FaultKind::kCoordinatorCutOff, 1, 0, 9000},
+    {FaultKind::kZoneCutOff, 1, 0, 8000},
+    {FaultKind::kNodeKilled, 2, 900, 600},
+    {FaultKind::kNodeStopped, 2, 900, 400},
+    {FaultKind::kBackendDrains, 3, 400, 1500},
+    {FaultKind::kBackendCrashes, 1, 0, 3000},
+}};
 /// Of the draws, so many in ten begin a series; the others are single faults.
 constexpr uint64_t kSeriesInTen = 6;
 constexpr uint64_t kTenths = 10;
@@ -225,6 +237,10 @@
   return DrawSeriesOf(kChangeSeries, seed, length);
 }
 
+std::vector<SoakFault> DrawPathCuts(uint64_t seed, Duration length) {
+  return DrawSeriesOf(kPathSeries, seed, length);
+}
+
 std::string FormatSchedule(const std::vector<SoakFault>& schedule) {
   std::string text;
   for (const SoakFault& fault : schedule) {
--- a/src/standin/fleet/soak_schedule.h
+++ b/src/standin/fleet/soak_schedule.h
@@ -59,6 +59,13 @@
   kStoreCompacts,
   /// The connections of all nodes to the store and between nodes fall silent.
   kConnectionsSilent,
+  // Drawn by DrawPathCuts only.
+  /// Nodes lose the path to all back ends; callers, the store and the other nodes reach them.
+  kNodesCutOff,
+  /// The same for the coordinator and half of the others.
+  kCoordinatorCutOff,
+  /// The same for all nodes of a zone.
+  kZoneCutOff,
   kCount,
 };
 
@@ -93,6 +100,10 @@
 /// reload, and faults of the store.
 std::vector<SoakFault> DrawChanges(uint64_t seed, Duration length);
 
+/// As DrawSeries, but most are nodes that lose the path to all back ends for seconds, beside others
+/// that are killed or stopped, back ends that leave or crash and keys that turn hot.
+std::vector<SoakFault> DrawPathCuts(uint64_t seed, Duration length);
+
 /// One line a fault: its kind, milliseconds from the start, how many it lasts, its target.
 std::string FormatSchedule(const std::vector<SoakFault>& schedule);
 /// Throws Error(kMalformedMessage) that names the line.
