Carry a coordinator's orders through peers that reach the back ends

Cause: holding the lease proves a path to the store, not to the owners. A coordinator that was cut off kept its lease, its grants were not renewed, it took 14 of 14 owners for unresponsive and began moves between back ends that it could not reach. Change: OrderRelay gives an order that gets no answer directly to a peer, and the next ones to that back end at once, until a grant is answered directly again. An order that was not sent (no connection came up) no longer extends the wait for its owner's hold. No owner is taken for unresponsive while several fail and none of the service answers. Ruled out: handing the lease over (a successor waits for holds that it does not know, and may be cut off next); all nodes challenging a holder by what they reach (swings when all are cut in part).

--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -136,7 +136,8 @@
   Membership(MembershipSettings settings, PeerIdentity self, store::TableFollower* configuration,
              store::TableFollower* backends);
 
-  /// Handles a message received on a connection of the transport.
+  /// Handles a message received on a connection of the transport. Relayed orders and requests are
+  /// not its concern and are ignored.
   void OnMessage(uint64_t connection, Message message, Time now);
   /// Reports that connecting to `address` failed. `refused`: no process listens there.
   void OnConnectFailed(const Endpoint& address, bool refused, Time now);
@@ -192,6 +193,8 @@
   const std::shared_ptr<const ownership::OwnershipMap>& map() const { return maps_.map(); }
   Time map_confirmed_until() const { return confirmed_until_; }
   const std::vector<PeerIdentity>& members() const { return members_.members(); }
+  /// Returns nothing when no member has this incarnation.
+  std::optional<Destination> FindMember(uint64_t incarnation) const;
 
  private:
   void Handle(const Destination& from, Report report, Time now);
@@ -201,6 +204,11 @@
   void Handle(const Destination& from, const Snapshot& snapshot, Time now);
   void Handle(const Destination& from, const PermitRequest& request, Time now);
   void Handle(const Destination& from, const PermitAnswer& answer, Time now);
+  void Handle(const Destination& /*from*/, const RelayedOrder& /*order*/, Time /*now*/) {}
+  void Handle(const Destination& /*from*/, const RelayedOrderResult& /*result*/, Time /*now*/) {}
+  void Handle(const Destination& /*from*/, const RelayedRequest& /*request*/, Time /*now*/) {}
+  void Handle(const Destination& /*from*/, const RelayedAnswer& /*answer*/, Time /*now*/) {}
+  void Handle(const Destination& /*from*/, const RelayCancel& /*cancel*/, Time /*now*/) {}
 
   void ReceiveSuspects(const std::vector<SharedSuspect>& suspects, Time now);
   void ReceiveLimits(const std::vector<SharedLimit>& limits, Time now);
--- a/src/core/membership/membership_news.cc
+++ b/src/core/membership/membership_news.cc
@@ -48,12 +48,17 @@
       PermitAnsweredAction{{answer.sequence, answer.granted, absl::Milliseconds(answer.retry_ms)}});
 }
 
+std::optional<Destination> Membership::FindMember(uint64_t incarnation) const {
+  const auto member = std::find_if(
+      members().begin(), members().end(),
+      [incarnation](const PeerIdentity& one) { return one.incarnation == incarnation; });
+  return member == members().end() ? std::nullopt
+                                   : std::make_optional(members_.At(member->address));
+}
+
 void Membership::SendPermitRequest(const allowance::PermitQuestion& question) {
-  const auto member =
-      std::find_if(members().begin(), members().end(),
-                   [&](const PeerIdentity& one) { return one.incarnation == question.to; });
-  if (member != members().end()) {
-    Send({members_.At(member->address)},
+  if (const std::optional<Destination> issuer = FindMember(question.to)) {
+    Send({*issuer},
          PermitRequest{question.sequence, question.backend, question.rate, question.wanted});
   }
 }
--- a/src/core/membership/message_codec.cc
+++ b/src/core/membership/message_codec.cc
@@ -224,6 +224,34 @@
           " permits granted, the limit is ", allowance::kMostPermitsAsked);
 }
 
+void Check(const RelayedOrder& order) {
+  Check(ownership::KeyRange{order.first_key, order.last_key});
+  Require(!order.backend.empty(), "relayed order: names no back end");
+}
+
+void Check(const RelayedOrderResult& result) {
+  constexpr auto kLast = static_cast<uint8_t>(ownership::OrderStatus::kNoAnswer);
+  Require(result.status <= kLast, "relayed order: status ", int{result.status},
+          ", the last one known is ", int{kLast});
+}
+
+void Check(const RelayedRequest& request) {
+  Require(!request.backend.empty(), "relayed request: names no back end");
+  Require(!request.head.empty(), "relayed request: has no head");
+  Require(request.has_body || request.body.empty(), "relayed request: ", request.body.size(),
+          " pieces of a body where none is announced");
+}
+
+void Check(const RelayedAnswer& answer) {
+  constexpr auto kEnd = static_cast<uint8_t>(RelayOutcome::kCount);
+  Require(answer.outcome < kEnd, "relayed answer: outcome ", int{answer.outcome},
+          ", expected one below ", int{kEnd});
+  const bool answered = answer.outcome == static_cast<uint8_t>(RelayOutcome::kAnswered);
+  Require(!answered || !answer.head.empty(), "relayed answer: has no head");
+}
+
+void Check(const RelayCancel& /*cancel*/) {}
+
 Message Parse(std::string_view bytes) {
   ValueCounter counter;
   size_t offset = 0;
--- a/src/core/membership/message_kind.cc
+++ b/src/core/membership/message_kind.cc
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<size_t>(MessageKind::kCount)> kKindNames = {
-    "report",      "heartbeat",        "map",      "map_changes", "members", "rows",
-    "resignation", "snapshot_request", "snapshot", "permit"};
+    "report",   "heartbeat", "map",           "map_changes",
+    "members",  "rows",      "resignation",   "snapshot_request",
+    "snapshot", "permit",    "relayed_order", "relayed_request"};
 
 constexpr std::array<std::string_view, static_cast<size_t>(ZoneScope::kCount)> kScopeNames = {
     "unknown", "own", "other"};
@@ -42,6 +43,16 @@
 
 MessageKind KindOfBody(const PermitAnswer& /*answer*/) { return MessageKind::kPermit; }
 
+MessageKind KindOfBody(const RelayedOrder& /*order*/) { return MessageKind::kRelayedOrder; }
+
+MessageKind KindOfBody(const RelayedOrderResult& /*result*/) { return MessageKind::kRelayedOrder; }
+
+MessageKind KindOfBody(const RelayedRequest& /*request*/) { return MessageKind::kRelayedRequest; }
+
+MessageKind KindOfBody(const RelayedAnswer& /*answer*/) { return MessageKind::kRelayedRequest; }
+
+MessageKind KindOfBody(const RelayCancel& /*cancel*/) { return MessageKind::kRelayedRequest; }
+
 }  // namespace
 
 MessageKind KindOf(const Message& message) {
--- a/src/core/membership/message_kind.h
+++ b/src/core/membership/message_kind.h
@@ -20,6 +20,8 @@
   kSnapshotRequest,
   kSnapshot,
   kPermit,
+  kRelayedOrder,
+  kRelayedRequest,
   kCount,
 };
 
--- a/src/core/membership/messages.h
+++ b/src/core/membership/messages.h
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/membership/relay_messages.h"
 #include "core/ownership/coordinator.h"
 #include "core/ownership/map_changes.h"
 #include "core/ownership/ownership_map.h"
@@ -239,6 +240,7 @@
 };
 
 using Message = std::variant<Report, Heartbeat, Resignation, SnapshotRequest, Snapshot,
-                             PermitRequest, PermitAnswer>;
+                             PermitRequest, PermitAnswer, RelayedOrder, RelayedOrderResult,
+                             RelayedRequest, RelayedAnswer, RelayCancel>;
 
 }  // namespace ladderstream::membership
--- a/src/core/ownership/backend_directory.cc
+++ b/src/core/ownership/backend_directory.cc
@@ -38,6 +38,10 @@
 constexpr Duration kLimitsSettle = absl::Seconds(1);
 constexpr Duration kMaxLimitsSettle = absl::Seconds(3);
 
+/// A service whose back ends all leave orders unanswered for longer is taken as lost. Longer than
+/// network paths are usually cut, as moving the keys then costs them their owners once more.
+constexpr Duration kMaxUnreached = absl::Seconds(15);
+
 /// With fewer back ends, no conclusion is drawn from most of them being unresponsive.
 constexpr size_t kMinForMajority = 3;
 
@@ -192,12 +196,15 @@
   place->second.ended = true;
 }
 
-bool BackendDirectory::RecordAnswer(const std::string& id) {
+bool BackendDirectory::RecordAnswer(const std::string& id, Time sent) {
   const auto found = backends_.find(id);
   if (found == backends_.end()) {
     return false;
   }
   KnownBackend& known = found->second;
+  ServiceCounts& counts = counts_[known.service];
+  counts.answered_sent = std::max(counts.answered_sent, sent);
+  counts.reported_unreached = false;
   const bool was_unresponsive = known.unresponsive;
   known.failures = 0;
   known.only_refused = true;
@@ -315,10 +322,13 @@
       known.failing_since = absl::InfiniteFuture();
       return true;
     }
-    const Duration unresponsive_timeout =
-        known.only_refused ? settings_.connection_refused_timeout : settings_.unresponsive_timeout;
-    if (known.unresponsive || known.failures < kUnresponsiveFailures ||
-        now - known.failing_since < unresponsive_timeout) {
+    if (known.unresponsive || now < UnresponsiveAt(known)) {
+      return false;
+    }
+    if (MayBeUnreached(known, now)) {
+      if (!std::exchange(counts_[known.service].reported_unreached, true)) {
+        unreached_.push_back(known.service);
+      }
       return false;
     }
     SetUnresponsive(&known, true);
@@ -330,16 +340,36 @@
   return newly_unresponsive;
 }
 
-Time BackendDirectory::NextUnresponsiveCheck() const {
+Time BackendDirectory::UnresponsiveAt(const KnownBackend& suspect) const {
+  if (suspect.failures < kUnresponsiveFailures) {
+    return absl::InfiniteFuture();
+  }
+  return suspect.failing_since + (suspect.only_refused ? settings_.connection_refused_timeout
+                                                       : settings_.unresponsive_timeout);
+}
+
+bool BackendDirectory::MayBeUnreached(const KnownBackend& suspect, Time now) const {
+  const auto counts = counts_.find(suspect.service);
+  const bool answered =
+      counts != counts_.end() && counts->second.answered_sent > suspect.failing_since;
+  if (answered || now - suspect.failing_since >= kMaxUnreached) {
+    return false;
+  }
+  const auto fails = [&](const std::string& id) {
+    const KnownBackend& known = backends_.at(id);
+    return &known != &suspect && known.service == suspect.service && known.registered &&
+           !known.ended && known.failures > 0;
+  };
+  return std::any_of(failing_.begin(), failing_.end(), fails);
+}
+
+Time BackendDirectory::NextUnresponsiveCheck(Time now) const {
   Time next = absl::InfiniteFuture();
   for (const std::string& id : failing_) {
     const KnownBackend& known = backends_.at(id);
-    if (known.unresponsive) {
-      next = std::min(next, known.excluded_until);
-    } else if (known.failures >= kUnresponsiveFailures) {
-      next = std::min(
-          next, known.failing_since + (known.only_refused ? settings_.connection_refused_timeout
-                                                          : settings_.unresponsive_timeout));
+    const Time due = known.unresponsive ? known.excluded_until : UnresponsiveAt(known);
+    if (due > now) {
+      next = std::min(next, due);
     }
   }
   return next;
--- a/src/core/ownership/backend_directory.h
+++ b/src/core/ownership/backend_directory.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/catalog/backend_set.h"
@@ -85,8 +86,9 @@
   void PruneUnregistered(const std::set<std::string>& needed);
 
   void MarkEnded(const std::string& id);
-  /// Records an answer to an order. Returns whether the back end was unresponsive until now.
-  bool RecordAnswer(const std::string& id);
+  /// Records an answer to an order sent at `sent`. Returns whether the back end was unresponsive
+  /// until now.
+  bool RecordAnswer(const std::string& id, Time sent);
   /// Records an unconfirmed grant. `refused`: the connection was refused because nothing listened
   /// at the address.
   void RecordFailure(const std::string& id, bool refused, Time sent, Time now);
@@ -100,10 +102,15 @@
   void RecordServed(const std::string& id, uint32_t answers, Time now);
   /// Records an unanswered release; extends the exclusion of an unresponsive back end.
   void RecordUnansweredRelease(const std::string& id, Time now);
-  /// Returns the back ends that became unresponsive since the last call.
+  /// Returns the back ends that became unresponsive since the last call. None does while no back
+  /// end of its service answers and several fail: a node that is cut off itself sees the same.
   std::vector<std::string> TakeNewlyUnresponsive(Time now);
-  /// Returns the earliest time at which TakeNewlyUnresponsive() may return a back end.
-  Time NextUnresponsiveCheck() const;
+  /// Returns the services for which that was the case since the last call; each is returned once
+  /// until one of its back ends answers.
+  std::vector<std::string> TakeUnreachedServices() { return std::exchange(unreached_, {}); }
+  /// Returns the earliest time after `now` at which TakeNewlyUnresponsive() may return a back end
+  /// without an event before it.
+  Time NextUnresponsiveCheck(Time now) const;
 
   /// Returns null if the back end is unknown.
   const KnownBackend* Find(const std::string& id) const;
@@ -130,6 +137,10 @@
   struct ServiceCounts {
     size_t registered = 0;
     size_t unresponsive = 0;
+    /// When the latest order that was answered was sent.
+    Time answered_sent = absl::InfinitePast();
+    /// Reported by TakeUnreachedServices since then.
+    bool reported_unreached = false;
   };
 
   /// Adds a back end to the indexes, or removes it from them.
@@ -151,6 +162,12 @@
   /// Returns whether a back end of the service may be assigned keys and is not rate-limited by its
   /// slow start.
   bool AnyWarmAccepts(const std::string& service, Time now) const;
+  /// Returns whether the failures of `suspect` may be this node's own: other back ends of its
+  /// service fail too, and none has answered since its failures began. No longer than
+  /// kMaxUnreached.
+  bool MayBeUnreached(const KnownBackend& suspect, Time now) const;
+  /// Returns when `suspect` has failed for long enough to be unresponsive.
+  Time UnresponsiveAt(const KnownBackend& suspect) const;
   /// Returns whether most of a service's back ends are unresponsive, in which case this node is
   /// more likely to be disconnected than they are.
   bool MostAreUnresponsive(const std::string& service) const;
@@ -172,6 +189,7 @@
   std::map<std::string, ServiceCounts> counts_;
   /// Back ends with recent failures or unresponsive ones; all others confirmed their last grant.
   std::set<std::string> failing_;
+  std::vector<std::string> unreached_;
   /// By service.
   std::map<std::string, LimitChanges> limit_changes_;
   /// At least one back end had a limit when limits were last set.
--- a/src/core/ownership/belief_events.h
+++ b/src/core/ownership/belief_events.h
@@ -54,6 +54,12 @@
 
 /// A back end leaves orders unanswered: it loses its keys and gets none for a while.
 inline constexpr char kOwnerSilent[] = "owner_silent";
+/// No owner of a service answers, so none of them is regarded as unresponsive: more likely this
+/// node is disconnected.
+inline constexpr char kOwnersUnreached[] = "owners_unreached";
+/// Orders to a back end go through other nodes, as it does not answer directly; or directly again.
+inline constexpr char kOrdersThroughPeers[] = "orders_through_peers";
+inline constexpr char kOrdersDirect[] = "orders_direct";
 /// A back end with free slots declines requests.
 inline constexpr char kOwnerDeclines[] = "owner_declines";
 /// An unresponsive back end answered again.
--- a/src/core/ownership/coordinator.cc
+++ b/src/core/ownership/coordinator.cc
@@ -7,6 +7,7 @@
 
 #include "core/ownership/belief_events.h"
 #include "core/ownership/coordinator_impl.h"
+#include "core/ownership/order_relay.h"
 
 namespace ladderstream::ownership {
 namespace {
@@ -165,7 +166,7 @@
 
 void Coordinator::Impl::OnOrderReply(CallId call, const OrderReply& reply, Time now) {
   const std::optional<Order> order = orders_.Take(call);
-  if (!order || (order->timed_out && reply.status == OrderStatus::kNoAnswer)) {
+  if (!order || (order->timed_out && !IsAnswer(reply.status))) {
     return;
   }
   if (reply.status != OrderStatus::kDone || order->kind == Order::Kind::kRelease ||
@@ -289,7 +290,7 @@
   if (!renewed_for_degraded_store_) {
     wake = std::min(wake, chain_.confirmed_sent() + 2 * settings_.lease_renewal);
   }
-  wake = std::min(wake, directory_.NextUnresponsiveCheck());
+  wake = std::min(wake, directory_.NextUnresponsiveCheck(now));
   for (const auto& [name, service] : services_) {
     if (IsListed(name)) {
       wake = std::min(wake, ServiceWake(service, now));
--- a/src/core/ownership/coordinator.h
+++ b/src/core/ownership/coordinator.h
@@ -148,8 +148,11 @@
   kRefused,
   /// Another incarnation, or a back end of another service, answered at its address.
   kOtherInstance,
-  /// The connection was refused: the back end has ended or cannot be reached.
+  /// The connection was refused: the back end has ended or cannot be reached. The order was not
+  /// sent.
   kUnreachable,
+  /// No connection came up: the order was not sent. Proves nothing about the back end.
+  kNotSent,
   /// No answer: the order may have been executed, or may still be executed seconds later.
   kNoAnswer,
 };
--- a/src/core/ownership/coordinator_impl.h
+++ b/src/core/ownership/coordinator_impl.h
@@ -233,7 +233,7 @@
   void OnGrantFenced(ServiceState& service, const Order& order, Time now);
   void OnGrantFailed(ServiceState& service, const Order& order, OrderStatus status, Time now);
   void OnReleaseReply(const Order& order, const OrderReply& reply, Time now);
-  void OnBackendAnswered(const std::string& backend, Time now);
+  void OnBackendAnswered(const Order& order, Time now);
   ServiceState* FindService(const std::string& name);
   void RenewAll(Time now);
 
--- a/src/core/ownership/coordinator_moves.cc
+++ b/src/core/ownership/coordinator_moves.cc
@@ -53,6 +53,9 @@
     ReportStateChange(state_change::kOwnerSilent, backend);
     RunAllPartitionersSoon(now);
   }
+  for (const std::string& service : directory_.TakeUnreachedServices()) {
+    ReportStateChange(state_change::kOwnersUnreached, service);
+  }
 }
 
 void Coordinator::Impl::MarkBackendEnded(const std::string& backend, Time now) {
--- a/src/core/ownership/coordinator_orders.cc
+++ b/src/core/ownership/coordinator_orders.cc
@@ -222,9 +222,9 @@
   }
 }
 
-void Coordinator::Impl::OnBackendAnswered(const std::string& backend, Time now) {
-  if (directory_.RecordAnswer(backend)) {
-    ReportStateChange(state_change::kOwnerAnswers, backend);
+void Coordinator::Impl::OnBackendAnswered(const Order& order, Time now) {
+  if (directory_.RecordAnswer(order.backend, order.sent)) {
+    ReportStateChange(state_change::kOwnerAnswers, order.backend);
     RunAllPartitionersSoon(now);
     AdvanceSoon(now);
   }
@@ -237,11 +237,11 @@
   }
   switch (reply.status) {
     case OrderStatus::kDone:
-      OnBackendAnswered(order.backend, now);
+      OnBackendAnswered(order, now);
       OnGrantDone(*service, order, now);
       return;
     case OrderStatus::kFenced:
-      OnBackendAnswered(order.backend, now);
+      OnBackendAnswered(order, now);
       OnGrantFenced(*service, order, now);
       return;
     default:
@@ -338,7 +338,7 @@
     directory_.RecordUnansweredRelease(order.backend, now);
     return;
   }
-  OnBackendAnswered(order.backend, now);
+  OnBackendAnswered(order, now);
   for (RangeState* found : service->table.Overlapping(order.range)) {
     RangeState& state = *found;
     if (state.phase == RangePhase::kReleasing && state.owner == order.backend &&
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -52,6 +52,8 @@
   Duration answer_timeout;
   /// Nothing is sent later, as what was decided may not hold any more.
   Time send_by = absl::InfiniteFuture();
+  /// Bounds the client's own connect time-out further.
+  Duration connect_timeout = absl::InfiniteDuration();
 };
 
 using CallCallback = std::function<void(CallResult)>;
--- a/src/gateway/http/http_client_connection.cc
+++ b/src/gateway/http/http_client_connection.cc
@@ -85,7 +85,7 @@
     FailSoon("no socket");
     return;
   }
-  SetTimer(client_.settings_.connect_timeout);
+  SetTimer(std::min(client_.settings_.connect_timeout, timing_.connect_timeout));
   socket_.async_connect(address, [self = shared_from_this()](const ErrorCode& connect_error) {
     self->OnConnect(connect_error);
   });
--- a/src/gateway/peer/peer_transport.cc
+++ b/src/gateway/peer/peer_transport.cc
@@ -243,6 +243,10 @@
 void PeerTransport::OnClosed(uint64_t connection, const Endpoint& address,
                              const std::string& reason) {
   connections_.erase(connection);
+  if (address.port == 0) {
+    handlers_.on_incoming_closed(connection);
+    return;
+  }
   const auto outgoing = outgoing_.find(address);
   if (outgoing == outgoing_.end() || outgoing->second.connection != connection) {
     return;
--- a/src/gateway/peer/peer_transport.h
+++ b/src/gateway/peer/peer_transport.h
@@ -27,6 +27,8 @@
   std::function<void(const Endpoint& address, bool refused)> on_connect_failed;
   /// A connection that this node had opened has ended.
   std::function<void(const Endpoint& address, const std::string& reason)> on_connection_lost;
+  /// A connection that another node had opened has ended.
+  std::function<void(uint64_t connection)> on_incoming_closed = [](uint64_t) {};
 };
 
 class PeerTransport {
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "core/ownership/belief_events.h"
 #include "node/load_exchange.h"
 #include "wire/result_code.h"
 
@@ -51,6 +52,8 @@
       return "other_instance";
     case ownership::OrderStatus::kUnreachable:
       return "unreachable";
+    case ownership::OrderStatus::kNotSent:
+      return "not_sent";
     case ownership::OrderStatus::kNoAnswer:
       break;
   }
@@ -140,6 +143,7 @@
                            ControlPlaneListener* listener)
     : resources_(resources),
       settings_(settings),
+      incarnation_(incarnation),
       adapter_(std::move(adapter)),
       beliefs_(beliefs),
       metrics_(metrics),
@@ -147,14 +151,26 @@
       client_(resources->loop, resources->clock, HttpClientSettingsOf(settings)),
       exchanger_(&client_),
       store_(resources, &exchanger_, adapter_, StoreSettingsOf(settings)),
-      orders_(&client_, adapter_.get(), settings.ownership.order_timeout, kReleaseTimeout,
-              [this](ownership::CallId call, const ownership::OrderReply& reply) {
-                OnOrderReply(call, reply);
-              }),
+      order_client_(&client_, adapter_.get(),
+                    {.grant = settings.ownership.order_timeout, .release = kReleaseTimeout}),
+      orders_(
+          &order_client_, &resources->clock,
+          {[this](ownership::CallId call, const ownership::OrderReply& reply) {
+             OnOrderReply(call, reply);
+           },
+           [this](uint64_t peer, const membership::RelayedOrder& order) {
+             if (const auto member = membership_.FindMember(peer)) {
+               peers_.Send({*member}, order);
+             }
+           },
+           [this](const ownership::OrderPathChangeAction& change) { OnOrderPathChange(change); }}),
+      order_carrier_(&order_client_, &resources->clock, incarnation,
+                     [this](uint64_t connection, const membership::RelayedOrderResult& result) {
+                       peers_.Send({{{}, connection}}, result);
+                     }),
       peers_(resources, PeerSettingsOf(settings, incarnation + kPeerSeed),
              {[this](uint64_t connection, membership::Message message) {
-                membership_.OnMessage(connection, std::move(message), Now());
-                SchedulePump();
+                OnMessage(connection, std::move(message));
               },
               [this](const Endpoint& address, bool refused) {
                 membership_.OnConnectFailed(address, refused, Now());
@@ -163,7 +179,8 @@
               [this](const Endpoint& address, const std::string&) {
                 membership_.OnConnectionLost(address, Now());
                 SchedulePump();
-              }}),
+              },
+              [this](uint64_t connection) { order_carrier_.OnConnectionClosed(connection); }}),
       configuration_follower_(
           FollowerSettingsOf(adapter_->configuration_table(), incarnation + kConfigurationSeed)),
       backend_follower_(FollowerSettingsOf(adapter_->backend_table(), incarnation + kBackendSeed)),
@@ -265,6 +282,28 @@
   SchedulePump();
 }
 
+void ControlPlane::OnMessage(uint64_t connection, membership::Message message) {
+  if (const auto* order = std::get_if<membership::RelayedOrder>(&message)) {
+    metrics_->CountCall("relayed_order", "carried");
+    order_carrier_.OnOrder(connection, *order);
+  } else if (const auto* result = std::get_if<membership::RelayedOrderResult>(&message)) {
+    metrics_->CountCall("relayed_order",
+                        NameOf(static_cast<ownership::OrderStatus>(result->status)));
+    orders_.OnPeerResult(*result);
+  } else {
+    membership_.OnMessage(connection, std::move(message), Now());
+  }
+  SchedulePump();
+}
+
+void ControlPlane::OnOrderPathChange(const ownership::OrderPathChangeAction& change) {
+  beliefs_->OnCoordinatorBelief(
+      {std::string(change.direct ? ownership::state_change::kOrdersDirect
+                                 : ownership::state_change::kOrdersThroughPeers),
+       change.backend + ": " + change.detail});
+  SchedulePump();
+}
+
 // The loop.
 
 void ControlPlane::SchedulePump() {
@@ -288,6 +327,7 @@
   }
   const Time now = Now();
   coordinator_.OnTick(now);
+  orders_.OnTick();
   membership_.OnTick(now);
   PollFollower(&configuration_follower_);
   PollFollower(&backend_follower_);
@@ -399,7 +439,7 @@
 }
 
 void ControlPlane::ArmTimer() {
-  Time wake = std::min(coordinator_.NextWake(), membership_.NextWake());
+  Time wake = std::min({coordinator_.NextWake(), membership_.NextWake(), orders_.NextWake()});
   wake = std::min(wake, configuration_follower_.NextWake());
   wake = std::min(wake, backend_follower_.NextWake());
   wake = std::min(wake, coordinator_.Holds(Now()) ? next_own_load_ : absl::InfiniteFuture());
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -23,6 +23,7 @@
 #include "interfaces/platform_adapter.h"
 #include "node/catalog_tables.h"
 #include "node/http_client_exchanger.h"
+#include "node/order_client.h"
 #include "node/order_sender.h"
 #include "observability/belief_log.h"
 #include "observability/node_metrics.h"
@@ -99,6 +100,9 @@
   // Actions of the coordinator.
   void Execute(const ownership::CommitAction& commit);
   void Execute(const ownership::ReadAction& read);
+  /// Handles a message from another node.
+  void OnMessage(uint64_t connection, membership::Message message);
+  void OnOrderPathChange(const ownership::OrderPathChangeAction& change);
   void Execute(const ownership::GrantAction& grant) { orders_.Send(grant); }
   void Execute(const ownership::ReleaseAction& release) { orders_.Send(release); }
   void Execute(const ownership::PublishAction& publish);
@@ -140,6 +144,7 @@
 
   gateway::LoopResources* const resources_;
   const gateway::NodeSettings settings_;
+  const uint64_t incarnation_;
   const interfaces::PlatformAdapterPtr adapter_;
   observability::BeliefLog* const beliefs_;
   observability::NodeMetrics* const metrics_;
@@ -148,7 +153,9 @@
   gateway::HttpClient client_;
   HttpClientExchanger exchanger_;
   gateway::StoreClient store_;
+  OrderClient order_client_;
   OrderSender orders_;
+  OrderCarrier order_carrier_;
   gateway::PeerTransport peers_;
 
   store::TableFollower configuration_follower_;
--- /dev/null
+++ b/src/node/order_client.cc
@@ -0,0 +1,39 @@
+#include "node/order_client.h"
+
+#include <utility>
+
+namespace ladderstream::node {
+
+void OrderClient::Send(const ownership::GrantAction& grant, Callback callback) {
+  Call(grant.address, adapter_->EncodeGrant(grant),
+       {timeouts_.grant, grant.send_by, timeouts_.connect}, std::move(callback));
+}
+
+void OrderClient::Send(const ownership::ReleaseAction& release, Callback callback) {
+  Call(release.address, adapter_->EncodeRelease(release),
+       {timeouts_.release, absl::InfiniteFuture(), timeouts_.connect}, std::move(callback));
+}
+
+void OrderClient::Call(const Endpoint& address, const interfaces::HttpRequest& request,
+                       const gateway::CallTiming& timing, Callback callback) {
+  client_->Call(address, request, timing,
+                [this, callback = std::move(callback)](const gateway::CallResult& result) {
+                  callback(ReplyOf(result));
+                });
+}
+
+ownership::OrderReply OrderClient::ReplyOf(const gateway::CallResult& result) const {
+  switch (result.outcome) {
+    case gateway::CallOutcome::kAnswered:
+      return adapter_->DecodeOrderReply(result.response);
+    case gateway::CallOutcome::kRefused:
+      return {ownership::OrderStatus::kUnreachable, ""};
+    case gateway::CallOutcome::kNotConnected:
+      return {ownership::OrderStatus::kNotSent, ""};
+    case gateway::CallOutcome::kNoAnswer:
+      break;
+  }
+  return {ownership::OrderStatus::kNoAnswer, ""};
+}
+
+}  // namespace ladderstream::node
--- a/tests/unit/ownership/backend_directory_test.cc
+++ b/tests/unit/ownership/backend_directory_test.cc
@@ -67,6 +67,38 @@
   BOOST_TEST(directory.Keeps("a"));
 }
 
+/// Two of three back ends leave their orders unanswered for `time`.
+void FailTwo(DirectoryFixture* fixture, Duration time) {
+  const Time end = fixture->now + time;
+  for (; fixture->now < end; fixture->now += absl::Milliseconds(400)) {
+    fixture->directory.RecordFailure("a", false, fixture->now, fixture->now);
+    fixture->directory.RecordFailure("b", false, fixture->now, fixture->now);
+  }
+}
+
+// Guards against a coordinator that is cut off and takes every owner's keys away.
+BOOST_AUTO_TEST_CASE(nobody_is_unresponsive_while_no_owner_answers) {
+  for (const char* id : {"a", "b", "c"}) {
+    Add(id, absl::ZeroDuration());
+  }
+  FailTwo(this, absl::Seconds(8));
+  BOOST_TEST(directory.TakeNewlyUnresponsive(now).empty());
+  BOOST_TEST(directory.TakeUnreachedServices().size() == 1U);
+  BOOST_TEST((directory.NextUnresponsiveCheck(now) == absl::InfiniteFuture()));
+  // An answer of a third one shows that the path is not cut.
+  directory.RecordAnswer("c", now);
+  BOOST_TEST(directory.TakeNewlyUnresponsive(now).size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(single_silent_owner_is_unresponsive_without_another_answer) {
+  Add("a", absl::ZeroDuration());
+  Add("b", absl::ZeroDuration());
+  for (int i = 0; i < 4; ++i, now += absl::Milliseconds(400)) {
+    directory.RecordFailure("a", false, now, now);
+  }
+  BOOST_TEST(directory.TakeNewlyUnresponsive(now).size() == 1U);
+}
+
 // Guards against owners that reject every request with free slots and keep their keys. With the
 // owners of a third of all reads doing so for nine seconds, 0.044 of the requests were refused;
 // 0.012 with the keys moved.
--- a/tests/unit/ownership/model_faults.cc
+++ b/tests/unit/ownership/model_faults.cc
@@ -101,6 +101,11 @@
   if (now_ >= faults_end_) {
     return;
   }
+  if (options_.relays_orders && (options_.only_path_cuts || Chance(30))) {
+    PathFault();
+    After(DrawMs(0, 3000), [this] { FaultLoop(); });
+    return;
+  }
   switch (Draw(9)) {
     case 0:
     case 1:
