--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -19,6 +19,9 @@
 /// How long a load report is taken as current: a few service times, within which a burst may fill a
 /// queue.
 constexpr Duration kReportFreshness = absl::Milliseconds(500);
+/// A path is probed after so many service times without an answer from any back end.
+constexpr int kSilentServiceTimes = 2;
+constexpr Duration kMinSilence = absl::Milliseconds(150);
 
 /// Whether the answer indicates a fault of the back end itself.
 bool ShowsFault(const AttemptAnswer& answer) {
@@ -47,16 +50,24 @@
   return now - attempt.started <= attempt.late_after;
 }
 
+/// How long nothing may be heard from a service's back ends before the path is probed.
+Duration SilencePatience(const ServiceState& service) {
+  return std::max(kSilentServiceTimes * service.averages.ServiceTime(), kMinSilence);
+}
+
 /// Whether it is certain that no byte of the attempt was sent.
 bool NeverSent(const Attempt& attempt, AttemptFailure failure) {
   switch (failure) {
     case AttemptFailure::kConnectRefused:
     case AttemptFailure::kConnectTimeout:
     case AttemptFailure::kNotSent:
+    case AttemptFailure::kPeerUnavailable:
+    case AttemptFailure::kPeerHasNoPath:
       return true;
     case AttemptFailure::kTimedOut:
       return !attempt.sent;
     case AttemptFailure::kLost:
+    case AttemptFailure::kPeerLost:
       return false;
   }
   return false;
@@ -73,6 +84,7 @@
   auto node = attempts_.extract(handle);
   Attempt attempt = std::move(node.mapped());
   attempt.backend->load.OnEnd(attempt.started);
+  ReleasePeer(attempt);
   Request* request = FindRequest(attempt.request);
   if (request != nullptr) {
     std::erase(request->in_flight, handle);
@@ -102,7 +114,12 @@
   }
   Attempt& attempt = found->second;
   attempt.sent = true;
-  attempt.backend->outlier.OnConnected();
+  if (attempt.peer == 0) {
+    attempt.backend->outlier.OnConnected();
+    if (relay_peers_.HasPeers()) {
+      paths_.OnSent(attempt.backend->registration.id, SilencePatience(*attempt.service), now);
+    }
+  }
   Request* request = FindRequest(attempt.request);
   if (request != nullptr) {
     ArmHedge(*request, attempt, now);
@@ -115,6 +132,11 @@
     return;
   }
   const Attempt attempt = EndAttempt(handle);
+  if (attempt.peer == 0) {
+    paths_.OnAnswered(attempt.backend->registration.id, now);
+  } else {
+    paths_.OnRelayed(attempt.backend->registration.id, /*reached=*/true, now);
+  }
   ApplyBackendSignals(attempt, answer, now);
   UpdateFromAnswer(attempt, answer, now);
   suspects_.OnConnected(attempt.backend->registration.id);
@@ -261,7 +283,10 @@
     return;
   }
   const Attempt attempt = EndAttempt(handle);
-  UpdateFromFailure(attempt, failure, now);
+  UpdatePathFromFailure(attempt, failure, now);
+  if (!IsPathFailure(attempt, failure, now)) {
+    UpdateFromFailure(attempt, failure, now);
+  }
   Request* request = FindRequest(attempt.request);
   if (request != nullptr) {
     if (NeverSent(attempt, failure)) {
@@ -274,13 +299,15 @@
       OnLost(*request, attempt, FailureKind::kLost, 0, now);
     }
   }
+  ApplyPathChanges(now);
   DispatchWaiting(*attempt.service, now);
 }
 
 void Dispatcher::Impl::OnRequestLost(AttemptHandle handle,
                                      const quarantine::Fingerprint& fingerprint, Time now) {
   const auto found = attempts_.find(handle);
-  if (found == attempts_.end() || !found->second.sent) {
+  if (found == attempts_.end() || !found->second.sent ||
+      paths_.IsCut(found->second.backend->registration.id)) {
     return;
   }
   const Attempt& attempt = found->second;
@@ -331,6 +358,9 @@
                      backend.outlier.OnConnectTimeout(now));
       break;
     case AttemptFailure::kNotSent:
+    case AttemptFailure::kPeerUnavailable:
+    case AttemptFailure::kPeerHasNoPath:
+    case AttemptFailure::kPeerLost:
       break;
     case AttemptFailure::kLost:
       // A full back end may reset connections instead of answering, and does so immediately.
@@ -365,7 +395,7 @@
   if (attempt.charged) {
     request.service->budget.Refund(attempt.started);
   }
-  const bool not_sent = failure == AttemptFailure::kNotSent;
+  const bool not_sent = failure == AttemptFailure::kNotSent || IsPathFailure(attempt, failure, now);
   request.last_failure = {
       not_sent ? FailureKind::kNotSent : FailureKind::kUnreachable, attempt.backend, 0, {}};
   if (!not_sent && !request.sharded) {
--- a/src/core/forwarding/backend_choice.h
+++ b/src/core/forwarding/backend_choice.h
@@ -48,6 +48,8 @@
   kOwnerLimited,
   /// The owner is cold, and this node may not send to it now.
   kOwnerCold,
+  /// This node does not reach the back end, and knows no peer that does.
+  kNoPath,
 };
 
 /// An assignment that the back end rejected because it does not own the key.
--- a/src/core/forwarding/deadlines.cc
+++ b/src/core/forwarding/deadlines.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "core/forwarding/dispatcher_impl.h"
 
@@ -42,10 +43,15 @@
 
 Time Dispatcher::Impl::NextWake() const {
   const Time next = timers_.empty() ? absl::InfiniteFuture() : timers_.begin()->first;
-  return std::min(next, suspects_.NextProbe());
+  return std::min({next, suspects_.NextProbe(), paths_.NextWake()});
 }
 
 void Dispatcher::Impl::OnTick(Time now) {
+  if (paths_.NextWake() <= now) {
+    for (std::string& backend : paths_.TakeProbes(now)) {
+      path_probes_.insert(std::move(backend));
+    }
+  }
   while (!timers_.empty() && timers_.begin()->first <= now) {
     Request& request = *requests_.at(timers_.begin()->second);
     if (now >= request.answer_by) {
@@ -89,11 +95,12 @@
       const load::LoadEstimate& load = choice.backend->load;
       const bool free = load.Occupancy(now) + 1 <= load.slots();
       const bool in_time = choice.expected_wait + load.ServiceTime(now) < request.answer_by - now;
-      if (free && in_time &&
+      const std::optional<Way> way = ChooseWay(request, *choice.backend, now);
+      if (free && in_time && way.has_value() &&
           request.service->budget.Allows(retry_limits_, kHedgeBudgetShare, now)) {
         request.hedge_at = absl::InfiniteFuture();
         request.next_cause = SendCause::kHedge;
-        Send(request, choice, now);
+        Send(request, choice, *way, now);
       }
     }
   }
--- a/src/core/forwarding/dispatch.cc
+++ b/src/core/forwarding/dispatch.cc
@@ -42,7 +42,7 @@
   if (choice.backend != nullptr && !Admitted(request, now)) {
     FinishUnserved(request, choice, StopCause::kNotAdmitted, now);
   } else if (choice.backend != nullptr) {
-    Send(request, choice, now);
+    SendOrRefuse(request, choice, now);
   } else if (!MayWait(request, choice, now)) {
     FinishUnserved(request, choice, StopCause::kUnavailable, now);
   } else if (!request.waiting && request.service->waiting.size() >= kMaxWaiting) {
@@ -116,7 +116,19 @@
   }
 }
 
-void Dispatcher::Impl::Send(Request& request, const Choice& choice, Time now) {
+void Dispatcher::Impl::SendOrRefuse(Request& request, const Choice& choice, Time now) {
+  const std::optional<Way> way = ChooseWay(request, *choice.backend, now);
+  if (way.has_value()) {
+    Send(request, choice, *way, now);
+    return;
+  }
+  Choice unreachable;
+  unreachable.unavailable_reason = UnavailableReason::kNoPath;
+  unreachable.blocking_backend = choice.backend;
+  FinishUnserved(request, unreachable, StopCause::kUnavailable, now);
+}
+
+void Dispatcher::Impl::Send(Request& request, const Choice& choice, const Way& way, Time now) {
   StopWaiting(request);
   Attempt attempt;
   attempt.request = request.handle;
@@ -126,6 +138,10 @@
   attempt.started = now;
   attempt.late_after = request.route->target_latency * kAttemptTimeShare;
   attempt.charged = request.counted_attempts > 0;
+  attempt.peer = way.peer;
+  if (way.peer != 0) {
+    relay_peers_.OnSent(way.peer);
+  }
   if (attempt.charged) {
     request.service->budget.Charge(now);
   }
@@ -141,6 +157,9 @@
   send.attempt = ++last_attempt_;
   send.backend = backend.registration.id;
   send.address = backend.registration.address;
+  send.peer = way.peer;
+  send.prefer_idle = way.prefer_idle;
+  send.priority = request.route->priority;
   send.connect_by = std::min({now + settings_.connect_timeout, request.answer_by, usable_until});
   send.answer_by = request.answer_by;
   send.cause = request.next_cause;
@@ -174,6 +193,7 @@
       continue;
     }
     attempt.backend->load.OnEnd(attempt.started);
+    ReleasePeer(attempt);
     if (attempt.sent) {
       attempt.backend->load.OnUnanswered(now - attempt.started, now);
       if (now - attempt.started > attempt.late_after) {
--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -41,6 +41,7 @@
       chosen_nodes_(settings_.node),
       cold_senders_(chosen_nodes_, settings_.cold_overshoot, settings_.cold_slack),
       rates_(chosen_nodes_),
+      relay_peers_(settings_.zone, random_),
       least_wait_(settings_, cold_senders_, rates_, random_),
       owner_(ownership_, services_, cold_senders_, rates_, settings_.limit_owners),
       guarded_least_wait_(least_wait_),
@@ -64,6 +65,12 @@
 void Dispatcher::Impl::ChangeBackends(const catalog::BackendChanges& changes,
                                       const RegistrationUpdate& update, Time now) {
   services_.ChangeBackends(changes, update, now);
+  for (const catalog::Backend& backend : changes.set) {
+    paths_.SetBackend(backend.id, backend.service, backend.zone);
+  }
+  for (const std::string& id : changes.gone) {
+    paths_.RemoveBackend(id);
+  }
   for (ServiceState* service : services_.Services()) {
     DispatchWaiting(*service, now);
   }
@@ -298,6 +305,19 @@
   impl_->SetMembers(members, now);
 }
 void Dispatcher::SetMembersConfirmed(Time until) { impl_->SetMembersConfirmed(until); }
+void Dispatcher::SetRelayPeers(std::vector<RelayPeer> peers) {
+  impl_->SetRelayPeers(std::move(peers));
+}
+void Dispatcher::OnSentDirectly(AttemptHandle attempt) { impl_->OnSentDirectly(attempt); }
+void Dispatcher::OnConnected(AttemptHandle attempt, Time now) { impl_->OnConnected(attempt, now); }
+void Dispatcher::OnPathEvent(const std::string& backend, PathEvent event, Time now) {
+  impl_->OnPathEvent(backend, event, now);
+}
+std::vector<std::string> Dispatcher::TakePathProbes() { return impl_->TakePathProbes(); }
+CarryPermission Dispatcher::MayCarry(const std::string& backend, Time now) const {
+  return impl_->MayCarry(backend, now);
+}
+size_t Dispatcher::CountCutPaths() const { return impl_->CountCutPaths(); }
 void Dispatcher::SetRetryBudget(double ratio, double slack, Duration window) {
   impl_->SetRetryBudget(ratio, slack, window);
 }
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -19,6 +19,7 @@
 #include "core/catalog/catalog.h"
 #include "core/catalog/told_limit.h"
 #include "core/catalog/told_load.h"
+#include "core/forwarding/relay_peers.h"
 #include "core/load/load_counter.h"
 #include "core/ownership/ownership_map.h"
 #include "core/partition/partitioner.h"
@@ -126,6 +127,12 @@
   AttemptHandle attempt = 0;
   std::string backend;
   Endpoint address;
+  /// Incarnation of the node through which to send; 0 to connect to the back end directly.
+  uint64_t peer = 0;
+  /// Use an idle connection to the back end, if there is one, instead of the peer.
+  bool prefer_idle = false;
+  /// Rank of the request for the peer; 0 is the most urgent.
+  uint32_t priority = 0;
   /// If the connection is not established by then, it is given up; nothing was sent.
   Time connect_by;
   /// Deadline for the answer; the back end is sent the remaining time.
@@ -172,8 +179,20 @@
   kLost,
   /// No answer by `answer_by`.
   kTimedOut,
+  /// The peer did not take the request, or was not reached; nothing was sent.
+  kPeerUnavailable,
+  /// The peer does not reach the back end either; nothing was sent.
+  kPeerHasNoPath,
+  /// The peer was lost after it had been given the request.
+  kPeerLost,
 };
 
+/// An event of this node's own connections to a back end, other than those of attempts.
+enum class PathEvent { kConnected, kConnectFailed, kAnswered };
+
+/// Whether this node sends a request of another node to a back end.
+enum class CarryPermission { kGranted, kNoPath, kDeclined };
+
 /// The parts of a back end's answer that decisions depend on.
 struct AttemptAnswer {
   int status = 0;
@@ -227,6 +246,8 @@
   void SetMembers(const std::vector<uint64_t>& members, Time now);
   /// Records that the current members are the newest ones; they may be relied on until `until`.
   void SetMembersConfirmed(Time until);
+  /// Sets the other nodes, through which requests may be sent.
+  void SetRelayPeers(std::vector<RelayPeer> peers);
   /// Replaces the limits on retries and hedges; see DispatcherSettings.
   void SetRetryBudget(double ratio, double slack, Duration window);
   /// Makes CanServe return false from now on; new requests are still served.
@@ -250,6 +271,19 @@
   /// Returns whether an attempt that was decided on earlier may still be sent; its back end may
   /// have left or requested a back-off since.
   bool MaySend(AttemptHandle attempt, Time now) const;
+  /// The attempt, decided for a peer, goes over an idle connection of this node instead.
+  void OnSentDirectly(AttemptHandle attempt);
+  /// A new connection for the attempt was established.
+  void OnConnected(AttemptHandle attempt, Time now);
+  /// Records the result of a probe (see TakePathProbes), or an event of a request that this node
+  /// carries for another one. May produce decisions.
+  void OnPathEvent(const std::string& backend, PathEvent event, Time now);
+  /// Returns the back ends to which to open a connection, to find out whether they are reached.
+  std::vector<std::string> TakePathProbes();
+  /// Returns whether a request that another node could not send itself may go to the back end.
+  CarryPermission MayCarry(const std::string& backend, Time now) const;
+  /// Returns how many services, or services in one zone, this node does not reach.
+  size_t CountCutPaths() const;
   /// The connection is established and the request is about to be written. Must be called before
   /// the first byte is written: until then the attempt counts as never sent.
   void OnSent(AttemptHandle attempt, Time now);
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -1,7 +1,8 @@
 // The state behind Dispatcher, and the steps of a request through it.
 //
 // dispatcher.cc handles configuration, state updates and new requests, dispatch.cc sends and
-// finishes requests, attempt_events.cc handles the events of attempts, and deadlines.cc the timers.
+// finishes requests, attempt_events.cc handles the events of attempts, path_events.cc what they
+// tell about the paths to back ends, and deadlines.cc the timers.
 #pragma once
 
 #include <absl/container/btree_set.h>
@@ -20,6 +21,8 @@
 #include "core/forwarding/dispatcher.h"
 #include "core/forwarding/final_answer.h"
 #include "core/forwarding/owner_choice.h"
+#include "core/forwarding/path_monitor.h"
+#include "core/forwarding/relay_peers.h"
 #include "core/forwarding/request_state.h"
 #include "core/forwarding/route_index.h"
 #include "core/forwarding/service_table.h"
@@ -41,6 +44,16 @@
     chosen_nodes_.SetMembers(members, now);
   }
   void SetMembersConfirmed(Time until) { chosen_nodes_.SetConfirmed(until); }
+  void SetRelayPeers(std::vector<RelayPeer> peers) { relay_peers_.SetPeers(std::move(peers)); }
+  void OnSentDirectly(AttemptHandle handle);
+  void OnConnected(AttemptHandle handle, Time now);
+  void OnPathEvent(const std::string& backend, PathEvent event, Time now);
+  std::vector<std::string> TakePathProbes() {
+    const auto probes = std::exchange(path_probes_, {});
+    return {probes.begin(), probes.end()};
+  }
+  CarryPermission MayCarry(const std::string& backend, Time now) const;
+  size_t CountCutPaths() const { return paths_.CountCutScopes(); }
   void SetRetryBudget(double ratio, double slack, Duration window);
   void SetStopping() { stopping_ = true; }
   void SetEnd(Time last_start, Time end) {
@@ -79,6 +92,13 @@
   double MinAdmissionShare();
 
  private:
+  /// How an attempt gets to its back end.
+  struct Way {
+    /// 0 for a direct connection.
+    uint64_t peer = 0;
+    bool prefer_idle = false;
+  };
+
   // dispatcher.cc
   std::unique_ptr<Request> MakeRequest(const IncomingRequest& incoming, const catalog::Route& route,
                                        Time now);
@@ -95,7 +115,9 @@
   bool MayWait(const Request& request, const Choice& choice, Time now) const;
   void Wait(Request& request, const Choice& choice, Time now);
   void StopWaiting(Request& request);
-  void Send(Request& request, const Choice& choice, Time now);
+  /// Sends the request, or refuses it when the back end is not reached in any way.
+  void SendOrRefuse(Request& request, const Choice& choice, Time now);
+  void Send(Request& request, const Choice& choice, const Way& way, Time now);
   void FinishUnserved(Request& request, const Choice& choice, StopCause cause, Time now);
   /// Emits the final decision and deletes the request. `request` is invalid afterwards.
   void Finish(Request& request, Decision decision, Time now);
@@ -128,6 +150,23 @@
   /// After a failed attempt: retries the request unless another attempt is in flight.
   void Continue(Request& request, SendCause cause, Time now);
 
+  // path_events.cc
+  /// Returns nothing when this node does not reach the back end and knows no peer that may.
+  std::optional<Way> ChooseWay(const Request& request, const BackendState& backend, Time now);
+  void UpdatePathFromFailure(const Attempt& attempt, AttemptFailure failure, Time now);
+  /// Whether a failure tells nothing about the back end itself.
+  bool IsPathFailure(const Attempt& attempt, AttemptFailure failure, Time now) const;
+  /// Whether the owner was not reached directly, and a peer may reach it.
+  bool MayReachThroughPeer(const Attempt& attempt, Time now) const;
+  /// Applies what the path monitor has concluded.
+  void ApplyPathChanges(Time now);
+  void OnPathCut(const PathChange& change, Time now);
+  /// Sends the attempts under way to these back ends another way, as far as they may be repeated.
+  void RerouteAttempts(const PathChange& change, Time now);
+  /// Whether a request whose only attempt is without an answer may be sent once more.
+  bool MaySendAgain(const Request& request, Time now);
+  void ReleasePeer(Attempt& attempt);
+
   // deadlines.cc
   void FinishTimeOver(Request& request, Time now);
   void Arm(Request& request);
@@ -150,6 +189,9 @@
   allowance::ColdSenders cold_senders_;
   allowance::SharedRates rates_;
   quarantine::CrashSuspects suspects_;
+  PathMonitor paths_;
+  absl::btree_set<std::string> path_probes_;
+  RelayPeers relay_peers_;
   LeastWaitChoice least_wait_;
   OwnerChoice owner_;
   OverloadGuard guarded_least_wait_;
--- a/src/core/forwarding/final_answer.cc
+++ b/src/core/forwarding/final_answer.cc
@@ -13,6 +13,7 @@
 constexpr Duration kMaxRetryAfter = absl::Milliseconds(400);
 /// About the time that moving keys to another owner takes.
 constexpr Duration kOwnerRetryAfter = absl::Milliseconds(150);
+/// Also the interval at which paths to back ends are probed.
 constexpr Duration kNoMapRetryAfter = absl::Milliseconds(250);
 /// Spreads the retries of callers that were refused together over this share of the delay.
 constexpr double kRetryJitter = 0.25;
@@ -60,6 +61,8 @@
       return "the owner's limit is used up";
     case UnavailableReason::kOwnerCold:
       return "the owner is cold";
+    case UnavailableReason::kNoPath:
+      return "no path to the back ends, and no peer that has one";
   }
   return "unknown";
 }
@@ -274,6 +277,7 @@
     return MakeAnswer(ResultCode::kConnectionLost, absl::ZeroDuration(), std::move(reason));
   }
   const bool by_last_failure = request.last_failure.kind != FailureKind::kNone &&
+                               choice.unavailable_reason != UnavailableReason::kNoPath &&
                                (cause != StopCause::kUnavailable ||
                                 choice.unavailable_reason == UnavailableReason::kAllTried);
   if (cause == StopCause::kNotAdmitted) {
@@ -287,7 +291,8 @@
   const ResultCode code = by_last_failure ? CodeOfFailure(request.last_failure.kind)
                                           : CodeOfUnavailableReason(choice.unavailable_reason);
   const Duration retry_after =
-      choice.unavailable_reason == UnavailableReason::kNoMap
+      choice.unavailable_reason == UnavailableReason::kNoMap ||
+              choice.unavailable_reason == UnavailableReason::kNoPath
           ? kNoMapRetryAfter
           : RetryAfter(request, code,
                        by_last_failure ? request.last_failure.backend : choice.blocking_backend,
--- /dev/null
+++ b/src/core/forwarding/path_monitor.cc
@@ -0,0 +1,270 @@
+#include "core/forwarding/path_monitor.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace ladderstream::forwarding {
+namespace {
+
+/// Failures that are older are no evidence of a cut.
+constexpr Duration kEvidenceWindow = absl::Seconds(1);
+constexpr Duration kProbeInterval = absl::Milliseconds(250);
+/// Open connections are taken as alive this long after an answer.
+constexpr Duration kHeardRecently = absl::Milliseconds(500);
+/// A back end that peers did not reach is not tried through them again for this long.
+constexpr Duration kUnreachedPause = absl::Milliseconds(400);
+constexpr size_t kMinFailed = 2;
+constexpr size_t kMaxFailedNeeded = 4;
+
+}  // namespace
+
+PathMonitor::Scope& PathMonitor::ScopeNamed(const std::string& name) {
+  std::unique_ptr<Scope>& scope = scopes_[name];
+  if (scope == nullptr) {
+    scope = std::make_unique<Scope>();
+    scope->name = name;
+  }
+  return *scope;
+}
+
+void PathMonitor::SetBackend(const std::string& backend, const std::string& service,
+                             const std::string& zone) {
+  BackendPath& path = backends_[backend];
+  path.service = &ScopeNamed(service);
+  path.zone = &ScopeNamed(absl::StrCat(service, " in ", zone));
+  path.service->backends.insert(backend);
+  path.zone->backends.insert(backend);
+}
+
+void PathMonitor::RemoveBackend(const std::string& backend) {
+  const auto found = backends_.find(backend);
+  if (found == backends_.end()) {
+    return;
+  }
+  for (Scope* scope : {found->second.service, found->second.zone}) {
+    scope->backends.erase(backend);
+    scope->failed.erase(backend);
+    if (scope->backends.empty()) {
+      scope->cut = false;
+      scope->next_probe = absl::InfiniteFuture();
+      scope->silence_due = absl::InfiniteFuture();
+    }
+  }
+  relayed_.erase(backend);
+  backends_.erase(found);
+}
+
+size_t PathMonitor::CountNeeded(const Scope& scope, bool is_zone) {
+  const size_t count = scope.backends.size();
+  const size_t share = is_zone ? (count + 1) / 2 : (count + 2) / 3;
+  return std::clamp(share, kMinFailed, kMaxFailedNeeded);
+}
+
+bool PathMonitor::HearsOnOpenConnections(const Scope& scope, Time now) {
+  return scope.heard_at > scope.failing_since && now - scope.heard_at < kHeardRecently;
+}
+
+void PathMonitor::OnSent(const std::string& backend, Duration patience, Time now) {
+  const auto found = backends_.find(backend);
+  if (found == backends_.end()) {
+    return;
+  }
+  for (Scope* scope : {found->second.service, found->second.zone}) {
+    if (!scope->cut) {
+      scope->silence_due = std::min(scope->silence_due, now + patience);
+    }
+  }
+}
+
+void PathMonitor::OnAnswered(const std::string& backend, Time now) {
+  const auto found = backends_.find(backend);
+  if (found == backends_.end()) {
+    return;
+  }
+  for (Scope* scope : {found->second.service, found->second.zone}) {
+    scope->heard_at = now;
+    scope->silence_due = absl::InfiniteFuture();
+  }
+}
+
+void PathMonitor::OnConnected(const std::string& backend, Time now) {
+  const auto found = backends_.find(backend);
+  if (found == backends_.end()) {
+    return;
+  }
+  BackendPath& path = found->second;
+  path.failing = false;
+  relayed_.erase(backend);
+  for (Scope* scope : {path.service, path.zone}) {
+    scope->connected_at = now;
+    scope->silence_due = absl::InfiniteFuture();
+    scope->failed.erase(backend);
+    if (scope->cut) {
+      Restore(*scope, backend);
+    }
+  }
+}
+
+void PathMonitor::Restore(Scope& scope, const std::string& backend) {
+  scope.cut = false;
+  scope.failed.clear();
+  scope.next_probe = absl::InfiniteFuture();
+  // The others were cut off for the same reason, and are tried directly again.
+  for (const std::string& other : scope.backends) {
+    backends_.at(other).failing = false;
+    relayed_.erase(other);
+  }
+  changes_.push_back({scope.name,
+                      false,
+                      absl::StrCat(backend, " accepted a connection"),
+                      {scope.backends.begin(), scope.backends.end()}});
+}
+
+void PathMonitor::OnConnectFailed(const std::string& backend, Time now) {
+  const auto found = backends_.find(backend);
+  if (found == backends_.end()) {
+    return;
+  }
+  found->second.failing = true;
+  RecordFailure(*found->second.zone, /*is_zone=*/true, backend, now);
+  RecordFailure(*found->second.service, /*is_zone=*/false, backend, now);
+}
+
+void PathMonitor::RecordFailure(Scope& scope, bool is_zone, const std::string& backend, Time now) {
+  absl::erase_if(scope.failed,
+                 [now](const auto& entry) { return now - entry.second > kEvidenceWindow; });
+  if (scope.failed.empty()) {
+    scope.failing_since = now;
+  }
+  scope.failed[backend] = now;
+  if (!scope.cut && scope.failed.size() >= CountNeeded(scope, is_zone) &&
+      scope.connected_at <= scope.failing_since) {
+    Cut(scope, now);
+  }
+}
+
+void PathMonitor::Cut(Scope& scope, Time now) {
+  scope.cut = true;
+  scope.probed_at = now;
+  scope.silence_due = absl::InfiniteFuture();
+  const bool silent = !HearsOnOpenConnections(scope, now);
+  changes_.push_back({scope.name,
+                      true,
+                      absl::StrCat(scope.failed.size(), " of ", scope.backends.size(),
+                                   " back ends accepted no connection, open ones ",
+                                   silent ? "are silent" : "still work"),
+                      {scope.backends.begin(), scope.backends.end()},
+                      silent});
+}
+
+void PathMonitor::OnRelayed(const std::string& backend, bool reached, Time now) {
+  const auto found = backends_.find(backend);
+  if (found == backends_.end()) {
+    return;
+  }
+  BackendPath& path = found->second;
+  (reached ? path.reached_by_peer_at : path.unreached_by_peer_at) = now;
+  if (reached && path.failing && relayed_.insert(backend).second) {
+    path.probed_at = now;
+  }
+}
+
+void PathMonitor::OnWanted(const std::string& backend, Time now) {
+  const auto found = backends_.find(backend);
+  if (found == backends_.end()) {
+    return;
+  }
+  BackendPath& path = found->second;
+  const auto schedule = [now](Time probed_at, Time* next_probe) {
+    *next_probe = std::min(*next_probe, std::max(now, probed_at + kProbeInterval));
+  };
+  for (Scope* scope : {path.service, path.zone}) {
+    if (scope->cut) {
+      schedule(scope->probed_at, &scope->next_probe);
+    }
+  }
+  if (relayed_.contains(backend)) {
+    schedule(path.probed_at, &path.next_probe);
+  }
+}
+
+Path PathMonitor::PathTo(const std::string& backend, bool has_substitute, Time now) const {
+  const auto found = backends_.find(backend);
+  if (found == backends_.end()) {
+    return Path::kDirect;
+  }
+  const BackendPath& path = found->second;
+  for (const Scope* scope : {path.zone, path.service}) {
+    if (scope->cut) {
+      return HearsOnOpenConnections(*scope, now) ? Path::kIdleOrPeer : Path::kPeer;
+    }
+  }
+  if (!path.failing) {
+    return Path::kDirect;
+  }
+  if (relayed_.contains(backend)) {
+    return Path::kIdleOrPeer;
+  }
+  const bool may_try = !has_substitute && now - path.unreached_by_peer_at >= kUnreachedPause;
+  return may_try ? Path::kPeer : Path::kDirect;
+}
+
+bool PathMonitor::IsCut(const std::string& backend) const {
+  const auto found = backends_.find(backend);
+  return found != backends_.end() && (found->second.zone->cut || found->second.service->cut);
+}
+
+void PathMonitor::AddProbes(Scope& scope, size_t count, absl::btree_set<std::string>* probes) {
+  auto next = scope.backends.upper_bound(scope.last_probed);
+  for (size_t i = 0; i < std::min(count, scope.backends.size()); ++i) {
+    if (next == scope.backends.end()) {
+      next = scope.backends.begin();
+    }
+    scope.last_probed = *next;
+    probes->insert(*next);
+    ++next;
+  }
+}
+
+std::vector<std::string> PathMonitor::TakeProbes(Time now) {
+  absl::btree_set<std::string> probes;
+  for (auto& [name, scope] : scopes_) {
+    if (now >= scope->next_probe) {
+      scope->next_probe = absl::InfiniteFuture();
+      scope->probed_at = now;
+      AddProbes(*scope, 1, &probes);
+    }
+    if (now >= scope->silence_due) {
+      scope->silence_due = absl::InfiniteFuture();
+      AddProbes(*scope, kMaxFailedNeeded, &probes);
+    }
+  }
+  for (const std::string& backend : relayed_) {
+    BackendPath& path = backends_.at(backend);
+    if (now >= path.next_probe) {
+      path.next_probe = absl::InfiniteFuture();
+      path.probed_at = now;
+      probes.insert(backend);
+    }
+  }
+  return {probes.begin(), probes.end()};
+}
+
+Time PathMonitor::NextWake() const {
+  Time next = absl::InfiniteFuture();
+  for (const auto& [name, scope] : scopes_) {
+    next = std::min({next, scope->next_probe, scope->silence_due});
+  }
+  for (const std::string& backend : relayed_) {
+    next = std::min(next, backends_.at(backend).next_probe);
+  }
+  return next;
+}
+
+size_t PathMonitor::CountCutScopes() const {
+  return static_cast<size_t>(std::count_if(scopes_.begin(), scopes_.end(),
+                                           [](const auto& entry) { return entry.second->cut; }));
+}
+
+}  // namespace ladderstream::forwarding
--- a/src/core/forwarding/request_state.h
+++ b/src/core/forwarding/request_state.h
@@ -49,6 +49,8 @@
   /// Distinct back ends whose connection ended while the request was in progress there.
   std::vector<BackendStatePtr> lost_with;
   std::optional<quarantine::Fingerprint> fingerprint;
+  /// Peers that could not send the request on.
+  std::vector<uint64_t> declined_peers;
   std::optional<RejectedAssignment> rejected_assignment;
   LastFailure last_failure;
   SendCause next_cause = SendCause::kFirst;
@@ -80,6 +82,8 @@
   bool permitted = false;
   /// The attempt was charged to the retry budget when it started.
   bool charged = false;
+  /// Incarnation of the node through which it goes; 0 for a direct connection.
+  uint64_t peer = 0;
 };
 
 /// How the answer of a back end is handled.
--- a/src/core/forwarding/service_table.h
+++ b/src/core/forwarding/service_table.h
@@ -61,6 +61,10 @@
   uint64_t registrations_examined() const { return registrations_examined_; }
   std::vector<BackendStateChange> TakeStateChanges();
   void AddStateChange(const BackendState& backend, std::string event, std::string detail);
+  /// Reports a change of the path to a service, or to its back ends in one zone.
+  void AddPathChange(const std::string& scope, std::string event, std::string detail) {
+    state_changes_.push_back({scope, std::move(event), std::move(detail)});
+  }
   /// Reports a change of the rank at which requests begin to be turned away. Rate-limited, so that
   /// not every wave of requests is reported.
   void RecordAdmissionLevel(ServiceState& service, Time now);
--- a/src/core/membership/message_kind.cc
+++ b/src/core/membership/message_kind.cc
@@ -16,6 +16,10 @@
 constexpr std::array<std::string_view, static_cast<size_t>(ZoneScope::kCount)> kScopeNames = {
     "unknown", "own", "other"};
 
+constexpr std::array<std::string_view, static_cast<size_t>(RelayOutcome::kCount)> kOutcomeNames = {
+    "answered", "connect_refused", "connect_timeout", "not_sent", "lost", "timed_out",
+    "busy",     "no_path"};
+
 MessageKind KindOfBody(const Report& /*report*/) { return MessageKind::kReport; }
 
 MessageKind KindOfBody(const Heartbeat& heartbeat) {
@@ -61,6 +65,10 @@
 
 std::string_view NameOf(MessageKind kind) { return kKindNames.at(static_cast<size_t>(kind)); }
 
+std::string_view NameOf(RelayOutcome outcome) {
+  return kOutcomeNames.at(static_cast<size_t>(outcome));
+}
+
 std::string_view NameOf(ZoneScope scope) { return kScopeNames.at(static_cast<size_t>(scope)); }
 
 }  // namespace ladderstream::membership
--- a/src/core/membership/relay_messages.h
+++ b/src/core/membership/relay_messages.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <msgpack.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "wire/identifiers.h"
@@ -51,7 +52,6 @@
   uint64_t sequence = 0;
   int64_t sent_us = 0;
   std::string backend;
-  Endpoint address;
   std::string request_id;
   /// Request line and end-to-end headers, as gateway::CallerRequest::head.
   std::string head;
@@ -66,8 +66,8 @@
   uint32_t priority = 0;
   /// Remaining time when this was sent, in milliseconds.
   int64_t answer_within_ms = 0;
-  MSGPACK_DEFINE_ARRAY(sequence, sent_us, backend, address, request_id, head, body, has_body,
-                       is_head_method, accepts_encoding, repeatable, priority, answer_within_ms);
+  MSGPACK_DEFINE_ARRAY(sequence, sent_us, backend, request_id, head, body, has_body, is_head_method,
+                       accepts_encoding, repeatable, priority, answer_within_ms);
 };
 
 /// How a relayed request ended at the peer.
@@ -90,6 +90,9 @@
   kCount,
 };
 
+/// Returns a name such as "connect_refused".
+std::string_view NameOf(RelayOutcome outcome);
+
 /// The load that a back end reported, as catalog::ToldLoad.
 struct RelayedLoad {
   uint32_t running = 0;
--- a/src/gateway/http/backend_connection.cc
+++ b/src/gateway/http/backend_connection.cc
@@ -22,13 +22,11 @@
 BackendConnection::BackendConnection(LoopResources& resources,
                                      const interfaces::PlatformAdapter& adapter,
                                      const BackendPoolSettings& settings,
-                                     BackendConnectionOwner& owner, ExchangeListener& listener,
-                                     std::string backend)
+                                     BackendConnectionOwner& owner, std::string backend)
     : resources_(resources),
       settings_(settings),
       names_(adapter.headers()),
       owner_(owner),
-      listener_(listener),
       backend_(std::move(backend)),
       socket_(resources.loop.get_executor()),
       reader_(adapter, settings.max_answer_bytes, resources.budget) {}
@@ -70,7 +68,9 @@
   owner_.OnConnected(*this);
   // Meanwhile the back end may have left, and a loop that stood still sees the connection before it
   // sees that the time for it is over.
-  const bool may_send = listener_.MaySend(exchange_.attempt);
+  ExchangeListener* const listener = exchange_.listener;
+  listener->OnConnected(exchange_.attempt);
+  const bool may_send = state_ == State::kConnecting && listener->MaySend(exchange_.attempt);
   if (state_ != State::kConnecting) {
     // Its caller was found to have left, and the attempt was cancelled.
     return;
@@ -108,7 +108,7 @@
   reader_.Begin({request.request_id, request.is_head_method, request.accepts_encoding});
   BuildHead(left);
   written_ = 0;
-  listener_.OnSent(exchange_.attempt);
+  exchange_.listener->OnSent(exchange_.attempt);
   Write();
   if (state_ == State::kBusy) {
     ArmRead();
@@ -262,6 +262,7 @@
   BackendAnswer answer = reader_.Take();
   const forwarding::AttemptHandle attempt = exchange_.attempt;
   const bool whole_request_sent = written_ == message_size();
+  ExchangeListener* const listener = exchange_.listener;
   exchange_ = Exchange();
   pending_.clear();
   answered_at_ = resources_.clock.Now();
@@ -281,15 +282,16 @@
   }
   // The next request on this connection may start in here: it finds the connection's true state,
   // because nothing has been read ahead.
-  listener_.OnAnswer(attempt, std::move(answer));
+  listener->OnAnswer(attempt, std::move(answer));
 }
 
 void BackendConnection::Fail(AttemptFailure failure, std::string_view cause) {
   const BackendConnectionPtr self = shared_from_this();
   const forwarding::AttemptHandle attempt = exchange_.attempt;
+  ExchangeListener* const listener = exchange_.listener;
   // The cause may live in the reader, which is not begun anew before the listener is told.
   Close(cause);
-  listener_.OnFailure(attempt, failure, cause);
+  listener->OnFailure(attempt, failure, cause);
 }
 
 void BackendConnection::Close(std::string_view cause) {
--- a/src/gateway/http/backend_connection.h
+++ b/src/gateway/http/backend_connection.h
@@ -17,19 +17,13 @@
 
 using CallerRequestPtr = std::shared_ptr<const CallerRequest>;
 
-/// One attempt of a request at one back end.
-struct Exchange {
-  forwarding::AttemptHandle attempt = 0;
-  CallerRequestPtr request;
-  /// What is announced as time left ends here.
-  Time answer_by;
-};
-
 /// Hears how exchanges go. After OnAnswer or OnFailure an exchange is over.
 class ExchangeListener {
  public:
   virtual ~ExchangeListener() = default;
 
+  /// A new connection came up for the exchange.
+  virtual void OnConnected(forwarding::AttemptHandle attempt) = 0;
   /// Whether a request whose connection came up just now may still go to its back end.
   virtual bool MaySend(forwarding::AttemptHandle attempt) = 0;
   /// The first byte is about to be written.
@@ -39,6 +33,16 @@
                          std::string_view cause) = 0;
 };
 
+/// One attempt of a request at one back end.
+struct Exchange {
+  forwarding::AttemptHandle attempt = 0;
+  CallerRequestPtr request;
+  /// What is announced as time left ends here.
+  Time answer_by;
+  /// Must outlive the exchange.
+  ExchangeListener* listener = nullptr;
+};
+
 class BackendConnection;
 using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
 
@@ -58,7 +62,7 @@
   /// All references must outlive the connection's open state.
   BackendConnection(LoopResources& resources, const interfaces::PlatformAdapter& adapter,
                     const BackendPoolSettings& settings, BackendConnectionOwner& owner,
-                    ExchangeListener& listener, std::string backend);
+                    std::string backend);
 
   /// Connects and then sends. The exchange may be over when this returns.
   void Connect(const Tcp::endpoint& address, Exchange exchange);
@@ -100,7 +104,6 @@
   const BackendPoolSettings& settings_;
   const interfaces::HeaderNames& names_;
   BackendConnectionOwner& owner_;
-  ExchangeListener& listener_;
   const std::string backend_;
   Socket socket_;
   State state_ = State::kNew;
--- a/src/gateway/http/backend_pool.cc
+++ b/src/gateway/http/backend_pool.cc
@@ -8,13 +8,8 @@
 namespace ladderstream::gateway {
 
 BackendPool::BackendPool(LoopResources& resources, const interfaces::PlatformAdapter& adapter,
-                         const BackendPoolSettings& settings, ExchangeListener& listener,
-                         DataPathObserver* observer)
-    : resources_(resources),
-      adapter_(adapter),
-      settings_(settings),
-      listener_(listener),
-      observer_(observer) {}
+                         const BackendPoolSettings& settings, DataPathObserver* observer)
+    : resources_(resources), adapter_(adapter), settings_(settings), observer_(observer) {}
 
 BackendPool::~BackendPool() {
   observer_ = nullptr;
@@ -54,15 +49,25 @@
   return std::max(settings_.min_connections, static_cast<uint32_t>(share));
 }
 
-BackendConnectionPtr BackendPool::Start(const std::string& backend, const Endpoint& address,
-                                        Exchange exchange) {
-  const Tcp::endpoint endpoint = ToTcpEndpoint(address);
+BackendPool::Entry& BackendPool::EntryFor(const std::string& backend, const Endpoint& address) {
   Entry& entry = entries_[backend];
   if (entry.address != address) {
     CloseAll(std::vector<BackendConnectionPtr>(entry.idle), "the back end moved");
     entry.address = address;
   }
-  if (BackendConnectionPtr idle = TakeIdle(entry)) {
+  return entry;
+}
+
+bool BackendPool::HasIdle(const std::string& backend, const Endpoint& address) {
+  return FindIdle(EntryFor(backend, address)) != nullptr;
+}
+
+BackendConnectionPtr BackendPool::Start(const std::string& backend, const Endpoint& address,
+                                        Exchange exchange) {
+  const Tcp::endpoint endpoint = ToTcpEndpoint(address);
+  Entry& entry = EntryFor(backend, address);
+  if (BackendConnectionPtr idle = FindIdle(entry)) {
+    entry.idle.pop_back();
     idle->Send(std::move(exchange));
     return idle;
   }
@@ -70,20 +75,18 @@
     return nullptr;
   }
   ++entry.open;
-  auto connection = std::make_shared<BackendConnection>(resources_, adapter_, settings_,
-                                                        static_cast<BackendConnectionOwner&>(*this),
-                                                        listener_, backend);
+  auto connection = std::make_shared<BackendConnection>(
+      resources_, adapter_, settings_, static_cast<BackendConnectionOwner&>(*this), backend);
   connections_.emplace(connection.get(), connection);
   connection->Connect(endpoint, std::move(exchange));
   return connection;
 }
 
-BackendConnectionPtr BackendPool::TakeIdle(Entry& entry) {
+BackendConnectionPtr BackendPool::FindIdle(Entry& entry) {
   const Time now = resources_.clock.Now();
   while (!entry.idle.empty()) {
     BackendConnectionPtr connection = entry.idle.back();
     if (now < connection->usable_until() && connection->IsSound()) {
-      entry.idle.pop_back();
       return connection;
     }
     connection->Close("too old, or closed by the back end while idle");
--- a/src/gateway/http/backend_pool.h
+++ b/src/gateway/http/backend_pool.h
@@ -16,8 +16,7 @@
  public:
   /// All references must outlive the pool. `observer` may be null.
   BackendPool(LoopResources& resources, const interfaces::PlatformAdapter& adapter,
-              const BackendPoolSettings& settings, ExchangeListener& listener,
-              DataPathObserver* observer);
+              const BackendPoolSettings& settings, DataPathObserver* observer);
   ~BackendPool() override;
 
   void SetNodeCount(uint32_t node_count) { node_count_ = node_count; }
@@ -30,6 +29,8 @@
   /// connection. The exchange may be over when this returns.
   BackendConnectionPtr Start(const std::string& backend, const Endpoint& address,
                              Exchange exchange);
+  /// Whether Start would use an idle connection.
+  bool HasIdle(const std::string& backend, const Endpoint& address);
   /// Closes the idle connections to a back end that left a request sent at `sent` unanswered,
   /// except those that have carried an answer since.
   void CloseIdleSince(const std::string& backend, Time sent);
@@ -50,7 +51,10 @@
   void OnReusable(const BackendConnectionPtr& connection) override;
   void OnClosed(BackendConnection& connection, std::string_view cause) override;
 
-  BackendConnectionPtr TakeIdle(Entry& entry);
+  /// Closes the connections to an earlier address of the back end.
+  Entry& EntryFor(const std::string& backend, const Endpoint& address);
+  /// Returns the idle connection to use next; null when there is none. Closes unusable ones.
+  BackendConnectionPtr FindIdle(Entry& entry);
   uint32_t MaxOpen(const std::string& backend) const;
   static void CloseAll(const std::vector<BackendConnectionPtr>& connections,
                        std::string_view cause);
@@ -58,7 +62,6 @@
   LoopResources& resources_;
   const interfaces::PlatformAdapter& adapter_;
   const BackendPoolSettings settings_;
-  ExchangeListener& listener_;
   DataPathObserver* observer_;
   uint32_t node_count_ = 1;
   std::unordered_map<std::string, uint32_t> limits_;
--- a/src/gateway/http/backend_probes.cc
+++ b/src/gateway/http/backend_probes.cc
@@ -3,13 +3,6 @@
 #include <utility>
 
 namespace ladderstream::gateway {
-namespace {
-
-/// Neither taken nor refused by then: the back end is cut off or silent, which is no crash.
-constexpr std::chrono::milliseconds kPatience{300};
-
-}  // namespace
-
 struct BackendProbes::Probe {
   explicit Probe(EventLoop& loop) : socket(loop.get_executor()), timer(loop.get_executor()) {}
 
@@ -18,8 +11,12 @@
   bool ended = false;
 };
 
-BackendProbes::BackendProbes(EventLoop& loop, std::string source_host, Callback on_result)
-    : loop_(loop), source_host_(std::move(source_host)), on_result_(std::move(on_result)) {}
+BackendProbes::BackendProbes(EventLoop& loop, Duration timeout, std::string source_host,
+                             Callback on_result)
+    : loop_(loop),
+      timeout_(timeout),
+      source_host_(std::move(source_host)),
+      on_result_(std::move(on_result)) {}
 
 BackendProbes::~BackendProbes() {
   for (const auto& [backend, probe] : probes_) {
@@ -41,7 +38,7 @@
       End(backend, error);
     }
   };
-  probe->timer.expires_after(kPatience);
+  probe->timer.expires_after(absl::ToChronoNanoseconds(timeout_));
   probe->timer.async_wait([end](const ErrorCode& error) {
     if (!error) {
       end(boost::asio::error::timed_out);
@@ -60,8 +57,12 @@
   ErrorCode ignored;
   probe->socket.close(ignored);
   probe->timer.cancel();
-  if (!error || error == boost::asio::error::connection_refused) {
-    on_result_(backend, error == boost::asio::error::connection_refused);
+  if (!error) {
+    on_result_(backend, Result::kConnected);
+  } else {
+    const bool refused = error == boost::asio::error::connection_refused ||
+                         error == boost::asio::error::connection_reset;
+    on_result_(backend, refused ? Result::kRefused : Result::kTimedOut);
   }
 }
 
--- a/src/gateway/http/backend_probes.h
+++ b/src/gateway/http/backend_probes.h
@@ -1,4 +1,4 @@
-// Connects to back ends that lost requests, to tell a crash from a lost answer.
+// Connects to back ends, to tell a crash from a lost answer and a cut path from an ill back end.
 #pragma once
 
 #include <functional>
@@ -8,6 +8,7 @@
 
 #include "gateway/http/event_loop.h"
 #include "wire/identifiers.h"
+#include "wire/time.h"
 
 namespace ladderstream::gateway {
 
@@ -15,11 +16,12 @@
 /// back end. Of the event loop.
 class BackendProbes {
  public:
-  /// Whether the connection was refused; not told when neither came in time.
-  using Callback = std::function<void(const std::string& backend, bool refused)>;
+  enum class Result { kConnected, kRefused, kTimedOut };
+  using Callback = std::function<void(const std::string& backend, Result result)>;
 
-  /// `source_host`: see BindSource.
-  BackendProbes(EventLoop& loop, std::string source_host, Callback on_result);
+  /// `timeout`: neither accepted nor refused by then, the back end is not reached. `source_host`:
+  /// see BindSource.
+  BackendProbes(EventLoop& loop, Duration timeout, std::string source_host, Callback on_result);
   /// Ends all probes without a word.
   ~BackendProbes();
 
@@ -31,6 +33,7 @@
   void End(const std::string& backend, const ErrorCode& error);
 
   EventLoop& loop_;
+  const Duration timeout_;
   const std::string source_host_;
   Callback on_result_;
   std::map<std::string, std::shared_ptr<Probe>> probes_;
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -21,6 +21,9 @@
 constexpr Duration kSilence = absl::Milliseconds(500);
 /// The timer is never set shorter, so that the loop cannot spin on a time-out that stays due.
 constexpr Duration kShortestTimer = absl::Milliseconds(1);
+/// Neither accepted nor refused by then: the back end is cut off or silent, which is no crash.
+constexpr Duration kSuspectProbeTimeout = absl::Milliseconds(300);
+constexpr Duration kPathProbeTimeout = absl::Milliseconds(150);
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -37,17 +40,20 @@
       observer_(observer != nullptr ? observer : &no_observer_),
       timer_(loop.get_executor()),
       next_sweep_(clock.Now() + settings.sweep_interval),
-      probes_(loop, settings.backends.source_host,
-              [this](const std::string& backend, bool refused) {
-                quarantine::CrashSuspects& suspects = dispatcher_.suspects();
-                if (refused) {
-                  suspects.OnRefused(backend, resources_.clock.Now());
-                } else {
-                  suspects.OnConnected(backend);
-                }
-                Pump();
+      probes_(loop, kSuspectProbeTimeout, settings.backends.source_host,
+              [this](const std::string& backend, BackendProbes::Result result) {
+                OnSuspectProbe(backend, result);
               }),
-      backends_(resources_, adapter, settings.backends, *this, observer),
+      path_probes_(loop, kPathProbeTimeout, settings.backends.source_host,
+                   [this](const std::string& backend, BackendProbes::Result result) {
+                     const bool connected = result == BackendProbes::Result::kConnected;
+                     dispatcher_.OnPathEvent(backend,
+                                             connected ? forwarding::PathEvent::kConnected
+                                                       : forwarding::PathEvent::kConnectFailed,
+                                             resources_.clock.Now());
+                     Pump();
+                   }),
+      backends_(resources_, adapter, settings.backends, observer),
       callers_(resources_, adapter.headers(), settings.callers, *this) {
   Arm();
 }
@@ -132,6 +138,7 @@
   }
   pumping_ = false;
   FollowSuspects();
+  ProbePaths();
   pumped_();
   Arm();
 }
@@ -152,6 +159,27 @@
   }
 }
 
+void DataPath::OnSuspectProbe(const std::string& backend, BackendProbes::Result result) {
+  quarantine::CrashSuspects& suspects = dispatcher_.suspects();
+  const Time now = resources_.clock.Now();
+  if (result == BackendProbes::Result::kConnected) {
+    suspects.OnConnected(backend);
+  } else if (result == BackendProbes::Result::kRefused) {
+    suspects.OnRefused(backend, now);
+    dispatcher_.OnPathEvent(backend, forwarding::PathEvent::kConnectFailed, now);
+  }
+  Pump();
+}
+
+void DataPath::ProbePaths() {
+  for (const std::string& backend : dispatcher_.TakePathProbes()) {
+    const Endpoint* const address = dispatcher_.AddressOf(backend);
+    if (address != nullptr) {
+      path_probes_.Start(backend, *address);
+    }
+  }
+}
+
 void DataPath::OnRequest(const CallerConnectionPtr& connection, CallerRequest incoming) {
   const Time now = resources_.clock.Now();
   const auto message = std::make_shared<const CallerRequest>(std::move(incoming));
@@ -163,6 +191,7 @@
   const catalog::Route* route = dispatcher_.FindRoute(message->host, message->target);
   if (route != nullptr) {
     request.route = route->name;
+    request.repeatable = route->repeatability == catalog::Repeatability::kRepeatable;
   }
   observer_->OnRequestStarted(message->request_id, request.route);
   forwarding::IncomingRequest described;
@@ -215,6 +244,16 @@
   return requests_.contains(handle);
 }
 
+void DataPath::OnConnected(AttemptHandle attempt) {
+  dispatcher_.OnConnected(attempt, resources_.clock.Now());
+  Pump();
+}
+
+bool DataPath::IsRepeatable(RequestHandle handle) const {
+  const auto found = requests_.find(handle);
+  return found != requests_.end() && found->second.repeatable;
+}
+
 bool DataPath::MaySend(AttemptHandle attempt) {
   const auto found = attempts_.find(attempt);
   return found != attempts_.end() && CallerIsThere(found->second.request) &&
@@ -253,6 +292,7 @@
   told.limit = answer.limit;
   told.closing = !answer.keeps_open;
   attempt.connection = nullptr;
+  attempt.at_peer = false;
   attempt.duration = now - attempt.sent;
   observer_->OnAttemptAnswered(attempt.message->request_id, attempt.backend, told,
                                attempt.duration);
@@ -298,18 +338,48 @@
   attempt.answer_by = send.answer_by;
   attempts_.emplace(send.attempt, std::move(attempt));
   observer_->OnAttemptDecided(message->request_id, send);
+  if (const std::optional<StartFailure> failed = StartAttempt(send, message)) {
+    OnFailure(send.attempt, failed->failure, failed->cause);
+  }
+}
+
+std::optional<DataPath::StartFailure> DataPath::StartAttempt(const forwarding::SendDecision& send,
+                                                             const CallerRequestPtr& message) {
+  const bool on_idle = send.prefer_idle && backends_.HasIdle(send.backend, send.address);
+  if (send.peer != 0 && !on_idle) {
+    return StartAtPeer(send, message);
+  }
+  if (send.peer != 0) {
+    dispatcher_.OnSentDirectly(send.attempt);
+  }
+  const Exchange exchange{send.attempt, message, send.answer_by, this};
   BackendConnectionPtr connection;
   try {
-    connection =
-        backends_.Start(send.backend, send.address, {send.attempt, message, send.answer_by});
-  } catch (const Error& error) {
-    OnFailure(send.attempt, AttemptFailure::kConnectRefused, error.what());
-    return;
+    connection = backends_.Start(send.backend, send.address, exchange);
+  } catch (const Error& /*error*/) {
+    return StartFailure{AttemptFailure::kConnectRefused, "its address is no IP address"};
   }
   if (connection == nullptr) {
-    OnFailure(send.attempt, AttemptFailure::kNotSent, "enough connections to this back end");
-    return;
+    return StartFailure{AttemptFailure::kNotSent, "enough connections to this back end"};
   }
+  FollowAttempt(send, std::move(connection));
+  return std::nullopt;
+}
+
+std::optional<DataPath::StartFailure> DataPath::StartAtPeer(const forwarding::SendDecision& send,
+                                                            const CallerRequestPtr& message) {
+  Attempt& attempt = attempts_.at(send.attempt);
+  if (peers_ == nullptr || !peers_->Start(send, IsRepeatable(attempt.request), message, this)) {
+    return StartFailure{AttemptFailure::kPeerUnavailable, "not handed to the peer"};
+  }
+  attempt.at_peer = true;
+  timeouts_.push({send.answer_by, send.attempt});
+  OnSent(send.attempt);
+  return std::nullopt;
+}
+
+void DataPath::FollowAttempt(const forwarding::SendDecision& send,
+                             BackendConnectionPtr connection) {
   const auto started = attempts_.find(send.attempt);
   if (started != attempts_.end()) {
     const Time due =
@@ -326,6 +396,9 @@
   }
   observer_->OnAttemptCancelled(found->second.message->request_id, found->second.backend);
   const BackendConnectionPtr connection = std::move(found->second.connection);
+  if (found->second.at_peer) {
+    peers_->Cancel(cancel.attempt);
+  }
   if (resources_.clock.Now() - found->second.sent >= kSilence) {
     CloseSilent(found->second);
   }
@@ -392,7 +465,7 @@
   Request request = std::move(requests_.extract(handle).mapped());
   for (const AttemptHandle attempt : request.attempts) {
     const auto ended = attempts_.find(attempt);
-    if (ended != attempts_.end() && ended->second.connection == nullptr) {
+    if (ended != attempts_.end() && !IsRunning(attempt)) {
       attempts_.erase(ended);
     }
   }
@@ -423,7 +496,7 @@
 
 bool DataPath::IsRunning(AttemptHandle handle) const {
   const auto found = attempts_.find(handle);
-  return found != attempts_.end() && found->second.connection != nullptr;
+  return found != attempts_.end() && (found->second.connection != nullptr || found->second.at_peer);
 }
 
 void DataPath::OnTimer() {
@@ -444,7 +517,7 @@
 }
 
 void DataPath::CloseSilent(const Attempt& attempt) {
-  if (attempt.sent != absl::InfiniteFuture()) {
+  if (attempt.sent != absl::InfiniteFuture() && !attempt.at_peer) {
     // What silenced its connection may have silenced these, each of which would cost another
     // request its whole time.
     backends_.CloseIdleSince(attempt.backend, attempt.sent);
@@ -459,6 +532,11 @@
       continue;
     }
     const Attempt& attempt = attempts_.at(handle);
+    if (attempt.at_peer) {
+      peers_->Cancel(handle);
+      OnFailure(handle, AttemptFailure::kTimedOut, "time-out at the peer");
+      continue;
+    }
     const bool connecting = attempt.connection->is_connecting();
     if (now < attempt.answer_by && !(connecting && now >= attempt.connect_by)) {
       timeouts_.push({attempt.answer_by, handle});
--- a/src/gateway/http/data_path.h
+++ b/src/gateway/http/data_path.h
@@ -17,6 +17,7 @@
 #include "gateway/http/data_path_observer.h"
 #include "gateway/http/data_path_settings.h"
 #include "gateway/http/event_loop.h"
+#include "gateway/http/peer_exchanges.h"
 #include "interfaces/platform_adapter.h"
 
 namespace ladderstream::gateway {
@@ -36,6 +37,12 @@
                       const forwarding::RegistrationUpdate& news);
   void SetNodeCount(uint32_t node_count);
 
+  /// Where attempts through other nodes go; without it they fail. Must outlive the data path.
+  void SetPeerExchanges(PeerExchanges* peers) { peers_ = peers; }
+  /// The connections to back ends, also for requests that this node carries for others.
+  BackendPool& backends() { return backends_; }
+  LoopResources& resources() { return resources_; }
+
   /// Carries out what the dispatcher has decided. To be called after anybody else has told the
   /// dispatcher something.
   void Pump();
@@ -67,6 +74,7 @@
     CallerConnectionPtr caller;
     CallerRequestPtr message;
     std::string route;
+    bool repeatable = false;
     std::vector<forwarding::AttemptHandle> attempts;
     uint32_t sends = 0;
   };
@@ -74,8 +82,10 @@
     forwarding::RequestHandle request = 0;
     CallerRequestPtr message;
     std::string backend;
-    /// Null once it has ended.
+    /// Null once it has ended, and for one that goes through a peer.
     BackendConnectionPtr connection;
+    /// It goes through a peer and has not ended.
+    bool at_peer = false;
     Time connect_by;
     Time answer_by;
     Time sent = absl::InfiniteFuture();
@@ -96,6 +106,7 @@
   void OnQuiet() override;
 
   // ExchangeListener
+  void OnConnected(forwarding::AttemptHandle attempt) override;
   bool MaySend(forwarding::AttemptHandle attempt) override;
   void OnSent(forwarding::AttemptHandle attempt) override;
   void OnAnswer(forwarding::AttemptHandle attempt, BackendAnswer answer) override;
@@ -103,6 +114,19 @@
                  std::string_view cause) override;
 
   void Carry(forwarding::RequestHandle handle, const forwarding::SendDecision& send);
+  /// Starts the attempt on a connection or through a peer, as decided. Returns the failure when
+  /// neither was possible; the attempt may have ended otherwise when this returns.
+  struct StartFailure {
+    forwarding::AttemptFailure failure;
+    std::string_view cause;
+  };
+  std::optional<StartFailure> StartAttempt(const forwarding::SendDecision& send,
+                                           const CallerRequestPtr& message);
+  std::optional<StartFailure> StartAtPeer(const forwarding::SendDecision& send,
+                                          const CallerRequestPtr& message);
+  /// Sets the time-out of an attempt whose connection is `connection`.
+  void FollowAttempt(const forwarding::SendDecision& send, BackendConnectionPtr connection);
+  bool IsRepeatable(forwarding::RequestHandle handle) const;
   void Carry(forwarding::RequestHandle handle, const forwarding::CancelDecision& cancel);
   void Carry(forwarding::RequestHandle handle, const forwarding::RelayDecision& relay);
   void Carry(forwarding::RequestHandle handle, const forwarding::AnswerDecision& answer);
@@ -126,6 +150,8 @@
   void CloseSilent(const Attempt& attempt);
   /// Makes the probes that are due, and tells what was learned of suspects.
   void FollowSuspects();
+  void ProbePaths();
+  void OnSuspectProbe(const std::string& backend, BackendProbes::Result result);
 
   LoopResources resources_;
   forwarding::Dispatcher& dispatcher_;
@@ -149,6 +175,8 @@
   std::function<void()> suspect_news_ = [] {};
   std::function<void()> pumped_ = [] {};
   BackendProbes probes_;
+  BackendProbes path_probes_;
+  PeerExchanges* peers_ = nullptr;
   BackendPool backends_;
   CallerServer callers_;
 };
--- a/src/gateway/http/data_path_observer.h
+++ b/src/gateway/http/data_path_observer.h
@@ -59,6 +59,10 @@
   virtual void OnMalformed(ResultCode /*code*/, std::string_view /*detail*/) {}
   /// A header of a back end's answer, given as "name: value", was understood in part or not at all.
   virtual void OnNotUnderstood(std::string_view /*header*/, std::string_view /*backend*/) {}
+  /// A request that this node carried for another one was not answered.
+  virtual void OnCarriedRequestFailed(std::string_view /*request_id*/, std::string_view /*backend*/,
+                                      std::string_view /*outcome*/, std::string_view /*cause*/,
+                                      Duration /*elapsed*/) {}
   virtual void OnBackendConnected(std::string_view /*backend*/) {}
   /// A connection to a back end was closed; `cause` is one of a fixed list.
   virtual void OnConnectionRetired(std::string_view /*backend*/, std::string_view /*cause*/) {}
--- a/src/gateway/peer/frame.cc
+++ b/src/gateway/peer/frame.cc
@@ -26,11 +26,12 @@
 
 }  // namespace
 
-std::string EncodeFrame(const membership::Message& message, size_t max_bytes) {
+std::string EncodeFrame(const membership::Message& message, size_t max_bytes,
+                        Compression compression) {
   std::string body = membership::EncodeMessage(message);
   CheckLength(body.size(), max_bytes);
   uint32_t flags = 0;
-  if (body.size() >= kLeastCompressedBytes) {
+  if (compression == Compression::kLongMessages && body.size() >= kLeastCompressedBytes) {
     std::string compressed = Compress(body);
     if (compressed.size() < body.size()) {
       body = std::move(compressed);
--- a/src/gateway/peer/frame.h
+++ b/src/gateway/peer/frame.h
@@ -17,9 +17,12 @@
 /// Shorter messages stay as they are: they would hardly shrink. Bytes.
 constexpr size_t kLeastCompressedBytes = 400;
 
-/// The bytes of one frame, length included; long messages are compressed. Throws
-/// Error(kMessageTooLarge) when the message has more than `max_bytes`.
-std::string EncodeFrame(const membership::Message& message, size_t max_bytes);
+enum class Compression { kNever, kLongMessages };
+
+/// The bytes of one frame, length included. Throws Error(kMessageTooLarge) when the message has
+/// more than `max_bytes`.
+std::string EncodeFrame(const membership::Message& message, size_t max_bytes,
+                        Compression compression = Compression::kLongMessages);
 
 /// Cuts a stream of bytes into messages. Memory grows with what has arrived, never with what a
 /// length announces.
--- a/src/gateway/peer/peer_connection.cc
+++ b/src/gateway/peer/peer_connection.cc
@@ -59,9 +59,15 @@
     if (first == last) {
       return;
     }
-    const auto report = std::find_if(
-        first, last, [](const QueuedFrame& queued) { return queued.rank == FrameRank::kReport; });
-    const auto dropped = report == last ? first : report;
+    const auto find = [&](FrameRank rank) {
+      return std::find_if(first, last,
+                          [rank](const QueuedFrame& queued) { return queued.rank == rank; });
+    };
+    const auto report = find(FrameRank::kReport);
+    const auto dropped = report == last ? find(FrameRank::kOther) : report;
+    if (dropped == last) {
+      return;
+    }
     queued_bytes_ -= dropped->frame->size();
     queue_.erase(dropped);
     ++traffic_->frames_dropped;
--- a/src/gateway/peer/peer_connection.h
+++ b/src/gateway/peer/peer_connection.h
@@ -20,8 +20,9 @@
 /// A frame may wait on several connections at once.
 using FramePtr = std::shared_ptr<const std::string>;
 
-/// What gives way first when too much waits.
-enum class FrameRank { kReport, kOther };
+/// What gives way first when too much waits. Relayed orders and requests never do: somebody waits
+/// for their outcome.
+enum class FrameRank { kReport, kOther, kRelayed };
 
 class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
  public:
--- a/src/gateway/peer/peer_transport.cc
+++ b/src/gateway/peer/peer_transport.cc
@@ -27,6 +27,18 @@
 template <int Name>
 using TcpOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
 
+FrameRank RankOf(membership::MessageKind kind) {
+  switch (kind) {
+    case membership::MessageKind::kReport:
+      return FrameRank::kReport;
+    case membership::MessageKind::kRelayedOrder:
+    case membership::MessageKind::kRelayedRequest:
+      return FrameRank::kRelayed;
+    default:
+      return FrameRank::kOther;
+  }
+}
+
 void PreparePeerSocket(Socket& socket, const PeerSettings& settings) {
   ErrorCode ignored;
   PrepareSocket(socket, ignored);
@@ -117,25 +129,33 @@
 
 void PeerTransport::Send(const std::vector<membership::Destination>& to,
                          const membership::Message& message) {
+  const membership::MessageKind kind = membership::KindOf(message);
+  const FrameRank rank = RankOf(kind);
   FramePtr frame;
   try {
-    frame = std::make_shared<const std::string>(EncodeFrame(message, settings_->max_frame_bytes));
+    frame = std::make_shared<const std::string>(EncodeFrame(
+        message, settings_->max_frame_bytes,
+        rank == FrameRank::kRelayed ? Compression::kNever : Compression::kLongMessages));
   } catch (const Error&) {
     // Too long: nothing that a node sends comes near the limit, and nobody would take it.
     traffic_->frames_dropped += to.size();
     return;
   }
-  const membership::MessageKind kind = membership::KindOf(message);
-  const bool is_report = kind == membership::MessageKind::kReport;
   auto& queued = traffic_->queued.at(static_cast<size_t>(kind));
   for (const membership::Destination& destination : to) {
     MessageTraffic& count = queued.at(static_cast<size_t>(destination.zone));
     ++count.messages;
     count.bytes += frame->size();
-    SendTo(destination, frame, is_report ? FrameRank::kReport : FrameRank::kOther);
+    SendTo(destination, frame, rank);
   }
 }
 
+bool PeerTransport::SendOne(const membership::Destination& to, const membership::Message& message) {
+  const uint64_t dropped = traffic_->frames_dropped;
+  Send({to}, message);
+  return traffic_->frames_dropped == dropped;
+}
+
 void PeerTransport::SendTo(const membership::Destination& to, const FramePtr& frame,
                            FrameRank rank) {
   if (const PeerConnectionPtr connection = Find(to.connection)) {
@@ -164,6 +184,8 @@
   Connect(to.address, &outgoing);
   if (const PeerConnectionPtr connection = Find(outgoing.connection)) {
     connection->Write(frame, rank);
+  } else {
+    ++traffic_->frames_dropped;
   }
 }
 
--- a/src/gateway/peer/peer_transport.h
+++ b/src/gateway/peer/peer_transport.h
@@ -48,6 +48,9 @@
   /// address. Handlers are never called from inside.
   void Send(const std::vector<membership::Destination>& to, const membership::Message& message);
 
+  /// The same to one destination. Returns false when the message is dropped at once.
+  bool SendOne(const membership::Destination& to, const membership::Message& message);
+
   /// Where this node listens; tells the port chosen when the setting's is 0.
   Endpoint listen_address() const { return listen_address_; }
   const PeerTraffic& traffic() const { return *traffic_; }
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -180,7 +180,10 @@
                 membership_.OnConnectionLost(address, Now());
                 SchedulePump();
               },
-              [this](uint64_t connection) { order_carrier_.OnConnectionClosed(connection); }}),
+              [this](uint64_t connection) {
+                order_carrier_.OnConnectionClosed(connection);
+                listener_->OnIncomingClosed(connection);
+              }}),
       configuration_follower_(
           FollowerSettingsOf(adapter_->configuration_table(), incarnation + kConfigurationSeed)),
       backend_follower_(FollowerSettingsOf(adapter_->backend_table(), incarnation + kBackendSeed)),
@@ -283,6 +286,14 @@
 }
 
 void ControlPlane::OnMessage(uint64_t connection, membership::Message message) {
+  if (auto* request = std::get_if<membership::RelayedRequest>(&message)) {
+    listener_->OnRelayedRequest(connection, std::move(*request));
+    return;
+  }
+  if (const auto* cancel = std::get_if<membership::RelayCancel>(&message)) {
+    listener_->OnRelayCancel(connection, *cancel);
+    return;
+  }
   if (const auto* order = std::get_if<membership::RelayedOrder>(&message)) {
     metrics_->CountCall("relayed_order", "carried");
     order_carrier_.OnOrder(connection, *order);
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -40,9 +40,14 @@
                           const forwarding::RegistrationUpdate& update) = 0;
   virtual void OnOwnership(std::shared_ptr<const ownership::OwnershipMap> map) = 0;
   virtual void OnMapConfirmed(Time until) = 0;
-  /// `members` are the incarnations of all member nodes, including this one.
-  virtual void OnMembers(const std::vector<uint64_t>& members) = 0;
+  /// `members` are all member nodes, including this one.
+  virtual void OnMembers(const std::vector<membership::PeerIdentity>& members) = 0;
   virtual void OnMembersConfirmed(Time until) = 0;
+  /// A request that another node wants carried, or the end of one.
+  virtual void OnRelayedRequest(uint64_t connection, membership::RelayedRequest request) = 0;
+  virtual void OnRelayCancel(uint64_t connection, const membership::RelayCancel& cancel) = 0;
+  /// A connection that another node had opened has ended.
+  virtual void OnIncomingClosed(uint64_t connection) = 0;
   /// Another node reported requests that crash back ends.
   virtual void OnSuspects(const std::vector<quarantine::SuspectRecord>& suspects) = 0;
   /// Another node reported rate limits of back ends.
@@ -75,6 +80,10 @@
   /// Publishes recently changed rate limits of back ends; see membership::Membership::OnLimits.
   void PublishLimits(std::vector<allowance::LimitRecord> own_limits,
                      std::vector<allowance::LimitRecord> all, bool own);
+  /// Answers OnRelayedRequest.
+  void SendRelayedAnswer(uint64_t connection, const membership::RelayedAnswer& answer) {
+    peers_.Send({{{}, connection}}, answer);
+  }
   void RequestPermits(const std::vector<allowance::PermitQuestion>& questions);
   /// Releases the coordinator lease, if this node holds it, for a planned stop.
   void Resign();
--- a/src/node/control_plane_actions.cc
+++ b/src/node/control_plane_actions.cc
@@ -60,18 +60,15 @@
 
 void ControlPlane::Execute(const membership::MembersChangedAction& changed) {
   UpdateStoreShare();
-  std::vector<uint64_t> members;
   std::vector<uint64_t> others;
-  members.reserve(changed.count);
   others.reserve(changed.count);
   for (const membership::PeerIdentity& member : membership_.members()) {
-    members.push_back(member.incarnation);
     if (member.incarnation != incarnation_) {
       others.push_back(member.incarnation);
     }
   }
   orders_.SetPeers(std::move(others));
-  listener_->OnMembers(members);
+  listener_->OnMembers(membership_.members());
 }
 
 void ControlPlane::Execute(const membership::MembersConfirmedAction& confirmed) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -87,11 +87,17 @@
       dispatcher_(DispatcherSettingsOf(settings, incarnation_)),
       data_path_(loop_, clock_, *adapter_, dispatcher_, DataPathSettingsOf(settings),
                  &request_observer_),
+      request_relay_(resources_.get(), &metrics_, incarnation_),
+      request_carrier_(&data_path_, &dispatcher_, &request_observer_, &metrics_,
+                       [this](uint64_t connection, const membership::RelayedAnswer& answer) {
+                         control_plane_.SendRelayedAnswer(connection, answer);
+                       }),
       control_plane_(resources_.get(), settings, incarnation_, adapter_, &beliefs_, &metrics_,
                      this),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       housekeeping_(loop_),
       stop_timer_(loop_) {
+  data_path_.SetPeerExchanges(&request_relay_);
   data_path_.SetSuspectNews([this] { PublishSuspects(/*own=*/true); });
   data_path_.SetPumped([this] { SyncLimits(); });
   readiness_ = std::make_unique<gateway::ReadinessServer>(
@@ -148,9 +154,33 @@
 
 void Node::OnMapConfirmed(Time until) { dispatcher_.SetMapConfirmed(until); }
 
-void Node::OnMembers(const std::vector<uint64_t>& members) {
+void Node::OnMembers(const std::vector<membership::PeerIdentity>& members) {
+  std::vector<uint64_t> incarnations;
+  std::vector<membership::PeerIdentity> others;
+  std::vector<forwarding::RelayPeer> relay_peers;
+  for (const membership::PeerIdentity& member : members) {
+    incarnations.push_back(member.incarnation);
+    if (member.incarnation != incarnation_) {
+      others.push_back(member);
+      relay_peers.push_back({member.incarnation, member.zone});
+    }
+  }
   data_path_.SetNodeCount(std::max<uint32_t>(1, members.size()));
-  dispatcher_.SetMembers(members, Now());
+  dispatcher_.SetMembers(incarnations, Now());
+  dispatcher_.SetRelayPeers(std::move(relay_peers));
+  request_relay_.SetPeers(others);
+}
+
+void Node::OnRelayedRequest(uint64_t connection, membership::RelayedRequest request) {
+  request_carrier_.OnRequest(connection, std::move(request));
+}
+
+void Node::OnRelayCancel(uint64_t connection, const membership::RelayCancel& cancel) {
+  request_carrier_.OnCancel(connection, cancel);
+}
+
+void Node::OnIncomingClosed(uint64_t connection) {
+  request_carrier_.OnConnectionClosed(connection);
 }
 
 void Node::OnMembersConfirmed(Time until) { dispatcher_.SetMembersConfirmed(until); }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -10,6 +10,8 @@
 #include "gateway/http/data_path.h"
 #include "gateway/http/event_loop.h"
 #include "gateway/http/readiness_server.h"
+#include "gateway/relay/request_carrier.h"
+#include "gateway/relay/request_relay.h"
 #include "gateway/settings/node_settings.h"
 #include "gateway/settings/settings_file.h"
 #include "interfaces/platform_adapter.h"
@@ -43,7 +45,10 @@
                   const forwarding::RegistrationUpdate& update) override;
   void OnOwnership(std::shared_ptr<const ownership::OwnershipMap> map) override;
   void OnMapConfirmed(Time until) override;
-  void OnMembers(const std::vector<uint64_t>& members) override;
+  void OnMembers(const std::vector<membership::PeerIdentity>& members) override;
+  void OnRelayedRequest(uint64_t connection, membership::RelayedRequest request) override;
+  void OnRelayCancel(uint64_t connection, const membership::RelayCancel& cancel) override;
+  void OnIncomingClosed(uint64_t connection) override;
   void OnMembersConfirmed(Time until) override;
   void OnSuspects(const std::vector<quarantine::SuspectRecord>& suspects) override;
   void OnLimits(const std::vector<allowance::LimitRecord>& limits) override;
@@ -95,6 +100,8 @@
   std::unique_ptr<gateway::LoopResources> resources_;
   forwarding::Dispatcher dispatcher_;
   gateway::DataPath data_path_;
+  gateway::RequestRelay request_relay_;
+  gateway::RequestCarrier request_carrier_;
   ControlPlane control_plane_;
   std::unique_ptr<gateway::ReadinessServer> readiness_;
   std::unique_ptr<gateway::ReadinessServer> metrics_server_;
--- a/src/observability/event_list.cc
+++ b/src/observability/event_list.cc
@@ -7,8 +7,8 @@
 
 using enum FieldName;
 
-constexpr FieldSet kSendFields = {kRequest,   kAttempt, kBackend, kAddress,
-                                  kSendCause, kWaitMs,  kAnswerMs};
+constexpr FieldSet kSendFields = {kRequest,   kAttempt, kBackend,  kAddress,
+                                  kSendCause, kWaitMs,  kAnswerMs, kPeer};
 constexpr FieldSet kAttemptEndFields = {kRequest, kAttempt, kBackend, kSent, kElapsedMs};
 constexpr FieldSet kFinalFields = {kRequest,   kRoute,   kService,       kKey,      kStatus,
                                    kCode,      kReason,  kBackend,       kAttempts, kElapsedMs,
@@ -76,6 +76,12 @@
      EventKind::kUnread,
      "Something said from outside is understood in part or not at all.",
      {kKind, kBackend, kDetail, kCount}},
+    {"carried_request_failed",
+     Part::kData,
+     Severity::kInfo,
+     EventKind::kPeer,
+     "A request of another node was not answered through this one.",
+     {kRequest, kBackend, kFailure, kReason, kElapsedMs}},
 
     {"configuration_applied",
      Part::kControl,
--- a/src/observability/event_list.h
+++ b/src/observability/event_list.h
@@ -31,6 +31,7 @@
   kStepsLeftOut,
   kRequestUnread,
   kNotUnderstood,
+  kCarriedRequestFailed,
   // Of what the node believes.
   kConfigurationApplied,
   kConfigurationRejected,
--- a/src/observability/node_metrics.cc
+++ b/src/observability/node_metrics.cc
@@ -19,8 +19,8 @@
 constexpr std::array<std::string_view, static_cast<size_t>(AttemptPurpose::kCount)> kPurposes = {
     "first", "again", "hedge"};
 constexpr std::array<std::string_view, static_cast<size_t>(AttemptResult::kCount)> kAttemptResults =
-    {"answered", "not_executed", "connect_refused", "connect_timeout", "not_sent",
-     "lost",     "timed_out",    "cancelled",       "left_behind"};
+    {"answered",  "not_executed",  "connect_refused", "connect_timeout", "not_sent",   "lost",
+     "timed_out", "peer_declined", "peer_lost",       "cancelled",       "left_behind"};
 
 const prometheus::Histogram::BucketBoundaries& Seconds() {
   static const prometheus::Histogram::BucketBoundaries boundaries = {
--- a/src/observability/node_metrics.h
+++ b/src/observability/node_metrics.h
@@ -51,6 +51,10 @@
   kNotSent,
   kLost,
   kTimedOut,
+  /// The peer did not take it, or does not reach the back end either.
+  kPeerDeclined,
+  /// The peer was lost with it.
+  kPeerLost,
   kCancelled,
   /// Under way when its request ended.
   kLeftBehind,
--- a/src/observability/request_observer.cc
+++ b/src/observability/request_observer.cc
@@ -24,6 +24,11 @@
       return AttemptResult::kLost;
     case forwarding::AttemptFailure::kTimedOut:
       return AttemptResult::kTimedOut;
+    case forwarding::AttemptFailure::kPeerUnavailable:
+    case forwarding::AttemptFailure::kPeerHasNoPath:
+      return AttemptResult::kPeerDeclined;
+    case forwarding::AttemptFailure::kPeerLost:
+      return AttemptResult::kPeerLost;
   }
   return AttemptResult::kLost;
 }
@@ -120,6 +125,15 @@
   not_understood_.Note("answer_header", backend, header);
 }
 
+void RequestObserver::OnCarriedRequestFailed(std::string_view request_id, std::string_view backend,
+                                             std::string_view outcome, std::string_view cause,
+                                             Duration elapsed) {
+  log_->Write(EventName::kCarriedRequestFailed,
+              {EventField(FieldName::kRequest, request_id),
+               EventField(FieldName::kBackend, backend), EventField(FieldName::kFailure, outcome),
+               EventField(FieldName::kReason, cause), EventField(FieldName::kElapsedMs, elapsed)});
+}
+
 void RequestObserver::OnBackendConnected(std::string_view /*backend*/) {
   metrics_->CountConnection("opened");
 }
--- a/src/observability/request_observer.h
+++ b/src/observability/request_observer.h
@@ -38,6 +38,9 @@
   void OnAnswered(const gateway::AnsweredRequest& request) override;
   void OnCallerGone(std::string_view request_id, Duration after) override;
   void OnMalformed(ResultCode code, std::string_view detail) override;
+  void OnCarriedRequestFailed(std::string_view request_id, std::string_view backend,
+                              std::string_view outcome, std::string_view cause,
+                              Duration elapsed) override;
   void OnNotUnderstood(std::string_view header, std::string_view backend) override;
   void OnBackendConnected(std::string_view backend) override;
   void OnConnectionRetired(std::string_view backend, std::string_view cause) override;
--- a/src/observability/request_trace.cc
+++ b/src/observability/request_trace.cc
@@ -91,6 +91,9 @@
     line.fields.emplace_back(FieldName::kSendCause, NameOf(send.cause));
     line.fields.emplace_back(FieldName::kWaitMs, send.expected_wait);
     line.fields.emplace_back(FieldName::kAnswerMs, send.answer_by - attempt.decided);
+    if (send.peer != 0) {
+      line.fields.emplace_back(FieldName::kPeer, absl::StrCat(absl::Hex(send.peer)));
+    }
   }
   return line;
 }
--- a/tests/unit/observability/request_observer_test.cc
+++ b/tests/unit/observability/request_observer_test.cc
@@ -245,6 +245,7 @@
   beliefs.OnSettingsReloaded("SIGHUP", "log.level");
   beliefs.OnSettingsRejected("SIGHUP", "unknown setting");
   observer.OnMalformed(ResultCode::kMalformedRequest, "no host");
+  observer.OnCarriedRequestFailed(kId, "b-1", "no_path", "declined", absl::ZeroDuration());
   Start();
   Decide("b-1", forwarding::SendCause::kFirst);
   observer.OnAttemptAnswered(kId, "b-1", Answered(503, true), absl::ZeroDuration());
