--- a/src/gateway/http/data_path_settings.h
+++ b/src/gateway/http/data_path_settings.h
@@ -21,8 +21,9 @@
   Duration idle_timeout = absl::Seconds(4);
   /// An idle connection is closed this long before the age that the back end told.
   Duration idle_margin = absl::Milliseconds(300);
-  /// A connection is given up when bytes stay unacknowledged this long.
-  Duration user_timeout = absl::Seconds(2);
+  /// A connection is given up when bytes stay unacknowledged this long. Longer than two intervals
+  /// of keep-alive probes; see BoundSilence.
+  Duration user_timeout = absl::Milliseconds(2500);
   /// The longest body of an answer, in bytes.
   size_t max_answer_bytes = 64U << 20U;
   /// See BindSource.
--- a/src/gateway/http/event_loop.h
+++ b/src/gateway/http/event_loop.h
@@ -55,7 +55,8 @@
 void BindSource(Socket& socket, const std::string& host, ErrorCode& error);
 
 /// Gives a connection up when bytes stay unacknowledged for `timeout`, also while connecting, and
-/// when nothing at all comes back any more, also while it is idle.
+/// when nothing at all comes back any more, also while it is idle. A timeout of at most two probe
+/// intervals lets a single lost probe end an idle connection.
 void BoundSilence(Socket& socket, Duration timeout, ErrorCode& error);
 
 /// A listening socket; throws Error(kInvalidSetting) when the address cannot be had.
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -22,7 +22,8 @@
   /// An idle connection is closed at this age when the other side told none.
   Duration idle_timeout = absl::Seconds(4);
   Duration idle_margin = absl::Milliseconds(300);
-  Duration user_timeout = absl::Seconds(2);
+  /// Longer than two intervals of keep-alive probes; see BoundSilence.
+  Duration user_timeout = absl::Milliseconds(2500);
   /// The longest body of an answer, in bytes.
   size_t max_answer_bytes = 16U << 20U;
   /// See BindSource.
--- a/src/gateway/relay/request_carrier.h
+++ b/src/gateway/relay/request_carrier.h
@@ -36,6 +36,9 @@
   /// The node that sent requests on this connection has closed it or was lost.
   void OnConnectionClosed(uint64_t connection);
 
+  /// Requests without an end.
+  size_t in_flight() const { return carried_.size(); }
+
  private:
   /// The sender's connection and its number for the attempt.
   using RequestKey = std::pair<uint64_t, uint64_t>;
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -236,6 +236,7 @@
   }
   state->map_age = now - membership_.map_confirmed_until();
   state->holds_lease = coordinator_.Holds(now);
+  state->orders_relayed = orders_.CountRelayed();
   state->store_troubled = configuration_follower_.RecentlyFailed(now);
   state->peers = membership_.members().size();
   state->peer_messages = CountsOf(peers_.traffic().queued);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -274,6 +274,8 @@
   state.permits_denied = dispatcher_.rates().issuer().denied();
   state.loop_lag = data_path_.loop_lag();
   state.requests_in_flight = data_path_.requests_in_flight();
+  state.requests_carried = request_carrier_.in_flight();
+  state.paths_cut = dispatcher_.CountCutPaths();
   state.caller_connections = data_path_.caller_connection_count();
   state.backend_connections = data_path_.backend_connection_count();
   state.leave_bound =
@@ -352,7 +354,7 @@
   stopping_ = true;
   stop_began_ = Now();
   stop_cause_ = std::string(cause);
-  beliefs_.OnStopping(cause, data_path_.requests_in_flight());
+  beliefs_.OnStopping(cause, RequestsInFlight());
   IsReady();
   control_plane_.Resign();
   dispatcher_.SetStopping();
@@ -365,17 +367,21 @@
   TryStop();
 }
 
+size_t Node::RequestsInFlight() const {
+  return data_path_.requests_in_flight() + request_carrier_.in_flight();
+}
+
 Time Node::StopDeadline() const { return stop_began_ + settings_.bounds.stop_grace - kStopMargin; }
 
 void Node::TryStop() {
   const Time now = Now();
   const Time deadline = StopDeadline();
   if (now >= deadline) {
-    EndStop(data_path_.requests_in_flight() > 0);
+    EndStop(RequestsInFlight() > 0);
     return;
   }
   const Time min_drain_end = std::min(stop_began_ + kMinDrainTime, deadline);
-  if (now >= min_drain_end && data_path_.requests_in_flight() == 0) {
+  if (now >= min_drain_end && RequestsInFlight() == 0) {
     EndStop(false);
     return;
   }
@@ -391,7 +397,7 @@
 
 void Node::EndStop(bool timed_out) {
   stop_timed_out_ = timed_out;
-  beliefs_.OnStopped(stop_cause_, data_path_.requests_in_flight(), Now() - stop_began_);
+  beliefs_.OnStopped(stop_cause_, RequestsInFlight(), Now() - stop_began_);
   loop_.stop();
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -66,6 +66,8 @@
   void Reload(std::string_view cause);
   void Apply(const gateway::NodeSettings& fresh);
   void BeginStop(std::string_view cause);
+  /// Requests of callers, and of other nodes, without an end.
+  size_t RequestsInFlight() const;
   /// Returns the latest time at which the event loop ends.
   Time StopDeadline() const;
   /// Ends the event loop once callers have had time to switch to other nodes and no request is in
--- a/src/observability/node_metrics.cc
+++ b/src/observability/node_metrics.cc
@@ -259,6 +259,12 @@
            absl::ToDoubleSeconds(state.loop_lag));
   SetGauge("ladderstream_caller_connections", "Open connections of callers.",
            static_cast<double>(state.caller_connections));
+  SetGauge("ladderstream_requests_carried", "Requests of other nodes without an answer.",
+           static_cast<double>(state.requests_carried));
+  SetGauge("ladderstream_paths_cut", "Services, and services in one zone, that are not reached.",
+           static_cast<double>(state.paths_cut));
+  SetGauge("ladderstream_orders_relayed", "Back ends whose orders go through other nodes.",
+           static_cast<double>(state.orders_relayed));
   SetGauge("ladderstream_backend_connections", "Open connections to back ends.",
            static_cast<double>(state.backend_connections));
   SetGauge("ladderstream_peers", "Other nodes that are heard of.",
--- a/src/observability/node_metrics.h
+++ b/src/observability/node_metrics.h
@@ -109,6 +109,12 @@
   Duration loop_lag;
   uint64_t caller_connections = 0;
   uint64_t backend_connections = 0;
+  /// Requests of other nodes that this one carries to back ends.
+  uint64_t requests_carried = 0;
+  /// Services, and services in one zone, that this node does not reach.
+  uint64_t paths_cut = 0;
+  /// Back ends whose orders go through other nodes.
+  uint64_t orders_relayed = 0;
   uint64_t peers = 0;
   /// Since the start; each message and zone once.
   std::vector<PeerMessageCount> peer_messages;
--- a/tests/unit/gateway_http/http_client_test.cc
+++ b/tests/unit/gateway_http/http_client_test.cc
@@ -2,9 +2,11 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 
+#include "gateway/http/data_path_settings.h"
 #include "support.h"
 
 namespace ladderstream::gateway {
@@ -104,6 +106,23 @@
   BOOST_TEST(value_of(TCP_USER_TIMEOUT) == 2000);
 }
 
+// A user timeout decides when keep-alive probes give up, whatever their count.
+BOOST_AUTO_TEST_CASE(one_lost_probe_ends_no_idle_connection) {
+  Socket socket(loop.get_executor());
+  socket.open(Tcp::v4());
+  ErrorCode error;
+  const Duration timeout =
+      std::min(HttpClientSettings().user_timeout, BackendPoolSettings().user_timeout);
+  BoundSilence(socket, timeout, error);
+  const auto seconds_of = [&socket](int option) {
+    int value = 0;
+    socklen_t size = sizeof(value);
+    BOOST_TEST(getsockopt(socket.native_handle(), IPPROTO_TCP, option, &value, &size) == 0);
+    return absl::Seconds(value);
+  };
+  BOOST_TEST((timeout > seconds_of(TCP_KEEPIDLE) + seconds_of(TCP_KEEPINTVL)));
+}
+
 BOOST_AUTO_TEST_CASE(a_refused_connection_is_told_from_a_lost_answer) {
   backend.on_request = [](TestSocket& socket, const std::string&) { socket.Close(); };
   BOOST_TEST((Call("/closed").outcome == CallOutcome::kNoAnswer));
