--- a/src/gateway/settings/node_settings.cc
+++ b/src/gateway/settings/node_settings.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <boost/asio/ip/address.hpp>
 #include <limits>
 
 #include "gateway/settings/leave_bound.h"
@@ -57,11 +58,20 @@
 /// A push tells nothing of its age: it counts for this much less.
 constexpr Duration kPushedReserve = absl::Milliseconds(100);
 
+void CheckSourceHost(const std::string& host, SettingsReader* reader) {
+  boost::system::error_code error;
+  boost::asio::ip::make_address(host, error);
+  if (!host.empty() && error) {
+    reader->AddInconsistency(absl::StrCat("node.source_host = \"", host, "\""), "an IP address");
+  }
+}
+
 void ReadNode(SettingsReader* reader, NodeSettings* settings) {
   reader->ReadText("node.name", kRequired, &settings->name);
   reader->ReadText("node.zone", kRequired, &settings->zone);
   reader->ReadText("node.region", kOptional, &settings->region);
   reader->ReadText("node.source_host", kOptional, &settings->source_host);
+  CheckSourceHost(settings->source_host, reader);
   reader->ReadChoice("node.log_level", kOptional, {"debug", "info", "warning", "error"},
                      &settings->log_level);
   reader->ReadEndpoint("listen.callers", kRequired, &settings->listen.callers);
--- a/tests/unit/gateway_settings/node_settings_test.cc
+++ b/tests/unit/gateway_settings/node_settings_test.cc
@@ -114,6 +114,13 @@
   BOOST_TEST(LoadWith({{"forwarding.admission_floor", "1"}}).forwarding.admission_floor == 1);
 }
 
+BOOST_AUTO_TEST_CASE(source_host_that_is_no_address_is_refused) {
+  std::vector<SettingOverride> overrides = kRequired;
+  overrides.push_back({"node.source_host", "rennes-1"});
+  BOOST_TEST(FaultsOf(kExample, overrides).size() == 1U);
+  BOOST_TEST(LoadWith({{"node.source_host", "10.0.0.7"}}).source_host == "10.0.0.7");
+}
+
 BOOST_AUTO_TEST_CASE(other_nodes_are_told_where_to_reach_this_one) {
   const ListenAddresses direct = LoadWith({}).listen;
   BOOST_TEST((direct.own_peer_address() == direct.peers));
