--- a/src/core/forwarding/path_monitor.cc
+++ b/src/core/forwarding/path_monitor.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace ladderstream::forwarding {
 namespace {
@@ -48,7 +49,7 @@
     if (scope->backends.empty()) {
       scope->cut = false;
       scope->next_probe = absl::InfiniteFuture();
-      scope->silence_due = absl::InfiniteFuture();
+      EndSilence(*scope);
     }
   }
   relayed_.erase(backend);
@@ -65,15 +66,23 @@
   return scope.heard_at > scope.failing_since && now - scope.heard_at < kHeardRecently;
 }
 
+void PathMonitor::EndSilence(Scope& scope) {
+  scope.awaited.clear();
+  scope.silence_due = absl::InfiniteFuture();
+}
+
 void PathMonitor::OnSent(const std::string& backend, Duration patience, Time now) {
   const auto found = backends_.find(backend);
   if (found == backends_.end()) {
     return;
   }
-  for (Scope* scope : {found->second.service, found->second.zone}) {
-    if (!scope->cut) {
-      scope->silence_due = std::min(scope->silence_due, now + patience);
-    }
+  Scope& scope = *found->second.service;
+  if (scope.cut) {
+    return;
+  }
+  scope.awaited.insert(backend);
+  if (scope.awaited.size() >= kMinFailed) {
+    scope.silence_due = std::min(scope.silence_due, now + patience);
   }
 }
 
@@ -84,7 +93,7 @@
   }
   for (Scope* scope : {found->second.service, found->second.zone}) {
     scope->heard_at = now;
-    scope->silence_due = absl::InfiniteFuture();
+    EndSilence(*scope);
   }
 }
 
@@ -98,7 +107,7 @@
   relayed_.erase(backend);
   for (Scope* scope : {path.service, path.zone}) {
     scope->connected_at = now;
-    scope->silence_due = absl::InfiniteFuture();
+    EndSilence(*scope);
     scope->failed.erase(backend);
     if (scope->cut) {
       Restore(*scope, backend);
@@ -147,7 +156,7 @@
 void PathMonitor::Cut(Scope& scope, Time now) {
   scope.cut = true;
   scope.probed_at = now;
-  scope.silence_due = absl::InfiniteFuture();
+  EndSilence(scope);
   const bool silent = !HearsOnOpenConnections(scope, now);
   changes_.push_back({scope.name,
                       true,
@@ -236,8 +245,10 @@
       AddProbes(*scope, 1, &probes);
     }
     if (now >= scope->silence_due) {
-      scope->silence_due = absl::InfiniteFuture();
-      AddProbes(*scope, kMaxFailedNeeded, &probes);
+      const auto first = scope->awaited.begin();
+      const size_t count = std::min(scope->awaited.size(), kMaxFailedNeeded);
+      probes.insert(first, std::next(first, static_cast<std::ptrdiff_t>(count)));
+      EndSilence(*scope);
     }
   }
   for (const std::string& backend : relayed_) {
--- a/src/core/forwarding/path_monitor.h
+++ b/src/core/forwarding/path_monitor.h
@@ -44,8 +44,8 @@
   void SetBackend(const std::string& backend, const std::string& service, const std::string& zone);
   void RemoveBackend(const std::string& backend);
 
-  /// A request was sent directly. When nothing is heard from the scope for `patience`, probes are
-  /// made.
+  /// A request was sent directly. When several back ends of the service are to answer and none of
+  /// the service does for `patience`, probes are made.
   void OnSent(const std::string& backend, Duration patience, Time now);
   /// An answer arrived on a direct connection.
   void OnAnswered(const std::string& backend, Time now);
@@ -78,7 +78,9 @@
     absl::btree_map<std::string, Time> failed;
     Time connected_at = absl::InfinitePast();
     Time heard_at = absl::InfinitePast();
-    /// When nothing was heard for too long; infinite while no answer is due.
+    /// Back ends of a service that were sent requests since the last answer of any.
+    absl::btree_set<std::string> awaited;
+    /// When nothing was heard for too long; infinite while too few answers are due.
     Time silence_due = absl::InfiniteFuture();
     bool cut = false;
     /// When the first connection failed.
@@ -104,6 +106,7 @@
   /// How many back ends must fail for the scope to be cut.
   static size_t CountNeeded(const Scope& scope, bool is_zone);
   static bool HearsOnOpenConnections(const Scope& scope, Time now);
+  static void EndSilence(Scope& scope);
   void Cut(Scope& scope, Time now);
   void Restore(Scope& scope, const std::string& backend);
   void RecordFailure(Scope& scope, bool is_zone, const std::string& backend, Time now);
