--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -395,10 +395,14 @@
   if (attempt.charged) {
     request.service->budget.Refund(attempt.started);
   }
-  const bool not_sent = failure == AttemptFailure::kNotSent || IsPathFailure(attempt, failure, now);
-  request.last_failure = {
-      not_sent ? FailureKind::kNotSent : FailureKind::kUnreachable, attempt.backend, 0, {}};
-  if (!not_sent && !request.sharded) {
+  FailureKind kind = FailureKind::kUnreachable;
+  if (failure == AttemptFailure::kNotSent) {
+    kind = FailureKind::kNotSent;
+  } else if (IsPathFailure(attempt, failure, now)) {
+    kind = FailureKind::kNoPath;
+  }
+  request.last_failure = {kind, attempt.backend, 0, {}};
+  if (kind == FailureKind::kUnreachable && !request.sharded) {
     request.failed.push_back(attempt.backend);
   }
   Continue(request, SendCause::kAfterConnectFailure, now);
--- a/src/core/forwarding/final_answer.cc
+++ b/src/core/forwarding/final_answer.cc
@@ -79,6 +79,8 @@
       return "unreachable";
     case FailureKind::kNotSent:
       return "connection closed before sending";
+    case FailureKind::kNoPath:
+      return "not reached on this way";
     case FailureKind::kLost:
       return "lost after sending";
     case FailureKind::kUnclear:
--- a/src/core/forwarding/request_state.h
+++ b/src/core/forwarding/request_state.h
@@ -13,7 +13,17 @@
 namespace ladderstream::forwarding {
 
 /// How the most recently ended attempt of a request failed.
-enum class FailureKind { kNone, kRefused, kNotOwner, kUnreachable, kNotSent, kLost, kUnclear };
+enum class FailureKind {
+  kNone,
+  kRefused,
+  kNotOwner,
+  kUnreachable,
+  kNotSent,
+  /// The path from this node, or through a peer, failed; nothing was sent.
+  kNoPath,
+  kLost,
+  kUnclear
+};
 
 struct LastFailure {
   FailureKind kind = FailureKind::kNone;
