--- a/tests/integration/node/paths_test.cc
+++ b/tests/integration/node/paths_test.cc
@@ -35,7 +35,9 @@
   uint64_t sent = 0;
   uint64_t served = 0;
 
-  double share() const { return static_cast<double>(served) / std::max<uint64_t>(sent, 1); }
+  double share() const {
+    return sent == 0 ? 0 : static_cast<double>(served) / static_cast<double>(sent);
+  }
 };
 
 /// Of the tries sent to `node` between these times.
--- a/tests/unit/gateway_relay/relay_codec_test.cc
+++ b/tests/unit/gateway_relay/relay_codec_test.cc
@@ -79,7 +79,8 @@
   answer.head = "HTTP/1.1 200 OK\r\n";
   answer.body = std::string(kMaxRelayedBody + 1, 'x');
   // It ran, so the sender may not take it as not sent.
-  BOOST_TEST(ToMessage(std::move(answer)).outcome == static_cast<uint8_t>(RelayOutcome::kLost));
+  const uint8_t outcome = ToMessage(std::move(answer)).outcome;
+  BOOST_TEST(outcome == static_cast<uint8_t>(RelayOutcome::kLost));
 }
 
 BOOST_AUTO_TEST_CASE(what_may_have_left_is_never_told_as_not_sent) {
