Show in a request's timeline which node failed to carry it

The new line of a carrying node names the request, so ladderstream_explain took that node for the one that the caller had asked (node.explain.key_without_a_reachable_owner failed).

--- a/src/explain/explanation.cc
+++ b/src/explain/explanation.cc
@@ -91,6 +91,9 @@
   bool sent_ = false;
 };
 
+/// Whether a node tells of a request that it carried for another one.
+bool IsCarried(const LogLine& line) { return line.event == "carried_request_failed"; }
+
 /// What a belief is about: a later line of a topic replaces the earlier ones.
 std::string TopicOf(const LogLine& line) {
   static const std::map<std::string_view, std::string_view> topics = {
@@ -181,6 +184,10 @@
 std::vector<RequestTimeline> Explanation::Timelines() const {
   std::map<std::pair<std::string, std::string>, std::vector<const LogLine*>> steps_by_run;
   for (const LogLine& line : request_lines_) {
+    if (IsCarried(line)) {
+      // Stands in the timeline of the node that the caller asked.
+      continue;
+    }
     steps_by_run[{line.node, line.run}].push_back(&line);
   }
   std::vector<RequestTimeline> timelines;
@@ -194,6 +201,12 @@
 
 std::vector<std::string> Explanation::HintsWhenAbsent() const {
   std::vector<std::string> hints;
+  for (const LogLine& line : request_lines_) {
+    if (IsCarried(line)) {
+      hints.push_back(absl::StrCat(line.node, " carried it for another node to ",
+                                   line.Field("backend"), ": ", line.Field("failure"), "."));
+    }
+  }
   for (const LogLine& line : beliefs_) {
     const std::string when =
         absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", line.wall, absl::UTCTimeZone());
@@ -216,6 +229,11 @@
   for (const LogLine* const step : steps) {
     timeline.entries.push_back({OffsetFrom(first, *step), Relation::kRequest, *step});
   }
+  for (const LogLine& line : request_lines_) {
+    if (IsCarried(line) && !OfSameRun(line, first)) {
+      timeline.entries.push_back({OffsetFrom(first, line), Relation::kOtherNode, line});
+    }
+  }
   std::map<std::string, TimelineEntry> before;
   for (const LogLine& line : beliefs_) {
     const bool same_run = OfSameRun(line, first);
