--- a/src/standin/fleet/backend.cc
+++ b/src/standin/fleet/backend.cc
@@ -39,6 +39,18 @@
   return absl::Milliseconds(milliseconds);
 }
 
+/// How a back end ends under this request.
+RequestedEnd RequestedEndOf(const ReceivedRequest& request) {
+  if (!absl::StrContains(request.target, "ends-")) {
+    return RequestedEnd::kNone;
+  }
+  if (absl::StrContains(request.target, "ends-silent")) {
+    return RequestedEnd::kSilent;
+  }
+  return absl::StrContains(request.target, "ends-restarting") ? RequestedEnd::kRestarting
+                                                              : RequestedEnd::kRefusing;
+}
+
 std::string DrawId(std::mt19937_64* random) {
   return absl::StrFormat("i-%08x", static_cast<uint32_t>((*random)()));
 }
@@ -49,7 +61,7 @@
                  const std::string& zone, const Endpoint& listen)
     : context_(context),
       spec_(spec),
-      self_{.id = DrawId(context.random),
+      self_{.id = context.name.empty() ? DrawId(context.random) : context.name,
             .service = spec.name,
             .address = listen,
             .zone = zone,
@@ -60,6 +72,7 @@
       warm_at_(EventLoop::Now() + spec.cold),
       server_(context.loop, listen, [this](const ExchangePtr& exchange) { OnRequest(exchange); }) {
   self_.address = server_.endpoint();
+  self_.started_at_ms = context.started_ms;
   server_.LimitConnections(spec.max_connections);
   server_.SetIdleTimeout(spec.idle_timeout);
   Beat();
@@ -190,11 +203,32 @@
     ++runs_;
     job->arrival->begun = now;
     WatchHold(job);
+    const RequestedEnd end = RequestedEndOf(job->exchange->request());
+    if (end != RequestedEnd::kNone) {
+      context_.loop->After(absl::ZeroDuration(), [this, job, end] { EndUnder(job, end); });
+      return;
+    }
   }
   context_.loop->After(in_time ? length : job->deadline - now,
                        [this, job, in_time] { Finish(job, in_time ? kOk : kGatewayTimeout); });
 }
 
+void Backend::EndUnder(const JobPtr& job, RequestedEnd end) {
+  if (state_ == State::kEnded) {
+    return;
+  }
+  context_.history->ended_by_requests.push_back(
+      {.backend = self_.id, .at = EventLoop::Now(), .digest = job->arrival->digest});
+  if (end == RequestedEnd::kSilent) {
+    FallSilent();
+  } else {
+    Crash();
+  }
+  if (context_.on_ended) {
+    context_.on_ended(*this, end);
+  }
+}
+
 // Work ends with the hold of its key, unless the key was given up in order: then the release
 // waits for it.
 void Backend::WatchHold(const JobPtr& job) {
@@ -288,7 +322,17 @@
   End();
 }
 
+void Backend::FallSilent() {
+  EndWork();
+  server_.FallSilent();
+}
+
 void Backend::End() {
+  EndWork();
+  server_.Close();
+}
+
+void Backend::EndWork() {
   state_ = State::kEnded;
   const Time now = EventLoop::Now();
   for (const JobPtr& job : std::exchange(jobs_, {})) {
@@ -299,7 +343,6 @@
   running_ = 0;
   releases_.clear();
   NoteHold(HoldEvent::Kind::kEnd, {0, ownership::kLastKey}, 0, now, false);
-  server_.Close();
 }
 
 void Backend::Freeze() {
--- a/src/standin/fleet/backend.h
+++ b/src/standin/fleet/backend.h
@@ -66,6 +66,19 @@
   double unanswered_orders = 0;
 };
 
+/// How a back end ends under a request whose target names one of these.
+enum class RequestedEnd {
+  kNone,
+  /// Its connections are reset and its address refuses new ones: "ends-refusing".
+  kRefusing,
+  /// Nothing comes back from it any more: "ends-silent".
+  kSilent,
+  /// As kRefusing, and it is soon back under its name: "ends-restarting".
+  kRestarting,
+};
+
+class Backend;
+
 /// What the back ends of a fleet share.
 struct BackendContext {
   EventLoop* loop = nullptr;
@@ -75,6 +88,12 @@
   /// How much longer a back end's clock takes over a hold.
   double clock_slowness = 0.02;
   Duration longest_hold = absl::Seconds(10);
+  /// Called, not from within, when a back end has ended under a request.
+  std::function<void(const Backend& ended, RequestedEnd end)> on_ended = {};
+  /// The name of a back end that is back, and when it started, in Unix milliseconds; a new name is
+  /// drawn when this is empty.
+  std::string name = {};
+  uint64_t started_ms = 0;
 };
 
 class Backend {
@@ -97,6 +116,8 @@
   void SetFaults(const BackendFaults& faults) { faults_ = faults; }
   /// Ends without a word; its address refuses connections.
   void Crash();
+  /// Ends without a word, and nothing comes back from its address either.
+  void FallSilent();
   /// Stays silent on every connection, old and new; sends no heartbeat.
   void Freeze();
   void Thaw();
@@ -137,6 +158,7 @@
   void Enqueue(const JobPtr& job);
   void StartNext();
   void Start(const JobPtr& job);
+  void EndUnder(const JobPtr& job, RequestedEnd end);
   void WatchHold(const JobPtr& job);
   void Finish(const JobPtr& job, int status);
   void Remove(const JobPtr& job);
@@ -162,6 +184,8 @@
 
   /// Whether what is taken at this time lay here while this back end was frozen.
   bool IsHeldUp(Time arrival) const;
+  /// Drops its work and its keys.
+  void EndWork();
   void End();
   bool Chance(double share) const;
 
--- a/src/standin/fleet/callers.cc
+++ b/src/standin/fleet/callers.cc
@@ -25,6 +25,20 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/// The result code of a node's own answer; 0 when it has none.
+uint32_t ResultCodeOf(const interfaces::HttpResponse& response) {
+  constexpr char kField[] = "{\"code\":";
+  uint32_t code = 0;
+  if (absl::StartsWith(response.body, kField)) {
+    const size_t begin = sizeof(kField) - 1;
+    const size_t end = response.body.find(',', begin);
+    if (!absl::SimpleAtoi(response.body.substr(begin, end - begin), &code)) {
+      return 0;
+    }
+  }
+  return code;
+}
+
 /// The statuses after which no caller tries again.
 bool IsFinal(int status) {
   constexpr int kFinal[] = {400, 401, 404, 413, 431};
@@ -55,6 +69,7 @@
   attempt->end = result.end;
   attempt->status = response.status;
   attempt->stamp = FindHeader(response.headers, wire::kServerStamp);
+  attempt->result_code = attempt->stamp.empty() ? ResultCodeOf(response) : 0;
   attempt->body_bytes = response.body.size();
   attempt->body_matches = response.body == BodyOf(attempt->stamp, response.body.size());
   const std::string id = FindHeader(response.headers, wire::kRequestId);
@@ -86,7 +101,7 @@
 void Callers::ScheduleNext(const std::string& name) {
   std::exponential_distribution<double> gap(classes_.at(name).per_second);
   loop_->After(absl::Seconds(gap(*random_)), [this, name] {
-    if (stopped_) {
+    if (stopped_ || !classes_.contains(name)) {
       return;
     }
     ScheduleNext(name);
@@ -105,10 +120,12 @@
   call->record->request_class = request_class.name;
   call->record->sent = now;
   call->deadline = now + request_class.deadline;
-  call->key = DrawKey();
-  call->target = absl::StrCat(request_class.path_prefix, "item/", call->number, "?n=", call->key);
+  const bool is_alike = !request_class.item.empty();
+  const std::string item = is_alike ? request_class.item : absl::StrCat(call->number);
+  call->key = is_alike ? request_class.item_key : DrawKey();
+  call->target = absl::StrCat(request_class.path_prefix, "item/", item, "?n=", call->key);
   if (!request_class.repeatable) {
-    call->body = BodyOf(absl::StrCat("order ", call->number), request_class.body_bytes);
+    call->body = BodyOf(absl::StrCat("order ", item), request_class.body_bytes);
   }
   ++pending_;
   Try(call);
--- a/src/standin/fleet/callers.h
+++ b/src/standin/fleet/callers.h
@@ -34,6 +34,10 @@
   /// The share of callers who go away after `patience`, long before the deadline.
   double impatient = 0;
   Duration patience = absl::Milliseconds(100);
+  /// All calls ask for this and are alike; empty: each asks for something else.
+  std::string item = {};
+  /// Of such calls.
+  ownership::Key item_key = 0;
 };
 
 /// Which keys are asked for: a share of the calls goes to a few neighbouring keys.
@@ -54,6 +58,8 @@
   void Start(const RequestClass& request_class);
   /// Of the calls of a started class that come from now on.
   RequestClass& request_class(const std::string& name) { return classes_.at(name); }
+  /// Makes no more calls of a started class.
+  void Stop(const std::string& name) { classes_.erase(name); }
   void SetKeyLoad(const KeyLoad& load) { key_load_ = load; }
   /// The longest time that a connection rests before it is used again.
   void SetLongestRest(Duration rest) { longest_rest_ = rest; }
--- a/src/standin/fleet/fleet.cc
+++ b/src/standin/fleet/fleet.cc
@@ -1,6 +1,7 @@
 #include "standin/fleet/fleet.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
 
 #include <algorithm>
 #include <stdexcept>
@@ -14,6 +15,10 @@
 /// A run of a back end takes no longer, but for one that is frozen.
 constexpr Duration kLongestRun = absl::Seconds(2);
 constexpr ownership::Key kKeyStep = 64;
+/// Of a back end that ended under a request: too soon for two refused connections, 200 ms apart.
+constexpr Duration kQuickRestart = absl::Milliseconds(120);
+/// The platform starts another one elsewhere.
+constexpr Duration kReplacement = absl::Seconds(2);
 
 }  // namespace
 
@@ -51,11 +56,23 @@
 
 Backend& Fleet::AddBackend(const std::string& service, const std::string& zone,
                            const Endpoint& listen) {
+  return AddBackend(MakeContext(), service, zone, listen);
+}
+
+BackendContext Fleet::MakeContext() {
   BackendContext context;
   context.loop = &loop_;
   context.registry = registry_.get();
   context.history = &history_;
   context.random = &random_;
+  context.on_ended = [this](const Backend& ended, RequestedEnd end) {
+    OnEndedByRequest(ended, end);
+  };
+  return context;
+}
+
+Backend& Fleet::AddBackend(const BackendContext& context, const std::string& service,
+                           const std::string& zone, const Endpoint& listen) {
   backends_.push_back(
       std::make_unique<Backend>(context, Spec(service), &ledgers_[service], zone, listen));
   if (!cut_sources_.empty()) {
@@ -95,6 +112,21 @@
   return AddBackend(service, ended.zone(), ended.address());
 }
 
+Backend& Fleet::Restart(const Backend& ended) {
+  BackendContext context = MakeContext();
+  context.name = ended.id();
+  context.started_ms = absl::ToUnixMillis(absl::Now());
+  return AddBackend(context, ended.service(), ended.zone(), ended.address());
+}
+
+void Fleet::OnEndedByRequest(const Backend& ended, RequestedEnd end) {
+  if (end == RequestedEnd::kRestarting) {
+    loop_.After(kQuickRestart, [this, &ended] { Restart(ended); });
+  } else {
+    loop_.After(kReplacement, [this, &ended] { AddBackend(ended.service(), ended.zone()); });
+  }
+}
+
 std::vector<Backend*> Fleet::backends(const std::string& service) {
   std::vector<Backend*> found;
   for (const auto& backend : backends_) {
--- a/src/standin/fleet/fleet.h
+++ b/src/standin/fleet/fleet.h
@@ -51,6 +51,8 @@
   Backend& AddBackend(const std::string& service, const std::string& zone, const Endpoint& listen);
   /// A new incarnation at the address of one that has ended, perhaps of another service.
   Backend& Replace(const Backend& ended, const std::string& service);
+  /// A new incarnation at the address and under the name of one that has ended.
+  Backend& Restart(const Backend& ended);
   /// All that have not ended.
   std::vector<Backend*> backends(const std::string& service);
   /// The back end that holds a key; null when none does.
@@ -79,6 +81,11 @@
 
  private:
   const ServiceSpec& Spec(const std::string& service) const;
+  BackendContext MakeContext();
+  Backend& AddBackend(const BackendContext& context, const std::string& service,
+                      const std::string& zone, const Endpoint& listen);
+  /// Another back end comes in the place of one that ended under a request.
+  void OnEndedByRequest(const Backend& ended, RequestedEnd end);
 
   EventLoop loop_;
   FleetSettings settings_;
--- a/src/standin/fleet/history.h
+++ b/src/standin/fleet/history.h
@@ -75,6 +75,14 @@
   Time until = absl::InfiniteFuture();
 };
 
+/// A back end ended under a request that ends whatever runs it.
+struct EndedByRequest {
+  std::string backend;
+  Time at;
+  /// Of the request.
+  size_t digest = 0;
+};
+
 /// A version that the operator wrote.
 struct ConfigurationEvent {
   catalog::Configuration configuration;
@@ -132,6 +140,8 @@
   Duration deadline;
   CallEnd end = CallEnd::kTimedOut;
   int status = 0;
+  /// Of a node's own answer; 0 when it has none.
+  uint32_t result_code = 0;
   std::string stamp;
   size_t body_bytes = 0;
   /// The body is the one that goes with the stamp.
@@ -152,6 +162,7 @@
   std::deque<Arrival> arrivals;
   std::vector<HoldEvent> holds;
   std::vector<LeaveEvent> leaves;
+  std::vector<EndedByRequest> ended_by_requests;
   std::vector<ConfigurationEvent> configurations;
   std::vector<Disturbance> disturbances;
   std::vector<PathCut> path_cuts;
--- a/src/standin/fleet/http_server.cc
+++ b/src/standin/fleet/http_server.cc
@@ -80,6 +80,8 @@
   bool cut_spares_open = false;
   bool paused = false;
   bool leaving = false;
+  /// Nothing comes back any more.
+  bool silent = false;
   bool accepting = false;
   // The server is being destroyed: nobody is told anything any more.
   bool ended = false;
@@ -179,9 +181,11 @@
   }
 
   bool IsCutOff() const {
-    return !server_->cut_spares_open && server_->cut_sources.contains(source_);
+    return server_->silent || (!server_->cut_spares_open && server_->cut_sources.contains(source_));
   }
 
+  void FallSilent() { DropAllPackets(socket_.native_handle()); }
+
   bool idle() const { return exchange_ == nullptr && held_ == nullptr && outgoing_.empty(); }
 
  private:
@@ -245,8 +249,8 @@
     }
     server_->loop->After(server_->idle_timeout, [weak = weak_from_this(), since = idle_since_] {
       const auto self = weak.lock();
-      if (self != nullptr && self->reading_ && self->idle_since_ == since &&
-          self->buffer_.size() == 0) {
+      if (self != nullptr && !self->server_->silent && self->reading_ &&
+          self->idle_since_ == since && self->buffer_.size() == 0) {
         self->Close();
       }
     });
@@ -424,6 +428,17 @@
   }
 }
 
+void HttpServer::FallSilent() {
+  state_->silent = true;
+  state_->paused = true;
+  if (state_->acceptor.is_open()) {
+    DropAllPackets(state_->acceptor.native_handle());
+  }
+  for (const auto& connection : state_->connections) {
+    connection->FallSilent();
+  }
+}
+
 void HttpServer::LimitConnections(size_t most) { state_->most_connections = most; }
 
 void HttpServer::SetIdleTimeout(Duration timeout) { state_->idle_timeout = timeout; }
--- a/src/standin/fleet/http_server.h
+++ b/src/standin/fleet/http_server.h
@@ -79,6 +79,8 @@
   void Resume();
   /// Cuts off the clients at these IPv4 addresses, and no others; an empty set ends that.
   void CutOff(const std::set<std::string>& sources, CutMode mode);
+  /// From now on nothing comes back from here, on open connections and on new ones, for good.
+  void FallSilent();
   /// Connections above this many are reset.
   void LimitConnections(size_t most);
   /// Idle connections are closed after this.
--- a/src/standin/fleet/judge.cc
+++ b/src/standin/fleet/judge.cc
@@ -11,6 +11,7 @@
 
 #include "standin/fleet/judge_budget.h"
 #include "standin/fleet/judge_configuration.h"
+#include "standin/fleet/judge_crashes.h"
 #include "standin/fleet/judge_ownership.h"
 #include "standin/fleet/judge_paths.h"
 #include "standin/fleet/judge_wishes.h"
@@ -378,6 +379,8 @@
           {"over_budget", &over_budget},
           {"overtime", &overtime},
           {"lingering", &lingering},
+          {"sent_after_crashes", &sent_after_crashes},
+          {"innocent_held", &innocent_held},
           {"unserved_when_cut", &unserved_when_cut},
           {"outdated", &outdated},
           {"regressed", &regressed},
@@ -409,6 +412,7 @@
   JudgeWishes(history, bounds, &verdict);
   JudgeConfiguration(history, bounds, &verdict);
   JudgePaths(history, bounds, &verdict);
+  JudgeCrashes(history, &verdict);
   return verdict;
 }
 
--- a/src/standin/fleet/judge.h
+++ b/src/standin/fleet/judge.h
@@ -97,6 +97,10 @@
   Violations overtime;
   /// Gone on with after its caller had gone.
   Violations lingering;
+  /// Sent on although three back ends had ended under them.
+  Violations sent_after_crashes;
+  /// Refused for crashes that they had no part in.
+  Violations innocent_held;
   /// Not served at nodes that were cut off from all back ends while the others served.
   Violations unserved_when_cut;
 
--- a/src/standin/fleet/main/soak_main.cc
+++ b/src/standin/fleet/main/soak_main.cc
@@ -25,7 +25,7 @@
     faults, "single",
     "single; series: many of them in series that overlap; rests: back ends that ask for rest; "
     "limits: back ends that name limits; changes: routes that change; paths: nodes that lose the "
-    "path to back ends");
+    "path to back ends; crashes: requests that end the back ends that run them");
 DEFINE_double(seconds, 30, "how long faults strike");
 DEFINE_uint64(seed, 1, "of the faults and the load");
 DEFINE_string(schedule, "", "a file with the faults; empty: drawn by the seed");
@@ -53,6 +53,9 @@
     if (FLAGS_faults == "paths") {
       return DrawPathCuts(FLAGS_seed, length);
     }
+    if (FLAGS_faults == "crashes") {
+      return DrawCrashes(FLAGS_seed, length);
+    }
     if (FLAGS_faults == "changes") {
       return DrawChanges(FLAGS_seed, length);
     }
@@ -68,13 +71,34 @@
   return ParseSchedule(text.str());
 }
 
+/// Back ends enough to see a fourth one end, and callers that ask for the same thing again.
+void PrepareForCrashes(Deployment* deployment) {
+  constexpr uint32_t kBackendsPerZone = 3;
+  constexpr double kPollsPerSecond = 2;
+  for (ServiceSpec& service : deployment->fleet.services) {
+    service.backends_per_zone = std::max(service.backends_per_zone, kBackendsPerZone);
+  }
+  const std::vector<RequestClass> load = deployment->load;
+  for (const RequestClass& request_class : load) {
+    if (request_class.repeatable) {
+      RequestClass poll = request_class;
+      poll.name = absl::StrCat(poll.name, " poll");
+      poll.item = "poll";
+      poll.item_key = 1;
+      poll.per_second = kPollsPerSecond;
+      deployment->load.push_back(poll);
+    }
+  }
+}
+
 SoakSettings ReadSettings() {
   standin::FlagChecks checks;
   checks.Require(FLAGS_nodes >= 1 && FLAGS_nodes <= kMostNodes, "nodes",
                  std::to_string(FLAGS_nodes), "1 to 300");
-  const std::set<std::string> faults = {"single", "series", "rests", "limits", "changes", "paths"};
+  const std::set<std::string> faults = {"single",  "series", "rests",  "limits",
+                                        "changes", "paths",  "crashes"};
   checks.Require(faults.contains(FLAGS_faults), "faults", FLAGS_faults,
-                 "single, series, rests, limits, changes or paths");
+                 "single, series, rests, limits, changes, paths or crashes");
   checks.Require(FLAGS_seconds > 0 && FLAGS_seconds <= kMostSeconds, "seconds",
                  std::to_string(FLAGS_seconds), "more than 0, at most 3600");
   checks.ExitOnFaults();
@@ -86,6 +110,9 @@
   if (settings.probes_configuration) {
     AddProbeRoutes(&settings.deployment.fleet.configuration);
   }
+  if (FLAGS_faults == "crashes") {
+    PrepareForCrashes(&settings.deployment);
+  }
   settings.node_program = NodeProgramOr(FLAGS_node_program);
   settings.nodes = FLAGS_nodes;
   settings.length = absl::Seconds(FLAGS_seconds);
--- a/src/standin/fleet/packet_filter.cc
+++ b/src/standin/fleet/packet_filter.cc
@@ -41,8 +41,22 @@
   return program;
 }
 
+int Attach(int descriptor, std::vector<sock_filter> program) {
+  const sock_fprog filter = {.len = static_cast<uint16_t>(program.size()),
+                             .filter = program.data()};
+  return setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
+}
+
 }  // namespace
 
+void DropAllPackets(int descriptor) {
+  if (Attach(descriptor, {Instruction(BPF_RET | BPF_K, kDropAll)}) != 0) {
+    throw Error(
+        ResultCode::kInternal,
+        absl::StrCat("cannot set the packet filter for all packets: ", std::strerror(errno)));
+  }
+}
+
 void DropPacketsFrom(int descriptor, const std::set<std::string>& sources) {
   int failed = 0;
   if (sources.empty()) {
@@ -52,10 +66,7 @@
       return;
     }
   } else {
-    std::vector<sock_filter> program = ProgramFor(sources);
-    const sock_fprog filter = {.len = static_cast<uint16_t>(program.size()),
-                               .filter = program.data()};
-    failed = setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
+    failed = Attach(descriptor, ProgramFor(sources));
   }
   if (failed != 0) {
     throw Error(ResultCode::kInternal,
--- a/src/standin/fleet/packet_filter.h
+++ b/src/standin/fleet/packet_filter.h
@@ -11,5 +11,7 @@
 /// connections accepted from then on inherit the filter. Throws Error(kInternal) when the kernel
 /// refuses.
 void DropPacketsFrom(int descriptor, const std::set<std::string>& sources);
+/// The same for all packets, from anywhere.
+void DropAllPackets(int descriptor);
 
 }  // namespace ladderstream::fleet
--- a/src/standin/fleet/registry.cc
+++ b/src/standin/fleet/registry.cc
@@ -18,15 +18,18 @@
 }
 
 std::string EncodeBackend(const catalog::Backend& backend, uint64_t sequence) {
-  return nlohmann::json({{"service", backend.service},
-                         {"address", FormatEndpoint(backend.address)},
-                         {"zone", backend.zone},
-                         {"version", kSoftwareVersion},
-                         {"slots", backend.slots},
-                         {"state", backend.draining ? "draining" : "ready"},
-                         {"cold_left_s", absl::ToDoubleSeconds(backend.cold_left)},
-                         {"seq", sequence}})
-      .dump();
+  nlohmann::json row = {{"service", backend.service},
+                        {"address", FormatEndpoint(backend.address)},
+                        {"zone", backend.zone},
+                        {"version", kSoftwareVersion},
+                        {"slots", backend.slots},
+                        {"state", backend.draining ? "draining" : "ready"},
+                        {"cold_left_s", absl::ToDoubleSeconds(backend.cold_left)},
+                        {"seq", sequence}};
+  if (backend.started_at_ms > 0) {
+    row["born"] = backend.started_at_ms;
+  }
+  return row.dump();
 }
 
 }  // namespace
--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -122,7 +122,9 @@
                              std::string(NameOf(fault.kind)), absl::ToDoubleSeconds(fault.lasts),
                              fault.target)
           << std::endl;
-    if (fault.kind >= FaultKind::kNodesCutOff) {
+    if (fault.kind == FaultKind::kRequestsEndBackends) {
+      RepeatEndingRequest(fault);
+    } else if (fault.kind >= FaultKind::kNodesCutOff) {
       StrikePaths(fault);
     } else if (fault.kind >= FaultKind::kRouteChanges) {
       StrikeConfiguration(fault);
@@ -237,6 +239,24 @@
     });
   }
 
+  /// A caller repeats one request, at any node, that ends whatever runs it.
+  void RepeatEndingRequest(const SoakFault& fault) {
+    constexpr const char* kEnds[] = {"ends-refusing", "ends-silent", "ends-refusing",
+                                     "ends-restarting"};
+    constexpr double kCallsPerSecond = 3;
+    const auto& load = settings_.deployment.load;
+    RequestClass ending = load[fault.target % load.size()];
+    ending.item =
+        absl::StrCat(kEnds[fault.target / load.size() % std::size(kEnds)], "-", ending_.size());
+    ending.item_key = static_cast<ownership::Key>(fault.target * 60);
+    ending.name = absl::StrCat(ending.name, " ", ending.item);
+    ending.per_second = kCallsPerSecond;
+    ending.retries = 0;
+    ending.fresh_connections = true;
+    ending_.push_back(ending.name);
+    fleet_.callers().Start(ending);
+  }
+
   /// At least one node is spared.
   std::set<size_t> NodesToCut(const SoakFault& fault) {
     const size_t count = nodes_.count();
@@ -350,6 +370,9 @@
     proxy_.SetFaults("", "", {});
     cut_nodes_.clear();
     ApplyCuts();
+    for (const std::string& ending : ending_) {
+      fleet_.callers().Stop(ending);
+    }
     fleet_.store().Heal();
     for (size_t node = 0; node < nodes_.count(); ++node) {
       away_until_[node] = absl::InfinitePast();
@@ -414,6 +437,8 @@
   /// Nodes without a path to back ends, once for each cut that has not ended.
   std::multiset<size_t> cut_nodes_;
   CutMode cut_mode_ = CutMode::kSilent;
+  /// Classes of requests that end what runs them.
+  std::vector<std::string> ending_;
   bool healed_ = false;
   Time started_ = EventLoop::Now();
   Time last_lag_check_ = EventLoop::Now();
--- a/src/standin/fleet/soak_schedule.cc
+++ b/src/standin/fleet/soak_schedule.cc
@@ -23,7 +23,7 @@
          kind == FaultKind::kBackendRests || kind == FaultKind::kBackendLimits ||
          kind >= FaultKind::kRouteChanges;
 }
-constexpr size_t kSingleKinds = kKinds - 11;
+constexpr size_t kSingleKinds = kKinds - 12;
 constexpr std::array<FaultKind, kSingleKinds> SingleKinds() {
   std::array<FaultKind, kSingleKinds> kinds = {};
   size_t count = 0;
@@ -42,25 +42,26 @@
 constexpr uint64_t kTargets = 1000;
 
 constexpr std::array<std::string_view, kKinds> kNames = {
-    "node_killed",          "coordinator_killed",
-    "node_paused",          "node_stopped",
-    "all_nodes_killed",     "node_reloads",
-    "links_delayed",        "links_cut",
-    "links_silent",         "links_one_way",
-    "store_unavailable",    "store_silent",
-    "store_silent_for_one", "store_slow",
-    "store_loses_answers",  "store_writes_late",
-    "store_forgets",        "store_connections_silent",
-    "backend_crashes",      "backend_freezes",
-    "backend_drains",       "backend_cut_from_store",
-    "backend_rests",        "backend_limits",
-    "address_reused",       "orders_late",
-    "orders_unanswered",    "answers_lost",
-    "answers_damaged",      "configuration_changes",
-    "other_keys_hot",       "route_changes",
-    "store_refuses_some",   "store_compacts",
-    "connections_silent",   "nodes_cut_off",
-    "coordinator_cut_off",  "zone_cut_off",
+    "node_killed",           "coordinator_killed",
+    "node_paused",           "node_stopped",
+    "all_nodes_killed",      "node_reloads",
+    "links_delayed",         "links_cut",
+    "links_silent",          "links_one_way",
+    "store_unavailable",     "store_silent",
+    "store_silent_for_one",  "store_slow",
+    "store_loses_answers",   "store_writes_late",
+    "store_forgets",         "store_connections_silent",
+    "backend_crashes",       "backend_freezes",
+    "backend_drains",        "backend_cut_from_store",
+    "backend_rests",         "backend_limits",
+    "address_reused",        "orders_late",
+    "orders_unanswered",     "answers_lost",
+    "answers_damaged",       "configuration_changes",
+    "other_keys_hot",        "route_changes",
+    "store_refuses_some",    "store_compacts",
+    "connections_silent",    "nodes_cut_off",
+    "coordinator_cut_off",   "zone_cut_off",
+    "requests_end_backends",
 };
 
 /// Faults of one kind that follow each other, with targets in turn.
@@ -125,6 +126,22 @@
     {FaultKind::kBackendDrains, 3, 400, 1500},
     {FaultKind::kBackendCrashes, 1, 0, 3000},
 }};
+/// The first fault of every schedule is a request that ends back ends; later ones overlap with it.
+constexpr Series kFirstCrashSeries = {FaultKind::kRequestsEndBackends, 1, 0, 60000};
+constexpr std::array<Series, 12> kCrashSeries = {{
+    {FaultKind::kRequestsEndBackends, 1, 0, 60000},
+    {FaultKind::kRequestsEndBackends, 2, 700, 60000},
+    {FaultKind::kNodesCutOff, 1, 0, 6000},
+    {FaultKind::kZoneCutOff, 1, 0, 4000},
+    {FaultKind::kCoordinatorCutOff, 1, 0, 5000},
+    {FaultKind::kAllNodesKilled, 1, 0, 300},
+    {FaultKind::kCoordinatorKilled, 1, 0, 600},
+    {FaultKind::kNodePaused, 2, 300, 4000},
+    {FaultKind::kStoreSilent, 1, 0, 4000},
+    {FaultKind::kBackendCrashes, 3, 50, 3000},
+    {FaultKind::kBackendDrains, 4, 250, 1500},
+    {FaultKind::kAnswersLost, 2, 500, 4000},
+}};
 /// Of the draws, so many in ten begin a series; the others are single faults.
 constexpr uint64_t kSeriesInTen = 6;
 constexpr uint64_t kTenths = 10;
@@ -241,6 +258,12 @@
   return DrawSeriesOf(kPathSeries, seed, length);
 }
 
+std::vector<SoakFault> DrawCrashes(uint64_t seed, Duration length) {
+  std::vector<SoakFault> schedule = DrawSeriesOf(kCrashSeries, seed, length);
+  schedule.insert(schedule.begin(), {kFirstCrashSeries.kind, absl::ZeroDuration(), length, seed});
+  return schedule;
+}
+
 std::string FormatSchedule(const std::vector<SoakFault>& schedule) {
   std::string text;
   for (const SoakFault& fault : schedule) {
--- a/src/standin/fleet/soak_schedule.h
+++ b/src/standin/fleet/soak_schedule.h
@@ -66,6 +66,9 @@
   kCoordinatorCutOff,
   /// The same for all nodes of a zone.
   kZoneCutOff,
+  // Drawn by DrawCrashes only.
+  /// A caller repeats a request that ends whatever back end runs it.
+  kRequestsEndBackends,
   kCount,
 };
 
@@ -104,6 +107,11 @@
 /// that are killed or stopped, back ends that leave or crash and keys that turn hot.
 std::vector<SoakFault> DrawPathCuts(uint64_t seed, Duration length);
 
+/// As DrawSeries, but most are callers that repeat requests which end whatever runs them, beside
+/// nodes that are killed, all at once too, paused or lose the path to back ends, outages of the
+/// store, and back ends that crash or leave.
+std::vector<SoakFault> DrawCrashes(uint64_t seed, Duration length);
+
 /// One line a fault: its kind, milliseconds from the start, how many it lasts, its target.
 std::string FormatSchedule(const std::vector<SoakFault>& schedule);
 /// Throws Error(kMalformedMessage) that names the line.
--- /dev/null
+++ b/tests/unit/crash_evidence/fleet_model.h
@@ -0,0 +1,184 @@
+// Nodes with real dispatchers, back ends, paths between them, a coordinator that spreads news and
+// a metadata store, on simulated time: a request that ends whatever runs it comes again and again
+// beside faults. Counts how often it still reaches a back end once three have ended under it, and
+// how many other requests are refused because of it.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/forwarding/dispatcher.h"
+#include "core/membership/suspect_exchange.h"
+#include "core/quarantine/fingerprint.h"
+
+namespace ladderstream::model {
+
+/// How a back end ends under the request.
+enum class EndMode {
+  /// Its connections are reset, and its address refuses new ones.
+  kRefuses,
+  /// Nothing comes back from it any more.
+  kSilent,
+};
+
+/// How a node is cut off from back ends.
+enum class PathFault { kNone, kSilent, kReset, kRefuse };
+
+struct FleetSettings {
+  size_t nodes = 3;
+  /// In each of three zones, for each of the two services.
+  size_t backends_per_zone = 4;
+  uint64_t seed = 1;
+  /// Requests of other callers a second.
+  double innocent_per_second = 40;
+  /// Callers that ask for the same thing twice a second.
+  size_t polls = 4;
+};
+
+/// A caller that repeats one request that ends whatever runs it.
+struct GuiltyCaller {
+  quarantine::Fingerprint request;
+  Duration interval = absl::Milliseconds(500);
+  Duration deadline = absl::Milliseconds(1500);
+  EndMode mode = EndMode::kRefuses;
+  /// Asks for a key of the service whose keys have owners.
+  bool by_key = false;
+  /// The back end is back so soon under the same name; infinite when it stays away.
+  Duration restarts_after = absl::InfiniteDuration();
+  /// The nodes that it calls; any when empty.
+  std::vector<size_t> nodes = {};
+};
+
+/// What became of one guilty request.
+struct GuiltyTally {
+  size_t sent = 0;
+  size_t ended = 0;
+  /// Sent later than 3 s after the third back end had ended.
+  size_t sent_late = 0;
+};
+
+class FleetModel {
+ public:
+  explicit FleetModel(const FleetSettings& settings);
+  ~FleetModel();
+
+  void Call(const GuiltyCaller& caller, Duration from_now = absl::ZeroDuration());
+  /// Sends the request once at each of so many nodes at this moment.
+  void CallAtOnce(const GuiltyCaller& caller, size_t count);
+  void Run(Duration time);
+
+  // Faults.
+  /// Of a service, or of both when empty.
+  void CutOff(size_t node, PathFault fault, const std::string& service = "");
+  void CutOffAll(PathFault fault);
+  void HealPaths();
+  void KillAllNodes();
+  void KillNode(size_t node);
+  void Freeze(size_t node, Duration time);
+  void LoseCoordinator();
+  void SetStoreAway(bool away) { store_away_ = away; }
+  void EndBackends(size_t count, EndMode mode);
+  /// Replaces every back end in turn.
+  void Release();
+  /// Share of the answers that are lost although the request ran.
+  void SetLostAnswers(double share) { lost_answers_ = share; }
+
+  GuiltyTally Tally(const quarantine::Fingerprint& request) const;
+  /// Refusals of innocent requests, said to be for crashes.
+  size_t innocent_refused() const { return innocent_refused_; }
+  size_t innocent_served() const { return innocent_served_; }
+  size_t nodes() const { return nodes_.size(); }
+  size_t probes() const { return probes_; }
+  size_t store_writes() const { return store_writes_; }
+  Time now() const { return now_; }
+  std::mt19937_64& random() { return random_; }
+
+ private:
+  struct Backend;
+  struct Node;
+  struct Exchange;
+  struct Request;
+  struct Arrival {
+    quarantine::Fingerprint request;
+    Time at;
+  };
+  using ExchangePtr = std::shared_ptr<Exchange>;
+  enum class Reach { kOpen, kRefused, kSilent };
+
+  void At(Duration delay, std::function<void()> step);
+  /// The same at a node; dropped when the node's process has ended by then, put off while frozen.
+  void AtNode(size_t node, Duration delay, std::function<void()> step);
+  void StartNode(size_t node);
+  void EndNode(size_t node);
+  void AddBackend(const std::string& id, const std::string& service, const std::string& zone);
+  void TellBackends(Duration delay);
+  void TellBackendsTo(size_t node);
+  void EndBackend(Backend& backend, EndMode mode);
+  /// Starts another back end in the place of one that has ended.
+  void Replace(const std::string& instance);
+  /// Starts the back end again under its name.
+  void Restart(const std::string& instance);
+  void Deregister(const std::string& id);
+  void MoveKeys();
+  void TellMapTo(size_t node);
+
+  /// One of `among` that lives, or of all nodes when that is empty.
+  std::optional<size_t> PickNode(const std::vector<size_t>& among = {});
+  void StartRequest(const Request& request, size_t node);
+  void Repeat(GuiltyCaller caller);
+  void AskInnocent();
+  void Poll(uint64_t number);
+  void OnFinalAnswer(size_t node, forwarding::RequestHandle handle, bool served, int status,
+                     ResultCode code, Duration retry_after);
+
+  void Pump(size_t node);
+  void Carry(size_t node, const forwarding::RequestDecision& decided);
+  void StartExchange(size_t node, const forwarding::RequestDecision& decided,
+                     const forwarding::SendDecision& send);
+  void Connect(const ExchangePtr& exchange);
+  void Arrive(const ExchangePtr& exchange);
+  void FinishRun(const ExchangePtr& exchange, bool lost);
+  void CarryAtPeer(const ExchangePtr& exchange);
+  /// Ends the exchange at the node that asked for it.
+  void Fail(const ExchangePtr& exchange, forwarding::AttemptFailure failure);
+  void Answer(const ExchangePtr& exchange);
+  /// Ends the exchange at the node whose connection carries it.
+  void Lose(const ExchangePtr& exchange, forwarding::AttemptFailure failure);
+  Reach ReachOf(size_t node, const std::string& backend) const;
+  void Probe(size_t node, const std::string& backend, bool for_suspects);
+
+  void Report(size_t node);
+  void Deliver(size_t to, const std::vector<membership::SharedSuspect>& suspects);
+  void PublishOwn(size_t node, bool own);
+  void ElectCoordinator();
+
+  const FleetSettings settings_;
+  std::mt19937_64 random_;
+  Time now_ = absl::FromUnixSeconds(1000);
+  std::multimap<Time, std::function<void()>> events_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::map<std::string, std::unique_ptr<Backend>> backends_;
+  std::optional<size_t> coordinator_ = 0;
+  std::string owner_;
+  uint64_t map_sequence_ = 0;
+  bool store_away_ = false;
+  double lost_answers_ = 0;
+  std::map<quarantine::Fingerprint, GuiltyCaller> guilty_;
+  std::vector<Arrival> guilty_arrivals_;
+  std::map<quarantine::Fingerprint, std::vector<Time>> ends_;
+  uint64_t last_innocent_ = 0;
+  uint64_t last_incarnation_ = 0;
+  size_t innocent_refused_ = 0;
+  size_t innocent_served_ = 0;
+  size_t probes_ = 0;
+  size_t store_writes_ = 0;
+};
+
+}  // namespace ladderstream::model
