--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -19,9 +19,6 @@
 /// How long a load report is taken as current: a few service times, within which a burst may fill a
 /// queue.
 constexpr Duration kReportFreshness = absl::Milliseconds(500);
-/// A path is probed after so many service times without an answer from any back end.
-constexpr int kSilentServiceTimes = 2;
-constexpr Duration kMinSilence = absl::Milliseconds(150);
 
 /// Whether the answer indicates a fault of the back end itself.
 bool ShowsFault(const AttemptAnswer& answer) {
@@ -50,11 +47,6 @@
   return now - attempt.started <= attempt.late_after;
 }
 
-/// How long nothing may be heard from a service's back ends before the path is probed.
-Duration SilencePatience(const ServiceState& service) {
-  return std::max(kSilentServiceTimes * service.averages.ServiceTime(), kMinSilence);
-}
-
 /// Whether it is certain that no byte of the attempt was sent.
 bool NeverSent(const Attempt& attempt, AttemptFailure failure) {
   switch (failure) {
@@ -104,7 +96,11 @@
       by_key ? attempt.backend->UsableAsOwner(now) : attempt.backend->UsableForAny(now);
   // A limit that was reported after this attempt was decided on applies to it too.
   const bool permitted = attempt.permitted || !rates_.IsLimited(attempt.backend->registration.id);
-  return usable && permitted && !attempt.backend->InBackoff(now);
+  const bool held =
+      request != requests_.end() && !MayBeSent(*request->second, attempt.backend->registration.id,
+                                               {attempt.peer, /*prefer_idle=*/false}, now);
+  return usable && permitted && !held && now >= catching_up_until_ &&
+         !attempt.backend->InBackoff(now);
 }
 
 void Dispatcher::Impl::OnSent(AttemptHandle handle, Time now) {
@@ -139,14 +135,15 @@
   }
   ApplyBackendSignals(attempt, answer, now);
   UpdateFromAnswer(attempt, answer, now);
-  suspects_.OnConnected(attempt.backend->registration.id);
+  if (answer.status != kMisdirected) {
+    attempt.backend->heard_at = now;
+    suspects_.OnAnswered(attempt.backend->registration.id, now);
+  }
   Request* request = FindRequest(attempt.request);
   if (request != nullptr) {
     switch (MeaningOf(answer)) {
       case AnswerMeaning::kFinal:
-        if (request->fingerprint.has_value() && answer.status < kFirstServerError) {
-          suspects_.OnServed(*request->fingerprint, now);
-        }
+        RecordServed(*request, answer, now);
         Finish(*request, RelayDecision{handle}, now);
         break;
       case AnswerMeaning::kRefused:
@@ -283,6 +280,14 @@
     return;
   }
   const Attempt attempt = EndAttempt(handle);
+  RecordConnectFailure(attempt, failure, now);
+  if (!NeverSent(attempt, failure)) {
+    if (failure == AttemptFailure::kTimedOut) {
+      RecordUnanswered(attempt, now);
+    } else {
+      RecordLoss(attempt, now);
+    }
+  }
   UpdatePathFromFailure(attempt, failure, now);
   if (!IsPathFailure(attempt, failure, now)) {
     UpdateFromFailure(attempt, failure, now);
@@ -303,36 +308,6 @@
   DispatchWaiting(*attempt.service, now);
 }
 
-void Dispatcher::Impl::OnRequestLost(AttemptHandle handle,
-                                     const quarantine::Fingerprint& fingerprint, Time now) {
-  const auto found = attempts_.find(handle);
-  if (found == attempts_.end() || !found->second.sent ||
-      paths_.IsCut(found->second.backend->registration.id)) {
-    return;
-  }
-  const Attempt& attempt = found->second;
-  suspects_.OnLost(fingerprint, attempt.backend->registration.id, now);
-  Request* request = FindRequest(attempt.request);
-  if (request == nullptr) {
-    return;
-  }
-  request->fingerprint = fingerprint;
-  const auto& known = request->lost_with;
-  if (std::find(known.begin(), known.end(), attempt.backend) == known.end()) {
-    request->lost_with.push_back(attempt.backend);
-  }
-}
-
-bool Dispatcher::Impl::MayCrashAnother(const Request& request, Time now) const {
-  if (!request.fingerprint.has_value()) {
-    return false;
-  }
-  // The request's own losses count before the crashes are confirmed: by then, a third back end
-  // would have crashed.
-  return request.lost_with.size() >= quarantine::kCrashesToStopRetries ||
-         suspects_.Judge(*request.fingerprint, now).crashes >= quarantine::kCrashesToStopRetries;
-}
-
 void Dispatcher::Impl::UpdateFromLoss(const Attempt& attempt, Time now) {
   BackendState& backend = *attempt.backend;
   if (!MayBeFull(backend.load, now)) {
@@ -350,7 +325,6 @@
   BackendState& backend = *attempt.backend;
   switch (failure) {
     case AttemptFailure::kConnectRefused:
-      suspects_.OnRefused(backend.registration.id, now);
       RecordEjection(backend, "refused a connection", backend.outlier.OnConnectRefused(now));
       break;
     case AttemptFailure::kConnectTimeout:
@@ -437,6 +411,7 @@
   Request* request = FindRequest(handle);
   if (request != nullptr) {
     ServiceState& service = *request->service;
+    RecordAbandoned(*request, now);
     AbandonAttempts(*request, now);
     Forget(*request);
     DispatchWaiting(service, now);
--- a/src/core/forwarding/backend_state.h
+++ b/src/core/forwarding/backend_state.h
@@ -35,6 +35,8 @@
   Time reported_cold_until = absl::InfinitePast();
   /// While the back end is cold, the earliest time of this node's next request to it.
   Time next_cold_send = absl::InfinitePast();
+  /// When it last answered or accepted a connection, also at a peer for this node.
+  Time heard_at = absl::InfinitePast();
   /// The back end asked this node to send it nothing before this time.
   Time backoff_until = absl::InfinitePast();
   load::LoadEstimate load;
--- a/src/core/forwarding/deadlines.cc
+++ b/src/core/forwarding/deadlines.cc
@@ -65,7 +65,7 @@
 }
 
 bool Dispatcher::Impl::MayHedge(const Request& request) const {
-  return settings_.hedge && request.repeatable() && !request.sharded &&
+  return settings_.hedge && request.repeatable() && !request.sharded && !request.is_trial &&
          request.in_flight.size() == 1 && request.counted_attempts < request.route->max_attempts;
 }
 
@@ -97,6 +97,7 @@
       const bool in_time = choice.expected_wait + load.ServiceTime(now) < request.answer_by - now;
       const std::optional<Way> way = ChooseWay(request, *choice.backend, now);
       if (free && in_time && way.has_value() &&
+          MayBeSent(request, choice.backend->registration.id, *way, now) &&
           request.service->budget.Allows(retry_limits_, kHedgeBudgetShare, now)) {
         request.hedge_at = absl::InfiniteFuture();
         request.next_cause = SendCause::kHedge;
--- a/src/core/forwarding/dispatch.cc
+++ b/src/core/forwarding/dispatch.cc
@@ -15,6 +15,10 @@
 constexpr double kAttemptTimeShare = 0.75;
 /// Minimum interval between two timer-driven dispatches of a waiting request.
 constexpr Duration kMinRedispatchInterval = absl::Milliseconds(5);
+/// How often it is looked whether the losses of a waiting request are settled.
+constexpr Duration kSettleInterval = absl::Milliseconds(10);
+/// After a stall, in which the messages of the other nodes are read.
+constexpr Duration kCatchUpTime = absl::Milliseconds(100);
 /// Share of the target latency that queues may take even when the service time nearly reaches it.
 constexpr double kMinSlackShare = 0.1;
 
@@ -38,6 +42,10 @@
     FinishUnserved(request, Choice(), StopCause::kAttemptsSpent, now);
     return;
   }
+  if (now < catching_up_until_) {
+    WaitUntilCaughtUp(request, now);
+    return;
+  }
   const Choice choice = Choose(request, now);
   if (choice.backend != nullptr && !Admitted(request, now)) {
     FinishUnserved(request, choice, StopCause::kNotAdmitted, now);
@@ -118,8 +126,17 @@
 
 void Dispatcher::Impl::SendOrRefuse(Request& request, const Choice& choice, Time now) {
   const std::optional<Way> way = ChooseWay(request, *choice.backend, now);
+  if (way.has_value() && MayBeSent(request, choice.backend->registration.id, *way, now)) {
+    const bool permitted = !request.is_trial || suspects_.UseTrial(*request.fingerprint, now);
+    if (permitted) {
+      Send(request, choice, *way, now);
+    } else {
+      FinishUnserved(request, choice, StopCause::kMayCrashAnother, now);
+    }
+    return;
+  }
   if (way.has_value()) {
-    Send(request, choice, *way, now);
+    WaitUntilSettled(request, choice, now);
     return;
   }
   Choice unreachable;
@@ -128,6 +145,30 @@
   FinishUnserved(request, unreachable, StopCause::kUnavailable, now);
 }
 
+void Dispatcher::Impl::OnStalled(Time now) { catching_up_until_ = now + kCatchUpTime; }
+
+void Dispatcher::Impl::WaitUntilCaughtUp(Request& request, Time now) {
+  if (!request.waiting && request.service->waiting.size() >= kMaxWaiting) {
+    FinishUnserved(request, Choice(), StopCause::kTooManyWaiting, now);
+    return;
+  }
+  Wait(request, Choice(), now);
+  request.wait_until = catching_up_until_;
+  Arm(request);
+}
+
+void Dispatcher::Impl::WaitUntilSettled(Request& request, const Choice& choice, Time now) {
+  const bool has_room = request.waiting || request.service->waiting.size() < kMaxWaiting;
+  if (now >= request.wait_deadline || !has_room || IsHeld(*request.fingerprint, now)) {
+    FinishUnserved(request, choice, StopCause::kMayCrashAnother, now);
+    return;
+  }
+  suspects_.OnWanted(*request.fingerprint, now);
+  Choice unsettled = choice;
+  unsettled.retry_at = now + kSettleInterval;
+  Wait(request, unsettled, now);
+}
+
 void Dispatcher::Impl::Send(Request& request, const Choice& choice, const Way& way, Time now) {
   StopWaiting(request);
   Attempt attempt;
@@ -139,6 +180,7 @@
   attempt.late_after = request.route->target_latency * kAttemptTimeShare;
   attempt.charged = request.counted_attempts > 0;
   attempt.peer = way.peer;
+  attempt.fingerprint = request.fingerprint;
   if (way.peer != 0) {
     relay_peers_.OnSent(way.peer);
   }
@@ -160,6 +202,8 @@
   send.peer = way.peer;
   send.prefer_idle = way.prefer_idle;
   send.priority = request.route->priority;
+  send.fingerprint = request.fingerprint;
+  send.permitted = attempt.permitted;
   send.connect_by = std::min({now + settings_.connect_timeout, request.answer_by, usable_until});
   send.answer_by = request.answer_by;
   send.cause = request.next_cause;
@@ -178,6 +222,9 @@
 }
 
 void Dispatcher::Impl::Finish(Request& request, Decision decision, Time now) {
+  if (!std::holds_alternative<RelayDecision>(decision)) {
+    RecordAbandoned(request, now);
+  }
   AbandonAttempts(request, now);
   Emit(request, std::move(decision));
   Forget(request);
--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -46,6 +46,8 @@
       owner_(ownership_, services_, cold_senders_, rates_, settings_.limit_owners),
       guarded_least_wait_(least_wait_),
       guarded_owner_(owner_) {
+  suspects_.SetContacts(&paths_);
+  suspects_known_ = !settings.suspects_are_stored;
   SetNodeCount(settings.node_count);
   SetRetryBudget(settings.budget_ratio, settings.budget_slack, settings.budget_window);
 }
@@ -71,6 +73,7 @@
   for (const std::string& id : changes.gone) {
     paths_.RemoveBackend(id);
   }
+  ApplyRegistrations(changes, now);
   for (ServiceState* service : services_.Services()) {
     DispatchWaiting(*service, now);
   }
@@ -125,14 +128,9 @@
                   absl::StrCat(request.service->name, ": this node ends before the request might"));
   }
   request.fingerprint = incoming.fingerprint;
-  if (request.fingerprint.has_value()) {
-    const quarantine::Judgement judgement = suspects_.Judge(*request.fingerprint, now);
-    if (judgement.Held(now)) {
-      return refuse(ResultCode::kQuarantined, judgement.held_until - now,
-                    absl::StrCat(request.service->name, ": it was at work at ", judgement.crashes,
-                                 " back ends as they crashed (", judgement.backends, "), request ",
-                                 quarantine::Format(*request.fingerprint)));
-    }
+  if (std::optional<AnswerDecision> held = JudgeNew(request, now)) {
+    decisions_.push_back({handle, *std::move(held)});
+    return handle;
   }
   request.service->budget.AddRequest(retry_limits_, now);
   if (request.sharded) {
@@ -314,9 +312,23 @@
   impl_->OnPathEvent(backend, event, now);
 }
 std::vector<std::string> Dispatcher::TakePathProbes() { return impl_->TakePathProbes(); }
-CarryPermission Dispatcher::MayCarry(const std::string& backend, Time now) const {
-  return impl_->MayCarry(backend, now);
+CarryPermission Dispatcher::MayCarry(const CarriedRequest& request, Time now) const {
+  return impl_->MayCarry(request, now);
+}
+void Dispatcher::OnCarriedLost(const CarriedRequest& request, Time now) {
+  impl_->OnCarriedLost(request, now);
+}
+void Dispatcher::OnCarriedUnanswered(const CarriedRequest& request, Duration elapsed, Time now) {
+  impl_->OnCarriedUnanswered(request, elapsed, now);
 }
+std::vector<std::string> Dispatcher::TakeSuspectProbes(Time now) {
+  return impl_->TakeSuspectProbes(now);
+}
+void Dispatcher::OnSuspectProbeFailed(const std::string& backend, bool refused, Time now) {
+  impl_->OnSuspectProbeFailed(backend, refused, now);
+}
+void Dispatcher::OnStalled(Time now) { impl_->OnStalled(now); }
+void Dispatcher::SetSuspectsKnown() { impl_->SetSuspectsKnown(); }
 size_t Dispatcher::CountCutPaths() const { return impl_->CountCutPaths(); }
 void Dispatcher::SetRetryBudget(double ratio, double slack, Duration window) {
   impl_->SetRetryBudget(ratio, slack, window);
@@ -342,10 +354,6 @@
 void Dispatcher::OnAttemptFailure(AttemptHandle attempt, AttemptFailure failure, Time now) {
   impl_->OnAttemptFailure(attempt, failure, now);
 }
-void Dispatcher::OnRequestLost(AttemptHandle attempt, const quarantine::Fingerprint& request,
-                               Time now) {
-  impl_->OnRequestLost(attempt, request, now);
-}
 const allowance::SharedRates& Dispatcher::rates() const { return impl_->rates(); }
 bool Dispatcher::OnLimitsReceived(const std::vector<allowance::LimitRecord>& records, Time now) {
   return impl_->OnLimitsReceived(records, now);
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -91,6 +91,9 @@
   bool hedge = true;
   /// Whether this node limits its concurrent requests at an owner by their outcomes (OwnerLimit).
   bool limit_owners = true;
+  /// Whether requests are refused until SetSuspectsKnown, and held requests whose hold has lapsed
+  /// until a trial is granted (CrashSuspects::OnTrialGranted).
+  bool suspects_are_stored = false;
   /// Seed for choices among equally good back ends; should differ between nodes.
   uint64_t seed = 0;
 };
@@ -105,7 +108,7 @@
   Time arrival;
   /// When the caller stops waiting; infinite when it sent no deadline.
   Time deadline;
-  /// Required while any crash suspects are known (see Dispatcher::suspects).
+  /// By which the request is known again at any node. Without it, its losses are not followed.
   std::optional<quarantine::Fingerprint> fingerprint = std::nullopt;
 };
 
@@ -133,6 +136,10 @@
   bool prefer_idle = false;
   /// Rank of the request for the peer; 0 is the most urgent.
   uint32_t priority = 0;
+  /// For the peer, which applies its own knowledge of crashes and limits as well.
+  std::optional<quarantine::Fingerprint> fingerprint = std::nullopt;
+  /// The attempt consumed a permit of the back end's rate limit.
+  bool permitted = false;
   /// If the connection is not established by then, it is given up; nothing was sent.
   Time connect_by;
   /// Deadline for the answer; the back end is sent the remaining time.
@@ -188,10 +195,31 @@
 };
 
 /// An event of this node's own connections to a back end, other than those of attempts.
-enum class PathEvent { kConnected, kConnectFailed, kAnswered };
+enum class PathEvent {
+  kConnected,
+  /// Nothing came back in time.
+  kConnectFailed,
+  kRefused,
+  kAnswered,
+};
 
+/// A request of another node that this one may send to a back end.
+struct CarriedRequest {
+  std::string backend;
+  /// Not told by nodes of an earlier version.
+  std::optional<quarantine::Fingerprint> fingerprint;
+  /// The sender has a permit of the back end's rate limit.
+  bool permitted = false;
+};
 /// Whether this node sends a request of another node to a back end.
-enum class CarryPermission { kGranted, kNoPath, kDeclined };
+enum class CarryPermission {
+  kGranted,
+  kNoPath,
+  /// The back end leaves, asked for rest, or has a limit that the sender does not know of.
+  kDeclined,
+  /// The request is held as one that crashes back ends.
+  kHeld,
+};
 
 /// The parts of a back end's answer that decisions depend on.
 struct AttemptAnswer {
@@ -281,7 +309,12 @@
   /// Returns the back ends to which to open a connection, to find out whether they are reached.
   std::vector<std::string> TakePathProbes();
   /// Returns whether a request that another node could not send itself may go to the back end.
-  CarryPermission MayCarry(const std::string& backend, Time now) const;
+  CarryPermission MayCarry(const CarriedRequest& request, Time now) const;
+  /// The back end was lost with a request of another node, which counts like an own one.
+  void OnCarriedLost(const CarriedRequest& request, Time now);
+  /// The time of a request of another node is over, or it was cancelled, `elapsed` after it was
+  /// sent and without an answer.
+  void OnCarriedUnanswered(const CarriedRequest& request, Duration elapsed, Time now);
   /// Returns how many services, or services in one zone, this node does not reach.
   size_t CountCutPaths() const;
   /// The connection is established and the request is about to be written. Must be called before
@@ -289,17 +322,24 @@
   void OnSent(AttemptHandle attempt, Time now);
   void OnAttemptAnswer(AttemptHandle attempt, const AttemptAnswer& answer, Time now);
   void OnAttemptFailure(AttemptHandle attempt, AttemptFailure failure, Time now);
-  /// Records the fingerprint of a lost request. Must be called before OnAttemptFailure with kLost.
-  void OnRequestLost(AttemptHandle attempt, const quarantine::Fingerprint& request, Time now);
   /// Runs due timers. Must be called at or soon after NextWake().
   void OnTick(Time now);
 
   std::vector<RequestDecision> TakeDecisions();
   Time NextWake() const;
 
-  /// Requests that may crash back ends. The dispatcher's owner runs the probes and exchanges the
-  /// records with the other nodes.
+  /// Requests that may crash back ends. The dispatcher's owner exchanges the records with the other
+  /// nodes and the store.
   quarantine::CrashSuspects& suspects();
+  /// Returns the back ends to connect to, to find out whether they have ended. Report OnPathEvent
+  /// with kConnected, or OnSuspectProbeFailed: crashes are no evidence of a cut path.
+  std::vector<std::string> TakeSuspectProbes(Time now);
+  void OnSuspectProbeFailed(const std::string& backend, bool refused, Time now);
+  /// This node stood still for so long that others may have learned of requests to hold. Must be
+  /// called before anything that had waited meanwhile.
+  void OnStalled(Time now);
+  /// The requests that are held are known from now on; see DispatcherSettings.
+  void SetSuspectsKnown();
   /// Rate limits of back ends that apply to all nodes together. The dispatcher's owner exchanges
   /// limits and permits with the other nodes: when TakeLimitsChanged returns true, it publishes the
   /// limits to all nodes; permit questions go to the node that each one names.
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -2,7 +2,8 @@
 //
 // dispatcher.cc handles configuration, state updates and new requests, dispatch.cc sends and
 // finishes requests, attempt_events.cc handles the events of attempts, path_events.cc what they
-// tell about the paths to back ends, and deadlines.cc the timers.
+// tell about the paths to back ends, loss_events.cc what they tell about requests that crash back
+// ends, and deadlines.cc the timers.
 #pragma once
 
 #include <absl/container/btree_set.h>
@@ -42,6 +43,7 @@
   void SetNodeCount(uint32_t node_count);
   void SetMembers(const std::vector<uint64_t>& members, Time now) {
     chosen_nodes_.SetMembers(members, now);
+    suspects_.SetMembers(settings_.node, members);
   }
   void SetMembersConfirmed(Time until) { chosen_nodes_.SetConfirmed(until); }
   void SetRelayPeers(std::vector<RelayPeer> peers) { relay_peers_.SetPeers(std::move(peers)); }
@@ -52,7 +54,19 @@
     const auto probes = std::exchange(path_probes_, {});
     return {probes.begin(), probes.end()};
   }
-  CarryPermission MayCarry(const std::string& backend, Time now) const;
+  CarryPermission MayCarry(const CarriedRequest& request, Time now) const;
+  void OnCarriedLost(const CarriedRequest& request, Time now);
+  void OnCarriedUnanswered(const CarriedRequest& request, Duration elapsed, Time now);
+  std::vector<std::string> TakeSuspectProbes(Time now) { return suspects_.TakeProbes(now); }
+  void OnSuspectProbeFailed(const std::string& backend, bool refused, Time now) {
+    if (refused) {
+      suspects_.OnRefused(backend, now);
+    } else {
+      suspects_.OnUnanswered(backend, now);
+    }
+  }
+  void OnStalled(Time now);
+  void SetSuspectsKnown() { suspects_known_ = true; }
   size_t CountCutPaths() const { return paths_.CountCutScopes(); }
   void SetRetryBudget(double ratio, double slack, Duration window);
   void SetStopping() { stopping_ = true; }
@@ -68,7 +82,6 @@
   void OnSent(AttemptHandle handle, Time now);
   void OnAttemptAnswer(AttemptHandle handle, const AttemptAnswer& answer, Time now);
   void OnAttemptFailure(AttemptHandle handle, AttemptFailure failure, Time now);
-  void OnRequestLost(AttemptHandle handle, const quarantine::Fingerprint& fingerprint, Time now);
   void OnTick(Time now);
   quarantine::CrashSuspects& suspects() { return suspects_; }
   const allowance::SharedRates& rates() const { return rates_; }
@@ -117,6 +130,10 @@
   void StopWaiting(Request& request);
   /// Sends the request, or refuses it when the back end is not reached in any way.
   void SendOrRefuse(Request& request, const Choice& choice, Time now);
+  /// Waits for the end of the time after a stall.
+  void WaitUntilCaughtUp(Request& request, Time now);
+  /// Waits for what became of the back ends that the request was lost with, or refuses it.
+  void WaitUntilSettled(Request& request, const Choice& choice, Time now);
   void Send(Request& request, const Choice& choice, const Way& way, Time now);
   void FinishUnserved(Request& request, const Choice& choice, StopCause cause, Time now);
   /// Emits the final decision and deletes the request. `request` is invalid afterwards.
@@ -145,8 +162,6 @@
                        Time now);
   void OnNeverSent(Request& request, const Attempt& attempt, AttemptFailure failure, Time now);
   void OnLost(Request& request, const Attempt& attempt, FailureKind kind, int status, Time now);
-  /// Whether the request was lost at so many back ends that it must not be sent to another one.
-  bool MayCrashAnother(const Request& request, Time now) const;
   /// After a failed attempt: retries the request unless another attempt is in flight.
   void Continue(Request& request, SendCause cause, Time now);
 
@@ -167,6 +182,32 @@
   bool MaySendAgain(const Request& request, Time now);
   void ReleasePeer(Attempt& attempt);
 
+  // loss_events.cc
+  /// Why a new request is refused as one that crashes back ends; nothing when it is not.
+  std::optional<AnswerDecision> JudgeNew(Request& request, Time now);
+  /// Whether the request may be sent in this way, as far as its losses go.
+  bool MayBeSent(const Request& request, const std::string& backend, const Way& way,
+                 Time now) const;
+  bool IsHeld(const quarantine::Fingerprint& fingerprint, Time now) const;
+  /// Held, or with so many open losses that it might be.
+  bool IsHeldOrUnsettled(const quarantine::Fingerprint& fingerprint, Time now) const;
+  /// Whether the request was lost at so many back ends that it must not be sent to another one.
+  bool MayCrashAnother(const Request& request, Time now) const;
+  /// The attempt's connection ended, or that of the peer through which it went.
+  void RecordLoss(const Attempt& attempt, Time now);
+  /// The attempt ended without an answer, its connection as it was.
+  void RecordUnanswered(const Attempt& attempt, Time now);
+  /// The same of a request that was sent at `started`. Whether it counts as lost.
+  bool RecordSilence(const CarriedRequest& request, Time started, Time now);
+  /// The request ends without an answer of a back end, or its caller has left.
+  void RecordAbandoned(const Request& request, Time now);
+  void RecordLostWith(const Attempt& attempt);
+  void RecordServed(const Request& request, const AttemptAnswer& answer, Time now);
+  /// Passes a direct connection's end on as evidence of what became of the back end.
+  void RecordConnectFailure(const Attempt& attempt, AttemptFailure failure, Time now);
+  /// Finds out which lost back ends the changed registrations prove to have ended.
+  void ApplyRegistrations(const catalog::BackendChanges& changes, Time now);
+
   // deadlines.cc
   void FinishTimeOver(Request& request, Time now);
   void Arm(Request& request);
@@ -189,6 +230,9 @@
   allowance::ColdSenders cold_senders_;
   allowance::SharedRates rates_;
   quarantine::CrashSuspects suspects_;
+  bool suspects_known_ = false;
+  /// After a stall, nothing is sent before: what the other nodes have told meanwhile is read first.
+  Time catching_up_until_ = absl::InfinitePast();
   PathMonitor paths_;
   absl::btree_set<std::string> path_probes_;
   RelayPeers relay_peers_;
--- a/src/core/forwarding/final_answer.cc
+++ b/src/core/forwarding/final_answer.cc
@@ -15,6 +15,8 @@
 constexpr Duration kOwnerRetryAfter = absl::Milliseconds(150);
 /// Also the interval at which paths to back ends are probed.
 constexpr Duration kNoMapRetryAfter = absl::Milliseconds(250);
+/// About the time in which it is settled what became of lost back ends.
+constexpr Duration kUnsettledRetryAfter = absl::Milliseconds(500);
 /// Spreads the retries of callers that were refused together over this share of the delay.
 constexpr double kRetryJitter = 0.25;
 /// Upper bound of the retry delay of a shed request, as a share of the time in which an answer
@@ -282,6 +284,9 @@
                                choice.unavailable_reason != UnavailableReason::kNoPath &&
                                (cause != StopCause::kUnavailable ||
                                 choice.unavailable_reason == UnavailableReason::kAllTried);
+  if (cause == StopCause::kMayCrashAnother) {
+    return MakeAnswer(ResultCode::kCrashSuspected, kUnsettledRetryAfter, std::move(reason));
+  }
   if (cause == StopCause::kNotAdmitted) {
     return MakeAnswer(ResultCode::kOverloaded, RetryAfterShedding(request, random, now),
                       std::move(reason));
--- /dev/null
+++ b/src/core/forwarding/loss_events.cc
@@ -0,0 +1,213 @@
+// What attempts tell about requests that crash back ends, and what follows from it.
+//
+// Everything that leaves a request without an answer is told to CrashSuspects: a connection that
+// ended, a time that is over, a caller that left, an attempt that was given up for another way.
+// What it means is decided there, and nothing is left out because a cut path would explain it.
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+#include "core/catalog/incarnation_id.h"
+#include "core/forwarding/dispatcher_impl.h"
+
+namespace ladderstream::forwarding {
+namespace {
+
+constexpr int kFirstCallerError = 400;
+/// A back end that was heard so shortly before an attempt ended without an answer is not probed.
+constexpr Duration kHeardRecently = absl::Milliseconds(500);
+constexpr Duration kTrialRetryAfter = absl::Seconds(1);
+constexpr Duration kUnknownRetryAfter = absl::Milliseconds(250);
+
+bool Leaves(const BackendState& backend) {
+  return backend.reported_leaving || backend.registration.Leaves();
+}
+
+}  // namespace
+
+std::optional<AnswerDecision> Dispatcher::Impl::JudgeNew(Request& request, Time now) {
+  if (!suspects_known_) {
+    return MakeAnswer(ResultCode::kConfigurationUnconfirmed, kUnknownRetryAfter,
+                      absl::StrCat(request.service->name,
+                                   ": the requests that crash back ends are not known yet"));
+  }
+  if (!request.fingerprint.has_value()) {
+    return std::nullopt;
+  }
+  const quarantine::Fingerprint& fingerprint = *request.fingerprint;
+  const quarantine::Judgement judgement = suspects_.Judge(fingerprint, now);
+  const bool needs_trial = judgement.needs_trial && settings_.suspects_are_stored;
+  if (!judgement.Held(now) && !needs_trial) {
+    return std::nullopt;
+  }
+  if (suspects_.MayTry(fingerprint, now)) {
+    request.is_trial = true;
+    return std::nullopt;
+  }
+  return MakeAnswer(ResultCode::kQuarantined,
+                    needs_trial ? kTrialRetryAfter : judgement.held_until - now,
+                    absl::StrCat(request.service->name, ": it was at work at ", judgement.crashes,
+                                 " back ends as they crashed (", judgement.backends, "), request ",
+                                 quarantine::Format(fingerprint)));
+}
+
+bool Dispatcher::Impl::IsHeld(const quarantine::Fingerprint& fingerprint, Time now) const {
+  const quarantine::Judgement judgement = suspects_.Judge(fingerprint, now);
+  return judgement.Held(now) || (judgement.needs_trial && settings_.suspects_are_stored);
+}
+
+bool Dispatcher::Impl::IsHeldOrUnsettled(const quarantine::Fingerprint& fingerprint,
+                                         Time now) const {
+  return IsHeld(fingerprint, now) || suspects_.Judge(fingerprint, now).Unsettled();
+}
+
+bool Dispatcher::Impl::MayBeSent(const Request& request, const std::string& backend, const Way& way,
+                                 Time now) const {
+  if (!request.fingerprint.has_value()) {
+    return true;
+  }
+  if (request.is_trial) {
+    return !suspects_.IsOpen(backend);
+  }
+  // A peer that reaches the back ends knows better what the losses mean, and checks them itself.
+  const bool peer_decides = way.peer != 0 && !way.prefer_idle;
+  return peer_decides ? !IsHeld(*request.fingerprint, now)
+                      : !IsHeldOrUnsettled(*request.fingerprint, now);
+}
+
+bool Dispatcher::Impl::MayCrashAnother(const Request& request, Time now) const {
+  if (!request.fingerprint.has_value()) {
+    return false;
+  }
+  // The request's own losses count before they are settled: by then, a third back end would have
+  // crashed.
+  const quarantine::Judgement judgement = suspects_.Judge(*request.fingerprint, now);
+  return request.is_trial || request.lost_with.size() >= quarantine::kCrashesToStopRetries ||
+         judgement.crashes >= quarantine::kCrashesToStopRetries;
+}
+
+void Dispatcher::Impl::RecordLostWith(const Attempt& attempt) {
+  Request* request = FindRequest(attempt.request);
+  if (request == nullptr) {
+    return;
+  }
+  std::vector<BackendStatePtr>& known = request->lost_with;
+  if (std::find(known.begin(), known.end(), attempt.backend) == known.end()) {
+    known.push_back(attempt.backend);
+  }
+}
+
+void Dispatcher::Impl::RecordLoss(const Attempt& attempt, Time now) {
+  if (!attempt.sent) {
+    return;
+  }
+  RecordLostWith(attempt);
+  if (attempt.fingerprint.has_value()) {
+    suspects_.OnLost(*attempt.fingerprint, attempt.backend->registration.id, now);
+  }
+}
+
+void Dispatcher::Impl::RecordUnanswered(const Attempt& attempt, Time now) {
+  if (!attempt.sent || !attempt.fingerprint.has_value()) {
+    return;
+  }
+  const bool is_lost =
+      RecordSilence({attempt.backend->registration.id, attempt.fingerprint}, attempt.started, now);
+  if (is_lost) {
+    RecordLostWith(attempt);
+  }
+}
+
+bool Dispatcher::Impl::RecordSilence(const CarriedRequest& request, Time started, Time now) {
+  const BackendStatePtr backend = services_.FindBackend(request.backend);
+  if (backend == nullptr) {
+    return false;
+  }
+  const Duration patience = SilencePatience(services_.Service(backend->registration.service));
+  if (backend->heard_at >= started + patience) {
+    // It was at work on the request by then, and lived.
+    return false;
+  }
+  if (now - started < patience || now - backend->heard_at < kHeardRecently) {
+    suspects_.OnGivenUp(*request.fingerprint, request.backend, now);
+    return false;
+  }
+  suspects_.OnLost(*request.fingerprint, request.backend, now);
+  return true;
+}
+
+void Dispatcher::Impl::RecordAbandoned(const Request& request, Time now) {
+  for (const AttemptHandle handle : request.in_flight) {
+    const Attempt& attempt = attempts_.at(handle);
+    // One that may not be repeated goes on, and its end will tell.
+    if (request.repeatable()) {
+      RecordUnanswered(attempt, now);
+    }
+  }
+}
+
+void Dispatcher::Impl::RecordServed(const Request& request, const AttemptAnswer& answer, Time now) {
+  // A rejection may come before any of the work that crashes a back end.
+  if (request.fingerprint.has_value() && answer.status < kFirstCallerError) {
+    suspects_.OnServed(*request.fingerprint, now);
+  }
+}
+
+void Dispatcher::Impl::RecordConnectFailure(const Attempt& attempt, AttemptFailure failure,
+                                            Time now) {
+  if (attempt.peer != 0) {
+    return;
+  }
+  if (failure == AttemptFailure::kConnectRefused) {
+    suspects_.OnRefused(attempt.backend->registration.id, now);
+  } else if (failure == AttemptFailure::kConnectTimeout) {
+    suspects_.OnUnanswered(attempt.backend->registration.id, now);
+  }
+}
+
+void Dispatcher::Impl::OnCarriedLost(const CarriedRequest& request, Time now) {
+  if (request.fingerprint.has_value()) {
+    suspects_.OnLost(*request.fingerprint, request.backend, now);
+  }
+}
+
+void Dispatcher::Impl::OnCarriedUnanswered(const CarriedRequest& request, Duration elapsed,
+                                           Time now) {
+  if (request.fingerprint.has_value()) {
+    RecordSilence(request, now - elapsed, now);
+  }
+}
+
+void Dispatcher::Impl::ApplyRegistrations(const catalog::BackendChanges& changes, Time now) {
+  for (const std::string& id : changes.gone) {
+    const BackendStatePtr state = services_.FindBackend(id);
+    if (state == nullptr || !Leaves(*state)) {
+      suspects_.OnRegistrationGone(id, now);
+    }
+  }
+  for (const catalog::Backend& backend : changes.set) {
+    suspects_.OnRegistered(backend.id);
+  }
+  if (!suspects_.HasLosses()) {
+    return;
+  }
+  for (const std::string& lost : suspects_.LostBackends(now)) {
+    const BackendStatePtr state = services_.FindBackend(lost);
+    if (state == nullptr || Leaves(*state)) {
+      continue;
+    }
+    const bool replaced =
+        std::any_of(changes.set.begin(), changes.set.end(), [&](const catalog::Backend& other) {
+          const bool same_name = catalog::InstanceOf(other.id) == catalog::InstanceOf(lost) &&
+                                 catalog::StartOf(other.id) > catalog::StartOf(lost);
+          const bool same_address = other.address == state->registration.address &&
+                                    catalog::InstanceOf(other.id) != catalog::InstanceOf(lost);
+          return same_name || same_address;
+        });
+    if (replaced) {
+      suspects_.OnReplaced(lost, now);
+    }
+  }
+}
+
+}  // namespace ladderstream::forwarding
--- a/src/core/forwarding/path_events.cc
+++ b/src/core/forwarding/path_events.cc
@@ -66,26 +66,42 @@
 }
 
 void Dispatcher::Impl::OnPathEvent(const std::string& backend, PathEvent event, Time now) {
+  const BackendStatePtr state = services_.FindBackend(backend);
+  if (state != nullptr && (event == PathEvent::kConnected || event == PathEvent::kAnswered)) {
+    state->heard_at = now;
+  }
   switch (event) {
     case PathEvent::kConnected:
       paths_.OnConnected(backend, now);
+      suspects_.OnConnected(backend, now);
       break;
     case PathEvent::kConnectFailed:
       paths_.OnConnectFailed(backend, now);
+      suspects_.OnUnanswered(backend, now);
+      break;
+    case PathEvent::kRefused:
+      paths_.OnConnectFailed(backend, now);
+      suspects_.OnRefused(backend, now);
       break;
     case PathEvent::kAnswered:
       paths_.OnAnswered(backend, now);
+      suspects_.OnAnswered(backend, now);
       break;
   }
   ApplyPathChanges(now);
 }
 
-CarryPermission Dispatcher::Impl::MayCarry(const std::string& backend, Time now) const {
-  const BackendStatePtr state = services_.FindBackend(backend);
-  if (state == nullptr || stopping_ || !state->UsableAsOwner(now) || state->InBackoff(now)) {
+CarryPermission Dispatcher::Impl::MayCarry(const CarriedRequest& request, Time now) const {
+  const BackendStatePtr state = services_.FindBackend(request.backend);
+  const bool limited = !request.permitted && rates_.IsLimited(request.backend);
+  if (state == nullptr || stopping_ || limited || !state->UsableAsOwner(now) ||
+      state->InBackoff(now)) {
     return CarryPermission::kDeclined;
   }
-  const Path path = paths_.PathTo(backend, /*has_substitute=*/true, now);
+  if (request.fingerprint.has_value() && IsHeldOrUnsettled(*request.fingerprint, now)) {
+    return CarryPermission::kHeld;
+  }
+  const Path path = paths_.PathTo(request.backend, /*has_substitute=*/true, now);
   return path == Path::kDirect ? CarryPermission::kGranted : CarryPermission::kNoPath;
 }
 
@@ -158,6 +174,13 @@
   const std::vector<PathChange> changes = paths_.TakeChanges();
   for (const PathChange& change : changes) {
     services_.AddPathChange(change.scope, change.cut ? "path_cut" : "path_restored", change.detail);
+    for (const std::string& backend : change.backends) {
+      if (change.cut) {
+        suspects_.OnPathCut(backend, now);
+      } else {
+        suspects_.OnPathRestored(backend, now);
+      }
+    }
     if (change.cut && relay_peers_.HasPeers()) {
       OnPathCut(change, now);
     }
@@ -177,7 +200,6 @@
       backend->outlier.Reset();
       backend->owner_limit = admission::OwnerLimit();
     }
-    suspects_.OnConnected(id);
   }
   RerouteAttempts(change, now);
 }
@@ -201,6 +223,7 @@
       stuck.push_back(handle);
     }
   }
+  std::sort(stuck.begin(), stuck.end());
   for (const AttemptHandle handle : stuck) {
     if (!attempts_.contains(handle)) {
       continue;
@@ -209,6 +232,7 @@
     Request& request = *FindRequest(attempt.request);
     Emit(request, CancelDecision{handle});
     if (attempt.sent) {
+      RecordLoss(attempt, now);
       OnLost(request, attempt, FailureKind::kLost, 0, now);
     } else {
       OnNeverSent(request, attempt, AttemptFailure::kNotSent, now);
--- a/src/core/forwarding/path_monitor.cc
+++ b/src/core/forwarding/path_monitor.cc
@@ -34,6 +34,7 @@
   BackendPath& path = backends_[backend];
   path.service = &ScopeNamed(service);
   path.zone = &ScopeNamed(absl::StrCat(service, " in ", zone));
+  path.zone->zone = zone;
   path.service->backends.insert(backend);
   path.zone->backends.insert(backend);
 }
@@ -104,6 +105,7 @@
   }
   BackendPath& path = found->second;
   path.failing = false;
+  connected_at_ = now;
   relayed_.erase(backend);
   for (Scope* scope : {path.service, path.zone}) {
     scope->connected_at = now;
@@ -273,6 +275,71 @@
   return next;
 }
 
+std::vector<PathMonitor::Scope*> PathMonitor::OthersInZone(const Scope& zone) const {
+  std::vector<Scope*> others;
+  for (const auto& [name, scope] : scopes_) {
+    if (scope.get() != &zone && scope->zone == zone.zone && !scope->backends.empty()) {
+      others.push_back(scope.get());
+    }
+  }
+  std::sort(others.begin(), others.end(),
+            [](const Scope* one, const Scope* other) { return one->name < other->name; });
+  return others;
+}
+
+bool PathMonitor::HasControls(const std::string& backend) const {
+  const auto found = backends_.find(backend);
+  return found == backends_.end()
+             ? !backends_.empty()
+             : HasOthers(*found->second.service) || !OthersInZone(*found->second.zone).empty();
+}
+
+bool PathMonitor::ReachesAround(const std::string& backend, Time since) const {
+  const auto found = backends_.find(backend);
+  if (found == backends_.end()) {
+    return connected_at_ > since;
+  }
+  const BackendPath& path = found->second;
+  if (path.zone->connected_at > since) {
+    return true;
+  }
+  // Without a back end of the service in the zone, one of the service and one in the zone together.
+  const std::vector<Scope*> others = OthersInZone(*path.zone);
+  const bool zone_reached = std::any_of(others.begin(), others.end(), [since](const Scope* scope) {
+    return scope->connected_at > since;
+  });
+  const bool service_reached = path.service->connected_at > since;
+  return (service_reached || !HasOthers(*path.service)) && (zone_reached || others.empty()) &&
+         (service_reached || zone_reached);
+}
+
+bool PathMonitor::ReachesAny(const std::string& /*backend*/, Time since) const {
+  return connected_at_ > since;
+}
+
+std::vector<std::string> PathMonitor::TakeControls(const std::string& backend) {
+  const auto found = backends_.find(backend);
+  std::vector<Scope*> scopes;
+  if (found != backends_.end()) {
+    scopes = OthersInZone(*found->second.zone);
+    scopes.resize(std::min<size_t>(scopes.size(), 1));
+    scopes.push_back(found->second.zone);
+    scopes.push_back(found->second.service);
+  } else if (!scopes_.empty()) {
+    scopes.push_back(scopes_.begin()->second.get());
+  }
+  std::vector<std::string> controls;
+  for (Scope* scope : scopes) {
+    auto next = scope->backends.upper_bound(scope->last_control);
+    next = next == scope->backends.end() ? scope->backends.begin() : next;
+    if (next != scope->backends.end()) {
+      scope->last_control = *next;
+      controls.push_back(*next);
+    }
+  }
+  return controls;
+}
+
 size_t PathMonitor::CountCutScopes() const {
   return static_cast<size_t>(std::count_if(scopes_.begin(), scopes_.end(),
                                            [](const auto& entry) { return entry.second->cut; }));
--- a/src/core/forwarding/path_monitor.h
+++ b/src/core/forwarding/path_monitor.h
@@ -18,6 +18,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/quarantine/contacts.h"
 #include "wire/time.h"
 
 namespace ladderstream::forwarding {
@@ -39,7 +40,7 @@
   bool silent = false;
 };
 
-class PathMonitor {
+class PathMonitor : public quarantine::Contacts {
  public:
   void SetBackend(const std::string& backend, const std::string& service, const std::string& zone);
   void RemoveBackend(const std::string& backend);
@@ -70,6 +71,12 @@
   std::vector<PathChange> TakeChanges() { return std::exchange(changes_, {}); }
   size_t CountCutScopes() const;
 
+  // quarantine::Contacts
+  bool HasControls(const std::string& backend) const override;
+  bool ReachesAround(const std::string& backend, Time since) const override;
+  bool ReachesAny(const std::string& backend, Time since) const override;
+  std::vector<std::string> TakeControls(const std::string& backend) override;
+
  private:
   struct Scope {
     std::string name;
@@ -88,8 +95,11 @@
     /// Infinite while no request wants one.
     Time next_probe = absl::InfiniteFuture();
     Time probed_at = absl::InfinitePast();
-    /// The back end probed last.
+    /// The back end probed last, and the one that was last used as a control.
     std::string last_probed;
+    std::string last_control;
+    /// Of a service in a zone.
+    std::string zone;
   };
   struct BackendPath {
     Scope* service = nullptr;
@@ -103,6 +113,9 @@
   };
 
   Scope& ScopeNamed(const std::string& name);
+  /// The scopes of other services in the same zone.
+  std::vector<Scope*> OthersInZone(const Scope& zone) const;
+  static bool HasOthers(const Scope& scope) { return scope.backends.size() > 1; }
   /// How many back ends must fail for the scope to be cut.
   static size_t CountNeeded(const Scope& scope, bool is_zone);
   static bool HearsOnOpenConnections(const Scope& scope, Time now);
@@ -115,6 +128,7 @@
 
   absl::flat_hash_map<std::string, std::unique_ptr<Scope>> scopes_;
   absl::flat_hash_map<std::string, BackendPath> backends_;
+  Time connected_at_ = absl::InfinitePast();
   /// Back ends that fail although their scopes are not cut, and that peers reach.
   absl::btree_set<std::string> relayed_;
   std::vector<PathChange> changes_;
--- a/src/core/forwarding/relay_peers.cc
+++ b/src/core/forwarding/relay_peers.cc
@@ -1,6 +1,7 @@
 #include "core/forwarding/relay_peers.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace ladderstream::forwarding {
@@ -24,11 +25,18 @@
   return now >= unavailable_until && (no_path == no_path_until.end() || now >= no_path->second);
 }
 
+template <typename Predicate>
+void RelayPeers::EraseHelpers(Predicate predicate) {
+  for (auto helper = helpers_.begin(); helper != helpers_.end();) {
+    helper = predicate(helper->first, helper->second) ? helpers_.erase(helper) : std::next(helper);
+  }
+}
+
 void RelayPeers::SetPeers(std::vector<RelayPeer> peers) {
   peers_ = std::move(peers);
-  absl::erase_if(helpers_, [this](const auto& helper) {
-    return std::none_of(peers_.begin(), peers_.end(), [&helper](const RelayPeer& peer) {
-      return peer.incarnation == helper.first;
+  EraseHelpers([this](uint64_t incarnation, const Helper& /*helper*/) {
+    return std::none_of(peers_.begin(), peers_.end(), [incarnation](const RelayPeer& peer) {
+      return peer.incarnation == incarnation;
     });
   });
 }
@@ -45,8 +53,8 @@
     usable += is_new ? 1 : 0;
   }
   if (helpers_.size() > kMaxHelpers) {
-    absl::erase_if(helpers_, [&](const auto& entry) {
-      return entry.second.in_flight == 0 && !entry.second.MayHelp(service, now);
+    EraseHelpers([&](uint64_t /*incarnation*/, const Helper& helper) {
+      return helper.in_flight == 0 && !helper.MayHelp(service, now);
     });
   }
 }
--- a/src/core/forwarding/relay_peers.h
+++ b/src/core/forwarding/relay_peers.h
@@ -4,6 +4,7 @@
 // decline are replaced at random. Pure; knows nothing about peers but what they answered.
 #pragma once
 
+#include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
@@ -50,13 +51,16 @@
     bool MayHelp(const std::string& service, Time now) const;
   };
 
+  template <typename Predicate>
+  void EraseHelpers(Predicate predicate);
   /// Adds helpers drawn at random until enough may help with the service.
   void Refill(const std::string& service, Time now);
 
   const std::string zone_;
   std::mt19937_64& random_;
   std::vector<RelayPeer> peers_;
-  absl::flat_hash_map<uint64_t, Helper> helpers_;
+  /// Ordered, so that equal seeds give equal choices.
+  absl::btree_map<uint64_t, Helper> helpers_;
 };
 
 }  // namespace ladderstream::forwarding
--- a/src/core/forwarding/request_state.h
+++ b/src/core/forwarding/request_state.h
@@ -59,6 +59,8 @@
   /// Distinct back ends whose connection ended while the request was in progress there.
   std::vector<BackendStatePtr> lost_with;
   std::optional<quarantine::Fingerprint> fingerprint;
+  /// The one attempt that is permitted after its hold has lapsed.
+  bool is_trial = false;
   /// Peers that could not send the request on.
   std::vector<uint64_t> declined_peers;
   std::optional<RejectedAssignment> rejected_assignment;
@@ -90,6 +92,7 @@
   bool sent = false;
   /// The attempt consumed a permit of the back end's rate limit.
   bool permitted = false;
+  std::optional<quarantine::Fingerprint> fingerprint = std::nullopt;
   /// The attempt was charged to the retry budget when it started.
   bool charged = false;
   /// Incarnation of the node through which it goes; 0 for a direct connection.
--- a/src/core/forwarding/service_table.cc
+++ b/src/core/forwarding/service_table.cc
@@ -34,6 +34,10 @@
 /// Up to this many new back ends are inserted one by one; more are merged.
 constexpr size_t kMaxSingleInserts = 16;
 
+/// A path is probed after so many service times without an answer from any back end.
+constexpr int kSilentServiceTimes = 2;
+constexpr Duration kMinSilence = absl::Milliseconds(150);
+
 const char* NameOfState(const catalog::Backend& backend) {
   if (backend.draining) {
     return "draining";
@@ -60,6 +64,10 @@
 
 }  // namespace
 
+Duration SilencePatience(const ServiceState& service) {
+  return std::max(kSilentServiceTimes * service.averages.ServiceTime(), kMinSilence);
+}
+
 void ServiceTable::ChangeBackends(const catalog::BackendChanges& changes,
                                   const RegistrationUpdate& update, Time now) {
   const size_t registered_before = registered_count_;
--- a/src/core/forwarding/service_table.h
+++ b/src/core/forwarding/service_table.h
@@ -33,6 +33,9 @@
   std::vector<BackendStatePtr> backends;
 };
 
+/// Returns how long nothing may be heard from a service's back ends before the path is probed.
+Duration SilencePatience(const ServiceState& service);
+
 class ServiceTable {
  public:
   /// `settings` must outlive the table.
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -43,7 +43,7 @@
 
 void Membership::Handle(const Destination& from, Report report, Time now) {
   const std::optional<PeerIdentity> sender = members_.OnReport(report.sender, from.connection, now);
-  ReceiveSuspects(report.suspects, now);
+  ReceiveSuspects(report.suspects, /*are_all=*/false, now);
   ReceiveLimits(report.limits, now);
   Heartbeat answer = NewHeartbeat(now);
   answer.answered_report = report.sequence;
@@ -90,7 +90,7 @@
 
 void Membership::Handle(const Destination& from, Heartbeat heartbeat, Time now) {
   const std::optional<SentReport> report = sent_reports_.Take(heartbeat.answered_report);
-  ReceiveSuspects(heartbeat.suspects, now);
+  ReceiveSuspects(heartbeat.suspects, heartbeat.suspects_known, now);
   ReceiveLimits(heartbeat.limits, now);
   if (relay_.TakeRows(heartbeat, now)) {
     actions_.emplace_back(TablesMergedAction{});
@@ -362,6 +362,8 @@
   heartbeat.configuration_version = held.configuration;
   heartbeat.backends_version = held.backends;
   heartbeat.suspects = suspects_.ForHeartbeat(now);
+  heartbeat.suspects_known =
+      suspects_.IsKnown() && heartbeat.suspects.size() < quarantine::CrashSuspects::kMostShared;
   heartbeat.limits = limits_.ForHeartbeat(now);
   return heartbeat;
 }
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -104,6 +104,8 @@
 /// Another node reported requests that crash back ends: input of CrashSuspects::Merge.
 struct SuspectsReceivedAction {
   std::vector<quarantine::SuspectRecord> suspects;
+  /// They are all that were held before this node started.
+  bool are_all = false;
 };
 /// Another node reported limits of back ends: input of Dispatcher::OnLimitsReceived.
 struct LimitsReceivedAction {
@@ -162,6 +164,8 @@
   /// Sets the known requests that crash back ends. `own`: the change was observed by this node and
   /// is reported at once; otherwise it was received from another node.
   void OnSuspects(std::vector<quarantine::SuspectRecord> suspects, bool own, Time now);
+  /// This node knows the requests that were held before it started, and may tell others so.
+  void OnSuspectsKnown() { suspects_.SetKnown(); }
   /// Sets the recently changed limits of back ends: received by this node itself, and by any node.
   /// `own`: the last change was received here and is reported at once.
   void OnLimits(std::vector<allowance::LimitRecord> own_limits,
@@ -210,7 +214,7 @@
   void Handle(const Destination& /*from*/, const RelayedAnswer& /*answer*/, Time /*now*/) {}
   void Handle(const Destination& /*from*/, const RelayCancel& /*cancel*/, Time /*now*/) {}
 
-  void ReceiveSuspects(const std::vector<SharedSuspect>& suspects, Time now);
+  void ReceiveSuspects(const std::vector<SharedSuspect>& suspects, bool are_all, Time now);
   void ReceiveLimits(const std::vector<SharedLimit>& limits, Time now);
   /// Brings the next report forward.
   void ReportSoon(Time now);
--- a/src/core/membership/membership_news.cc
+++ b/src/core/membership/membership_news.cc
@@ -26,9 +26,11 @@
   }
 }
 
-void Membership::ReceiveSuspects(const std::vector<SharedSuspect>& suspects, Time now) {
-  if (!suspects.empty()) {
-    actions_.emplace_back(SuspectsReceivedAction{SuspectExchange::Decode(suspects, now)});
+void Membership::ReceiveSuspects(const std::vector<SharedSuspect>& suspects, bool are_all,
+                                 Time now) {
+  const bool is_news = are_all && !suspects_.IsKnown();
+  if (!suspects.empty() || is_news) {
+    actions_.emplace_back(SuspectsReceivedAction{SuspectExchange::Decode(suspects, now), are_all});
   }
 }
 
--- a/src/core/membership/message_codec.cc
+++ b/src/core/membership/message_codec.cc
@@ -139,9 +139,23 @@
     Require(suspect.backends.size() == suspect.ages_ms.size(),
             "suspects: ", suspect.backends.size(), " back ends with ", suspect.ages_ms.size(),
             " ages");
-    Require(suspect.backends.size() <= quarantine::kMostCrashes,
-            "suspects: ", suspect.backends.size(), " back ends, the limit is ",
-            size_t{quarantine::kMostCrashes});
+    Require(suspect.states.empty() || suspect.states.size() == suspect.backends.size(),
+            "suspects: ", suspect.backends.size(), " back ends with ", suspect.states.size(),
+            " states");
+    Require(suspect.other_backends.size() == suspect.other_ages_ms.size() &&
+                suspect.other_backends.size() == suspect.other_states.size(),
+            "suspects: ", suspect.other_backends.size(), " other back ends with ",
+            suspect.other_ages_ms.size(), " ages and ", suspect.other_states.size(), " states");
+    const size_t losses = suspect.backends.size() + suspect.other_backends.size();
+    Require(losses <= quarantine::kMostLosses, "suspects: ", losses, " back ends, the limit is ",
+            size_t{quarantine::kMostLosses});
+    for (const std::vector<uint8_t>* states : {&suspect.states, &suspect.other_states}) {
+      for (const uint8_t state : *states) {
+        constexpr auto kEnd = static_cast<uint8_t>(quarantine::LossState::kCount);
+        Require(state < kEnd, "suspects: state ", int{state}, " of a loss, expected one below ",
+                int{kEnd});
+      }
+    }
   }
 }
 
--- a/src/core/membership/messages.h
+++ b/src/core/membership/messages.h
@@ -58,7 +58,7 @@
 /// Value of an age field when the sender does not report the age.
 constexpr uint32_t kUnknownAge = std::numeric_limits<uint32_t>::max();
 
-/// A request that was being processed by back ends when they crashed.
+/// A request that was being processed by back ends when they crashed or were lost.
 struct SharedSuspect {
   /// Fingerprint of the request.
   uint64_t high = 0;
@@ -68,7 +68,19 @@
   std::vector<uint32_t> ages_ms;
   /// How long ago the request was last served, in milliseconds.
   uint32_t served_age_ms = kUnknownAge;
-  MSGPACK_DEFINE_ARRAY(high, low, backends, ages_ms, served_age_ms);
+  /// By back end: a quarantine::LossState that is a crash. Empty from a sender of the previous
+  /// version.
+  std::vector<uint8_t> states;
+  /// Back ends whose loss was no crash, or is not settled; a previous version knows only crashes.
+  std::vector<std::string> other_backends;
+  std::vector<uint32_t> other_ages_ms;
+  std::vector<uint8_t> other_states;
+  /// How often it was tried again after its hold had lapsed.
+  uint32_t trials = 0;
+  /// How long ago it was tried last, in milliseconds.
+  uint32_t tried_age_ms = kUnknownAge;
+  MSGPACK_DEFINE_ARRAY(high, low, backends, ages_ms, served_age_ms, states, other_backends,
+                       other_ages_ms, other_states, trials, tried_age_ms);
 };
 
 /// The rate limit of a back end for all nodes together (allowance::LimitRecord).
@@ -183,9 +195,11 @@
   std::vector<uint64_t> standbys;
   std::vector<SharedSuspect> suspects;
   std::vector<SharedLimit> limits;
+  /// The sender knows the requests that were held before it started, and `suspects` has them all.
+  bool suspects_known = false;
   MSGPACK_DEFINE_ARRAY(sender, answered_report, lease, lease_left_ms, map_version, map, map_changes,
                        members, members_version, configuration_version, backends_version, tables,
-                       member_changes, identity_wanted, standbys, suspects, limits);
+                       member_changes, identity_wanted, standbys, suspects, limits, suspects_known);
 };
 
 /// The sender gives up the lease it holds.
--- a/src/core/membership/relay_messages.h
+++ b/src/core/membership/relay_messages.h
@@ -66,8 +66,14 @@
   uint32_t priority = 0;
   /// Remaining time when this was sent, in milliseconds.
   int64_t answer_within_ms = 0;
+  /// Its fingerprint (quarantine::Fingerprint); zero from a sender of the previous version.
+  uint64_t fingerprint_high = 0;
+  uint64_t fingerprint_low = 0;
+  /// The sender has a permit of the back end's rate limit.
+  bool permitted = false;
   MSGPACK_DEFINE_ARRAY(sequence, sent_us, backend, request_id, head, body, has_body, is_head_method,
-                       accepts_encoding, repeatable, priority, answer_within_ms);
+                       accepts_encoding, repeatable, priority, answer_within_ms, fingerprint_high,
+                       fingerprint_low, permitted);
 };
 
 /// How a relayed request ended at the peer.
--- a/src/core/membership/suspect_exchange.cc
+++ b/src/core/membership/suspect_exchange.cc
@@ -15,9 +15,21 @@
   SharedSuspect shared;
   shared.high = record.request.high;
   shared.low = record.request.low;
-  for (const quarantine::Crash& crash : record.crashes) {
-    shared.backends.push_back(crash.backend);
-    shared.ages_ms.push_back(AgeOf(crash.at, now));
+  for (const quarantine::Loss& loss : record.losses) {
+    const auto state = static_cast<uint8_t>(loss.state);
+    if (quarantine::IsCrash(loss)) {
+      shared.backends.push_back(loss.backend);
+      shared.ages_ms.push_back(AgeOf(loss.at, now));
+      shared.states.push_back(state);
+    } else if (loss.state != quarantine::LossState::kWatched) {
+      shared.other_backends.push_back(loss.backend);
+      shared.other_ages_ms.push_back(AgeOf(loss.at, now));
+      shared.other_states.push_back(state);
+    }
+  }
+  shared.trials = record.trials;
+  if (record.tried_at > absl::InfinitePast()) {
+    shared.tried_age_ms = AgeOf(record.tried_at, now);
   }
   if (record.served_at > absl::InfinitePast()) {
     shared.served_age_ms = AgeOf(record.served_at, now);
@@ -38,7 +50,7 @@
 std::vector<SharedSuspect> SuspectExchange::Encode(bool all, Time now) const {
   std::vector<SharedSuspect> shared;
   for (const quarantine::SuspectRecord& record : records_) {
-    if (all || record.crashes.size() >= quarantine::kCrashesToHold) {
+    if (all || record.CountCrashes() >= quarantine::kCrashesToStore) {
       shared.push_back(ToShared(record, now));
     }
   }
@@ -61,7 +73,20 @@
     quarantine::SuspectRecord record;
     record.request = {suspect.high, suspect.low};
     for (size_t i = 0; i < suspect.backends.size(); ++i) {
-      record.crashes.push_back({suspect.backends[i], now - absl::Milliseconds(suspect.ages_ms[i])});
+      const auto state = i < suspect.states.size()
+                             ? static_cast<quarantine::LossState>(suspect.states[i])
+                             : quarantine::LossState::kEnded;
+      record.losses.push_back(
+          {suspect.backends[i], now - absl::Milliseconds(suspect.ages_ms[i]), state});
+    }
+    for (size_t i = 0; i < suspect.other_backends.size(); ++i) {
+      record.losses.push_back({suspect.other_backends[i],
+                               now - absl::Milliseconds(suspect.other_ages_ms[i]),
+                               static_cast<quarantine::LossState>(suspect.other_states[i])});
+    }
+    record.trials = suspect.trials;
+    if (suspect.tried_age_ms != kUnknownAge) {
+      record.tried_at = now - absl::Milliseconds(suspect.tried_age_ms);
     }
     if (suspect.served_age_ms != kUnknownAge) {
       record.served_at = now - absl::Milliseconds(suspect.served_age_ms);
--- a/src/core/membership/suspect_exchange.h
+++ b/src/core/membership/suspect_exchange.h
@@ -2,8 +2,8 @@
 //
 // A node that observes a change reports it to the coordinator at once, which pushes it to all
 // nodes. Without a coordinator, a node that is asked for one includes what it knows in its answer.
-// After the publish period only held requests are sent, so that nothing is sent when there are
-// none. Deterministic and not thread-safe.
+// After the publish period only requests that are held, or nearly, are sent, so that nothing is
+// sent when there are none. Deterministic and not thread-safe.
 #pragma once
 
 #include <vector>
@@ -22,6 +22,10 @@
   /// Records that the coordinator changed; the new one may not have the records yet.
   void OnNewHolder(Time now) { report_until_ = now + kPublishPeriod; }
 
+  /// This node knows the requests that were held before it started.
+  void SetKnown() { known_ = true; }
+  bool IsKnown() const { return known_; }
+
   std::vector<SharedSuspect> ForReport(Time now) const;
   std::vector<SharedSuspect> ForHeartbeat(Time now) const;
 
@@ -35,6 +39,7 @@
   std::vector<SharedSuspect> Encode(bool all, Time now) const;
 
   std::vector<quarantine::SuspectRecord> records_;
+  bool known_ = false;
   Time report_until_ = absl::InfinitePast();
   Time heartbeat_until_ = absl::InfinitePast();
 };
--- a/src/core/quarantine/crash_suspects.cc
+++ b/src/core/quarantine/crash_suspects.cc
@@ -1,216 +1,391 @@
 #include "core/quarantine/crash_suspects.h"
 
+#include <absl/container/btree_set.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace ladderstream::quarantine {
 namespace {
 
-/// A back end that refuses no connection this long after a loss has not crashed.
-constexpr Duration kProbedFor = absl::Seconds(1);
-/// A request that has crashed fewer back ends than hold it is forgotten this long after the last.
-constexpr Duration kForgetAccused = absl::Minutes(1);
-/// One that was held is remembered for this long after its release, so that the next crash holds it
-/// at once, and for longer.
-constexpr Duration kForgetReleased = absl::Minutes(10);
-/// How long a request is held; doubled with each crash beyond the first ones. Few who come again
-/// come once in five minutes; a caller who was held by mistake asks something else meanwhile.
-constexpr Duration kFirstHold = absl::Minutes(5);
-constexpr Duration kLongestHold = absl::Hours(1);
-/// Losses of one back end, and back ends with losses, that wait for a verdict.
-constexpr size_t kMostLostRequests = 64;
-constexpr size_t kMostLosses = 256;
 constexpr size_t kMostNotes = 256;
+/// A process that takes the name or the address of a lost one later than this says nothing of the
+/// loss: longer than three heartbeats, the delay of the store, and the reuse of an address.
+constexpr Duration kReplacedWithin = absl::Seconds(30);
+/// A trial that was granted has to be used within.
+constexpr Duration kTrialTime = absl::Seconds(10);
+/// A request that is held is not forgotten for so long after it was asked for.
+constexpr Duration kKeepAsked = absl::Minutes(10);
 
-Duration HoldAfter(size_t crashes) {
-  return std::min(kFirstHold * (int64_t{1} << (crashes - kCrashesToHold)), kLongestHold);
+/// FNV-1a with a final mix: every node must draw the same, whatever it was built with.
+uint64_t HashOf(const std::string& backend, uint64_t member) {
+  constexpr uint64_t kOffset = 14695981039346656037U;
+  constexpr uint64_t kPrime = 1099511628211U;
+  uint64_t hash = kOffset;
+  for (const char byte : backend) {
+    hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
+  }
+  hash = (hash ^ member) * kPrime;
+  hash ^= hash >> 29U;
+  return hash * kPrime;
+}
+
+}  // namespace
+
+void CrashSuspects::SetMembers(uint64_t self, std::vector<uint64_t> members) {
+  self_ = self;
+  members_ = std::move(members);
+}
+
+size_t CrashSuspects::RankFor(const std::string& backend) const {
+  const uint64_t own = HashOf(backend, self_);
+  return static_cast<size_t>(std::count_if(members_.begin(), members_.end(), [&](uint64_t member) {
+    return member != self_ && HashOf(backend, member) > own;
+  }));
+}
+
+// Losses.
+
+void CrashSuspects::OnLost(const Fingerprint& request, const std::string& backend, Time now) {
+  Advance(request, {backend, now, LossState::kOpen}, now);
+  open_.Add(backend, {request, now}, /*probe_at=*/now, /*is_own=*/true);
+  ApplyVerdicts(now);
+}
+
+void CrashSuspects::OnGivenUp(const Fingerprint& request, const std::string& backend, Time now) {
+  Advance(request, {backend, now, LossState::kWatched}, now);
+  open_.Add(backend, {request, now}, /*probe_at=*/absl::InfiniteFuture(), /*is_own=*/true);
 }
 
-std::string NamesOf(const std::vector<Crash>& crashes) {
-  std::string names;
-  for (const Crash& crash : crashes) {
-    absl::StrAppend(&names, names.empty() ? "" : " ", crash.backend);
+void CrashSuspects::OnServed(const Fingerprint& request, Time now) {
+  served_.Add(request, now);
+  if (records_.empty()) {
+    return;
   }
-  return names;
+  Release(request, now);
 }
 
-Time HeldUntil(const SuspectRecord& record) {
-  if (record.crashes.size() < kCrashesToHold) {
-    return absl::InfinitePast();
+void CrashSuspects::Release(const Fingerprint& request, Time now) {
+  const auto known = records_.find(request);
+  if (known == records_.end()) {
+    return;
+  }
+  open_.Drop(request);
+  news_ = Clear(&known->second, now) || news_;
+  if (!known->second.is_shared) {
+    records_.erase(known);
   }
-  return record.crashes.back().at + HoldAfter(record.crashes.size());
 }
 
-Time ForgottenAt(const SuspectRecord& record) {
-  if (record.crashes.empty()) {
-    // Long enough for all nodes to hear that it was served.
-    return record.served_at + kForgetAccused;
+bool CrashSuspects::Clear(Known* known, Time served_at) {
+  SuspectRecord& record = known->record;
+  if (served_at <= record.served_at) {
+    return false;
+  }
+  record.served_at = served_at;
+  const bool was_stored = known->is_stored || record.CountCrashes() >= kCrashesToStore;
+  const auto old = std::erase_if(record.losses, [served_at](const Loss& loss) {
+    return loss.at <= served_at + kTransitSlack;
+  });
+  if (old == 0 || !known->is_shared) {
+    return false;
+  }
+  record.trials = 0;
+  record.tried_at = absl::InfinitePast();
+  known->is_unsaved = false;
+  if (was_stored) {
+    known->is_stored = false;
+    removed_.push_back(EmptyRecord(record.request));
   }
-  return record.crashes.size() < kCrashesToHold ? record.crashes.back().at + kForgetAccused
-                                                : HeldUntil(record) + kForgetReleased;
+  AddNote(record.request, "cleared", "a back end has served it, or an operator has released it");
+  return true;
 }
 
-bool MoreAccused(const SuspectRecord& one, const SuspectRecord& other) {
-  if (one.crashes.size() != other.crashes.size()) {
-    return one.crashes.size() > other.crashes.size();
+void CrashSuspects::OnWanted(const Fingerprint& request, Time now) {
+  const auto known = records_.find(request);
+  if (known == records_.end()) {
+    return;
+  }
+  for (const Loss& loss : known->second.record.losses) {
+    if (loss.state == LossState::kOpen) {
+      open_.OnWanted(loss.backend, now);
+    }
   }
-  return ForgottenAt(one) > ForgottenAt(other);
 }
 
-}  // namespace
+// Evidence.
 
-void CrashSuspects::OnLost(const Fingerprint& request, const std::string& backend, Time now) {
-  if (!lost_.contains(backend) && lost_.size() >= kMostLosses) {
+void CrashSuspects::OnRefused(const std::string& backend, Time now) {
+  open_.OnRefused(backend, now);
+  ApplyVerdicts(now);
+}
+
+void CrashSuspects::OnUnanswered(const std::string& backend, Time now) {
+  open_.OnUnanswered(backend, now);
+  ApplyVerdicts(now);
+}
+
+void CrashSuspects::OnConnected(const std::string& backend, Time now) {
+  open_.OnReached(backend, now);
+  ApplyVerdicts(now);
+}
+
+void CrashSuspects::OnAnswered(const std::string& backend, Time now) {
+  OnConnected(backend, now);
+  if (!ended_.contains(backend)) {
     return;
   }
-  const auto [place, is_new] = lost_.try_emplace(backend);
-  Loss& loss = place->second;
-  if (is_new) {
-    loss.next_probe = now;
-  }
-  loss.at = now;
-  if (loss.requests.size() < kMostLostRequests) {
-    loss.requests.push_back(request);
+  ended_.erase(backend);
+  for (auto& [request, known] : records_) {
+    for (const Loss& loss : known.record.losses) {
+      if (loss.backend == backend && loss.state == LossState::kEnded) {
+        Advance(request, {backend, loss.at, LossState::kReturned}, now);
+        known.is_unsaved = true;
+        news_ = true;
+        break;
+      }
+    }
   }
 }
 
-std::vector<std::string> CrashSuspects::TakeProbes(Time now) {
-  std::vector<std::string> due;
-  for (auto entry = lost_.begin(); entry != lost_.end();) {
-    Loss& loss = entry->second;
-    if (now - loss.at > kProbedFor) {
-      lost_.erase(entry++);
-      continue;
-    }
-    if (now >= loss.next_probe) {
-      loss.next_probe = now + kBetweenProbes;
-      due.push_back(entry->first);
+void CrashSuspects::OnRegistrationGone(const std::string& backend, Time now) {
+  open_.OnRegistrationGone(backend, now);
+}
+
+void CrashSuspects::OnReplaced(const std::string& backend, Time now) {
+  open_.Conclude(backend, LossState::kReplaced);
+  for (auto& [request, known] : records_) {
+    for (const Loss& loss : known.record.losses) {
+      if (loss.backend == backend && now - loss.at < kReplacedWithin) {
+        known.is_unsaved = known.is_unsaved || RankFor(backend) < kFirstVerifiers;
+        news_ = Advance(request, {backend, loss.at, LossState::kReplaced}, now) || news_;
+        break;
+      }
     }
-    ++entry;
   }
-  return due;
+  ApplyVerdicts(now);
 }
 
-Time CrashSuspects::NextProbe() const {
-  Time next = absl::InfiniteFuture();
-  for (const auto& [backend, loss] : lost_) {
-    next = std::min(next, loss.next_probe);
-  }
-  return next;
+void CrashSuspects::OnPathCut(const std::string& backend, Time now) {
+  open_.OnPathCut(backend, now);
+  ApplyVerdicts(now);
 }
 
-void CrashSuspects::OnRefused(const std::string& backend, Time now) {
-  const auto found = lost_.find(backend);
-  if (found == lost_.end()) {
-    return;
+void CrashSuspects::OnPathRestored(const std::string& backend, Time now) {
+  open_.OnPathRestored(backend, now);
+}
+
+std::vector<std::string> CrashSuspects::LostBackends(Time now) const {
+  absl::btree_set<std::string> lost;
+  for (const auto& [request, known] : records_) {
+    for (const Loss& loss : known.record.losses) {
+      if (now - loss.at < kReplacedWithin && loss.state != LossState::kReplaced) {
+        lost.insert(loss.backend);
+      }
+    }
   }
-  Loss& loss = found->second;
-  loss.refused_at = loss.refused_at.value_or(now);
-  if (now - *loss.refused_at < kBetweenProbes) {
-    return;
+  return {lost.begin(), lost.end()};
+}
+
+void CrashSuspects::ApplyVerdicts(Time now) {
+  for (const Verdict& unsettled : open_.TakeUnsettled()) {
+    for (const LostRequest& lost : unsettled.requests) {
+      const auto known = records_.find(lost.request);
+      if (known == records_.end()) {
+        continue;
+      }
+      known->second.is_shared = true;
+      news_ = true;
+      const SuspectRecord& record = known->second.record;
+      const bool is_slow = now - lost.at > kBetweenProbes;
+      if (is_slow && record.CountCrashes() + record.CountOpen(now) >= kCrashesToStopRetries) {
+        AddNote(lost.request, "suspected",
+                absl::StrCat("lost with ", unsettled.backend, ", which is not reached; ",
+                             record.CountCrashes(), " crashes, ", record.CountOpen(now),
+                             " losses open"));
+      }
+    }
   }
-  const Loss crashed = std::move(loss);
-  lost_.erase(found);
-  for (const Fingerprint& request : crashed.requests) {
-    news_ = Accuse(request, {backend, crashed.at}, now) || news_;
+  for (const Verdict& verdict : open_.TakeVerdicts()) {
+    for (const LostRequest& lost : verdict.requests) {
+      const bool changed = Advance(lost.request, {verdict.backend, lost.at, verdict.state}, now);
+      const auto known = records_.find(lost.request);
+      if (!changed || known == records_.end()) {
+        continue;
+      }
+      const bool is_crash = verdict.state != LossState::kAlive;
+      known->second.is_unsaved = known->second.is_unsaved || (is_crash && verdict.is_own);
+      known->second.is_shared = known->second.is_shared || is_crash;
+      news_ = news_ || (known->second.is_shared && verdict.is_own);
+    }
   }
 }
 
-bool CrashSuspects::Accuse(const Fingerprint& request, const Crash& crash, Time now) {
+// Records.
+
+CrashSuspects::Known& CrashSuspects::FindOrAdd(const Fingerprint& request, Time now) {
   const auto known = records_.find(request);
-  if (known == records_.end()) {
-    MakeRoom(now);
+  if (known != records_.end()) {
+    return known->second;
   }
-  SuspectRecord& record = known == records_.end() ? records_[request] : known->second;
-  record.request = request;
-  const bool counted = std::any_of(record.crashes.begin(), record.crashes.end(),
-                                   [&](const Crash& one) { return one.backend == crash.backend; });
-  if (counted || crash.at <= record.served_at || record.crashes.size() >= kMostCrashes) {
+  MakeRoom(now);
+  Known& added = records_[request];
+  added.record.request = request;
+  return added;
+}
+
+bool CrashSuspects::Advance(const Fingerprint& request, const Loss& loss, Time now) {
+  Known& known = FindOrAdd(request, now);
+  SuspectRecord& record = known.record;
+  if (loss.at <= record.served_at) {
     return false;
   }
-  record.crashes.push_back(crash);
-  std::stable_sort(record.crashes.begin(), record.crashes.end(),
-                   [](const Crash& a, const Crash& b) { return a.at < b.at; });
-  if (notes_.size() < kMostNotes) {
-    const Time until = HeldUntil(record);
-    const std::string names = NamesOf(record.crashes);
-    notes_.push_back({request, until > now ? "held" : "accused",
-                      until > now ? absl::StrCat("for ", absl::FormatDuration(until - now),
-                                                 ", it crashed ", names)
-                                  : absl::StrCat("was at work when these crashed: ", names)});
+  const auto same = std::find_if(record.losses.begin(), record.losses.end(),
+                                 [&](const Loss& one) { return one.backend == loss.backend; });
+  if (same != record.losses.end() && same->state >= loss.state) {
+    return false;
+  }
+  if (same != record.losses.end()) {
+    same->state = loss.state;
+  } else if (record.losses.size() < kMostLosses) {
+    record.losses.push_back(loss);
+    std::stable_sort(record.losses.begin(), record.losses.end(),
+                     [](const Loss& a, const Loss& b) { return a.at < b.at; });
+  } else {
+    return false;
+  }
+  if (loss.state == LossState::kEnded) {
+    ended_.insert(loss.backend);
   }
+  NoteAdvance(record, loss, now);
   return true;
 }
 
-bool CrashSuspects::Clear(SuspectRecord* record, Time served_at) {
-  if (served_at <= record->served_at) {
-    return false;
+void CrashSuspects::NoteAdvance(const SuspectRecord& record, const Loss& loss, Time now) {
+  if (!IsCrash(loss)) {
+    if (loss.state == LossState::kReturned) {
+      AddNote(record.request, "returned", absl::StrCat(loss.backend, " answers again"));
+    }
+    return;
   }
-  record->served_at = served_at;
-  const auto old = std::erase_if(record->crashes,
-                                 [served_at](const Crash& crash) { return crash.at <= served_at; });
-  if (old > 0 && notes_.size() < kMostNotes) {
-    notes_.push_back(
-        {record->request, "cleared", "a back end has served it, or an operator has released it"});
+  const Time until = record.HeldUntil();
+  const std::string names = record.CrashedBackends();
+  const absl::string_view how(NameOf(loss.state).data(), NameOf(loss.state).size());
+  if (until > now) {
+    AddNote(record.request, "held",
+            absl::StrCat("for ", absl::FormatDuration(until - now), ", it crashed ", names, "; ",
+                         loss.backend, " ", how));
+  } else {
+    AddNote(record.request, "accused",
+            absl::StrCat("was at work when these crashed: ", names, "; ", loss.backend, " ", how));
   }
-  return old > 0;
 }
 
-void CrashSuspects::OnServed(const Fingerprint& request, Time now) {
-  const auto known = records_.find(request);
-  if (known != records_.end()) {
-    news_ = Clear(&known->second, now) || news_;
+void CrashSuspects::AddNote(const Fingerprint& request, std::string event, std::string detail) {
+  if (notes_.size() < kMostNotes) {
+    notes_.push_back({request, std::move(event), std::move(detail)});
   }
 }
 
+bool CrashSuspects::empty() const {
+  return std::all_of(records_.begin(), records_.end(), [](const auto& entry) {
+    return std::all_of(
+        entry.second.record.losses.begin(), entry.second.record.losses.end(),
+        [](const Loss& loss) { return !IsCrash(loss) && loss.state != LossState::kOpen; });
+  });
+}
+
 Judgement CrashSuspects::Judge(const Fingerprint& request, Time now) const {
   const auto known = records_.find(request);
   if (known == records_.end() || now >= ForgottenAt(known->second)) {
     return {};
   }
-  return {known->second.crashes.size(), HeldUntil(known->second), NamesOf(known->second.crashes)};
+  const SuspectRecord& record = known->second.record;
+  Judgement judgement;
+  judgement.crashes = record.CountCrashes();
+  judgement.open = record.CountOpen(now);
+  judgement.held_until = record.HeldUntil();
+  judgement.needs_trial = judgement.crashes >= kCrashesToHold && now >= judgement.held_until;
+  judgement.backends = record.CrashedBackends();
+  return judgement;
 }
 
 size_t CrashSuspects::CountHeld(Time now) const {
   return static_cast<size_t>(
       std::count_if(records_.begin(), records_.end(),
-                    [now](const auto& entry) { return now < HeldUntil(entry.second); }));
+                    [now](const auto& entry) { return now < entry.second.record.HeldUntil(); }));
 }
 
-std::vector<SuspectRecord> CrashSuspects::Shared(Time now) const {
-  std::vector<SuspectRecord> shared;
-  for (const auto& [request, record] : records_) {
-    if (now < ForgottenAt(record)) {
-      shared.push_back(record);
-    }
+size_t CrashSuspects::CountOpen(Time now) const {
+  size_t open = 0;
+  for (const auto& [request, known] : records_) {
+    open += known.record.CountOpen(now);
   }
-  const size_t count = std::min(shared.size(), kMostShared);
-  std::partial_sort(shared.begin(), shared.begin() + static_cast<std::ptrdiff_t>(count),
-                    shared.end(), MoreAccused);
-  shared.resize(count);
-  return shared;
+  return open;
 }
 
-bool CrashSuspects::Merge(const std::vector<SuspectRecord>& heard, Time now) {
-  bool any = false;
-  for (const SuspectRecord& record : heard) {
-    if (now >= ForgottenAt(record)) {
-      continue;
-    }
-    const auto known = records_.find(record.request);
-    if (known != records_.end()) {
-      any = Clear(&known->second, record.served_at) || any;
-    }
-    for (const Crash& crash : record.crashes) {
-      any = Accuse(record.request, {crash.backend, std::min(crash.at, now)}, now) || any;
+// Trials.
+
+bool CrashSuspects::MayTry(const Fingerprint& request, Time now) {
+  const auto found = records_.find(request);
+  if (found == records_.end()) {
+    return false;
+  }
+  Known& known = found->second;
+  known.asked_at = now;
+  if (now < known.trial_until) {
+    return true;
+  }
+  known.trial_wanted = now >= known.record.HeldUntil() && known.record.trials < kMostTrials;
+  return false;
+}
+
+bool CrashSuspects::UseTrial(const Fingerprint& request, Time now) {
+  const auto found = records_.find(request);
+  return found != records_.end() &&
+         now < std::exchange(found->second.trial_until, absl::InfinitePast());
+}
+
+std::vector<SuspectRecord> CrashSuspects::TakeTrialsWanted() {
+  std::vector<SuspectRecord> wanted;
+  for (auto& [request, known] : records_) {
+    if (std::exchange(known.trial_wanted, false)) {
+      wanted.push_back(known.record);
     }
   }
-  return any;
+  return wanted;
+}
+
+void CrashSuspects::OnTrialGranted(const Fingerprint& request, Time now) {
+  const auto found = records_.find(request);
+  if (found == records_.end()) {
+    return;
+  }
+  ++found->second.record.trials;
+  found->second.record.tried_at = now;
+  found->second.trial_until = now + kTrialTime;
+  news_ = true;
+  AddNote(request, "trial",
+          absl::StrCat("this node may try it once more, trial ", found->second.record.trials,
+                       " of ", kMostTrials));
+}
+
+// Memory.
+
+Time CrashSuspects::ForgottenAt(const Known& known) {
+  const Time forgotten = known.record.ForgottenAt();
+  const bool is_held = known.record.CountCrashes() >= kCrashesToHold;
+  return is_held ? std::max(forgotten, known.asked_at + kKeepAsked) : forgotten;
 }
 
 void CrashSuspects::Forget(Time now) {
-  absl::erase_if(records_, [now](const auto& entry) { return now >= ForgottenAt(entry.second); });
+  for (auto entry = records_.begin(); entry != records_.end();) {
+    entry = now >= ForgottenAt(entry->second) ? records_.erase(entry) : std::next(entry);
+  }
+  if (records_.empty()) {
+    ended_.clear();
+  }
 }
 
 void CrashSuspects::MakeRoom(Time now) {
@@ -221,9 +396,10 @@
   if (records_.size() < kMostRecords) {
     return;
   }
-  const auto least = std::max_element(
-      records_.begin(), records_.end(),
-      [](const auto& a, const auto& b) { return MoreAccused(a.second, b.second); });
+  const auto least =
+      std::max_element(records_.begin(), records_.end(), [now](const auto& a, const auto& b) {
+        return IsMoreSuspect(a.second.record, b.second.record, now);
+      });
   records_.erase(least);
 }
 
--- a/src/core/quarantine/crash_suspects.h
+++ b/src/core/quarantine/crash_suspects.h
@@ -5,130 +5,189 @@
 // request that was lost with kCrashesToHold back ends, and was never served in between, is held: it
 // is refused without an attempt. Whatever serves it once clears it.
 //
-// A lost connection alone is no crash. It counts when the back end also refuses connections twice,
-// kBetweenProbes apart and without accepting one in between; the owner of this class makes these
-// probes. A full back end that resets requests accepts connections again meanwhile.
+// What a lost connection means is decided by OpenLosses alone; until then the loss counts as a
+// crash that may be: a request whose crashes and open losses reach kCrashesToHold is not sent
+// either, for as long as that lasts.
 //
-// Every node keeps such a table and tells the others what it learns (Shared, Merge). Merging is a
-// union by request and back end, so nodes agree in whatever order they hear.
+// Every node keeps such a table and tells the others what it learns (Shared, Merge). Merging takes
+// the later state of each loss, so nodes agree in whatever order they hear. A loss that this node
+// cannot settle is verified by others, a few at first, chosen by rendezvous hashing.
 //
 // Pure and of one thread, like the rest of the library.
 #pragma once
 
-#include <absl/container/flat_hash_map.h>
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_set.h>
 
-#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/quarantine/fingerprint.h"
+#include "core/quarantine/open_losses.h"
+#include "core/quarantine/recently_served.h"
+#include "core/quarantine/suspect_record.h"
 #include "wire/time.h"
 
 namespace ladderstream::quarantine {
 
-/// Crashes of different back ends that hold a request. With two, an innocent one is held whose two
-/// tries met two back ends that went down by turns.
-constexpr size_t kCrashesToHold = 3;
-/// Lost with so many back ends, a request is not tried again at another one at once.
-constexpr size_t kCrashesToStopRetries = 2;
-
-/// Back ends that are kept of one request; each beyond kCrashesToHold doubles its hold.
-constexpr size_t kMostCrashes = kCrashesToHold + 8;
-
-/// A back end that went down while the request was at work there.
-struct Crash {
-  /// Its incarnation.
-  std::string backend;
-  Time at;
-  bool operator==(const Crash&) const = default;
-};
-
-/// What is known of one request.
-struct SuspectRecord {
-  Fingerprint request;
-  /// Different back ends, in the order of their loss.
-  std::vector<Crash> crashes;
-  /// When it was last served; what crashed before does not count.
-  Time served_at = absl::InfinitePast();
-};
-
 /// What becomes of a request.
 struct Judgement {
-  /// Crashes that count.
+  /// Crashes that count, and losses that may turn out to be crashes.
   size_t crashes = 0;
+  size_t open = 0;
   /// It is refused until then; in the past when it is not held.
   Time held_until = absl::InfinitePast();
+  /// Its hold has lapsed, and one node may try it again once the store has recorded that.
+  bool needs_trial = false;
   /// The back ends that it crashed, for the log.
   std::string backends;
 
   bool Held(Time now) const { return now < held_until; }
+  /// Not held, and one crash more might hold it if its open losses are crashes.
+  bool Unsettled() const { return crashes < kCrashesToHold && crashes + open >= kCrashesToHold; }
 };
 
 /// Something to log: what was concluded of a request, and from what.
 struct SuspectNote {
   Fingerprint request;
-  /// "accused", "held" or "cleared".
+  /// "suspected", "accused", "held", "cleared" or what a loss turned out to be.
   std::string event;
   std::string detail;
 };
 
+/// A record to write to the store or, when it has no losses, to remove from it.
+using StoredChange = SuspectRecord;
+
 class CrashSuspects {
  public:
-  /// Requests that are known at most; the least accused, and of these the oldest, are dropped
+  /// Requests that are known at most; the least suspect, and of these the oldest, are dropped
   /// first.
   static constexpr size_t kMostRecords = 1024;
   /// Of which Shared tells at most.
   static constexpr size_t kMostShared = 64;
-  static constexpr Duration kBetweenProbes = absl::Milliseconds(200);
+  static constexpr Duration kBetweenProbes = OpenLosses::kBetweenProbes;
+
+  /// Must outlive this; see OpenLosses::SetContacts.
+  void SetContacts(Contacts* contacts) { open_.SetContacts(contacts); }
+  /// The nodes among which those that verify a loss are chosen; this one is `self`.
+  void SetMembers(uint64_t self, std::vector<uint64_t> members);
 
-  /// The request was at work at `backend`, whose connection ended without an answer.
+  /// The request was at work at `backend`, which left it without an answer.
   void OnLost(const Fingerprint& request, const std::string& backend, Time now);
-  /// A connection to `backend` was refused, or came up.
-  void OnRefused(const std::string& backend, Time now);
-  void OnConnected(const std::string& backend) { lost_.erase(backend); }
+  /// The attempt was given up before much was to be heard of it. Nothing is probed for it.
+  void OnGivenUp(const Fingerprint& request, const std::string& backend, Time now);
   /// A back end has answered the request.
   void OnServed(const Fingerprint& request, Time now);
 
+  /// The request waits for its open losses to be settled.
+  void OnWanted(const Fingerprint& request, Time now);
+
+  // Evidence on back ends.
+  /// A connection to `backend` was refused, got no answer, or came up.
+  void OnRefused(const std::string& backend, Time now);
+  void OnUnanswered(const std::string& backend, Time now);
+  void OnConnected(const std::string& backend, Time now);
+  /// It answered a request, so it lives.
+  void OnAnswered(const std::string& backend, Time now);
+  /// Its registration went, though it had not said that it leaves.
+  void OnRegistrationGone(const std::string& backend, Time now);
+  void OnRegistered(const std::string& backend) { open_.OnRegistered(backend); }
+  /// A later process is registered under its name or at its address, though it had not said that it
+  /// leaves.
+  void OnReplaced(const std::string& backend, Time now);
+  void OnPathCut(const std::string& backend, Time now);
+  void OnPathRestored(const std::string& backend, Time now);
+  /// Back ends with losses of late, for OnReplaced.
+  std::vector<std::string> LostBackends(Time now) const;
+
   /// An operator lets it go; as if it had been served.
-  void Release(const Fingerprint& request, Time now) { OnServed(request, now); }
+  void Release(const Fingerprint& request, Time now);
 
-  /// Back ends to connect to now, for OnRefused or OnConnected.
-  std::vector<std::string> TakeProbes(Time now);
-  Time NextProbe() const;
+  /// Back ends to connect to now; report OnRefused, OnUnanswered or OnConnected.
+  std::vector<std::string> TakeProbes(Time now) { return open_.TakeProbes(now); }
+  Time NextProbe() const { return open_.NextProbe(); }
 
-  /// Whether nothing is known of any request, so that no fingerprint is needed.
-  bool empty() const { return records_.empty(); }
+  /// Whether any back end was lost of late.
+  bool HasLosses() const { return !records_.empty(); }
+  /// Whether nothing is known against any request.
+  bool empty() const;
   Judgement Judge(const Fingerprint& request, Time now) const;
   /// Requests that are held now.
   size_t CountHeld(Time now) const;
-
-  /// What other nodes should know: the most accused first.
+  /// Whether it is open what became of the back end.
+  bool IsOpen(const std::string& backend) const { return open_.Contains(backend); }
+  /// Losses that are not settled.
+  size_t CountOpen(Time now) const;
+
+  /// A held request is asked for. Gives whether this node may try it now; if not, and its hold has
+  /// lapsed, the store is asked for a trial (TakeTrialsWanted).
+  bool MayTry(const Fingerprint& request, Time now);
+  /// The trial is sent. False when another request has used it meanwhile.
+  bool UseTrial(const Fingerprint& request, Time now);
+  /// Records of which the store should count one trial more, under the condition that nobody else
+  /// has.
+  std::vector<SuspectRecord> TakeTrialsWanted();
+  void OnTrialGranted(const Fingerprint& request, Time now);
+
+  /// What other nodes should know: the most suspect first.
   std::vector<SuspectRecord> Shared(Time now) const;
-  /// What another node knows. Gives whether anything of it was new.
+  /// What another node knows, or the store. Gives whether anything of it was new.
   bool Merge(const std::vector<SuspectRecord>& heard, Time now);
   /// Whether something was learned here, and not from another node, since the last call.
   bool TakeNews() { return std::exchange(news_, false); }
   std::vector<SuspectNote> TakeNotes() { return std::exchange(notes_, {}); }
+  /// What this node concluded and must outlive all processes, since the last call.
+  std::vector<StoredChange> TakeStoredChanges();
 
   void Forget(Time now);
 
  private:
-  /// Requests lost with one back end of which it is not known yet whether it has crashed.
-  struct Loss {
-    std::vector<Fingerprint> requests;
-    Time at;
-    Time next_probe;
-    std::optional<Time> refused_at;
+  /// Ages of losses and answers are told in messages, whose transit adds to them.
+  static constexpr Duration kTransitSlack = absl::Milliseconds(200);
+  /// Nodes that verify a loss at once.
+  static constexpr size_t kFirstVerifiers = 3;
+
+  struct Known {
+    SuspectRecord record;
+    /// Other nodes know of it.
+    bool is_shared = false;
+    /// This node concluded something that the store has to know.
+    bool is_unsaved = false;
+    /// As far as this node knows.
+    bool is_stored = false;
+    /// When it was last refused, so that it is not forgotten while it is asked for.
+    Time asked_at = absl::InfinitePast();
+    /// This node may try it until then.
+    Time trial_until = absl::InfinitePast();
+    bool trial_wanted = false;
   };
 
-  /// False when it was known already.
-  bool Accuse(const Fingerprint& request, const Crash& crash, Time now);
-  bool Clear(SuspectRecord* record, Time served_at);
+  Known& FindOrAdd(const Fingerprint& request, Time now);
+  /// Moves the loss on to its state. False when that was known already.
+  bool Advance(const Fingerprint& request, const Loss& loss, Time now);
+  void NoteAdvance(const SuspectRecord& record, const Loss& loss, Time now);
+  /// Gives whether it had been shared and something of it does not count any more.
+  bool Clear(Known* known, Time served_at);
+  /// Takes over what was concluded of open losses.
+  void ApplyVerdicts(Time now);
+  /// Hears of one loss. Gives whether it was new.
+  bool MergeLoss(const Fingerprint& request, const Loss& loss, Time now);
+  /// How many nodes come before this one in verifying the loss of a back end.
+  size_t RankFor(const std::string& backend) const;
   void MakeRoom(Time now);
-
-  absl::flat_hash_map<Fingerprint, SuspectRecord> records_;
-  absl::flat_hash_map<std::string, Loss> lost_;
+  void AddNote(const Fingerprint& request, std::string event, std::string detail);
+  static Time ForgottenAt(const Known& known);
+
+  absl::btree_map<Fingerprint, Known> records_;
+  /// Those with a loss in state kEnded.
+  absl::flat_hash_set<std::string> ended_;
+  OpenLosses open_;
+  RecentlyServed served_;
+  uint64_t self_ = 0;
+  std::vector<uint64_t> members_;
   std::vector<SuspectNote> notes_;
+  std::vector<StoredChange> removed_;
   bool news_ = false;
 };
 
--- /dev/null
+++ b/src/core/quarantine/crash_suspects_exchange.cc
@@ -0,0 +1,103 @@
+// Exchange of suspects with other nodes and the store.
+#include <algorithm>
+#include <utility>
+
+#include "core/quarantine/crash_suspects.h"
+
+namespace ladderstream::quarantine {
+namespace {
+
+/// As many nodes as verify a loss at once follow after each of these.
+constexpr Duration kVerifyInterval = absl::Milliseconds(500);
+
+}  // namespace
+
+std::vector<SuspectRecord> CrashSuspects::Shared(Time now) const {
+  std::vector<SuspectRecord> shared;
+  for (const auto& [request, known] : records_) {
+    if (known.is_shared && now < ForgottenAt(known)) {
+      shared.push_back(known.record);
+    }
+  }
+  const size_t count = std::min(shared.size(), kMostShared);
+  std::partial_sort(shared.begin(), shared.begin() + static_cast<std::ptrdiff_t>(count),
+                    shared.end(), [now](const SuspectRecord& one, const SuspectRecord& other) {
+                      return IsMoreSuspect(one, other, now);
+                    });
+  shared.resize(count);
+  return shared;
+}
+
+bool CrashSuspects::MergeLoss(const Fingerprint& request, const Loss& loss, Time now) {
+  const auto known = records_.find(request);
+  if (known != records_.end() && loss.at <= known->second.record.served_at + kTransitSlack) {
+    return false;
+  }
+  const bool changed = Advance(request, loss, now);
+  if (IsCrash(loss)) {
+    // An incarnation that has ended has ended for whatever else was at work there.
+    open_.Conclude(loss.backend, loss.state);
+  } else if (loss.state != LossState::kOpen) {
+    open_.Drop(request, loss.backend);
+  } else if (changed) {
+    const size_t rank = RankFor(loss.backend);
+    open_.Add(loss.backend, {request, loss.at},
+              now + kVerifyInterval * static_cast<int64_t>(rank / kFirstVerifiers),
+              /*is_own=*/rank < kFirstVerifiers);
+  }
+  return changed;
+}
+
+bool CrashSuspects::Merge(const std::vector<SuspectRecord>& heard, Time now) {
+  bool any = false;
+  for (const SuspectRecord& record : heard) {
+    if (now >= record.ForgottenAt()) {
+      continue;
+    }
+    const auto known = records_.find(record.request);
+    if (known != records_.end()) {
+      any = Clear(&known->second, record.served_at) || any;
+    }
+    for (const Loss& loss : record.losses) {
+      any =
+          MergeLoss(record.request, {loss.backend, std::min(loss.at, now), loss.state}, now) || any;
+    }
+    const auto merged = records_.find(record.request);
+    if (merged == records_.end()) {
+      continue;
+    }
+    merged->second.is_shared = true;
+    SuspectRecord& known_record = merged->second.record;
+    if (record.trials > known_record.trials) {
+      known_record.trials = record.trials;
+      known_record.tried_at = std::min(record.tried_at, now);
+      any = true;
+    }
+    const Time served_at = served_.ServedAt(record.request);
+    if (served_at > absl::InfinitePast() && Clear(&merged->second, served_at)) {
+      open_.Drop(record.request);
+      news_ = true;
+    }
+  }
+  ApplyVerdicts(now);
+  return any;
+}
+
+std::vector<StoredChange> CrashSuspects::TakeStoredChanges() {
+  std::vector<StoredChange> changes = std::exchange(removed_, {});
+  for (auto& [request, known] : records_) {
+    if (!std::exchange(known.is_unsaved, false)) {
+      continue;
+    }
+    const bool to_store = known.record.CountCrashes() >= kCrashesToStore;
+    if (to_store) {
+      changes.push_back(known.record);
+    } else if (known.is_stored) {
+      changes.push_back(EmptyRecord(request));
+    }
+    known.is_stored = to_store;
+  }
+  return changes;
+}
+
+}  // namespace ladderstream::quarantine
--- a/src/core/store/store_types.h
+++ b/src/core/store/store_types.h
@@ -7,6 +7,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,8 @@
   RowVersion version = 0;
   /// A short reason for logs when not kDone.
   std::string detail;
+  /// The store's steady clock as of the answer, counted from its own start; if it tells it.
+  std::optional<Duration> clock = std::nullopt;
 };
 
 /// What the answer to a call shows of the store beside its outcome.
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -24,9 +24,23 @@
 /// Neither accepted nor refused by then: the back end is cut off or silent, which is no crash.
 constexpr Duration kSuspectProbeTimeout = absl::Milliseconds(300);
 constexpr Duration kPathProbeTimeout = absl::Milliseconds(150);
+/// A loop that stood still for so long may not know of requests that are held since.
+constexpr Duration kStall = absl::Seconds(1);
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
+forwarding::PathEvent PathEventOf(BackendProbes::Result result) {
+  switch (result) {
+    case BackendProbes::Result::kConnected:
+      return forwarding::PathEvent::kConnected;
+    case BackendProbes::Result::kRefused:
+      return forwarding::PathEvent::kRefused;
+    case BackendProbes::Result::kTimedOut:
+      break;
+  }
+  return forwarding::PathEvent::kConnectFailed;
+}
+
 bool HasNoBody(int status) { return status == kNoContent || status == kNotModified; }
 
 }  // namespace
@@ -46,11 +60,7 @@
               }),
       path_probes_(loop, kPathProbeTimeout, settings.backends.source_host,
                    [this](const std::string& backend, BackendProbes::Result result) {
-                     const bool connected = result == BackendProbes::Result::kConnected;
-                     dispatcher_.OnPathEvent(backend,
-                                             connected ? forwarding::PathEvent::kConnected
-                                                       : forwarding::PathEvent::kConnectFailed,
-                                             resources_.clock.Now());
+                     dispatcher_.OnPathEvent(backend, PathEventOf(result), resources_.clock.Now());
                      Pump();
                    }),
       backends_(resources_, adapter, settings.backends, observer),
@@ -147,7 +157,7 @@
   quarantine::CrashSuspects& suspects = dispatcher_.suspects();
   const Time now = resources_.clock.Now();
   if (suspects.NextProbe() <= now) {
-    for (const std::string& backend : suspects.TakeProbes(now)) {
+    for (const std::string& backend : dispatcher_.TakeSuspectProbes(now)) {
       const Endpoint* const address = dispatcher_.AddressOf(backend);
       if (address != nullptr) {
         probes_.Start(backend, *address);
@@ -160,13 +170,17 @@
 }
 
 void DataPath::OnSuspectProbe(const std::string& backend, BackendProbes::Result result) {
-  quarantine::CrashSuspects& suspects = dispatcher_.suspects();
   const Time now = resources_.clock.Now();
-  if (result == BackendProbes::Result::kConnected) {
-    suspects.OnConnected(backend);
-  } else if (result == BackendProbes::Result::kRefused) {
-    suspects.OnRefused(backend, now);
-    dispatcher_.OnPathEvent(backend, forwarding::PathEvent::kConnectFailed, now);
+  switch (result) {
+    case BackendProbes::Result::kConnected:
+      dispatcher_.OnPathEvent(backend, forwarding::PathEvent::kConnected, now);
+      break;
+    case BackendProbes::Result::kRefused:
+      dispatcher_.OnSuspectProbeFailed(backend, /*refused=*/true, now);
+      break;
+    case BackendProbes::Result::kTimedOut:
+      dispatcher_.OnSuspectProbeFailed(backend, /*refused=*/false, now);
+      break;
   }
   Pump();
 }
@@ -180,8 +194,16 @@
   }
 }
 
+void DataPath::CheckStall(Time now) {
+  if (resources_.lag.At(now) > kStall && now > stalled_at_ + kStall) {
+    stalled_at_ = now;
+    dispatcher_.OnStalled(now);
+  }
+}
+
 void DataPath::OnRequest(const CallerConnectionPtr& connection, CallerRequest incoming) {
   const Time now = resources_.clock.Now();
+  CheckStall(now);
   const auto message = std::make_shared<const CallerRequest>(std::move(incoming));
   const Time deadline = message->time_left.has_value() ? message->arrival + *message->time_left
                                                        : absl::InfiniteFuture();
@@ -201,9 +223,7 @@
   described.key = message->key;
   described.arrival = message->arrival;
   described.deadline = deadline;
-  if (!dispatcher_.suspects().empty()) {
-    described.fingerprint = FingerprintOf(*message);
-  }
+  described.fingerprint = FingerprintOf(*message);
   observer_->OnRequestDescribed(described);
   const RequestHandle handle = dispatcher_.Start(described, now);
   connection->set_request_handle(handle);
@@ -255,6 +275,7 @@
 }
 
 bool DataPath::MaySend(AttemptHandle attempt) {
+  CheckStall(resources_.clock.Now());
   const auto found = attempts_.find(attempt);
   return found != attempts_.end() && CallerIsThere(found->second.request) &&
          dispatcher_.MaySend(attempt, resources_.clock.Now());
@@ -312,12 +333,8 @@
   }
   observer_->OnAttemptFailed(found->second.message->request_id, found->second.backend, failure,
                              cause);
-  const CallerRequestPtr message = found->second.message;
   attempts_.erase(found);
   const Time now = resources_.clock.Now();
-  if (failure == AttemptFailure::kLost) {
-    dispatcher_.OnRequestLost(handle, FingerprintOf(*message), now);
-  }
   dispatcher_.OnAttemptFailure(handle, failure, now);
   Pump();
 }
@@ -502,6 +519,7 @@
 void DataPath::OnTimer() {
   armed_for_ = absl::InfiniteFuture();
   const Time now = resources_.clock.Now();
+  CheckStall(now);
   resources_.lag.OnTimer(now);
   if (dispatcher_.NextWake() <= now) {
     dispatcher_.OnTick(now);
--- a/src/gateway/http/data_path.h
+++ b/src/gateway/http/data_path.h
@@ -143,6 +143,8 @@
   uint32_t ConnectionLimitOf(const std::string& service) const;
   /// Whether the attempt has not ended.
   bool IsRunning(forwarding::AttemptHandle handle) const;
+  /// Tells the dispatcher when the event loop has stood still.
+  void CheckStall(Time now);
   void Arm();
   void OnTimer();
   void EndLateAttempts(Time now);
@@ -169,6 +171,7 @@
   /// When the timer goes off; infinite when it is not set.
   Time armed_for_ = absl::InfiniteFuture();
   Time next_sweep_;
+  Time stalled_at_ = absl::InfinitePast();
   std::function<void()> drained_;
   bool quiet_posted_ = false;
   std::shared_ptr<char> alive_ = std::make_shared<char>();
--- a/src/gateway/relay/request_carrier.cc
+++ b/src/gateway/relay/request_carrier.cc
@@ -19,6 +19,17 @@
 constexpr Duration kMaxLag = absl::Milliseconds(100);
 constexpr Duration kConnectTimeout = absl::Milliseconds(150);
 
+forwarding::CarriedRequest Describe(const membership::RelayedRequest& message) {
+  forwarding::CarriedRequest request;
+  request.backend = message.backend;
+  if (message.fingerprint_high != 0 || message.fingerprint_low != 0) {
+    request.fingerprint =
+        quarantine::Fingerprint{message.fingerprint_high, message.fingerprint_low};
+  }
+  request.permitted = message.permitted;
+  return request;
+}
+
 }  // namespace
 
 RequestCarrier::RequestCarrier(DataPath* data_path, forwarding::Dispatcher* dispatcher,
@@ -46,12 +57,13 @@
   if (carried_.size() >= kMaxCarried || data_path_->loop_lag() > kMaxLag / rank) {
     return RelayOutcome::kBusy;
   }
-  switch (dispatcher_->MayCarry(request.backend, Now())) {
+  switch (dispatcher_->MayCarry(Describe(request), Now())) {
     case forwarding::CarryPermission::kGranted:
       return RelayOutcome::kAnswered;
     case forwarding::CarryPermission::kNoPath:
       return RelayOutcome::kNoPath;
     case forwarding::CarryPermission::kDeclined:
+    case forwarding::CarryPermission::kHeld:
       break;
   }
   return RelayOutcome::kNotSent;
@@ -71,7 +83,7 @@
   Carried& carried = carried_[handle];
   carried.key = key;
   carried.request_id = request.request_id;
-  carried.backend = request.backend;
+  carried.request = Describe(request);
   carried.repeatable = request.repeatable;
   carried.started = now;
   carried.answer_by = now + left;
@@ -80,7 +92,7 @@
 
 void RequestCarrier::StartExchange(AttemptHandle handle, membership::RelayedRequest request) {
   const Carried& carried = carried_.at(handle);
-  const Endpoint* const address = dispatcher_->AddressOf(carried.backend);
+  const Endpoint* const address = dispatcher_->AddressOf(carried.request.backend);
   auto message = std::make_shared<CallerRequest>(FromMessage(std::move(request), carried.started));
   message->reservation = ByteReservation(data_path_->resources().budget, ByteUse::kRequest);
   if (!message->reservation.Resize(message->body.size())) {
@@ -90,7 +102,7 @@
   BackendConnectionPtr connection;
   try {
     connection = data_path_->backends().Start(
-        carried.backend, *address, {handle, std::move(message), carried.answer_by, this});
+        carried.request.backend, *address, {handle, std::move(message), carried.answer_by, this});
   } catch (const Error& error) {
     Fail(handle, RelayOutcome::kConnectRefused, error.what());
     return;
@@ -136,9 +148,11 @@
     carried.connection->Close("no answer in time");
   }
   if (connecting) {
-    dispatcher_->OnPathEvent(carried.backend, forwarding::PathEvent::kConnectFailed, Now());
-    data_path_->Pump();
+    dispatcher_->OnPathEvent(carried.request.backend, forwarding::PathEvent::kConnectFailed, Now());
+  } else {
+    RecordUnanswered(carried);
   }
+  data_path_->Pump();
   Fail(handle, connecting ? RelayOutcome::kConnectTimeout : RelayOutcome::kTimedOut, "time-out");
 }
 
@@ -172,24 +186,33 @@
     return;
   }
   const BackendConnectionPtr connection = std::move(carried.connection);
+  RecordUnanswered(carried);
   carried_.erase(handle);
   metrics_->CountCall("carried_request", "cancelled");
   if (connection != nullptr) {
     connection->Close("the attempt was cancelled");
   }
+  data_path_->Pump();
+}
+
+void RequestCarrier::RecordUnanswered(const Carried& carried) {
+  if (carried.sent) {
+    dispatcher_->OnCarriedUnanswered(carried.request, Now() - carried.sent_at, Now());
+  }
 }
 
 void RequestCarrier::OnConnected(AttemptHandle handle) {
   const auto found = carried_.find(handle);
   if (found != carried_.end()) {
-    dispatcher_->OnPathEvent(found->second.backend, forwarding::PathEvent::kConnected, Now());
+    dispatcher_->OnPathEvent(found->second.request.backend, forwarding::PathEvent::kConnected,
+                             Now());
     data_path_->Pump();
   }
 }
 
 bool RequestCarrier::MaySend(AttemptHandle handle) {
   const auto found = carried_.find(handle);
-  return found != carried_.end() && dispatcher_->MayCarry(found->second.backend, Now()) ==
+  return found != carried_.end() && dispatcher_->MayCarry(found->second.request, Now()) ==
                                         forwarding::CarryPermission::kGranted;
 }
 
@@ -197,6 +220,7 @@
   const auto found = carried_.find(handle);
   if (found != carried_.end()) {
     found->second.sent = true;
+    found->second.sent_at = Now();
   }
 }
 
@@ -207,7 +231,7 @@
   }
   const Carried carried = std::move(found->second);
   carried_.erase(found);
-  dispatcher_->OnPathEvent(carried.backend, forwarding::PathEvent::kAnswered, Now());
+  dispatcher_->OnPathEvent(carried.request.backend, forwarding::PathEvent::kAnswered, Now());
   metrics_->CountCall("carried_request", "answered");
   if (!carried.abandoned) {
     membership::RelayedAnswer message = ToMessage(std::move(answer));
@@ -222,10 +246,15 @@
   if (found == carried_.end()) {
     return;
   }
-  if (failure == AttemptFailure::kConnectRefused || failure == AttemptFailure::kConnectTimeout) {
-    dispatcher_->OnPathEvent(found->second.backend, forwarding::PathEvent::kConnectFailed, Now());
-    data_path_->Pump();
+  const forwarding::CarriedRequest request = found->second.request;
+  if (failure == AttemptFailure::kConnectRefused) {
+    dispatcher_->OnPathEvent(request.backend, forwarding::PathEvent::kRefused, Now());
+  } else if (failure == AttemptFailure::kConnectTimeout) {
+    dispatcher_->OnPathEvent(request.backend, forwarding::PathEvent::kConnectFailed, Now());
+  } else if (failure == AttemptFailure::kLost && found->second.sent) {
+    dispatcher_->OnCarriedLost(request, Now());
   }
+  data_path_->Pump();
   Fail(handle, OutcomeOf(failure), cause);
 }
 
@@ -249,7 +278,7 @@
   const Carried carried = std::move(found->second);
   carried_.erase(found);
   metrics_->CountCall("carried_request", membership::NameOf(outcome));
-  observer_->OnCarriedRequestFailed(carried.request_id, carried.backend,
+  observer_->OnCarriedRequestFailed(carried.request_id, carried.request.backend,
                                     membership::NameOf(outcome), cause, Now() - carried.started);
   if (!carried.abandoned) {
     membership::RelayedAnswer answer;
--- a/src/gateway/relay/request_carrier.h
+++ b/src/gateway/relay/request_carrier.h
@@ -46,11 +46,12 @@
   struct Carried {
     RequestKey key;
     std::string request_id;
-    std::string backend;
+    forwarding::CarriedRequest request;
     bool repeatable = false;
     Time started;
     Time answer_by;
     bool sent = false;
+    Time sent_at;
     /// The sender hears nothing more of it.
     bool abandoned = false;
     BackendConnectionPtr connection;
@@ -67,6 +68,8 @@
 
   /// Returns why the request is not taken; kAnswered when it is.
   membership::RelayOutcome Admit(const membership::RelayedRequest& request, Duration left) const;
+  /// The back end left a request that was sent to it without an answer.
+  void RecordUnanswered(const Carried& carried);
   void StartExchange(forwarding::AttemptHandle handle, membership::RelayedRequest request);
   void ArmTimer(forwarding::AttemptHandle handle, Duration timeout);
   void OnTimer(forwarding::AttemptHandle handle);
--- a/src/gateway/relay/request_relay.cc
+++ b/src/gateway/relay/request_relay.cc
@@ -61,6 +61,11 @@
   message->backend = send.backend;
   message->repeatable = repeatable;
   message->priority = send.priority;
+  if (send.fingerprint.has_value()) {
+    message->fingerprint_high = send.fingerprint->high;
+    message->fingerprint_low = send.fingerprint->low;
+  }
+  message->permitted = send.permitted;
   message->answer_within_ms = absl::ToInt64Milliseconds(send.answer_by - now);
   if (!transport_.SendOne({.address = address->second}, *std::move(message))) {
     return false;
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -61,7 +61,19 @@
 }
 
 /// Offsets added to the incarnation, so that each component has its own jitter seed.
-enum SeedPurpose : uint64_t { kConfigurationSeed = 1, kBackendSeed, kMembershipSeed, kPeerSeed };
+enum SeedPurpose : uint64_t {
+  kConfigurationSeed = 1,
+  kBackendSeed,
+  kMembershipSeed,
+  kPeerSeed,
+  kSuspectSeed
+};
+
+quarantine::SuspectStoreSettings SuspectStoreSettingsOf(uint64_t seed) {
+  quarantine::SuspectStoreSettings settings;
+  settings.seed = seed;
+  return settings;
+}
 
 store::FollowerSettings FollowerSettingsOf(std::string_view table, uint64_t seed) {
   store::FollowerSettings settings;
@@ -196,6 +208,7 @@
                   listener_->OnBackends(changes, update);
                   ReportCatalog(changes);
                 }}),
+      suspect_store_(SuspectStoreSettingsOf(incarnation + kSuspectSeed)),
       coordinator_(settings.ownership, CoordinatorIdentityOf(settings, incarnation)),
       membership_(MembershipSettingsOf(settings, incarnation + kMembershipSeed),
                   IdentityOf(settings, incarnation), &configuration_follower_, &backend_follower_),
@@ -343,6 +356,7 @@
   membership_.OnTick(now);
   PollFollower(&configuration_follower_);
   PollFollower(&backend_follower_);
+  PollSuspectStore();
   catalog_.ApplyUpdates(now);
   ReportOwnLoad();
   for (int turn = 0; turn < kMaxPumpTurns && ExecuteActions(); ++turn) {
@@ -372,6 +386,38 @@
   }
 }
 
+void ControlPlane::PollSuspectStore() {
+  const std::optional<quarantine::SuspectStore::Call> call = suspect_store_.Poll(Now());
+  ApplySuspectStore();
+  if (!call.has_value()) {
+    return;
+  }
+  const auto on_reply = [this, id = call->call](const store::StoreReply& reply) {
+    suspect_store_.OnReply(id, reply, Now());
+    ApplySuspectStore();
+    SchedulePump();
+  };
+  if (const auto* read = std::get_if<store::ReadQuery>(&call->query)) {
+    store_.Read(*read, call->timeout, on_reply);
+  } else {
+    store_.Execute(std::get<store::Transaction>(call->query), call->timeout, on_reply);
+  }
+}
+
+void ControlPlane::ApplySuspectStore() {
+  const std::vector<quarantine::SuspectRecord> heard = suspect_store_.TakeHeard();
+  if (!heard.empty()) {
+    listener_->OnSuspects(heard);
+  }
+  for (const quarantine::Fingerprint& request : suspect_store_.TakeGrantedTrials()) {
+    listener_->OnTrialGranted(request);
+  }
+  if (suspect_store_.IsKnown() && !std::exchange(suspects_known_, true)) {
+    membership_.OnSuspectsKnown();
+    listener_->OnSuspectsKnown();
+  }
+}
+
 void ControlPlane::ReportCatalog(const catalog::BackendChanges& changes) {
   if (!catalog_.configuration()) {
     return;
@@ -440,6 +486,9 @@
     }
   }
   if (holds != holds_lease_) {
+    if (holds) {
+      suspect_store_.SetCleaner();
+    }
     holds_lease_ = holds;
     UpdateStoreShare();
   }
@@ -454,6 +503,7 @@
   Time wake = std::min({coordinator_.NextWake(), membership_.NextWake(), orders_.NextWake()});
   wake = std::min(wake, configuration_follower_.NextWake());
   wake = std::min(wake, backend_follower_.NextWake());
+  wake = std::min(wake, suspect_store_.NextWake());
   wake = std::min(wake, coordinator_.Holds(Now()) ? next_own_load_ : absl::InfiniteFuture());
   if (wake == armed_for_ && timer_.expiry() > BootClock::now()) {
     return;
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -13,6 +13,7 @@
 #include "core/forwarding/dispatcher.h"
 #include "core/membership/membership.h"
 #include "core/ownership/coordinator.h"
+#include "core/quarantine/suspect_store.h"
 #include "core/store/table_follower.h"
 #include "gateway/http/event_loop.h"
 #include "gateway/http/http_client.h"
@@ -48,8 +49,12 @@
   virtual void OnRelayCancel(uint64_t connection, const membership::RelayCancel& cancel) = 0;
   /// A connection that another node had opened has ended.
   virtual void OnIncomingClosed(uint64_t connection) = 0;
-  /// Another node reported requests that crash back ends.
+  /// Another node, or the store, told of requests that crash back ends.
   virtual void OnSuspects(const std::vector<quarantine::SuspectRecord>& suspects) = 0;
+  /// All requests that were held before this node started have been told.
+  virtual void OnSuspectsKnown() = 0;
+  /// The store has recorded that this node tries a held request once more.
+  virtual void OnTrialGranted(const quarantine::Fingerprint& request) = 0;
   /// Another node reported rate limits of back ends.
   virtual void OnLimits(const std::vector<allowance::LimitRecord>& limits) = 0;
   /// Returns all back-end rate limits known to this node, by back-end id.
@@ -77,6 +82,10 @@
   /// Publishes to the other nodes the known requests that crash back ends; see
   /// membership::Membership::OnSuspects.
   void PublishSuspects(std::vector<quarantine::SuspectRecord> suspects, bool own);
+  /// Writes to the store what must outlive all nodes; see CrashSuspects::TakeStoredChanges.
+  void SaveSuspects(const std::vector<quarantine::StoredChange>& changes);
+  /// Asks the store for trials; see CrashSuspects::TakeTrialsWanted.
+  void RequestTrials(const std::vector<quarantine::SuspectRecord>& records);
   /// Publishes recently changed rate limits of back ends; see membership::Membership::OnLimits.
   void PublishLimits(std::vector<allowance::LimitRecord> own_limits,
                      std::vector<allowance::LimitRecord> all, bool own);
@@ -93,6 +102,8 @@
   /// Returns the number of store calls since the start, by kind.
   std::map<std::string, uint64_t> StoreCalls() const;
   bool HasConfiguration() const { return catalog_.configuration() != nullptr; }
+  /// Whether the requests that were held before this node started are known.
+  bool KnowsSuspects() const { return suspects_known_; }
   /// See CatalogTables::LogConfigurationAge.
   void LogConfigurationAge() { catalog_.LogConfigurationAge(Now()); }
   /// Fills in the control plane's part of the metrics.
@@ -141,6 +152,9 @@
   /// Posts one Pump() to run after the current event; repeated calls before then have no effect.
   void SchedulePump();
   void PollFollower(store::TableFollower* follower);
+  void PollSuspectStore();
+  /// Tells the listener what the store holds of suspects.
+  void ApplySuspectStore();
   /// Reports the changes to the coordinator, once there is a configuration.
   void ReportCatalog(const catalog::BackendChanges& changes);
   void ReportOwnLoad();
@@ -172,6 +186,8 @@
   CatalogTables catalog_;
   /// Whether the coordinator has received the full set of back ends, so that it needs only changes.
   bool catalog_reported_ = false;
+  quarantine::SuspectStore suspect_store_;
+  bool suspects_known_ = false;
   ownership::Coordinator coordinator_;
   membership::Membership membership_;
 
--- a/src/node/control_plane_actions.cc
+++ b/src/node/control_plane_actions.cc
@@ -77,6 +77,28 @@
 
 void ControlPlane::Execute(const membership::SuspectsReceivedAction& received) {
   listener_->OnSuspects(received.suspects);
+  if (received.are_all) {
+    suspect_store_.OnVouched();
+    ApplySuspectStore();
+  }
+}
+
+void ControlPlane::SaveSuspects(const std::vector<quarantine::StoredChange>& changes) {
+  for (const quarantine::StoredChange& change : changes) {
+    suspect_store_.Save(change);
+  }
+  if (!changes.empty()) {
+    SchedulePump();
+  }
+}
+
+void ControlPlane::RequestTrials(const std::vector<quarantine::SuspectRecord>& records) {
+  for (const quarantine::SuspectRecord& record : records) {
+    suspect_store_.WantTrial(record);
+  }
+  if (!records.empty()) {
+    SchedulePump();
+  }
 }
 
 void ControlPlane::PublishSuspects(std::vector<quarantine::SuspectRecord> suspects, bool own) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -60,6 +60,7 @@
   forwarding::DispatcherSettings dispatcher = settings.forwarding;
   dispatcher.seed = incarnation;
   dispatcher.node = incarnation;
+  dispatcher.suspects_are_stored = true;
   return dispatcher;
 }
 
@@ -99,7 +100,10 @@
       stop_timer_(loop_) {
   data_path_.SetPeerExchanges(&request_relay_);
   data_path_.SetSuspectNews([this] { PublishSuspects(/*own=*/true); });
-  data_path_.SetPumped([this] { SyncLimits(); });
+  data_path_.SetPumped([this] {
+    SyncLimits();
+    SyncSuspectStore();
+  });
   readiness_ = std::make_unique<gateway::ReadinessServer>(
       loop_, settings.listen.readiness, adapter_->ready_path(), [this] { return IsReady(); });
   if (settings.listen.metrics) {
@@ -189,6 +193,25 @@
   if (dispatcher_.suspects().Merge(suspects, Now())) {
     PublishSuspects(/*own=*/false);
   }
+  data_path_.Pump();
+}
+
+void Node::OnSuspectsKnown() {
+  dispatcher_.SetSuspectsKnown();
+  data_path_.Pump();
+}
+
+void Node::OnTrialGranted(const quarantine::Fingerprint& request) {
+  dispatcher_.suspects().OnTrialGranted(request, Now());
+  data_path_.Pump();
+}
+
+void Node::SyncSuspectStore() {
+  quarantine::CrashSuspects& suspects = dispatcher_.suspects();
+  if (suspects.HasLosses()) {
+    control_plane_.SaveSuspects(suspects.TakeStoredChanges());
+    control_plane_.RequestTrials(suspects.TakeTrialsWanted());
+  }
 }
 
 void Node::PublishSuspects(bool own) {
@@ -245,13 +268,16 @@
 void Node::LogBeliefs() { beliefs_.OnBackendBeliefs(dispatcher_.TakeStateChanges()); }
 
 bool Node::IsReady() {
-  const bool serves = control_plane_.HasConfiguration() && dispatcher_.CanServe(Now());
+  const bool serves = control_plane_.HasConfiguration() && control_plane_.KnowsSuspects() &&
+                      dispatcher_.CanServe(Now());
   const bool ready = !stopping_ && serves;
   std::string_view reason = "serving";
   if (stopping_) {
     reason = "stopping";
   } else if (!control_plane_.HasConfiguration()) {
     reason = "no configuration";
+  } else if (!control_plane_.KnowsSuspects()) {
+    reason = "held requests not read";
   } else if (!serves) {
     reason = "nothing to send to";
   }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -51,6 +51,8 @@
   void OnIncomingClosed(uint64_t connection) override;
   void OnMembersConfirmed(Time until) override;
   void OnSuspects(const std::vector<quarantine::SuspectRecord>& suspects) override;
+  void OnSuspectsKnown() override;
+  void OnTrialGranted(const quarantine::Fingerprint& request) override;
   void OnLimits(const std::vector<allowance::LimitRecord>& limits) override;
   std::map<std::string, double> LimitsInForce() override;
   allowance::PermitReply OnPermitQuestion(const allowance::PermitQuestion& question) override;
@@ -79,6 +81,8 @@
   void OnHousekeeping();
   /// Publishes the known requests that crash back ends to the other nodes.
   void PublishSuspects(bool own);
+  /// Passes on to the store what it has to know of suspects, and what is wanted of it.
+  void SyncSuspectStore();
   /// Publishes the dispatcher's changed limits to the other nodes and sends its permit requests.
   void SyncLimits();
   void PublishLimits(bool own);
--- a/src/wire/result_code.cc
+++ b/src/wire/result_code.cc
@@ -26,6 +26,7 @@
     CodeRow{ResultCode::kTooManyConnections, "TOO_MANY_CONNECTIONS", 503},
     CodeRow{ResultCode::kQuarantined, "QUARANTINED", 503},
     CodeRow{ResultCode::kBackendLimited, "BACKEND_LIMITED", 503},
+    CodeRow{ResultCode::kCrashSuspected, "CRASH_SUSPECTED", 503},
     CodeRow{ResultCode::kConnectionLost, "CONNECTION_LOST", 502},
     CodeRow{ResultCode::kTimedOut, "TIMED_OUT", 504},
     CodeRow{ResultCode::kUnknownService, "UNKNOWN_SERVICE", 404},
--- a/src/wire/result_code.h
+++ b/src/wire/result_code.h
@@ -27,6 +27,7 @@
   kTooManyConnections = 1010,
   kQuarantined = 1011,
   kBackendLimited = 1012,
+  kCrashSuspected = 1013,
 
   // 2xxx: the outcome is unknown. Only a request declared repeatable may be sent again.
   kConnectionLost = 2001,
