--- a/tests/unit/crash_evidence/fleet_model.h
+++ b/tests/unit/crash_evidence/fleet_model.h
@@ -139,7 +139,7 @@
   /// One of `among` that lives, or of all nodes when that is empty.
   std::optional<size_t> PickNode(const std::vector<size_t>& among = {});
   void StartRequest(const Request& request, size_t node);
-  void Repeat(GuiltyCaller caller);
+  void Repeat(const GuiltyCaller& caller);
   void AskInnocent();
   void Poll(uint64_t number);
   void OnFinalAnswer(size_t node, forwarding::RequestHandle handle,
