Play kills of all nodes beside silent ends, and faults drawn by a seed, in the model of crash evidence

What callers would see: a request that ends back ends silently goes on ending them while all nodes are killed more often than a registration lapses.

The model also probed back ends whose address nobody knows any more, which nodes cannot; it does not now.

--- a/tests/unit/crash_evidence/crash_evidence_test.cc
+++ b/tests/unit/crash_evidence/crash_evidence_test.cc
@@ -23,6 +23,14 @@
   return caller;
 }
 
+/// More often than a silent end is settled.
+void KillAllNodesRepeatedly(FleetModel* fleet, int count) {
+  for (int kill = 0; kill < count; ++kill) {
+    fleet->Run(absl::Milliseconds(2500));
+    fleet->KillAllNodes();
+  }
+}
+
 void CheckBounds(const FleetModel& fleet) {
   const GuiltyTally tally = fleet.Tally(kGuilty);
   BOOST_TEST_MESSAGE("sent " << tally.sent << ", ended " << tally.ended << ", late "
@@ -150,6 +158,46 @@
   CheckBounds(fleet);
 }
 
+// Guards against silent losses that are forgotten before the lapse of a registration settles them.
+BOOST_AUTO_TEST_CASE(silent_ends_outlive_all_nodes) {
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    FleetModel fleet({.nodes = 4, .backends_per_zone = 8, .seed = seed});
+    fleet.Call(CallerOf(EndMode::kSilent));
+    KillAllNodesRepeatedly(&fleet, 8);
+    fleet.Run(kWatched);
+    BOOST_TEST_CONTEXT("seed " << seed) { CheckBounds(fleet); }
+  }
+}
+
+// Guards against back ends that are back before any node that saw them end has heard of it.
+BOOST_AUTO_TEST_CASE(quick_restarts_outlive_all_nodes) {
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    FleetModel fleet({.nodes = 4, .backends_per_zone = 8, .seed = seed});
+    GuiltyCaller caller = CallerOf(EndMode::kRefuses);
+    caller.restarts_after = absl::Milliseconds(100);
+    fleet.Call(caller);
+    KillAllNodesRepeatedly(&fleet, 8);
+    fleet.Run(kWatched);
+    BOOST_TEST_CONTEXT("seed " << seed) { CheckBounds(fleet); }
+  }
+}
+
+// Guards against faults that only together hide what a lost back end means.
+BOOST_AUTO_TEST_CASE(bounds_hold_beside_drawn_faults) {
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    FleetModel fleet({.nodes = 4 + seed % 5, .backends_per_zone = 8, .seed = seed});
+    GuiltyCaller caller = CallerOf(seed % 2 == 0 ? EndMode::kSilent : EndMode::kRefuses);
+    caller.by_key = seed % 3 == 0;
+    if (seed % 5 == 0) {
+      caller.restarts_after = absl::Milliseconds(100);
+    }
+    fleet.Call(caller);
+    fleet.RunWithDrawnFaults(absl::Seconds(20));
+    fleet.Run(kWatched);
+    BOOST_TEST_CONTEXT("seed " << seed) { CheckBounds(fleet); }
+  }
+}
+
 // Guards against nodes that wake with requests that have been held meanwhile.
 BOOST_AUTO_TEST_CASE(nodes_that_were_frozen_hear_of_held_requests_first) {
   FleetModel fleet({.nodes = 8, .backends_per_zone = 6});
--- a/tests/unit/crash_evidence/fleet_model.cc
+++ b/tests/unit/crash_evidence/fleet_model.cc
@@ -70,6 +70,53 @@
   now_ = end;
 }
 
+void FleetModel::RunWithDrawnFaults(Duration time) {
+  const Time end = now_ + time;
+  while (now_ < end) {
+    StrikeDrawnFault();
+    const Duration pause = kShortestPause + absl::Milliseconds(random_() % kPauseSpreadMs);
+    Run(std::min(pause, end - now_));
+  }
+  HealPaths();
+  SetStoreAway(false);
+}
+
+void FleetModel::StrikeDrawnFault() {
+  constexpr PathFault kFaults[] = {PathFault::kSilent, PathFault::kReset, PathFault::kRefuse};
+  constexpr EndMode kEnds[] = {EndMode::kRefuses, EndMode::kSilent};
+  constexpr uint64_t kKinds = 9;
+  const size_t node = random_() % nodes_.size();
+  const uint64_t variant = random_();
+  switch (random_() % kKinds) {
+    case 0:
+    case 1:
+      CutOff(node, kFaults[variant % std::size(kFaults)], variant % 2 == 0 ? "cards" : "");
+      break;
+    case 2:
+      HealPaths();
+      break;
+    case 3:
+      KillNode(node);
+      break;
+    case 4:
+      KillAllNodes();
+      break;
+    case 5:
+      Freeze(node, absl::Milliseconds(500 + variant % 4000));
+      break;
+    case 6:
+      if (coordinator_) {
+        KillNode(*coordinator_);
+      }
+      break;
+    case 7:
+      SetStoreAway(!store_away_);
+      break;
+    default:
+      EndBackends(1 + variant % 2, kEnds[variant % std::size(kEnds)]);
+  }
+}
+
 // Nodes.
 
 void FleetModel::StartNode(size_t number) {
--- a/tests/unit/crash_evidence/fleet_model.h
+++ b/tests/unit/crash_evidence/fleet_model.h
@@ -74,6 +74,8 @@
   /// Sends the request once at each of so many nodes at this moment.
   void CallAtOnce(const GuiltyCaller& caller, size_t count);
   void Run(Duration time);
+  /// The same beside faults of all kinds, drawn by the seed, that are over at the end.
+  void RunWithDrawnFaults(Duration time);
 
   // Faults.
   /// Of a service, or of both when empty.
@@ -119,6 +121,7 @@
   using ExchangePtr = std::shared_ptr<Exchange>;
   enum class Reach { kOpen, kRefused, kSilent };
 
+  void StrikeDrawnFault();
   void At(Duration delay, std::function<void()> step);
   /// The same at a node; dropped when the node's process has ended by then, put off while frozen.
   void AtNode(size_t node, Duration delay, std::function<void()> step);
--- a/tests/unit/crash_evidence/fleet_model_exchanges.cc
+++ b/tests/unit/crash_evidence/fleet_model_exchanges.cc
@@ -296,6 +296,9 @@
 }
 
 void FleetModel::Probe(size_t number, const std::string& backend, bool for_suspects) {
+  if (nodes_[number]->dispatcher->AddressOf(backend) == nullptr) {
+    return;
+  }
   ++probes_;
   const Reach reach = ReachOf(number, backend);
   const Duration timeout = for_suspects ? kSuspectProbeTimeout : kConnectTimeout;
--- a/tests/unit/crash_evidence/fleet_model_state.h
+++ b/tests/unit/crash_evidence/fleet_model_state.h
@@ -34,6 +34,10 @@
 inline constexpr Duration kReleaseGap = absl::Milliseconds(400);
 inline constexpr Duration kDrainTime = absl::Milliseconds(2500);
 
+/// Between two drawn faults.
+inline constexpr Duration kShortestPause = absl::Milliseconds(200);
+inline constexpr uint64_t kPauseSpreadMs = 2000;
+
 struct FleetModel::Backend {
   std::string instance;
   catalog::Backend registration;
