Store losses of a node only once they last, and date this from when they were noticed

Cause: a silent loss is dated when the request was sent, so that it counted as lasting before the probe that settles it had returned; each write also makes nodes read on. Change: lasting counts from when this node knows of the loss; losses that were settled as alive make no row.

--- a/src/core/quarantine/crash_suspects_exchange.cc
+++ b/src/core/quarantine/crash_suspects_exchange.cc
@@ -14,23 +14,6 @@
 /// Records in the row of one node.
 constexpr size_t kMostWitnessed = 32;
 
-/// Whether a process that knows nothing of the record might let its request crash more back ends.
-bool MustOutliveNode(const SuspectRecord& record, Time now) {
-  if (record.CountCrashes() >= kCrashesToStore) {
-    // It has a row of its own.
-    return false;
-  }
-  size_t lost = 0;
-  for (const Loss& loss : record.losses) {
-    if (IsCrash(loss) || (loss.state == LossState::kOpen && now - loss.at >= kTransient)) {
-      return true;
-    }
-    lost += loss.state != LossState::kWatched ? 1 : 0;
-  }
-  // Back ends that lived when they were asked may have been started again by then.
-  return lost >= kCrashesToStopRetries;
-}
-
 }  // namespace
 
 std::vector<SuspectRecord> CrashSuspects::Shared(Time now) const {
@@ -116,6 +99,17 @@
   return any;
 }
 
+bool CrashSuspects::MustOutliveNode(const SuspectRecord& record, Time now) const {
+  if (record.CountCrashes() >= kCrashesToStore) {
+    // It has a row of its own.
+    return false;
+  }
+  return std::any_of(record.losses.begin(), record.losses.end(), [this, now](const Loss& loss) {
+    return IsCrash(loss) ||
+           (loss.state == LossState::kOpen && now - open_.OpenSince(loss.backend) >= kTransient);
+  });
+}
+
 std::vector<SuspectRecord> CrashSuspects::Witnessed(Time now) const {
   std::vector<SuspectRecord> witnessed;
   for (const auto& [request, known] : records_) {
--- a/src/core/quarantine/open_losses.cc
+++ b/src/core/quarantine/open_losses.cc
@@ -48,6 +48,11 @@
   }
 }
 
+Time OpenLosses::OpenSince(const std::string& backend) const {
+  const auto found = entries_.find(backend);
+  return found == entries_.end() ? absl::InfiniteFuture() : found->second.since;
+}
+
 void OpenLosses::Drop(const Fingerprint& request) {
   for (auto& [backend, entry] : entries_) {
     DropFrom(&entry, request);
--- a/src/core/quarantine/open_losses.h
+++ b/src/core/quarantine/open_losses.h
@@ -50,6 +50,9 @@
   void Add(const std::string& backend, const LostRequest& lost, Time now, Time probe_at,
            bool is_own);
   bool Contains(const std::string& backend) const { return entries_.contains(backend); }
+  /// Since when this node has been finding out what became of the back end; infinite when it is
+  /// not.
+  Time OpenSince(const std::string& backend) const;
   /// The request is out of suspicion, everywhere or for its loss at this back end.
   void Drop(const Fingerprint& request);
   void Drop(const Fingerprint& request, const std::string& backend);
