Let no returned trial count below zero

A trial whose connection failed after another node had served the request was given back to a record without trials, whose count then wrapped round: the request would never have been tried again, at any node. A request that is cleared loses its trial.

--- a/src/core/quarantine/crash_suspects.cc
+++ b/src/core/quarantine/crash_suspects.cc
@@ -108,6 +108,9 @@
   }
   record.trials = 0;
   record.tried_at = absl::InfinitePast();
+  known->trial_until = absl::InfinitePast();
+  known->trial_used = false;
+  known->trial_asked = false;
   known->is_unsaved = false;
   if (was_stored) {
     known->is_stored = false;
--- a/tests/unit/quarantine/crash_suspects_test.cc
+++ b/tests/unit/quarantine/crash_suspects_test.cc
@@ -65,6 +65,24 @@
   BOOST_TEST(table.CountHeld(now) == 2U);
 }
 
+// Guards against a count of trials that falls below zero: nobody would try the request again.
+BOOST_AUTO_TEST_CASE(trial_that_returns_after_the_request_was_cleared_changes_nothing) {
+  for (const char* backend : {"b-1", "b-2", "b-3"}) {
+    Crash(backend, {kGuilty});
+  }
+  table.OnTrialGranted(kGuilty, now);
+  BOOST_TEST(table.UseTrial(kGuilty, now));
+  now += kMoment;
+  table.OnServed(kGuilty, now);
+  table.ReturnTrial(kGuilty);
+  now += absl::Seconds(1);
+  for (const char* backend : {"b-4", "b-5", "b-6"}) {
+    Crash(backend, {kGuilty});
+  }
+  now = now + absl::Minutes(1);
+  BOOST_TEST(table.AskForTrial(kGuilty, now));
+}
+
 BOOST_AUTO_TEST_CASE(what_is_served_in_between_is_innocent) {
   Crash("b-1", {kGuilty});
   Crash("b-2", {kGuilty});
