--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -248,7 +248,7 @@
     RequestClass ending = load[fault.target % load.size()];
     ending.item =
         absl::StrCat(kEnds[fault.target / load.size() % std::size(kEnds)], "-", ending_.size());
-    ending.item_key = static_cast<ownership::Key>(fault.target * 60);
+    ending.item_key = static_cast<ownership::Key>(fault.target * 60 % (ownership::kLastKey + 1));
     ending.name = absl::StrCat(ending.name, " ", ending.item);
     ending.per_second = kCallsPerSecond;
     ending.retries = 0;
