Judge no node by a mark that came with the rejection of a key

A node reads nothing else from a 421, which another back end at the same address may send; the first answer with the mark that was the back end's own came 0.55 s before the request. Change: the judge takes a 421 as no news. Nodes are not changed. The new test of the judge shows that any other answer still counts.

--- a/src/standin/fleet/judge_wishes.cc
+++ b/src/standin/fleet/judge_wishes.cc
@@ -74,8 +74,10 @@
         JudgeRest(node, sent, *sending.arrival);
       }
     }
+    // What comes with a 421 may be another back end's at the same address, and tells a node
+    // nothing.
     const auto told = std::find_if(sent.begin(), sent.end(), [](const Sending& sending) {
-      return sending.arrival->said_leaving;
+      return sending.arrival->said_leaving && sending.arrival->refused != kMisdirected;
     });
     if (told != sent.end()) {
       JudgeLeaving(node, sent, *told->arrival);
--- a/tests/unit/standin_fleet/judge_test.cc
+++ b/tests/unit/standin_fleet/judge_test.cc
@@ -200,6 +200,19 @@
   BOOST_TEST(Judged().after_drain.count == 0U);
 }
 
+// Guards against a node that is held to what it may not read.
+BOOST_AUTO_TEST_CASE(rejection_of_a_key_tells_no_node_that_its_back_end_leaves) {
+  Served("1");
+  Arrival& rejected = history.arrivals.back();
+  rejected.said_leaving = true;
+  rejected.refused = 421;
+  Served("2").sent = kStart + absl::Milliseconds(2100);
+  history.arrivals.back().at = kStart + absl::Seconds(3);
+  BOOST_TEST(Judged().after_drain.count == 0U);
+  history.arrivals.front().refused = 503;
+  BOOST_TEST(Judged().after_drain.count == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(sees_two_holders_at_work_however_short) {
   Grant("b1", 1, kStart, absl::Milliseconds(200));
   Grant("b2", 2, kStart + absl::Milliseconds(100), absl::Seconds(4));
