--- a/src/core/quarantine/crash_suspects.h
+++ b/src/core/quarantine/crash_suspects.h
@@ -200,7 +200,8 @@
   bool Clear(Known* known, Time served_at);
   /// Another node does not know yet that this one has served the request: it is told.
   void ClearServedHere(const SuspectRecord& heard, Time now);
-  /// Whether the record has a loss that was a crash or is not settled soon, and no row of its own.
+  /// Whether the record has two losses that were crashes or are not settled soon, and no row of its
+  /// own.
   bool MustOutliveNode(const SuspectRecord& record, Time now) const;
   /// Takes over what was concluded of open losses.
   void ApplyVerdicts(Time now);
--- a/src/core/quarantine/crash_suspects_exchange.cc
+++ b/src/core/quarantine/crash_suspects_exchange.cc
@@ -104,10 +104,14 @@
     // It has a row of its own.
     return false;
   }
-  return std::any_of(record.losses.begin(), record.losses.end(), [this, now](const Loss& loss) {
-    return IsCrash(loss) ||
-           (loss.state == LossState::kOpen && now - open_.OpenSince(loss.backend) >= kTransient);
-  });
+  // One loss is what each innocent request has that was at work at a crash: rows for these would
+  // cost a write a crash at every node.
+  const auto lasting =
+      std::count_if(record.losses.begin(), record.losses.end(), [this, now](const Loss& loss) {
+        return IsCrash(loss) || (loss.state == LossState::kOpen &&
+                                 now - open_.OpenSince(loss.backend) >= kTransient);
+      });
+  return lasting >= static_cast<std::ptrdiff_t>(kCrashesToStore);
 }
 
 std::vector<SuspectRecord> CrashSuspects::Witnessed(Time now) const {
