--- a/tests/unit/observability/node_metrics_test.cc
+++ b/tests/unit/observability/node_metrics_test.cc
@@ -149,7 +149,8 @@
                    "ladderstream_calls_total", "ladderstream_beliefs_total",
                    "ladderstream_backend_connection_events_total", "ladderstream_store_calls_total",
                    "ladderstream_peer_messages_total", "ladderstream_peer_bytes_total",
-                   "ladderstream_log_lines_omitted_total", "ladderstream_not_understood_total"});
+                   "ladderstream_log_lines_omitted_total", "ladderstream_not_understood_total",
+                   "ladderstream_losses_total"});
   std::set<std::string> explained;
   std::ifstream page(LADDERSTREAM_SOURCE_DIR "/docs/OPERATIONS.md");
   for (std::string line; std::getline(page, line);) {
