--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,7 @@
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$here/../.." && pwd)"
-program="$here/../build/slow_readers"
+program="$here/../build/surplus_refusals"
 [ -x "$program" ] && [ -x "$root/target/bin/ladderstream_node" ] || exit 2
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
--- a/review/standin/backend.h
+++ b/review/standin/backend.h
@@ -15,6 +15,9 @@
   size_t answer_bytes = 400;
 };
 
+/// What the answer is to.
+enum class AnswerTo { kRequest, kGrant, kRelease };
+
 /// How one answer goes out. Called with the whole answer, in the order of the connection.
 class Sender {
  public:
@@ -23,7 +26,11 @@
     (void)refusal;
     return connection.Write(answer);
   }
-  /// A request has come whole on this connection; its answer is still to come.
+  virtual bool SendToOrder(Connection& connection, const std::string& answer, AnswerTo to) {
+    (void)to;
+    return connection.Write(answer);
+  }
+  /// A request or order has come whole on this connection; its answer is still to come.
   virtual bool OnRequest(Connection& connection) {
     (void)connection;
     return true;
@@ -36,6 +43,7 @@
       : settings_(settings), store_(store), record_(record), random_(seed) {
     std::mt19937_64 ids(seed);
     id_ = "i-" + RandomId(ids).substr(0, 8);
+    All().push_back(this);
   }
 
   /// `make_sender` is called once a connection.
@@ -59,6 +67,8 @@
   }
 
   const std::string& id() const { return id_; }
+  /// Of all back ends together: grants taken while another back end was at work on one of the keys.
+  static uint64_t given_at_work() { return given_at_work_; }
   uint64_t refusals() const { return refusals_; }
   /// Of all back ends together: request id -> how often it was begun.
   static std::map<std::string, std::vector<std::string>> Runs() {
@@ -90,8 +100,15 @@
   bool Handle(Connection& connection, Sender& sender, const Message& request) {
     const std::string path = request.Word(1);
     if (path == "/ladderstream/grant" || path == "/ladderstream/release") {
-      return connection.Write(path == "/ladderstream/grant" ? Grant(Json::parse(request.body))
-                                                            : Release(Json::parse(request.body)));
+      const bool is_grant = path == "/ladderstream/grant";
+      const Json order = Json::parse(request.body);
+      const std::string expected = request.Header("X-Ladderstream-Expected-Instance");
+      if (!expected.empty() && expected != id_) {
+        return connection.Write(
+            MakeAnswer(421, "Misdirected Request", {{"X-Ladderstream-Instance-Id", id_}}, ""));
+      }
+      const std::string answer = is_grant ? Grant(order) : Release(order);
+      return sender.SendToOrder(connection, answer, is_grant ? AnswerTo::kGrant : AnswerTo::kRelease);
     }
     if (path == "/health") {
       return connection.Write(MakeAnswer(200, "OK", {{"X-Ladderstream-Instance-Id", id_}}, ""));
@@ -111,14 +128,18 @@
     }
     const std::string text = request.Header("X-Ladderstream-Shard-Key");
     const int key = settings_.sharded && !text.empty() ? std::atoi(text.c_str()) : -1;
-    if (settings_.sharded && (key < 0 || key > 65535 || Now() >= held_until_[key])) {
+    const auto disowned = [&] {
+      return settings_.sharded && (key < 0 || key > 65535 || Now() >= held_until_[key]);
+    };
+    const auto disown = [&] {
       ++refusals_;
       record_->Add("back end %s refuses %s with 421: key %d isn't held", id_.c_str(), id.c_str(), key);
       return sender.Send(connection,
                          Answer(request, 421, "Misdirected Request",
                                 {{"X-Ladderstream-Not-Executed", "1"}}, ""),
                          true);
-    }
+    };
+    if (disowned()) return disown();
     if (running_ + waiting_ >= settings_.slots + settings_.queue) {
       ++refusals_;
       record_->Add("back end %s refuses %s with 503: it is full", id_.c_str(), id.c_str());
@@ -137,6 +158,7 @@
       }
     }
     --waiting_;
+    if (disowned()) return disown();  // Released while it waited.
     ++running_;
     const auto job = jobs_.insert(jobs_.end(), key);
     const double work =
@@ -168,7 +190,31 @@
     return sender.Send(connection, answer, false);
   }
 
+  /// What rule OWNER says of a grant that was just taken: another back end is at work on one of its
+  /// keys, and that one's lease, had it not been released, would last on.
+  void CheckOthersAtWork(int from, int to, uint64_t fence) {
+    for (Backend* other : All()) {
+      if (other == this) continue;
+      const std::lock_guard lock(other->mutex_);
+      for (const int key : other->jobs_) {
+        if (key < from || key > to || Now() >= other->lease_until_[key]) continue;
+        ++given_at_work_;
+        record_->Add("OWNER back end %s is given keys %d to %d under fence %llu while %s is at work on key "
+                     "%d, whose lease would last %.2f s more",
+                     id_.c_str(), from, to, static_cast<unsigned long long>(fence),
+                     other->id_.c_str(), key, other->lease_until_[key] - Now());
+      }
+    }
+  }
+
   std::string Grant(const Json& order) {
+    const std::string answer = TakeGrant(order);
+    if (answer.rfind("HTTP/1.1 200", 0) == 0) {
+      CheckOthersAtWork(order.at("from_rev"), order.at("target_version"), order.at("fence"));
+    }
+    return answer;
+  }
+  std::string TakeGrant(const Json& order) {
     const std::lock_guard lock(mutex_);
     const int from = order.at("from_rev");
     const int to = order.at("target_version");
@@ -176,9 +222,14 @@
     for (int key = from; key <= to; ++key) {
       if (seen_fence_[key] > fence) return MakeAnswer(409, "Conflict", {}, "");
     }
+    if (Now() >= held_until_[from]) {
+      record_->Add("back end %s takes keys %d to %d under fence %llu", id_.c_str(), from, to,
+                   static_cast<unsigned long long>(fence));
+    }
     for (int key = from; key <= to; ++key) {
       seen_fence_[key] = fence;
       held_until_[key] = Now() + order.at("hold_s").get<double>();
+      lease_until_[key] = held_until_[key];
     }
     return MakeAnswer(200, "OK", {}, "");
   }
@@ -193,6 +244,8 @@
         held_until_[key] = -1;
       }
     }
+    record_->Add("back end %s releases keys %d to %d under fence %llu", id_.c_str(), from, to,
+                 static_cast<unsigned long long>(fence));
     changed_.wait(lock, [&] {
       return std::none_of(jobs_.begin(), jobs_.end(),
                           [&](int key) { return key >= from && key <= to; });
@@ -200,6 +253,13 @@
     return MakeAnswer(200, "OK", {{"X-Ladderstream-Handover", RandomId(random_)}}, "");
   }
 
+  /// Filled before traffic starts.
+  static std::vector<Backend*>& All() {
+    static std::vector<Backend*> all;
+    return all;
+  }
+
+  static inline std::atomic<uint64_t> given_at_work_ = 0;
   const BackendSettings settings_;
   Store* store_;
   Record* record_;
@@ -214,6 +274,8 @@
   std::atomic<uint64_t> refusals_ = 0;
   std::list<int> jobs_;
   std::vector<uint64_t> seen_fence_ = std::vector<uint64_t>(65536, 0);
+  /// As granted, whether or not it was released since.
+  std::vector<double> lease_until_ = std::vector<double>(65536, -1);
   std::vector<double> held_until_ = std::vector<double>(65536, -1);
 };
 
