--- a/review/standin/slow_readers.cc
+++ b/review/standin/slow_readers.cc
@@ -7,9 +7,9 @@
 namespace review {
 namespace {
 
-constexpr size_t kAnswerBytes = 4'500'000;
-/// 8 Mbit/s, in pieces of 20 ms.
-constexpr double kBytesPerSecond = 1'000'000;
+constexpr size_t kAnswerBytes = 2'200'000;
+/// 4 Mbit/s, in pieces of 20 ms.
+constexpr double kBytesPerSecond = 500'000;
 constexpr double kPiece = 0.02;
 constexpr size_t kReadersPerNode = 4;
 constexpr double kDeadline = 8;
@@ -27,10 +27,11 @@
   bool Complete() const { return status == 200 && body == announced; }
 };
 
-/// A link of packets of the usual size, and a small window.
+/// Small packets (the default of IPv4) and a small window, so that the kernels hold little of an answer,
+/// as on a link that isn't the loopback's.
 void UseSlowLink(int fd) {
-  const int segment = 1448;
-  const int window = 16384;
+  const int segment = 536;
+  const int window = 8192;
   setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
   setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
 }
