--- a/review/standin/surplus_refusals.cc
+++ b/review/standin/surplus_refusals.cc
@@ -3,8 +3,8 @@
 //
 // Three nodes; ten back ends own the keys of a service whose requests may run once. Some refusals
 // happen at any time, as the owners of busy keys are full now and then. Of every back end at fault
-// (six of ten), three answers in a hundred come once more, for five seconds; here these
-// are refusals.
+// (six of ten), three answers in a hundred come once more, twice for five seconds; here
+// these are refusals.
 #include "backend.h"
 
 namespace review {
@@ -15,9 +15,9 @@
 constexpr size_t kFaulty = 6;
 constexpr double kFaultFor = 5;
 constexpr double kSurplusShare = 0.03;
-constexpr double kTrafficFor = 16;
+constexpr double kTrafficFor = 26;
 /// From the start of traffic.
-constexpr double kFaultAt = 8;
+constexpr double kFaultAt[] = {7, 17};
 constexpr size_t kCallersPerNode = 26;
 constexpr double kPause = 0.1;
 
@@ -179,8 +179,10 @@
     callers.push_back(std::make_unique<Caller>(&nodes, i % nodes.size(), 1000 + i, &record));
     threads.emplace_back([&caller = *callers.back(), until] { caller.Run(until); });
   }
-  SleepFor(kFaultAt);
-  if (WithTrouble()) {
+  const double begin = Now();
+  for (const double at : kFaultAt) {
+    if (!WithTrouble()) break;
+    SleepFor(begin + at - Now());
     record.Add("back ends are at fault for %.0f s", kFaultFor);
     for (size_t i = 0; i < kFaulty; ++i) doses[i].at_fault = true;
     SleepFor(kFaultFor);
