--- a/review/standin/backend.h
+++ b/review/standin/backend.h
@@ -148,9 +148,19 @@
                                 {{"X-Ladderstream-Not-Executed", "1"}}, ""),
                          true);
     }
+    const std::string left_ms = request.Header("X-Ladderstream-Deadline-Ms");
+    const double deadline = left_ms.empty() ? 1e18 : Now() + std::atof(left_ms.c_str()) / 1000;
     ++waiting_;
     while (running_ >= settings_.slots) {
       changed_.wait_for(lock, std::chrono::milliseconds(5));
+      if (Now() >= deadline) {
+        --waiting_;
+        ++refusals_;
+        return sender.Send(connection,
+                           Answer(request, 503, "Service Unavailable",
+                                  {{"X-Ladderstream-Not-Executed", "1"}}, ""),
+                           true);
+      }
       if (connection.Stale()) {
         --waiting_;
         record_->Add("back end %s drops %s, which waited", id_.c_str(), id.c_str());
@@ -174,15 +184,23 @@
                  runs > 1 ? (", run " + std::to_string(runs) + " of it").c_str() : "");
     const double end = Now() + work;
     bool left = false;
-    while (!left && Now() < end) {
-      SleepFor(std::min(0.005, end - Now()));
+    while (!left && Now() < std::min(end, deadline)) {
+      SleepFor(std::min(0.005, std::min(end, deadline) - Now()));
       left = connection.Stale();
     }
     lock.lock();
+    const bool in_time = Now() < deadline || end <= deadline;
+    const bool lease_over = key >= 0 && Now() >= lease_until_[key];
     --running_;
     jobs_.erase(job);
     changed_.notify_all();
     if (left) return false;
+    if (lease_over || !in_time) {
+      const std::string failure = lease_over ? Answer(request, 500, "Internal Server Error", {}, "")
+                                             : Answer(request, 504, "Gateway Timeout", {}, "");
+      lock.unlock();
+      return sender.Send(connection, failure, false);
+    }
     const std::string answer = Answer(
         request, 200, "OK", {{"X-Ladderstream-Server-Stamp", id_.substr(2) + "." + id.substr(0, 8)}},
         std::string(settings_.answer_bytes, 'a'));
--- a/review/standin/slow_readers.cc
+++ b/review/standin/slow_readers.cc
@@ -95,6 +95,7 @@
   nodes.StartAll();
   nodes.AwaitReady(Now() + 20);
   record.Add("all nodes are ready");
+  nodes.AskEachSecond();
   SleepFor(4);  // In touch: nothing happened for contact_s.
 
   std::mt19937_64 random(7);
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -474,6 +474,14 @@
       }
     }
   }
+  /// As the platform does: each second a question to every node, for as long as the program runs.
+  void AskEachSecond() const {
+    for (size_t i = 0; i < nodes_.size(); ++i) {
+      std::thread([this, i] {
+        for (;; SleepFor(1)) Ready(i);
+      }).detach();
+    }
+  }
   void Signal(size_t index, int number) const { kill(nodes_.at(index).pid, number); }
   /// Gives the exit status once the process has ended; -1 at the deadline.
   int AwaitEnd(size_t index, double deadline) {
--- a/review/standin/surplus_refusals.cc
+++ b/review/standin/surplus_refusals.cc
@@ -24,9 +24,16 @@
 /// What one back end has answered while it was at fault, and how much of it came twice.
 struct Dose {
   std::mutex mutex;
+  /// Of the span that lasts.
   uint64_t answers = 0;
   uint64_t surplus = 0;
   std::atomic<bool> at_fault = false;
+  void Begin() {
+    const std::lock_guard lock(mutex);
+    answers = 0;
+    surplus = 0;
+    at_fault = true;
+  }
   void OnAnswer() {
     const std::lock_guard lock(mutex);
     answers += at_fault ? 1 : 0;
@@ -106,6 +113,9 @@
       const double wait = std::atof(answer.Header("Retry-After").c_str());
       SleepFor(std::min(wait, (deadline - Now()) / 3));
       if (Now() + 0.5 > deadline) return;
+      // Later tries reach other nodes, over new connections.
+      connection_.reset();
+      node_ = (node_ + 1) % nodes_->size();
     }
   }
   bool Try(const std::string& booking, const std::string& id, int key, double deadline,
@@ -126,7 +136,7 @@
   }
 
   const Nodes* nodes_;
-  const size_t node_;
+  size_t node_;
   std::mt19937_64 random_;
   Record* record_;
   ConnectionPtr connection_;
@@ -170,6 +180,7 @@
   nodes.StartAll();
   nodes.AwaitReady(Now() + 20);
   record.Add("all nodes are ready");
+  nodes.AskEachSecond();
   SleepFor(2);
 
   std::vector<std::unique_ptr<Caller>> callers;
@@ -184,10 +195,15 @@
     if (!WithTrouble()) break;
     SleepFor(begin + at - Now());
     record.Add("back ends are at fault for %.0f s", kFaultFor);
-    for (size_t i = 0; i < kFaulty; ++i) doses[i].at_fault = true;
+    for (size_t i = 0; i < kFaulty; ++i) doses[i].Begin();
     SleepFor(kFaultFor);
     for (size_t i = 0; i < kFaulty; ++i) doses[i].at_fault = false;
     record.Add("back ends are sound again");
+    for (size_t i = 0; i < kFaulty; ++i) {
+      record.Add("back end %s sent %llu answers in this span, %llu of them twice",
+                 backends[i]->id().c_str(), static_cast<unsigned long long>(doses[i].answers),
+                 static_cast<unsigned long long>(doses[i].surplus));
+    }
   }
   for (std::thread& thread : threads) thread.join();
   SleepFor(1);  // What will run later does so by then.
@@ -221,11 +237,6 @@
                                         [](const auto& entry) { return entry.second > 1; }));
   uint64_t refusals = 0;
   for (const auto& backend : backends) refusals += backend->refusals();
-  for (size_t i = 0; i < kFaulty; ++i) {
-    record.Add("back end %s sent %llu answers while at fault, %llu of them twice", backends[i]->id().c_str(),
-               static_cast<unsigned long long>(doses[i].answers),
-               static_cast<unsigned long long>(doses[i].surplus));
-  }
   record.Add("%zu requests, %llu refusals of back ends; %zu requests ran twice, %zu ran and were refused, "
              "%zu bookings were made twice",
              requests, static_cast<unsigned long long>(refusals), twice, refused, doubled);
