Reset the connections of calls that are given up, and share none for releases of keys

Cause: a call without an answer in time was given up by closing its connection, which does not take back what a cut link still holds up. Such a connection is reset now: orders, calls of the store, and attempts. A release has a connection of its own.

--- a/src/gateway/http/backend_connection.cc
+++ b/src/gateway/http/backend_connection.cc
@@ -298,6 +298,9 @@
   if (state_ == State::kClosed) {
     return;
   }
+  if (state_ == State::kBusy && exchange_.listener != nullptr) {
+    AbortOnClose(socket_);
+  }
   state_ = State::kClosed;
   ErrorCode ignored;
   socket_.close(ignored);
--- a/src/gateway/http/event_loop.cc
+++ b/src/gateway/http/event_loop.cc
@@ -71,6 +71,11 @@
   set(KeepAliveCount(kUnansweredProbes));
 }
 
+void AbortOnClose(Socket& socket) {
+  ErrorCode ignored;
+  socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+}
+
 Acceptor Listen(EventLoop& loop, const Endpoint& endpoint) {
   const Tcp::endpoint address = ToTcpEndpoint(endpoint);
   Acceptor acceptor(loop.get_executor());
--- a/src/gateway/http/event_loop.h
+++ b/src/gateway/http/event_loop.h
@@ -59,6 +59,10 @@
 /// intervals lets a single lost probe end an idle connection.
 void BoundSilence(Socket& socket, Duration timeout, ErrorCode& error);
 
+/// Makes closing the socket a reset, so that bytes which a cut link still holds up are dropped: a
+/// call that is given up must not arrive once the link has healed.
+void AbortOnClose(Socket& socket);
+
 /// A listening socket; throws Error(kInvalidSetting) when the address cannot be had.
 Acceptor Listen(EventLoop& loop, const Endpoint& endpoint);
 
--- a/src/gateway/http/http_client.cc
+++ b/src/gateway/http/http_client.cc
@@ -42,7 +42,7 @@
 HttpCallId HttpClient::Call(const Endpoint& to, const interfaces::HttpRequest& request,
                             const CallTiming& timing, CallCallback callback) {
   const HttpCallId call = ++last_call_;
-  ConnectionPtr connection = TakeIdle(to);
+  ConnectionPtr connection = timing.own_connection ? nullptr : TakeIdle(to);
   if (connection == nullptr) {
     connection = std::make_shared<HttpClientConnection>(*this, to);
   }
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -55,6 +55,9 @@
   Time send_by = absl::InfiniteFuture();
   /// Bounds the client's own connect time-out further.
   Duration connect_timeout = absl::InfiniteDuration();
+  /// No other call shares the connection. For calls whose answers name no call: a surplus copy of
+  /// another call's answer would pass for the answer to this one.
+  bool own_connection = false;
 };
 
 using CallCallback = std::function<void(CallResult)>;
--- a/src/gateway/http/http_client_connection.cc
+++ b/src/gateway/http/http_client_connection.cc
@@ -226,7 +226,8 @@
 
 void HttpClientConnection::Finish() {
   const auto self = shared_from_this();
-  const bool reusable = parser_->keep_alive() && pending_.empty() && socket_.is_open();
+  const bool reusable =
+      !timing_.own_connection && parser_->keep_alive() && pending_.empty() && socket_.is_open();
   CallResult result;
   result.outcome = CallOutcome::kAnswered;
   result.response = TakeResponse();
@@ -264,6 +265,9 @@
     return;
   }
   const bool was_idle = state_ == State::kIdle;
+  if (state_ == State::kBusy) {
+    AbortOnClose(socket_);
+  }
   state_ = State::kClosed;
   ErrorCode ignored;
   socket_.close(ignored);
--- a/src/node/order_client.cc
+++ b/src/node/order_client.cc
@@ -11,7 +11,8 @@
 
 void OrderClient::Send(const ownership::ReleaseAction& release, Callback callback) {
   Call(release.address, adapter_->EncodeRelease(release),
-       {timeouts_.release, absl::InfiniteFuture(), timeouts_.connect}, std::move(callback));
+       {timeouts_.release, absl::InfiniteFuture(), timeouts_.connect, /*own_connection=*/true},
+       std::move(callback));
 }
 
 void OrderClient::Call(const Endpoint& address, const interfaces::HttpRequest& request,
--- a/tests/unit/gateway_http/backend_faults_test.cc
+++ b/tests/unit/gateway_http/backend_faults_test.cc
@@ -104,6 +104,17 @@
   BOOST_TEST(node.backend.requests.size() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(an_attempt_that_is_given_up_resets_its_connection) {
+  Node node;
+  node.backend.on_request = [](TestSocket&, const std::string&) {};
+  const auto caller = node.Connect();
+  caller->Send(Node::Get("1"));
+  node.WaitUntil([&] { return node.backend.requests.size() == 1; });
+  caller->Close();
+  node.WaitUntil([&] { return node.backend.connections.at(0)->ended; });
+  BOOST_TEST(node.backend.connections.at(0)->was_reset);
+}
+
 BOOST_AUTO_TEST_CASE(bytes_on_an_idle_connection_retire_it_at_once) {
   Node node;
   const auto caller = node.Connect();
--- a/tests/unit/gateway_http/support.cc
+++ b/tests/unit/gateway_http/support.cc
@@ -65,11 +65,13 @@
 }
 
 void TestSocket::Read(std::function<void()> on_bytes) {
+  reading_ = true;
   socket_.async_read_some(boost::asio::buffer(buffer_),
                           [self = shared_from_this(), on_bytes = std::move(on_bytes)](
                               const ErrorCode& error, size_t size) {
                             if (error) {
                               self->ended = true;
+                              self->was_reset = error == boost::asio::error::connection_reset;
                               return;
                             }
                             self->received.append(self->buffer_.data(), size);
--- a/tests/unit/gateway_http/support.h
+++ b/tests/unit/gateway_http/support.h
@@ -70,6 +70,8 @@
   std::string received;
   /// The other side has closed.
   bool ended = false;
+  /// It did so by a reset.
+  bool was_reset = false;
 
  private:
   Socket socket_;
