Send no request twice under one id on one connection

Cause: a refused request is sent again under its id, and could go out on the connection on which it was refused; a surplus copy of the refusal, in the place of the next answer, bears the id that is waited for.

--- a/src/gateway/http/backend_connection.cc
+++ b/src/gateway/http/backend_connection.cc
@@ -16,6 +16,9 @@
 constexpr Duration kLeastTimeLeft = absl::Milliseconds(1);
 /// No idle connection is kept longer, whatever the back end tells.
 constexpr Duration kLongestIdle = absl::Seconds(60);
+/// Ids that are remembered of one connection, which is closed when there are more.
+constexpr size_t kMostUnservedIds = 64;
+constexpr int kFirstCallerError = 400;
 
 }  // namespace
 
@@ -92,6 +95,10 @@
   return WouldBlock(error);
 }
 
+bool BackendConnection::MayCarry(const std::string& request_id) const {
+  return std::find(unserved_ids_.begin(), unserved_ids_.end(), request_id) == unserved_ids_.end();
+}
+
 void BackendConnection::Send(Exchange exchange) {
   exchange_ = std::move(exchange);
   StartExchange();
@@ -262,6 +269,9 @@
   BackendAnswer answer = reader_.Take();
   const forwarding::AttemptHandle attempt = exchange_.attempt;
   const bool whole_request_sent = written_ == message_size();
+  if (answer.not_executed || answer.status >= kFirstCallerError) {
+    unserved_ids_.push_back(exchange_.request->request_id);
+  }
   ExchangeListener* const listener = exchange_.listener;
   exchange_ = Exchange();
   pending_.clear();
@@ -272,6 +282,8 @@
     Close("answered before the whole request was read");
   } else if (!answer.keeps_open) {
     Close("the back end closes");
+  } else if (unserved_ids_.size() > kMostUnservedIds) {
+    Close("too many requests that may be sent again");
   } else {
     state_ = State::kIdle;
     const Duration usable = answer.keep_alive.has_value()
--- a/src/gateway/http/backend_connection.h
+++ b/src/gateway/http/backend_connection.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/forwarding/dispatcher.h"
 #include "gateway/http/answer_reader.h"
@@ -70,6 +71,9 @@
   void Connect(const Tcp::endpoint& address, Exchange exchange);
   /// Whether an idle connection is still as it was left: open, and without a stray byte.
   bool IsSound();
+  /// False for a request that this connection has carried and that was not served: a surplus copy
+  /// of that answer, in the place of the next one, would pass for the answer to the second send.
+  bool MayCarry(const std::string& request_id) const;
   /// Sends on an idle connection. The exchange may be over when this returns.
   void Send(Exchange exchange);
   /// Closes without telling the listener.
@@ -119,6 +123,8 @@
   std::string pending_;
   Time usable_until_;
   Time answered_at_ = absl::InfinitePast();
+  /// Of requests that were answered here and may be sent again.
+  std::vector<std::string> unserved_ids_;
   ReadBuffer buffer_;
 };
 
--- a/src/gateway/http/backend_pool.cc
+++ b/src/gateway/http/backend_pool.cc
@@ -58,23 +58,25 @@
   return entry;
 }
 
-bool BackendPool::HasIdle(const std::string& backend, const Endpoint& address) {
-  return FindIdle(EntryFor(backend, address)) != nullptr;
+bool BackendPool::HasIdle(const std::string& backend, const Endpoint& address,
+                          const std::string& request_id) {
+  return FindIdle(EntryFor(backend, address), request_id) != nullptr;
 }
 
 BackendConnectionPtr BackendPool::Start(const std::string& backend, const Endpoint& address,
                                         Exchange exchange) {
   const Tcp::endpoint endpoint = ToTcpEndpoint(address);
   Entry& entry = EntryFor(backend, address);
-  if (BackendConnectionPtr idle = FindIdle(entry)) {
-    if (!exchange.needs_new_connection) {
-      entry.idle.pop_back();
-      idle->Send(std::move(exchange));
-      return idle;
-    }
-    if (entry.open >= MaxOpen(backend)) {
-      idle->Close("makes room for a new connection");
-    }
+  BackendConnectionPtr idle =
+      exchange.needs_new_connection ? nullptr : FindIdle(entry, exchange.request->request_id);
+  if (idle != nullptr) {
+    std::erase(entry.idle, idle);
+    idle->Send(std::move(exchange));
+    return idle;
+  }
+  if (entry.open >= MaxOpen(backend) && !entry.idle.empty()) {
+    idle = entry.idle.front();
+    idle->Close("makes room for a new connection");
   }
   if (entry.open >= MaxOpen(backend)) {
     return nullptr;
@@ -87,14 +89,16 @@
   return connection;
 }
 
-BackendConnectionPtr BackendPool::FindIdle(Entry& entry) {
+BackendConnectionPtr BackendPool::FindIdle(Entry& entry, const std::string& request_id) {
   const Time now = resources_.clock.Now();
-  while (!entry.idle.empty()) {
-    BackendConnectionPtr connection = entry.idle.back();
-    if (now < connection->usable_until() && connection->IsSound()) {
+  size_t left = entry.idle.size();
+  while (left > 0) {
+    BackendConnectionPtr connection = entry.idle[--left];
+    if (now >= connection->usable_until() || !connection->IsSound()) {
+      connection->Close("too old, or closed by the back end while idle");
+    } else if (connection->MayCarry(request_id)) {
       return connection;
     }
-    connection->Close("too old, or closed by the back end while idle");
   }
   return nullptr;
 }
--- a/src/gateway/http/backend_pool.h
+++ b/src/gateway/http/backend_pool.h
@@ -29,8 +29,8 @@
   /// when there is no room for a connection. The exchange may be over when this returns.
   BackendConnectionPtr Start(const std::string& backend, const Endpoint& address,
                              Exchange exchange);
-  /// Whether Start would use an idle connection.
-  bool HasIdle(const std::string& backend, const Endpoint& address);
+  /// Whether Start would use an idle connection for the request.
+  bool HasIdle(const std::string& backend, const Endpoint& address, const std::string& request_id);
   /// Closes the idle connections to a back end that left a request sent at `sent` unanswered,
   /// except those that have carried an answer since.
   void CloseIdleSince(const std::string& backend, Time sent);
@@ -53,8 +53,9 @@
 
   /// Closes the connections to an earlier address of the back end.
   Entry& EntryFor(const std::string& backend, const Endpoint& address);
-  /// Returns the idle connection to use next; null when there is none. Closes unusable ones.
-  BackendConnectionPtr FindIdle(Entry& entry);
+  /// Returns the idle connection to use next for the request; null when there is none. Closes
+  /// unusable ones.
+  BackendConnectionPtr FindIdle(Entry& entry, const std::string& request_id);
   uint32_t MaxOpen(const std::string& backend) const;
   static void CloseAll(const std::vector<BackendConnectionPtr>& connections,
                        std::string_view cause);
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -364,7 +364,7 @@
 std::optional<DataPath::StartFailure> DataPath::StartAttempt(const forwarding::SendDecision& send,
                                                              const CallerRequestPtr& message) {
   const bool on_idle = send.prefer_idle && !send.needs_new_connection &&
-                       backends_.HasIdle(send.backend, send.address);
+                       backends_.HasIdle(send.backend, send.address, message->request_id);
   if (send.peer != 0 && !on_idle) {
     return StartAtPeer(send, message);
   }
--- a/tests/unit/gateway_http/backend_faults_test.cc
+++ b/tests/unit/gateway_http/backend_faults_test.cc
@@ -104,6 +104,34 @@
   BOOST_TEST(node.backend.requests.size() == 3U);
 }
 
+// Guards against the late copy of a refusal that passes for the refusal of the next send.
+BOOST_AUTO_TEST_CASE(a_refused_request_is_not_sent_again_on_its_connection) {
+  Node node;
+  const auto refuse = [](TestSocket& socket, const std::string& request) {
+    socket.Send("HTTP/1.1 503 Full\r\nT-Request-Id: " + HeaderOf(request, "T-Request-Id") +
+                "\r\nT-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  };
+  // Enough for the retry budget.
+  const auto caller = node.Connect();
+  for (int i = 0; i < 40; ++i) {
+    node.Ask(caller, "before-" + std::to_string(i), "/order/x");
+  }
+  const size_t before = node.backend.requests.size();
+  TestSocket* refused_on = nullptr;
+  node.backend.on_request = [&](TestSocket& socket, const std::string& request) {
+    if (refused_on == nullptr || refused_on == &socket) {
+      // The second time, the copy of the first refusal comes in the place of the answer.
+      refuse(socket, request);
+      refused_on = &socket;
+      return;
+    }
+    socket.Send(AnswerTo(request, "right"));
+  };
+  const std::string answer = node.Ask(caller, "1", "/order/x");
+  BOOST_TEST(node.backend.requests.size() == before + 2);
+  BOOST_TEST(BodyOf(answer) == "right");
+}
+
 BOOST_AUTO_TEST_CASE(an_attempt_that_is_given_up_resets_its_connection) {
   Node node;
   node.backend.on_request = [](TestSocket&, const std::string&) {};
