Stop only once the answers that are being written are whole

Cause: the process ended when no request waited for an answer, 2.6 s after SIGTERM, also while answers were being written; that callers were drained was noted and never read. It ends now when no caller waits for the rest of an answer, and at the end of the grace time at the latest.

--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -127,7 +127,7 @@
       return;
     }
     quiet_posted_ = false;
-    if (callers_.IsQuiet() && requests_.empty()) {
+    if (IsQuiet()) {
       drained_();
     }
   });
--- a/src/gateway/http/data_path.h
+++ b/src/gateway/http/data_path.h
@@ -58,7 +58,7 @@
   /// Takes no new connections.
   void StopAccepting() { callers_.StopAccepting(); }
   /// Serves on, but sends callers elsewhere: closes idle connections, and every other one after the
-  /// answers it waits for. `drained` is called, from the event loop, whenever no request is left.
+  /// answers it waits for. `drained` is called, from the event loop, whenever IsQuiet holds.
   void BeginDrain(std::function<void()> drained);
 
   Tcp::endpoint local_endpoint() const { return callers_.local_endpoint(); }
@@ -67,6 +67,8 @@
   Duration loop_lag() const { return resources_.lag.At(resources_.clock.Now()); }
   size_t backend_connection_count() const { return backends_.connection_count(); }
   size_t requests_in_flight() const { return requests_.size(); }
+  /// Whether no caller waits for an answer or for the rest of one.
+  bool IsQuiet() const { return requests_.empty() && callers_.IsQuiet(); }
   size_t held_bytes() const { return resources_.budget->used(); }
 
  private:
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -421,10 +421,7 @@
   dispatcher_.SetStopping();
   dispatcher_.SetEnd(stop_began_ + kLongRequestCutoffShare * settings_.bounds.stop_grace,
                      StopDeadline());
-  data_path_.BeginDrain([this] {
-    drained_ = true;
-    TryStop();
-  });
+  data_path_.BeginDrain([this] { TryStop(); });
   TryStop();
 }
 
@@ -438,11 +435,12 @@
   const Time now = Now();
   const Time deadline = StopDeadline();
   if (now >= deadline) {
-    EndStop(RequestsInFlight() > 0);
+    EndStop(RequestsInFlight() > 0 || !data_path_.IsQuiet());
     return;
   }
   const Time min_drain_end = std::min(stop_began_ + kMinDrainTime, deadline);
-  if (now >= min_drain_end && RequestsInFlight() == 0) {
+  // An answer that is still being written ends with the process, so its caller is waited for.
+  if (now >= min_drain_end && RequestsInFlight() == 0 && data_path_.IsQuiet()) {
     EndStop(false);
     return;
   }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -122,7 +122,6 @@
   gateway::Timer stop_timer_;
   bool stopping_ = false;
   bool stop_timed_out_ = false;
-  bool drained_ = false;
   Time stop_began_;
   /// SaveWitnessed is not called before by SyncSuspectStore.
   Time next_witnessed_ = absl::InfinitePast();
--- a/tests/unit/gateway_http/drain_test.cc
+++ b/tests/unit/gateway_http/drain_test.cc
@@ -39,6 +39,32 @@
   node.WaitUntil([&] { return drained; });
 }
 
+// Guards against a process that ends while callers on slow links read the rest of their answers.
+BOOST_AUTO_TEST_CASE(answers_that_are_being_written_are_owed) {
+  constexpr size_t kMoreThanSocketsHold = size_t{4} << 20U;
+  Node node;
+  std::string unsent;
+  node.backend.on_request = [&](TestSocket&, const std::string& request) {
+    unsent = AnswerTo(request, std::string(kMoreThanSocketsHold, 'x'));
+  };
+  const auto caller = node.Connect();
+  caller->StopReading();
+  caller->Send(Node::Get("1"));
+  node.WaitUntil([&] { return !unsent.empty(); });
+  node.WaitUntil([&] {
+    unsent.erase(0, node.backend.connections.at(0)->SendSome(unsent));
+    return unsent.empty() && node.data_path.requests_in_flight() == 0;
+  });
+  bool drained = false;
+  node.data_path.BeginDrain([&] { drained = true; });
+  BOOST_TEST(!node.data_path.IsQuiet());
+  BOOST_TEST(!drained);
+  caller->Read();
+  node.WaitUntil([&] { return drained; });
+  BOOST_TEST(node.data_path.IsQuiet());
+  node.WaitUntil([&] { return caller->received.size() > kMoreThanSocketsHold; });
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_is_already_here_is_served_before_the_close) {
   Node node;
   const auto caller = node.Connect();
