Refuse settings files of deeply nested brackets

The review's trial: 20,000 nested brackets ended the node by a stack overflow in the TOML library, also on SIGHUP. A file with more than 64 open brackets is refused before it is parsed. Test: a_file_of_nested_brackets_is_refused.

--- a/src/settings/settings_source.cc
+++ b/src/settings/settings_source.cc
@@ -27,6 +27,24 @@
 /// The first line of a parser's message, without its own prefix.
 std::string FirstLine(const std::string& message) { return message.substr(0, message.find('\n')); }
 
+/// The parser calls itself for each nested bracket, so that many would overflow the stack.
+constexpr size_t kDeepestNesting = 64;
+
+bool IsNestedTooDeeply(const std::string& content) {
+  size_t depth = 0;
+  for (const char letter : content) {
+    if (letter == '[' || letter == '{') {
+      ++depth;
+    } else if (depth > 0 && (letter == ']' || letter == '}')) {
+      --depth;
+    }
+    if (depth > kDeepestNesting) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::string PlaceOf(const std::string& path, const toml::value& value) {
   return absl::StrCat(path, ":", value.location().line());
 }
@@ -50,6 +68,10 @@
     AddUnreadable(path, "a file that can be read", faults);
     return;
   }
+  if (IsNestedTooDeeply(*content)) {
+    AddUnreadable(path, absl::StrCat("brackets nested ", kDeepestNesting, " deep at most"), faults);
+    return;
+  }
   std::istringstream stream(*content);
   try {
     Flatten(path, "", toml::parse(stream, path), entries);
--- a/tests/unit/gateway_settings/settings_file_test.cc
+++ b/tests/unit/gateway_settings/settings_file_test.cc
@@ -43,6 +43,16 @@
   BOOST_TEST(!settings.HasChanged());
 }
 
+// Guards against a parser that runs out of stack.
+BOOST_AUTO_TEST_CASE(a_file_of_nested_brackets_is_refused) {
+  constexpr size_t kBrackets = 20000;
+  const TemporaryFile file(Content("info", "10.0.0.1:1"));
+  SettingsFile settings(file.path());
+  settings.Load();
+  Write(file, "a = " + std::string(kBrackets, '[') + std::string(kBrackets, ']') + "\n");
+  BOOST_CHECK_THROW(settings.Load(), settings::SettingsError);
+}
+
 BOOST_AUTO_TEST_CASE(a_file_that_is_gone_is_no_change) {
   const TemporaryFile file(Content("info", "10.0.0.1:1"));
   SettingsFile settings(file.path());
