--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -306,6 +306,7 @@
 void Dispatcher::SetRelayPeers(std::vector<RelayPeer> peers) {
   impl_->SetRelayPeers(std::move(peers));
 }
+bool Dispatcher::IsExpected(AttemptHandle attempt) const { return impl_->IsExpected(attempt); }
 void Dispatcher::OnSentDirectly(AttemptHandle attempt) { impl_->OnSentDirectly(attempt); }
 void Dispatcher::OnConnected(AttemptHandle attempt, Time now) { impl_->OnConnected(attempt, now); }
 void Dispatcher::OnPathEvent(const std::string& backend, PathEvent event, Time now) {
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -307,6 +307,9 @@
   /// Returns whether an attempt that was decided on earlier may still be sent; its back end may
   /// have left or requested a back-off since.
   bool MaySend(AttemptHandle attempt, Time now) const;
+  /// Whether the attempt was neither ended nor cancelled. One may be cancelled between its decision
+  /// and the moment at which that is carried out.
+  bool IsExpected(AttemptHandle attempt) const;
   /// The attempt, decided for a peer, goes over an idle connection of this node instead.
   void OnSentDirectly(AttemptHandle attempt);
   /// A new connection for the attempt was established.
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -47,6 +47,7 @@
   }
   void SetMembersConfirmed(Time until) { chosen_nodes_.SetConfirmed(until); }
   void SetRelayPeers(std::vector<RelayPeer> peers) { relay_peers_.SetPeers(std::move(peers)); }
+  bool IsExpected(AttemptHandle handle) const { return attempts_.contains(handle); }
   void OnSentDirectly(AttemptHandle handle);
   void OnConnected(AttemptHandle handle, Time now);
   void OnPathEvent(const std::string& backend, PathEvent event, Time now);
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -341,7 +341,8 @@
 }
 
 void DataPath::Carry(RequestHandle handle, const forwarding::SendDecision& send) {
-  if (!CallerIsThere(handle)) {
+  // A cancelled attempt that still went out could run beside the one that replaces it.
+  if (!CallerIsThere(handle) || !dispatcher_.IsExpected(send.attempt)) {
     return;
   }
   Request& request = requests_.at(handle);
--- a/tests/unit/forwarding/peer_path_test.cc
+++ b/tests/unit/forwarding/peer_path_test.cc
@@ -110,6 +110,17 @@
   BOOST_TEST(std::get<SendDecision>(decisions[1].decision).peer != 0U);
 }
 
+// Guards against an attempt that is cancelled before its decision is carried out, and still sent.
+BOOST_AUTO_TEST_CASE(a_rerouted_attempt_is_not_expected_any_more) {
+  const SendDecision decided = StartAndSend("/books/1");
+  BOOST_TEST(dispatcher.IsExpected(decided.attempt));
+  dispatcher.OnPathEvent("k-1", PathEvent::kConnectFailed, now);
+  dispatcher.OnPathEvent("k-2", PathEvent::kConnectFailed, now);
+  BOOST_TEST(!dispatcher.IsExpected(decided.attempt));
+  const auto decisions = dispatcher.TakeDecisions();
+  BOOST_TEST(dispatcher.IsExpected(std::get<SendDecision>(decisions.at(1).decision).attempt));
+}
+
 BOOST_AUTO_TEST_CASE(unsafe_request_that_left_is_not_rerouted) {
   const SendDecision send = StartAndSend("/books/1");
   Sent(send);
