--- a/src/standin/fleet/main/soak_main.cc
+++ b/src/standin/fleet/main/soak_main.cc
@@ -76,6 +76,23 @@
   return ParseSchedule(text.str());
 }
 
+/// Adds, for each class that may be repeated, calls that all ask for the same item.
+void AddReadsOfOneItem(const std::string& item, double per_second, uint32_t addresses,
+                       Deployment* deployment) {
+  const std::vector<RequestClass> load = deployment->load;
+  for (const RequestClass& request_class : load) {
+    if (request_class.repeatable) {
+      RequestClass reads = request_class;
+      reads.name = absl::StrCat(reads.name, " ", item);
+      reads.item = item;
+      reads.item_key = 1;
+      reads.per_second = per_second;
+      reads.addresses = addresses;
+      deployment->load.push_back(reads);
+    }
+  }
+}
+
 /// Back ends enough to see a fourth one end, and callers that ask for the same thing again.
 void PrepareForCrashes(Deployment* deployment) {
   constexpr uint32_t kBackendsPerZone = 3;
@@ -83,17 +100,7 @@
   for (ServiceSpec& service : deployment->fleet.services) {
     service.backends_per_zone = std::max(service.backends_per_zone, kBackendsPerZone);
   }
-  const std::vector<RequestClass> load = deployment->load;
-  for (const RequestClass& request_class : load) {
-    if (request_class.repeatable) {
-      RequestClass poll = request_class;
-      poll.name = absl::StrCat(poll.name, " poll");
-      poll.item = "poll";
-      poll.item_key = 1;
-      poll.per_second = kPollsPerSecond;
-      deployment->load.push_back(poll);
-    }
-  }
+  AddReadsOfOneItem("poll", kPollsPerSecond, /*addresses=*/0, deployment);
 }
 
 /// Services of various sizes, down to one back end in a zone, and items that many callers read.
@@ -106,18 +113,7 @@
     service.backends_by_zone = sizes[seed++ % kSizes];
     service.backends_per_zone = std::max<uint32_t>(service.backends_per_zone, 2);
   }
-  const std::vector<RequestClass> load = deployment->load;
-  for (const RequestClass& request_class : load) {
-    if (request_class.repeatable) {
-      RequestClass read = request_class;
-      read.name = absl::StrCat(read.name, " of many");
-      read.item = "of-many";
-      read.item_key = 1;
-      read.per_second = kReadsPerSecond;
-      read.addresses = kReaders;
-      deployment->load.push_back(read);
-    }
-  }
+  AddReadsOfOneItem("of-many", kReadsPerSecond, kReaders, deployment);
 }
 
 SoakSettings ReadSettings() {
--- a/tests/unit/gateway_http/http_client_test.cc
+++ b/tests/unit/gateway_http/http_client_test.cc
@@ -60,7 +60,8 @@
   BOOST_TEST((Call("/lost", absl::Milliseconds(30)).outcome == CallOutcome::kNoAnswer));
   answers = true;
   // What is left of the connection may take it.
-  backend.connections.at(0)->SendSome("HTTP/1.1 200 OK\r\nX-Path: /lost\r\nContent-Length: 0\r\n\r\n");
+  backend.connections.at(0)->SendSome(
+      "HTTP/1.1 200 OK\r\nX-Path: /lost\r\nContent-Length: 0\r\n\r\n");
   const CallResult next = Call("/next");
   BOOST_TEST(next.response.Header("X-Path") == "/next");
   BOOST_TEST(backend.connections.size() == 2U);
