--- a/src/core/quarantine/crash_suspects.h
+++ b/src/core/quarantine/crash_suspects.h
@@ -165,10 +165,9 @@
   std::vector<SuspectNote> TakeNotes() { return std::exchange(notes_, {}); }
   /// What this node concluded and must outlive all processes, since the last call.
   std::vector<StoredChange> TakeStoredChanges(Time now);
-  /// Records of losses that must outlive this node, too few for one of TakeStoredChanges: the most
-  /// suspect first. Transient ones are left out. The coordinator, to which all nodes report,
-  /// keeps those of all from the first loss on; other nodes keep what they saw from the second on.
-  std::vector<SuspectRecord> Witnessed(bool coordinates, Time now) const;
+  /// Records of losses that this node saw and that must outlive it, too few for one of
+  /// TakeStoredChanges: the most suspect first. Transient ones are left out.
+  std::vector<SuspectRecord> Witnessed(Time now) const;
   /// These were witnessed by an earlier process of this node.
   void Inherit(const std::vector<SuspectRecord>& records);
 
@@ -222,9 +221,9 @@
   bool Clear(Known* known, Time served_at);
   /// Another node does not know yet that this one has served the request: it is told.
   void ClearServedHere(const SuspectRecord& heard, Time now);
-  /// Whether the record has so many losses that were crashes or are not settled soon, and no row
-  /// of its own.
-  bool MustOutliveNode(const SuspectRecord& record, size_t least_losses, Time now) const;
+  /// Whether the record has two losses that were crashes or are not settled soon, and no row of its
+  /// own.
+  bool MustOutliveNode(const SuspectRecord& record, Time now) const;
   /// Takes over what was concluded of open losses.
   void ApplyVerdicts(Time now);
   /// Hears of one loss. Gives whether it was new.
--- a/src/core/quarantine/crash_suspects_exchange.cc
+++ b/src/core/quarantine/crash_suspects_exchange.cc
@@ -104,29 +104,26 @@
   return any;
 }
 
-bool CrashSuspects::MustOutliveNode(const SuspectRecord& record, size_t least_losses,
-                                    Time now) const {
+bool CrashSuspects::MustOutliveNode(const SuspectRecord& record, Time now) const {
   if (record.CountCrashes() >= kCrashesToStore) {
     // It has a row of its own.
     return false;
   }
+  // One loss is what each innocent request has that was at work at a crash: rows for these would
+  // cost a write a crash at every node.
   const auto lasting =
       std::count_if(record.losses.begin(), record.losses.end(), [this, now](const Loss& loss) {
         return IsCrash(loss) || (loss.state == LossState::kOpen &&
                                  now - open_.OpenSince(loss.backend) >= kTransient);
       });
-  return lasting >= static_cast<std::ptrdiff_t>(least_losses);
+  return lasting >= static_cast<std::ptrdiff_t>(kCrashesToStore);
 }
 
-std::vector<SuspectRecord> CrashSuspects::Witnessed(bool coordinates, Time now) const {
-  // One loss is what each innocent request has that was at work at a crash: a row at every node
-  // would cost a write a crash at each.
-  const size_t least_losses = coordinates ? 1 : kCrashesToStore;
+std::vector<SuspectRecord> CrashSuspects::Witnessed(Time now) const {
   std::vector<SuspectRecord> witnessed;
   for (const auto& [request, known] : records_) {
-    const bool concerns = known.is_witnessed || (coordinates && known.is_shared);
-    if (concerns && now < ForgottenAt(known) && !IsCovered(known, now) &&
-        MustOutliveNode(known.record, least_losses, now)) {
+    if (known.is_witnessed && now < ForgottenAt(known) && !IsCovered(known, now) &&
+        MustOutliveNode(known.record, now)) {
       witnessed.push_back(known.record);
     }
   }
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -236,8 +236,6 @@
   SchedulePump();
 }
 
-bool ControlPlane::Coordinates() const { return coordinator_.Holds(Now()); }
-
 bool ControlPlane::HasResigned() const { return resigned_ && !coordinator_.Holds(Now()); }
 
 void ControlPlane::Describe(observability::NodeState* state) const {
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -105,8 +105,6 @@
   void Resign();
   /// Returns whether Resign() was called and this node holds no lease any more.
   bool HasResigned() const;
-  /// Returns whether this node holds the coordinator lease.
-  bool Coordinates() const;
 
   /// Returns the number of store calls since the start, by kind.
   std::map<std::string, uint64_t> StoreCalls() const;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -245,7 +245,7 @@
 void Node::SaveWitnessed() {
   const Time now = Now();
   next_witnessed_ = now + kWitnessedInterval;
-  control_plane_.SaveWitnessed(dispatcher_.suspects().Witnessed(control_plane_.Coordinates(), now));
+  control_plane_.SaveWitnessed(dispatcher_.suspects().Witnessed(now));
 }
 
 void Node::PublishSuspects(bool own) {
--- a/tests/unit/crash_evidence/fleet_model_exchanges.cc
+++ b/tests/unit/crash_evidence/fleet_model_exchanges.cc
@@ -47,7 +47,7 @@
   for (const quarantine::SuspectRecord& record : dispatcher.suspects().TakeTrialsWanted(now_)) {
     node.store->WantTrial(record, now_);
   }
-  node.store->SaveWitnessed(dispatcher.suspects().Witnessed(coordinator_ == number, now_));
+  node.store->SaveWitnessed(dispatcher.suspects().Witnessed(now_));
   PollStore(number);
   dispatcher.TakeStateChanges();
   node.pumping = false;
