--- a/src/core/quarantine/crash_suspects.cc
+++ b/src/core/quarantine/crash_suspects.cc
@@ -388,12 +388,14 @@
 }
 
 Judgement CrashSuspects::Judge(const RequestIdentity& request, Time now) const {
-  const Judgement content = JudgeOne(request.content, now);
-  if (!request.HasVariant()) {
-    return content;
+  Judgement judgement = JudgeOne(request.content, now);
+  if (request.HasVariant()) {
+    Judgement variant = JudgeOne(request.variant, now);
+    if (IsStricter(variant, judgement, now)) {
+      judgement = std::move(variant);
+    }
   }
-  const Judgement variant = JudgeOne(request.variant, now);
-  return IsStricter(variant, content, now) ? variant : content;
+  return judgement;
 }
 
 Judgement CrashSuspects::JudgeOne(const Fingerprint& request, Time now) const {
