--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -368,7 +368,7 @@
                                    Time now) {
   --request.counted_attempts;
   if (request.is_trial) {
-    suspects_.ReturnTrial(*request.fingerprint);
+    suspects_.ReturnTrial(request.trial_of);
   }
   if (attempt.charged) {
     request.service->budget.Refund(attempt.started);
--- a/src/core/forwarding/dispatch.cc
+++ b/src/core/forwarding/dispatch.cc
@@ -126,10 +126,10 @@
 
 void Dispatcher::Impl::SendOrRefuse(Request& request, const Choice& choice, Time now) {
   // Another node may have served it while it waited for its trial.
-  request.is_trial = request.is_trial && IsHeld(*request.fingerprint, now);
+  request.is_trial = request.is_trial && IsHeld(*request.identity, now);
   const std::optional<Way> way = ChooseWay(request, *choice.backend, now);
   if (way.has_value() && MayBeSent(request, choice.backend->registration.id, *way, now) &&
-      (!request.is_trial || suspects_.UseTrial(*request.fingerprint, now))) {
+      (!request.is_trial || suspects_.UseTrial(request.trial_of, now))) {
     Send(request, choice, *way, now);
     return;
   }
@@ -157,13 +157,13 @@
 
 void Dispatcher::Impl::WaitUntilSettled(Request& request, const Choice& choice, Time now) {
   const bool has_room = request.waiting || request.service->waiting.size() < kMaxWaiting;
-  const bool stays_held = request.is_trial ? !suspects_.AwaitsTrial(*request.fingerprint, now)
-                                           : IsHeld(*request.fingerprint, now);
+  const bool stays_held = request.is_trial ? !suspects_.AwaitsTrial(request.trial_of, now)
+                                           : IsHeld(*request.identity, now);
   if (now >= request.wait_deadline || !has_room || stays_held) {
     FinishUnserved(request, choice, StopCause::kMayCrashAnother, now);
     return;
   }
-  suspects_.OnWanted(*request.fingerprint, now);
+  suspects_.OnWanted(*request.identity, now);
   Choice unsettled = choice;
   unsettled.retry_at = now + kSettleInterval;
   Wait(request, unsettled, now);
@@ -180,7 +180,7 @@
   attempt.late_after = request.route->target_latency * kAttemptTimeShare;
   attempt.charged = request.counted_attempts > 0;
   attempt.peer = way.peer;
-  attempt.fingerprint = request.fingerprint;
+  attempt.identity = request.identity;
   if (way.peer != 0) {
     relay_peers_.OnSent(way.peer);
   }
@@ -202,7 +202,7 @@
   send.peer = way.peer;
   send.prefer_idle = way.prefer_idle;
   send.priority = request.route->priority;
-  send.fingerprint = request.fingerprint;
+  send.identity = request.identity;
   send.permitted = attempt.permitted;
   send.is_trial = request.is_trial;
   send.needs_new_connection =
--- a/src/core/forwarding/dispatcher.cc
+++ b/src/core/forwarding/dispatcher.cc
@@ -127,7 +127,7 @@
     return refuse(ResultCode::kShuttingDown, kStoppingRetryAfter,
                   absl::StrCat(request.service->name, ": this node ends before the request might"));
   }
-  request.fingerprint = incoming.fingerprint;
+  request.identity = incoming.identity;
   if (std::optional<AnswerDecision> held = JudgeNew(request, now)) {
     decisions_.push_back({handle, *std::move(held)});
     return handle;
--- a/src/core/forwarding/dispatcher.h
+++ b/src/core/forwarding/dispatcher.h
@@ -24,6 +24,7 @@
 #include "core/ownership/ownership_map.h"
 #include "core/partition/partitioner.h"
 #include "core/quarantine/crash_suspects.h"
+#include "core/quarantine/request_identity.h"
 #include "wire/result_code.h"
 #include "wire/time.h"
 
@@ -109,7 +110,7 @@
   /// When the caller stops waiting; infinite when it sent no deadline.
   Time deadline;
   /// By which the request is known again at any node. Without it, its losses are not followed.
-  std::optional<quarantine::Fingerprint> fingerprint = std::nullopt;
+  std::optional<quarantine::RequestIdentity> identity = std::nullopt;
 };
 
 /// Reason for an attempt.
@@ -137,7 +138,7 @@
   /// Rank of the request for the peer; 0 is the most urgent.
   uint32_t priority = 0;
   /// For the peer, which applies its own knowledge of crashes and limits as well.
-  std::optional<quarantine::Fingerprint> fingerprint = std::nullopt;
+  std::optional<quarantine::RequestIdentity> identity = std::nullopt;
   /// The attempt consumed a permit of the back end's rate limit.
   bool permitted = false;
   /// Tries a held request once more.
@@ -212,7 +213,7 @@
 struct CarriedRequest {
   std::string backend;
   /// Not told by nodes of an earlier version.
-  std::optional<quarantine::Fingerprint> fingerprint;
+  std::optional<quarantine::RequestIdentity> identity;
   /// The sender has a permit of the back end's rate limit.
   bool permitted = false;
   /// The sender was granted a trial of the request, which is held.
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -189,9 +189,9 @@
   /// Whether the request may be sent in this way, as far as its losses go.
   bool MayBeSent(const Request& request, const std::string& backend, const Way& way,
                  Time now) const;
-  bool IsHeld(const quarantine::Fingerprint& fingerprint, Time now) const;
+  bool IsHeld(const quarantine::RequestIdentity& identity, Time now) const;
   /// Held, or with so many open losses that it might be.
-  bool IsHeldOrUnsettled(const quarantine::Fingerprint& fingerprint, Time now) const;
+  bool IsHeldOrUnsettled(const quarantine::RequestIdentity& identity, Time now) const;
   /// The same for a request of another node.
   bool MayCarryHeld(const CarriedRequest& request, Time now) const;
   /// Whether the request was lost at so many back ends that it must not be sent to another one.
--- a/src/core/forwarding/loss_events.cc
+++ b/src/core/forwarding/loss_events.cc
@@ -34,40 +34,40 @@
                       absl::StrCat(request.service->name,
                                    ": the requests that crash back ends are not known yet"));
   }
-  if (!request.fingerprint.has_value()) {
+  if (!request.identity.has_value()) {
     return std::nullopt;
   }
-  const quarantine::Fingerprint& fingerprint = *request.fingerprint;
-  const quarantine::Judgement judgement = suspects_.Judge(fingerprint, now);
+  const quarantine::Judgement judgement = suspects_.Judge(*request.identity, now);
   const bool needs_trial = judgement.needs_trial && settings_.suspects_are_stored;
   if (!judgement.Held(now) && !needs_trial) {
     return std::nullopt;
   }
-  if (suspects_.AskForTrial(fingerprint, now)) {
+  if (suspects_.AskForTrial(judgement.request, now)) {
     // The store's grant takes less time than the request may wait for a slot.
     request.is_trial = true;
+    request.trial_of = judgement.request;
     return std::nullopt;
   }
   return MakeAnswer(ResultCode::kQuarantined,
                     needs_trial ? kTrialRetryAfter : judgement.held_until - now,
                     absl::StrCat(request.service->name, ": it was at work at ", judgement.crashes,
                                  " back ends as they crashed (", judgement.backends, "), request ",
-                                 quarantine::Format(fingerprint)));
+                                 quarantine::Format(judgement.request)));
 }
 
-bool Dispatcher::Impl::IsHeld(const quarantine::Fingerprint& fingerprint, Time now) const {
-  const quarantine::Judgement judgement = suspects_.Judge(fingerprint, now);
+bool Dispatcher::Impl::IsHeld(const quarantine::RequestIdentity& identity, Time now) const {
+  const quarantine::Judgement judgement = suspects_.Judge(identity, now);
   return judgement.Held(now) || (judgement.needs_trial && settings_.suspects_are_stored);
 }
 
-bool Dispatcher::Impl::IsHeldOrUnsettled(const quarantine::Fingerprint& fingerprint,
+bool Dispatcher::Impl::IsHeldOrUnsettled(const quarantine::RequestIdentity& identity,
                                          Time now) const {
-  return IsHeld(fingerprint, now) || suspects_.Judge(fingerprint, now).Unsettled();
+  return IsHeld(identity, now) || suspects_.Judge(identity, now).Unsettled();
 }
 
 bool Dispatcher::Impl::MayBeSent(const Request& request, const std::string& backend, const Way& way,
                                  Time now) const {
-  if (!request.fingerprint.has_value()) {
+  if (!request.identity.has_value()) {
     return true;
   }
   if (request.is_trial) {
@@ -75,22 +75,22 @@
   }
   // A peer that reaches the back ends knows better what the losses mean, and checks them itself.
   const bool peer_decides = way.peer != 0 && !way.prefer_idle;
-  return peer_decides ? !IsHeld(*request.fingerprint, now)
-                      : !IsHeldOrUnsettled(*request.fingerprint, now);
+  return peer_decides ? !IsHeld(*request.identity, now)
+                      : !IsHeldOrUnsettled(*request.identity, now);
 }
 
 bool Dispatcher::Impl::MayCarryHeld(const CarriedRequest& request, Time now) const {
   return request.is_trial ? !suspects_.IsOpen(request.backend)
-                          : !IsHeldOrUnsettled(*request.fingerprint, now);
+                          : !IsHeldOrUnsettled(*request.identity, now);
 }
 
 bool Dispatcher::Impl::MayCrashAnother(const Request& request, Time now) const {
-  if (!request.fingerprint.has_value()) {
+  if (!request.identity.has_value()) {
     return false;
   }
   // The request's own losses count before they are settled: by then, a third back end would have
   // crashed.
-  const quarantine::Judgement judgement = suspects_.Judge(*request.fingerprint, now);
+  const quarantine::Judgement judgement = suspects_.Judge(*request.identity, now);
   return request.is_trial || request.lost_with.size() >= quarantine::kCrashesToStopRetries ||
          judgement.crashes >= quarantine::kCrashesToStopRetries;
 }
@@ -111,17 +111,17 @@
     return;
   }
   RecordLostWith(attempt);
-  if (attempt.fingerprint.has_value()) {
-    suspects_.OnLost(*attempt.fingerprint, attempt.backend->registration.id, now);
+  if (attempt.identity.has_value()) {
+    suspects_.OnLost(*attempt.identity, attempt.backend->registration.id, now);
   }
 }
 
 void Dispatcher::Impl::RecordUnanswered(const Attempt& attempt, Time now) {
-  if (!attempt.sent || !attempt.fingerprint.has_value()) {
+  if (!attempt.sent || !attempt.identity.has_value()) {
     return;
   }
   const bool is_lost =
-      RecordSilence({attempt.backend->registration.id, attempt.fingerprint}, attempt.started, now);
+      RecordSilence({attempt.backend->registration.id, attempt.identity}, attempt.started, now);
   if (is_lost) {
     RecordLostWith(attempt);
   }
@@ -137,10 +137,10 @@
   // name already, which its registration will tell.
   const bool was_heard = backend->heard_at >= started + patience;
   if (was_heard || now - started < patience || now - backend->heard_at < kHeardRecently) {
-    suspects_.OnGivenUp(*request.fingerprint, request.backend, started, now);
+    suspects_.OnGivenUp(*request.identity, request.backend, started, now);
     return false;
   }
-  suspects_.OnLost(*request.fingerprint, request.backend, started, now);
+  suspects_.OnLost(*request.identity, request.backend, started, now);
   return true;
 }
 
@@ -156,8 +156,8 @@
 
 void Dispatcher::Impl::RecordServed(const Request& request, const AttemptAnswer& answer, Time now) {
   // A rejection may come before any of the work that crashes a back end.
-  if (request.fingerprint.has_value() && answer.status < kFirstCallerError) {
-    suspects_.OnServed(*request.fingerprint, now);
+  if (request.identity.has_value() && answer.status < kFirstCallerError) {
+    suspects_.OnServed(*request.identity, now);
   }
 }
 
@@ -174,14 +174,14 @@
 }
 
 void Dispatcher::Impl::OnCarriedLost(const CarriedRequest& request, Time now) {
-  if (request.fingerprint.has_value()) {
-    suspects_.OnLost(*request.fingerprint, request.backend, now);
+  if (request.identity.has_value()) {
+    suspects_.OnLost(*request.identity, request.backend, now);
   }
 }
 
 void Dispatcher::Impl::OnCarriedUnanswered(const CarriedRequest& request, Duration elapsed,
                                            Time now) {
-  if (request.fingerprint.has_value()) {
+  if (request.identity.has_value()) {
     RecordSilence(request, now - elapsed, now);
   }
 }
--- a/src/core/forwarding/path_events.cc
+++ b/src/core/forwarding/path_events.cc
@@ -98,7 +98,7 @@
       state->InBackoff(now)) {
     return CarryPermission::kDeclined;
   }
-  if (request.fingerprint.has_value() && !MayCarryHeld(request, now)) {
+  if (request.identity.has_value() && !MayCarryHeld(request, now)) {
     return CarryPermission::kHeld;
   }
   const Path path = paths_.PathTo(request.backend, /*has_substitute=*/true, now);
--- a/src/core/forwarding/request_state.h
+++ b/src/core/forwarding/request_state.h
@@ -58,9 +58,11 @@
   std::vector<BackendStatePtr> failed;
   /// Distinct back ends whose connection ended while the request was in progress there.
   std::vector<BackendStatePtr> lost_with;
-  std::optional<quarantine::Fingerprint> fingerprint;
+  std::optional<quarantine::RequestIdentity> identity;
   /// It is held, and is sent once when this node is granted a trial.
   bool is_trial = false;
+  /// Which of its fingerprints is tried.
+  quarantine::Fingerprint trial_of;
   /// Peers that could not send the request on.
   std::vector<uint64_t> declined_peers;
   std::optional<RejectedAssignment> rejected_assignment;
@@ -92,7 +94,7 @@
   bool sent = false;
   /// The attempt consumed a permit of the back end's rate limit.
   bool permitted = false;
-  std::optional<quarantine::Fingerprint> fingerprint = std::nullopt;
+  std::optional<quarantine::RequestIdentity> identity = std::nullopt;
   /// The attempt was charged to the retry budget when it started.
   bool charged = false;
   /// Incarnation of the node through which it goes; 0 for a direct connection.
--- a/src/core/membership/relay_messages.h
+++ b/src/core/membership/relay_messages.h
@@ -66,16 +66,19 @@
   uint32_t priority = 0;
   /// Remaining time when this was sent, in milliseconds.
   int64_t answer_within_ms = 0;
-  /// Its fingerprint (quarantine::Fingerprint); zero from a sender of the previous version.
+  /// Of its content (quarantine::RequestIdentity).
   uint64_t fingerprint_high = 0;
   uint64_t fingerprint_low = 0;
   /// The sender has a permit of the back end's rate limit.
   bool permitted = false;
   /// The sender was granted a trial of the request, which is held.
   bool is_trial = false;
+  /// Of its variant; zero from a sender of the previous version.
+  uint64_t variant_high = 0;
+  uint64_t variant_low = 0;
   MSGPACK_DEFINE_ARRAY(sequence, sent_us, backend, request_id, head, body, has_body, is_head_method,
                        accepts_encoding, repeatable, priority, answer_within_ms, fingerprint_high,
-                       fingerprint_low, permitted, is_trial);
+                       fingerprint_low, permitted, is_trial, variant_high, variant_low);
 };
 
 /// How a relayed request ended at the peer.
--- a/src/core/quarantine/crash_suspects.cc
+++ b/src/core/quarantine/crash_suspects.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 
 namespace ladderstream::quarantine {
 namespace {
@@ -29,6 +30,15 @@
   return hash * kPrime;
 }
 
+/// Whether `one` keeps a request back more than `other` does.
+bool IsStricter(const Judgement& one, const Judgement& other, Time now) {
+  const auto rank = [now](const Judgement& judgement) {
+    return std::tuple(judgement.Held(now), judgement.needs_trial, judgement.Unsettled(),
+                      judgement.crashes, judgement.open);
+  };
+  return rank(one) > rank(other);
+}
+
 }  // namespace
 
 void CrashSuspects::SetMembers(uint64_t self, std::vector<uint64_t> members) {
@@ -45,22 +55,62 @@
 
 // Losses.
 
-void CrashSuspects::OnLost(const Fingerprint& request, const std::string& backend, Time at,
+void CrashSuspects::OnLost(const RequestIdentity& request, const std::string& backend, Time at,
                            Time now) {
-  if (!AddWitnessed(request, {backend, at, LossState::kOpen}, now)) {
-    return;
+  AddLost(request.content, backend, at, now);
+  if (request.HasVariant()) {
+    AddLost(request.variant, backend, at, now);
+    LinkVariant(request);
   }
-  open_.Add(backend, {request, at}, now, /*probe_at=*/now, /*is_own=*/true);
   ApplyVerdicts(now);
 }
 
-void CrashSuspects::OnGivenUp(const Fingerprint& request, const std::string& backend, Time at,
+void CrashSuspects::AddLost(const Fingerprint& request, const std::string& backend, Time at,
+                            Time now) {
+  if (AddWitnessed(request, {backend, at, LossState::kOpen}, now)) {
+    open_.Add(backend, {request, at}, now, /*probe_at=*/now, /*is_own=*/true);
+  }
+}
+
+void CrashSuspects::OnGivenUp(const RequestIdentity& request, const std::string& backend, Time at,
                               Time now) {
+  AddGivenUp(request.content, backend, at, now);
+  if (request.HasVariant()) {
+    AddGivenUp(request.variant, backend, at, now);
+    LinkVariant(request);
+  }
+}
+
+void CrashSuspects::AddGivenUp(const Fingerprint& request, const std::string& backend, Time at,
+                               Time now) {
   if (AddWitnessed(request, {backend, at, LossState::kWatched}, now)) {
     open_.Add(backend, {request, at}, now, /*probe_at=*/absl::InfiniteFuture(), /*is_own=*/true);
   }
 }
 
+void CrashSuspects::LinkVariant(const RequestIdentity& request) {
+  const auto known = records_.find(request.variant);
+  if (known != records_.end()) {
+    known->second.content = request.content;
+  }
+}
+
+bool CrashSuspects::IsCovered(const Known& known, Time now) const {
+  if (!known.content.has_value()) {
+    return false;
+  }
+  const auto content = records_.find(*known.content);
+  if (content == records_.end()) {
+    return false;
+  }
+  const SuspectRecord& of_content = content->second.record;
+  const SuspectRecord& of_variant = known.record;
+  const size_t crashes = of_content.CountCrashes();
+  return crashes >= of_variant.CountCrashes() &&
+         crashes + of_content.CountOpen(now) >=
+             of_variant.CountCrashes() + of_variant.CountOpen(now);
+}
+
 bool CrashSuspects::AddWitnessed(const Fingerprint& request, const Loss& loss, Time now) {
   if (loss.at <= served_.ServedAt(request)) {
     return false;
@@ -70,15 +120,28 @@
   return true;
 }
 
-void CrashSuspects::OnServed(const Fingerprint& request, Time now) {
-  served_.Add(request, now);
-  if (records_.empty()) {
-    return;
+void CrashSuspects::OnServed(const RequestIdentity& request, Time now) {
+  served_.Add(request.content, now);
+  ClearOne(request.content, now);
+  if (request.HasVariant()) {
+    served_.Add(request.variant, now);
+    ClearOne(request.variant, now);
   }
-  Release(request, now);
 }
 
 void CrashSuspects::Release(const Fingerprint& request, Time now) {
+  std::vector<Fingerprint> released = {request};
+  for (const auto& [variant, known] : records_) {
+    if (known.content == request) {
+      released.push_back(variant);
+    }
+  }
+  for (const Fingerprint& one : released) {
+    ClearOne(one, now);
+  }
+}
+
+void CrashSuspects::ClearOne(const Fingerprint& request, Time now) {
   const auto known = records_.find(request);
   if (known == records_.end()) {
     return;
@@ -114,17 +177,23 @@
     removed_.push_back(EmptyRecord(record.request));
   }
   AddNote(record.request, "cleared", "a back end has served it, or an operator has released it");
+  // What is known of its variants counts from now on.
+  news_ = news_ || std::any_of(records_.begin(), records_.end(), [&record](const auto& entry) {
+            return entry.second.content == record.request && !entry.second.record.losses.empty();
+          });
   return true;
 }
 
-void CrashSuspects::OnWanted(const Fingerprint& request, Time now) {
-  const auto known = records_.find(request);
-  if (known == records_.end()) {
-    return;
-  }
-  for (const Loss& loss : known->second.record.losses) {
-    if (loss.state == LossState::kOpen) {
-      open_.OnWanted(loss.backend, now);
+void CrashSuspects::OnWanted(const RequestIdentity& request, Time now) {
+  for (const Fingerprint& one : {request.content, request.variant}) {
+    const auto known = records_.find(one);
+    if (known == records_.end()) {
+      continue;
+    }
+    for (const Loss& loss : known->second.record.losses) {
+      if (loss.state == LossState::kOpen) {
+        open_.OnWanted(loss.backend, now);
+      }
     }
   }
 }
@@ -217,7 +286,8 @@
       news_ = true;
       const SuspectRecord& record = known->second.record;
       const bool is_slow = now - lost.at > kBetweenProbes;
-      if (is_slow && record.CountCrashes() + record.CountOpen(now) >= kCrashesToStopRetries) {
+      if (is_slow && !IsCovered(known->second, now) &&
+          record.CountCrashes() + record.CountOpen(now) >= kCrashesToStopRetries) {
         AddNote(lost.request, "suspected",
                 absl::StrCat("lost with ", unsettled.backend, ", which is not reached; ",
                              record.CountCrashes(), " crashes, ", record.CountOpen(now),
@@ -276,8 +346,10 @@
   if (loss.state == LossState::kEnded) {
     ended_.insert(loss.backend);
   }
-  ++settled_.at(static_cast<size_t>(loss.state));
-  NoteAdvance(record, loss, now);
+  if (!IsCovered(known, now)) {
+    ++settled_.at(static_cast<size_t>(loss.state));
+    NoteAdvance(record, loss, now);
+  }
   return true;
 }
 
@@ -315,13 +387,23 @@
   });
 }
 
-Judgement CrashSuspects::Judge(const Fingerprint& request, Time now) const {
+Judgement CrashSuspects::Judge(const RequestIdentity& request, Time now) const {
+  const Judgement content = JudgeOne(request.content, now);
+  if (!request.HasVariant()) {
+    return content;
+  }
+  const Judgement variant = JudgeOne(request.variant, now);
+  return IsStricter(variant, content, now) ? variant : content;
+}
+
+Judgement CrashSuspects::JudgeOne(const Fingerprint& request, Time now) const {
+  Judgement judgement;
+  judgement.request = request;
   const auto known = records_.find(request);
   if (known == records_.end() || now >= ForgottenAt(known->second)) {
-    return {};
+    return judgement;
   }
   const SuspectRecord& record = known->second.record;
-  Judgement judgement;
   judgement.crashes = record.CountCrashes();
   judgement.open = record.CountOpen(now);
   judgement.held_until = record.HeldUntil();
@@ -332,14 +414,15 @@
 
 size_t CrashSuspects::CountHeld(Time now) const {
   return static_cast<size_t>(
-      std::count_if(records_.begin(), records_.end(),
-                    [now](const auto& entry) { return now < entry.second.record.HeldUntil(); }));
+      std::count_if(records_.begin(), records_.end(), [this, now](const auto& entry) {
+        return now < entry.second.record.HeldUntil() && !IsCovered(entry.second, now);
+      }));
 }
 
 size_t CrashSuspects::CountOpen(Time now) const {
   size_t open = 0;
   for (const auto& [request, known] : records_) {
-    open += known.record.CountOpen(now);
+    open += IsCovered(known, now) ? 0 : known.record.CountOpen(now);
   }
   return open;
 }
--- a/src/core/quarantine/crash_suspects.h
+++ b/src/core/quarantine/crash_suspects.h
@@ -1,5 +1,10 @@
 // Requests that crash the back ends that begin to run them, and the quarantine of the guilty.
 //
+// Each request has two fingerprints (RequestIdentity), and each of these a record of its own: of
+// its content, whoever asks, and of the variant that back ends are sent. The variant counts where
+// the content was cleared by others who ask for the same; until then its record says nothing more
+// than that of the content, and is neither told nor stored.
+//
 // A back end that crashes takes down everything that it works on, so one crash accuses every
 // request that was lost with it, most of them innocent. Only the guilty one is there each time: a
 // request that was lost with kCrashesToHold back ends, and was never served in between, is held: it
@@ -21,6 +26,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,6 +34,7 @@
 #include "core/quarantine/fingerprint.h"
 #include "core/quarantine/open_losses.h"
 #include "core/quarantine/recently_served.h"
+#include "core/quarantine/request_identity.h"
 #include "core/quarantine/suspect_record.h"
 #include "wire/time.h"
 
@@ -35,6 +42,8 @@
 
 /// What becomes of a request.
 struct Judgement {
+  /// Which fingerprint of the request this is about: the more suspect one.
+  Fingerprint request;
   /// Crashes that count, and losses that may turn out to be crashes.
   size_t crashes = 0;
   size_t open = 0;
@@ -65,7 +74,7 @@
  public:
   /// Requests that are known at most; the least suspect, and of these the oldest, are dropped
   /// first.
-  static constexpr size_t kMostRecords = 1024;
+  static constexpr size_t kMostRecords = 2048;
   /// Of which Shared tells at most.
   static constexpr size_t kMostShared = 64;
   static constexpr Duration kBetweenProbes = OpenLosses::kBetweenProbes;
@@ -78,17 +87,17 @@
   /// The request was at work at `backend`, which left it without an answer. `at` is when the
   /// connection ended or, if the back end fell silent, when the request was sent: answers that
   /// other attempts get later show that it is innocent, however late its loss is noticed.
-  void OnLost(const Fingerprint& request, const std::string& backend, Time at, Time now);
-  void OnLost(const Fingerprint& request, const std::string& backend, Time now) {
+  void OnLost(const RequestIdentity& request, const std::string& backend, Time at, Time now);
+  void OnLost(const RequestIdentity& request, const std::string& backend, Time now) {
     OnLost(request, backend, now, now);
   }
   /// The attempt was given up before much was to be heard of it. Nothing is probed for it.
-  void OnGivenUp(const Fingerprint& request, const std::string& backend, Time at, Time now);
+  void OnGivenUp(const RequestIdentity& request, const std::string& backend, Time at, Time now);
   /// A back end has answered the request.
-  void OnServed(const Fingerprint& request, Time now);
+  void OnServed(const RequestIdentity& request, Time now);
 
   /// The request waits for its open losses to be settled.
-  void OnWanted(const Fingerprint& request, Time now);
+  void OnWanted(const RequestIdentity& request, Time now);
 
   // Evidence on back ends.
   /// A connection to `backend` was refused, got no answer, or came up.
@@ -108,7 +117,7 @@
   /// Back ends with losses of late, for OnReplaced.
   std::vector<std::string> LostBackends(Time now) const;
 
-  /// An operator lets it go; as if it had been served.
+  /// An operator lets it go, with all variants; as if it had been served.
   void Release(const Fingerprint& request, Time now);
 
   /// Back ends to connect to now; report OnRefused, OnUnanswered or OnConnected.
@@ -119,7 +128,7 @@
   bool HasLosses() const { return !records_.empty(); }
   /// Whether nothing is known against any request.
   bool empty() const;
-  Judgement Judge(const Fingerprint& request, Time now) const;
+  Judgement Judge(const RequestIdentity& request, Time now) const;
   /// Requests that are held now.
   size_t CountHeld(Time now) const;
   /// Whether it is open what became of the back end.
@@ -155,10 +164,11 @@
   bool TakeNews() { return std::exchange(news_, false); }
   std::vector<SuspectNote> TakeNotes() { return std::exchange(notes_, {}); }
   /// What this node concluded and must outlive all processes, since the last call.
-  std::vector<StoredChange> TakeStoredChanges();
-  /// Records of losses that this node saw and that must outlive it, too few for one of
-  /// TakeStoredChanges: the most suspect first. Transient ones are left out.
-  std::vector<SuspectRecord> Witnessed(Time now) const;
+  std::vector<StoredChange> TakeStoredChanges(Time now);
+  /// Records of losses that must outlive this node, too few for one of TakeStoredChanges: the most
+  /// suspect first. Transient ones are left out. The coordinator, to which all nodes report,
+  /// keeps those of all from the first loss on; other nodes keep what they saw from the second on.
+  std::vector<SuspectRecord> Witnessed(bool coordinates, Time now) const;
   /// These were witnessed by an earlier process of this node.
   void Inherit(const std::vector<SuspectRecord>& records);
 
@@ -172,6 +182,8 @@
 
   struct Known {
     SuspectRecord record;
+    /// The record of a variant: of which content.
+    std::optional<Fingerprint> content;
     /// Other nodes know of it.
     bool is_shared = false;
     /// This node concluded something that the store has to know.
@@ -182,6 +194,8 @@
     bool is_witnessed = false;
     /// When it was last refused, so that it is not forgotten while it is asked for.
     Time asked_at = absl::InfinitePast();
+    /// When the others were last told that this node has served it.
+    Time served_told_at = absl::InfinitePast();
     /// This node may try it until then, unless it has.
     Time trial_until = absl::InfinitePast();
     bool trial_used = false;
@@ -191,6 +205,14 @@
   };
 
   Known& FindOrAdd(const Fingerprint& request, Time now);
+  void AddLost(const Fingerprint& request, const std::string& backend, Time at, Time now);
+  void AddGivenUp(const Fingerprint& request, const std::string& backend, Time at, Time now);
+  /// Notes of which content the request is a variant.
+  void LinkVariant(const RequestIdentity& request);
+  /// Whether the record of a variant says nothing more than that of its content.
+  bool IsCovered(const Known& known, Time now) const;
+  Judgement JudgeOne(const Fingerprint& request, Time now) const;
+  void ClearOne(const Fingerprint& request, Time now);
   /// Adds a loss that this node saw. False when the request was served since.
   bool AddWitnessed(const Fingerprint& request, const Loss& loss, Time now);
   /// Moves the loss on to its state. False when that was known already.
@@ -200,9 +222,9 @@
   bool Clear(Known* known, Time served_at);
   /// Another node does not know yet that this one has served the request: it is told.
   void ClearServedHere(const SuspectRecord& heard, Time now);
-  /// Whether the record has two losses that were crashes or are not settled soon, and no row of its
-  /// own.
-  bool MustOutliveNode(const SuspectRecord& record, Time now) const;
+  /// Whether the record has so many losses that were crashes or are not settled soon, and no row
+  /// of its own.
+  bool MustOutliveNode(const SuspectRecord& record, size_t least_losses, Time now) const;
   /// Takes over what was concluded of open losses.
   void ApplyVerdicts(Time now);
   /// Hears of one loss. Gives whether it was new.
--- a/src/core/quarantine/crash_suspects_exchange.cc
+++ b/src/core/quarantine/crash_suspects_exchange.cc
@@ -9,6 +9,8 @@
 
 /// As many nodes as verify a loss at once follow after each of these.
 constexpr Duration kVerifyInterval = absl::Milliseconds(500);
+/// Between two corrections of nodes that have not heard that a request was served.
+constexpr Duration kBetweenTold = absl::Milliseconds(300);
 /// Most losses are settled or served elsewhere by then, and need not be stored.
 constexpr Duration kTransient = absl::Milliseconds(500);
 /// Records in the row of one node.
@@ -19,7 +21,7 @@
 std::vector<SuspectRecord> CrashSuspects::Shared(Time now) const {
   std::vector<SuspectRecord> shared;
   for (const auto& [request, known] : records_) {
-    if (known.is_shared && now < ForgottenAt(known)) {
+    if (known.is_shared && now < ForgottenAt(known) && !IsCovered(known, now)) {
       shared.push_back(known.record);
     }
   }
@@ -55,7 +57,7 @@
 void CrashSuspects::ClearServedHere(const SuspectRecord& heard, Time now) {
   const Time served_at = served_.ServedAt(heard.request);
   const bool is_outdated =
-      served_at > heard.served_at &&
+      served_at > heard.served_at + kTransitSlack &&
       std::any_of(heard.losses.begin(), heard.losses.end(),
                   [served_at](const Loss& loss) { return loss.at <= served_at + kTransitSlack; });
   if (!is_outdated) {
@@ -63,9 +65,12 @@
   }
   Known& known = FindOrAdd(heard.request, now);
   known.is_shared = true;
-  Clear(&known, served_at);
+  const bool changed = Clear(&known, served_at);
   open_.Drop(heard.request);
-  news_ = true;
+  if (changed || now - known.served_told_at >= kBetweenTold) {
+    known.served_told_at = now;
+    news_ = true;
+  }
 }
 
 bool CrashSuspects::Merge(const std::vector<SuspectRecord>& heard, Time now) {
@@ -99,25 +104,29 @@
   return any;
 }
 
-bool CrashSuspects::MustOutliveNode(const SuspectRecord& record, Time now) const {
+bool CrashSuspects::MustOutliveNode(const SuspectRecord& record, size_t least_losses,
+                                    Time now) const {
   if (record.CountCrashes() >= kCrashesToStore) {
     // It has a row of its own.
     return false;
   }
-  // One loss is what each innocent request has that was at work at a crash: rows for these would
-  // cost a write a crash at every node.
   const auto lasting =
       std::count_if(record.losses.begin(), record.losses.end(), [this, now](const Loss& loss) {
         return IsCrash(loss) || (loss.state == LossState::kOpen &&
                                  now - open_.OpenSince(loss.backend) >= kTransient);
       });
-  return lasting >= static_cast<std::ptrdiff_t>(kCrashesToStore);
+  return lasting >= static_cast<std::ptrdiff_t>(least_losses);
 }
 
-std::vector<SuspectRecord> CrashSuspects::Witnessed(Time now) const {
+std::vector<SuspectRecord> CrashSuspects::Witnessed(bool coordinates, Time now) const {
+  // One loss is what each innocent request has that was at work at a crash: a row at every node
+  // would cost a write a crash at each.
+  const size_t least_losses = coordinates ? 1 : kCrashesToStore;
   std::vector<SuspectRecord> witnessed;
   for (const auto& [request, known] : records_) {
-    if (known.is_witnessed && now < ForgottenAt(known) && MustOutliveNode(known.record, now)) {
+    const bool concerns = known.is_witnessed || (coordinates && known.is_shared);
+    if (concerns && now < ForgottenAt(known) && !IsCovered(known, now) &&
+        MustOutliveNode(known.record, least_losses, now)) {
       witnessed.push_back(known.record);
     }
   }
@@ -138,10 +147,10 @@
   }
 }
 
-std::vector<StoredChange> CrashSuspects::TakeStoredChanges() {
+std::vector<StoredChange> CrashSuspects::TakeStoredChanges(Time now) {
   std::vector<StoredChange> changes = std::exchange(removed_, {});
   for (auto& [request, known] : records_) {
-    if (!std::exchange(known.is_unsaved, false)) {
+    if (IsCovered(known, now) || !std::exchange(known.is_unsaved, false)) {
       continue;
     }
     const bool to_store = known.record.CountCrashes() >= kCrashesToStore;
--- a/src/core/quarantine/fingerprint.h
+++ b/src/core/quarantine/fingerprint.h
@@ -1,4 +1,4 @@
-// Names a request by what it asks and who asks it.
+// Names what a request asks.
 #pragma once
 
 #include <absl/strings/numbers.h>
@@ -13,8 +13,8 @@
 
 namespace ladderstream::quarantine {
 
-/// A cryptographic hash of method, host, target, key, body and the caller's address: nobody can
-/// make a request whose fingerprint is another caller's. Says nothing of what was hashed.
+/// A cryptographic hash: nobody can make another request of the same fingerprint. Says nothing of
+/// what was hashed.
 struct Fingerprint {
   uint64_t high = 0;
   uint64_t low = 0;
--- a/src/core/quarantine/open_losses.cc
+++ b/src/core/quarantine/open_losses.cc
@@ -14,7 +14,7 @@
 /// Longer than any request is under way.
 constexpr Duration kGoneKept = absl::Minutes(2);
 /// Losses of one back end, and back ends with losses, that wait for a verdict.
-constexpr size_t kMostLostRequests = 64;
+constexpr size_t kMostLostRequests = 128;
 constexpr size_t kMostEntries = 1024;
 
 }  // namespace
--- a/src/core/quarantine/recently_served.cc
+++ b/src/core/quarantine/recently_served.cc
@@ -5,7 +5,7 @@
 
 /// Longer than it takes to settle a loss and to tell every node.
 constexpr Duration kKept = absl::Seconds(10);
-constexpr size_t kMostKept = 8192;
+constexpr size_t kMostKept = 16384;
 
 }  // namespace
 
--- a/src/gateway/http/caller_connection.cc
+++ b/src/gateway/http/caller_connection.cc
@@ -162,7 +162,6 @@
     return false;
   }
   CallerRequest request = reader_.Take();
-  request.caller = caller_;
   request.arrival = request_begin_;
   request_begin_ = last_read_;
   // The connection may have waited to be accepted for longer than its caller did, also where the
--- a/src/gateway/http/caller_connection.h
+++ b/src/gateway/http/caller_connection.h
@@ -67,8 +67,6 @@
                    const catalog::Limits& limits, CallerConnectionOwner& owner);
 
   void Start(Time now);
-  /// Where its caller is; goes with each request.
-  void set_caller(std::string address) { caller_ = std::move(address); }
   /// Answers the request that waits.
   void Answer(CallerAnswer answer);
   /// Answers the next request that is read with `code`, instead of handing it over.
@@ -122,7 +120,6 @@
   void SetState(State state);
   std::array<boost::asio::const_buffer, 2> Unwritten() const;
 
-  std::string caller_;
   Socket socket_;
   LoopResources& resources_;
   CallerConnectionOwner& owner_;
--- a/src/gateway/http/caller_server.cc
+++ b/src/gateway/http/caller_server.cc
@@ -47,13 +47,13 @@
     return;
   }
   accept_armed_ = true;
-  acceptor_.async_accept(caller_address_, [this, alive = std::weak_ptr<char>(alive_)](
-                                              const ErrorCode& error, Socket socket) {
-    if (!alive.expired()) {
-      accept_armed_ = false;
-      OnAccepted(error, std::move(socket));
-    }
-  });
+  acceptor_.async_accept(
+      [this, alive = std::weak_ptr<char>(alive_)](const ErrorCode& error, Socket socket) {
+        if (!alive.expired()) {
+          accept_armed_ = false;
+          OnAccepted(error, std::move(socket));
+        }
+      });
 }
 
 void CallerServer::OnAccepted(const ErrorCode& error, Socket socket) {
@@ -69,7 +69,7 @@
     return;
   }
   if (!error) {
-    Add(std::move(socket), caller_address_);
+    Add(std::move(socket));
     AcceptMore();
   }
   ArmAccept();
@@ -78,17 +78,16 @@
 void CallerServer::AcceptMore() {
   for (int accepted = 1; accepted < kMaxAcceptsPerWake; ++accepted) {
     ErrorCode error;
-    Tcp::endpoint address;
-    Socket socket = acceptor_.accept(address, error);
+    Socket socket = acceptor_.accept(error);
     if (error) {
       // Nobody waits, or accepting fails for a reason that the next wait will tell.
       return;
     }
-    Add(std::move(socket), address);
+    Add(std::move(socket));
   }
 }
 
-void CallerServer::Add(Socket socket, const Tcp::endpoint& address) {
+void CallerServer::Add(Socket socket) {
   ErrorCode error;
   PrepareSocket(socket, error);
   if (error) {
@@ -104,7 +103,6 @@
   }
   auto connection = std::make_shared<CallerConnection>(
       std::move(socket), resources_, names_, limits_, static_cast<CallerConnectionOwner&>(*this));
-  connection->set_caller(address.address().to_string());
   if (too_many) {
     connection->RefuseRequests(ResultCode::kTooManyConnections);
   }
--- a/src/gateway/http/caller_server.h
+++ b/src/gateway/http/caller_server.h
@@ -58,7 +58,7 @@
   void OnAccepted(const ErrorCode& error, Socket socket);
   /// Accepts what waits behind the connection that was just accepted.
   void AcceptMore();
-  void Add(Socket socket, const Tcp::endpoint& address);
+  void Add(Socket socket);
   /// Calls `act` for every connection of `connections`, which may move or leave meanwhile.
   template <typename Act>
   static void ForEach(const Connections& connections, Act act);
@@ -69,8 +69,6 @@
   RequestHandler& handler_;
   catalog::Limits limits_;
   Acceptor acceptor_;
-  /// Of the connection that is accepted next.
-  Tcp::endpoint caller_address_;
   Tcp::endpoint local_endpoint_;
   bool accept_armed_ = false;
   bool draining_ = false;
--- a/src/gateway/http/data_path.cc
+++ b/src/gateway/http/data_path.cc
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "gateway/http/refusal.h"
-#include "gateway/http/request_fingerprint.h"
+#include "gateway/http/request_identity.h"
 
 namespace ladderstream::gateway {
 
@@ -52,6 +52,7 @@
       dispatcher_(dispatcher),
       settings_(settings),
       observer_(observer != nullptr ? observer : &no_observer_),
+      request_id_header_(adapter.headers().request_id),
       timer_(loop.get_executor()),
       next_sweep_(clock.Now() + settings.sweep_interval),
       probes_(loop, kSuspectProbeTimeout, settings.backends.source_host,
@@ -223,7 +224,7 @@
   described.key = message->key;
   described.arrival = message->arrival;
   described.deadline = deadline;
-  described.fingerprint = FingerprintOf(*message);
+  described.identity = IdentityOf(*message, request_id_header_);
   observer_->OnRequestDescribed(described);
   const RequestHandle handle = dispatcher_.Start(described, now);
   connection->set_request_handle(handle);
--- a/src/gateway/http/data_path.h
+++ b/src/gateway/http/data_path.h
@@ -167,6 +167,7 @@
   std::unordered_map<forwarding::AttemptHandle, Attempt> attempts_;
   std::priority_queue<AttemptTimeout, std::vector<AttemptTimeout>, std::greater<>> timeouts_;
   bool pumping_ = false;
+  const std::string request_id_header_;
   Timer timer_;
   /// When the timer goes off; infinite when it is not set.
   Time armed_for_ = absl::InfiniteFuture();
--- a/src/gateway/http/request_reader.h
+++ b/src/gateway/http/request_reader.h
@@ -35,8 +35,6 @@
   bool closing = false;
   bool accepts_encoding = false;
   std::optional<ownership::Key> key;
-  /// The address that the caller connected from, without the port; empty when it is not known.
-  std::string caller;
   /// How long the caller said it waits, counted from `arrival`.
   std::optional<Duration> time_left;
   /// When the first byte was read.
--- a/src/gateway/relay/request_carrier.cc
+++ b/src/gateway/relay/request_carrier.cc
@@ -23,8 +23,11 @@
   forwarding::CarriedRequest request;
   request.backend = message.backend;
   if (message.fingerprint_high != 0 || message.fingerprint_low != 0) {
-    request.fingerprint =
-        quarantine::Fingerprint{message.fingerprint_high, message.fingerprint_low};
+    const quarantine::Fingerprint content{message.fingerprint_high, message.fingerprint_low};
+    const quarantine::Fingerprint variant{message.variant_high, message.variant_low};
+    request.identity = variant == quarantine::Fingerprint()
+                           ? quarantine::RequestIdentity(content)
+                           : quarantine::RequestIdentity(content, variant);
   }
   request.permitted = message.permitted;
   request.is_trial = message.is_trial;
--- a/src/gateway/relay/request_relay.cc
+++ b/src/gateway/relay/request_relay.cc
@@ -61,9 +61,11 @@
   message->backend = send.backend;
   message->repeatable = repeatable;
   message->priority = send.priority;
-  if (send.fingerprint.has_value()) {
-    message->fingerprint_high = send.fingerprint->high;
-    message->fingerprint_low = send.fingerprint->low;
+  if (send.identity.has_value()) {
+    message->fingerprint_high = send.identity->content.high;
+    message->fingerprint_low = send.identity->content.low;
+    message->variant_high = send.identity->variant.high;
+    message->variant_low = send.identity->variant.low;
   }
   message->permitted = send.permitted;
   message->is_trial = send.is_trial;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -234,7 +234,7 @@
 void Node::SyncSuspectStore() {
   quarantine::CrashSuspects& suspects = dispatcher_.suspects();
   if (suspects.HasLosses()) {
-    control_plane_.SaveSuspects(suspects.TakeStoredChanges());
+    control_plane_.SaveSuspects(suspects.TakeStoredChanges(Now()));
     control_plane_.RequestTrials(suspects.TakeTrialsWanted(Now()));
     if (Now() >= next_witnessed_) {
       SaveWitnessed();
@@ -245,7 +245,7 @@
 void Node::SaveWitnessed() {
   const Time now = Now();
   next_witnessed_ = now + kWitnessedInterval;
-  control_plane_.SaveWitnessed(dispatcher_.suspects().Witnessed(now));
+  control_plane_.SaveWitnessed(dispatcher_.suspects().Witnessed(control_plane_.Coordinates(), now));
 }
 
 void Node::PublishSuspects(bool own) {
--- a/tests/unit/crash_evidence/fleet_model.h
+++ b/tests/unit/crash_evidence/fleet_model.h
@@ -18,7 +18,7 @@
 #include "core/membership/suspect_exchange.h"
 #include "core/quarantine/fingerprint.h"
 #include "core/quarantine/suspect_store.h"
-#include "gateway/http/request_fingerprint.h"
+#include "gateway/http/request_identity.h"
 
 namespace ladderstream::model {
 
