Draw every part of a configuration, how it is written and what nodes may spend in the soak

The soak's changes touched four routes of services without keys, side by side on one host, written by one encoder, beside some faults only. `--faults configurations` draws routes under prefixes of one another, on hosts that come and go, to services with keys and to services that no request went to before; time-outs, priorities, attempts, kinds, limits, many routes at once; eight properties of how a row is written; rows that are no configuration, each followed by a good one; and answers that do not end, to requests and orders. Beside them: pauses, stops, kills of one and of all, links that are late, one-way or silent, cut paths, and a store that is slow, silent, refusing, forgetful or loses answers. `--deployment texas` has 201 back ends.

The judge takes the kind and the attempts of a request from all versions that may be in force for it, as both change now; it judges each added route by itself. A node that ends by itself or uses more memory than 160 MB fails a run.

--- a/src/standin/fleet/backend.h
+++ b/src/standin/fleet/backend.h
@@ -61,6 +61,10 @@
   double surplus_answers = 0;
   /// The answer before comes once more in the place of the next one on the connection.
   double late_answers = 0;
+  /// Of the answers to requests and orders: one part of them, each time another one, does not end.
+  double endless_answers = 0;
+  /// Between the blocks of such an answer.
+  Duration endless_pause = absl::ZeroDuration();
   /// Orders that are not answered and taken `late_by` later.
   double late_orders = 0;
   Duration late_by = absl::Seconds(2);
@@ -174,6 +178,9 @@
   void AnswerRun(const JobPtr& job);
   /// Sends it with the faults that are switched on.
   void SendDamaged(const ExchangePtr& exchange, const Answer& answer);
+  /// Sends the answer to an order, which may be without an end.
+  void SendOrderAnswer(const ExchangePtr& exchange, const Answer& answer);
+  void SendEndlessly(const ExchangePtr& exchange, const Answer& answer);
 
   // Orders, in backend_orders.cc.
   void OnGrant(const ExchangePtr& exchange);
--- a/src/standin/fleet/backend_answers.cc
+++ b/src/standin/fleet/backend_answers.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "standin/fleet/backend.h"
+#include "standin/fleet/endless_answer.h"
 #include "standin/fleet/wire_names.h"
 
 namespace ladderstream::fleet {
@@ -11,6 +12,8 @@
 
 constexpr double kChunkedShare = 0.1;
 constexpr double kUntilCloseShare = 0.01;
+/// More than a node may hold.
+constexpr size_t kMostEndlessBytes = 300U << 20U;
 constexpr char kGarbage[] = "\x01\x02 these bytes are no answer\r\n\r\n";
 
 }  // namespace
@@ -63,6 +66,10 @@
   // bytes follow it.
   const bool shows_its_end = answer.framing != Framing::kUntilClose;
   bool close = answer.close || !shows_its_end;
+  if (Chance(faults_.endless_answers)) {
+    SendEndlessly(exchange, answer);
+    return;
+  }
   std::string bytes = Serialize(answer);
   if (shows_its_end && Chance(faults_.cut_answers)) {
     bytes.resize(bytes.size() - answer.body.size() / 2);
@@ -80,4 +87,19 @@
   exchange->RespondRaw(std::move(bytes), close);
 }
 
+void Backend::SendOrderAnswer(const ExchangePtr& exchange, const Answer& answer) {
+  if (Chance(faults_.endless_answers)) {
+    SendEndlessly(exchange, answer);
+  } else {
+    exchange->Respond(answer);
+  }
+}
+
+void Backend::SendEndlessly(const ExchangePtr& exchange, const Answer& answer) {
+  const auto form = static_cast<EndlessForm>((*context_.random)() % kEndlessForms);
+  EndlessAnswer endless = MakeEndless(form, answer);
+  exchange->RespondEndlessly(std::move(endless.first), std::move(endless.block),
+                             faults_.endless_pause, kMostEndlessBytes);
+}
+
 }  // namespace ladderstream::fleet
--- a/src/standin/fleet/backend_orders.cc
+++ b/src/standin/fleet/backend_orders.cc
@@ -85,7 +85,7 @@
              late);
   }
   if (answers) {
-    exchange->Respond(MakeAnswer(exchange, taken ? kOk : kFenced));
+    SendOrderAnswer(exchange, MakeAnswer(exchange, taken ? kOk : kFenced));
   } else if (!late) {
     exchange->Silence();
   }
@@ -120,7 +120,7 @@
     if (!at->handover.empty()) {
       answer.headers.emplace_back(wire::kHandover, at->handover);
     }
-    at->exchange->Respond(answer);
+    SendOrderAnswer(at->exchange, answer);
     at = releases_.erase(at);
   }
 }
--- a/src/standin/fleet/config_writer.h
+++ b/src/standin/fleet/config_writer.h
@@ -1,9 +1,8 @@
 // The operator: writes versions of the configuration into the store.
 #pragma once
 
-#include <string>
-
 #include "core/catalog/catalog.h"
+#include "standin/fleet/configuration_encoding.h"
 #include "standin/fleet/history.h"
 #include "standin/fleet/store_server.h"
 
@@ -14,7 +13,11 @@
   ConfigWriter(StoreServer* store, History* history) : store_(store), history_(history) {}
 
   /// Writes the next version, the configuration's own number aside. False when the store is down.
-  bool Write(catalog::Configuration configuration);
+  bool Write(catalog::Configuration configuration, const ConfigurationEncoding& encoding = {});
+
+  /// Writes a row that is no configuration; the newest version stays in force. False when the store
+  /// is down.
+  bool WriteDamaged(ConfigurationDamage damage);
 
   /// Notes a version that another operator wrote.
   void Note(const catalog::Configuration& configuration);
@@ -28,7 +31,4 @@
   catalog::Configuration newest_;
 };
 
-/// The value of the configuration's row.
-std::string EncodeConfiguration(const catalog::Configuration& configuration, uint64_t base_version);
-
 }  // namespace ladderstream::fleet
--- a/src/standin/fleet/deployments.cc
+++ b/src/standin/fleet/deployments.cc
@@ -17,9 +17,9 @@
   uint32_t backends_per_zone = 1;
   uint32_t slots = 2;
   Duration service_time;
-  Duration target_latency;
-  Duration timeout;
-  Duration deadline;
+  Duration target_latency = absl::Milliseconds(200);
+  Duration timeout = absl::Seconds(1);
+  Duration deadline = absl::Seconds(1);
   double per_second = 0;
   uint32_t retries = 2;
 };
@@ -152,6 +152,42 @@
                  .retries = 1}});
 }
 
+/// 201 back ends, and a fifth of the requests that they could serve.
+Deployment Texas() {
+  return Build({{.name = "seatmap",
+                 .request = "seatmap-read",
+                 .backends_per_zone = 25,
+                 .slots = 6,
+                 .service_time = absl::Milliseconds(220),
+                 .target_latency = absl::Milliseconds(500),
+                 .timeout = absl::Milliseconds(1200),
+                 .deadline = absl::Milliseconds(2500),
+                 .per_second = 150,
+                 .retries = 1},
+                {.name = "settlement",
+                 .request = "settle-purchase",
+                 .repeatable = false,
+                 .backends_per_zone = 10,
+                 .slots = 6,
+                 .service_time = absl::Milliseconds(290),
+                 .target_latency = absl::Milliseconds(800),
+                 .timeout = absl::Milliseconds(1500),
+                 .deadline = absl::Milliseconds(3000),
+                 .per_second = 50,
+                 .retries = 1},
+                {.name = "listings",
+                 .request = "listing-history",
+                 .sharded = true,
+                 .backends_per_zone = 32,
+                 .slots = 6,
+                 .service_time = absl::Milliseconds(550),
+                 .target_latency = absl::Seconds(3),
+                 .timeout = absl::Seconds(3),
+                 .deadline = absl::Seconds(6),
+                 .per_second = 80,
+                 .retries = 1}});
+}
+
 }  // namespace
 
 Deployment SmallDeployment() {
@@ -191,8 +227,25 @@
   if (name == "tirol") {
     return Tirol();
   }
+  if (name == "texas") {
+    return Texas();
+  }
   throw Error(ResultCode::kUnknownName,
-              absl::StrCat("deployment \"", name, "\": want small, bretagne or tirol"));
+              absl::StrCat("deployment \"", name, "\": want small, bretagne, tirol or texas"));
+}
+
+void AddUnaskedServices(Deployment* deployment) {
+  const Deployment added =
+      Build({{.name = "archive",
+              .request = "archive-read",
+              .sharded = true,
+              .service_time = absl::Milliseconds(20)},
+             {.name = "spare", .request = "spare-read", .service_time = absl::Milliseconds(20)}});
+  FleetSettings& fleet = deployment->fleet;
+  fleet.services.insert(fleet.services.end(), added.fleet.services.begin(),
+                        added.fleet.services.end());
+  fleet.configuration.services.insert(added.fleet.configuration.services.begin(),
+                                      added.fleet.configuration.services.end());
 }
 
 }  // namespace ladderstream::fleet
--- a/src/standin/fleet/deployments.h
+++ b/src/standin/fleet/deployments.h
@@ -17,8 +17,11 @@
 /// One service divided by key, one whose requests run at most once, and one other; small and quick.
 Deployment SmallDeployment();
 
-/// "small", "bretagne" (call centres) or "tirol" (puzzles). Throws Error(kUnknownName) for any
-/// other.
+/// "small", "bretagne" (call centres), "tirol" (puzzles) or "texas" (ticket sales, of some 200 back
+/// ends). Throws Error(kUnknownName) for any other.
 Deployment FindDeployment(const std::string& name);
 
+/// Adds two services, one of them divided by key, that no route leads to.
+void AddUnaskedServices(Deployment* deployment);
+
 }  // namespace ladderstream::fleet
--- a/src/standin/fleet/fleet.h
+++ b/src/standin/fleet/fleet.h
@@ -30,6 +30,8 @@
   Duration heartbeat = absl::Milliseconds(500);
   Duration readiness_interval = absl::Milliseconds(500);
   JudgeBounds bounds;
+  /// Of one node, in megabytes; 0: what the node takes when it is told none.
+  uint32_t node_memory_mb = 0;
   uint64_t seed = 1;
 };
 
--- a/src/standin/fleet/http_server.cc
+++ b/src/standin/fleet/http_server.cc
@@ -152,6 +152,12 @@
     }
   }
 
+  /// Writes `block` whenever `pause` has passed since the last bytes were taken.
+  void WriteEndlessly(std::string first, std::string block, Duration pause, size_t most) {
+    endless_ = Endless{std::move(block), pause, most};
+    Write(std::move(first));
+  }
+
   /// The answer to the current request is under way.
   void Answered(bool close) {
     exchange_ = nullptr;
@@ -256,6 +262,14 @@
     });
   }
 
+  void WriteBlock() {
+    if (!socket_.is_open() || endless_->left < endless_->block.size()) {
+      return;
+    }
+    endless_->left -= endless_->block.size();
+    Write(endless_->block);
+  }
+
   void WriteNext() {
     boost::asio::async_write(
         socket_, boost::asio::buffer(outgoing_.front()),
@@ -272,6 +286,8 @@
     outgoing_.pop_front();
     if (!outgoing_.empty()) {
       WriteNext();
+    } else if (endless_.has_value()) {
+      server_->loop->After(endless_->pause, [self = shared_from_this()] { self->WriteBlock(); });
     } else if (close_after_writes_ && exchange_ == nullptr) {
       Close();
     }
@@ -287,6 +303,12 @@
   ExchangePtr held_;
   std::vector<std::string> held_writes_;
   std::deque<std::string> outgoing_;
+  struct Endless {
+    std::string block;
+    Duration pause;
+    size_t left = 0;
+  };
+  std::optional<Endless> endless_;
   Time idle_since_;
   bool reading_ = false;
   bool close_after_writes_ = false;
@@ -308,6 +330,12 @@
   connection_->Answered(close);
 }
 
+void Exchange::RespondEndlessly(std::string first, std::string block, Duration pause, size_t most) {
+  answered_ = true;
+  peer_gone_ = nullptr;
+  connection_->WriteEndlessly(std::move(first), std::move(block), pause, most);
+}
+
 void Exchange::Reset() {
   answered_ = true;
   peer_gone_ = nullptr;
--- a/src/standin/fleet/http_server.h
+++ b/src/standin/fleet/http_server.h
@@ -37,6 +37,9 @@
   void Respond(const Answer& answer);
   /// Sends these bytes as they are; closes the connection afterwards if told to.
   void RespondRaw(std::string bytes, bool close);
+  /// Sends `first`, and then `block` again and again, with pauses, until the other end closes or
+  /// `most` bytes are sent.
+  void RespondEndlessly(std::string first, std::string block, Duration pause, size_t most);
   /// Ends the connection with a reset.
   void Reset();
   /// Says nothing more on this connection.
--- a/src/standin/fleet/judge.cc
+++ b/src/standin/fleet/judge.cc
@@ -137,9 +137,8 @@
       }
       CheckDeadline(attempt, *arrival);
     }
-    const catalog::Route* route = NewestRoute(attempt);
-    const bool repeatable =
-        route != nullptr && route->repeatability == catalog::Repeatability::kRepeatable;
+    const Allowed allowed = AllowedFor(attempt);
+    const bool repeatable = allowed.repeatable;
     if (!repeatable && runs > 1) {
       verdict_->doubled.Add(absl::StrCat(Name(attempt), ": ran ", runs, " times"));
     }
@@ -148,7 +147,7 @@
       verdict_->broken_promises.Add(
           absl::StrCat(Name(attempt), ": told ", attempt.status, ", and ran"));
     }
-    if (route != nullptr && backends.size() > route->max_attempts) {
+    if (allowed.attempts > 0 && backends.size() > allowed.attempts) {
       spread_.push_back(absl::StrCat(Name(attempt), ": ran at ", backends.size(), " back ends"));
     }
   }
@@ -306,6 +305,24 @@
     return versions;
   }
 
+  /// What some version that may be in force while a request is handled allows.
+  struct Allowed {
+    bool repeatable = false;
+    /// 0: no version has a route for it.
+    uint32_t attempts = 0;
+  };
+  Allowed AllowedFor(const Attempt& attempt) const {
+    Allowed allowed;
+    for (const catalog::Configuration* version : InForce(attempt.sent, attempt.ended)) {
+      const catalog::Route* route = FindRoute(*version, attempt);
+      if (route != nullptr) {
+        allowed.repeatable |= route->repeatability == catalog::Repeatability::kRepeatable;
+        allowed.attempts = std::max(allowed.attempts, route->max_attempts);
+      }
+    }
+    return allowed;
+  }
+
   const catalog::Route* NewestRoute(const Attempt& attempt) const {
     for (auto at = history_.configurations.rbegin(); at != history_.configurations.rend(); ++at) {
       const catalog::Route* route = FindRoute(at->configuration, attempt);
--- a/src/standin/fleet/judge_configuration.cc
+++ b/src/standin/fleet/judge_configuration.cc
@@ -225,32 +225,52 @@
 
   void CheckAddedRoutes() {
     const catalog::Configuration& first = history_.configurations.front().configuration;
-    uint64_t of_first = 0;
-    uint64_t served_first = 0;
-    uint64_t of_added = 0;
-    uint64_t served_added = 0;
+    Share on_first;
+    Share on_added;
+    std::map<std::string, Share> by_route;
     for (const Attempt& attempt : history_.attempts) {
       if (!IsCalm(attempt.sent, attempt.sent)) {
         continue;
       }
       const bool served = attempt.end == CallEnd::kAnswered && attempt.status / 100 == 2;
       if (FindRoute(first, attempt) != nullptr) {
-        ++of_first;
-        served_first += served ? 1 : 0;
+        on_first.Add(served);
       } else if (AllInForceHaveRoute(attempt)) {
-        ++of_added;
-        served_added += served ? 1 : 0;
+        on_added.Add(served);
+        by_route[RouteKeyOf(attempt)].Add(served);
       }
     }
-    const bool enough = of_added >= kAddedRouteRequests && of_first > 0;
-    const auto share = [](uint64_t served, uint64_t all) {
-      return static_cast<double>(served) / static_cast<double>(all);
+    const auto check = [&](const std::string& name, const Share& added) {
+      const bool enough = added.all >= kAddedRouteRequests && on_first.all > 0;
+      if (enough && added.served_share() < kAddedRouteShare * on_first.served_share()) {
+        verdict_->unserved_routes.Add(
+            absl::StrCat(added.served, " of ", added.all, " requests on ", name, " were served"));
+      }
     };
-    if (enough &&
-        share(served_added, of_added) < kAddedRouteShare * share(served_first, of_first)) {
-      verdict_->unserved_routes.Add(absl::StrCat(served_added, " of ", of_added,
-                                                 " requests on routes added later were served"));
+    for (const auto& [name, added] : by_route) {
+      check(name, added);
+    }
+    if (verdict_->unserved_routes.count == 0) {
+      check("routes added later", on_added);
+    }
+  }
+
+  struct Share {
+    uint64_t all = 0;
+    uint64_t served = 0;
+
+    void Add(bool is_served) {
+      ++all;
+      served += is_served ? 1 : 0;
     }
+    double served_share() const { return static_cast<double>(served) / static_cast<double>(all); }
+  };
+
+  /// Names the route that the newest version in force has for an attempt.
+  std::string RouteKeyOf(const Attempt& attempt) const {
+    const catalog::Route* route =
+        FindRoute(history_.configurations[OldestInForce(attempt.sent)].configuration, attempt);
+    return route == nullptr ? "" : absl::StrCat(route->host, route->path_prefix);
   }
 
   bool AllInForceHaveRoute(const Attempt& attempt) const {
--- a/src/standin/fleet/main/soak_main.cc
+++ b/src/standin/fleet/main/soak_main.cc
@@ -12,22 +12,24 @@
 #include <set>
 #include <sstream>
 
-#include "standin/fleet/configuration_prober.h"
+#include "standin/fleet/configuration_draws.h"
 #include "standin/fleet/node_processes.h"
 #include "standin/fleet/report.h"
+#include "standin/fleet/route_swaps.h"
 #include "standin/fleet/soak.h"
 #include "standin/support/program_flags.h"
 #include "wire/result_code.h"
 
-DEFINE_string(deployment, "small", "small, bretagne or tirol");
+DEFINE_string(deployment, "small", "small, bretagne, tirol or texas");
 DEFINE_uint32(nodes, 3, "how many nodes run");
 DEFINE_string(
     faults, "single",
     "single; series: many of them in series that overlap; rests: back ends that ask for rest; "
     "limits: back ends that name limits; changes: routes that change; paths: nodes that lose the "
     "path to back ends; crashes: requests that end the back ends that run them; shared-crashes: "
-    "the "
-    "same, repeated by several callers");
+    "the same, repeated by several callers; configurations: changes of any part of the "
+    "configuration");
+DEFINE_double(core_share, 0, "of a core, for each node; 0: no bound, or as the seed draws it");
 DEFINE_double(seconds, 30, "how long faults strike");
 DEFINE_uint64(seed, 1, "of the faults and the load");
 DEFINE_string(schedule, "", "a file with the faults; empty: drawn by the seed");
@@ -64,6 +66,9 @@
     if (FLAGS_faults == "changes") {
       return DrawChanges(FLAGS_seed, length);
     }
+    if (FLAGS_faults == "configurations") {
+      return DrawConfigurations(FLAGS_seed, length);
+    }
     return FLAGS_faults == "series" ? DrawSeries(FLAGS_seed, length)
                                     : DrawSchedule(FLAGS_seed, length);
   }
@@ -116,14 +121,34 @@
   AddReadsOfOneItem("of-many", kReadsPerSecond, kReaders, deployment);
 }
 
+/// Services that nobody asks for until a route leads there, and, of three seeds, one with nodes of
+/// a tenth of a core and one with nodes of a third.
+void PrepareForConfigurations(SoakSettings* settings) {
+  constexpr double kShares[] = {0, 0.1, 0.3};
+  constexpr uint32_t kSmallestNodeMb = 160;
+  FleetSettings& fleet = settings->deployment.fleet;
+  AddUnaskedServices(&settings->deployment);
+  fleet.node_memory_mb = kSmallestNodeMb;
+  const auto draws = std::make_shared<ConfigurationDraws>(fleet.seed);
+  draws->AddFirstRoutes(&fleet.configuration);
+  settings->probe_plan = draws;
+  if (settings->core_share == 0) {
+    settings->core_share = kShares[fleet.seed % std::size(kShares)];
+  }
+}
+
 SoakSettings ReadSettings() {
   standin::FlagChecks checks;
   checks.Require(FLAGS_nodes >= 1 && FLAGS_nodes <= kMostNodes, "nodes",
                  std::to_string(FLAGS_nodes), "1 to 300");
-  const std::set<std::string> faults = {"single",  "series", "rests",   "limits",
-                                        "changes", "paths",  "crashes", "shared-crashes"};
+  const std::set<std::string> faults = {"single",  "series",         "rests",
+                                        "limits",  "changes",        "paths",
+                                        "crashes", "shared-crashes", "configurations"};
   checks.Require(faults.contains(FLAGS_faults), "faults", FLAGS_faults,
-                 "single, series, rests, limits, changes, paths, crashes or shared-crashes");
+                 "single, series, rests, limits, changes, paths, crashes, shared-crashes or "
+                 "configurations");
+  checks.Require(FLAGS_core_share >= 0 && FLAGS_core_share <= 1, "core_share",
+                 std::to_string(FLAGS_core_share), "0 to 1");
   checks.Require(FLAGS_seconds > 0 && FLAGS_seconds <= kMostSeconds, "seconds",
                  std::to_string(FLAGS_seconds), "more than 0, at most 3600");
   checks.ExitOnFaults();
@@ -131,9 +156,13 @@
   settings.deployment = FindDeployment(FLAGS_deployment);
   settings.deployment.fleet.seed = FLAGS_seed;
   settings.deployment.fleet.store.entrances = EntrancesFor(FLAGS_nodes);
-  settings.probes_configuration = FLAGS_faults == "changes";
-  if (settings.probes_configuration) {
-    AddProbeRoutes(&settings.deployment.fleet.configuration);
+  settings.core_share = FLAGS_core_share;
+  if (FLAGS_faults == "changes") {
+    settings.probe_plan = std::make_shared<RouteSwaps>();
+    AddSwappedRoutes(&settings.deployment.fleet.configuration);
+  }
+  if (FLAGS_faults == "configurations") {
+    PrepareForConfigurations(&settings);
   }
   if (FLAGS_faults == "crashes") {
     PrepareForCrashes(&settings.deployment);
--- a/src/standin/fleet/node_processes.cc
+++ b/src/standin/fleet/node_processes.cc
@@ -83,7 +83,10 @@
       "\n\n[bounds]\ndrain_time = ", Quoted(fleet.bounds.drain),
       "\nretry_budget_ratio = ", fleet.bounds.retry_budget_ratio,
       "\nretry_budget_slack = ", fleet.bounds.retry_budget_slack,
-      "\nretry_budget_window = ", Quoted(fleet.bounds.budget_window), "\n");
+      "\nretry_budget_window = ", Quoted(fleet.bounds.budget_window), "\n",
+      fleet.node_memory_mb == 0
+          ? ""
+          : absl::StrCat("\n[limits]\nmemory_mb = ", fleet.node_memory_mb, "\n"));
 }
 
 void NodeProcesses::StartAll() {
--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -15,6 +15,7 @@
 #include "standin/fault_proxy/fault_proxy.h"
 #include "standin/fleet/configuration_prober.h"
 #include "standin/fleet/node_processes.h"
+#include "standin/fleet/node_quota.h"
 #include "standin/fleet/report.h"
 #include "standin/fleet/soak_backends.h"
 #include "standin/processes/ports.h"
@@ -39,6 +40,8 @@
 constexpr double kHotShare = 0.35;
 /// Watches hear nothing for this long before the store forgets its history.
 constexpr Duration kCompaction = absl::Seconds(1);
+/// A row that is no configuration is replaced after this.
+constexpr Duration kDamageLasts = absl::Milliseconds(600);
 /// Of the nodes, those that the store turns away.
 constexpr size_t kRefusedOneIn = 3;
 /// Of the nodes, those that lose the path to the back ends.
@@ -52,7 +55,9 @@
         out_(out),
         fleet_(settings.deployment.fleet),
         nodes_(&fleet_, settings.node_program, settings.nodes),
-        prober_(&fleet_, settings.deployment.fleet.seed),
+        quota_(&nodes_, settings.core_share,
+               [this](size_t node) { return paused_.contains(node); }),
+        prober_(&fleet_, settings.deployment.fleet.seed, settings.probe_plan),
         backend_faults_(
             &fleet_,
             [this](Duration delay, std::function<void()> step) { Later(delay, std::move(step)); }),
@@ -73,9 +78,12 @@
     for (const RequestClass& request_class : settings_.deployment.load) {
       fleet_.callers().Start(request_class);
     }
-    if (settings_.probes_configuration) {
+    if (settings_.probe_plan != nullptr) {
       prober_.Start();
     }
+    if (settings_.core_share > 0) {
+      fleet_.loop().Every(NodeQuota::kInterval, [this] { quota_.Enforce(EventLoop::Now()); });
+    }
     fleet_.loop().Every(kReviveInterval, [this] { ReviveNodes(); });
     last_lag_check_ = EventLoop::Now();
     fleet_.loop().Every(kLagInterval, [this] { MeasureLag(); });
@@ -100,6 +108,10 @@
     prober_.Finish();
     fleet_.FinishCalls();
     fleet_.loop().RunFor(kWatchedAfterwards);
+    for (size_t node = 0; node < nodes_.count(); ++node) {
+      CheckMemory(node);
+    }
+    absl::StrAppend(&result->not_recovered, over_memory_, own_ends_);
     const size_t unfinished = CountUnfinished(fleet_.history());
     if (unfinished > 0) {
       absl::StrAppend(&result->not_recovered, unfinished, " requests had no end when judged");
@@ -107,6 +119,22 @@
     *out_ << "the loop of callers and back ends was up to "
           << absl::FormatDuration(absl::Trunc(longest_lag_, absl::Milliseconds(1))) << " late"
           << std::endl;
+    if (most_memory_ > 0) {
+      *out_ << "nodes used up to " << most_memory_ << " MB" << std::endl;
+    }
+  }
+
+  /// Notes the nodes that have used more memory than they may.
+  void CheckMemory(size_t node) {
+    const uint32_t limit = settings_.deployment.fleet.node_memory_mb;
+    if (limit == 0 || !nodes_.IsRunning(node)) {
+      return;
+    }
+    const uint64_t used = nodes_.group().ReadPeakMemoryMb(nodes_.nodes()[node].name);
+    most_memory_ = std::max(most_memory_, used);
+    if (used > limit) {
+      absl::StrAppend(&over_memory_, "node ", node, " used ", used, " MB of ", limit, "; ");
+    }
   }
 
   /// What callers and back ends note is late by as much as the loop that plays them.
@@ -126,6 +154,10 @@
       RepeatEndingRequest(fault, {});
     } else if (fault.kind == FaultKind::kCallersEndBackends) {
       RepeatEndingRequest(fault, DrawRepeats(fault.target));
+    } else if (fault.kind == FaultKind::kAnswersEndless) {
+      backend_faults_.Strike(fault);
+    } else if (fault.kind >= FaultKind::kDrawnChange) {
+      StrikeConfiguration(fault);
     } else if (fault.kind >= FaultKind::kNodesCutOff) {
       StrikePaths(fault);
     } else if (fault.kind >= FaultKind::kRouteChanges) {
@@ -154,12 +186,17 @@
         break;
       case FaultKind::kNodePaused:
         fleet_.DisturbFor(fault.lasts, node);
+        paused_.insert(node);
         SignalIfRunning(node, SIGSTOP);
-        Later(fault.lasts, [this, node] { SignalIfRunning(node, SIGCONT); });
+        Later(fault.lasts, [this, node] {
+          paused_.erase(paused_.find(node));
+          SignalIfRunning(node, SIGCONT);
+        });
         break;
       case FaultKind::kNodeStopped:
         fleet_.DisturbFor(absl::ZeroDuration(), node);
         SignalIfRunning(node, SIGTERM);
+        told_to_end_.insert(node);
         away_until_[node] = EventLoop::Now() + fault.lasts;
         break;
       case FaultKind::kAllNodesKilled:
@@ -175,7 +212,9 @@
   void Kill(size_t node, Duration away) {
     fleet_.DisturbFor(away + kReviveInterval, node);
     away_until_[node] = EventLoop::Now() + away;
+    told_to_end_.insert(node);
     if (nodes_.IsRunning(node)) {
+      CheckMemory(node);
       nodes_.Kill(node);
     }
   }
@@ -190,6 +229,9 @@
   void ReviveNodes() {
     for (size_t node = 0; node < nodes_.count(); ++node) {
       if (EventLoop::Now() >= away_until_[node] && !nodes_.IsRunning(node)) {
+        if (told_to_end_.erase(node) == 0) {
+          absl::StrAppend(&own_ends_, "node ", node, " ended by itself; ");
+        }
         fleet_.NoteStart(node);
         fleet_.DisturbFor(absl::ZeroDuration(), node);
         nodes_.Restart(node);
@@ -222,11 +264,21 @@
       case FaultKind::kConnectionsSilent:
         SilenceConnections();
         break;
+      case FaultKind::kConfigurationDamaged:
+        DamageConfiguration(fault.target);
+        break;
       default:
-        prober_.ChangeRoute(fault.target);
+        prober_.ChangeConfiguration(fault.target);
     }
   }
 
+  void DamageConfiguration(uint64_t target) {
+    constexpr auto kDamages = static_cast<uint64_t>(ConfigurationDamage::kCount);
+    configuration_damaged_ = true;
+    fleet_.operators().WriteDamaged(static_cast<ConfigurationDamage>(target % kDamages));
+    Later(kDamageLasts, [this, target] { prober_.ChangeConfiguration(target); });
+  }
+
   void StrikePaths(const SoakFault& fault) {
     constexpr CutMode kModes[] = {CutMode::kSilent, CutMode::kReset, CutMode::kNewConnections};
     const std::set<size_t> nodes = NodesToCut(fault);
@@ -388,6 +440,10 @@
       fleet_.callers().Stop(ending);
     }
     fleet_.store().Heal();
+    if (configuration_damaged_) {
+      fleet_.operators().Write(fleet_.operators().newest());
+    }
+    paused_.clear();
     for (size_t node = 0; node < nodes_.count(); ++node) {
       away_until_[node] = absl::InfinitePast();
       SignalIfRunning(node, SIGCONT);
@@ -444,6 +500,9 @@
   standin::FaultProxy proxy_;
   Fleet fleet_;
   NodeProcesses nodes_;
+  /// Nodes that stand still, once for each pause that has not ended.
+  std::multiset<size_t> paused_;
+  NodeQuota quota_;
   ConfigurationProber prober_;
   BackendFaultInjector backend_faults_;
   /// Nodes are not started again before.
@@ -453,10 +512,18 @@
   CutMode cut_mode_ = CutMode::kSilent;
   /// Classes of requests that end what runs them.
   std::vector<std::string> ending_;
+  /// The store may hold a row that is no configuration.
+  bool configuration_damaged_ = false;
   bool healed_ = false;
   Time started_ = EventLoop::Now();
   Time last_lag_check_ = EventLoop::Now();
   Duration longest_lag_;
+  /// Of one node, in megabytes, where a limit is set.
+  uint64_t most_memory_ = 0;
+  std::string over_memory_;
+  /// Nodes whose processes were killed or stopped and have not been started again.
+  std::set<size_t> told_to_end_;
+  std::string own_ends_;
 };
 
 }  // namespace
--- a/src/standin/fleet/soak.h
+++ b/src/standin/fleet/soak.h
@@ -9,6 +9,7 @@
 
 #include "standin/fleet/deployments.h"
 #include "standin/fleet/judge.h"
+#include "standin/fleet/probe_plan.h"
 #include "standin/fleet/soak_schedule.h"
 
 namespace ladderstream::fleet {
@@ -20,8 +21,10 @@
   std::vector<SoakFault> schedule;
   /// The last fault ends before.
   Duration length = absl::Seconds(30);
-  /// Whether every node is asked for routes that change; needs AddProbeRoutes.
-  bool probes_configuration = false;
+  /// What every node is asked for while it changes; null: nothing.
+  ProbePlanPtr probe_plan;
+  /// Of a core, for each node, as a quota; see NodeQuota. 0: no bound.
+  double core_share = 0;
   /// Where the logs of the nodes and the schedule are kept when something failed.
   std::string keep_in;
 };
--- a/src/standin/fleet/soak_backends.cc
+++ b/src/standin/fleet/soak_backends.cc
@@ -7,6 +7,8 @@
 
 /// Of requests, orders or answers.
 constexpr double kShare = 0.3;
+constexpr double kEndlessShare = 0.1;
+constexpr Duration kEndlessPause = absl::Milliseconds(20);
 /// Asked for with each refusal; over the times of ejections.
 constexpr Duration kRest = absl::Seconds(3);
 /// Requests a second; few enough that more is asked for.
@@ -56,14 +58,14 @@
       later_(fault.lasts, [backend] { backend->CutFromStore(false); });
       return;
     default:
-      backend->SetFaults(FaultsOf(fault.kind));
+      backend->SetFaults(FaultsOf(fault));
       later_(fault.lasts, [backend] { backend->SetFaults({}); });
   }
 }
 
-BackendFaults BackendFaultInjector::FaultsOf(FaultKind kind) {
+BackendFaults BackendFaultInjector::FaultsOf(const SoakFault& fault) {
   BackendFaults faults;
-  switch (kind) {
+  switch (fault.kind) {
     case FaultKind::kBackendRests:
       faults.turned_away = 1;
       faults.rest = kRest;
@@ -81,6 +83,10 @@
       faults.lost_answers = kShare;
       faults.lost_by_reset = true;
       break;
+    case FaultKind::kAnswersEndless:
+      faults.endless_answers = kEndlessShare;
+      faults.endless_pause = fault.target % 2 == 0 ? absl::ZeroDuration() : kEndlessPause;
+      break;
     default:
       faults.cut_answers = kShare / 2;
       faults.surplus_answers = kShare / 2;
--- a/src/standin/fleet/soak_backends.h
+++ b/src/standin/fleet/soak_backends.h
@@ -22,7 +22,7 @@
 
  private:
   Backend* Pick(const SoakFault& fault);
-  static BackendFaults FaultsOf(FaultKind kind);
+  static BackendFaults FaultsOf(const SoakFault& fault);
 
   Fleet* fleet_;
   Later later_;
--- a/src/standin/fleet/soak_schedule.cc
+++ b/src/standin/fleet/soak_schedule.cc
@@ -23,7 +23,7 @@
          kind == FaultKind::kBackendRests || kind == FaultKind::kBackendLimits ||
          kind >= FaultKind::kRouteChanges;
 }
-constexpr size_t kSingleKinds = kKinds - 13;
+constexpr size_t kSingleKinds = kKinds - 16;
 constexpr std::array<FaultKind, kSingleKinds> SingleKinds() {
   std::array<FaultKind, kSingleKinds> kinds = {};
   size_t count = 0;
@@ -62,6 +62,8 @@
     "connections_silent",    "nodes_cut_off",
     "coordinator_cut_off",   "zone_cut_off",
     "requests_end_backends", "callers_end_backends",
+    "drawn_change",          "configuration_damaged",
+    "answers_endless",
 };
 
 /// Faults of one kind that follow each other, with targets in turn.
@@ -157,6 +159,40 @@
     {FaultKind::kBackendDrains, 4, 250, 1500},
     {FaultKind::kConfigurationChanges, 6, 120, 0},
 }};
+constexpr std::array<Series, 32> kConfigurationSeries = {{
+    {FaultKind::kDrawnChange, 1, 0, 0},
+    {FaultKind::kDrawnChange, 8, 30, 0},
+    {FaultKind::kDrawnChange, 6, 120, 0},
+    {FaultKind::kDrawnChange, 5, 400, 0},
+    {FaultKind::kDrawnChange, 3, 900, 0},
+    {FaultKind::kDrawnChange, 3, 2500, 0},
+    {FaultKind::kDrawnChange, 2, 50, 0},
+    {FaultKind::kDrawnChange, 2, 1500, 0},
+    {FaultKind::kConfigurationDamaged, 1, 0, 0},
+    {FaultKind::kConfigurationDamaged, 2, 900, 0},
+    {FaultKind::kNodePaused, 3, 10, 3500},
+    {FaultKind::kNodePaused, 6, 150, 900},
+    {FaultKind::kNodeStopped, 4, 700, 400},
+    {FaultKind::kNodeReloads, 6, 150, 0},
+    {FaultKind::kNodeKilled, 3, 300, 600},
+    {FaultKind::kCoordinatorKilled, 2, 1500, 400},
+    {FaultKind::kAllNodesKilled, 1, 0, 300},
+    {FaultKind::kLinksDelayed, 3, 200, 4000},
+    {FaultKind::kLinksOneWay, 2, 300, 3000},
+    {FaultKind::kLinksSilent, 3, 200, 3000},
+    {FaultKind::kNodesCutOff, 1, 0, 5000},
+    {FaultKind::kStoreRefusesSome, 1, 0, 7000},
+    {FaultKind::kStoreCompacts, 1, 0, 0},
+    {FaultKind::kStoreLosesAnswers, 1, 0, 3000},
+    {FaultKind::kStoreSlow, 1, 0, 4000},
+    {FaultKind::kStoreSilent, 1, 0, 3000},
+    {FaultKind::kStoreUnavailable, 1, 0, 3000},
+    {FaultKind::kStoreSilentForOne, 2, 500, 4000},
+    {FaultKind::kStoreConnectionsSilent, 3, 400, 0},
+    {FaultKind::kConnectionsSilent, 1, 0, 0},
+    {FaultKind::kAnswersEndless, 3, 300, 4000},
+    {FaultKind::kBackendDrains, 8, 250, 1500},
+}};
 /// Of the draws, so many in ten begin a series; the others are single faults.
 constexpr uint64_t kSeriesInTen = 6;
 constexpr uint64_t kTenths = 10;
@@ -286,6 +322,10 @@
   return schedule;
 }
 
+std::vector<SoakFault> DrawConfigurations(uint64_t seed, Duration length) {
+  return DrawSeriesOf(kConfigurationSeries, seed, length);
+}
+
 std::string FormatSchedule(const std::vector<SoakFault>& schedule) {
   std::string text;
   for (const SoakFault& fault : schedule) {
--- a/src/standin/fleet/soak_schedule.h
+++ b/src/standin/fleet/soak_schedule.h
@@ -72,6 +72,13 @@
   // Drawn by DrawSharedCrashes only.
   /// The same, by several callers with addresses of their own, and at various rates.
   kCallersEndBackends,
+  // Drawn by DrawConfigurations only.
+  /// The configuration changes in any of its parts; see ConfigurationDraws.
+  kDrawnChange,
+  /// The store holds a row that is no configuration, and soon the next good one.
+  kConfigurationDamaged,
+  /// Answers of back ends to requests and orders, in a part of the cases, do not end.
+  kAnswersEndless,
   kCount,
 };
 
@@ -118,6 +125,11 @@
 /// As DrawCrashes, with requests that several callers repeat.
 std::vector<SoakFault> DrawSharedCrashes(uint64_t seed, Duration length);
 
+/// As DrawSeries, but most are changes of any part of the configuration, 30 ms to 2.5 s apart,
+/// beside nodes that are paused, stopped and killed, all at once too, links and paths that are cut,
+/// and a store that is slow, silent, turns some away or loses answers.
+std::vector<SoakFault> DrawConfigurations(uint64_t seed, Duration length);
+
 /// One line a fault: its kind, milliseconds from the start, how many it lasts, its target.
 std::string FormatSchedule(const std::vector<SoakFault>& schedule);
 /// Throws Error(kMalformedMessage) that names the line.
--- a/src/standin/processes/process_group.cc
+++ b/src/standin/processes/process_group.cc
@@ -167,6 +167,17 @@
       .system = absl::Seconds(std::stod(fields.at(kSystemTime)) / ticks_per_second)};
 }
 
+uint64_t ProcessGroup::ReadPeakMemoryMb(const std::string& name) const {
+  constexpr char kField[] = "VmHWM:";
+  constexpr uint64_t kKilobytesPerMegabyte = 1024;
+  const std::string status = ReadFile(absl::StrCat("/proc/", Find(name).id, "/status"));
+  const size_t field = status.find(kField);
+  if (field == std::string::npos) {
+    Fail(absl::StrCat(name, " is not running"));
+  }
+  return std::stoull(status.substr(field + sizeof(kField) - 1)) / kKilobytesPerMegabyte;
+}
+
 std::string ProcessGroup::ReadLog(const std::string& name) const {
   return ReadFile(directory_ / absl::StrCat(name, ".log"));
 }
--- a/src/standin/processes/process_group.h
+++ b/src/standin/processes/process_group.h
@@ -83,6 +83,9 @@
   /// Of a running process.
   ProcessorTime ReadProcessorTime(const std::string& name) const;
 
+  /// The most memory that a running process has had resident, in megabytes.
+  uint64_t ReadPeakMemoryMb(const std::string& name) const;
+
   /// All that the process wrote so far.
   std::string ReadLog(const std::string& name) const;
 
--- a/tests/unit/standin_fleet/soak_end_test.cc
+++ b/tests/unit/standin_fleet/soak_end_test.cc
@@ -1,5 +1,6 @@
 // The end of a run: nothing is judged before its answer, or its end, is due.
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -8,6 +9,7 @@
 #include "standin/fleet/fleet.h"
 #include "standin/fleet/http_server.h"
 #include "standin/fleet/report.h"
+#include "standin/fleet/route_swaps.h"
 
 namespace ladderstream::fleet {
 namespace {
@@ -17,7 +19,7 @@
 
 FleetSettings WithProbeRoutes() {
   FleetSettings settings = SmallDeployment().fleet;
-  AddProbeRoutes(&settings.configuration);
+  AddSwappedRoutes(&settings.configuration);
   return settings;
 }
 
@@ -35,7 +37,7 @@
                    });
                  }
                }),
-        prober(&fleet, /*seed=*/1) {
+        prober(&fleet, /*seed=*/1, std::make_shared<RouteSwaps>()) {
     const NodeAddress address = {.front = server.endpoint(), .readiness = server.endpoint()};
     fleet.nodes().SetNodes(std::vector<NodeAddress>(kNodes, address));
     prober.Start();
