--- a/src/standin/fleet/configuration_draws.cc
+++ b/src/standin/fleet/configuration_draws.cc
@@ -19,6 +19,7 @@
 constexpr size_t kUnaskedRoutes = 150;
 constexpr int64_t kShortestTimeoutMs = 600;
 constexpr int64_t kLongestTimeoutMs = 1800;
+constexpr int64_t kTargetsPerTimeout = 3;
 constexpr uint64_t kMostAttempts = 4;
 constexpr uint64_t kPriorities = 4;
 
@@ -56,7 +57,8 @@
   const uint64_t span = kLongestTimeoutMs - kShortestTimeoutMs;
   route->timeout =
       absl::Milliseconds(kShortestTimeoutMs + static_cast<int64_t>(Below(span, random)));
-  route->target_latency = route->timeout / 3;
+  route->target_latency =
+      absl::Milliseconds(absl::ToInt64Milliseconds(route->timeout) / kTargetsPerTimeout);
   route->max_attempts = static_cast<uint32_t>(1 + Below(kMostAttempts, random));
   route->priority = static_cast<uint32_t>(Below(kPriorities, random));
   route->repeatability = Below(2, random) == 0 ? catalog::Repeatability::kAtMostOnce
--- a/tests/unit/platform/configuration_codec_test.cc
+++ b/tests/unit/platform/configuration_codec_test.cc
@@ -1,6 +1,7 @@
 // The operator's configuration and the registrations of back ends: unknown fields are left alone,
 // wrong ones are refused with their place.
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -194,14 +195,40 @@
   CheckConfigurationFault("/limits/max_body_bytes", "0");
   CheckConfigurationFault("/limits/idle_timeout_s", "[1]");
   const std::string slash = R"({"version":"r1","services":{},"routes":{"a/b~c":7}})";
-  BOOST_TEST(ConfigurationFault(slash) == "/routes/a~1b~0c: want an object");
+  BOOST_TEST(ConfigurationFault(slash) == "/routes/a~1b~0c: want an object, found 7");
+}
+
+BOOST_AUTO_TEST_CASE(a_fault_tells_what_was_wanted_and_what_was_found) {
+  const auto fault = [](const char* pointer, const std::string& value) {
+    return ConfigurationFault(Replace(kConfiguration, pointer, value));
+  };
+  BOOST_TEST(fault("/routes/r-9n73hh2/max_attempts", "2.5") ==
+             "/routes/r-9n73hh2/max_attempts: want a whole number from 1 to 4294967295, found 2.5");
+  BOOST_TEST(fault("/routes/r-9n73hh2/kind", "") ==
+             "/routes/r-9n73hh2/kind: want a value, found nothing");
+  const std::string longest =
+      fault("/routes/r-9n73hh2/path_prefix", '"' + std::string(5000, 'a') + '"');
+  BOOST_TEST(longest.size() < 200U, longest);
+}
+
+// Guards against a configuration that is refused, and so not in force, for a fraction of zero.
+BOOST_AUTO_TEST_CASE(a_whole_number_may_have_a_fraction_of_zero) {
+  const catalog::Configuration read = kAdapter->DecodeConfiguration(
+      Replace(kConfiguration, "/routes/r-9n73hh2/max_attempts", "2.0"));
+  BOOST_TEST((read == kAdapter->DecodeConfiguration(kConfiguration)));
+  CheckConfigurationFault("/routes/r-9n73hh2/max_attempts", "-2.0");
+  CheckConfigurationFault("/limits/max_body_bytes", "1e40");
 }
 
 BOOST_AUTO_TEST_CASE(hostile_configurations_are_refused) {
-  BOOST_TEST(ConfigurationFault("") == "body is not JSON");
-  BOOST_TEST(ConfigurationFault("{\"version\":\"r1\"") == "body is not JSON");
-  BOOST_TEST(ConfigurationFault(std::string(1U << 20U, '[')) == "body is not JSON");
-  BOOST_TEST(ConfigurationFault("[]") == "/: want an object");
+  const auto unparsed = [](size_t bytes) {
+    return absl::StrCat("want JSON, found ", bytes, " bytes that cannot be parsed from byte ",
+                        bytes + 1, " on");
+  };
+  BOOST_TEST(ConfigurationFault("") == unparsed(0));
+  BOOST_TEST(ConfigurationFault("{\"version\":\"r1\"") == unparsed(15));
+  BOOST_TEST(ConfigurationFault(std::string(1U << 20U, '[')) == unparsed(1U << 20U));
+  BOOST_TEST(ConfigurationFault("[]") == "/: want an object, found a list of 0 entries");
   const std::string large(17U << 20U, ' ');
   BOOST_TEST(absl::StrContains(ConfigurationFault(large), "at most"));
 }
--- a/tests/unit/standin_fleet/configuration_draws_test.cc
+++ b/tests/unit/standin_fleet/configuration_draws_test.cc
@@ -1,6 +1,7 @@
 // Drawn changes of the configuration: every one is sound, and the node takes every way to write it.
 #include "standin/fleet/configuration_draws.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <set>
 #include <string>
@@ -37,6 +38,30 @@
   catalog::Configuration configuration;
 };
 
+/// Routes by name and nothing that a row does not hold.
+catalog::Configuration Sorted(catalog::Configuration configuration) {
+  std::sort(configuration.routes.begin(), configuration.routes.end(),
+            [](const auto& a, const auto& b) { return a.name < b.name; });
+  for (auto& [name, service] : configuration.services) {
+    service.warmup = service.sharded ? service.warmup : absl::ZeroDuration();
+  }
+  for (catalog::Route& route : configuration.routes) {
+    if (route.targets.size() == 1) {
+      route.targets.front().weight = 1;
+    }
+  }
+  return configuration;
+}
+
+/// What the node makes of a row, or why it refuses it.
+std::string Refusal(const std::string& row, const catalog::Configuration& expected) {
+  try {
+    return Sorted(kAdapter->DecodeConfiguration(row)) == Sorted(expected) ? "" : "taken as another";
+  } catch (const Error& error) {
+    return error.what();
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(configuration_draws)
 
 BOOST_AUTO_TEST_CASE(drawn_changes_are_sound_and_touch_every_part) {
@@ -67,6 +92,19 @@
   BOOST_TEST(route_counts.size() == 2U);
 }
 
+// Guards against a configuration that the store has taken and a node refuses for the way in which
+// it is written, so that the version before stays in force at every node.
+BOOST_AUTO_TEST_CASE(every_way_to_write_a_configuration_is_taken) {
+  Drawn drawn(2);
+  for (int version = 0; version < kVersions; ++version) {
+    drawn.Change();
+    const std::string row =
+        EncodeConfiguration(drawn.configuration, 1, DrawEncoding(&drawn.random));
+    const std::string refusal = Refusal(row, drawn.configuration);
+    BOOST_TEST_REQUIRE(refusal.empty(), refusal << ": " << row.substr(0, 1000));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_damaged_row_is_refused) {
   const Drawn drawn(3);
   for (int damage = 0; damage < static_cast<int>(ConfigurationDamage::kCount); ++damage) {
