Let an answer take no more of the memory for bodies than it leaves free

What callers see: while one back end sends a body without an end, the answers of all others fail with 502, "too many bytes of bodies are held", as the one body takes all the memory that there is for bodies before it fails itself.

Cause: the budget was first come, first served. Change: a body may be as long as what is left free (a dynamic threshold, as switches use for shared buffers): one without an end takes half, two take a third each. Weighed against it: a fixed length for each answer, which is wrong for one of many sizes; dropping the longest, which ends an answer that may be a good one.

--- a/src/gateway/http/byte_budget.h
+++ b/src/gateway/http/byte_budget.h
@@ -1,4 +1,7 @@
 // A bound on the bytes of bodies that the process holds at one time.
+//
+// An answer may take no more than it leaves free, so that one without an end leaves room for the
+// others.
 #pragma once
 
 #include <cstddef>
@@ -15,9 +18,12 @@
   explicit ByteBudget(size_t limit) : limit_(limit) {}
 
   size_t used() const { return used_; }
-  bool Fits(ByteUse use, size_t bytes) const {
-    const size_t limit = use == ByteUse::kAnswer ? limit_ : limit_ / kShareParts * kRequestParts;
-    return used_ + bytes <= limit;
+  /// Whether a body of `held` bytes may grow by `bytes`.
+  bool Fits(ByteUse use, size_t held, size_t bytes) const {
+    if (use == ByteUse::kRequest) {
+      return used_ + bytes <= limit_ / kShareParts * kRequestParts;
+    }
+    return used_ + bytes <= limit_ && held + bytes <= limit_ - used_ - bytes;
   }
 
  private:
@@ -56,7 +62,7 @@
 
   /// Makes this `bytes` large. False, and nothing changed, when a growth does not fit.
   bool Resize(size_t bytes) {
-    if (bytes > bytes_ && budget_ != nullptr && !budget_->Fits(use_, bytes - bytes_)) {
+    if (bytes > bytes_ && budget_ != nullptr && !budget_->Fits(use_, bytes_, bytes - bytes_)) {
       return false;
     }
     Set(bytes);
--- a/src/gateway/http/request_reader.cc
+++ b/src/gateway/http/request_reader.cc
@@ -206,7 +206,7 @@
   const size_t arrived = parser_->get().body().size();
   const size_t announced = parser_->content_length().value_or(0);
   const size_t missing = announced - std::min(announced, arrived);
-  if (budget_->Fits(ByteUse::kRequest, missing) && request_.reservation.Resize(arrived)) {
+  if (budget_->Fits(ByteUse::kRequest, 0, missing) && request_.reservation.Resize(arrived)) {
     return true;
   }
   Fail(ResultCode::kOverloaded, "too many bytes of bodies are held");
