Bound every part of an answer to a node's own call, and reset connections whose bytes go on

What callers see: a back end that answers an order, or a store that answers a call, with a length far beyond memory ends the node: bad_alloc, and every request that it holds is lost.

Cause: HttpClientConnection parsed with `eager`, where Beast 1.74 goes on behind a head whose length is beyond the limit and reserves that many bytes; and only heads and bodies had bounds. The class: a bound for each place that bytes are expected in, and none where they are not.

Change: CallAnswerReader reads such answers without I/O: 64 KiB of a head, 16 interim answers, 8 KiB of a chunk size line or of trailers, a body up to the call's bound (orders: 64 KiB) and the budget that all calls share (0.15 of the memory). What nodes carry for others has a share as well instead of 64 MB. A connection on which bytes follow a whole answer, or come while nothing is asked, is reset, in both clients: closed in order, it is written to until the other side has noticed.

Health checks of back ends are connections without a request: nothing is read on them.

--- a/src/gateway/http/backend_connection.cc
+++ b/src/gateway/http/backend_connection.cc
@@ -227,6 +227,7 @@
 
 void BackendConnection::OnBytes(std::string_view bytes) {
   if (state_ != State::kBusy) {
+    AbortOnClose(socket_);
     Close("bytes that belong to no request");
     return;
   }
@@ -242,6 +243,10 @@
   }
   const bool surplus = consumed < bytes.size();
   if (status == ReadStatus::kComplete) {
+    if (surplus) {
+      // They may go on without an end.
+      AbortOnClose(socket_);
+    }
     FinishExchange(surplus);
   } else if (bytes.data() == pending_.data()) {
     pending_.erase(0, consumed);
--- /dev/null
+++ b/src/gateway/http/call_answer_reader.cc
@@ -0,0 +1,140 @@
+#include "gateway/http/call_answer_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <utility>
+
+#include "gateway/http/header_rules.h"
+#include "gateway/http/text.h"
+
+namespace ladderstream::gateway {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr uint32_t kMaxHeadBytes = 65536;
+constexpr size_t kMaxChunkOverheadBytes = 8192;
+constexpr int kMaxInterimAnswers = 16;
+constexpr int kSwitchingProtocols = 101;
+
+bool IsInterim(int status) { return status / 100 == 1 && status != kSwitchingProtocols; }
+
+std::string Exceeds(std::string_view what, size_t most) {
+  std::string text;
+  Append(&text, "want at most ", std::to_string(most), " ", what, ", found more");
+  return text;
+}
+
+}  // namespace
+
+void CallAnswerReader::Begin(bool is_head_method, size_t max_body) {
+  is_head_method_ = is_head_method;
+  max_body_ = max_body;
+  interim_answers_ = 0;
+  fault_.clear();
+  BeginMessage();
+}
+
+void CallAnswerReader::BeginMessage() {
+  reservation_ = ByteReservation(budget_, ByteUse::kAnswer);
+  parser_.emplace();
+  parser_->header_limit(kMaxHeadBytes);
+  parser_->body_limit(max_body_);
+  parser_->skip(is_head_method_);
+}
+
+ReadStatus CallAnswerReader::Read(std::string_view bytes, size_t* consumed) {
+  *consumed = 0;
+  while (!parser_->is_header_done()) {
+    const ReadStatus status = ReadHead(bytes, consumed);
+    if (status != ReadStatus::kComplete) {
+      return status;
+    }
+    if (!IsInterim(static_cast<int>(parser_->get().result_int()))) {
+      break;
+    }
+    if (++interim_answers_ > kMaxInterimAnswers) {
+      return Fail(Exceeds("interim answers", kMaxInterimAnswers));
+    }
+    BeginMessage();
+  }
+  return ReadBody(bytes, consumed);
+}
+
+ReadStatus CallAnswerReader::ReadHead(std::string_view bytes, size_t* consumed) {
+  const std::string_view rest = bytes.substr(*consumed);
+  if (rest.empty()) {
+    return ReadStatus::kNeedMore;
+  }
+  // The parser stops behind the head: with `eager`, it goes on after a length beyond the limit and
+  // reserves that many bytes.
+  boost::system::error_code error;
+  *consumed += parser_->put(boost::asio::buffer(rest.data(), rest.size()), error);
+  if (error == http::error::need_more) {
+    return ReadStatus::kNeedMore;
+  }
+  if (error == http::error::header_limit) {
+    return Fail(Exceeds("bytes of a head", kMaxHeadBytes));
+  }
+  if (error == http::error::body_limit) {
+    return Fail(Exceeds("bytes of a body", max_body_));
+  }
+  return error ? Fail(error.message()) : ReadStatus::kComplete;
+}
+
+ReadStatus CallAnswerReader::ReadBody(std::string_view bytes, size_t* consumed) {
+  while (!parser_->is_done()) {
+    const std::string_view rest = bytes.substr(*consumed);
+    if (rest.empty()) {
+      return ReadStatus::kNeedMore;
+    }
+    boost::system::error_code error;
+    const size_t taken = parser_->put(boost::asio::buffer(rest.data(), rest.size()), error);
+    *consumed += taken;
+    if (error == http::error::body_limit) {
+      return Fail(Exceeds("bytes of a body", max_body_));
+    }
+    if (error && error != http::error::need_more) {
+      return Fail(error.message());
+    }
+    if (!reservation_.Resize(parser_->get().body().size())) {
+      return Fail("want a body that fits beside the others, found a longer one");
+    }
+    if (error && taken == 0) {
+      return rest.size() > kMaxChunkOverheadBytes
+                 ? Fail(
+                       Exceeds("bytes of a chunk size line or of trailers", kMaxChunkOverheadBytes))
+                 : ReadStatus::kNeedMore;
+    }
+  }
+  return ReadStatus::kComplete;
+}
+
+ReadStatus CallAnswerReader::ReadEnd() {
+  if (!has_begun()) {
+    return Fail("closed without an answer");
+  }
+  boost::system::error_code error;
+  parser_->put_eof(error);
+  return error || !parser_->is_done() ? Fail("answer cut short") : ReadStatus::kComplete;
+}
+
+interfaces::HttpResponse CallAnswerReader::Take() {
+  interfaces::HttpResponse response;
+  auto message = parser_->release();
+  response.status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    response.headers.emplace_back(ToView(field.name_string()), ToView(field.value()));
+  }
+  response.body = std::move(message.body());
+  reservation_ = ByteReservation();
+  return response;
+}
+
+ReadStatus CallAnswerReader::Fail(std::string detail) {
+  fault_ = std::move(detail);
+  return ReadStatus::kFault;
+}
+
+}  // namespace ladderstream::gateway
--- a/src/gateway/http/http_client.cc
+++ b/src/gateway/http/http_client.cc
@@ -26,7 +26,10 @@
 }  // namespace
 
 HttpClient::HttpClient(EventLoop& loop, const TimeSource& clock, const HttpClientSettings& settings)
-    : loop_(loop), clock_(clock), settings_(settings) {}
+    : loop_(loop),
+      clock_(clock),
+      settings_(settings),
+      budget_(std::make_shared<ByteBudget>(settings.max_held_bytes)) {}
 
 HttpClient::~HttpClient() {
   for (const auto& [call, connection] : std::exchange(calls_, {})) {
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "gateway/http/byte_budget.h"
 #include "gateway/http/event_loop.h"
 #include "interfaces/http_exchange.h"
 #include "wire/identifiers.h"
@@ -26,6 +27,8 @@
   Duration user_timeout = absl::Milliseconds(2500);
   /// The longest body of an answer, in bytes.
   size_t max_answer_bytes = 16U << 20U;
+  /// Bytes of bodies of answers that are being read at one time; see ByteBudget.
+  size_t max_held_bytes = 32U << 20U;
   /// See BindSource.
   std::string source_host;
 };
@@ -58,6 +61,8 @@
   /// No other call shares the connection. For calls whose answers name no call: a surplus copy of
   /// another call's answer would pass for the answer to this one.
   bool own_connection = false;
+  /// The longest body of its answer, in bytes; bounds the client's own bound further.
+  size_t max_answer_bytes = SIZE_MAX;
 };
 
 using CallCallback = std::function<void(CallResult)>;
@@ -92,6 +97,7 @@
   EventLoop& loop_;
   const TimeSource& clock_;
   const HttpClientSettings settings_;
+  const ByteBudgetPtr budget_;
   HttpCallId last_call_ = 0;
   std::unordered_map<HttpCallId, ConnectionPtr> calls_;
   std::map<Endpoint, std::vector<ConnectionPtr>> idle_;
--- a/src/gateway/http/http_client_connection.cc
+++ b/src/gateway/http/http_client_connection.cc
@@ -3,22 +3,15 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/error.hpp>
-#include <limits>
 #include <utility>
 
 #include "gateway/http/header_rules.h"
-#include "gateway/http/text.h"
 
 namespace ladderstream::gateway {
 
-namespace http = boost::beast::http;
-
 namespace {
 
 constexpr size_t kBufferBytes = 16384;
-constexpr uint32_t kMaxHeadBytes = 65536;
-constexpr int kSwitchingProtocols = 101;
 
 }  // namespace
 
@@ -27,6 +20,7 @@
       peer_(peer),
       socket_(client.loop_.get_executor()),
       timer_(client.loop_.get_executor()),
+      reader_(client.budget_),
       buffer_(kBufferBytes) {}
 
 bool HttpClientConnection::IsSound() {
@@ -120,7 +114,8 @@
     return;
   }
   state_ = State::kBusy;
-  BeginAnswer();
+  reader_.Begin(is_head_method_,
+                std::min(client_.settings_.max_answer_bytes, timing_.max_answer_bytes));
   SetTimer(timing_.answer_timeout);
   boost::asio::async_write(
       socket_, boost::asio::buffer(message_),
@@ -157,42 +152,31 @@
   if (error) {
     OnEnd(error);
   } else if (state_ != State::kBusy) {
+    // They may go on without an end.
+    AbortOnClose(socket_);
     Close();
   } else {
-    pending_.append(buffer_.data(), size);
-    Parse();
+    OnBytes({buffer_.data(), size});
   }
   ArmRead();
 }
 
-void HttpClientConnection::BeginAnswer() {
-  parser_.emplace();
-  parser_->header_limit(kMaxHeadBytes);
-  parser_->body_limit(client_.settings_.max_answer_bytes);
-  parser_->eager(true);
-  parser_->skip(is_head_method_);
-}
-
-void HttpClientConnection::Parse() {
-  while (!pending_.empty() && !parser_->is_done()) {
-    ErrorCode error;
-    const size_t taken = parser_->put(boost::asio::buffer(pending_), error);
-    pending_.erase(0, taken);
-    if (error == http::error::need_more) {
-      return;
-    }
-    if (error) {
-      Fail(CallOutcome::kNoAnswer, error.message());
-      return;
-    }
-    const int status =
-        parser_->is_header_done() ? static_cast<int>(parser_->get().result_int()) : 0;
-    if (parser_->is_done() && status / 100 == 1 && status != kSwitchingProtocols) {
-      BeginAnswer();
-    }
+void HttpClientConnection::OnBytes(std::string_view bytes) {
+  if (!pending_.empty()) {
+    pending_.append(bytes);
+    bytes = pending_;
   }
-  if (parser_->is_done()) {
-    Finish();
+  size_t consumed = 0;
+  switch (reader_.Read(bytes, &consumed)) {
+    case ReadStatus::kFault:
+      Fail(CallOutcome::kNoAnswer, reader_.fault());
+      break;
+    case ReadStatus::kComplete:
+      Finish(/*surplus=*/consumed < bytes.size());
+      break;
+    case ReadStatus::kNeedMore:
+      pending_ = std::string(bytes.substr(consumed));
+      break;
   }
 }
 
@@ -201,36 +185,23 @@
     Close();
     return;
   }
-  ErrorCode parse_error;
-  const bool begun = parser_->got_some();
-  if (error == boost::asio::error::eof && begun && pending_.empty()) {
-    parser_->put_eof(parse_error);
-    if (!parse_error && parser_->is_done()) {
-      Finish();
-      return;
-    }
-  }
-  Fail(CallOutcome::kNoAnswer, begun ? "answer cut short" : "closed without an answer");
-}
-
-interfaces::HttpResponse HttpClientConnection::TakeResponse() {
-  interfaces::HttpResponse response;
-  auto message = parser_->release();
-  response.status = static_cast<int>(message.result_int());
-  for (const auto& field : message) {
-    response.headers.emplace_back(ToView(field.name_string()), ToView(field.value()));
+  const bool in_order = error == boost::asio::error::eof && pending_.empty();
+  if (in_order && reader_.ReadEnd() == ReadStatus::kComplete) {
+    Finish(/*surplus=*/false);
+    return;
   }
-  response.body = std::move(message.body());
-  return response;
+  Fail(CallOutcome::kNoAnswer,
+       reader_.has_begun() ? "answer cut short" : "closed without an answer");
 }
 
-void HttpClientConnection::Finish() {
+void HttpClientConnection::Finish(bool surplus) {
   const auto self = shared_from_this();
   const bool reusable =
-      !timing_.own_connection && parser_->keep_alive() && pending_.empty() && socket_.is_open();
+      !surplus && !timing_.own_connection && reader_.keeps_open() && socket_.is_open();
   CallResult result;
   result.outcome = CallOutcome::kAnswered;
-  result.response = TakeResponse();
+  result.response = reader_.Take();
+  pending_.clear();
   timer_.cancel();
   const CallCallback callback = std::exchange(callback_, nullptr);
   const HttpCallId call = std::exchange(call_, 0);
--- a/src/gateway/http/http_client_connection.h
+++ b/src/gateway/http/http_client_connection.h
@@ -1,13 +1,11 @@
 // One connection of an HttpClient.
 #pragma once
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
+#include "gateway/http/call_answer_reader.h"
 #include "gateway/http/http_client.h"
 
 namespace ladderstream::gateway {
@@ -31,7 +29,6 @@
   void Close();
 
  private:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
   enum class State { kNew, kConnecting, kBusy, kIdle, kClosed };
 
   void Connect();
@@ -40,15 +37,14 @@
   void OnWritten(const ErrorCode& error);
   void ArmRead();
   void OnRead(const ErrorCode& error, size_t size);
-  void Parse();
+  void OnBytes(std::string_view bytes);
   void OnEnd(const ErrorCode& error);
-  void BeginAnswer();
-  void Finish();
+  /// `surplus`: bytes came behind the answer.
+  void Finish(bool surplus);
   void Fail(CallOutcome outcome, std::string detail);
   void SetTimer(Duration timeout);
   /// Fails the call, but not from within the caller's own.
   void FailSoon(const char* detail);
-  interfaces::HttpResponse TakeResponse();
 
   HttpClient& client_;
   const Endpoint peer_;
@@ -61,8 +57,8 @@
   bool is_head_method_ = false;
   CallTiming timing_;
   CallCallback callback_;
-  std::optional<Parser> parser_;
-  /// Bytes read and not yet taken.
+  CallAnswerReader reader_;
+  /// Bytes that came and that the reader has not consumed.
   std::string pending_;
   Time usable_until_;
   std::vector<char> buffer_;
--- a/src/gateway/settings/node_settings.h
+++ b/src/gateway/settings/node_settings.h
@@ -43,6 +43,10 @@
   /// Share of one core.
   double cpu_share = 1;
   uint32_t memory_mb = 256;
+  /// A part of the memory, in bytes.
+  size_t MemoryShare(double share) const {
+    return static_cast<size_t>(share * static_cast<double>(size_t{memory_mb} << 20U));
+  }
   /// Open files, sockets included.
   uint32_t descriptors = 1024;
   /// Of its own link, megabits a second.
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -104,9 +104,13 @@
   return peers;
 }
 
+/// Share of the machine's memory for the bodies of answers to this node's own calls.
+constexpr double kCallBodyMemoryShare = 0.15;
+
 gateway::HttpClientSettings HttpClientSettingsOf(const gateway::NodeSettings& settings) {
   gateway::HttpClientSettings client;
   client.source_host = settings.source_host;
+  client.max_held_bytes = settings.limits.MemoryShare(kCallBodyMemoryShare);
   return client;
 }
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -32,8 +32,10 @@
 constexpr Duration kWitnessedInterval = absl::Milliseconds(100);
 constexpr Duration kFinalFlushTimeout = absl::Milliseconds(50);
 
-/// Share of the machine's memory that message bodies may use.
+/// Shares of the machine's memory: of the bodies of requests and answers, and of those that this
+/// node carries for others.
 constexpr double kBodyMemoryShare = 0.3;
+constexpr double kCarriedBodyMemoryShare = 0.15;
 /// Descriptors reserved for files, listening sockets, other nodes and back ends.
 constexpr uint32_t kReservedDescriptors = 900;
 
@@ -52,8 +54,7 @@
   const uint32_t descriptors = settings.limits.descriptors;
   data_path.callers.max_connections =
       descriptors > 2 * kReservedDescriptors ? descriptors - kReservedDescriptors : descriptors / 2;
-  data_path.max_held_bytes = static_cast<size_t>(
-      kBodyMemoryShare * static_cast<double>(size_t{settings.limits.memory_mb} << 20U));
+  data_path.max_held_bytes = settings.limits.MemoryShare(kBodyMemoryShare);
   return data_path;
 }
 
@@ -95,8 +96,12 @@
       log_output_(&loop_, &log_, 1),
       beliefs_(&log_, &metrics_),
       request_observer_(&log_, &metrics_, &beliefs_.in_force()),
-      resources_(new gateway::LoopResources{
-          loop_, clock_, std::make_shared<gateway::ByteBudget>(size_t{64} << 20U), {}}),
+      resources_(
+          new gateway::LoopResources{loop_,
+                                     clock_,
+                                     std::make_shared<gateway::ByteBudget>(
+                                         settings.limits.MemoryShare(kCarriedBodyMemoryShare)),
+                                     {}}),
       dispatcher_(DispatcherSettingsOf(settings, incarnation_)),
       data_path_(loop_, clock_, *adapter_, dispatcher_, DataPathSettingsOf(settings),
                  &request_observer_),
--- a/src/node/order_client.cc
+++ b/src/node/order_client.cc
@@ -3,15 +3,24 @@
 #include <utility>
 
 namespace ladderstream::node {
+namespace {
+
+/// What an answer to an order says stands in its head.
+constexpr size_t kMaxOrderAnswerBytes = 65536;
+
+}  // namespace
 
 void OrderClient::Send(const ownership::GrantAction& grant, Callback callback) {
   Call(grant.address, adapter_->EncodeGrant(grant),
-       {timeouts_.grant, grant.send_by, timeouts_.connect}, std::move(callback));
+       {timeouts_.grant, grant.send_by, timeouts_.connect, /*own_connection=*/false,
+        kMaxOrderAnswerBytes},
+       std::move(callback));
 }
 
 void OrderClient::Send(const ownership::ReleaseAction& release, Callback callback) {
   Call(release.address, adapter_->EncodeRelease(release),
-       {timeouts_.release, absl::InfiniteFuture(), timeouts_.connect, /*own_connection=*/true},
+       {timeouts_.release, absl::InfiniteFuture(), timeouts_.connect, /*own_connection=*/true,
+        kMaxOrderAnswerBytes},
        std::move(callback));
 }
 
--- a/tests/unit/gateway_http/support.cc
+++ b/tests/unit/gateway_http/support.cc
@@ -71,7 +71,7 @@
                               const ErrorCode& error, size_t size) {
                             if (error) {
                               self->ended = true;
-                              self->was_reset = error == boost::asio::error::connection_reset;
+                              self->was_reset |= error == boost::asio::error::connection_reset;
                               return;
                             }
                             self->received.append(self->buffer_.data(), size);
@@ -90,7 +90,10 @@
 size_t TestSocket::SendSome(std::string_view bytes) {
   ErrorCode error;
   socket_.non_blocking(true, error);
-  return socket_.write_some(boost::asio::buffer(bytes.data(), bytes.size()), error);
+  const size_t sent = socket_.write_some(boost::asio::buffer(bytes.data(), bytes.size()), error);
+  // A reset shows once, in whatever is called first.
+  was_reset |= error == boost::asio::error::connection_reset;
+  return sent;
 }
 
 void TestSocket::Close() {
