Send the first bytes of an endless body along with its head

A node crashed on a length beyond memory only where bytes of the body came in the same read as the head, which the stand-in never sent.

--- a/src/standin/fleet/http_server.cc
+++ b/src/standin/fleet/http_server.cc
@@ -154,6 +154,7 @@
 
   /// Writes `block` whenever `pause` has passed since the last bytes were taken.
   void WriteEndlessly(std::string first, std::string block, Duration pause, size_t most) {
+    first.append(block);
     endless_ = Endless{std::move(block), pause, most};
     Write(std::move(first));
   }
