Choose routes by a host with a final dot as by the same host without it

What callers see: 404 where a route is there, for a Host that is written as a fully qualified name ("h.example."), at every node and for good. A request's identity left the dot out already, so the two disagreed on whether it is the same host. Routes that an operator declares with a dot were reached only by callers that write it.

Change: RouteIndex leaves the dot out of both. Checked beside it, without a finding: a port, another case, an absolute target, a prefix without its slash, a prefix under a prefix.

Shown to fail before: a_final_dot_of_the_host_chooses_the_same_route (four of five spellings, 404).

--- a/src/core/forwarding/route_index.cc
+++ b/src/core/forwarding/route_index.cc
@@ -7,12 +7,17 @@
 namespace ladderstream::forwarding {
 namespace {
 
+/// The host without its port and the final dot of a fully qualified name, in lower case.
 std::string NormalizeHost(std::string_view host) {
   const size_t colon = host.rfind(':');
   const size_t bracket = host.rfind(']');
   const bool has_port =
       colon != std::string_view::npos && (bracket == std::string_view::npos || bracket < colon);
-  return absl::AsciiStrToLower(std::string(has_port ? host.substr(0, colon) : host));
+  std::string_view name = has_port ? host.substr(0, colon) : host;
+  if (name.ends_with('.')) {
+    name.remove_suffix(1);
+  }
+  return absl::AsciiStrToLower(std::string(name));
 }
 
 }  // namespace
--- a/tests/unit/forwarding/route_test.cc
+++ b/tests/unit/forwarding/route_test.cc
@@ -35,6 +35,21 @@
   BOOST_TEST(name("other.example", "/cards/1") == "none");
 }
 
+// Guards against 404 for a caller that writes the host as a fully qualified name.
+BOOST_AUTO_TEST_CASE(a_final_dot_of_the_host_chooses_the_same_route) {
+  DispatcherHarness harness;
+  catalog::Configuration configuration = WithPrefixes();
+  configuration.routes.front().host = "Dotted.Example.";
+  harness.Configure(configuration);
+  for (const char* host : {"h.example.", "H.EXAMPLE.:8080"}) {
+    BOOST_TEST((harness.dispatcher.FindRoute(host, "/cards/1") != nullptr), host);
+  }
+  for (const char* host : {"dotted.example", "dotted.example.", "dotted.example:80"}) {
+    BOOST_TEST((harness.dispatcher.FindRoute(host, "/cards/old/1") != nullptr), host);
+  }
+  BOOST_TEST((harness.dispatcher.FindRoute(".", "/cards/1") == nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(no_route_is_404_but_no_configuration_is_503) {
   DispatcherHarness harness;
   harness.Start("/nowhere/1");
