Count as requests of a service what callers sent on its routes, as the users' rule does

The judge of the soak took the first arrivals at a service for its requests; the rule counts all that clients sent on a route to it, whether they arrived or not.

The test of the judge now holds both sides: requests that arrived nowhere count, those of another service do not.

--- a/tests/unit/standin_fleet/judge_test.cc
+++ b/tests/unit/standin_fleet/judge_test.cc
@@ -315,6 +315,15 @@
     Run(std::to_string(i), "b1").begun = absl::InfiniteFuture();
   }
   BOOST_TEST(Judged().over_budget.count == 1U);
+  // Requests that callers sent and that arrived nowhere count, those of other services do not.
+  for (int i = 0; i < 20; ++i) {
+    Tell("unarrived-" + std::to_string(i), 503, "/scripts/1");
+  }
+  BOOST_TEST(Judged().over_budget.count == 1U);
+  for (int i = 20; i < 40; ++i) {
+    Tell("unarrived-" + std::to_string(i), 503);
+  }
+  BOOST_TEST(Judged().over_budget.count == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
