--- a/src/standin/fleet/configuration_draws.cc
+++ b/src/standin/fleet/configuration_draws.cc
@@ -99,7 +99,7 @@
 ConfigurationDraws::ConfigurationDraws(uint64_t seed) : seed_(seed) {
   for (const char* host : kHosts) {
     for (const char* prefix : kPrefixes) {
-      places_.push_back({host, prefix, /*keyed=*/true});
+      places_.push_back({host, prefix, /*keyed=*/true, /*spelled_anew=*/true});
     }
   }
 }
--- a/src/standin/fleet/configuration_prober.cc
+++ b/src/standin/fleet/configuration_prober.cc
@@ -1,5 +1,6 @@
 #include "standin/fleet/configuration_prober.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
@@ -24,6 +25,21 @@
 constexpr Duration kConnectWithin = absl::Milliseconds(500);
 constexpr Duration kDeadline = absl::Seconds(2);
 
+/// The same host, written in one of the ways in which callers may write it.
+std::string SpellAnew(const std::string& host, uint64_t choice) {
+  constexpr uint64_t kSpellings = 5;
+  switch (choice % kSpellings) {
+    case 0:
+      return absl::StrCat(host, ":8080");
+    case 1:
+      return absl::AsciiStrToUpper(host);
+    case 2:
+      return absl::StrCat(host, ".");
+    default:
+      return host;
+  }
+}
+
 }  // namespace
 
 ConfigurationProber::ConfigurationProber(Fleet* fleet, uint64_t seed, ProbePlanPtr plan)
@@ -74,7 +90,7 @@
   interfaces::HttpRequest request;
   request.method = "GET";
   request.target = absl::StrCat(asked.path_prefix, ++requests_);
-  request.headers = {{"Host", asked.host},
+  request.headers = {{"Host", asked.spelled_anew ? SpellAnew(asked.host, requests_) : asked.host},
                      {wire::kRequestId, absl::StrFormat("%016x", random_())},
                      {wire::kDeadlineMs, absl::StrCat(absl::ToInt64Milliseconds(kDeadline))}};
   if (asked.keyed) {
--- a/src/standin/fleet/probe_plan.h
+++ b/src/standin/fleet/probe_plan.h
@@ -20,6 +20,8 @@
   std::string path_prefix;
   /// The requests carry a key.
   bool keyed = false;
+  /// The requests write the host in various ways.
+  bool spelled_anew = false;
 };
 
 class ProbePlan {
--- a/src/standin/fleet/route_swaps.cc
+++ b/src/standin/fleet/route_swaps.cc
@@ -64,7 +64,7 @@
 
 RouteSwaps::RouteSwaps() {
   for (size_t route = 0; route < kRoutes; ++route) {
-    places_.push_back({kHost, PrefixOf(route), /*keyed=*/false});
+    places_.push_back({kHost, PrefixOf(route), /*keyed=*/false, /*spelled_anew=*/false});
   }
 }
 
