--- a/src/gateway/http/call_answer_reader.cc
+++ b/src/gateway/http/call_answer_reader.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
+#include <limits>
 #include <utility>
 
 #include "gateway/http/header_rules.h"
@@ -13,7 +14,7 @@
 
 namespace {
 
-constexpr uint32_t kMaxHeadBytes = 65536;
+constexpr size_t kMaxHeadBytes = 65536;
 constexpr size_t kMaxChunkOverheadBytes = 8192;
 constexpr int kMaxInterimAnswers = 16;
 constexpr int kSwitchingProtocols = 101;
@@ -38,8 +39,10 @@
 
 void CallAnswerReader::BeginMessage() {
   reservation_ = ByteReservation(budget_, ByteUse::kAnswer);
+  scanner_.Reset();
   parser_.emplace();
-  parser_->header_limit(kMaxHeadBytes);
+  // The scanner bounds the head.
+  parser_->header_limit(std::numeric_limits<uint32_t>::max());
   parser_->body_limit(max_body_);
   parser_->skip(is_head_method_);
 }
@@ -64,23 +67,29 @@
 
 ReadStatus CallAnswerReader::ReadHead(std::string_view bytes, size_t* consumed) {
   const std::string_view rest = bytes.substr(*consumed);
-  if (rest.empty()) {
-    return ReadStatus::kNeedMore;
-  }
-  // The parser stops behind the head: with `eager`, it goes on after a length beyond the limit and
-  // reserves that many bytes.
-  boost::system::error_code error;
-  *consumed += parser_->put(boost::asio::buffer(rest.data(), rest.size()), error);
-  if (error == http::error::need_more) {
-    return ReadStatus::kNeedMore;
+  size_t size = rest.size();
+  const HeadScanner::Result scan = scanner_.Scan(rest, &size);
+  if (scan == HeadScanner::Result::kMalformed) {
+    return Fail("want lines of a head that end with CR LF, found others");
   }
-  if (error == http::error::header_limit) {
+  if (size > kMaxHeadBytes) {
     return Fail(Exceeds("bytes of a head", kMaxHeadBytes));
   }
+  if (scan == HeadScanner::Result::kNeedMore) {
+    return ReadStatus::kNeedMore;
+  }
+  // Without `eager`, the parser stops behind the head; with it, it goes on after a length beyond
+  // the limit and reserves that many bytes.
+  boost::system::error_code error;
+  parser_->put(boost::asio::buffer(rest.data(), size), error);
+  *consumed += size;
   if (error == http::error::body_limit) {
     return Fail(Exceeds("bytes of a body", max_body_));
   }
-  return error ? Fail(error.message()) : ReadStatus::kComplete;
+  if (error) {
+    return Fail(error.message());
+  }
+  return parser_->is_header_done() ? ReadStatus::kComplete : Fail("head without an end");
 }
 
 ReadStatus CallAnswerReader::ReadBody(std::string_view bytes, size_t* consumed) {
@@ -112,7 +121,7 @@
 }
 
 ReadStatus CallAnswerReader::ReadEnd() {
-  if (!has_begun()) {
+  if (!parser_->is_header_done()) {
     return Fail("closed without an answer");
   }
   boost::system::error_code error;
--- a/src/gateway/http/call_answer_reader.h
+++ b/src/gateway/http/call_answer_reader.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "gateway/http/byte_budget.h"
+#include "gateway/http/head_scanner.h"
 #include "gateway/http/request_reader.h"
 #include "interfaces/http_exchange.h"
 
@@ -31,8 +32,6 @@
 
   /// What was expected and what was found.
   const std::string& fault() const { return fault_; }
-  /// Whether any part of the answer was read.
-  bool has_begun() const { return parser_->got_some(); }
   /// Whether the connection may carry another call. Of a complete answer.
   bool keeps_open() const { return parser_->keep_alive(); }
   interfaces::HttpResponse Take();
@@ -49,6 +48,7 @@
   bool is_head_method_ = false;
   size_t max_body_ = 0;
   int interim_answers_ = 0;
+  HeadScanner scanner_;
   std::optional<Parser> parser_;
   ByteReservation reservation_;
   std::string fault_;
--- a/src/gateway/http/http_client_connection.cc
+++ b/src/gateway/http/http_client_connection.cc
@@ -185,13 +185,15 @@
     Close();
     return;
   }
-  const bool in_order = error == boost::asio::error::eof && pending_.empty();
-  if (in_order && reader_.ReadEnd() == ReadStatus::kComplete) {
+  if (error != boost::asio::error::eof) {
+    Fail(CallOutcome::kNoAnswer, error.message());
+  } else if (!pending_.empty()) {
+    Fail(CallOutcome::kNoAnswer, "answer cut short");
+  } else if (reader_.ReadEnd() == ReadStatus::kFault) {
+    Fail(CallOutcome::kNoAnswer, reader_.fault());
+  } else {
     Finish(/*surplus=*/false);
-    return;
   }
-  Fail(CallOutcome::kNoAnswer,
-       reader_.has_begun() ? "answer cut short" : "closed without an answer");
 }
 
 void HttpClientConnection::Finish(bool surplus) {
