Tell of answers to a node's own calls that were given up for their bytes

An order or a call to the store that failed for bytes without an end looked like one without an answer. `not_understood` has a kind for it now, `call_answer`, with the address, what was wanted and what was found; counted, and at most a line each 10 s. endless_answers_test wants such a fault told for every form.

--- a/src/gateway/http/http_client.cc
+++ b/src/gateway/http/http_client.cc
@@ -25,10 +25,12 @@
 
 }  // namespace
 
-HttpClient::HttpClient(EventLoop& loop, const TimeSource& clock, const HttpClientSettings& settings)
+HttpClient::HttpClient(EventLoop& loop, const TimeSource& clock, const HttpClientSettings& settings,
+                       UnreadableAnswerCallback on_unreadable)
     : loop_(loop),
       clock_(clock),
       settings_(settings),
+      on_unreadable_(std::move(on_unreadable)),
       budget_(std::make_shared<ByteBudget>(settings.max_held_bytes)) {}
 
 HttpClient::~HttpClient() {
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -66,6 +67,8 @@
 };
 
 using CallCallback = std::function<void(CallResult)>;
+/// Hears of an answer that was given up for its bytes; `fault`: what was wanted and what was found.
+using UnreadableAnswerCallback = std::function<void(const Endpoint& from, std::string_view fault)>;
 using HttpCallId = uint64_t;
 
 class HttpClientConnection;
@@ -73,7 +76,8 @@
 class HttpClient {
  public:
   /// Both must outlive the client.
-  HttpClient(EventLoop& loop, const TimeSource& clock, const HttpClientSettings& settings);
+  HttpClient(EventLoop& loop, const TimeSource& clock, const HttpClientSettings& settings,
+             UnreadableAnswerCallback on_unreadable = nullptr);
   /// Ends all calls without calling back.
   ~HttpClient();
 
@@ -97,6 +101,7 @@
   EventLoop& loop_;
   const TimeSource& clock_;
   const HttpClientSettings settings_;
+  const UnreadableAnswerCallback on_unreadable_;
   const ByteBudgetPtr budget_;
   HttpCallId last_call_ = 0;
   std::unordered_map<HttpCallId, ConnectionPtr> calls_;
--- a/src/gateway/http/http_client_connection.cc
+++ b/src/gateway/http/http_client_connection.cc
@@ -169,6 +169,9 @@
   size_t consumed = 0;
   switch (reader_.Read(bytes, &consumed)) {
     case ReadStatus::kFault:
+      if (client_.on_unreadable_) {
+        client_.on_unreadable_(peer_, reader_.fault());
+      }
       Fail(CallOutcome::kNoAnswer, reader_.fault());
       break;
     case ReadStatus::kComplete:
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -165,7 +165,10 @@
       beliefs_(beliefs),
       metrics_(metrics),
       listener_(listener),
-      client_(resources->loop, resources->clock, HttpClientSettingsOf(settings)),
+      client_(resources->loop, resources->clock, HttpClientSettingsOf(settings),
+              [beliefs](const Endpoint& from, std::string_view fault) {
+                beliefs->OnAnswerNotUnderstood(from, fault);
+              }),
       exchanger_(&client_),
       store_(resources, &exchanger_, adapter_, StoreSettingsOf(settings)),
       order_client_(&client_, adapter_.get(),
--- a/src/observability/belief_log.cc
+++ b/src/observability/belief_log.cc
@@ -135,6 +135,10 @@
   }
 }
 
+void BeliefLog::OnAnswerNotUnderstood(const Endpoint& from, std::string_view fault) {
+  not_understood_.Note("call_answer", FormatEndpoint(from), fault);
+}
+
 void BeliefLog::OnBackends(const catalog::BackendChanges& changes, uint64_t store_version,
                            Duration age, std::string_view source) {
   bool differs = false;
--- a/src/observability/belief_log.h
+++ b/src/observability/belief_log.h
@@ -63,6 +63,9 @@
   /// Parts of a row, or the whole, were not understood; see interfaces::ReadingNotes.
   void OnRowNotUnderstood(std::string_view row, const std::vector<std::string>& notes);
 
+  /// An answer to a call of this node was given up for its bytes.
+  void OnAnswerNotUnderstood(const Endpoint& from, std::string_view fault);
+
   /// The registrations changed. Writes a line only if their ids or states did.
   void OnBackends(const catalog::BackendChanges& changes, uint64_t store_version, Duration age,
                   std::string_view source);
--- a/tests/unit/gateway_http/endless_answers_test.cc
+++ b/tests/unit/gateway_http/endless_answers_test.cc
@@ -110,7 +110,9 @@
   TestBackend backend{loop};
   HttpClientSettings settings;
   settings.max_held_bytes = kBodyBudget;
-  HttpClient client{loop, clock, settings};
+  std::string told;
+  HttpClient client{loop, clock, settings,
+                    [&](const Endpoint&, std::string_view fault) { told = fault; }};
   std::optional<Flood> flood;
   backend.on_request = [&](TestSocket& socket, const std::string&) {
     flood.emplace(&socket, MakeEndless(form, {.status = 200, .headers = {}, .body = "done"}), pace);
@@ -121,6 +123,9 @@
               [&](const CallResult& got) { result = got; });
   const auto over = [&] { return result.has_value() && backend.connections.at(0)->ended; };
   CheckBounds(RunFlooded(loop, &flood, over), name);
+  if (form != EndlessForm::kAfterAnswer && pace == Pace::kFast) {
+    BOOST_TEST(told.starts_with("want "), name << ": " << told);
+  }
   const bool answered = result.has_value() && result->outcome == CallOutcome::kAnswered;
   BOOST_TEST(answered == (form == EndlessForm::kAfterAnswer), name);
   BOOST_TEST(backend.connections.at(0)->was_reset, name << ": closed without a reset");
--- a/tests/unit/observability/request_observer_test.cc
+++ b/tests/unit/observability/request_observer_test.cc
@@ -225,6 +225,8 @@
   beliefs.OnBackends({{backend}, {}}, 99, absl::ZeroDuration(), "store");
   beliefs.OnEvacuations({"rennes-a"}, 99, "store");
   beliefs.OnRowNotUnderstood("b-1", {"/slots: want a whole number"});
+  beliefs.OnAnswerNotUnderstood({"10.0.1.2", 7000},
+                                "want at most 65536 bytes of a head, found more");
   beliefs.OnBackendBelief({"b-1", "ejected", "5 failures"});
   beliefs.OnCoordinatorBelief({"lease_acquired", "epoch 3"});
   beliefs.OnStoreReached(99, test.clock.now);
