Tell in an overload refusal how long queues are and what a back end told last

On call: a request that admission control turns away on arrival was refused "because the service is overloaded: rank 2 gets 0.10", with no figure that led there, neither in its line nor in the timeline of ladderstream_explain.

Shown to fail before: long_queues_cause_immediate_refusals_with_retry_after with its new check. Cost: a load and a time are kept for each service.

--- a/src/core/admission/service_admission.cc
+++ b/src/core/admission/service_admission.cc
@@ -62,6 +62,7 @@
 
 void ServiceAdmission::OnReportedLoad(const catalog::ToldLoad& reported, Duration service_time,
                                       Time now) {
+  last_report_.emplace(reported, now);
   if (reported.slots == 0) {
     return;
   }
--- a/src/core/admission/service_admission.h
+++ b/src/core/admission/service_admission.h
@@ -16,6 +16,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <utility>
 
 #include "core/catalog/told_load.h"
 #include "wire/time.h"
@@ -46,6 +48,10 @@
   /// Records the load that a back end reported with an answer. `service_time`: its time for one
   /// request.
   void OnReportedLoad(const catalog::ToldLoad& reported, Duration service_time, Time now);
+  /// Returns what a back end reported last, with the time; for logs.
+  const std::optional<std::pair<catalog::ToldLoad, Time>>& last_report() const {
+    return last_report_;
+  }
   /// Records that a back end finished a request: it served the request, or failed or rejected it
   /// for a reason other than lack of capacity.
   void OnDone(Time now);
@@ -94,6 +100,7 @@
   void Divide(double offered, double admitted, Time now);
 
   const double floor_;
+  std::optional<std::pair<catalog::ToldLoad, Time>> last_report_;
   Duration delay_ = absl::ZeroDuration();
   Time delay_at_ = absl::InfinitePast();
   RecentRate done_;
--- a/src/core/forwarding/final_answer.cc
+++ b/src/core/forwarding/final_answer.cc
@@ -213,7 +213,21 @@
   return text;
 }
 
-std::string DescribeCause(const Request& request, const Choice& choice, StopCause cause) {
+/// Tells what made admission control turn a request away.
+std::string DescribeOverload(const Request& request, Time now) {
+  const admission::ServiceAdmission& admission = request.service->admission;
+  std::string text = absl::StrFormat(
+      "the service is overloaded: rank %u gets %.2f, queues of %.0f ms", request.route->priority,
+      admission.ShareOf(request.route->priority), absl::ToDoubleMilliseconds(admission.Delay(now)));
+  if (const auto& report = admission.last_report()) {
+    absl::StrAppendFormat(&text, ", last told running %u waiting %u %.0f ms ago",
+                          report->first.running, report->first.waiting,
+                          absl::ToDoubleMilliseconds(now - report->second));
+  }
+  return text;
+}
+
+std::string DescribeCause(const Request& request, const Choice& choice, StopCause cause, Time now) {
   switch (cause) {
     case StopCause::kUnavailable:
       return std::string(NameOfUnavailableReason(choice.unavailable_reason));
@@ -224,9 +238,7 @@
     case StopCause::kBudgetSpent:
       return "the retry budget is spent";
     case StopCause::kNotAdmitted:
-      return absl::StrFormat("the service is overloaded: rank %u gets %.2f",
-                             request.route->priority,
-                             request.service->admission.ShareOf(request.route->priority));
+      return DescribeOverload(request, now);
     case StopCause::kMayCrashAnother:
       return "it may crash one more back end";
     case StopCause::kTooManyWaiting:
@@ -239,7 +251,7 @@
 std::string Describe(const Request& request, const Choice& choice, StopCause cause,
                      const ownership::OwnershipMap* map, Time now) {
   std::string text =
-      absl::StrCat(request.service->name, ": ", DescribeCause(request, choice, cause));
+      absl::StrCat(request.service->name, ": ", DescribeCause(request, choice, cause, now));
   if (choice.blocking_backend != nullptr) {
     absl::StrAppend(&text, " (", DescribeLoad(*choice.blocking_backend, request.sharded, now));
     if (choice.limit.has_value()) {
--- a/tests/unit/forwarding/overload_test.cc
+++ b/tests/unit/forwarding/overload_test.cc
@@ -73,6 +73,9 @@
   for (const AnswerDecision& answer : refused) {
     BOOST_TEST(answer.status == 503);
     BOOST_TEST((answer.code == ResultCode::kOverloaded));
+    // On call has no other evidence of why a request was turned away on arrival.
+    BOOST_TEST(answer.reason.find("told running 2 waiting 20 ") != std::string::npos,
+               answer.reason);
     BOOST_TEST((answer.retry_after >= absl::Milliseconds(20)));
     BOOST_TEST((answer.retry_after < absl::Milliseconds(200)));
   }
