--- a/tests/unit/platform/configuration_codec_test.cc
+++ b/tests/unit/platform/configuration_codec_test.cc
@@ -229,6 +229,8 @@
   BOOST_TEST(ConfigurationFault("{\"version\":\"r1\"") == unparsed(15));
   BOOST_TEST(ConfigurationFault(std::string(1U << 20U, '[')) == unparsed(1U << 20U));
   BOOST_TEST(ConfigurationFault("[]") == "/: want an object, found a list of 0 entries");
+  BOOST_TEST(ConfigurationFault(R"({"version":1e400})") ==
+             "want JSON, found a number out of range");
   const std::string large(17U << 20U, ' ');
   BOOST_TEST(absl::StrContains(ConfigurationFault(large), "at most"));
 }
