--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -141,27 +141,34 @@
       RepeatEndingRequest(fault, {});
     } else if (fault.kind == FaultKind::kCallersEndBackends) {
       RepeatEndingRequest(fault, DrawRepeats(fault.target));
-    } else if (fault.kind == FaultKind::kAnswersEndless) {
+    } else if (StrikesBackends(fault.kind)) {
       backend_faults_.Strike(fault);
-    } else if (fault.kind >= FaultKind::kDrawnChange) {
+    } else if (StrikesConfiguration(fault.kind)) {
       StrikeConfiguration(fault);
     } else if (fault.kind >= FaultKind::kNodesCutOff) {
       path_cuts_.Strike(fault);
-    } else if (fault.kind >= FaultKind::kRouteChanges) {
-      StrikeConfiguration(fault);
     } else if (fault.kind <= FaultKind::kNodeReloads) {
       StrikeNodes(fault);
     } else if (fault.kind <= FaultKind::kLinksOneWay) {
       StrikeLinks(fault);
     } else if (fault.kind <= FaultKind::kStoreConnectionsSilent) {
       store_faults_.Strike(fault);
-    } else if (fault.kind <= FaultKind::kAnswersDamaged) {
-      backend_faults_.Strike(fault);
     } else {
       ChangeWhatIsAsked(fault);
     }
   }
 
+  static bool StrikesBackends(FaultKind kind) {
+    return kind == FaultKind::kAnswersEndless ||
+           (kind >= FaultKind::kBackendCrashes && kind <= FaultKind::kAnswersDamaged);
+  }
+
+  /// Changes of routes, and what is drawn beside them.
+  static bool StrikesConfiguration(FaultKind kind) {
+    return kind == FaultKind::kDrawnChange || kind == FaultKind::kConfigurationDamaged ||
+           (kind >= FaultKind::kRouteChanges && kind < FaultKind::kNodesCutOff);
+  }
+
   void StrikeNodes(const SoakFault& fault) {
     const size_t node = fault.target % nodes_.count();
     switch (fault.kind) {
