--- a/src/gateway/http/answer_reader.cc
+++ b/src/gateway/http/answer_reader.cc
@@ -6,6 +6,7 @@
 #include <limits>
 #include <utility>
 
+#include "gateway/http/answer_bounds.h"
 #include "gateway/http/header_rules.h"
 
 namespace ladderstream::gateway {
@@ -15,9 +16,6 @@
 namespace {
 
 constexpr unsigned kHttp11 = 11;
-constexpr size_t kMaxHeadBytes = 65536;
-constexpr size_t kMaxChunkOverheadBytes = 8192;
-constexpr int kMaxInterimAnswers = 16;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
--- a/src/gateway/http/call_answer_reader.cc
+++ b/src/gateway/http/call_answer_reader.cc
@@ -5,6 +5,7 @@
 #include <limits>
 #include <utility>
 
+#include "gateway/http/answer_bounds.h"
 #include "gateway/http/header_rules.h"
 #include "gateway/http/text.h"
 
@@ -14,9 +15,6 @@
 
 namespace {
 
-constexpr size_t kMaxHeadBytes = 65536;
-constexpr size_t kMaxChunkOverheadBytes = 8192;
-constexpr int kMaxInterimAnswers = 16;
 constexpr int kSwitchingProtocols = 101;
 
 bool IsInterim(int status) { return status / 100 == 1 && status != kSwitchingProtocols; }
