Reset the connections of calls and attempts also when their process is killed

Cause: a connection was made to reset only where the node itself gave a call up. When a process is killed, the kernel closes its connections in order and goes on sending what a cut link holds up: an order under an old fence, or a request whose caller has lost its node, arrived after the link had healed. Change: a connection to a back end or the store resets on close from the connect on, and ends in order only once all that it carried has been answered. What nodes send one another is not changed here.

--- a/src/gateway/http/backend_connection.cc
+++ b/src/gateway/http/backend_connection.cc
@@ -52,6 +52,7 @@
     Fail(AttemptFailure::kNotSent, "no socket");
     return;
   }
+  AbortOnClose(socket_);
   socket_.async_connect(address, [self = shared_from_this()](const ErrorCode& connect_error) {
     self->OnConnect(connect_error);
   });
@@ -227,8 +228,8 @@
 
 void BackendConnection::OnBytes(std::string_view bytes) {
   if (state_ != State::kBusy) {
-    AbortOnClose(socket_);
-    Close("bytes that belong to no request");
+    // They may go on without an end.
+    CloseSocket("bytes that belong to no request", /*in_order=*/false);
     return;
   }
   if (!pending_.empty()) {
@@ -241,13 +242,8 @@
     Fail(AttemptFailure::kLost, reader_.fault());
     return;
   }
-  const bool surplus = consumed < bytes.size();
   if (status == ReadStatus::kComplete) {
-    if (surplus) {
-      // They may go on without an end.
-      AbortOnClose(socket_);
-    }
-    FinishExchange(surplus);
+    FinishExchange(consumed < bytes.size() ? AfterAnswer::kBytes : AfterAnswer::kNothing);
   } else if (bytes.data() == pending_.data()) {
     pending_.erase(0, consumed);
   } else {
@@ -265,11 +261,11 @@
   } else if (!pending_.empty() || reader_.ReadEnd() == ReadStatus::kFault) {
     Fail(AttemptFailure::kLost, "closed before the end of an answer");
   } else {
-    FinishExchange(/*surplus=*/true);
+    FinishExchange(AfterAnswer::kEnd);
   }
 }
 
-void BackendConnection::FinishExchange(bool surplus) {
+void BackendConnection::FinishExchange(AfterAnswer after) {
   const BackendConnectionPtr self = shared_from_this();
   BackendAnswer answer = reader_.Take();
   const forwarding::AttemptHandle attempt = exchange_.attempt;
@@ -281,14 +277,17 @@
   exchange_ = Exchange();
   pending_.clear();
   answered_at_ = resources_.clock.Now();
-  if (surplus) {
-    Close("bytes or the end behind an answer");
+  if (after == AfterAnswer::kBytes) {
+    // They may go on without an end.
+    CloseSocket("bytes behind an answer", /*in_order=*/false);
   } else if (!whole_request_sent) {
-    Close("answered before the whole request was read");
+    CloseSocket("answered before the whole request was read", /*in_order=*/false);
+  } else if (after == AfterAnswer::kEnd) {
+    CloseSocket("the end behind an answer", /*in_order=*/true);
   } else if (!answer.keeps_open) {
-    Close("the back end closes");
+    CloseSocket("the back end closes", /*in_order=*/true);
   } else if (unserved_ids_.size() > kMostUnservedIds) {
-    Close("too many requests that may be sent again");
+    CloseSocket("too many requests that may be sent again", /*in_order=*/true);
   } else {
     state_ = State::kIdle;
     const Duration usable = answer.keep_alive.has_value()
@@ -312,11 +311,15 @@
 }
 
 void BackendConnection::Close(std::string_view cause) {
+  CloseSocket(cause, /*in_order=*/state_ == State::kIdle);
+}
+
+void BackendConnection::CloseSocket(std::string_view cause, bool in_order) {
   if (state_ == State::kClosed) {
     return;
   }
-  if (state_ == State::kBusy && exchange_.listener != nullptr) {
-    AbortOnClose(socket_);
+  if (in_order) {
+    EndOnClose(socket_);
   }
   state_ = State::kClosed;
   ErrorCode ignored;
--- a/src/gateway/http/backend_connection.h
+++ b/src/gateway/http/backend_connection.h
@@ -101,7 +101,11 @@
   void ReadMore();
   void OnBytes(std::string_view bytes);
   void OnEnd(const ErrorCode& error);
-  void FinishExchange(bool surplus);
+  /// What followed an answer.
+  enum class AfterAnswer { kNothing, kBytes, kEnd };
+  void FinishExchange(AfterAnswer after);
+  /// `in_order`: not by a reset. Only when everything written has been answered.
+  void CloseSocket(std::string_view cause, bool in_order);
   void Fail(forwarding::AttemptFailure failure, std::string_view cause);
   size_t message_size() const { return head_.size() + exchange_.request->body.size(); }
   std::array<boost::asio::const_buffer, 2> Unwritten() const;
--- a/src/gateway/http/event_loop.cc
+++ b/src/gateway/http/event_loop.cc
@@ -76,6 +76,11 @@
   socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
 }
 
+void EndOnClose(Socket& socket) {
+  ErrorCode ignored;
+  socket.set_option(boost::asio::socket_base::linger(false, 0), ignored);
+}
+
 Acceptor Listen(EventLoop& loop, const Endpoint& endpoint) {
   const Tcp::endpoint address = ToTcpEndpoint(endpoint);
   Acceptor acceptor(loop.get_executor());
--- a/src/gateway/http/event_loop.h
+++ b/src/gateway/http/event_loop.h
@@ -60,9 +60,13 @@
 void BoundSilence(Socket& socket, Duration timeout, ErrorCode& error);
 
 /// Makes closing the socket a reset, so that bytes which a cut link still holds up are dropped: a
-/// call that is given up must not arrive once the link has healed.
+/// call that is given up must not arrive once the link has healed. Set before the first byte is
+/// written, it also holds when the process is killed and the kernel closes the socket.
 void AbortOnClose(Socket& socket);
 
+/// Undoes AbortOnClose: closing the socket ends the connection in order.
+void EndOnClose(Socket& socket);
+
 /// A listening socket; throws Error(kInvalidSetting) when the address cannot be had.
 Acceptor Listen(EventLoop& loop, const Endpoint& endpoint);
 
--- a/src/gateway/http/http_client_connection.cc
+++ b/src/gateway/http/http_client_connection.cc
@@ -79,6 +79,7 @@
     FailSoon("no socket");
     return;
   }
+  AbortOnClose(socket_);
   SetTimer(std::min(client_.settings_.connect_timeout, timing_.connect_timeout));
   socket_.async_connect(address, [self = shared_from_this()](const ErrorCode& connect_error) {
     self->OnConnect(connect_error);
@@ -153,8 +154,7 @@
     OnEnd(error);
   } else if (state_ != State::kBusy) {
     // They may go on without an end.
-    AbortOnClose(socket_);
-    Close();
+    CloseSocket(/*in_order=*/false);
   } else {
     OnBytes({buffer_.data(), size});
   }
@@ -218,7 +218,7 @@
     usable_until_ = client_.clock_.Now() + usable;
     client_.OnIdle(self);
   } else {
-    Close();
+    CloseSocket(/*in_order=*/!surplus);
   }
   client_.calls_.erase(call);
   callback(std::move(result));
@@ -236,13 +236,15 @@
   callback(std::move(result));
 }
 
-void HttpClientConnection::Close() {
+void HttpClientConnection::Close() { CloseSocket(/*in_order=*/state_ == State::kIdle); }
+
+void HttpClientConnection::CloseSocket(bool in_order) {
   if (state_ == State::kClosed) {
     return;
   }
   const bool was_idle = state_ == State::kIdle;
-  if (state_ == State::kBusy) {
-    AbortOnClose(socket_);
+  if (in_order) {
+    EndOnClose(socket_);
   }
   state_ = State::kClosed;
   ErrorCode ignored;
--- a/src/gateway/http/http_client_connection.h
+++ b/src/gateway/http/http_client_connection.h
@@ -42,6 +42,8 @@
   /// `surplus`: bytes came behind the answer.
   void Finish(bool surplus);
   void Fail(CallOutcome outcome, std::string detail);
+  /// `in_order`: not by a reset. Only when everything written has been answered.
+  void CloseSocket(bool in_order);
   void SetTimer(Duration timeout);
   /// Fails the call, but not from within the caller's own.
   void FailSoon(const char* detail);
--- a/src/standin/fleet/backend.cc
+++ b/src/standin/fleet/backend.cc
@@ -122,6 +122,7 @@
   arrival.request_id = request.Header(wire::kRequestId);
   arrival.backend = self_.id;
   arrival.service = spec_.name;
+  arrival.source = request.source;
   arrival.key = job->key;
   arrival.at = request.arrival;
   arrival.held_up = IsHeldUp(request.arrival);
@@ -342,7 +343,9 @@
   }
   running_ = 0;
   releases_.clear();
-  NoteHold(HoldEvent::Kind::kEnd, {0, ownership::kLastKey}, 0, now, false);
+  GrantOrder all_keys;
+  all_keys.range = {0, ownership::kLastKey};
+  NoteHold(HoldEvent::Kind::kEnd, all_keys, now, /*late=*/false, /*source=*/"");
 }
 
 void Backend::Freeze() {
--- a/src/standin/fleet/backend.h
+++ b/src/standin/fleet/backend.h
@@ -188,8 +188,8 @@
   void OnRelease(const ExchangePtr& exchange);
   void AnswerReleases();
   bool IsAtWorkOn(const ownership::KeyRange& range) const;
-  void NoteHold(HoldEvent::Kind kind, const ownership::KeyRange& range, ownership::Fence fence,
-                Time until, bool late);
+  void NoteHold(HoldEvent::Kind kind, const GrantOrder& order, Time until, bool late,
+                const std::string& source);
 
   /// Whether what is taken at this time lay here while this back end was frozen.
   bool IsHeldUp(Time arrival) const;
--- a/src/standin/fleet/backend_orders.cc
+++ b/src/standin/fleet/backend_orders.cc
@@ -81,8 +81,8 @@
   const Time now = EventLoop::Now();
   const bool taken = holdings_.Grant(order, now);
   if (taken) {
-    NoteHold(HoldEvent::Kind::kGrant, order.range, order.fence, holdings_.EndOf(order.hold, now),
-             late);
+    NoteHold(HoldEvent::Kind::kGrant, order, holdings_.EndOf(order.hold, now), late,
+             exchange->request().source);
   }
   if (answers) {
     SendOrderAnswer(exchange, MakeAnswer(exchange, taken ? kOk : kFenced));
@@ -101,7 +101,7 @@
   }
   const Time now = EventLoop::Now();
   const std::string handover = holdings_.Release(order.range, order.fence, now);
-  NoteHold(HoldEvent::Kind::kRelease, order.range, order.fence, now, false);
+  NoteHold(HoldEvent::Kind::kRelease, order, now, false, exchange->request().source);
   if (Chance(faults_.unanswered_orders)) {
     exchange->Silence();
     return;
@@ -131,19 +131,20 @@
   });
 }
 
-void Backend::NoteHold(HoldEvent::Kind kind, const ownership::KeyRange& range,
-                       ownership::Fence fence, Time until, bool late) {
+void Backend::NoteHold(HoldEvent::Kind kind, const GrantOrder& order, Time until, bool late,
+                       const std::string& source) {
   if (spec_.sharded) {
     const Time now = EventLoop::Now();
     context_.history->holds.push_back({.kind = kind,
                                        .backend = self_.id,
                                        .service = spec_.name,
-                                       .range = range,
-                                       .fence = fence,
+                                       .range = order.range,
+                                       .fence = order.fence,
                                        .at = now,
                                        .until = until,
                                        .taken_late = late,
-                                       .held_up = IsHeldUp(now)});
+                                       .held_up = IsHeldUp(now),
+                                       .source = source});
   }
 }
 
--- a/src/standin/fleet/history.h
+++ b/src/standin/fleet/history.h
@@ -24,6 +24,8 @@
   /// The incarnation's id.
   std::string backend;
   std::string service;
+  /// The IP address that it came from.
+  std::string source;
   std::optional<ownership::Key> key;
   Time at;
   /// It lay at a frozen back end before.
@@ -65,6 +67,8 @@
   bool taken_late = false;
   /// The order lay at a frozen back end before; it does not count as a grant.
   bool held_up = false;
+  /// The IP address that the order came from; empty when the back end ended.
+  std::string source = {};
 };
 
 /// The store took a back end's announcement that it leaves, or dropped its row.
--- a/tests/unit/gateway_http/http_client_test.cc
+++ b/tests/unit/gateway_http/http_client_test.cc
@@ -115,6 +115,23 @@
   BOOST_TEST(backend.connections.size() == 2U);
 }
 
+// Guards against a reset in the place of the orderly end of a connection whose calls were answered.
+BOOST_AUTO_TEST_CASE(an_idle_connection_is_closed_in_order) {
+  Call("/a");
+  CallTiming timing{absl::Seconds(5)};
+  timing.own_connection = true;
+  bool answered = false;
+  client.Call(backend.address(), {"GET", "/own", {}, ""}, timing,
+              [&](const CallResult&) { answered = true; });
+  RunUntil(loop, [&] { return answered && backend.connections.at(1)->ended; });
+  BOOST_TEST(!backend.connections.at(1)->was_reset);
+  // Past the time for which the connection may stay idle.
+  clock.ahead = absl::Minutes(1);
+  Call("/b");
+  RunUntil(loop, [&] { return backend.connections.at(0)->ended; });
+  BOOST_TEST(!backend.connections.at(0)->was_reset);
+}
+
 // Without it, a watch of the store on a connection that carries nothing any more is waited for as
 // long as the store may hold it.
 BOOST_AUTO_TEST_CASE(an_idle_connection_asks_whether_the_other_side_is_there) {
