Let the kernel give an unacknowledged grant up with the time-out of the order

While a coordinator stands still, the kernel went on sending its order for 2.5 s, the user time-out of all calls, and a back end took it long after another coordinator had begun to wait the hold out. Change: the connections of grants have the order time-out, 400 ms, as their user time-out. The cost: one unanswered keep-alive probe ends such a connection when it is idle; grants are renewed about as often as probes are sent.

--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -64,6 +64,9 @@
   bool own_connection = false;
   /// The longest body of its answer, in bytes; bounds the client's own bound further.
   size_t max_answer_bytes = SIZE_MAX;
+  /// Of the connection, if it is new: bounds the client's `user_timeout` further. The kernel keeps
+  /// to it, also while this process stands still.
+  Duration user_timeout = absl::InfiniteDuration();
 };
 
 using CallCallback = std::function<void(CallResult)>;
--- a/src/gateway/http/http_client_connection.cc
+++ b/src/gateway/http/http_client_connection.cc
@@ -70,7 +70,7 @@
     PrepareSocket(socket_, error);
   }
   if (!error) {
-    BoundSilence(socket_, client_.settings_.user_timeout, error);
+    BoundSilence(socket_, std::min(client_.settings_.user_timeout, timing_.user_timeout), error);
   }
   if (!error) {
     BindSource(socket_, client_.settings_.source_host, error);
--- a/src/node/order_client.cc
+++ b/src/node/order_client.cc
@@ -13,7 +13,7 @@
 void OrderClient::Send(const ownership::GrantAction& grant, Callback callback) {
   Call(grant.address, adapter_->EncodeGrant(grant),
        {timeouts_.grant, grant.send_by, timeouts_.connect, /*own_connection=*/false,
-        kMaxOrderAnswerBytes},
+        kMaxOrderAnswerBytes, /*user_timeout=*/timeouts_.grant},
        std::move(callback));
 }
 
--- a/tests/integration/node/killed_senders_test.cc
+++ b/tests/integration/node/killed_senders_test.cc
@@ -1,6 +1,7 @@
-// Nodes are killed while a cut link holds up what they have written to back ends.
+// Nodes are killed or suspended while a cut link holds up what they have written to back ends.
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <set>
 #include <string>
 
@@ -10,6 +11,9 @@
 namespace ladderstream::fleet {
 namespace {
 
+/// From the decision on an order until nothing sends it any more: twice the order time-out.
+constexpr Duration kOrderLife = absl::Milliseconds(800);
+
 std::set<Endpoint> BackendAddresses(Rig& rig) {
   std::set<Endpoint> addresses;
   for (const ServiceSpec& service : rig.fleet().settings().services) {
@@ -77,6 +81,31 @@
              0U);
 }
 
+// Guards against an order that is taken long after its coordinator stopped running, and with it the
+// time-out that would have reset the connection.
+BOOST_AUTO_TEST_CASE(orders_of_a_suspended_coordinator_do_not_arrive_late) {
+  Rig rig;
+  const size_t node = rig.Coordinator();
+  const std::string& source = rig.nodes().nodes()[node].source;
+  const std::set<Endpoint> backends = BackendAddresses(rig);
+  StopCalls(rig);
+  rig.fleet().Disturb();
+  rig.fleet().CutOffFromBackends({node}, CutMode::kSilent);
+  rig.Await("bytes on the wire", [&] { return CountUnacknowledgedBytes(source, backends) > 0; });
+  rig.nodes().Signal(node, SIGSTOP);
+  const Time suspended = EventLoop::Now();
+  // The kernel repeats what it holds until it gives the connection up.
+  rig.Await("the time in which an order may be taken",
+            [&] { return EventLoop::Now() > suspended + kOrderLife; });
+  rig.fleet().CutOffFromBackends({}, CutMode::kSilent);
+  rig.Await("the end of what the kernel sends",
+            [&] { return CountUnacknowledgedBytes(source, backends) == 0; });
+  rig.AwaitCoordinatorOtherThan(node);
+  rig.Await("owners", [&] { return rig.fleet().AllKeysHeld(); });
+  BOOST_TEST(CountFrom(rig.fleet().history().holds, source, suspended) == 0U);
+  rig.nodes().Signal(node, SIGCONT);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
