Wait an owner out from when a grant may last be taken, not from when it was sent

What callers would see: a key with two owners for up to 0.4 s. Cause: an owner that does not answer was waited out from the send of its last grant. A grant may leave 0.4 s after its decision, and a cut link that heals may deliver it 0.4 s after that, before its connection is reset; 0.3 s of slack stood against both. Change: a grant leaves within the slack, and one without an answer counts from its send plus the order time-out. What a back end takes later than that, because it stands still, is ended by the release under the next fence, as before. Evidence: the ownership model has links that hold orders up and cuts in pairs (ownership_link_model).

--- a/src/core/ownership/coordinator.h
+++ b/src/core/ownership/coordinator.h
@@ -47,7 +47,8 @@
   double renewals_per_second = 500;
   /// Largest relative error by which the clock of a back end may run slow.
   double clock_drift = 0.02;
-  /// Added to every wait for the end of another node's or back end's hold.
+  /// Added to every wait for the end of another node's or back end's hold. An order leaves within
+  /// this after it was decided.
   Duration slack = absl::Milliseconds(300);
   /// A node challenges the lease when the holder's last heartbeat is older than this.
   Duration heartbeat_timeout = absl::Milliseconds(1000);
@@ -118,7 +119,8 @@
   Duration hold;
   /// Handover data of the previous owner; empty when it returned none.
   std::string handover;
-  /// The grant must not be sent later: after this time this node may no longer hold the lease.
+  /// The grant must not be sent later: this node may no longer hold the lease, or the grant would
+  /// outlast what the coordinator waits out.
   Time send_by = absl::InfiniteFuture();
 };
 struct ReleaseAction {
--- a/src/core/ownership/coordinator_impl.h
+++ b/src/core/ownership/coordinator_impl.h
@@ -218,6 +218,10 @@
   Duration RenewalInterval(Time now) const;
   /// Returns the hold of a grant sent now.
   Duration HoldOf(Time now) const;
+  /// Returns when a grant that was sent and not answered may be taken at the latest, but for the
+  /// slack: it leaves within that, and its connection is reset when its time-out is over. A back
+  /// end that stands still may take it later; the release under the next fence ends such a hold.
+  Time LatestArrival(Time sent) const;
   /// Returns the longest hold of a grant sent at the very end of a lease.
   Duration LastHold() const;
   /// Returns whether holds granted now are shortened by the end of the lease.
--- a/src/core/ownership/coordinator_lease.cc
+++ b/src/core/ownership/coordinator_lease.cc
@@ -274,7 +274,7 @@
   service.committed = AssignmentTable(stored.row.assignments);
   // The predecessor's last grants were shortened, and end no later than a full one of that time.
   const Time last_full_grant = predecessor_until_ - (settings_.hold - LastHold());
-  service.table = RangeTable(stored.row.assignments, last_full_grant);
+  service.table = RangeTable(stored.row.assignments, LatestArrival(last_full_grant));
   for (const std::string& fault : stored.faults) {
     ReportStateChange(state_change::kRowUnreadable, fault);
   }
@@ -288,7 +288,7 @@
   service.table.SplitAt(range.last + 1);
   for (RangeState* state : service.table.Overlapping(range)) {
     state->phase = RangePhase::kReleasing;
-    state->last_grant = predecessor_until_;
+    state->last_grant = LatestArrival(predecessor_until_);
     state->moving = true;
     state->moving_since = now;
     state->next_fence = NextFence();
--- a/src/core/ownership/coordinator_moves.cc
+++ b/src/core/ownership/coordinator_moves.cc
@@ -74,7 +74,7 @@
 
 Time Coordinator::Impl::WaitOutEnd(const RangeState& state) const {
   const Time granted =
-      std::max(state.last_grant, orders_.LatestOpenGrant(state.owner, state.range));
+      std::max(state.last_grant, LatestArrival(orders_.LatestOpenGrant(state.owner, state.range)));
   if (granted == absl::InfinitePast()) {
     return granted;
   }
--- a/src/core/ownership/coordinator_orders.cc
+++ b/src/core/ownership/coordinator_orders.cc
@@ -101,6 +101,8 @@
   }
 }
 
+Time Coordinator::Impl::LatestArrival(Time sent) const { return sent + settings_.order_timeout; }
+
 Coordinator::Impl::ServiceState* Coordinator::Impl::FindService(const std::string& name) {
   const auto found = services_.find(name);
   return found == services_.end() ? nullptr : &found->second;
@@ -199,7 +201,7 @@
       {call, Order::Kind::kGrant, service.name, state.owner, state.range, state.fence, now, false});
   actions_.emplace_back(GrantAction{call, state.owner, address, state.range, state.fence,
                                     HoldOf(now), state.handover,
-                                    std::min(LeaseUntil(), now + settings_.order_timeout)});
+                                    std::min(LeaseUntil(), now + settings_.slack)});
 }
 
 void Coordinator::Impl::SendRelease(ServiceState& service, const std::string& backend,
@@ -321,7 +323,7 @@
       continue;
     }
     if (status == OrderStatus::kNoAnswer) {
-      state.last_grant = std::max(state.last_grant, order.sent);
+      state.last_grant = std::max(state.last_grant, LatestArrival(order.sent));
     }
     if (state.phase == RangePhase::kOwned) {
       state.order_due = std::min(state.order_due, std::max(now, order.sent + pause));
--- a/tests/unit/ownership/model_faults.cc
+++ b/tests/unit/ownership/model_faults.cc
@@ -259,6 +259,13 @@
       break;
     case 4:
       backend->cut_until = until;
+      if (options_.links_hold_orders) {
+        At(until + DrawMs(20, 600), [this, id] {
+          if (ModelBackend* again = BackendWithId(id)) {
+            again->cut_until = std::min(faults_end_, now_ + DrawMs(1000, 9000));
+          }
+        });
+      }
       break;
     case 5:
       backend->answers_lost_until = until;
--- a/tests/unit/ownership/model_main.cc
+++ b/tests/unit/ownership/model_main.cc
@@ -3,7 +3,8 @@
 // Arguments: COUNT [FIRST [segments]]; by default, the seeds that continuous integration runs. With
 // "segments", row and commit limits are so small that each service takes several rows and a commit
 // writes only a few of them. With "relays", orders may go through other nodes; with "paths",
-// nodes losing the path to back ends is the only fault besides.
+// nodes losing the path to back ends is the only fault besides; with "links", cut links hold orders
+// up.
 #include <cstdint>
 #include <cstdlib>
 #include <iostream>
@@ -31,6 +32,7 @@
     options.commit_limits = kShortRows;
   }
   options.only_path_cuts = mode == "paths";
+  options.links_hold_orders = mode == "links";
   options.relays_orders = options.only_path_cuts || mode == "relays";
   uint64_t failures = 0;
   ModelCounts sum;
--- a/tests/unit/ownership/model_world.h
+++ b/tests/unit/ownership/model_world.h
@@ -43,6 +43,10 @@
   bool relays_orders = false;
   /// No other faults happen, and no key may be without its owner.
   bool only_path_cuts = false;
+  /// A cut link holds up orders: they arrive once it is whole, unless they were given up before.
+  /// Cuts come in pairs. Orders that are taken within the time that the coordinator adds to the end
+  /// of a hold count in full.
+  bool links_hold_orders = false;
 };
 
 struct ModelNode {
@@ -134,6 +138,11 @@
   void SendOrder(ModelNode& node, CallId call, ModelOrder order);
   /// Sends an order from node `from`.
   void Deliver(size_t from, const ModelOrder& order, const OrderReplier& reply);
+  bool IsCut(size_t from, const ModelBackend& backend) const;
+  /// The link holds the order up until it is whole. Nothing comes back.
+  void HoldUp(size_t from, const ModelOrder& order);
+  /// Whether an order that is taken now is taken later than the coordinator waits for.
+  bool IsLate(const ModelOrder& order) const;
   void ReplyOrder(size_t index, uint64_t incarnation, CallId call, const OrderReply& reply,
                   Duration delay);
   // Orders through other nodes (model_relays.cc).
