Carry no order of another node whose age is unknown

Only orders counted as messages, so the first order of each connection had no age, however long it had waited for the connection or been held up on its link; it could be sent on when its coordinator had waited the owner out. Change: every stamped message of a connection counts (reports and heartbeats come before orders), and an order that is the first message of its connection is declined as not sent. Requests of other nodes have the same age as before where they come first.

--- a/src/core/membership/transit_clock.h
+++ b/src/core/membership/transit_clock.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 
 #include "wire/time.h"
 
@@ -23,6 +24,12 @@
     fastest->second = std::min(fastest->second, offset);
     return absl::Microseconds(offset - fastest->second);
   }
+  /// The same; nullopt for the first message of a connection, which may have been held up.
+  std::optional<Duration> KnownAgeOf(uint64_t connection, int64_t sent_us, Time now) {
+    const bool is_first = !offsets_.contains(connection);
+    const Duration age = AgeOf(connection, sent_us, now);
+    return is_first ? std::nullopt : std::make_optional(age);
+  }
   void Forget(uint64_t connection) { offsets_.erase(connection); }
   size_t size() const { return offsets_.size(); }
 
--- a/src/gateway/relay/request_carrier.cc
+++ b/src/gateway/relay/request_carrier.cc
@@ -73,11 +73,11 @@
   return RelayOutcome::kNotSent;
 }
 
-void RequestCarrier::OnRequest(uint64_t connection, membership::RelayedRequest request) {
+void RequestCarrier::OnRequest(uint64_t connection, membership::RelayedRequest request,
+                               Duration age) {
   const Time now = Now();
   const RequestKey key{connection, request.sequence};
-  const Duration left = absl::Milliseconds(request.answer_within_ms) -
-                        transit_.AgeOf(connection, request.sent_us, now);
+  const Duration left = absl::Milliseconds(request.answer_within_ms) - age;
   const RelayOutcome admitted = Admit(request, left);
   if (admitted != RelayOutcome::kAnswered) {
     Decline(key, request, admitted);
@@ -171,7 +171,6 @@
 }
 
 void RequestCarrier::OnConnectionClosed(uint64_t connection) {
-  transit_.Forget(connection);
   std::vector<AttemptHandle> abandoned;
   for (const auto& [handle, carried] : carried_) {
     if (carried.key.first == connection) {
--- a/src/gateway/relay/request_carrier.h
+++ b/src/gateway/relay/request_carrier.h
@@ -15,7 +15,6 @@
 
 #include "core/forwarding/dispatcher.h"
 #include "core/membership/messages.h"
-#include "core/membership/transit_clock.h"
 #include "gateway/http/data_path.h"
 #include "observability/node_metrics.h"
 
@@ -31,7 +30,8 @@
                  DataPathObserver* observer, observability::NodeMetrics* metrics, Reply reply);
   ~RequestCarrier() override;
 
-  void OnRequest(uint64_t connection, membership::RelayedRequest request);
+  /// `age`: for how long the request was under way.
+  void OnRequest(uint64_t connection, membership::RelayedRequest request, Duration age);
   void OnCancel(uint64_t connection, const membership::RelayCancel& cancel);
   /// The node that sent requests on this connection has closed it or was lost.
   void OnConnectionClosed(uint64_t connection);
@@ -86,7 +86,6 @@
   DataPathObserver* const observer_;
   observability::NodeMetrics* const metrics_;
   const Reply reply_;
-  membership::TransitClock transit_;
   forwarding::AttemptHandle last_handle_ = 0;
   std::unordered_map<forwarding::AttemptHandle, Carried> carried_;
   std::shared_ptr<char> alive_ = std::make_shared<char>();
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -136,6 +136,22 @@
          reply.status != store::StoreStatus::kRefused;
 }
 
+/// Connections whose messages' ages are known; more than a node has open.
+constexpr size_t kMostStampedConnections = 4096;
+
+/// Returns the sender's time in the message; 0 when it tells none.
+int64_t StampOf(const membership::Message& message) {
+  return std::visit(
+      [](const auto& one) -> int64_t {
+        if constexpr (requires { one.sent_us; }) {
+          return one.sent_us;
+        } else {
+          return 0;
+        }
+      },
+      message);
+}
+
 /// Returns the messages queued to other nodes, for the metrics.
 std::vector<observability::PeerMessageCount> CountsOf(const gateway::TrafficTable& queued) {
   std::vector<observability::PeerMessageCount> counts;
@@ -201,7 +217,7 @@
                 SchedulePump();
               },
               [this](uint64_t connection) {
-                order_carrier_.OnConnectionClosed(connection);
+                transit_.Forget(connection);
                 listener_->OnIncomingClosed(connection);
               }}),
       configuration_follower_(
@@ -307,9 +323,24 @@
   SchedulePump();
 }
 
+std::optional<Duration> ControlPlane::AgeOf(uint64_t connection,
+                                            const membership::Message& message) {
+  const int64_t sent_us = StampOf(message);
+  if (sent_us == 0) {
+    return std::nullopt;
+  }
+  if (transit_.size() > kMostStampedConnections) {
+    // Connections that this node opened end without being forgotten.
+    transit_ = membership::TransitClock();
+  }
+  return transit_.KnownAgeOf(connection, sent_us, Now());
+}
+
 void ControlPlane::OnMessage(uint64_t connection, membership::Message message) {
+  const std::optional<Duration> age = AgeOf(connection, message);
   if (auto* request = std::get_if<membership::RelayedRequest>(&message)) {
-    listener_->OnRelayedRequest(connection, std::move(*request));
+    listener_->OnRelayedRequest(connection, std::move(*request),
+                                age.value_or(absl::ZeroDuration()));
     return;
   }
   if (const auto* cancel = std::get_if<membership::RelayCancel>(&message)) {
@@ -318,7 +349,7 @@
   }
   if (const auto* order = std::get_if<membership::RelayedOrder>(&message)) {
     metrics_->CountCall("relayed_order", "carried");
-    order_carrier_.OnOrder(connection, *order);
+    order_carrier_.OnOrder(connection, *order, age);
   } else if (const auto* result = std::get_if<membership::RelayedOrderResult>(&message)) {
     metrics_->CountCall("relayed_order",
                         NameOf(static_cast<ownership::OrderStatus>(result->status)));
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,7 @@
 #include "core/catalog/catalog.h"
 #include "core/forwarding/dispatcher.h"
 #include "core/membership/membership.h"
+#include "core/membership/transit_clock.h"
 #include "core/ownership/coordinator.h"
 #include "core/quarantine/suspect_store.h"
 #include "core/store/table_follower.h"
@@ -44,8 +46,10 @@
   /// `members` are all member nodes, including this one.
   virtual void OnMembers(const std::vector<membership::PeerIdentity>& members) = 0;
   virtual void OnMembersConfirmed(Time until) = 0;
-  /// A request that another node wants carried, or the end of one.
-  virtual void OnRelayedRequest(uint64_t connection, membership::RelayedRequest request) = 0;
+  /// A request that another node wants carried, and for how long it was under way.
+  virtual void OnRelayedRequest(uint64_t connection, membership::RelayedRequest request,
+                                Duration age) = 0;
+  /// The end of one.
   virtual void OnRelayCancel(uint64_t connection, const membership::RelayCancel& cancel) = 0;
   /// A connection that another node had opened has ended.
   virtual void OnIncomingClosed(uint64_t connection) = 0;
@@ -129,6 +133,8 @@
   void Execute(const ownership::ReadAction& read);
   /// Handles a message from another node.
   void OnMessage(uint64_t connection, membership::Message message);
+  /// Returns for how long the message was under way; nullopt when that is unknown.
+  std::optional<Duration> AgeOf(uint64_t connection, const membership::Message& message);
   void OnOrderPathChange(const ownership::OrderPathChangeAction& change);
   void Execute(const ownership::GrantAction& grant) { orders_.Send(grant); }
   void Execute(const ownership::ReleaseAction& release) { orders_.Send(release); }
@@ -187,6 +193,8 @@
   OrderSender orders_;
   OrderCarrier order_carrier_;
   gateway::PeerTransport peers_;
+  /// By connection of `peers_`.
+  membership::TransitClock transit_;
 
   store::TableFollower configuration_follower_;
   store::TableFollower backend_follower_;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -192,8 +192,8 @@
   request_relay_.SetPeers(others);
 }
 
-void Node::OnRelayedRequest(uint64_t connection, membership::RelayedRequest request) {
-  request_carrier_.OnRequest(connection, std::move(request));
+void Node::OnRelayedRequest(uint64_t connection, membership::RelayedRequest request, Duration age) {
+  request_carrier_.OnRequest(connection, std::move(request), age);
 }
 
 void Node::OnRelayCancel(uint64_t connection, const membership::RelayCancel& cancel) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -46,7 +46,8 @@
   void OnOwnership(std::shared_ptr<const ownership::OwnershipMap> map) override;
   void OnMapConfirmed(Time until) override;
   void OnMembers(const std::vector<membership::PeerIdentity>& members) override;
-  void OnRelayedRequest(uint64_t connection, membership::RelayedRequest request) override;
+  void OnRelayedRequest(uint64_t connection, membership::RelayedRequest request,
+                        Duration age) override;
   void OnRelayCancel(uint64_t connection, const membership::RelayCancel& cancel) override;
   void OnIncomingClosed(uint64_t connection) override;
   void OnMembersConfirmed(Time until) override;
--- a/src/node/order_sender.cc
+++ b/src/node/order_sender.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/membership/transit_clock.h"
+
 namespace ladderstream::node {
 namespace {
 
@@ -107,16 +109,17 @@
   handlers_.on_reply(outcome.call, outcome.reply);
 }
 
-void OrderCarrier::OnOrder(uint64_t connection, const membership::RelayedOrder& order) {
+void OrderCarrier::OnOrder(uint64_t connection, const membership::RelayedOrder& order,
+                           std::optional<Duration> age) {
   const Time now = clock_->Now();
-  const Duration age = transit_.AgeOf(connection, order.sent_us, now);
   const auto reply = [this, connection,
                       sequence = order.sequence](const ownership::OrderReply& result) {
     on_result_(connection, {sequence, self_, static_cast<uint8_t>(result.status), result.handover});
   };
   // A grant that left later could outlive the wait for the end of the hold, and a release could end
   // a newer grant.
-  const Duration left = absl::Milliseconds(order.send_within_ms) - age;
+  const Duration left =
+      absl::Milliseconds(order.send_within_ms) - age.value_or(absl::InfiniteDuration());
   if (left <= absl::ZeroDuration()) {
     reply({ownership::OrderStatus::kNotSent, ""});
     return;
--- a/src/node/order_sender.h
+++ b/src/node/order_sender.h
@@ -4,12 +4,12 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "core/membership/relay_messages.h"
-#include "core/membership/transit_clock.h"
 #include "core/ownership/coordinator.h"
 #include "core/ownership/order_relay.h"
 #include "node/order_client.h"
@@ -70,16 +70,15 @@
   OrderCarrier(OrderClient* client, const TimeSource* clock, uint64_t self, ReplyHandler on_result)
       : client_(client), clock_(clock), self_(self), on_result_(std::move(on_result)) {}
 
-  /// `connection` is the one that the order arrived on.
-  void OnOrder(uint64_t connection, const membership::RelayedOrder& order);
-  void OnConnectionClosed(uint64_t connection) { transit_.Forget(connection); }
+  /// `connection` is the one that the order arrived on; `age`: of the order, nullopt when unknown.
+  void OnOrder(uint64_t connection, const membership::RelayedOrder& order,
+               std::optional<Duration> age);
 
  private:
   OrderClient* const client_;
   const TimeSource* const clock_;
   const uint64_t self_;
   const ReplyHandler on_result_;
-  membership::TransitClock transit_;
 };
 
 }  // namespace ladderstream::node
