Name each order, so that the late answer to another one is known

Grants share a connection; the late copy of a grant's answer in the place of the next one's passed for it, and the coordinator believed in a grant that was refused or never taken, until its next renewal. Change: an order carries a request id, which answers of back ends repeat by the platform's page. An answer that repeats another id is passed over, once; after a second one the call is given up, and its connection is not used again.

--- a/src/gateway/http/http_client.cc
+++ b/src/gateway/http/http_client.cc
@@ -23,6 +23,16 @@
   return text;
 }
 
+ExpectedAnswer ExpectedAnswerTo(const interfaces::HttpRequest& request) {
+  ExpectedAnswer expected;
+  expected.is_to_head_method = request.method == "HEAD";
+  expected.repeated_header = request.repeated_header;
+  if (!request.repeated_header.empty()) {
+    expected.repeated_value = request.Header(request.repeated_header);
+  }
+  return expected;
+}
+
 }  // namespace
 
 HttpClient::HttpClient(EventLoop& loop, const TimeSource& clock, const HttpClientSettings& settings,
@@ -52,7 +62,7 @@
     connection = std::make_shared<HttpClientConnection>(*this, to);
   }
   calls_.emplace(call, connection);
-  connection->Start(call, Serialize(to, request), request.method == "HEAD", timing,
+  connection->Start(call, Serialize(to, request), ExpectedAnswerTo(request), timing,
                     std::move(callback));
   return call;
 }
--- a/src/gateway/http/http_client_connection.cc
+++ b/src/gateway/http/http_client_connection.cc
@@ -1,5 +1,7 @@
 #include "gateway/http/http_client_connection.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -30,11 +32,12 @@
   return state_ == State::kIdle && WouldBlock(error);
 }
 
-void HttpClientConnection::Start(HttpCallId call, std::string message, bool is_head_method,
+void HttpClientConnection::Start(HttpCallId call, std::string message, ExpectedAnswer expected,
                                  const CallTiming& timing, CallCallback callback) {
   call_ = call;
   message_ = std::move(message);
-  is_head_method_ = is_head_method;
+  expected_ = std::move(expected);
+  skipped_answer_ = false;
   timing_ = timing;
   callback_ = std::move(callback);
   if (state_ == State::kIdle) {
@@ -115,8 +118,7 @@
     return;
   }
   state_ = State::kBusy;
-  reader_.Begin(is_head_method_,
-                std::min(client_.settings_.max_answer_bytes, timing_.max_answer_bytes));
+  BeginAnswer();
   SetTimer(timing_.answer_timeout);
   boost::asio::async_write(
       socket_, boost::asio::buffer(message_),
@@ -128,6 +130,11 @@
   ArmRead();
 }
 
+void HttpClientConnection::BeginAnswer() {
+  reader_.Begin(expected_.is_to_head_method,
+                std::min(client_.settings_.max_answer_bytes, timing_.max_answer_bytes));
+}
+
 void HttpClientConnection::OnWritten(const ErrorCode& error) {
   if (error) {
     Fail(CallOutcome::kNoAnswer, "broken while the call was written");
@@ -169,13 +176,11 @@
   size_t consumed = 0;
   switch (reader_.Read(bytes, &consumed)) {
     case ReadStatus::kFault:
-      if (client_.on_unreadable_) {
-        client_.on_unreadable_(peer_, reader_.fault());
-      }
+      ReportUnreadable(reader_.fault());
       Fail(CallOutcome::kNoAnswer, reader_.fault());
       break;
     case ReadStatus::kComplete:
-      Finish(/*surplus=*/consumed < bytes.size());
+      OnAnswer(bytes.substr(consumed));
       break;
     case ReadStatus::kNeedMore:
       pending_ = std::string(bytes.substr(consumed));
@@ -183,6 +188,45 @@
   }
 }
 
+void HttpClientConnection::ReportUnreadable(std::string_view fault) {
+  if (client_.on_unreadable_) {
+    client_.on_unreadable_(peer_, fault);
+  }
+}
+
+bool HttpClientConnection::IsToAnotherCall(const interfaces::HttpResponse& response) const {
+  if (expected_.repeated_header.empty()) {
+    return false;
+  }
+  const std::string_view repeated = response.Header(expected_.repeated_header);
+  return !repeated.empty() && repeated != expected_.repeated_value;
+}
+
+void HttpClientConnection::OnAnswer(std::string_view rest) {
+  const bool keeps_open = reader_.keeps_open();
+  interfaces::HttpResponse response = reader_.Take();
+  if (IsToAnotherCall(response)) {
+    ReportUnreadable(absl::StrCat("want the answer to ", expected_.repeated_value,
+                                  ", found the one to ",
+                                  std::string(response.Header(expected_.repeated_header))));
+    SkipAnswer(std::string(rest));
+  } else {
+    Finish(std::move(response), /*surplus=*/!rest.empty(), keeps_open);
+  }
+}
+
+void HttpClientConnection::SkipAnswer(const std::string& rest) {
+  if (std::exchange(skipped_answer_, true)) {
+    Fail(CallOutcome::kNoAnswer, "answers to other calls");
+    return;
+  }
+  pending_.clear();
+  BeginAnswer();
+  if (!rest.empty()) {
+    OnBytes(rest);
+  }
+}
+
 void HttpClientConnection::OnEnd(const ErrorCode& error) {
   if (state_ == State::kIdle) {
     Close();
@@ -195,17 +239,18 @@
   } else if (reader_.ReadEnd() == ReadStatus::kFault) {
     Fail(CallOutcome::kNoAnswer, reader_.fault());
   } else {
-    Finish(/*surplus=*/false);
+    OnAnswer(/*rest=*/{});
   }
 }
 
-void HttpClientConnection::Finish(bool surplus) {
+void HttpClientConnection::Finish(interfaces::HttpResponse response, bool surplus,
+                                  bool keeps_open) {
   const auto self = shared_from_this();
   const bool reusable =
-      !surplus && !timing_.own_connection && reader_.keeps_open() && socket_.is_open();
+      !surplus && !skipped_answer_ && !timing_.own_connection && keeps_open && socket_.is_open();
   CallResult result;
   result.outcome = CallOutcome::kAnswered;
-  result.response = reader_.Take();
+  result.response = std::move(response);
   pending_.clear();
   timer_.cancel();
   const CallCallback callback = std::exchange(callback_, nullptr);
--- a/src/gateway/http/http_client_connection.h
+++ b/src/gateway/http/http_client_connection.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gateway/http/call_answer_reader.h"
@@ -10,6 +11,15 @@
 
 namespace ladderstream::gateway {
 
+/// What is known of the answer to a call before it comes.
+struct ExpectedAnswer {
+  /// It has no body.
+  bool is_to_head_method = false;
+  /// See interfaces::HttpRequest.
+  std::string repeated_header;
+  std::string repeated_value;
+};
+
 class HttpClientConnection : public std::enable_shared_from_this<HttpClientConnection> {
  public:
   /// `client` must outlive the connection's open state.
@@ -23,8 +33,8 @@
   bool IsSound();
 
   /// Makes one call, on a connection that is new or idle.
-  void Start(HttpCallId call, std::string message, bool is_head_method, const CallTiming& timing,
-             CallCallback callback);
+  void Start(HttpCallId call, std::string message, ExpectedAnswer expected,
+             const CallTiming& timing, CallCallback callback);
   /// Closes without calling back.
   void Close();
 
@@ -38,9 +48,20 @@
   void ArmRead();
   void OnRead(const ErrorCode& error, size_t size);
   void OnBytes(std::string_view bytes);
+  /// Tells the owner of the client of an answer that is not taken.
+  void ReportUnreadable(std::string_view fault);
   void OnEnd(const ErrorCode& error);
-  /// `surplus`: bytes came behind the answer.
-  void Finish(bool surplus);
+  /// Begins to read an answer to the current call.
+  void BeginAnswer();
+  /// Whether an answer repeats the name of another call.
+  bool IsToAnotherCall(const interfaces::HttpResponse& response) const;
+  /// Takes what was read as the end of the call, unless it is an answer to another call; `rest`:
+  /// the bytes behind it.
+  void OnAnswer(std::string_view rest);
+  /// Reads on behind the late answer to another call; gives the call up after a second one.
+  void SkipAnswer(const std::string& rest);
+  /// `surplus`: bytes came behind the answer. `keeps_open`: by the answer's own word.
+  void Finish(interfaces::HttpResponse response, bool surplus, bool keeps_open);
   void Fail(CallOutcome outcome, std::string detail);
   /// `in_order`: not by a reset. Only when everything written has been answered.
   void CloseSocket(bool in_order);
@@ -56,7 +77,9 @@
   bool read_armed_ = false;
   HttpCallId call_ = 0;
   std::string message_;
-  bool is_head_method_ = false;
+  ExpectedAnswer expected_;
+  /// An answer to another call came in the place of the one to this call.
+  bool skipped_answer_ = false;
   CallTiming timing_;
   CallCallback callback_;
   CallAnswerReader reader_;
--- a/src/interfaces/http_exchange.cc
+++ b/src/interfaces/http_exchange.cc
@@ -4,7 +4,9 @@
 
 namespace ladderstream::interfaces {
 
-std::string_view HttpResponse::Header(std::string_view name) const {
+namespace {
+
+std::string_view FindHeader(const HttpHeaders& headers, std::string_view name) {
   const absl::string_view wanted(name.data(), name.size());
   for (const auto& [header, value] : headers) {
     if (absl::EqualsIgnoreCase(header, wanted)) {
@@ -14,4 +16,14 @@
   return {};
 }
 
+}  // namespace
+
+std::string_view HttpRequest::Header(std::string_view name) const {
+  return FindHeader(headers, name);
+}
+
+std::string_view HttpResponse::Header(std::string_view name) const {
+  return FindHeader(headers, name);
+}
+
 }  // namespace ladderstream::interfaces
--- a/src/interfaces/http_exchange.h
+++ b/src/interfaces/http_exchange.h
@@ -16,6 +16,12 @@
   std::string target;
   HttpHeaders headers;
   std::string body;
+  /// Name of the one of `headers` that the answer repeats; empty when it repeats none. An answer
+  /// with another value belongs to another call; one without the header is taken.
+  std::string repeated_header = {};
+
+  /// The value of the first header of this name; empty when absent.
+  std::string_view Header(std::string_view name) const;
 };
 
 struct HttpResponse {
--- a/src/node/order_client.cc
+++ b/src/node/order_client.cc
@@ -1,5 +1,7 @@
 #include "node/order_client.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <utility>
 
 namespace ladderstream::node {
@@ -24,8 +26,10 @@
        std::move(callback));
 }
 
-void OrderClient::Call(const Endpoint& address, const interfaces::HttpRequest& request,
+void OrderClient::Call(const Endpoint& address, interfaces::HttpRequest request,
                        const gateway::CallTiming& timing, Callback callback) {
+  request.repeated_header = adapter_->headers().request_id;
+  request.headers.emplace_back(request.repeated_header, absl::StrCat("order-", ++last_order_));
   client_->Call(address, request, timing,
                 [this, callback = std::move(callback)](const gateway::CallResult& result) {
                   callback(ReplyOf(result));
--- a/src/node/order_client.h
+++ b/src/node/order_client.h
@@ -31,13 +31,15 @@
   void Send(const ownership::ReleaseAction& release, Callback callback);
 
  private:
-  void Call(const Endpoint& address, const interfaces::HttpRequest& request,
+  /// Names the order, so that the late answer to an earlier one is known, and sends it.
+  void Call(const Endpoint& address, interfaces::HttpRequest request,
             const gateway::CallTiming& timing, Callback callback);
   ownership::OrderReply ReplyOf(const gateway::CallResult& result) const;
 
   gateway::HttpClient* const client_;
   const interfaces::PlatformAdapter* const adapter_;
   const Timeouts timeouts_;
+  uint64_t last_order_ = 0;
 };
 
 }  // namespace ladderstream::node
--- a/tests/unit/gateway_http/http_client_test.cc
+++ b/tests/unit/gateway_http/http_client_test.cc
@@ -115,6 +115,61 @@
   BOOST_TEST(backend.connections.size() == 2U);
 }
 
+struct NamedCallFixture : ClientFixture {
+  NamedCallFixture() {
+    backend.on_request = [this](TestSocket& socket, const std::string& request) {
+      socket.Send(before + AnswerNaming(HeaderOf(request, "Call-Id")));
+    };
+  }
+
+  static std::string AnswerNaming(const std::string& name) {
+    return "HTTP/1.1 200 OK\r\ncall-id: " + name + "\r\nContent-Length: 2\r\n\r\nok";
+  }
+
+  CallResult CallNamed(const std::string& name) {
+    std::optional<CallResult> result;
+    interfaces::HttpRequest request = {"POST", "/order", {{"Call-Id", name}}, ""};
+    request.repeated_header = "Call-Id";
+    client.Call(backend.address(), request, {absl::Seconds(5)},
+                [&](const CallResult& got) { result = got; });
+    RunUntil(loop, [&] { return result.has_value(); });
+    return *result;
+  }
+
+  /// Sent before each answer.
+  std::string before;
+};
+
+BOOST_FIXTURE_TEST_SUITE(named_calls, NamedCallFixture)
+
+// Guards against the late copy of a grant's answer that passes for the answer to the next grant.
+BOOST_AUTO_TEST_CASE(the_late_answer_to_another_call_is_passed_over) {
+  CallNamed("one");
+  before = AnswerNaming("one");
+  const CallResult result = CallNamed("two");
+  BOOST_TEST((result.outcome == CallOutcome::kAnswered));
+  BOOST_TEST(result.response.Header("Call-Id") == "two");
+  BOOST_TEST(backend.connections.size() == 1U);
+  before.clear();
+  CallNamed("three");
+  BOOST_TEST(backend.connections.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_second_answer_to_another_call_ends_the_call) {
+  CallNamed("one");
+  before = AnswerNaming("one") + AnswerNaming("one");
+  BOOST_TEST((CallNamed("two").outcome == CallOutcome::kNoAnswer));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_names_no_call_is_taken) {
+  backend.on_request = [](TestSocket& socket, const std::string& /*request*/) {
+    socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  };
+  BOOST_TEST((CallNamed("one").outcome == CallOutcome::kAnswered));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Guards against a reset in the place of the orderly end of a connection whose calls were answered.
 BOOST_AUTO_TEST_CASE(an_idle_connection_is_closed_in_order) {
   Call("/a");
