--- a/src/core/quarantine/suspect_record.cc
+++ b/src/core/quarantine/suspect_record.cc
@@ -67,6 +67,11 @@
   }));
 }
 
+Time SuspectRecord::HeldSince() const {
+  const std::vector<Time> crashes = CrashTimes(*this);
+  return crashes.size() < kCrashesToHold ? absl::InfiniteFuture() : crashes[kCrashesToHold - 1];
+}
+
 Time SuspectRecord::HeldUntil() const {
   const std::vector<Time> crashes = CrashTimes(*this);
   if (crashes.size() < kCrashesToHold) {
