--- a/src/core/quarantine/crash_suspects.cc
+++ b/src/core/quarantine/crash_suspects.cc
@@ -409,40 +409,11 @@
   judgement.crashes = record.CountCrashes();
   judgement.open = record.CountOpen(now);
   judgement.held_until = record.HeldUntil();
-  if (judgement.crashes >= kCrashesToHold) {
-    judgement.crashes -= CountExplained(known->second);
-    if (judgement.crashes < kCrashesToHold) {
-      judgement.held_until = absl::InfinitePast();
-    }
-  }
   judgement.needs_trial = judgement.crashes >= kCrashesToHold && now >= judgement.held_until;
   judgement.backends = record.CrashedBackends();
   return judgement;
 }
 
-size_t CrashSuspects::CountExplained(const Known& known) const {
-  const SuspectRecord& record = known.record;
-  const Time held_since = record.HeldSince();
-  absl::flat_hash_set<std::string> explained;
-  for (const auto& [request, other] : records_) {
-    const bool is_related = known.content == request || other.content == record.request ||
-                            (known.content.has_value() && known.content == other.content);
-    if (request == record.request || is_related ||
-        other.record.HeldSince() + kTransitSlack >= held_since) {
-      continue;
-    }
-    for (const Loss& loss : other.record.losses) {
-      if (IsCrash(loss)) {
-        explained.insert(loss.backend);
-      }
-    }
-  }
-  return static_cast<size_t>(
-      std::count_if(record.losses.begin(), record.losses.end(), [&explained](const Loss& loss) {
-        return IsCrash(loss) && explained.contains(loss.backend);
-      }));
-}
-
 size_t CrashSuspects::CountHeld(Time now) const {
   return static_cast<size_t>(
       std::count_if(records_.begin(), records_.end(), [this, now](const auto& entry) {
--- a/src/core/quarantine/crash_suspects.h
+++ b/src/core/quarantine/crash_suspects.h
@@ -211,9 +211,6 @@
   /// Whether the record of a variant says nothing more than that of its content.
   bool IsCovered(const Known& known, Time now) const;
   Judgement JudgeOne(const Fingerprint& request, Time now) const;
-  /// Of the crashes of a request that is held: those that another request explains which was held
-  /// earlier. Requests that are held by the same crashes explain none of each other's.
-  size_t CountExplained(const Known& known) const;
   void ClearOne(const Fingerprint& request, Time now);
   /// Adds a loss that this node saw. False when the request was served since.
   bool AddWitnessed(const Fingerprint& request, const Loss& loss, Time now);
--- a/src/core/quarantine/suspect_record.cc
+++ b/src/core/quarantine/suspect_record.cc
@@ -67,11 +67,6 @@
   }));
 }
 
-Time SuspectRecord::HeldSince() const {
-  const std::vector<Time> crashes = CrashTimes(*this);
-  return crashes.size() < kCrashesToHold ? absl::InfiniteFuture() : crashes[kCrashesToHold - 1];
-}
-
 Time SuspectRecord::HeldUntil() const {
   const std::vector<Time> crashes = CrashTimes(*this);
   if (crashes.size() < kCrashesToHold) {
--- a/src/core/quarantine/suspect_record.h
+++ b/src/core/quarantine/suspect_record.h
@@ -72,8 +72,6 @@
   size_t CountOpen(Time now) const;
   /// It is held until then; infinite past when it is not.
   Time HeldUntil() const;
-  /// When the crash happened that made it held; infinite future when it is not held.
-  Time HeldSince() const;
   /// Afterwards it is as if nothing had been known of it.
   Time ForgottenAt() const;
   /// The back ends that ended under it, separated by blanks.
