--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -28,7 +28,7 @@
 
 constexpr Duration kStartLimit = absl::Seconds(20);
 /// After the last fault everything is served again within this: the longest wait for a silent owner
-/// (4.9 s), a takeover, and a back end's distrust of 3 s, with room for a busy machine.
+/// (5.3 s), a takeover, and a back end's distrust of 3 s, with room for a busy machine.
 constexpr Duration kRecoveryBound = absl::Seconds(20);
 constexpr uint64_t kServedAfterwards = 200;
 /// Requests that were refused with a promise not to run are watched for a run this long.
