--- a/tests/integration/node/backends_test.cc
+++ b/tests/integration/node/backends_test.cc
@@ -9,6 +9,8 @@
 
 // A hold of 4.5 s with the drift of a clock, the slack, and time to decide.
 constexpr Duration kLongestTakeOver = absl::Seconds(7);
+// The release of keys that were waited out is repeated every 2 s.
+constexpr Duration kOldHoldTime = absl::Milliseconds(2500);
 
 BOOST_AUTO_TEST_SUITE(backends)
 
@@ -102,6 +104,36 @@
   rig.Finish(0.6);
 }
 
+// A back end that stood still takes the orders that lie there, also those that were given up.
+// Guards against such a hold that lasts, and requests that nodes send it meanwhile.
+BOOST_AUTO_TEST_CASE(owner_takes_old_orders_after_its_keys_have_moved) {
+  Rig rig;
+  Backend& owner = rig.OwnerOfHotKey();
+  rig.fleet().Disturb();
+  owner.Freeze();
+  rig.AwaitKeysLeave(owner);
+  const Time thawed = EventLoop::Now();
+  owner.Thaw();
+  const auto& holds = rig.fleet().history().holds;
+  const auto took = [&](HoldEvent::Kind kind) {
+    return std::any_of(holds.begin(), holds.end(), [&](const HoldEvent& hold) {
+      return hold.backend == owner.id() && hold.kind == kind && hold.held_up && hold.at >= thawed;
+    });
+  };
+  rig.Await("an old grant", [&] { return took(HoldEvent::Kind::kGrant); });
+  rig.Await(
+      "its end", [&] { return !owner.HoldsAnyKey(); }, kOldHoldTime);
+  // Requests that lay there begin with these orders, and end with their connections. No node sends
+  // another one.
+  const auto& arrivals = rig.fleet().history().arrivals;
+  BOOST_TEST(std::count_if(arrivals.begin(), arrivals.end(), [&](const Arrival& arrival) {
+               return arrival.backend == owner.id() && arrival.ran() && arrival.begun >= thawed &&
+                      !arrival.held_up;
+             }) == 0);
+  rig.Serve(200);
+  rig.Finish(0.6);
+}
+
 BOOST_AUTO_TEST_CASE(address_goes_to_another_service) {
   Rig rig;
   Backend& card = *rig.fleet().backends(kCards).front();
--- a/tests/unit/gateway_http/backend_faults_test.cc
+++ b/tests/unit/gateway_http/backend_faults_test.cc
@@ -143,6 +143,58 @@
   BOOST_TEST(node.backend.connections.at(0)->was_reset);
 }
 
+/// Notes the attempts that are carried out, and whether each was still expected.
+struct CarriedAttempts : DataPathObserver {
+  void OnAttemptDecided(std::string_view /*request_id*/,
+                        const forwarding::SendDecision& send) override {
+    unexpected += dispatcher->IsExpected(send.attempt) ? 0 : 1;
+  }
+
+  forwarding::Dispatcher* dispatcher = nullptr;
+  int unexpected = 0;
+};
+
+// Guards against an attempt that is cancelled after it was decided, and sent all the same.
+BOOST_AUTO_TEST_CASE(an_attempt_cancelled_before_it_is_carried_out_is_not_sent) {
+  CarriedAttempts carried;
+  Node node(DataPathSettings{}, &carried);
+  carried.dispatcher = &node.dispatcher;
+  TestBackend other(node.loop);
+  catalog::Backend second;
+  second.id = "backend-2";
+  second.service = "service";
+  second.address = other.address();
+  second.slots = 4;
+  second.zone = "a";
+  catalog::Backend third = second;
+  third.id = "backend-3";
+  node.data_path.ChangeBackends({{second, third}, {}}, {});
+  node.dispatcher.SetRelayPeers({{/*incarnation=*/11, "a"}});
+  // A second attempt is due after half of this, long after this test has ended.
+  node.target_latency = absl::Seconds(8);
+  node.Configure(catalog::Limits());
+  const auto caller = node.Connect();
+  // Enough answers to know how long one takes.
+  for (int i = 0; i < 40; ++i) {
+    node.Ask(caller, std::to_string(i));
+  }
+  const auto say_nothing = [](TestSocket&, const std::string&) {};
+  node.backend.on_request = say_nothing;
+  other.on_request = say_nothing;
+  const size_t before = node.backend.requests.size() + other.requests.size();
+  caller->Send(Node::Get("slow"));
+  node.WaitUntil([&] { return node.backend.requests.size() + other.requests.size() > before; });
+  const Time later = node.clock.Now() + absl::Milliseconds(4500);
+  // Decides a second attempt.
+  node.dispatcher.OnTick(later);
+  // Cancels it, as neither back end is reached.
+  for (const char* backend : {"backend-2", "backend-3"}) {
+    node.dispatcher.OnPathEvent(backend, forwarding::PathEvent::kConnectFailed, later);
+  }
+  node.data_path.Pump();
+  BOOST_TEST(carried.unexpected == 0);
+}
+
 BOOST_AUTO_TEST_CASE(bytes_on_an_idle_connection_retire_it_at_once) {
   Node node;
   const auto caller = node.Connect();
