--- /dev/null
+++ b/review/standin-2/cases.cc
@@ -0,0 +1,105 @@
+// The cases of the second review. Usage: review_cases_2 CASE --trouble=0|1 --record=FILE
+//
+// Exit codes: 0 when the rule held, 1 when it was broken, 2 when the case could not run.
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "rig.h"
+
+namespace review {
+namespace {
+
+constexpr char kScripts[] = "scripts";
+constexpr ladderstream::ownership::Key kHotKey = 20100;
+
+/// Every back end has started under a name and tells when it was born.
+void TellBirths(fleet::Fleet* platform) {
+  for (const fleet::ServiceSpec& service : platform->settings().services) {
+    for (fleet::Backend* backend : platform->backends(service.name)) {
+      backend->Crash();
+      platform->Restart(*backend);
+    }
+  }
+}
+
+/// Another writer's entry shows the address of a back end that serves, and a service that no
+/// configuration names.
+Result ForeignEntry(const Options& options) {
+  fleet::Deployment deployment = fleet::SmallDeployment();
+  deployment.fleet.services.front().backends_per_zone = 2;
+  Rig rig(options, deployment, 3);
+  fleet::Fleet& platform = rig.platform();
+  TellBirths(&platform);
+  if (!rig.Start()) {
+    return kCannotRun;
+  }
+  platform.loop().RunFor(absl::Seconds(6));
+  const fleet::Backend* owner = platform.OwnerOf(kScripts, kHotKey);
+  if (owner == nullptr) {
+    return kCannotRun;
+  }
+  rig.record().Say(absl::StrCat(owner->id(), " at ", FormatEndpoint(owner->address()),
+                                " holds key ", kHotKey, " and serves"));
+  if (options.trouble) {
+    const nlohmann::json entry = {{"service", "probes"},
+                                  {"address", FormatEndpoint(owner->address())},
+                                  {"zone", owner->zone()},
+                                  {"version", "v1"},
+                                  {"slots", 1},
+                                  {"state", "ready"},
+                                  {"cold_left_s", 0},
+                                  {"seq", 1}};
+    ladderstream::store::Transaction transaction;
+    transaction.puts.push_back({{"servers", "", "probe-1"}, entry.dump()});
+    fleet::TransactionResult result;
+    if (!platform.store().Transact(transaction, &result) || !result.applied) {
+      return kCannotRun;
+    }
+    rig.record().Say(absl::StrCat("another writer puts servers/probe-1: ", entry.dump()));
+  }
+  platform.loop().RunFor(absl::Seconds(12));
+  rig.record().Say(absl::StrCat(owner->id(), owner->ended() ? " has ended" : " is still up"));
+  platform.FinishCalls();
+  rig.WriteHolds(kScripts, kHotKey);
+  const fleet::Verdict verdict = platform.Judge();
+  return rig.Conclude(verdict, {&verdict.two_owners, &verdict.fences});
+}
+
+Result Run(const Options& options) {
+  if (options.name == "foreign_entry") {
+    return ForeignEntry(options);
+  }
+  std::cerr << "no case " << options.name << "\n";
+  return kCannotRun;
+}
+
+}  // namespace
+}  // namespace review
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  review::Options options;
+  for (int i = 1; i < argc; ++i) {
+    const std::string argument = argv[i];
+    if (absl::StartsWith(argument, "--trouble=")) {
+      options.trouble = argument.substr(10) != "0";
+    } else if (absl::StartsWith(argument, "--record=")) {
+      options.record = argument.substr(9);
+    } else if (absl::StartsWith(argument, "--node=")) {
+      options.node_program = argument.substr(7);
+    } else {
+      options.name = argument;
+    }
+  }
+  try {
+    return review::Run(options);
+  } catch (const std::exception& error) {
+    std::cerr << "the case could not run: " << error.what() << "\n";
+    return review::kCannotRun;
+  }
+}
