--- a/review/standin-2/cases.cc
+++ b/review/standin-2/cases.cc
@@ -70,7 +70,106 @@
   return rig.Conclude(verdict, {&verdict.two_owners, &verdict.fences});
 }
 
+/// Stops a node as planned and starts it again; false when it does not come back.
+bool StopAndStart(Rig* rig, size_t node) {
+  fleet::EventLoop& loop = rig->platform().loop();
+  rig->processes().Signal(rig->name(node), SIGTERM);
+  rig->record().Say(absl::StrCat(rig->name(node), " gets SIGTERM"));
+  if (!loop.RunUntil([&] { return !rig->processes().IsRunning(rig->name(node)); },
+                     absl::Seconds(7))) {
+    return false;
+  }
+  rig->Restart(node);
+  rig->record().Say(absl::StrCat(rig->name(node), " starts again"));
+  return loop.RunUntil([&] { return rig->platform().nodes().IsReady(node); }, absl::Seconds(10));
+}
+
+/// The row of a back end as its heartbeat writes it.
+std::string RowOf(const fleet::Backend& backend) {
+  return nlohmann::json({{"service", backend.service()},
+                         {"address", FormatEndpoint(backend.address())},
+                         {"zone", backend.zone()},
+                         {"version", "v1"},
+                         {"slots", 2},
+                         {"state", "ready"},
+                         {"cold_left_s", 0},
+                         {"seq", 20}})
+      .dump();
+}
+
+/// Writes a row of the table of back ends, or removes it when `value` is empty.
+void PutRow(fleet::Fleet* platform, const std::string& id, const std::string& value) {
+  ladderstream::store::Transaction transaction;
+  if (value.empty()) {
+    transaction.removals.push_back({"servers", "", id});
+  } else {
+    transaction.puts.push_back({{"servers", "", id}, value});
+  }
+  fleet::TransactionResult ignored;
+  platform->store().Transact(transaction, &ignored);
+}
+
+/// A back end is cut off from the store, crashes, and starts again at its address, while the nodes
+/// are stopped and started in turn. After the cut, a heartbeat from before it reaches the store.
+Result RebornBehindACut(const Options& options) {
+  fleet::Deployment deployment = fleet::SmallDeployment();
+  deployment.fleet.services.front().backends_per_zone = 2;
+  // Enough that a back end that comes gets keys.
+  deployment.load.front().per_second = 600;
+  Rig rig(options, deployment, 3);
+  fleet::Fleet& platform = rig.platform();
+  if (!rig.Start()) {
+    return kCannotRun;
+  }
+  platform.loop().RunFor(absl::Seconds(3));
+  fleet::Backend* before = platform.OwnerOf(kScripts, kHotKey);
+  if (before == nullptr) {
+    return kCannotRun;
+  }
+  fleet::Backend* after = nullptr;
+  bool held_keys = false;
+  if (options.trouble) {
+    before->CutFromStore(true);
+    before->Crash();
+    rig.record().Say(absl::StrCat(before->id(), " at ", FormatEndpoint(before->address()),
+                                  " is cut off from the store, and crashes"));
+    platform.loop().After(absl::Seconds(10), [&] {
+      after = &platform.Replace(*before, kScripts);
+      rig.record().Say(absl::StrCat(after->id(), " has started there, and the cut is over"));
+    });
+    platform.loop().After(absl::Seconds(13.5), [&] {
+      held_keys = after->HoldsAnyKey();
+      PutRow(&platform, before->id(), RowOf(*before));
+      rig.record().Say(absl::StrCat("a heartbeat of ", before->id(), " reaches the store: ",
+                                    RowOf(*before)));
+    });
+    // Its entry goes after three heartbeats of silence.
+    platform.loop().After(absl::Seconds(15), [&] { PutRow(&platform, before->id(), ""); });
+  }
+  platform.loop().RunFor(absl::Seconds(6));
+  for (size_t node = 0; node < 3; ++node) {
+    if (!StopAndStart(&rig, node)) {
+      return kCannotRun;
+    }
+  }
+  platform.loop().RunFor(absl::Seconds(8));
+  platform.FinishCalls();
+  if (options.trouble && !held_keys) {
+    // Nothing can be given away twice.
+    return kCannotRun;
+  }
+  for (const fleet::Backend* backend : platform.backends(kScripts)) {
+    rig.record().Say(absl::StrCat(backend->id(), " is up at ", FormatEndpoint(backend->address())));
+  }
+  rig.WriteHolds(kScripts, kHotKey);
+  const fleet::Verdict verdict = platform.Judge();
+  return rig.Conclude(verdict, {&verdict.two_owners, &verdict.fences});
+}
+
 Result Run(const Options& options) {
+  if (options.name == "reborn_behind_a_cut") {
+    return RebornBehindACut(options);
+  }
   if (options.name == "foreign_entry") {
     return ForeignEntry(options);
   }
--- a/review/standin-2/rig.cc
+++ b/review/standin-2/rig.cc
@@ -60,12 +60,17 @@
       "retry_budget_window = \"10s\"\n");
 }
 
+void Rig::Restart(size_t node) {
+  setenv("LADDERSTREAM_BOOT", files_[node].c_str(), 1);
+  group_.Restart(names_[node]);
+}
+
 bool Rig::Start() {
   std::vector<fleet::NodeAddress> addresses;
   for (size_t node = 0; node < names_.size(); ++node) {
-    const auto file = group_.WriteFile(names_[node] + ".toml", SettingsOf(node));
+    files_.push_back(group_.WriteFile(names_[node] + ".toml", SettingsOf(node)).string());
     // The process takes over this variable, as the deploy file's command wants it.
-    setenv("LADDERSTREAM_BOOT", file.c_str(), 1);
+    setenv("LADDERSTREAM_BOOT", files_[node].c_str(), 1);
     group_.Start({names_[node], options_.node_program, {"--settings_from=LADDERSTREAM_BOOT"}});
     addresses.push_back({fronts_[node], readiness_[node]});
   }
--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -49,6 +49,8 @@
   const std::string& name(size_t node) const { return names_[node]; }
   const Endpoint& front(size_t node) const { return fronts_[node]; }
 
+  /// Starts a node that has ended again, as it was started first.
+  void Restart(size_t node);
   /// Starts the nodes and the load; false when they do not come up.
   bool Start();
   /// All orders that back ends took, and what was judged.
@@ -68,6 +70,8 @@
   std::vector<Endpoint> fronts_;
   std::vector<Endpoint> readiness_;
   std::vector<Endpoint> peers_;
+  /// Of the settings.
+  std::vector<std::string> files_;
 };
 
 /// So many entrances of the store as nodes.
