Ask an owner whether it runs instead of believing a registration at its address

Cause: BackendDirectory::FindEnded took any back end that the coordinator had not known before as proof that the one at its address, or of an earlier start under its name, had ended; its keys were given on with neither a release nor a wait. The log told these verdicts ("was replaced by a newer back end at its address") from those by an answer of another instance; all were of the first kind. The verdict was never withdrawn either.

Change: a registration only raises the question. The owner gets its due orders at once; the answer tells: 421 proves the end, 200 that it runs. While it is asked, and after it has answered, others at its address get no keys. A later start elsewhere is proof once that incarnation has answered. A verdict is withdrawn by an answer to a later order, by a new registration, and after 15 s if the back end is still registered. backend_questioned, backend_ended with its evidence and backend_end_withdrawn are logged. Coordinator::OnBackendEnded, which nothing called, is gone.

Weighed: a release instead of the renewal (costs a living owner its keys); a health probe (a second way, priced); the start time alone (not told by most, and not asked of whom it names). An owner that stays silent is now waited out whatever is registered at its address.

Three tests held the old rule: an address in use by another service, a newer back end at the address, a later start elsewhere proved the end by themselves. They are replaced by cases that want the same move at once when another instance answers, and none when nobody does.

--- a/src/core/ownership/backend_directory.cc
+++ b/src/core/ownership/backend_directory.cc
@@ -56,8 +56,16 @@
 
 BackendDirectory::BackendDirectory(const CoordinatorSettings& settings) : settings_(settings) {}
 
+void BackendDirectory::UpdateSharing(const std::set<std::string>& at_address) {
+  for (const std::string& id : at_address) {
+    backends_.at(id).shares_address = at_address.size() > 1;
+  }
+}
+
 void BackendDirectory::AddToIndexes(const std::string& id, const KnownBackend& known) {
-  by_address_[known.address].insert(id);
+  std::set<std::string>& at_address = by_address_[known.address];
+  at_address.insert(id);
+  UpdateSharing(at_address);
   by_instance_[std::string(catalog::InstanceOf(id))].insert(id);
 }
 
@@ -70,33 +78,9 @@
   };
   erase(&by_address_, known.address);
   erase(&by_instance_, catalog::InstanceOf(id));
-}
-
-void BackendDirectory::FindEnded(const catalog::Backend& newcomer,
-                                 std::vector<std::string>* ended) const {
-  const std::string_view instance = catalog::InstanceOf(newcomer.id);
-  const auto add_ended = [&](const std::string& id) {
-    if (!backends_.at(id).ended) {
-      ended->push_back(id);
-    }
-  };
-  const auto at_address = by_address_.find(newcomer.address);
+  const auto at_address = by_address_.find(known.address);
   if (at_address != by_address_.end()) {
-    for (const std::string& id : at_address->second) {
-      if (catalog::InstanceOf(id) != instance) {
-        add_ended(id);
-      }
-    }
-  }
-  const auto same_instance = by_instance_.find(instance);
-  if (same_instance != by_instance_.end()) {
-    for (const std::string& id : same_instance->second) {
-      // Rows may be read late, so only a later start proves that an earlier incarnation ended.
-      if (backends_.at(id).address != newcomer.address &&
-          catalog::StartOf(newcomer.id) > catalog::StartOf(id)) {
-        add_ended(id);
-      }
-    }
+    UpdateSharing(at_address->second);
   }
 }
 
@@ -116,16 +100,13 @@
 }
 
 RegistrationChanges BackendDirectory::Update(const catalog::BackendChanges& changes,
-                                             const std::set<std::string>& sharded) {
+                                             const std::set<std::string>& sharded, Time now) {
   RegistrationChanges found;
   for (const catalog::Backend& backend : changes.set) {
-    if (!backends_.contains(backend.id)) {
-      FindEnded(backend, &found.ended);
+    if (!IsRegistered(backend.id)) {
+      FindReplaced(backend, &found.replaced);
     }
   }
-  for (const std::string& id : found.ended) {
-    MarkEnded(id);
-  }
   for (const std::string& id : changes.gone) {
     const auto known = backends_.find(id);
     if (known != backends_.end() && known->second.registered) {
@@ -143,6 +124,10 @@
     if (!is_new) {
       RemoveFromIndexes(backend.id, known);
     }
+    if (!known.registered) {
+      known.registered_at = now;
+      WithdrawEnd(backend.id, &known);
+    }
     Count(known, -1);
     registered_count_ += known.registered ? 0 : 1;
     known.service = backend.service;
@@ -183,38 +168,40 @@
     }
     RemoveFromIndexes(id, known);
     failing_.erase(id);
+    questioned_.erase(id);
+    ended_.erase(id);
     entry = backends_.erase(entry);
   }
 }
 
-void BackendDirectory::MarkEnded(const std::string& id) {
-  const auto [place, is_new] = backends_.try_emplace(id);
-  if (is_new) {
-    AddToIndexes(id, place->second);
-  }
-  Count(place->second, -1);
-  place->second.ended = true;
-}
-
-bool BackendDirectory::RecordAnswer(const std::string& id, Time sent) {
+BackendDirectory::AnswerEffects BackendDirectory::RecordAnswer(const std::string& id, Time sent) {
   const auto found = backends_.find(id);
   if (found == backends_.end()) {
-    return false;
+    return {};
   }
   KnownBackend& known = found->second;
   ServiceCounts& counts = counts_[known.service];
   counts.answered_sent = std::max(counts.answered_sent, sent);
   counts.reported_unreached = false;
-  const bool was_unresponsive = known.unresponsive;
+  AnswerEffects effects;
+  effects.was_unresponsive = known.unresponsive;
+  effects.end_withdrawn = known.ended && sent > known.end_observed;
+  if (effects.end_withdrawn) {
+    WithdrawEnd(id, &known);
+  }
+  known.answered_sent = std::max(known.answered_sent, sent);
+  if (sent >= known.questioned_at) {
+    EndQuestion(id, &known);
+  }
   known.failures = 0;
   known.only_refused = true;
   known.failing_since = absl::InfiniteFuture();
-  if (was_unresponsive) {
+  if (effects.was_unresponsive) {
     SetUnresponsive(&known, false);
   }
   known.exclusion = absl::ZeroDuration();
   failing_.erase(id);
-  return was_unresponsive;
+  return effects;
 }
 
 void BackendDirectory::RecordFailure(const std::string& id, bool refused, Time sent, Time now) {
@@ -393,7 +380,7 @@
 bool BackendDirectory::Accepts(const std::string& id) const {
   const KnownBackend* known = Find(id);
   return known != nullptr && known->registered && !known->leaving && !known->ended &&
-         !known->unresponsive;
+         !known->unresponsive && !IsAddressHeld(id, *known);
 }
 
 bool BackendDirectory::Keeps(const std::string& id) const {
--- a/src/core/ownership/backend_directory.h
+++ b/src/core/ownership/backend_directory.h
@@ -26,8 +26,19 @@
   bool registered = false;
   /// The back end drains, or its zone is evacuated.
   bool leaving = false;
-  /// Proven to have ended; never reset.
+  /// Another known back end has the same address.
+  bool shares_address = false;
+  /// When the current registration was first seen.
+  Time registered_at = absl::InfinitePast();
+  /// When the latest order that this incarnation answered was sent.
+  Time answered_sent = absl::InfinitePast();
+  /// Whether the back end is being asked since `questioned_at` if it still runs.
+  bool questioned = false;
+  Time questioned_at = absl::InfinitePast();
+  /// Proven to have ended, by the answer to an order sent at `end_observed`. Withdrawn by an answer
+  /// of this incarnation to a later order, by a new registration, and after kEndedRecheck.
   bool ended = false;
+  Time end_observed = absl::InfinitePast();
   /// End of the slow start after the back end's start, and whether the back end accepts only a
   /// limited request rate until then.
   Time cold_until = absl::InfinitePast();
@@ -58,16 +69,25 @@
   Duration exclusion = absl::ZeroDuration();
 };
 
+/// A back end that the registration of another one suggests has ended.
+struct ReplacedBackend {
+  std::string id;
+  /// The other back end.
+  std::string by;
+};
+
 /// Result of an update of the registered back ends.
 struct RegistrationChanges {
   /// A back end of a sharded service was registered, was deregistered, or began to drain.
   bool any = false;
-  /// Back ends proven to have ended: another back end was newly registered at the address of a
-  /// known one, or another incarnation of the same back end at another address. A back end that
-  /// restarted at its old address is not included: renewals meant for the earlier incarnation may
-  /// have reached the new one, so its keys are released before they are granted again. The new
-  /// incarnation answers that release at once.
-  std::vector<std::string> ended;
+  /// Back ends that may have ended, because another one was registered at the address of a known
+  /// one, or a later incarnation of it at another address. A registration proves nothing: it may
+  /// have been written long ago or by another writer. Only an answer to an order tells.
+  ///
+  /// A back end that restarted at its old address is not included: renewals meant for the earlier
+  /// incarnation may have reached the new one, so its keys are released before they are granted
+  /// again. The new incarnation answers that release at once.
+  std::vector<ReplacedBackend> replaced;
 };
 
 class BackendDirectory {
@@ -75,9 +95,9 @@
   explicit BackendDirectory(const CoordinatorSettings& settings);
 
   /// Applies a change of the registered back ends and returns its effects. Back ends of services
-  /// not in `sharded` are used only as proof that earlier back ends at their addresses have ended.
+  /// not in `sharded` only raise the question whether earlier ones at their addresses have ended.
   RegistrationChanges Update(const catalog::BackendChanges& changes,
-                             const std::set<std::string>& sharded);
+                             const std::set<std::string>& sharded, Time now);
   /// Adds an owner named by a row of the store, with its address.
   void AddOwner(const std::string& id, const std::string& service, const Endpoint& address);
   /// Returns whether more than kMaxUnregistered known back ends are not registered.
@@ -85,10 +105,26 @@
   /// Removes back ends that are neither registered nor in `needed`.
   void PruneUnregistered(const std::set<std::string>& needed);
 
-  void MarkEnded(const std::string& id);
-  /// Records an answer to an order sent at `sent`. Returns whether the back end was unresponsive
-  /// until now.
-  bool RecordAnswer(const std::string& id, Time sent);
+  /// Records that the back end is being asked if it still runs. Until it answers, becomes
+  /// unresponsive or kQuestionTimeout has passed, others at its address get no keys.
+  void RecordQuestion(const std::string& id, Time now);
+  /// Records proof that the back end has ended: the answer to an order sent at `observed`.
+  void MarkEnded(const std::string& id, Time observed);
+  /// Returns the back ends whose end is no longer taken as proven, because they are still
+  /// registered kEndedRecheck after it was observed. Also ends the questions that timed out.
+  std::vector<std::string> ExpireVerdicts(Time now);
+  /// Returns the earlier incarnations of a back end that have not been proven to have ended and
+  /// were at other addresses. An answer of the later one proves their end.
+  std::vector<std::string> EarlierIncarnationsElsewhere(const std::string& id) const;
+
+  struct AnswerEffects {
+    /// The back end was unresponsive until now.
+    bool was_unresponsive = false;
+    /// The back end was wrongly taken to have ended.
+    bool end_withdrawn = false;
+  };
+  /// Records an answer of the back end itself to an order sent at `sent`.
+  AnswerEffects RecordAnswer(const std::string& id, Time sent);
   /// Records an unconfirmed grant. `refused`: the connection was refused because nothing listened
   /// at the address.
   void RecordFailure(const std::string& id, bool refused, Time sent, Time now);
@@ -130,8 +166,14 @@
 
  private:
   /// Number of unregistered back ends above which they are pruned. Below it they are kept, so that
-  /// the row of a known back end that arrives late is not taken for a new back end at its address.
+  /// the row of a known back end that arrives late raises no question.
   static constexpr size_t kMaxUnregistered = 2048;
+  /// An owner that does not answer is found unresponsive before this; it bounds how long a stray
+  /// registration at a silent address keeps another back end there without keys.
+  static constexpr Duration kQuestionTimeout = absl::Seconds(3);
+  /// A back end that is still registered this long after its end was observed may get keys again;
+  /// a crashed one has lost its registration by then.
+  static constexpr Duration kEndedRecheck = absl::Seconds(15);
 
   /// Registered back ends of one service that have not ended.
   struct ServiceCounts {
@@ -143,11 +185,18 @@
     bool reported_unreached = false;
   };
 
-  /// Adds a back end to the indexes, or removes it from them.
+  /// Sets `shares_address` of all back ends at one address.
+  void UpdateSharing(const std::set<std::string>& at_address);
+  /// Adds a back end to the indexes, or removes it from them. The back end must be in `backends_`.
   void AddToIndexes(const std::string& id, const KnownBackend& known);
   void RemoveFromIndexes(const std::string& id, const KnownBackend& known);
-  /// Appends to `ended` the ids of known back ends that `newcomer` proves to have ended.
-  void FindEnded(const catalog::Backend& newcomer, std::vector<std::string>* ended) const;
+  /// Appends the known back ends that `newcomer` may have replaced.
+  void FindReplaced(const catalog::Backend& newcomer, std::vector<ReplacedBackend>* replaced) const;
+  /// Returns whether another back end holds the address of `backend`: it answered after `backend`
+  /// was registered, or is being asked if it still runs.
+  bool IsAddressHeld(const std::string& id, const KnownBackend& backend) const;
+  void EndQuestion(const std::string& id, KnownBackend* known);
+  void WithdrawEnd(const std::string& id, KnownBackend* known);
   /// Adds the back end's current state to the counts of its service, or subtracts it (`by` -1).
   void Count(const KnownBackend& known, int by);
   /// Sets the unresponsive state and updates the counts.
@@ -189,6 +238,9 @@
   std::map<std::string, ServiceCounts> counts_;
   /// Back ends with recent failures or unresponsive ones; all others confirmed their last grant.
   std::set<std::string> failing_;
+  std::set<std::string> questioned_;
+  /// Back ends with `ended` set.
+  std::set<std::string> ended_;
   std::vector<std::string> unreached_;
   /// By service.
   std::map<std::string, LimitChanges> limit_changes_;
--- a/src/core/ownership/belief_events.h
+++ b/src/core/ownership/belief_events.h
@@ -64,7 +64,12 @@
 inline constexpr char kOwnerDeclines[] = "owner_declines";
 /// An unresponsive back end answered again.
 inline constexpr char kOwnerAnswers[] = "owner_answers";
+/// A back end is asked whether it still runs, because the registration of another one suggests
+/// that it has ended.
+inline constexpr char kBackendQuestioned[] = "backend_questioned";
 /// A back end is proven to have ended.
 inline constexpr char kBackendEnded[] = "backend_ended";
+/// A back end is no longer taken to have ended.
+inline constexpr char kBackendEndWithdrawn[] = "backend_end_withdrawn";
 
 }  // namespace ladderstream::ownership::state_change
--- a/src/core/ownership/coordinator.cc
+++ b/src/core/ownership/coordinator.cc
@@ -44,11 +44,8 @@
   }
   map_changed_ = map_changed_ || listed != listed_;
   listed_ = std::move(listed);
-  const RegistrationChanges found = directory_.Update(changes, listed_);
-  for (const std::string& ended : found.ended) {
-    ReportStateChange(state_change::kBackendEnded,
-                      absl::StrCat(ended, " was replaced by a newer back end at its address"));
-  }
+  const RegistrationChanges found = directory_.Update(changes, listed_, now);
+  AskReplacedOwners(found.replaced, now);
   if (directory_.NeedsPruning()) {
     ForgetUnneededBackends();
   }
@@ -150,11 +147,6 @@
   AdvanceSoon(now);
 }
 
-void Coordinator::Impl::OnBackendEnded(const std::string& backend, Time now) {
-  MarkBackendEnded(backend, now);
-  Advance(now);
-}
-
 void Coordinator::Impl::OnStoreReply(CallId call, const store::StoreReply& reply, Time now) {
   if (read_call_ == call) {
     OnRead(reply, now);
@@ -174,7 +166,7 @@
     AdvanceSoon(now);
   }
   if (reply.status == OrderStatus::kOtherInstance) {
-    MarkBackendEnded(order->backend, now);
+    OnOtherInstance(*order, now);
   } else if (order->kind == Order::Kind::kGrant) {
     OnGrantReply(*order, reply, now);
   } else {
@@ -356,10 +348,6 @@
   impl_->OnNotOwner(service, key, now);
 }
 
-void Coordinator::OnBackendEnded(const std::string& backend, Time now) {
-  impl_->OnBackendEnded(backend, now);
-}
-
 void Coordinator::OnStoreReply(CallId call, const store::StoreReply& reply, Time now) {
   impl_->OnStoreReply(call, reply, now);
 }
--- a/src/core/ownership/coordinator.h
+++ b/src/core/ownership/coordinator.h
@@ -169,8 +169,9 @@
   Coordinator(const CoordinatorSettings& settings, const NodeIdentity& self);
   ~Coordinator();
 
-  /// Sets the sharded services and applies the changes of the registered back ends. A back end of
-  /// any service at the address of an earlier one proves that the earlier one has ended.
+  /// Sets the sharded services and applies the changes of the registered back ends. A new back end
+  /// of any service at the address of an owner causes an order to the owner, whose answer tells
+  /// whether the owner still runs.
   void OnCatalog(const std::vector<catalog::Service>& sharded_services,
                  const catalog::BackendChanges& changes, Time now);
   /// Handles a heartbeat of another node that holds the lease.
@@ -190,8 +191,6 @@
   /// Renews the grant of `key` after its owner according to the map in force rejected a request as
   /// not the owner.
   void OnNotOwner(const std::string& service, Key key, Time now);
-  /// Records proof that this incarnation of a back end has ended and so holds no keys.
-  void OnBackendEnded(const std::string& backend, Time now);
   void OnStoreReply(CallId call, const store::StoreReply& reply, Time now);
   void OnOrderReply(CallId call, const OrderReply& reply, Time now);
   /// Performs all due work. Call it at or soon after NextWake().
--- a/src/core/ownership/coordinator_impl.h
+++ b/src/core/ownership/coordinator_impl.h
@@ -4,6 +4,7 @@
 //   coordinator_commits.cc  changes of owners and fences, from proposal to store
 //   coordinator_moves.cc    choice of moves, releases, waiting out unresponsive owners
 //   coordinator_orders.cc   grants and releases, and their answers
+//   coordinator_ends.cc     owners that may have ended: how they are asked, what answers mean
 #pragma once
 
 #include <map>
@@ -42,7 +43,6 @@
     directory_.SetRateLimits(limits, now);
   }
   void OnNotOwner(const std::string& service, Key key, Time now);
-  void OnBackendEnded(const std::string& backend, Time now);
   void OnStoreReply(CallId call, const store::StoreReply& reply, Time now);
   void OnOrderReply(CallId call, const OrderReply& reply, Time now);
   void OnTick(Time now) { Advance(now); }
@@ -178,7 +178,6 @@
 
   void EnsureServices(Time now);
   void ReportUnresponsiveBackends(Time now);
-  void MarkBackendEnded(const std::string& backend, Time now);
   void FinishReleases(ServiceState& service, Time now);
   Time WaitOutEnd(const RangeState& state) const;
   /// Advances the move of a range that no back end holds any more.
@@ -241,6 +240,20 @@
   ServiceState* FindService(const std::string& name);
   void RenewAll(Time now);
 
+  // coordinator_ends.cc
+
+  /// Sends orders at once to the owners among `replaced`; the answers tell whether they still run.
+  void AskReplacedOwners(const std::vector<ReplacedBackend>& replaced, Time now);
+  /// Returns whether the back end owns keys of the service and so is asked.
+  bool AskOwner(ServiceState& service, const ReplacedBackend& replaced, Time now);
+  /// Handles the answer of another instance at the address of an order's back end.
+  void OnOtherInstance(const Order& order, Time now);
+  /// Marks the incarnations as ended that the order's back end, which has answered, has replaced.
+  void EndEarlierIncarnations(const Order& order, Time now);
+  /// `observed` is the send time of the order whose answer is the evidence.
+  void MarkBackendEnded(const std::string& backend, Time observed, const std::string& evidence,
+                        Time now);
+
   const CoordinatorSettings settings_;
   const NodeIdentity self_;
   Role role_ = Role::kStandby;
--- a/src/core/ownership/coordinator_moves.cc
+++ b/src/core/ownership/coordinator_moves.cc
@@ -53,25 +53,16 @@
     ReportStateChange(state_change::kOwnerSilent, backend);
     RunAllPartitionersSoon(now);
   }
+  for (const std::string& backend : directory_.ExpireVerdicts(now)) {
+    ReportStateChange(state_change::kBackendEndWithdrawn,
+                      absl::StrCat(backend, " is still registered"));
+    RunAllPartitionersSoon(now);
+  }
   for (const std::string& service : directory_.TakeUnreachedServices()) {
     ReportStateChange(state_change::kOwnersUnreached, service);
   }
 }
 
-void Coordinator::Impl::MarkBackendEnded(const std::string& backend, Time now) {
-  if (directory_.HasEnded(backend)) {
-    return;
-  }
-  directory_.MarkEnded(backend);
-  ReportStateChange(state_change::kBackendEnded, backend);
-  for (auto& [name, service] : services_) {
-    std::erase_if(service.repeated_releases, [&backend](const RepeatedRelease& release) {
-      return release.backend == backend;
-    });
-  }
-  RunAllPartitionersSoon(now);
-}
-
 Time Coordinator::Impl::WaitOutEnd(const RangeState& state) const {
   const Time granted =
       std::max(state.last_grant, LatestArrival(orders_.LatestOpenGrant(state.owner, state.range)));
--- a/src/core/ownership/coordinator_orders.cc
+++ b/src/core/ownership/coordinator_orders.cc
@@ -197,8 +197,8 @@
   const CallId call = NextCall();
   const double spread = static_cast<double>(call % kSpreadSteps) / kSpreadSteps;
   state.order_due = now + RenewalInterval(now) * (1 - kRenewalSpread * spread);
-  orders_.Add(
-      {call, Order::Kind::kGrant, service.name, state.owner, state.range, state.fence, now, false});
+  orders_.Add({call, Order::Kind::kGrant, service.name, state.owner, address, state.range,
+               state.fence, now, false});
   actions_.emplace_back(GrantAction{call, state.owner, address, state.range, state.fence,
                                     HoldOf(now), state.handover,
                                     std::min(LeaseUntil(), now + settings_.slack)});
@@ -208,7 +208,8 @@
                                     const Endpoint& address, const KeyRange& range, Fence fence,
                                     Time now) {
   const CallId call = NextCall();
-  orders_.Add({call, Order::Kind::kRelease, service.name, backend, range, fence, now, false});
+  orders_.Add(
+      {call, Order::Kind::kRelease, service.name, backend, address, range, fence, now, false});
   actions_.emplace_back(ReleaseAction{call, backend, address, range, fence});
 }
 
@@ -225,11 +226,20 @@
 }
 
 void Coordinator::Impl::OnBackendAnswered(const Order& order, Time now) {
-  if (directory_.RecordAnswer(order.backend, order.sent)) {
+  const BackendDirectory::AnswerEffects effects =
+      directory_.RecordAnswer(order.backend, order.sent);
+  if (effects.was_unresponsive) {
     ReportStateChange(state_change::kOwnerAnswers, order.backend);
+  }
+  if (effects.end_withdrawn) {
+    ReportStateChange(state_change::kBackendEndWithdrawn,
+                      absl::StrCat(order.backend, " answered an order sent later"));
+  }
+  if (effects.was_unresponsive || effects.end_withdrawn) {
     RunAllPartitionersSoon(now);
     AdvanceSoon(now);
   }
+  EndEarlierIncarnations(order, now);
 }
 
 void Coordinator::Impl::OnGrantReply(const Order& order, const OrderReply& reply, Time now) {
--- a/src/core/ownership/order_book.h
+++ b/src/core/ownership/order_book.h
@@ -22,6 +22,7 @@
   Kind kind = Kind::kGrant;
   std::string service;
   std::string backend;
+  Endpoint address;
   KeyRange range;
   Fence fence = 0;
   Time sent;
--- a/tests/unit/ownership/coordinator_harness.h
+++ b/tests/unit/ownership/coordinator_harness.h
@@ -63,6 +63,8 @@
   std::set<std::string> unresponsive;
   /// Back ends whose addresses refuse connections.
   std::set<std::string> unreachable;
+  /// Back ends at whose addresses other instances answer.
+  std::set<std::string> replaced;
 
   std::vector<At<GrantAction>> grants;
   std::vector<At<ReleaseAction>> releases;
--- a/tests/unit/ownership/model_faults.cc
+++ b/tests/unit/ownership/model_faults.cc
@@ -106,6 +106,11 @@
     After(DrawMs(0, 3000), [this] { FaultLoop(); });
     return;
   }
+  if (options_.stray_rows && Chance(40)) {
+    StrayRowFault();
+    After(DrawMs(0, 2000), [this] { FaultLoop(); });
+    return;
+  }
   switch (Draw(9)) {
     case 0:
     case 1:
@@ -128,6 +133,39 @@
   After(DrawMs(0, 3000), [this] { FaultLoop(); });
 }
 
+void ModelWorld::StrayRowFault() {
+  const std::string id = RandomBackend();
+  const ModelBackend* running = BackendWithId(id);
+  if (running == nullptr) {
+    return;
+  }
+  catalog::Backend stray;
+  stray.id = absl::StrCat("stray-", ++last_stray_);
+  stray.service = Chance(50) ? running->service : "a service that is not listed";
+  stray.address = running->address;
+  // A late write of an earlier process at this address, if there was one.
+  for (const auto& earlier : backends_) {
+    if (!earlier->up && !earlier->listed && earlier->address == running->address && Chance(70)) {
+      stray.id = earlier->id;
+      stray.service = earlier->service;
+    }
+  }
+  const bool is_registered =
+      std::any_of(stray_rows_.begin(), stray_rows_.end(),
+                  [&stray](const catalog::Backend& other) { return other.id == stray.id; });
+  if (is_registered) {
+    return;
+  }
+  Trace(absl::StrCat("stray registration of ", stray.id, " at the address of ", id));
+  stray_rows_.push_back(stray);
+  PublishCatalogToAll();
+  At(std::min(faults_end_, now_ + DrawMs(100, 5000)), [this, stray_id = stray.id] {
+    std::erase_if(stray_rows_,
+                  [&stray_id](const catalog::Backend& row) { return row.id == stray_id; });
+    PublishCatalogToAll();
+  });
+}
+
 void ModelWorld::ReportFalseEnd() {
   for (const ModelNode& holder : nodes_) {
     if (!holder.coordinator || !holder.coordinator->Holds(now_)) {
--- a/tests/unit/ownership/model_main.cc
+++ b/tests/unit/ownership/model_main.cc
@@ -4,7 +4,7 @@
 // "segments", row and commit limits are so small that each service takes several rows and a commit
 // writes only a few of them. With "relays", orders may go through other nodes; with "paths",
 // nodes losing the path to back ends is the only fault besides; with "links", cut links hold orders
-// up.
+// up; with "rows", registrations of back ends that do not run appear.
 #include <cstdint>
 #include <cstdlib>
 #include <iostream>
@@ -33,6 +33,7 @@
   }
   options.only_path_cuts = mode == "paths";
   options.links_hold_orders = mode == "links";
+  options.stray_rows = mode == "rows";
   options.relays_orders = options.only_path_cuts || mode == "relays";
   uint64_t failures = 0;
   ModelCounts sum;
--- a/tests/unit/ownership/model_nodes.cc
+++ b/tests/unit/ownership/model_nodes.cc
@@ -440,6 +440,7 @@
       backends.push_back(listed);
     }
   }
+  backends.insert(backends.end(), stray_rows_.begin(), stray_rows_.end());
   node.coordinator->OnCatalog(services, node.registered.Replace(backends), now_);
 }
 
--- a/tests/unit/ownership/model_world.h
+++ b/tests/unit/ownership/model_world.h
@@ -47,6 +47,9 @@
   /// Cuts come in pairs. Orders that are taken within the time that the coordinator adds to the end
   /// of a hold count in full.
   bool links_hold_orders = false;
+  /// Registrations appear of back ends that have ended and of back ends that never ran, at the
+  /// addresses of back ends that run.
+  bool stray_rows = false;
 };
 
 struct ModelNode {
@@ -157,6 +160,8 @@
   ModelNode* NodeWith(uint64_t incarnation);
   /// Some nodes, but not all, lose the path to all back ends.
   void PathFault();
+  /// Registers a back end that does not run, and deregisters it later.
+  void StrayRowFault();
   /// Reports keys that the lease holder's map assigns and that their owner does not hold.
   void CheckNoKeyUnowned();
   void Broadcast(ModelNode& node);
@@ -222,6 +227,9 @@
   std::vector<ModelNode> nodes_;
   uint64_t last_incarnation_ = 0;
   std::vector<std::unique_ptr<ModelBackend>> backends_;
+  /// Registrations of back ends that do not run, beside those of `backends_`.
+  std::vector<catalog::Backend> stray_rows_;
+  uint64_t last_stray_ = 0;
   std::set<std::string> evacuated_;
   uint64_t last_backend_ = 0;
   uint16_t last_port_ = 0;
