Take another instance's answer as proof only where the grants went

A row of another writer under the name of an owner may show any address. Orders then went there, another instance answered 421, and the owner counted as ended while it held its keys elsewhere: they were given on at once.

The address at which a back end was first granted keys, or the store has for it, is kept; 421 from elsewhere counts as no answer, so the hold is waited out. So does 421 to an order that is older than one the back end has answered since. Logged as backend_end_unproven.

Two tests of replaced_owner_test, both failed before: by a coordinator that granted the keys, and by one that has just taken over.

--- a/src/core/ownership/backend_directory.cc
+++ b/src/core/ownership/backend_directory.cc
@@ -148,6 +148,7 @@
                                 const Endpoint& address) {
   const auto [place, is_new] = backends_.try_emplace(id);
   KnownBackend& known = place->second;
+  known.granted_at = known.granted_at.value_or(address);
   if (!is_new && !known.service.empty()) {
     return;
   }
@@ -174,7 +175,8 @@
   }
 }
 
-BackendDirectory::AnswerEffects BackendDirectory::RecordAnswer(const std::string& id, Time sent) {
+BackendDirectory::AnswerEffects BackendDirectory::RecordAnswer(const std::string& id,
+                                                               const Endpoint& address, Time sent) {
   const auto found = backends_.find(id);
   if (found == backends_.end()) {
     return {};
@@ -190,6 +192,7 @@
     WithdrawEnd(id, &known);
   }
   known.answered_sent = std::max(known.answered_sent, sent);
+  known.granted_at = address;
   if (sent >= known.questioned_at) {
     EndQuestion(id, &known);
   }
--- a/src/core/ownership/backend_directory.h
+++ b/src/core/ownership/backend_directory.h
@@ -32,6 +32,9 @@
   Time registered_at = absl::InfinitePast();
   /// When the latest order that this incarnation answered was sent.
   Time answered_sent = absl::InfinitePast();
+  /// Where grants of this incarnation may have been accepted; empty if none was ever sent. Another
+  /// instance that answers elsewhere proves nothing about these grants.
+  std::optional<Endpoint> granted_at;
   /// Whether the back end is being asked since `questioned_at` if it still runs.
   bool questioned = false;
   Time questioned_at = absl::InfinitePast();
@@ -98,7 +101,7 @@
   /// not in `sharded` only raise the question whether earlier ones at their addresses have ended.
   RegistrationChanges Update(const catalog::BackendChanges& changes,
                              const std::set<std::string>& sharded, Time now);
-  /// Adds an owner named by a row of the store, with its address.
+  /// Adds an owner named by a row of the store, with the address at which it was granted keys.
   void AddOwner(const std::string& id, const std::string& service, const Endpoint& address);
   /// Returns whether more than kMaxUnregistered known back ends are not registered.
   bool NeedsPruning() const { return backends_.size() - registered_count_ > kMaxUnregistered; }
@@ -108,6 +111,12 @@
   /// Records that the back end is being asked if it still runs. Until it answers, becomes
   /// unresponsive or kQuestionTimeout has passed, others at its address get no keys.
   void RecordQuestion(const std::string& id, Time now);
+  /// Records that a grant is sent to the back end.
+  void RecordGrant(const std::string& id, const Endpoint& address);
+  /// Returns whether another instance that answered an order sent to `address` at `sent` proves
+  /// that the back end has ended: not if its grants may have been accepted at another address, or
+  /// if it has answered a later order itself.
+  bool ProvesEnd(const std::string& id, const Endpoint& address, Time sent) const;
   /// Records proof that the back end has ended: the answer to an order sent at `observed`.
   void MarkEnded(const std::string& id, Time observed);
   /// Returns the back ends whose end is no longer taken as proven, because they are still
@@ -123,8 +132,8 @@
     /// The back end was wrongly taken to have ended.
     bool end_withdrawn = false;
   };
-  /// Records an answer of the back end itself to an order sent at `sent`.
-  AnswerEffects RecordAnswer(const std::string& id, Time sent);
+  /// Records an answer of the back end itself to an order sent at `sent` to `address`.
+  AnswerEffects RecordAnswer(const std::string& id, const Endpoint& address, Time sent);
   /// Records an unconfirmed grant. `refused`: the connection was refused because nothing listened
   /// at the address.
   void RecordFailure(const std::string& id, bool refused, Time sent, Time now);
--- a/src/core/ownership/backend_directory_ends.cc
+++ b/src/core/ownership/backend_directory_ends.cc
@@ -65,6 +65,19 @@
   questioned_.erase(id);
 }
 
+void BackendDirectory::RecordGrant(const std::string& id, const Endpoint& address) {
+  const auto found = backends_.find(id);
+  if (found != backends_.end()) {
+    found->second.granted_at = found->second.granted_at.value_or(address);
+  }
+}
+
+bool BackendDirectory::ProvesEnd(const std::string& id, const Endpoint& address, Time sent) const {
+  const KnownBackend* known = Find(id);
+  return known == nullptr ||
+         (known->granted_at.value_or(address) == address && known->answered_sent <= sent);
+}
+
 void BackendDirectory::MarkEnded(const std::string& id, Time observed) {
   const auto [place, is_new] = backends_.try_emplace(id);
   KnownBackend& known = place->second;
--- a/src/core/ownership/belief_events.h
+++ b/src/core/ownership/belief_events.h
@@ -69,6 +69,9 @@
 inline constexpr char kBackendQuestioned[] = "backend_questioned";
 /// A back end is proven to have ended.
 inline constexpr char kBackendEnded[] = "backend_ended";
+/// Another instance answered for a back end that was granted its keys at another address, or that
+/// has answered a later order.
+inline constexpr char kBackendEndUnproven[] = "backend_end_unproven";
 /// A back end is no longer taken to have ended.
 inline constexpr char kBackendEndWithdrawn[] = "backend_end_withdrawn";
 
--- a/src/core/ownership/coordinator_ends.cc
+++ b/src/core/ownership/coordinator_ends.cc
@@ -26,9 +26,23 @@
 }
 
 void Coordinator::Impl::OnOtherInstance(const Order& order, Time now) {
-  MarkBackendEnded(order.backend, order.sent,
-                   absl::StrCat("another instance answered at ", FormatEndpoint(order.address)),
-                   now);
+  const std::string evidence =
+      absl::StrCat("another instance answered at ", FormatEndpoint(order.address));
+  if (directory_.ProvesEnd(order.backend, order.address, order.sent)) {
+    MarkBackendEnded(order.backend, order.sent, evidence, now);
+    return;
+  }
+  // It may still run: it counts as not answering.
+  ReportStateChange(state_change::kBackendEndUnproven,
+                    absl::StrCat(order.backend, ": ", evidence,
+                                 ", but its grants went elsewhere or it answered a later order"));
+  if (order.kind == Order::Kind::kGrant) {
+    if (ServiceState* service = FindService(order.service)) {
+      OnGrantFailed(*service, order, OrderStatus::kOtherInstance, now);
+    }
+  } else {
+    directory_.RecordUnansweredRelease(order.backend, now);
+  }
 }
 
 void Coordinator::Impl::AskReplacedOwners(const std::vector<ReplacedBackend>& replaced, Time now) {
--- a/src/core/ownership/coordinator_orders.cc
+++ b/src/core/ownership/coordinator_orders.cc
@@ -199,6 +199,7 @@
   state.order_due = now + RenewalInterval(now) * (1 - kRenewalSpread * spread);
   orders_.Add({call, Order::Kind::kGrant, service.name, state.owner, address, state.range,
                state.fence, now, false});
+  directory_.RecordGrant(state.owner, address);
   actions_.emplace_back(GrantAction{call, state.owner, address, state.range, state.fence,
                                     HoldOf(now), state.handover,
                                     std::min(LeaseUntil(), now + settings_.slack)});
@@ -227,7 +228,7 @@
 
 void Coordinator::Impl::OnBackendAnswered(const Order& order, Time now) {
   const BackendDirectory::AnswerEffects effects =
-      directory_.RecordAnswer(order.backend, order.sent);
+      directory_.RecordAnswer(order.backend, order.address, order.sent);
   if (effects.was_unresponsive) {
     ReportStateChange(state_change::kOwnerAnswers, order.backend);
   }
--- a/tests/unit/ownership/backend_directory_test.cc
+++ b/tests/unit/ownership/backend_directory_test.cc
@@ -86,7 +86,7 @@
   BOOST_TEST(directory.TakeUnreachedServices().size() == 1U);
   BOOST_TEST((directory.NextUnresponsiveCheck(now) == absl::InfiniteFuture()));
   // An answer of a third one shows that the path is not cut.
-  directory.RecordAnswer("c", now);
+  directory.RecordAnswer("c", {"c", 1}, now);
   BOOST_TEST(directory.TakeNewlyUnresponsive(now).size() == 2U);
 }
 
--- a/tests/unit/ownership/coordinator_harness.cc
+++ b/tests/unit/ownership/coordinator_harness.cc
@@ -82,10 +82,10 @@
         }
       } else if (const auto* grant = std::get_if<GrantAction>(&action)) {
         grants.push_back({now, *grant});
-        Order(grant->call, grant->backend, "");
+        Order(grant->call, grant->backend, grant->address, "");
       } else if (const auto* release = std::get_if<ReleaseAction>(&action)) {
         releases.push_back({now, *release});
-        Order(release->call, release->backend, "handover of " + release->backend);
+        Order(release->call, release->backend, release->address, "handover of " + release->backend);
       } else if (const auto* publish = std::get_if<PublishAction>(&action)) {
         published = publish->map;
       } else if (const auto* change = std::get_if<StateChangeAction>(&action)) {
@@ -95,8 +95,9 @@
   }
 }
 
-void Harness::Order(CallId call, const std::string& backend, const std::string& handover) {
-  if (replaced.contains(backend)) {
+void Harness::Order(CallId call, const std::string& backend, const Endpoint& address,
+                    const std::string& handover) {
+  if (replaced.contains(backend) || foreign_hosts.contains(address.host)) {
     coordinator.OnOrderReply(call, {OrderStatus::kOtherInstance, ""}, now);
   } else if (unreachable.contains(backend)) {
     coordinator.OnOrderReply(call, {OrderStatus::kUnreachable, ""}, now);
--- a/tests/unit/ownership/coordinator_harness.h
+++ b/tests/unit/ownership/coordinator_harness.h
@@ -65,6 +65,8 @@
   std::set<std::string> unreachable;
   /// Back ends at whose addresses other instances answer.
   std::set<std::string> replaced;
+  /// Addresses at which other instances answer, whichever back end an order is for.
+  std::set<std::string> foreign_hosts;
 
   std::vector<At<GrantAction>> grants;
   std::vector<At<ReleaseAction>> releases;
@@ -74,7 +76,8 @@
   OwnershipMap published;
 
  private:
-  void Order(CallId call, const std::string& backend, const std::string& handover);
+  void Order(CallId call, const std::string& backend, const Endpoint& address,
+             const std::string& handover);
 };
 
 }  // namespace ladderstream::ownership
--- a/tests/unit/ownership/replaced_owner_test.cc
+++ b/tests/unit/ownership/replaced_owner_test.cc
@@ -150,15 +150,42 @@
   BOOST_TEST(node.OwnerOf(0) == "a");
 }
 
+// An entry of another writer under the name of an owner may show any address.
+BOOST_AUTO_TEST_CASE(another_instance_elsewhere_than_the_grants_went_proves_nothing) {
+  node.RegisterBackends({MakeBackend("a", "elsewhere"), MakeBackend("b", "b")});
+  node.foreign_hosts.insert("elsewhere");
+  const Time last_grant = node.grants.back().at;
+  node.Run(last_grant + node.settings.hold - node.now);
+  BOOST_TEST(node.OwnerOf(0) == "a");
+  BOOST_TEST(!node.Reported(state_change::kBackendEnded));
+  BOOST_TEST(node.Reported(state_change::kBackendEndUnproven));
+}
+
+// The same entry, read by a coordinator that has just taken over and has granted nothing yet.
+BOOST_AUTO_TEST_CASE(address_in_the_store_of_an_owner_goes_before_its_registration) {
+  Harness successor(&store, 2, 2, node.now);
+  successor.foreign_hosts.insert("elsewhere");
+  successor.RegisterBackends({MakeBackend("a", "elsewhere"), MakeBackend("b", "b")});
+  successor.Run(absl::Seconds(12));
+  BOOST_REQUIRE(successor.coordinator.Holds(successor.now));
+  BOOST_TEST(successor.Reported(state_change::kBackendEndUnproven));
+  BOOST_TEST(!successor.Reported(state_change::kBackendEnded));
+}
+
 BOOST_AUTO_TEST_CASE(answer_to_a_later_order_withdraws_the_end) {
   BackendDirectory directory{CoordinatorSettings()};
+  const Endpoint address = {"a", 1};
   directory.Update({{MakeBackend("a", "a")}, {}}, {Harness::kService}, kStart);
+  directory.RecordGrant("a", address);
+  BOOST_REQUIRE(directory.ProvesEnd("a", address, kStart));
   directory.MarkEnded("a", kStart);
-  BOOST_TEST(!directory.RecordAnswer("a", kStart).end_withdrawn);
+  BOOST_TEST(!directory.RecordAnswer("a", address, kStart).end_withdrawn);
   BOOST_TEST(directory.HasEnded("a"));
   const Time later = kStart + absl::Milliseconds(1);
-  BOOST_TEST(directory.RecordAnswer("a", later).end_withdrawn);
+  BOOST_TEST(directory.RecordAnswer("a", address, later).end_withdrawn);
   BOOST_TEST(directory.Accepts("a"));
+  // The answer of another instance to an order that was sent earlier is outdated.
+  BOOST_TEST(!directory.ProvesEnd("a", address, kStart));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
