End only incarnations that started earlier

ServiceTable ended every known incarnation of a name at each new registration, so that the late row of an earlier start stopped new work at the living one; the coordinator compares starts. The test in restart_test failed before.

--- a/src/core/forwarding/service_table.cc
+++ b/src/core/forwarding/service_table.cc
@@ -125,9 +125,13 @@
     return;
   }
   registrations_examined_ += known->second.size();
-  for (const BackendStatePtr& earlier : known->second) {
-    StopNewWork(absl::InfinitePast(), absl::InfinitePast(), *earlier);
-    AddStateChange(*earlier, "ended", absl::StrCat(backend.id, " has replaced it"));
+  const uint64_t started = catalog::StartOf(backend.id);
+  for (const BackendStatePtr& other : known->second) {
+    // The row of an earlier incarnation may be read late.
+    if (catalog::StartOf(other->registration.id) < started) {
+      StopNewWork(absl::InfinitePast(), absl::InfinitePast(), *other);
+      AddStateChange(*other, "ended", absl::StrCat(backend.id, " has replaced it"));
+    }
   }
 }
 
--- a/src/core/forwarding/service_table.h
+++ b/src/core/forwarding/service_table.h
@@ -76,7 +76,7 @@
 
  private:
   BackendStatePtr Register(const catalog::Backend& backend);
-  /// Ends earlier incarnations: the registration of `backend` proves that they have stopped.
+  /// Sends no more requests to incarnations of `backend` that started earlier.
   void EndEarlierIncarnations(const catalog::Backend& backend);
   void Update(const catalog::Backend& backend, const RegistrationUpdate& update,
               BackendState& state, Time now);
--- a/tests/unit/forwarding/restart_test.cc
+++ b/tests/unit/forwarding/restart_test.cc
@@ -49,6 +49,14 @@
   BOOST_TEST((StartAndSend("/cards/1").expected_wait == of_a_new_one));
 }
 
+// The row of an earlier incarnation may be read late; it stopped new work at the living one.
+BOOST_AUTO_TEST_CASE(late_registration_of_an_earlier_incarnation_ends_nothing) {
+  AddBackends("cards", {"c-1@2"});
+  const SendDecision card = StartAndSend("/cards/1");
+  AddBackends("cards", {"c-1@1"});
+  BOOST_TEST(dispatcher.MaySend(card.attempt, now));
+}
+
 BOOST_AUTO_TEST_CASE(another_back_end_with_a_similar_name_is_unaffected) {
   AddBackends("cards", {"c-1@1"});
   AddBackends("cards", {"c-11@2"});
