Count a back end as crashed only once another process has answered there

Callers: an innocent request that was under way as its back end was lost could be held as one that crashes back ends, because of an old or foreign row: any changed registration at the address of the lost back end counted as proof of its crash (Dispatcher::FindReplaced).

Now another back end at the address must have answered a request itself, later than the lost one did. Quick restarts under one name are told by their start as before.

--- a/src/core/forwarding/attempt_events.cc
+++ b/src/core/forwarding/attempt_events.cc
@@ -137,8 +137,7 @@
   ApplyBackendSignals(attempt, answer, now);
   UpdateFromAnswer(attempt, answer, now);
   if (answer.status != kMisdirected) {
-    attempt.backend->SetHeard(now);
-    suspects_.OnAnswered(attempt.backend->registration.id, now);
+    RecordAnswerOf(*attempt.backend, now);
   }
   Request* request = FindRequest(attempt.request);
   if (request != nullptr) {
--- a/src/core/forwarding/backend_state.h
+++ b/src/core/forwarding/backend_state.h
@@ -43,6 +43,9 @@
   Time heard_at = absl::InfinitePast();
   /// When the first request since then was sent to it; infinite when it owes no answer.
   Time awaited_since = absl::InfiniteFuture();
+  /// When it last answered a request itself. An accepted connection does not tell which process
+  /// accepted it.
+  Time answered_at = absl::InfinitePast();
   /// The back end asked this node to send it nothing before this time.
   Time backoff_until = absl::InfinitePast();
   load::LoadEstimate load;
--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -211,8 +211,14 @@
   void RecordConnectFailure(const Attempt& attempt, AttemptFailure failure, Time now);
   /// Finds out which lost back ends the changed registrations prove to have ended.
   void ApplyRegistrations(const catalog::BackendChanges& changes, Time now);
-  /// The same for ends that a later process at the name or address proves.
+  /// The same for ends that a later process at the name or address proves. `changed`: back ends
+  /// that were registered or answered.
   void FindReplaced(const std::vector<catalog::Backend>& changed, Time now);
+  /// Returns whether `other` has answered at the address of `lost`, later than `lost` did. Its
+  /// registration alone may be that of an earlier process, or of another writer.
+  bool HasTakenAddress(const catalog::Backend& other, const BackendState& lost) const;
+  /// Records that the back end itself answered a request.
+  void RecordAnswerOf(BackendState& backend, Time now);
 
   // deadlines.cc
   void FinishTimeOver(Request& request, Time now);
--- a/src/core/forwarding/loss_events.cc
+++ b/src/core/forwarding/loss_events.cc
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "core/catalog/incarnation_id.h"
 #include "core/forwarding/dispatcher_impl.h"
@@ -200,6 +201,23 @@
   FindReplaced(changes.set, now);
 }
 
+void Dispatcher::Impl::RecordAnswerOf(BackendState& backend, Time now) {
+  backend.SetHeard(now);
+  suspects_.OnAnswered(backend.registration.id, now);
+  const bool is_first = std::exchange(backend.answered_at, now) == absl::InfinitePast();
+  if (is_first) {
+    FindReplaced({backend.registration}, now);
+  }
+}
+
+bool Dispatcher::Impl::HasTakenAddress(const catalog::Backend& other,
+                                       const BackendState& lost) const {
+  const BackendStatePtr state = services_.FindBackend(other.id);
+  return state != nullptr && other.address == lost.registration.address &&
+         catalog::InstanceOf(other.id) != catalog::InstanceOf(lost.registration.id) &&
+         state->answered_at > lost.answered_at;
+}
+
 void Dispatcher::Impl::FindReplaced(const std::vector<catalog::Backend>& changed, Time now) {
   if (!suspects_.HasLosses()) {
     return;
@@ -211,10 +229,8 @@
     }
     const bool address_taken =
         state != nullptr &&
-        std::any_of(changed.begin(), changed.end(), [&](const catalog::Backend& other) {
-          return other.address == state->registration.address &&
-                 catalog::InstanceOf(other.id) != catalog::InstanceOf(lost);
-        });
+        std::any_of(changed.begin(), changed.end(),
+                    [&](const catalog::Backend& other) { return HasTakenAddress(other, *state); });
     if (address_taken || services_.HasLaterIncarnation(lost)) {
       suspects_.OnReplaced(lost, now);
     }
--- a/tests/unit/quarantine/dispatch_test.cc
+++ b/tests/unit/quarantine/dispatch_test.cc
@@ -103,6 +103,38 @@
   BOOST_TEST(answer.status == 502);
 }
 
+// Guards against requests that are held because of old registrations: one at the address of a lost
+// back end counted as proof that the back end had crashed.
+BOOST_AUTO_TEST_CASE(registration_at_the_address_of_a_lost_back_end_proves_no_crash) {
+  AddBackends("cards", {"c-1"});
+  StartGuilty("/cards/x");
+  const auto send = Only<SendDecision>();
+  Sent(send);
+  Fail(send, AttemptFailure::kLost);
+  catalog::Backend other = MakeBackend("c-0", "cards");
+  other.address = backends.front().address;
+  AddBackend(other);
+  BOOST_TEST(dispatcher.suspects().Judge(kGuilty, now).crashes == 0U);
+  BOOST_TEST(dispatcher.suspects().Judge(kGuilty, now).open == 1U);
+}
+
+// An answer of the other process is proof.
+BOOST_AUTO_TEST_CASE(answer_at_the_address_of_a_lost_back_end_proves_its_crash) {
+  AddBackends("cards", {"c-1"});
+  StartGuilty("/cards/x");
+  const auto send = Only<SendDecision>();
+  Sent(send);
+  Fail(send, AttemptFailure::kLost);
+  dispatcher.TakeDecisions();
+  catalog::Backend other = MakeBackend("c-2", "cards");
+  other.address = backends.front().address;
+  backends.clear();
+  AddBackend(other);
+  now += absl::Milliseconds(100);
+  Answer(StartAndSend("/cards/innocent"));
+  BOOST_TEST(dispatcher.suspects().Judge(kGuilty, now).crashes == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(an_innocent_one_that_is_lost_once_is_tried_again_and_cleared_when_served) {
   AddBackends("cards", {"c-1", "c-2"});
   HearOfCrashes(1);
