Ignore registrations of services that the configuration does not name

CatalogTables passes on back ends of services that the configuration declares or routes to; the others are noted as not understood, and taken up when a configuration names their service. Before the first configuration all are passed on, as nothing tells them apart.

catalog_tables_test: row_of_a_service_without_a_configuration_names_no_back_end failed before (10,001 back ends, 10,000 wanted).

--- a/src/node/catalog_tables.cc
+++ b/src/node/catalog_tables.cc
@@ -10,6 +10,20 @@
 namespace ladderstream::node {
 namespace {
 
+/// Returns the services that a configuration declares or routes to.
+std::set<std::string> NamedServices(const catalog::Configuration& configuration) {
+  std::set<std::string> names;
+  for (const auto& [name, service] : configuration.services) {
+    names.insert(name);
+  }
+  for (const catalog::Route& route : configuration.routes) {
+    for (const catalog::RouteTarget& target : route.targets) {
+      names.insert(target.service);
+    }
+  }
+  return names;
+}
+
 /// Returns the source of a copy's newest rows, for logs.
 const char* SourceOf(const store::TableFollower& follower, Time now) {
   return follower.Suspended(now) ? "coordinator" : "store";
@@ -67,6 +81,7 @@
       return false;
     }
     configuration_ = std::move(configuration);
+    named_services_ = NamedServices(*configuration_);
   } catch (const Error& error) {
     beliefs_->OnConfigurationRejected(absl::StrCat(row->second.version), error.what());
     return false;
@@ -106,14 +121,25 @@
   ReportBackends(changed_after, now);
 }
 
+void CatalogTables::Complete(const std::string& key, const catalog::Backend& registration,
+                             Time now) {
+  if (configuration_ == nullptr || named_services_.contains(registration.service)) {
+    backends_.Set(
+        backend_registry_.Complete(registration, evacuated_zones_, configuration_.get(), now));
+    return;
+  }
+  beliefs_->OnRowNotUnderstood(key, {absl::StrCat("a service of the configuration wanted, found ",
+                                                  registration.service, "; ignored")});
+  backends_.Remove(registration.id);
+}
+
 void CatalogTables::UpdateBackend(const std::string& key, Time now) {
   const auto previous = registrations_.find(key);
   const std::string previous_id = previous == registrations_.end() ? "" : previous->second.id;
   const std::optional<catalog::Backend> registration = DecodeRow(key);
   if (registration) {
     registrations_[key] = *registration;
-    backends_.Set(
-        backend_registry_.Complete(*registration, evacuated_zones_, configuration_.get(), now));
+    Complete(key, *registration, now);
   } else {
     registrations_.erase(key);
   }
@@ -143,8 +169,7 @@
 
 void CatalogTables::CompleteRegistrations(Time now) {
   for (const auto& [key, registration] : registrations_) {
-    backends_.Set(
-        backend_registry_.Complete(registration, evacuated_zones_, configuration_.get(), now));
+    Complete(key, registration, now);
   }
 }
 
--- a/src/node/catalog_tables.h
+++ b/src/node/catalog_tables.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "core/catalog/backend_registry.h"
@@ -61,6 +62,9 @@
   void UpdateEvacuations(Time changed_after, Time now);
   void UpdateBackends(Time now);
   void UpdateBackend(const std::string& key, Time now);
+  /// Passes a registration on if the configuration names its service; a row of any other service
+  /// is of another writer and names no back end to use.
+  void Complete(const std::string& key, const catalog::Backend& registration, Time now);
   /// Returns the registration in a row, or nullopt if the row was removed or cannot be decoded.
   std::optional<catalog::Backend> DecodeRow(const std::string& key);
   /// Completes all registrations again: a change of the configuration or of the evacuated zones may
@@ -78,6 +82,8 @@
   ConfigurationPtr configuration_;
   catalog::EvacuatedZones evacuated_zones_;
   catalog::BackendRegistry backend_registry_;
+  /// Services that the configuration declares or routes to.
+  std::set<std::string> named_services_;
   /// Registrations as decoded, by row key; `backends_` holds them as completed.
   std::map<std::string, catalog::Backend> registrations_;
   catalog::BackendSet backends_;
--- a/tests/unit/node/catalog_tables_test.cc
+++ b/tests/unit/node/catalog_tables_test.cc
@@ -4,6 +4,7 @@
 #include "node/catalog_tables.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
 
 #include <boost/test/unit_test.hpp>
 
@@ -48,6 +49,23 @@
     return tables.decoded_rows() - before;
   }
 
+  /// Makes a configuration with these services the newest one.
+  void Configure(const std::vector<std::string>& services) {
+    catalog::Configuration configuration;
+    configuration.version = ++configuration_version;
+    for (const std::string& name : services) {
+      configuration.services[name].name = name;
+    }
+    const store::Row row = {{std::string(adapter->configuration_table()), "",
+                             std::string(adapter->configuration_key())},
+                            adapter->EncodeConfiguration(configuration, ""),
+                            configuration_version,
+                            false};
+    configuration_follower.Merge({row}, configuration_version, now, now);
+    tables.ApplyUpdates(now);
+  }
+
+  uint64_t configuration_version = 0;
   Time now = absl::FromUnixSeconds(1000);
   interfaces::PlatformAdapterPtr adapter = platform::MakeAdapter();
   observability::TestLog test;
@@ -97,6 +115,19 @@
   BOOST_TEST(tables.backends().all().size() == kBackends);
 }
 
+// A row of another writer names a service that no configuration has; the back end at its address
+// lost its keys to it.
+BOOST_AUTO_TEST_CASE(row_of_a_service_without_a_configuration_names_no_back_end) {
+  Configure({"cards"});
+  store::Row stray = RowOf(kBackends, "ready", 1, 2);
+  stray.value = absl::StrReplaceAll(stray.value, {{"cards", "unknown"}});
+  ApplyChange(stray);
+  BOOST_TEST(reported.Empty());
+  BOOST_TEST(tables.backends().all().size() == kBackends);
+  Configure({"cards", "unknown"});
+  BOOST_TEST(tables.backends().all().size() == kBackends + 1);
+}
+
 BOOST_AUTO_TEST_CASE(an_unreadable_registration_removes_only_its_back_end) {
   store::Row row = RowOf(7, "ready", 2, 2);
   row.value = "no registration";
