Keep the later incarnation when a row of an earlier start is written late

Where back ends start again under their names, a heartbeat of the earlier start that takes effect late replaced the living incarnation, which got no requests and lost its keys until its next heartbeat. A row without a start under a name that told one, as another writer leaves it, did the same.

Such a row is ignored for 5 s, longer than three heartbeats: by then the living back end has written its own, or the row has expired. One that stays is accepted, as the clock that tells the starts may have been set back. Noted as not understood, with the start wanted and the one found.

catalog_tables_test: late_row_of_an_earlier_start_is_ignored and row_of_an_earlier_start_that_stays_is_accepted failed before.

--- a/src/node/catalog_tables.cc
+++ b/src/node/catalog_tables.cc
@@ -10,6 +10,10 @@
 namespace ladderstream::node {
 namespace {
 
+/// A crashed back end's row expires within three heartbeats, which take 4 s on known platforms, and
+/// a running one has replaced a late row by then.
+constexpr Duration kLateRowPatience = absl::Seconds(5);
+
 /// Returns the services that a configuration declares or routes to.
 std::set<std::string> NamedServices(const catalog::Configuration& configuration) {
   std::set<std::string> names;
@@ -107,6 +111,7 @@
 }
 
 void CatalogTables::UpdateBackends(Time now) {
+  AcceptLateRows(now);
   const Time changed_after = backend_follower_->changed_after();
   const std::vector<std::string> changed = backend_follower_->TakeChangedKeys();
   if (changed.empty()) {
@@ -121,6 +126,46 @@
   ReportBackends(changed_after, now);
 }
 
+void CatalogTables::UpdateBackend(const std::string& key, Time now) {
+  const std::optional<catalog::Backend> registration = DecodeRow(key);
+  if (!IsLateRow(key, registration, now)) {
+    late_rows_.erase(key);
+    SetRegistration(key, registration, now);
+  }
+}
+
+bool CatalogTables::IsLateRow(const std::string& key,
+                              const std::optional<catalog::Backend>& registration, Time now) {
+  const auto known = registrations_.find(key);
+  if (!registration || known == registrations_.end() ||
+      registration->started_at_ms >= known->second.started_at_ms) {
+    return false;
+  }
+  if (late_rows_.try_emplace(key, now).second) {
+    beliefs_->OnRowNotUnderstood(
+        key, {absl::StrCat("a start of at least ", known->second.started_at_ms,
+                           " ms wanted, as registered before; found ", registration->started_at_ms,
+                           "; ignored for ", absl::FormatDuration(kLateRowPatience))});
+  }
+  return true;
+}
+
+void CatalogTables::AcceptLateRows(Time now) {
+  std::vector<std::string> due;
+  for (const auto& [key, since] : late_rows_) {
+    if (now - since >= kLateRowPatience) {
+      due.push_back(key);
+    }
+  }
+  for (const std::string& key : due) {
+    late_rows_.erase(key);
+    SetRegistration(key, DecodeRow(key), now);
+  }
+  if (!due.empty()) {
+    ReportBackends(now - kLateRowPatience, now);
+  }
+}
+
 void CatalogTables::Complete(const std::string& key, const catalog::Backend& registration,
                              Time now) {
   if (configuration_ == nullptr || named_services_.contains(registration.service)) {
@@ -133,10 +178,10 @@
   backends_.Remove(registration.id);
 }
 
-void CatalogTables::UpdateBackend(const std::string& key, Time now) {
+void CatalogTables::SetRegistration(const std::string& key,
+                                    const std::optional<catalog::Backend>& registration, Time now) {
   const auto previous = registrations_.find(key);
   const std::string previous_id = previous == registrations_.end() ? "" : previous->second.id;
-  const std::optional<catalog::Backend> registration = DecodeRow(key);
   if (registration) {
     registrations_[key] = *registration;
     Complete(key, *registration, now);
--- a/src/node/catalog_tables.h
+++ b/src/node/catalog_tables.h
@@ -62,6 +62,16 @@
   void UpdateEvacuations(Time changed_after, Time now);
   void UpdateBackends(Time now);
   void UpdateBackend(const std::string& key, Time now);
+  void SetRegistration(const std::string& key, const std::optional<catalog::Backend>& registration,
+                       Time now);
+  /// Returns whether a row is to be ignored because it names an earlier start than the registration
+  /// known under its key: a write that took effect late, or one of another writer. The back end's
+  /// next heartbeat replaces it. A row that stays is accepted after kLateRowPatience, since the
+  /// clock that told the starts may have been set back.
+  bool IsLateRow(const std::string& key, const std::optional<catalog::Backend>& registration,
+                 Time now);
+  /// Accepts the rows that were ignored for kLateRowPatience.
+  void AcceptLateRows(Time now);
   /// Passes a registration on if the configuration names its service; a row of any other service
   /// is of another writer and names no back end to use.
   void Complete(const std::string& key, const catalog::Backend& registration, Time now);
@@ -84,6 +94,8 @@
   catalog::BackendRegistry backend_registry_;
   /// Services that the configuration declares or routes to.
   std::set<std::string> named_services_;
+  /// When the rows that IsLateRow() ignores were first seen, by key.
+  std::map<std::string, Time> late_rows_;
   /// Registrations as decoded, by row key; `backends_` holds them as completed.
   std::map<std::string, catalog::Backend> registrations_;
   catalog::BackendSet backends_;
--- a/tests/unit/node/catalog_tables_test.cc
+++ b/tests/unit/node/catalog_tables_test.cc
@@ -115,6 +115,41 @@
   BOOST_TEST(tables.backends().all().size() == kBackends);
 }
 
+// The row of an earlier incarnation that takes effect late replaced the living one.
+BOOST_AUTO_TEST_CASE(late_row_of_an_earlier_start_is_ignored) {
+  store::Row restarted = RowOf(7, "ready", 1, 2);
+  restarted.value = platform::RegistrationRow(1007, "ready", 1, 5);
+  ApplyChange(restarted);
+  const std::string living = reported.set.front().id;
+  store::Row late = RowOf(7, "ready", 9, 3);
+  late.value = platform::RegistrationRow(1007, "ready", 9, 4);
+  ApplyChange(late);
+  BOOST_TEST(reported.Empty());
+  BOOST_TEST(tables.backends().all().contains(living));
+  restarted.version = 4;
+  ApplyChange(restarted);
+  BOOST_TEST(reported.Empty());
+  now += absl::Minutes(1);
+  tables.ApplyUpdates(now);
+  BOOST_TEST(reported.Empty());
+}
+
+// The clock of a back end's machine may have been set back before its restart.
+BOOST_AUTO_TEST_CASE(row_of_an_earlier_start_that_stays_is_accepted) {
+  store::Row restarted = RowOf(7, "ready", 1, 2);
+  restarted.value = platform::RegistrationRow(1007, "ready", 1, 5);
+  ApplyChange(restarted);
+  store::Row set_back = RowOf(7, "ready", 1, 3);
+  set_back.value = platform::RegistrationRow(1007, "ready", 1, 4);
+  ApplyChange(set_back);
+  BOOST_TEST(reported.Empty());
+  now += absl::Seconds(5);
+  tables.ApplyUpdates(now);
+  BOOST_REQUIRE(reported.set.size() == 1U);
+  BOOST_TEST(reported.set.front().started_at_ms == 4U);
+  BOOST_TEST(reported.gone.size() == 1U);
+}
+
 // A row of another writer names a service that no configuration has; the back end at its address
 // lost its keys to it.
 BOOST_AUTO_TEST_CASE(row_of_a_service_without_a_configuration_names_no_back_end) {
