Add a soak with registrations of back ends that do not run

--faults registrations writes the late heartbeat of a back end whose address another one uses by then, and rows of other writers at the addresses of back ends that serve, beside restarts of nodes, crashes and store outages. Existing kinds draw what they drew.

--- a/src/standin/fleet/fleet.h
+++ b/src/standin/fleet/fleet.h
@@ -47,6 +47,8 @@
   Callers& callers() { return *callers_; }
   History& history() { return history_; }
   const FleetSettings& settings() const { return settings_; }
+  /// Interval at which back ends renew their registrations.
+  Duration heartbeat() const { return registry_->heartbeat(); }
 
   /// Starts one more back end, at an address of its own.
   Backend& AddBackend(const std::string& service, const std::string& zone);
--- a/src/standin/fleet/main/soak_main.cc
+++ b/src/standin/fleet/main/soak_main.cc
@@ -28,7 +28,7 @@
     "limits: back ends that name limits; changes: routes that change; paths: nodes that lose the "
     "path to back ends; crashes: requests that end the back ends that run them; shared-crashes: "
     "the same, repeated by several callers; configurations: changes of any part of the "
-    "configuration");
+    "configuration; registrations: those of back ends that do not run");
 DEFINE_double(core_share, 0, "of a core, for each node; 0: no bound, or as the seed draws it");
 DEFINE_double(seconds, 30, "how long faults strike");
 DEFINE_uint64(seed, 1, "of the faults and the load");
@@ -69,6 +69,9 @@
     if (FLAGS_faults == "configurations") {
       return DrawConfigurations(FLAGS_seed, length);
     }
+    if (FLAGS_faults == "registrations") {
+      return DrawRegistrations(FLAGS_seed, length);
+    }
     return FLAGS_faults == "series" ? DrawSeries(FLAGS_seed, length)
                                     : DrawSchedule(FLAGS_seed, length);
   }
@@ -141,12 +144,12 @@
   standin::FlagChecks checks;
   checks.Require(FLAGS_nodes >= 1 && FLAGS_nodes <= kMostNodes, "nodes",
                  std::to_string(FLAGS_nodes), "1 to 300");
-  const std::set<std::string> faults = {"single",  "series",         "rests",
-                                        "limits",  "changes",        "paths",
-                                        "crashes", "shared-crashes", "configurations"};
+  const std::set<std::string> faults = {
+      "single", "series",  "rests",          "limits",         "changes",
+      "paths",  "crashes", "shared-crashes", "configurations", "registrations"};
   checks.Require(faults.contains(FLAGS_faults), "faults", FLAGS_faults,
-                 "single, series, rests, limits, changes, paths, crashes, shared-crashes or "
-                 "configurations");
+                 "single, series, rests, limits, changes, paths, crashes, shared-crashes, "
+                 "configurations or registrations");
   checks.Require(FLAGS_core_share >= 0 && FLAGS_core_share <= 1, "core_share",
                  std::to_string(FLAGS_core_share), "0 to 1");
   checks.Require(FLAGS_seconds > 0 && FLAGS_seconds <= kMostSeconds, "seconds",
--- a/src/standin/fleet/soak.cc
+++ b/src/standin/fleet/soak.cc
@@ -19,6 +19,7 @@
 #include "standin/fleet/report.h"
 #include "standin/fleet/soak_backends.h"
 #include "standin/fleet/soak_paths.h"
+#include "standin/fleet/soak_registrations.h"
 #include "standin/fleet/soak_store.h"
 #include "standin/processes/ports.h"
 #include "wire/result_code.h"
@@ -58,6 +59,9 @@
         store_faults_(
             &fleet_, settings.nodes,
             [this](Duration delay, std::function<void()> step) { Later(delay, std::move(step)); }),
+        registration_faults_(
+            &fleet_,
+            [this](Duration delay, std::function<void()> step) { Later(delay, std::move(step)); }),
         path_cuts_(
             &fleet_, settings.nodes,
             [this](Duration delay, std::function<void()> step) { Later(delay, std::move(step)); }),
@@ -141,6 +145,8 @@
       RepeatEndingRequest(fault, {});
     } else if (fault.kind == FaultKind::kCallersEndBackends) {
       RepeatEndingRequest(fault, DrawRepeats(fault.target));
+    } else if (fault.kind >= FaultKind::kLateRegistration) {
+      registration_faults_.Strike(fault);
     } else if (StrikesBackends(fault.kind)) {
       backend_faults_.Strike(fault);
     } else if (StrikesConfiguration(fault.kind)) {
@@ -335,6 +341,7 @@
       fleet_.callers().Stop(ending);
     }
     fleet_.store().Heal();
+    registration_faults_.Heal();
     if (configuration_damaged_) {
       fleet_.operators().Write(fleet_.operators().newest());
     }
@@ -402,6 +409,7 @@
   ConfigurationProber prober_;
   BackendFaultInjector backend_faults_;
   StoreFaultInjector store_faults_;
+  RegistrationFaultInjector registration_faults_;
   PathCutInjector path_cuts_;
   /// Nodes are not started again before.
   std::vector<Time> away_until_;
--- a/src/standin/fleet/soak_schedule.cc
+++ b/src/standin/fleet/soak_schedule.cc
@@ -23,7 +23,7 @@
          kind == FaultKind::kBackendRests || kind == FaultKind::kBackendLimits ||
          kind >= FaultKind::kRouteChanges;
 }
-constexpr size_t kSingleKinds = kKinds - 16;
+constexpr size_t kSingleKinds = kKinds - 18;
 constexpr std::array<FaultKind, kSingleKinds> SingleKinds() {
   std::array<FaultKind, kSingleKinds> kinds = {};
   size_t count = 0;
@@ -63,7 +63,8 @@
     "coordinator_cut_off",   "zone_cut_off",
     "requests_end_backends", "callers_end_backends",
     "drawn_change",          "configuration_damaged",
-    "answers_endless",
+    "answers_endless",       "late_registration",
+    "foreign_registration",
 };
 
 /// Faults of one kind that follow each other, with targets in turn.
@@ -193,6 +194,25 @@
     {FaultKind::kAnswersEndless, 3, 300, 4000},
     {FaultKind::kBackendDrains, 8, 250, 1500},
 }};
+/// A late row comes after the registration of the crashed back end has expired.
+constexpr std::array<Series, 16> kRegistrationSeries = {{
+    {FaultKind::kLateRegistration, 1, 0, 3000},
+    {FaultKind::kLateRegistration, 1, 0, 5000},
+    {FaultKind::kLateRegistration, 3, 400, 2500},
+    {FaultKind::kLateRegistration, 2, 900, 4000},
+    {FaultKind::kForeignRegistration, 1, 0, 4000},
+    {FaultKind::kForeignRegistration, 5, 150, 2500},
+    {FaultKind::kForeignRegistration, 3, 700, 6000},
+    {FaultKind::kNodeStopped, 4, 700, 400},
+    {FaultKind::kNodeKilled, 3, 300, 600},
+    {FaultKind::kCoordinatorKilled, 2, 1500, 400},
+    {FaultKind::kAllNodesKilled, 1, 0, 300},
+    {FaultKind::kBackendCrashes, 2, 300, 1500},
+    {FaultKind::kAddressReused, 1, 0, 2000},
+    {FaultKind::kBackendCutFromStore, 3, 300, 4000},
+    {FaultKind::kStoreSilent, 1, 0, 3000},
+    {FaultKind::kConnectionsSilent, 1, 0, 0},
+}};
 /// Of the draws, so many in ten begin a series; the others are single faults.
 constexpr uint64_t kSeriesInTen = 6;
 constexpr uint64_t kTenths = 10;
@@ -326,6 +346,10 @@
   return DrawSeriesOf(kConfigurationSeries, seed, length);
 }
 
+std::vector<SoakFault> DrawRegistrations(uint64_t seed, Duration length) {
+  return DrawSeriesOf(kRegistrationSeries, seed, length);
+}
+
 std::string FormatSchedule(const std::vector<SoakFault>& schedule) {
   std::string text;
   for (const SoakFault& fault : schedule) {
--- a/src/standin/fleet/soak_schedule.h
+++ b/src/standin/fleet/soak_schedule.h
@@ -79,6 +79,12 @@
   kConfigurationDamaged,
   /// Answers of back ends to requests and orders, in a part of the cases, do not end.
   kAnswersEndless,
+  // Drawn by DrawRegistrations only.
+  /// A back end crashes and another one starts at its address; later, a heartbeat from before the
+  /// crash reaches the store.
+  kLateRegistration,
+  /// The row of another writer shows the address of a back end that serves.
+  kForeignRegistration,
   kCount,
 };
 
@@ -130,6 +136,11 @@
 /// and a store that is slow, silent, turns some away or loses answers.
 std::vector<SoakFault> DrawConfigurations(uint64_t seed, Duration length);
 
+/// As DrawSeries, but most are registrations of back ends that do not run, at the addresses of
+/// others, beside nodes that are stopped and killed, all at once too, back ends that crash, are cut
+/// off from the store or replaced by those of another service, and outages of the store.
+std::vector<SoakFault> DrawRegistrations(uint64_t seed, Duration length);
+
 /// One line a fault: its kind, milliseconds from the start, how many it lasts, its target.
 std::string FormatSchedule(const std::vector<SoakFault>& schedule);
 /// Throws Error(kMalformedMessage) that names the line.
--- a/tests/unit/standin_fleet/soak_schedule_test.cc
+++ b/tests/unit/standin_fleet/soak_schedule_test.cc
@@ -69,6 +69,9 @@
     for (const SoakFault& fault : DrawConfigurations(seed, absl::Seconds(60))) {
       kinds.insert(fault.kind);
     }
+    for (const SoakFault& fault : DrawRegistrations(seed, absl::Seconds(60))) {
+      kinds.insert(fault.kind);
+    }
   }
   BOOST_TEST(kinds.size() == static_cast<size_t>(FaultKind::kCount));
 }
