Read no answer after an error that names no call

An order's 421 is what proves that an owner has ended. The platform's back ends don't repeat the name of an order in its answer (docs/QUESTIONS.md), and a faulty one may send an answer once more, late: the copy of the 421 to an order for one back end passed for the answer to the next order at that address, for the back end that runs there.

A connection on which a named call got an error that names no call is closed. Such answers are rare, so this opens few connections.

named_calls/an_error_that_names_no_call_is_the_last_answer_of_its_connection failed before (1 connection, 2 wanted).

--- a/src/gateway/http/http_client_connection.cc
+++ b/src/gateway/http/http_client_connection.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr size_t kBufferBytes = 16384;
+constexpr int kFirstErrorStatus = 400;
 
 }  // namespace
 
@@ -202,6 +203,11 @@
   return !repeated.empty() && repeated != expected_.repeated_value;
 }
 
+bool HttpClientConnection::IsUnnamedError(const interfaces::HttpResponse& response) const {
+  return !expected_.repeated_header.empty() && response.status >= kFirstErrorStatus &&
+         response.Header(expected_.repeated_header).empty();
+}
+
 void HttpClientConnection::OnAnswer(std::string_view rest) {
   const bool keeps_open = reader_.keeps_open();
   interfaces::HttpResponse response = reader_.Take();
@@ -246,8 +252,10 @@
 void HttpClientConnection::Finish(interfaces::HttpResponse response, bool surplus,
                                   bool keeps_open) {
   const auto self = shared_from_this();
-  const bool reusable =
-      !surplus && !skipped_answer_ && !timing_.own_connection && keeps_open && socket_.is_open();
+  // A surplus copy of an error that names no call would pass for the answer to the next call: a
+  // back end that runs would seem to have ended.
+  const bool reusable = !surplus && !skipped_answer_ && !timing_.own_connection && keeps_open &&
+                        !IsUnnamedError(response) && socket_.is_open();
   CallResult result;
   result.outcome = CallOutcome::kAnswered;
   result.response = std::move(response);
--- a/src/gateway/http/http_client_connection.h
+++ b/src/gateway/http/http_client_connection.h
@@ -55,6 +55,9 @@
   void BeginAnswer();
   /// Whether an answer repeats the name of another call.
   bool IsToAnotherCall(const interfaces::HttpResponse& response) const;
+  /// Returns whether the answer is an error that does not tell to which call, although it was asked
+  /// to.
+  bool IsUnnamedError(const interfaces::HttpResponse& response) const;
   /// Takes what was read as the end of the call, unless it is an answer to another call; `rest`:
   /// the bytes behind it.
   void OnAnswer(std::string_view rest);
--- a/tests/unit/gateway_http/http_client_test.cc
+++ b/tests/unit/gateway_http/http_client_test.cc
@@ -161,6 +161,21 @@
   BOOST_TEST((CallNamed("two").outcome == CallOutcome::kNoAnswer));
 }
 
+// Guards against the late copy of another instance's 421 that passes for the answer to the next
+// order at the same address: a back end that runs seemed to have ended.
+BOOST_AUTO_TEST_CASE(an_error_that_names_no_call_is_the_last_answer_of_its_connection) {
+  std::string status = "421 Misdirected Request";
+  backend.on_request = [&](TestSocket& socket, const std::string& /*request*/) {
+    socket.Send("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n");
+  };
+  BOOST_TEST(CallNamed("one").response.status == 421);
+  status = "200 OK";
+  CallNamed("two");
+  BOOST_TEST(backend.connections.size() == 2U);
+  CallNamed("three");
+  BOOST_TEST(backend.connections.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_that_names_no_call_is_taken) {
   backend.on_request = [](TestSocket& socket, const std::string& /*request*/) {
     socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
