Take the address of a lost back end as given away once its registration is gone

Another back end that is registered at the address is proof as well once the lost one's own registration is gone: one that runs keeps its own, so a late row beside a living back end still proves nothing.

dispatch_test: lost_back_end_whose_registration_expires_has_left_its_address failed without it.

--- a/src/core/forwarding/dispatcher_impl.h
+++ b/src/core/forwarding/dispatcher_impl.h
@@ -214,8 +214,12 @@
   /// The same for ends that a later process at the name or address proves. `changed`: back ends
   /// that were registered or answered.
   void FindReplaced(const std::vector<catalog::Backend>& changed, Time now);
-  /// Returns whether `other` has answered at the address of `lost`, later than `lost` did. Its
-  /// registration alone may be that of an earlier process, or of another writer.
+  /// Returns the registered back ends at the addresses of deregistered ones; none while no back end
+  /// is lost.
+  std::vector<catalog::Backend> AtAddressesOf(const std::vector<std::string>& gone);
+  /// Returns whether `other` has taken the address of `lost`: it has answered there later than
+  /// `lost` did, or is registered there while `lost` no longer is. Its registration alone may be
+  /// that of an earlier process, or of another writer.
   bool HasTakenAddress(const catalog::Backend& other, const BackendState& lost) const;
   /// Records that the back end itself answered a request.
   void RecordAnswerOf(BackendState& backend, Time now);
--- a/src/core/forwarding/loss_events.cc
+++ b/src/core/forwarding/loss_events.cc
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "core/catalog/incarnation_id.h"
@@ -199,6 +200,31 @@
   }
   backends_known_since_ = std::min(backends_known_since_, now);
   FindReplaced(changes.set, now);
+  FindReplaced(AtAddressesOf(changes.gone), now);
+}
+
+std::vector<catalog::Backend> Dispatcher::Impl::AtAddressesOf(
+    const std::vector<std::string>& gone) {
+  std::set<Endpoint> addresses;
+  if (suspects_.HasLosses()) {
+    for (const std::string& id : gone) {
+      if (const BackendStatePtr state = services_.FindBackend(id)) {
+        addresses.insert(state->registration.address);
+      }
+    }
+  }
+  std::vector<catalog::Backend> found;
+  if (addresses.empty()) {
+    return found;
+  }
+  for (const ServiceState* service : services_.Services()) {
+    for (const BackendStatePtr& backend : service->backends) {
+      if (addresses.contains(backend->registration.address)) {
+        found.push_back(backend->registration);
+      }
+    }
+  }
+  return found;
 }
 
 void Dispatcher::Impl::RecordAnswerOf(BackendState& backend, Time now) {
@@ -213,9 +239,9 @@
 bool Dispatcher::Impl::HasTakenAddress(const catalog::Backend& other,
                                        const BackendState& lost) const {
   const BackendStatePtr state = services_.FindBackend(other.id);
-  return state != nullptr && other.address == lost.registration.address &&
+  return state != nullptr && state->registered && other.address == lost.registration.address &&
          catalog::InstanceOf(other.id) != catalog::InstanceOf(lost.registration.id) &&
-         state->answered_at > lost.answered_at;
+         (!lost.registered || state->answered_at > lost.answered_at);
 }
 
 void Dispatcher::Impl::FindReplaced(const std::vector<catalog::Backend>& changed, Time now) {
--- a/tests/unit/quarantine/dispatch_test.cc
+++ b/tests/unit/quarantine/dispatch_test.cc
@@ -22,6 +22,19 @@
     now += quarantine::CrashSuspects::kBetweenProbes;
     dispatcher.suspects().OnRefused(send.backend, now);
   }
+  /// Sends the request, whose connection ends without an answer.
+  void LoseOne() {
+    StartGuilty("/cards/x");
+    const auto send = Only<SendDecision>();
+    Sent(send);
+    Fail(send, AttemptFailure::kLost);
+    dispatcher.TakeDecisions();
+  }
+  catalog::Backend AtAddressOfTheFirst(const std::string& id) const {
+    catalog::Backend other = MakeBackend(id, "cards");
+    other.address = backends.front().address;
+    return other;
+  }
   /// As other nodes would tell.
   void HearOfCrashes(size_t count) {
     quarantine::SuspectRecord record;
@@ -107,13 +120,8 @@
 // back end counted as proof that the back end had crashed.
 BOOST_AUTO_TEST_CASE(registration_at_the_address_of_a_lost_back_end_proves_no_crash) {
   AddBackends("cards", {"c-1"});
-  StartGuilty("/cards/x");
-  const auto send = Only<SendDecision>();
-  Sent(send);
-  Fail(send, AttemptFailure::kLost);
-  catalog::Backend other = MakeBackend("c-0", "cards");
-  other.address = backends.front().address;
-  AddBackend(other);
+  LoseOne();
+  AddBackend(AtAddressOfTheFirst("c-0"));
   BOOST_TEST(dispatcher.suspects().Judge(kGuilty, now).crashes == 0U);
   BOOST_TEST(dispatcher.suspects().Judge(kGuilty, now).open == 1U);
 }
@@ -121,17 +129,26 @@
 // An answer of the other process is proof.
 BOOST_AUTO_TEST_CASE(answer_at_the_address_of_a_lost_back_end_proves_its_crash) {
   AddBackends("cards", {"c-1"});
-  StartGuilty("/cards/x");
-  const auto send = Only<SendDecision>();
-  Sent(send);
-  Fail(send, AttemptFailure::kLost);
-  dispatcher.TakeDecisions();
-  catalog::Backend other = MakeBackend("c-2", "cards");
-  other.address = backends.front().address;
-  backends.clear();
-  AddBackend(other);
+  LoseOne();
+  AddBackend(AtAddressOfTheFirst("c-2"));
   now += absl::Milliseconds(100);
-  Answer(StartAndSend("/cards/innocent"));
+  while (true) {
+    const SendDecision send = StartAndSend("/cards/innocent");
+    if (send.backend == "c-2") {
+      Answer(send);
+      break;
+    }
+  }
+  BOOST_TEST(dispatcher.suspects().Judge(kGuilty, now).crashes == 1U);
+}
+
+// So is its registration once that of the lost one is gone: a back end that runs keeps its own.
+BOOST_AUTO_TEST_CASE(lost_back_end_whose_registration_expires_has_left_its_address) {
+  AddBackends("cards", {"c-1"});
+  LoseOne();
+  AddBackend(AtAddressOfTheFirst("c-2"));
+  BOOST_TEST(dispatcher.suspects().Judge(kGuilty, now).crashes == 0U);
+  RemoveBackend("c-1");
   BOOST_TEST(dispatcher.suspects().Judge(kGuilty, now).crashes == 1U);
 }
 
