Move the keys of an ended owner as soon as it is found out

Since owners are asked, the partitioner ran when a registration came, just before the answer, and then not again for its shortest interval of 50 ms.

The partitioner waits for the answer of an owner that is asked, 50 ms at most, and runs once all have answered.

replaced_owner/keys_of_an_ended_owner_move_as_soon_as_the_answer_comes failed without it.

--- a/src/core/ownership/backend_directory.cc
+++ b/src/core/ownership/backend_directory.cc
@@ -193,7 +193,8 @@
   }
   known.answered_sent = std::max(known.answered_sent, sent);
   known.granted_at = address;
-  if (sent >= known.questioned_at) {
+  effects.question_answered = known.questioned && sent >= known.questioned_at;
+  if (effects.question_answered) {
     EndQuestion(id, &known);
   }
   known.failures = 0;
--- a/src/core/ownership/backend_directory.h
+++ b/src/core/ownership/backend_directory.h
@@ -111,6 +111,7 @@
   /// Records that the back end is being asked if it still runs. Until it answers, becomes
   /// unresponsive or kQuestionTimeout has passed, others at its address get no keys.
   void RecordQuestion(const std::string& id, Time now);
+  bool HasQuestions() const { return !questioned_.empty(); }
   /// Records that a grant is sent to the back end.
   void RecordGrant(const std::string& id, const Endpoint& address);
   /// Returns whether another instance that answered an order sent to `address` at `sent` proves
@@ -131,6 +132,8 @@
     bool was_unresponsive = false;
     /// The back end was wrongly taken to have ended.
     bool end_withdrawn = false;
+    /// The back end was being asked if it still runs.
+    bool question_answered = false;
   };
   /// Records an answer of the back end itself to an order sent at `sent` to `address`.
   AnswerEffects RecordAnswer(const std::string& id, const Endpoint& address, Time sent);
--- a/src/core/ownership/coordinator_ends.cc
+++ b/src/core/ownership/coordinator_ends.cc
@@ -14,6 +14,11 @@
 /// unresponsive by then.
 constexpr Duration kAskLaterIncarnationFor = absl::Seconds(3);
 
+/// How long the partitioner waits for the answer of an owner that is asked. Without the wait, it
+/// would run just before the answer, and then not again for its shortest interval, in which the
+/// keys of an owner that has ended are unavailable. Longer than a round trip.
+constexpr Duration kAnswerAwaitedFor = absl::Milliseconds(50);
+
 }  // namespace
 
 void Coordinator::Impl::EndEarlierIncarnations(const Order& order, Time now) {
@@ -71,6 +76,9 @@
     RangeState& state = service.table.At(first);
     state.order_due = std::min(state.order_due, now);
   }
+  if (!owned.empty()) {
+    service.answer_awaited_until = now + kAnswerAwaitedFor;
+  }
   if (!owned.empty() && catalog::InstanceOf(replaced.id) == catalog::InstanceOf(replaced.by)) {
     // The old address may stay silent, so the later incarnation is asked as well. It holds none of
     // these keys, and accepts any later grant of them, whose fence is higher.
@@ -81,6 +89,17 @@
   return !owned.empty();
 }
 
+void Coordinator::Impl::OnQuestionAnswered(Time now) {
+  if (directory_.HasQuestions()) {
+    return;
+  }
+  for (auto& [name, service] : services_) {
+    service.answer_awaited_until = absl::InfinitePast();
+  }
+  RunAllPartitionersSoon(now);
+  AdvanceSoon(now);
+}
+
 void Coordinator::Impl::MarkBackendEnded(const std::string& backend, Time observed,
                                          const std::string& evidence, Time now) {
   if (directory_.HasEnded(backend)) {
@@ -94,6 +113,7 @@
     });
   }
   RunAllPartitionersSoon(now);
+  OnQuestionAnswered(now);
 }
 
 }  // namespace ladderstream::ownership
--- a/src/core/ownership/coordinator_impl.h
+++ b/src/core/ownership/coordinator_impl.h
@@ -93,6 +93,8 @@
     Time partition_due = absl::InfinitePast();
     /// The partitioner does not run sooner than this, even for an urgent change.
     Time partition_not_before = absl::InfinitePast();
+    /// Until then the partitioner waits for an owner that is asked if it still runs.
+    Time answer_awaited_until = absl::InfinitePast();
     Time merge_due = absl::InfinitePast();
     std::vector<RepeatedRelease> repeated_releases;
   };
@@ -246,6 +248,8 @@
   void AskReplacedOwners(const std::vector<ReplacedBackend>& replaced, Time now);
   /// Returns whether the back end owns keys of the service and so is asked.
   bool AskOwner(ServiceState& service, const ReplacedBackend& replaced, Time now);
+  /// Lets the partitioners run at once if every owner that was asked has answered.
+  void OnQuestionAnswered(Time now);
   /// Handles the answer of another instance at the address of an order's back end.
   void OnOtherInstance(const Order& order, Time now);
   /// Marks the incarnations as ended that the order's back end, which has answered, has replaced.
--- a/src/core/ownership/coordinator_moves.cc
+++ b/src/core/ownership/coordinator_moves.cc
@@ -196,6 +196,10 @@
     service.partition_due = now + kFirstRenewalsRecheck;
     return;
   }
+  if (now < service.answer_awaited_until) {
+    service.partition_due = service.answer_awaited_until;
+    return;
+  }
   service.partition_due = now + settings_.partition_interval;
   service.partition_not_before = now + kPartitionGap;
   if (!directory_.AnyAccepts(service.name)) {
--- a/src/core/ownership/coordinator_orders.cc
+++ b/src/core/ownership/coordinator_orders.cc
@@ -240,6 +240,9 @@
     RunAllPartitionersSoon(now);
     AdvanceSoon(now);
   }
+  if (effects.question_answered) {
+    OnQuestionAnswered(now);
+  }
   EndEarlierIncarnations(order, now);
 }
 
--- a/tests/unit/ownership/replaced_owner_test.cc
+++ b/tests/unit/ownership/replaced_owner_test.cc
@@ -87,6 +87,26 @@
   BOOST_TEST(!node.IsMoving(0));
 }
 
+// The partitioner ran just before the answer, and then not again for 50 ms.
+BOOST_AUTO_TEST_CASE(keys_of_an_ended_owner_move_as_soon_as_the_answer_comes) {
+  AfterLastRenewals();
+  node.replaced.insert("a");
+  node.Register({"a", "b"}, {{"other", {"a", 1}}});
+  node.Run(absl::Milliseconds(5));
+  BOOST_TEST(node.OwnerOf(0) == "b");
+  BOOST_TEST(!node.IsMoving(0));
+}
+
+// An owner that does not answer must not keep the keys of others from moving.
+BOOST_AUTO_TEST_CASE(partitioner_does_not_wait_for_a_silent_owner) {
+  AfterLastRenewals();
+  node.unresponsive.insert("a");
+  node.Register({"a", "b"}, {{"other", {"a", 1}}});
+  partition::Script().next = {{{60000, 60099}, "a"}, {{60100, 60199}, "a"}};
+  node.Run(node.settings.partition_interval + kAtOnce);
+  BOOST_TEST(partition::Script().next.empty());
+}
+
 BOOST_AUTO_TEST_CASE(deregistered_owner_whose_address_is_in_use_again_loses_its_keys_at_once) {
   AfterLastRenewals();
   node.replaced.insert("a");
