--- a/src/node/catalog_tables.h
+++ b/src/node/catalog_tables.h
@@ -72,8 +72,8 @@
                  Time now);
   /// Accepts the rows that were ignored for kLateRowPatience.
   void AcceptLateRows(Time now);
-  /// Passes a registration on if the configuration names its service; a row of any other service
-  /// is of another writer and names no back end to use.
+  /// Passes a registration on if the configuration names its service. Rows of other services are
+  /// ignored until a configuration names these.
   void Complete(const std::string& key, const catalog::Backend& registration, Time now);
   /// Returns the registration in a row, or nullopt if the row was removed or cannot be decoded.
   std::optional<catalog::Backend> DecodeRow(const std::string& key);
--- a/src/standin/fleet/soak_registrations.cc
+++ b/src/standin/fleet/soak_registrations.cc
@@ -25,10 +25,12 @@
           {"seq", 20}};
 }
 
-/// Rows as another writer may leave them.
-std::string ForeignRow(const Backend& backend, uint64_t variant) {
+/// Forms of the rows that other writers may leave.
+constexpr uint64_t kForeignForms = 5;
+
+std::string ForeignRow(const Backend& backend, uint64_t form) {
   nlohmann::json row = RowOf(backend);
-  switch (variant % 5) {
+  switch (form % kForeignForms) {
     case 0:
       row["service"] = "a service without a configuration";
       return row.dump();
