Take a reset behind an early answer without a length for a loss

What callers saw: a back end answers a long upload before it has read it, with a 200 that has no length, sends part of its body and resets the connection. The caller gets that part as a complete answer.

Cause: the kernel reports a reset once, to whichever call on the socket comes first. While the upload is being written that is often the write; the read that follows finds an end of the stream, which OnEnd took for the back end's own. For an answer without a length that end is the only proof of wholeness. An upload that fits into the sockets' buffers never shows it, as then the read is the only call that is left.

Change: where the end is found before the whole request was written, BackendConnection writes on. Writes go on failing after a reset, and succeed or would block where the back end has ended its side in order. A reset makes the attempt lost, with the reason "reset behind an answer without a length" in the line of the request and in the counter of closed connections. A lost attempt of a request that may not be repeated ends with 502.

Weighed: to remember that a write failed is not enough, since the handler of the write that took the report may still be queued when ReadMore finds the end. To take every end before the whole request for a loss is, but would turn whole answers of back ends that end in order and read on into failures.

Answers with a length or a last chunk reached their callers before and do so now, however their connection ends, and so do answers without a length that end in order.

--- a/src/gateway/http/backend_connection.cc
+++ b/src/gateway/http/backend_connection.cc
@@ -260,11 +260,26 @@
     Fail(AttemptFailure::kLost, "reset");
   } else if (!pending_.empty() || reader_.ReadEnd() == ReadStatus::kFault) {
     Fail(AttemptFailure::kLost, "closed before the end of an answer");
+  } else if (!EndedInOrder()) {
+    Fail(AttemptFailure::kLost, "reset behind an answer without a length");
   } else {
     FinishExchange(AfterAnswer::kEnd);
   }
 }
 
+// The kernel reports a reset once, to whichever call on the socket comes first; later reads find an
+// end of the stream. A write can have taken the report, and its handler may not have run yet.
+// Writes go on failing after a reset, so writing on tells the two ends apart. Once the request is
+// written whole, no write is left that could take the report from a read.
+bool BackendConnection::EndedInOrder() {
+  if (written_ == message_size()) {
+    return true;
+  }
+  ErrorCode error;
+  socket_.write_some(Unwritten(), error);
+  return !error || WouldBlock(error);
+}
+
 void BackendConnection::FinishExchange(AfterAnswer after) {
   const BackendConnectionPtr self = shared_from_this();
   BackendAnswer answer = reader_.Take();
--- a/src/gateway/http/backend_connection.h
+++ b/src/gateway/http/backend_connection.h
@@ -101,6 +101,9 @@
   void ReadMore();
   void OnBytes(std::string_view bytes);
   void OnEnd(const ErrorCode& error);
+  /// Whether the end of the stream that a read found is the back end's own, and not what a reset
+  /// left behind.
+  bool EndedInOrder();
   /// What followed an answer.
   enum class AfterAnswer { kNothing, kBytes, kEnd };
   void FinishExchange(AfterAnswer after);
--- a/tests/unit/gateway_http/support.cc
+++ b/tests/unit/gateway_http/support.cc
@@ -101,6 +101,11 @@
   socket_.close(ignored);
 }
 
+void TestSocket::EndSending() {
+  ErrorCode ignored;
+  socket_.shutdown(Socket::shutdown_send, ignored);
+}
+
 void TestSocket::Reset() {
   ErrorCode ignored;
   socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
--- a/tests/unit/gateway_http/support.h
+++ b/tests/unit/gateway_http/support.h
@@ -63,6 +63,8 @@
   size_t SendSome(std::string_view bytes);
   void StopReading() { reading_ = false; }
   void Close();
+  /// Ends the stream to the other side in order and goes on receiving.
+  void EndSending();
   /// Closes so that the other side sees a reset.
   void Reset();
 
