Refuse folded lines in the trailers of answers

What callers saw: an answer in chunks with a trailer line that begins with a blank or a tab reached them as sound, on both kinds of route, and so did the answers to a node's own calls. The line itself is not passed on, as trailers are not. Heads with such a line are refused.

Cause: HeadScanner sees heads only; trailers are left to the parser, which reads a line that begins with a blank as more of the value before.

Change: both readers of answers look at the lines of the last chunk, which the parser takes in one piece.

Bodies with lines that begin with a blank arrive as before.

--- a/src/gateway/http/answer_reader.cc
+++ b/src/gateway/http/answer_reader.cc
@@ -245,6 +245,10 @@
     if (error) {
       return Fail(error.message());
     }
+    // The parser takes the last chunk and its trailers in one piece.
+    if (parser_->is_done() && parser_->chunked() && HasFoldedLine(rest.substr(0, taken))) {
+      return Fail("folded line in the trailers");
+    }
     if (!answer_.reservation.Resize(parser_->get().body().size())) {
       return Fail("too many bytes of bodies are held");
     }
--- a/src/gateway/http/call_answer_reader.cc
+++ b/src/gateway/http/call_answer_reader.cc
@@ -105,6 +105,10 @@
     if (error && error != http::error::need_more) {
       return Fail(error.message());
     }
+    // The parser takes the last chunk and its trailers in one piece.
+    if (parser_->is_done() && parser_->chunked() && HasFoldedLine(rest.substr(0, taken))) {
+      return Fail("want trailers of one line each, found a line that begins with a blank");
+    }
     if (!reservation_.Resize(parser_->get().body().size())) {
       return Fail("want a body that fits beside the others, found a longer one");
     }
--- a/src/gateway/http/header_rules.cc
+++ b/src/gateway/http/header_rules.cc
@@ -82,6 +82,11 @@
   return lengths + encodings <= 1;
 }
 
+bool HasFoldedLine(std::string_view lines) {
+  return lines.find("\n ") != std::string_view::npos ||
+         lines.find("\n\t") != std::string_view::npos;
+}
+
 std::optional<Duration> ParseTimeLeft(std::string_view text) {
   double milliseconds = 0;
   if (!absl::SimpleAtod(ToAbsl(text), &milliseconds) || !std::isfinite(milliseconds)) {
--- a/src/gateway/http/header_rules.h
+++ b/src/gateway/http/header_rules.h
@@ -36,6 +36,10 @@
 /// digits only, or exactly the encoding "chunked", never both.
 bool HasSoundFraming(const HeaderFields& fields);
 
+/// Whether one of `lines` begins with a blank: two parsers might read it differently, as a field of
+/// its own or as more of the value before.
+bool HasFoldedLine(std::string_view lines);
+
 /// How long a sender waits, from a number of milliseconds; nothing when `text` is no such number.
 std::optional<Duration> ParseTimeLeft(std::string_view text);
 
--- a/tests/unit/gateway_http/broken_answers_test.cc
+++ b/tests/unit/gateway_http/broken_answers_test.cc
@@ -59,6 +59,12 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_body_may_have_lines_that_begin_with_a_blank) {
+  const std::string body = "a\r\n b\n\tc";
+  BOOST_TEST(BodyOf(OutcomeOf(Head("200", kChunks) + "8\r\n" + body + "\r\n0\r\n\r\n", "/order/x")
+                        .answer) == body);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_with_an_unusable_status_is_lost) {
   for (const std::string& status : UnusableStatuses()) {
     RequireLost(Head(status, kLength) + "abc");
@@ -81,6 +87,12 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_with_a_malformed_name_in_its_trailers_is_lost) {
+  for (const std::string& line : LinesWithMalformedNames()) {
+    RequireLost(Head("200", kChunks) + "3\r\nabc\r\n0\r\nX-Sound: v\r\n" + line + "\r\n");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- /dev/null
+++ b/tests/unit/gateway_http/broken_call_answers_test.cc
@@ -0,0 +1,151 @@
+// Answers to the node's own calls (orders and calls of the store) that are broken in one place, or
+// come before the call was written.
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/http/http_client.h"
+#include "malformed_heads.h"
+#include "support.h"
+
+namespace ladderstream::gateway {
+namespace {
+
+constexpr size_t kMebibyte = size_t{1} << 20U;
+constexpr int kPlays = 4;
+
+const std::string kLength = "Content-Length: 3\r\n";
+const std::string kChunks = "Transfer-Encoding: chunked\r\n";
+
+std::string Head(const std::string& status, const std::string& fields,
+                 const std::string& version = "1.1") {
+  return "HTTP/" + version + " " + status + " Text\r\n" + fields + "\r\n";
+}
+
+const std::string kSound = Head("200", kLength) + "abc";
+
+struct Fixture {
+  Fixture() {
+    settings.connect_timeout = absl::Seconds(5);
+    backend.on_request = [this](TestSocket& socket, const std::string& /*request*/) {
+      socket.Send(answer);
+    };
+  }
+
+  CallResult Call(const std::string& body = "", Duration timeout = absl::Seconds(5)) {
+    std::optional<CallResult> result;
+    interfaces::HttpRequest request{"POST", "/order", {{"Call-Id", "1"}}, body};
+    request.repeated_header = "Call-Id";
+    client.Call(backend.address(), request, {timeout},
+                [&](const CallResult& got) { result = got; });
+    RunUntil(loop, [&] {
+      if (while_waiting) {
+        while_waiting();
+      }
+      return result.has_value();
+    });
+    return *result;
+  }
+
+  /// Requires that `bytes` are no answer, that on call is told why, and that the next call finds a
+  /// connection of its own.
+  void RequireBroken(const std::string& bytes) {
+    const size_t connections = backend.connections.size();
+    const size_t told = faults.size();
+    answer = bytes;
+    const CallResult result = Call();
+    BOOST_TEST((result.outcome == CallOutcome::kNoAnswer), "taken: " << bytes);
+    BOOST_TEST(faults.size() == told + 1, "not told: " << bytes);
+    answer = kSound;
+    BOOST_TEST((Call().outcome == CallOutcome::kAnswered));
+    BOOST_TEST(backend.connections.size() > connections);
+    // The next case begins without an idle connection.
+    backend.connections.back()->Close();
+  }
+
+  EventLoop loop{1};
+  JumpingClock clock;
+  TestBackend backend{loop};
+  HttpClientSettings settings;
+  std::vector<std::string> faults;
+  HttpClient client{
+      loop, clock, settings,
+      [this](const Endpoint& /*from*/, std::string_view fault) { faults.emplace_back(fault); }};
+  std::string answer;
+  /// Called at each turn of the loop while a call waits.
+  std::function<void()> while_waiting;
+};
+
+BOOST_FIXTURE_TEST_SUITE(broken_call_answers, Fixture)
+
+BOOST_AUTO_TEST_CASE(sound_answers_of_the_same_forms_are_taken) {
+  for (const std::string& bytes :
+       {kSound, Head("599", kLength) + "abc", Head("103", "X-Name: v\r\n") + kSound,
+        Head("200", kChunks) + "3\r\nabc\r\n0\r\nX-Name: v\r\n\r\n"}) {
+    answer = bytes;
+    const CallResult result = Call();
+    BOOST_TEST((result.outcome == CallOutcome::kAnswered));
+    BOOST_TEST(result.response.body == "abc");
+  }
+  BOOST_TEST(faults.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_body_may_have_lines_that_begin_with_a_blank) {
+  answer = Head("200", kChunks) + "8\r\na\r\n b\n\tc\r\n0\r\n\r\n";
+  BOOST_TEST(Call().response.body == "a\r\n b\n\tc");
+}
+
+BOOST_AUTO_TEST_CASE(a_malformed_name_in_a_head_is_no_answer) {
+  for (const std::string& line : LinesWithMalformedNames()) {
+    RequireBroken(Head("200", kLength + line) + "abc");
+    RequireBroken(Head("103", line) + kSound);
+  }
+  for (const std::string& line : LinesWithMalformedFraming()) {
+    RequireBroken(Head("200", line) + "abc");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_malformed_name_in_trailers_is_no_answer) {
+  for (const std::string& line : LinesWithMalformedNames()) {
+    RequireBroken(Head("200", kChunks) + "3\r\nabc\r\n0\r\nX-Sound: v\r\n" + line + "\r\n");
+  }
+}
+
+/// A server that answers a call as soon as its head is there and reads no further. The call is
+/// longer than what the buffers of both sockets hold.
+struct EarlyFixture : Fixture {
+  EarlyFixture() {
+    while_waiting = [this] {
+      if (backend.connections.empty() || early_end != nullptr ||
+          backend.connections.front()->received.find("\r\n\r\n") == std::string::npos) {
+        return;
+      }
+      early_end = backend.connections.front();
+      early_end->StopReading();
+      early_end->Send(answer);
+      if (ends_by_reset) {
+        early_end->Reset();
+      }
+    };
+  }
+
+  const std::string upload = std::string(24 * kMebibyte, 'u');
+  TestSocketPtr early_end;
+  bool ends_by_reset = false;
+};
+
+BOOST_AUTO_TEST_CASE(an_early_answer_without_a_length_is_no_answer_when_it_is_reset) {
+  for (int play = 0; play < kPlays; ++play) {
+    for (const char* body : {"abc", ""}) {
+      EarlyFixture early;
+      early.answer = Head("200", "") + body;
+      early.ends_by_reset = true;
+      BOOST_TEST((early.Call(early.upload).outcome == CallOutcome::kNoAnswer));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace ladderstream::gateway
