Refuse unusable status codes in answers to a node's own calls

What was seen: a back end or the store in trouble answers a node's own call with the status 000, 099, 101, 600 or 999, and the answer is taken. For an order the platform's codec reads what is below 500 and not known as a refusal, "not done": a grant that was done would have a holder that the coordinator doesn't know of. Clients never got such a status: the reader of their answers refuses it.

Cause: AnswerReader checked the status, CallAnswerReader did not.

Change: both use one rule, in answer_status.h. A call that is answered like this has no answer, its connection is closed, and the line and the counter of what was not understood give the reason (`call_answer`).

Evidence: an_unusable_status_is_no_answer failed before for each of the five codes, and the next call went out on the same connection.

--- a/src/gateway/http/answer_reader.cc
+++ b/src/gateway/http/answer_reader.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "gateway/http/answer_bounds.h"
+#include "gateway/http/answer_status.h"
 #include "gateway/http/header_rules.h"
 
 namespace ladderstream::gateway {
@@ -16,12 +17,9 @@
 namespace {
 
 constexpr unsigned kHttp11 = 11;
-constexpr int kSwitchingProtocols = 101;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
 constexpr std::string_view kYes = "1";
-constexpr int kLowestStatus = 100;
-constexpr int kHighestStatus = 599;
 /// What is shown of a header that was not understood, in bytes.
 constexpr size_t kLongestExample = 64;
 
@@ -30,7 +28,6 @@
                      [name](std::string_view one) { return EqualsIgnoreCase(name, one); });
 }
 
-bool IsInterim(int status) { return status / 100 == 1; }
 bool IsSuccess(int status) { return status / 100 == 2; }
 
 }  // namespace
@@ -63,7 +60,7 @@
       if (status != ReadStatus::kComplete) {
         return status;
       }
-      if (IsInterim(answer_.status)) {
+      if (IsInterimStatus(answer_.status)) {
         DropMessage();
         continue;
       }
@@ -103,11 +100,10 @@
 ReadStatus AnswerReader::CheckHead() {
   const auto& message = parser_->get();
   answer_.status = static_cast<int>(message.result_int());
-  if (answer_.status < kLowestStatus || answer_.status > kHighestStatus ||
-      answer_.status == kSwitchingProtocols) {
+  if (!IsInterimStatus(answer_.status) && !IsFinalStatus(answer_.status)) {
     return Fail("unusable status");
   }
-  if (IsInterim(answer_.status)) {
+  if (IsInterimStatus(answer_.status)) {
     return ++interim_answers_ > kMaxInterimAnswers ? Fail("too many interim answers")
                                                    : ReadStatus::kComplete;
   }
--- a/src/gateway/http/call_answer_reader.cc
+++ b/src/gateway/http/call_answer_reader.cc
@@ -1,11 +1,14 @@
 #include "gateway/http/call_answer_reader.h"
 
+#include <absl/strings/str_format.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <limits>
 #include <utility>
 
 #include "gateway/http/answer_bounds.h"
+#include "gateway/http/answer_status.h"
 #include "gateway/http/header_rules.h"
 #include "gateway/http/text.h"
 
@@ -15,10 +18,6 @@
 
 namespace {
 
-constexpr int kSwitchingProtocols = 101;
-
-bool IsInterim(int status) { return status / 100 == 1 && status != kSwitchingProtocols; }
-
 std::string Exceeds(std::string_view what, size_t most) {
   std::string text;
   Append(&text, "want at most ", std::to_string(most), " ", what, ", found more");
@@ -52,7 +51,7 @@
     if (status != ReadStatus::kComplete) {
       return status;
     }
-    if (!IsInterim(static_cast<int>(parser_->get().result_int()))) {
+    if (!IsInterimStatus(static_cast<int>(parser_->get().result_int()))) {
       break;
     }
     if (++interim_answers_ > kMaxInterimAnswers) {
@@ -87,7 +86,16 @@
   if (error) {
     return Fail(error.message());
   }
-  return parser_->is_header_done() ? ReadStatus::kComplete : Fail("head without an end");
+  return parser_->is_header_done() ? CheckHead() : Fail("head without an end");
+}
+
+ReadStatus CallAnswerReader::CheckHead() {
+  const int status = static_cast<int>(parser_->get().result_int());
+  if (!IsInterimStatus(status) && !IsFinalStatus(status)) {
+    return Fail(absl::StrFormat("want a status from %d to %d, found %03d", kLowestFinalStatus,
+                                kHighestFinalStatus, status));
+  }
+  return ReadStatus::kComplete;
 }
 
 ReadStatus CallAnswerReader::ReadBody(std::string_view bytes, size_t* consumed) {
--- a/src/gateway/http/call_answer_reader.h
+++ b/src/gateway/http/call_answer_reader.h
@@ -41,6 +41,8 @@
 
   void BeginMessage();
   ReadStatus ReadHead(std::string_view bytes, size_t* consumed);
+  /// Whether what the head announces has one meaning only.
+  ReadStatus CheckHead();
   ReadStatus ReadBody(std::string_view bytes, size_t* consumed);
   ReadStatus Fail(std::string detail);
 
--- a/tests/unit/gateway_http/broken_call_answers_test.cc
+++ b/tests/unit/gateway_http/broken_call_answers_test.cc
@@ -95,6 +95,12 @@
   BOOST_TEST(Call().response.body == "a\r\n b\n\tc");
 }
 
+BOOST_AUTO_TEST_CASE(an_unusable_status_is_no_answer) {
+  for (const std::string& status : UnusableStatuses()) {
+    RequireBroken(Head(status, kLength) + "abc");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_malformed_name_in_a_head_is_no_answer) {
   for (const std::string& line : LinesWithMalformedNames()) {
     RequireBroken(Head("200", kLength + line) + "abc");
