Refuse answers to a node's own calls whose framing has two readings

What was seen: an answer to an order or of the store is taken although its head names two equal lengths, a coding before "chunked", a coding other than "chunked" (the body then lasts until the close), or chunks in HTTP/1.0. Another reader would end such a body elsewhere, so what is taken need not be what the other side sent; its bytes may also come in the place of the next answer.

Cause: AnswerReader and RequestReader ask HasSoundFraming, CallAnswerReader left it to the parser.

Change: CallAnswerReader asks it as well. The rule for HTTP/1.0, which two readers had beside it, is now part of it.

--- a/src/gateway/http/answer_reader.cc
+++ b/src/gateway/http/answer_reader.cc
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr unsigned kHttp11 = 11;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
 constexpr std::string_view kYes = "1";
@@ -108,7 +107,7 @@
                                                    : ReadStatus::kComplete;
   }
   const bool modern = message.version() >= kHttp11;
-  if (!HasSoundFraming(message) || (!modern && parser_->chunked())) {
+  if (!HasSoundFraming(message, message.version())) {
     return Fail("contradictory framing");
   }
   if (CheckOwner() == ReadStatus::kFault) {
--- a/src/gateway/http/call_answer_reader.cc
+++ b/src/gateway/http/call_answer_reader.cc
@@ -90,11 +90,15 @@
 }
 
 ReadStatus CallAnswerReader::CheckHead() {
-  const int status = static_cast<int>(parser_->get().result_int());
+  const auto& message = parser_->get();
+  const int status = static_cast<int>(message.result_int());
   if (!IsInterimStatus(status) && !IsFinalStatus(status)) {
     return Fail(absl::StrFormat("want a status from %d to %d, found %03d", kLowestFinalStatus,
                                 kHighestFinalStatus, status));
   }
+  if (!HasSoundFraming(message, message.version())) {
+    return Fail("want one length, or the coding chunked alone in HTTP/1.1, found others");
+  }
   return ReadStatus::kComplete;
 }
 
--- a/src/gateway/http/header_rules.cc
+++ b/src/gateway/http/header_rules.cc
@@ -63,7 +63,7 @@
   }
 }
 
-bool HasSoundFraming(const HeaderFields& fields) {
+bool HasSoundFraming(const HeaderFields& fields, unsigned http_version) {
   size_t lengths = 0;
   size_t encodings = 0;
   for (const auto& field : fields) {
@@ -74,7 +74,7 @@
       }
     } else if (field.name() == HeaderField::transfer_encoding) {
       ++encodings;
-      if (!EqualsIgnoreCase(ToView(field.value()), kChunked)) {
+      if (http_version < kHttp11 || !EqualsIgnoreCase(ToView(field.value()), kChunked)) {
         return false;
       }
     }
--- a/src/gateway/http/header_rules.h
+++ b/src/gateway/http/header_rules.h
@@ -32,9 +32,12 @@
 /// Whether a field concerns one connection only and must not be passed on.
 bool IsHopByHop(HeaderField field, std::string_view name, const ConnectionOptions& options);
 
+/// As the parser gives it.
+constexpr unsigned kHttp11 = 11;
+
 /// Whether the framing that the fields announce has exactly one reading: at most one length, in
-/// digits only, or exactly the encoding "chunked", never both.
-bool HasSoundFraming(const HeaderFields& fields);
+/// digits only, or exactly the encoding "chunked", never both and not before HTTP/1.1.
+bool HasSoundFraming(const HeaderFields& fields, unsigned http_version);
 
 /// Whether one of `lines` begins with a blank: two parsers might read it differently, as a field of
 /// its own or as more of the value before.
--- a/src/gateway/http/request_reader.cc
+++ b/src/gateway/http/request_reader.cc
@@ -16,7 +16,6 @@
 
 constexpr std::string_view kContinue = "100-continue";
 constexpr std::string_view kIdentity = "identity";
-constexpr unsigned kHttp11 = 11;
 /// The most that the size line or the trailer of a chunked body may take.
 constexpr size_t kMaxChunkOverheadBytes = 8192;
 
@@ -108,7 +107,7 @@
 bool RequestReader::TakeHead() {
   const auto& message = parser_->get();
   const bool modern = message.version() >= kHttp11;
-  if (!HasSoundFraming(message) || (!modern && parser_->chunked())) {
+  if (!HasSoundFraming(message, message.version())) {
     Fail(ResultCode::kMalformedRequest, "contradictory framing");
     return false;
   }
--- a/tests/unit/gateway_http/broken_call_answers_test.cc
+++ b/tests/unit/gateway_http/broken_call_answers_test.cc
@@ -101,6 +101,26 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(framing_with_more_than_one_reading_is_no_answer) {
+  RequireBroken(Head("200", kLength + kLength) + "abc");
+  RequireBroken(Head("200", kLength + "Content-Length: 2\r\n") + "abc");
+  RequireBroken(Head("200", kLength + kChunks) + "3\r\nabc\r\n0\r\n\r\n");
+  RequireBroken(Head("200", kChunks + kChunks) + "3\r\nabc\r\n0\r\n\r\n");
+  RequireBroken(Head("200", "Transfer-Encoding: gzip, chunked\r\n") + "3\r\nabc\r\n0\r\n\r\n");
+  RequireBroken(Head("200", kChunks, "1.0") + "3\r\nabc\r\n0\r\n\r\n");
+}
+
+// Read as "until the connection closes", the answer would be taken at the close.
+BOOST_AUTO_TEST_CASE(a_coding_that_is_not_chunked_is_no_answer) {
+  backend.on_request = [this](TestSocket& socket, const std::string& /*request*/) {
+    socket.Send(answer);
+    if (answer != kSound) {
+      socket.Close();
+    }
+  };
+  RequireBroken(Head("200", "Transfer-Encoding: gzip\r\n") + "abc");
+}
+
 BOOST_AUTO_TEST_CASE(a_malformed_name_in_a_head_is_no_answer) {
   for (const std::string& line : LinesWithMalformedNames()) {
     RequireBroken(Head("200", kLength + line) + "abc");
