Take no trailer of an answer to a node's own call for a header

What was seen: a trailer behind the chunks of an answer counts as a header of it. One that repeats the name of another call makes the node pass over the answer to its own order, which then has none; one with the platform's header for a handover would be taken for the back end's.

Cause: the parser adds trailers to the fields of the message, and the headers were taken when the body was whole.

Change: status and headers are taken when the head is, before the body.

Evidence: a_trailer_is_no_header failed before (no answer); it passes now.

--- a/src/gateway/http/call_answer_reader.cc
+++ b/src/gateway/http/call_answer_reader.cc
@@ -52,6 +52,7 @@
       return status;
     }
     if (!IsInterimStatus(static_cast<int>(parser_->get().result_int()))) {
+      TakeHead();
       break;
     }
     if (++interim_answers_ > kMaxInterimAnswers) {
@@ -102,6 +103,15 @@
   return ReadStatus::kComplete;
 }
 
+void CallAnswerReader::TakeHead() {
+  const auto& message = parser_->get();
+  response_ = interfaces::HttpResponse();
+  response_.status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    response_.headers.emplace_back(ToView(field.name_string()), ToView(field.value()));
+  }
+}
+
 ReadStatus CallAnswerReader::ReadBody(std::string_view bytes, size_t* consumed) {
   while (!parser_->is_done()) {
     const std::string_view rest = bytes.substr(*consumed);
@@ -144,15 +154,9 @@
 }
 
 interfaces::HttpResponse CallAnswerReader::Take() {
-  interfaces::HttpResponse response;
-  auto message = parser_->release();
-  response.status = static_cast<int>(message.result_int());
-  for (const auto& field : message) {
-    response.headers.emplace_back(ToView(field.name_string()), ToView(field.value()));
-  }
-  response.body = std::move(message.body());
+  response_.body = std::move(parser_->get().body());
   reservation_ = ByteReservation();
-  return response;
+  return std::move(response_);
 }
 
 ReadStatus CallAnswerReader::Fail(std::string detail) {
--- a/src/gateway/http/call_answer_reader.h
+++ b/src/gateway/http/call_answer_reader.h
@@ -43,6 +43,9 @@
   ReadStatus ReadHead(std::string_view bytes, size_t* consumed);
   /// Whether what the head announces has one meaning only.
   ReadStatus CheckHead();
+  /// Takes status and headers of a final answer. Called before the body is read, as the parser adds
+  /// trailers to the headers.
+  void TakeHead();
   ReadStatus ReadBody(std::string_view bytes, size_t* consumed);
   ReadStatus Fail(std::string detail);
 
@@ -52,6 +55,8 @@
   int interim_answers_ = 0;
   HeadScanner scanner_;
   std::optional<Parser> parser_;
+  /// Without its body until that is whole.
+  interfaces::HttpResponse response_;
   ByteReservation reservation_;
   std::string fault_;
 };
--- a/tests/unit/gateway_http/broken_call_answers_test.cc
+++ b/tests/unit/gateway_http/broken_call_answers_test.cc
@@ -137,6 +137,16 @@
   }
 }
 
+// A trailer that counted as a header would name the call that an answer belongs to.
+BOOST_AUTO_TEST_CASE(a_trailer_is_no_header) {
+  answer = Head("200", kChunks) + "3\r\nabc\r\n0\r\nCall-Id: another\r\nX-Name: v\r\n\r\n";
+  const CallResult result = Call();
+  BOOST_TEST((result.outcome == CallOutcome::kAnswered));
+  BOOST_TEST(result.response.body == "abc");
+  BOOST_TEST(result.response.Header("Call-Id").empty());
+  BOOST_TEST(result.response.Header("X-Name").empty());
+}
+
 /// A server that answers a call as soon as its head is there and reads no further. The call is
 /// longer than what the buffers of both sockets hold.
 struct EarlyFixture : Fixture {
