Use no connection again on which a call was answered before it was written

What was seen: a back end or the store answers a long call of a node before it has read the call, and keeps the connection. The next call goes out on it, its bytes behind the unwritten rest of the one before, and has no answer. The buffer of the write under way is replaced as well, so the rest that is sent may be other bytes.

Cause: HttpClientConnection::Finish did not ask whether the write had ended.

Change: it does, and closes such a connection by a reset, since the call on it can never be whole.

--- a/src/gateway/http/http_client_connection.cc
+++ b/src/gateway/http/http_client_connection.cc
@@ -121,9 +121,11 @@
   state_ = State::kBusy;
   BeginAnswer();
   SetTimer(timing_.answer_timeout);
+  is_writing_ = true;
   boost::asio::async_write(
       socket_, boost::asio::buffer(message_),
       [self = shared_from_this(), call = call_](const ErrorCode& error, size_t /*size*/) {
+        self->is_writing_ = false;
         if (self->state_ == State::kBusy && self->call_ == call) {
           self->OnWritten(error);
         }
@@ -252,10 +254,11 @@
 void HttpClientConnection::Finish(interfaces::HttpResponse response, bool surplus,
                                   bool keeps_open) {
   const auto self = shared_from_this();
-  // A surplus copy of an error that names no call would pass for the answer to the next call: a
-  // back end that runs would seem to have ended.
-  const bool reusable = !surplus && !skipped_answer_ && !timing_.own_connection && keeps_open &&
-                        !IsUnnamedError(response) && socket_.is_open();
+  // The rest of a call that was answered early would come in the place of the next one. A surplus
+  // copy of an error that names no call would pass for the answer to the next call: a back end that
+  // runs would seem to have ended.
+  const bool reusable = !surplus && !is_writing_ && !skipped_answer_ && !timing_.own_connection &&
+                        keeps_open && !IsUnnamedError(response) && socket_.is_open();
   CallResult result;
   result.outcome = CallOutcome::kAnswered;
   result.response = std::move(response);
@@ -271,7 +274,7 @@
     usable_until_ = client_.clock_.Now() + usable;
     client_.OnIdle(self);
   } else {
-    CloseSocket(/*in_order=*/!surplus);
+    CloseSocket(/*in_order=*/!surplus && !is_writing_);
   }
   client_.calls_.erase(call);
   callback(std::move(result));
--- a/src/gateway/http/http_client_connection.h
+++ b/src/gateway/http/http_client_connection.h
@@ -79,7 +79,9 @@
   State state_ = State::kNew;
   bool read_armed_ = false;
   HttpCallId call_ = 0;
+  /// Must stay as it is while `is_writing_`.
   std::string message_;
+  bool is_writing_ = false;
   ExpectedAnswer expected_;
   /// An answer to another call came in the place of the one to this call.
   bool skipped_answer_ = false;
--- a/tests/unit/gateway_http/broken_call_answers_test.cc
+++ b/tests/unit/gateway_http/broken_call_answers_test.cc
@@ -181,6 +181,19 @@
   }
 }
 
+// The rest of a call that was answered early would come in the place of the next call.
+BOOST_AUTO_TEST_CASE(the_connection_of_an_early_answer_carries_no_other_call) {
+  for (int play = 0; play < kPlays; ++play) {
+    EarlyFixture early;
+    early.answer = kSound;
+    BOOST_TEST((early.Call(early.upload).outcome == CallOutcome::kAnswered));
+    const CallResult next = early.Call("next");
+    BOOST_TEST((next.outcome == CallOutcome::kAnswered));
+    BOOST_TEST(early.backend.connections.size() == 2U);
+    BOOST_TEST(BodyOf(early.backend.requests.at(0)) == "next");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
