Take no relayed answer with an unusable status

What could be seen: a node takes whatever status another node sends with the answer that it carried, -1 and 000 included, and hands it to the caller. A sound node reads back ends with the check of AnswerReader and never sends such a one, so no caller is known to have got it; one faulty node would have been enough.

Cause: RequestRelay::OnMessage checked how the relayed request ended, not the status of its answer.

Change: an answer whose status is not 200 to 599 fails the attempt as one that was lost with its peer: the back end may have run the request, and is not blamed. The reason is in the line of the attempt, and `relayed_request` counts it as lost.

Evidence: an_answer_with_an_unusable_status_is_lost, with a stand-in of the peer on a real connection, failed before for each of eight codes.

--- a/src/gateway/relay/request_relay.cc
+++ b/src/gateway/relay/request_relay.cc
@@ -1,9 +1,12 @@
 #include "gateway/relay/request_relay.h"
 
+#include <absl/strings/str_format.h>
+
 #include <utility>
 #include <variant>
 
 #include "core/membership/transit_clock.h"
+#include "gateway/http/answer_status.h"
 #include "gateway/relay/relay_codec.h"
 
 namespace ladderstream::gateway {
@@ -105,6 +108,13 @@
     Fail(attempt, pending, FailureOf(outcome), answer->detail);
     return;
   }
+  if (!IsFinalStatus(answer->status)) {
+    // It tells of the peer, not of the back end, which may have run the request.
+    Fail(attempt, pending, AttemptFailure::kPeerLost,
+         absl::StrFormat("want a status from %d to %d from the peer, found %03d",
+                         kLowestFinalStatus, kHighestFinalStatus, answer->status));
+    return;
+  }
   metrics_->CountCall("relayed_request", "answered");
   pending.listener->OnAnswer(attempt, FromMessage(std::move(*answer)));
 }
