Read the store's answers in the operator service with the nodes' reader

What was seen: the operator service takes answers of the store whose head is broken: a name with a blank or a control byte (the line is passed over; where it is the one that decides the framing, the body is cut elsewhere), two lengths, a length beside chunks, a coding that is not "chunked", chunks in HTTP/1.0. A read of the configuration is then taken as done. A sound answer with trailers is refused.

Cause: the HTTP library's client reads heads leniently and does not tell which lines it dropped, so no check of its result can find out.

Change: BlockingStore runs the nodes' HttpClient on an event loop of its own while a call waits, so every call of the project is read by CallAnswerReader. A broken answer leaves the outcome of the call open, as a lost one does; a log line and the reason that the operator gets tell why. The library stays in the tests' stand-ins.

Weighed: checks on what the library gives (not possible, above); a blocking socket under CallAnswerReader (connections, time-outs and reuse written a second time).

A store that is given by a name instead of an IP address is now refused at the start.

Statuses out of range, broken trailers and bodies cut short were refused already.

--- a/src/operator_service/blocking_store.cc
+++ b/src/operator_service/blocking_store.cc
@@ -1,56 +1,76 @@
 #include "operator_service/blocking_store.h"
 
-#include <absl/time/time.h>
-#include <httplib.h>
-
+#include <optional>
+#include <string_view>
 #include <utility>
 
+#include "gateway/http/event_loop.h"
+#include "gateway/http/http_client.h"
+#include "logging/log.h"
+#include "wire/boot_clock.h"
+
 namespace ladderstream::operator_service {
 namespace {
 
+using gateway::CallOutcome;
+using gateway::CallResult;
 using interfaces::HttpRequest;
-using interfaces::HttpResponse;
 using interfaces::StoreCall;
 using store::StoreReply;
 using store::StoreStatus;
 
-/// Before the connection stands, nothing has been sent.
-bool SurelyNotSent(httplib::Error error) {
-  return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout ||
-         error == httplib::Error::BindIPAddress;
-}
-
-StoreReply NoAnswer(httplib::Error error) {
+StoreReply NoAnswer(const CallResult& result) {
   StoreReply reply;
-  reply.status = SurelyNotSent(error) ? StoreStatus::kRefused : StoreStatus::kUnknown;
-  reply.detail = httplib::to_string(error);
+  // Without a connection, nothing has been sent.
+  const bool not_sent =
+      result.outcome == CallOutcome::kRefused || result.outcome == CallOutcome::kNotConnected;
+  reply.status = not_sent ? StoreStatus::kRefused : StoreStatus::kUnknown;
+  reply.detail = result.detail;
   return reply;
 }
 
-httplib::Request ToLibrary(const HttpRequest& request) {
-  httplib::Request converted;
-  converted.method = request.method;
-  converted.path = request.target;
-  converted.body = request.body;
-  for (const auto& [name, value] : request.headers) {
-    converted.set_header(name, value);
-  }
-  return converted;
+gateway::HttpClientSettings SettingsWith(Duration timeout) {
+  gateway::HttpClientSettings settings;
+  settings.connect_timeout = timeout;
+  return settings;
 }
 
-HttpResponse FromLibrary(const httplib::Response& response) {
-  HttpResponse converted;
-  converted.status = response.status;
-  converted.body = response.body;
-  converted.headers.assign(response.headers.begin(), response.headers.end());
-  return converted;
+void LogUnreadable(const Endpoint& from, std::string_view fault) {
+  Log(Part::kOperator, Severity::kWarning, "An answer of the store is not taken.",
+      {{"store", FormatEndpoint(from)}, {"reason", std::string(fault)}});
 }
 
 }  // namespace
 
+/// The nodes' HTTP client on an event loop that runs while a call waits.
+class BlockingStore::Client {
+ public:
+  explicit Client(Duration timeout)
+      : timeout_(timeout), client_(loop_, clock_, SettingsWith(timeout), LogUnreadable) {}
+
+  CallResult Call(const Endpoint& address, const HttpRequest& request) {
+    std::optional<CallResult> result;
+    client_.Call(address, request, {timeout_},
+                 [&result](CallResult got) { result = std::move(got); });
+    loop_.restart();
+    // The client's own time-outs bound this.
+    while (!result.has_value() && loop_.run_one() > 0) {
+    }
+    return std::move(result).value_or(CallResult());
+  }
+
+ private:
+  const Duration timeout_;
+  const BootTimeSource clock_;
+  gateway::EventLoop loop_{1};
+  gateway::HttpClient client_;
+};
+
 BlockingStore::BlockingStore(interfaces::PlatformAdapterPtr adapter, Endpoint address,
                              Duration timeout)
-    : adapter_(std::move(adapter)), address_(std::move(address)), timeout_(timeout) {}
+    : adapter_(std::move(adapter)), address_(std::move(address)), timeout_(timeout) {
+  gateway::ToTcpEndpoint(address_);
+}
 
 BlockingStore::~BlockingStore() = default;
 
@@ -82,12 +102,11 @@
 
 StoreReply BlockingStore::Call(StoreCall call, const HttpRequest& request) {
   ClientPtr client = TakeClient();
-  const httplib::Result result = client->send(ToLibrary(request));
-  if (!result) {
-    return NoAnswer(result.error());
-  }
+  const CallResult result = client->Call(address_, request);
   GiveBack(std::move(client));
-  return adapter_->DecodeStoreReply(call, FromLibrary(*result));
+  return result.outcome == CallOutcome::kAnswered
+             ? adapter_->DecodeStoreReply(call, result.response)
+             : NoAnswer(result);
 }
 
 BlockingStore::ClientPtr BlockingStore::TakeClient() {
@@ -99,15 +118,7 @@
       return client;
     }
   }
-  auto client = std::make_unique<httplib::Client>(address_.host, address_.port);
-  const auto timeout = absl::ToChronoMicroseconds(timeout_);
-  client->set_connection_timeout(timeout);
-  client->set_read_timeout(timeout);
-  client->set_write_timeout(timeout);
-  client->set_keep_alive(true);
-  client->set_tcp_nodelay(true);
-  client->set_url_encode(false);
-  return client;
+  return std::make_unique<Client>(timeout_);
 }
 
 void BlockingStore::GiveBack(ClientPtr client) {
--- a/src/operator_service/blocking_store.h
+++ b/src/operator_service/blocking_store.h
@@ -1,5 +1,5 @@
 // Calls to the metadata store that block their thread: encoded by the platform's adapter, carried
-// by HTTP.
+// by the nodes' HTTP client, whose reader takes no broken answer.
 #pragma once
 
 #include <absl/base/thread_annotations.h>
@@ -13,16 +13,13 @@
 #include "wire/identifiers.h"
 #include "wire/time.h"
 
-namespace httplib {
-class Client;
-}  // namespace httplib
-
 namespace ladderstream::operator_service {
 
-/// Thread-safe. Never throws: failures are statuses. Nothing is tried again here.
+/// Thread-safe. Calls never throw: failures are statuses. Nothing is tried again here.
 class BlockingStore {
  public:
-  /// `timeout`: connecting, sending and receiving each take at most this long.
+  /// Throws Error(kInvalidSetting) when `address` has no IP address. `timeout`: connecting takes at
+  /// most this long, and so do sending and receiving together.
   BlockingStore(interfaces::PlatformAdapterPtr adapter, Endpoint address, Duration timeout);
   ~BlockingStore();
   BlockingStore(const BlockingStore&) = delete;
@@ -37,7 +34,8 @@
   const interfaces::PlatformAdapter& adapter() const { return *adapter_; }
 
  private:
-  using ClientPtr = std::unique_ptr<httplib::Client>;
+  class Client;
+  using ClientPtr = std::unique_ptr<Client>;
 
   store::StoreReply Call(interfaces::StoreCall call, const interfaces::HttpRequest& request);
   ClientPtr TakeClient();
@@ -47,7 +45,7 @@
   const Endpoint address_;
   const Duration timeout_;
   absl::Mutex mutex_;
-  /// Kept-alive connections that nobody uses now.
+  /// Nobody uses them now; each keeps its connection alive.
   std::vector<ClientPtr> idle_ ABSL_GUARDED_BY(mutex_);
 };
 
