Take no end for an answer's while its call is being written

What was seen: a server answers a long call of a node before it has read the call, without a length, and resets the connection some turns of the event loop later. The node takes the part that came as the whole answer of an order or of the store.

Cause: as with requests to back ends, the write can take the kernel's one report of the reset, and the read then finds an end of the stream. A failed write ends the call, which covers most orders of events. It does not where the write's handler is queued behind a read that is due already.

Change: an end of the stream that comes while the call is being written is no end of an answer. The call has no answer, and the line and counter of `call_answer` tell why. Answers with a length or a last chunk are whole before their connection ends, and are taken as before.

--- a/src/gateway/http/header_rules.h
+++ b/src/gateway/http/header_rules.h
@@ -32,7 +32,7 @@
 /// Whether a field concerns one connection only and must not be passed on.
 bool IsHopByHop(HeaderField field, std::string_view name, const ConnectionOptions& options);
 
-/// As the parser gives it.
+/// HTTP/1.1, as the parser tells versions.
 constexpr unsigned kHttp11 = 11;
 
 /// Whether the framing that the fields announce has exactly one reading: at most one length, in
--- a/src/gateway/http/http_client_connection.cc
+++ b/src/gateway/http/http_client_connection.cc
@@ -246,6 +246,11 @@
     Fail(CallOutcome::kNoAnswer, "answer cut short");
   } else if (reader_.ReadEnd() == ReadStatus::kFault) {
     Fail(CallOutcome::kNoAnswer, reader_.fault());
+  } else if (is_writing_) {
+    // The write may have taken the report of a reset, which a read then finds as an end in order.
+    constexpr char kFault[] = "want an end behind the whole call, found one while it was written";
+    ReportUnreadable(kFault);
+    Fail(CallOutcome::kNoAnswer, kFault);
   } else {
     OnAnswer(/*rest=*/{});
   }
--- a/tests/unit/gateway_http/broken_call_answers_test.cc
+++ b/tests/unit/gateway_http/broken_call_answers_test.cc
@@ -147,36 +147,47 @@
   BOOST_TEST(result.response.Header("X-Name").empty());
 }
 
-/// A server that answers a call as soon as its head is there and reads no further. The call is
-/// longer than what the buffers of both sockets hold.
+/// A server that answers a call as soon as its head is there. The call is longer than what the
+/// buffers of both sockets hold.
 struct EarlyFixture : Fixture {
   EarlyFixture() {
     while_waiting = [this] {
-      if (backend.connections.empty() || early_end != nullptr ||
-          backend.connections.front()->received.find("\r\n\r\n") == std::string::npos) {
+      if (backend.connections.empty()) {
         return;
       }
-      early_end = backend.connections.front();
-      early_end->StopReading();
-      early_end->Send(answer);
-      if (ends_by_reset) {
-        early_end->Reset();
+      TestSocket& server_end = *backend.connections.front();
+      if (!answered && server_end.received.find("\r\n\r\n") != std::string::npos) {
+        if (!reads_on) {
+          server_end.StopReading();
+        }
+        server_end.Send(answer);
+        answered = true;
+      }
+      if (answered && turns_to_reset.has_value() && (*turns_to_reset)-- == 0) {
+        server_end.Reset();
       }
     };
   }
 
   const std::string upload = std::string(24 * kMebibyte, 'u');
-  TestSocketPtr early_end;
-  bool ends_by_reset = false;
+  bool answered = false;
+  /// Goes on reading the call.
+  bool reads_on = false;
+  /// Of the loop, between the answer and the reset; none when the connection stays.
+  std::optional<int> turns_to_reset;
 };
 
 BOOST_AUTO_TEST_CASE(an_early_answer_without_a_length_is_no_answer_when_it_is_reset) {
-  for (int play = 0; play < kPlays; ++play) {
-    for (const char* body : {"abc", ""}) {
-      EarlyFixture early;
-      early.answer = Head("200", "") + body;
-      early.ends_by_reset = true;
-      BOOST_TEST((early.Call(early.upload).outcome == CallOutcome::kNoAnswer));
+  for (const bool reads_on : {false, true}) {
+    for (const int turns : {0, 1, 2, 3, 5, 8, 20, 50}) {
+      for (const char* body : {"abc", ""}) {
+        EarlyFixture early;
+        early.answer = Head("200", "") + body;
+        early.reads_on = reads_on;
+        early.turns_to_reset = turns;
+        BOOST_TEST((early.Call(early.upload).outcome == CallOutcome::kNoAnswer),
+                   "reset after " << turns << " turns, reads on: " << reads_on);
+      }
     }
   }
 }
--- a/tests/unit/gateway_http/early_answers_test.cc
+++ b/tests/unit/gateway_http/early_answers_test.cc
@@ -25,6 +25,8 @@
   Ending ending = Ending::kReset;
   /// Between the answer and the end of the connection.
   int loop_turns = 0;
+  /// Goes on reading the upload after its answer.
+  bool reads_on = false;
   std::string fields = {};
   std::string body = kBody;
   /// Another back end is there, and only the first attempt is answered like this.
@@ -118,7 +120,9 @@
         EndConnection(&*known);
       } else if (backend_end->received.find("\r\n\r\n") != std::string::npos &&
                  (!early_.first_only || answered_.empty())) {
-        backend_end->StopReading();
+        if (!early_.reads_on) {
+          backend_end->StopReading();
+        }
         backend_end->Send("HTTP/1.1 200 OK\r\nT-Request-Id: upload\r\nT-Stamp: s\r\n" +
                           early_.fields + "\r\n" + early_.body);
         EndConnection(&answered_.emplace_back(Answered{backend_end, early_.loop_turns}));
@@ -213,6 +217,19 @@
   PlayAll({.ending = Ending::kClosedWithBytesUnread}, RequireLostToReset);
 }
 
+BOOST_AUTO_TEST_CASE(one_without_a_length_that_is_reset_after_more_was_read_is_lost) {
+  for (const std::string& path : kPaths) {
+    for (const int turns : {1, 2, 3, 5, 8, 20, 50}) {
+      EarlyAnswerPlay play({.path = path,
+                            .upload = kUploads.back(),
+                            .ending = Ending::kReset,
+                            .loop_turns = turns,
+                            .reads_on = true});
+      BOOST_TEST_CONTEXT(path << ", end after " << turns << " turns") { RequireLostToReset(play); }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_may_not_be_repeated_is_not_sent_again) {
   EarlyAnswerPlay play({.path = "/order/x", .upload = kUploads.back(), .ending = Ending::kReset});
   RequireLostToReset(play);
