--- a/tests/unit/operator_service/blocking_store_test.cc
+++ b/tests/unit/operator_service/blocking_store_test.cc
@@ -1,6 +1,8 @@
 // Answers of a store that are broken in one place leave the outcome of the call open.
 #include "operator_service/blocking_store.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <boost/test/unit_test.hpp>
 #include <string>
 
@@ -26,6 +28,10 @@
   return "HTTP/" + version + " " + status + " Text\r\n" + fields + "\r\n";
 }
 
+std::string ChunkedAnswer(const std::string& trailers) {
+  return absl::StrCat(Head("200", kChunks), kChunkedRows, trailers, "\r\n");
+}
+
 /// What a read finds when the store answers with `bytes`.
 store::StoreReply ReadFrom(const std::string& bytes) {
   const FixedAnswerServer server(bytes);
@@ -46,9 +52,8 @@
 BOOST_AUTO_TEST_SUITE(blocking_store)
 
 BOOST_AUTO_TEST_CASE(sound_answers_of_the_same_forms_are_taken) {
-  for (const std::string& bytes :
-       {Head("200", Length(kRows)) + kRows, Head("200", kChunks) + kChunkedRows + "\r\n",
-        Head("200", kChunks) + kChunkedRows + "X-Name: v\r\n\r\n", Head("200", "") + kRows}) {
+  for (const std::string& bytes : {Head("200", Length(kRows)) + kRows, ChunkedAnswer(""),
+                                   ChunkedAnswer("X-Name: v\r\n"), Head("200", "") + kRows}) {
     const store::StoreReply reply = ReadFrom(bytes);
     BOOST_TEST((reply.status == StoreStatus::kDone), bytes << reply.detail);
     BOOST_TEST(reply.version == 7U);
@@ -63,7 +68,7 @@
 
 BOOST_AUTO_TEST_CASE(a_malformed_name_in_a_head_is_no_answer) {
   for (const std::string& line : gateway::LinesWithMalformedNames()) {
-    RequireUnknown(Head("200", Length(kRows) + line) + kRows);
+    RequireUnknown(absl::StrCat(Head("200", Length(kRows) + line), kRows));
   }
   for (const std::string& line : gateway::LinesWithMalformedFraming()) {
     RequireUnknown(Head("200", line) + kRows);
@@ -72,7 +77,7 @@
 
 BOOST_AUTO_TEST_CASE(a_malformed_name_in_trailers_is_no_answer) {
   for (const std::string& line : gateway::LinesWithMalformedNames()) {
-    RequireUnknown(Head("200", kChunks) + kChunkedRows + "X-Sound: v\r\n" + line + "\r\n");
+    RequireUnknown(ChunkedAnswer(absl::StrCat("X-Sound: v\r\n", line)));
   }
 }
 
