--- a/tests/unit/gateway_http/broken_call_answers_test.cc
+++ b/tests/unit/gateway_http/broken_call_answers_test.cc
@@ -1,5 +1,6 @@
 // Answers to the node's own calls (orders and calls of the store) that are broken in one place, or
 // come before the call was written.
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
--- a/tests/unit/gateway_http/early_answers_test.cc
+++ b/tests/unit/gateway_http/early_answers_test.cc
@@ -2,7 +2,9 @@
 //
 // The uploads are longer than what the buffers of both sockets hold, so a reset may be reported to
 // the node's write instead of to its read.
+#include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "support.h"
